--- /dev/null
+++ b/Makefile
@@ -0,0 +1,131 @@
+# Targets: all check test lint format demo demo-up demo-down bench fuzz model
+# install clean.  BUILD selects the output directory; SAN=address,undefined or
+# SAN=thread builds with sanitizers.
+
+PREFIX = /usr/local
+BUILD = build
+CC = gcc
+PKGS = glib-2.0 libtirpc libmicrohttpd libcurl jansson yaml-0.1 libxxhash \
+    libsodium ck
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS))
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -Wno-unused-parameter
+OPT = -O2 -g
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc $(PKG_CFLAGS)
+CFLAGS = -std=c11 $(OPT) $(WARN)
+LDFLAGS =
+LDLIBS = $(PKG_LIBS) -lpthread -lm
+ifdef SAN
+CFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
+LDFLAGS += -fsanitize=$(SAN)
+endif
+
+LIB_DIRS = base place admit once stream member catalog refuse poison cache
+NET_DIRS = config http rpc store
+FAKES = engine store service list
+BENCHES = load parts
+
+srcs = $(foreach d,$(1),$(wildcard src/$(d)/*.c))
+objs = $(patsubst %.c,$(BUILD)/%.o,$(1))
+
+LIB_SRC = $(call srcs,$(LIB_DIRS))
+NET_SRC = $(call srcs,$(NET_DIRS))
+ENTRY_SRC = $(filter-out src/entry/main.c,$(wildcard src/entry/*.c))
+AGENT_SRC = $(filter-out src/agent/main.c,$(wildcard src/agent/*.c))
+CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c))
+TEST_SRC = $(wildcard test/test_*.c)
+TEST_LIB_SRC = $(filter-out $(TEST_SRC),$(wildcard test/*.c))
+
+LIB = $(BUILD)/libjacinthhill.a
+NET = $(BUILD)/libjhnet.a
+ENTRY_LIB = $(BUILD)/libjhentry.a
+AGENT_LIB = $(BUILD)/libjhagent.a
+CTL_LIB = $(BUILD)/libjhctl.a
+TEST_LIB = $(BUILD)/libjhtest.a
+
+DAEMONS = $(foreach d,entry agent ctl,$(if $(wildcard src/$(d)/main.c),\
+    $(BUILD)/jh$(d)))
+FAKE_BINS = $(foreach d,$(FAKES),$(if $(wildcard fakes/$(d)/*.c),\
+    $(BUILD)/fake-$(d)))
+BENCH_BINS = $(if $(wildcard bench/load/*.c),$(BUILD)/jhload) \
+    $(if $(wildcard bench/parts/*.c),$(BUILD)/jhbench)
+TESTS = $(patsubst test/%.c,$(BUILD)/test/%,$(TEST_SRC))
+
+all: $(LIB) $(DAEMONS) $(FAKE_BINS) $(BENCH_BINS)
+
+# Generated RPC code is not held to our warning set.
+$(BUILD)/src/rpc/control_%.o: CFLAGS += -Wno-unused-variable \
+    -Wno-missing-prototypes -Wno-strict-prototypes -Wno-cast-function-type \
+    -Wno-shadow
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(call objs,$(LIB_SRC))
+$(NET): $(call objs,$(NET_SRC))
+$(ENTRY_LIB): $(call objs,$(ENTRY_SRC))
+$(AGENT_LIB): $(call objs,$(AGENT_SRC))
+$(CTL_LIB): $(call objs,$(CTL_SRC))
+$(TEST_LIB): $(call objs,$(TEST_LIB_SRC))
+$(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(TEST_LIB):
+	rm -f $@
+	ar rcs $@ $(filter %.o,$^)
+
+$(BUILD)/jhentry: $(BUILD)/src/entry/main.o $(ENTRY_LIB) $(NET) $(LIB)
+$(BUILD)/jhagent: $(BUILD)/src/agent/main.o $(AGENT_LIB) $(NET) $(LIB)
+$(BUILD)/jhctl: $(BUILD)/src/ctl/main.o $(CTL_LIB) $(NET) $(LIB)
+$(BUILD)/jhload: $(call objs,$(wildcard bench/load/*.c)) $(NET) $(LIB)
+$(BUILD)/jhbench: $(call objs,$(wildcard bench/parts/*.c)) $(NET) $(LIB)
+define FAKE_RULE
+$(BUILD)/fake-$(1): $(call objs,$(wildcard fakes/$(1)/*.c)) $(NET) $(LIB)
+endef
+$(foreach d,$(FAKES),$(eval $(call FAKE_RULE,$(d))))
+
+$(DAEMONS) $(FAKE_BINS) $(BENCH_BINS):
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+
+$(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(ENTRY_LIB) $(AGENT_LIB) \
+    $(CTL_LIB) $(NET) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+test: all $(TESTS)
+	BUILD=$(BUILD) sh test/run.sh $(TESTS)
+
+check: test lint
+
+C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '^src/rpc/control')
+
+format:
+	clang-format -i $(C_FILES)
+
+lint:
+	clang-format --dry-run -Werror $(C_FILES)
+	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+	    --enable=warning,portability --suppress=missingIncludeSystem \
+	    -D_GNU_SOURCE -Iinclude -Isrc $(filter %.c,$(C_FILES))
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 \
+	    clang-tidy --quiet -- -std=c11 $(CPPFLAGS)
+
+demo: all
+	BUILD=$(BUILD) sh demo/run.sh
+
+demo-up: all
+	BUILD=$(BUILD) sh demo/up.sh
+
+demo-down:
+	BUILD=$(BUILD) sh demo/down.sh
+
+bench: all
+	BUILD=$(BUILD) sh bench/run.sh
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(wildcard Makefile.d/*.mk)
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all test check lint format demo demo-up demo-down bench clean
+.SECONDARY:
--- /dev/null
+++ b/src/base/auth.h
@@ -0,0 +1,45 @@
+#ifndef BASE_AUTH_H
+#define BASE_AUTH_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jacinthhill/str.h>
+
+#define JH_AUTH_KEY_LEN 32
+#define JH_AUTH_NONCE_LEN 16
+#define JH_AUTH_MAC_LEN 32
+#define JH_AUTH_HASH_HEX_LEN 64
+
+/* Longest accepted difference between a sender's clock and ours. */
+#define JH_AUTH_SKEW_USEC (30 * 1000000ULL)
+
+/* The key that all processes of one deployment share. */
+struct jh_auth_key {
+	uint8_t bytes[JH_AUTH_KEY_LEN];
+};
+
+/* A keyed BLAKE2b MAC under construction. */
+struct jh_auth_mac;
+
+/* Parses 64 hexadecimal digits; returns false on any other input. */
+bool jh_auth_key_parse(struct jh_auth_key *key, const char *hex);
+
+struct jh_auth_mac *jh_auth_mac_create(const struct jh_auth_key *key);
+void jh_auth_mac_add(struct jh_auth_mac *m, const void *data, size_t len);
+/* Adds the length first, so that adjacent fields cannot be shifted. */
+void jh_auth_mac_add_str(struct jh_auth_mac *m, struct jh_str s);
+/* Writes the MAC and frees m. */
+void jh_auth_mac_finish(struct jh_auth_mac *m, uint8_t out[JH_AUTH_MAC_LEN]);
+
+/* Compares in constant time. */
+bool jh_auth_mac_eq(const uint8_t *a, const uint8_t *b);
+
+/* Fills with unpredictable bytes. */
+void jh_auth_random(void *out, size_t len);
+
+/* Hash of an API key as stored in the catalogue: BLAKE2b in hexadecimal. */
+void jh_auth_hash_hex(struct jh_str s, char out[JH_AUTH_HASH_HEX_LEN + 1]);
+
+#endif
--- /dev/null
+++ b/src/base/event.h
@@ -0,0 +1,31 @@
+#ifndef BASE_EVENT_H
+#define BASE_EVENT_H
+
+#include <glib.h>
+
+/*
+ * Numbered log events. Numbers are stable: never reuse one. Each has a row in
+ * docs/events.md. Ranges: 1000 process, 2000 HTTP, 3000 entry, 4000 agent,
+ * 5000 catalogue, 6000 store, 7000 membership, 8000 refusals, 9000 tools.
+ */
+enum jh_event {
+	JH_EV_STARTED = 1001,
+	JH_EV_STOPPING = 1002,
+	JH_EV_STOPPED = 1003,
+	JH_EV_SETTINGS_INVALID = 1004,
+	JH_EV_START_FAILED = 1005,
+	JH_EV_HTTP_LISTEN_FAILED = 2001,
+	JH_EV_UPSTREAM_FAILED = 3001,
+	JH_EV_REQUEST_REFUSED = 3002,
+	JH_EV_STREAM_RESUMED = 3003,
+	JH_EV_ENGINE_LOST = 4001,
+};
+
+/* Logs one event through GLib structured logging with field JH_EVENT. */
+void jh_event(enum jh_event ev, GLogLevelFlags level, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/* Sends logs to stderr as "time level number program: message" lines. */
+void jh_event_init(const char *program);
+
+#endif
--- /dev/null
+++ b/src/base/ring.c
@@ -0,0 +1,47 @@
+#include <ck_ring.h>
+#include <glib.h>
+
+#include "base/ring.h"
+
+struct jh_ring {
+	ck_ring_t ring;
+	ck_ring_buffer_t *slots;
+};
+
+struct jh_ring *
+jh_ring_create(unsigned int capacity)
+{
+	struct jh_ring *r = g_new0(struct jh_ring, 1);
+	unsigned int size = 4;
+
+	while (size <= capacity)
+		size <<= 1;
+	r->slots = g_new0(ck_ring_buffer_t, size);
+	ck_ring_init(&r->ring, size);
+	return r;
+}
+
+void
+jh_ring_destroy(struct jh_ring *r)
+{
+	if (r == NULL)
+		return;
+	g_free(r->slots);
+	g_free(r);
+}
+
+bool
+jh_ring_push(struct jh_ring *r, void *item)
+{
+	return ck_ring_enqueue_mpmc(&r->ring, r->slots, item);
+}
+
+void *
+jh_ring_pop(struct jh_ring *r)
+{
+	void *item = NULL;
+
+	if (!ck_ring_dequeue_mpmc(&r->ring, r->slots, (void *)&item))
+		return NULL;
+	return item;
+}
--- /dev/null
+++ b/src/http/server.c
@@ -0,0 +1,573 @@
+#include <poll.h>
+#include <string.h>
+
+#include <microhttpd.h>
+
+#include "base/event.h"
+#include "http/server.h"
+
+/* How often waiting connections are checked for a peer that has left. */
+#define SWEEP_INTERVAL_MS 250
+
+struct jh_http_server {
+	struct MHD_Daemon *daemon;
+	struct jh_http_server_spec spec;
+	GMutex lock; /* guards waiting and stopping */
+	GHashTable *waiting; /* set of struct jh_http_req with a live peer */
+	GCond stop_cond;
+	GThread *sweeper;
+	bool stopping;
+	int active; /* atomic */
+};
+
+struct reply_header {
+	char *name;
+	char *value;
+};
+
+struct jh_http_req {
+	int refs; /* atomic */
+	struct jh_http_server *server;
+	struct MHD_Connection *conn; /* valid while attached */
+	char *method;
+	char *path;
+	GString *body;
+	bool too_large;
+	bool handled; /* the request callback has run */
+
+	GMutex lock; /* guards all below */
+	bool attached; /* libmicrohttpd still holds the connection */
+	bool suspended;
+	bool begun;
+	bool queued;
+	bool ended;
+	bool aborted;
+	bool full;
+	bool closed_told;
+	unsigned int status;
+	GArray *headers; /* of struct reply_header */
+	GString *out;
+	size_t out_pos;
+	const struct jh_http_req_ops *ops;
+	void *arg;
+};
+
+G_DEFINE_QUARK(jh-http-error-quark, jh_http_error)
+
+static void
+clear_header(gpointer p)
+{
+	struct reply_header *h = p;
+
+	g_free(h->name);
+	g_free(h->value);
+}
+
+static struct jh_http_req *
+req_create(struct jh_http_server *s, struct MHD_Connection *conn,
+    const char *method, const char *path)
+{
+	struct jh_http_req *r = g_new0(struct jh_http_req, 1);
+
+	r->refs = 1;
+	r->server = s;
+	r->conn = conn;
+	r->method = g_strdup(method);
+	r->path = g_strdup(path);
+	r->body = g_string_new(NULL);
+	r->out = g_string_new(NULL);
+	r->headers = g_array_new(FALSE, FALSE, sizeof(struct reply_header));
+	g_array_set_clear_func(r->headers, clear_header);
+	r->attached = true;
+	g_mutex_init(&r->lock);
+	g_atomic_int_inc(&s->active);
+	return r;
+}
+
+struct jh_http_req *
+jh_http_req_ref(struct jh_http_req *r)
+{
+	g_atomic_int_inc(&r->refs);
+	return r;
+}
+
+void
+jh_http_req_unref(struct jh_http_req *r)
+{
+	if (!g_atomic_int_dec_and_test(&r->refs))
+		return;
+	g_free(r->method);
+	g_free(r->path);
+	g_string_free(r->body, TRUE);
+	g_string_free(r->out, TRUE);
+	g_array_free(r->headers, TRUE);
+	g_mutex_clear(&r->lock);
+	g_free(r);
+}
+
+/* Caller holds r->lock. */
+static void
+wake(struct jh_http_req *r)
+{
+	if (!r->suspended || !r->attached)
+		return;
+	r->suspended = false;
+	MHD_resume_connection(r->conn);
+}
+
+/* Caller holds r->lock. */
+static void
+sleep_until_woken(struct jh_http_req *r)
+{
+	r->suspended = true;
+	MHD_suspend_connection(r->conn);
+}
+
+/* Copies pending reply bytes; called by libmicrohttpd. */
+static ssize_t
+read_reply(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct jh_http_req *r = cls;
+	bool drained = false;
+	size_t n;
+
+	g_mutex_lock(&r->lock);
+	n = r->out->len - r->out_pos;
+	if (n == 0) {
+		if (r->aborted || r->ended) {
+			g_mutex_unlock(&r->lock);
+			return r->aborted ? MHD_CONTENT_READER_END_WITH_ERROR
+					  : MHD_CONTENT_READER_END_OF_STREAM;
+		}
+		sleep_until_woken(r);
+		g_mutex_unlock(&r->lock);
+		return 0;
+	}
+	n = MIN(n, max);
+	memcpy(buf, r->out->str + r->out_pos, n);
+	r->out_pos += n;
+	if (r->out_pos == r->out->len) {
+		g_string_truncate(r->out, 0);
+		r->out_pos = 0;
+	} else if (r->out_pos > r->server->spec.buffer_limit) {
+		g_string_erase(r->out, 0, (gssize)r->out_pos);
+		r->out_pos = 0;
+	}
+	if (r->full &&
+	    r->out->len - r->out_pos < r->server->spec.buffer_limit / 2) {
+		r->full = false;
+		drained = true;
+	}
+	g_mutex_unlock(&r->lock);
+	if (drained && r->ops != NULL && r->ops->writable != NULL)
+		r->ops->writable(r->arg);
+	return (ssize_t)n;
+}
+
+static void
+release_reply(void *cls)
+{
+	jh_http_req_unref(cls);
+}
+
+/* Caller holds r->lock. */
+static enum MHD_Result
+queue_reply(struct jh_http_req *r)
+{
+	struct MHD_Response *resp;
+	struct reply_header *h;
+	enum MHD_Result result;
+	uint64_t size = MHD_SIZE_UNKNOWN;
+	guint i;
+
+	if (r->aborted)
+		return MHD_NO;
+	if (r->ended)
+		size = r->out->len - r->out_pos;
+	jh_http_req_ref(r);
+	resp = MHD_create_response_from_callback(
+	    size, 16384, read_reply, r, release_reply);
+	for (i = 0; i < r->headers->len; i++) {
+		h = &g_array_index(r->headers, struct reply_header, i);
+		MHD_add_response_header(resp, h->name, h->value);
+	}
+	r->queued = true;
+	result = MHD_queue_response(r->conn, r->status, resp);
+	MHD_destroy_response(resp);
+	return result;
+}
+
+static enum MHD_Result
+continue_request(struct jh_http_req *r)
+{
+	enum MHD_Result result = MHD_YES;
+
+	g_mutex_lock(&r->lock);
+	if (r->queued) {
+		/* Nothing to do: libmicrohttpd drives the reply. */
+	} else if (r->begun || r->aborted) {
+		result = queue_reply(r);
+	} else {
+		sleep_until_woken(r);
+	}
+	g_mutex_unlock(&r->lock);
+	return result;
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *upload,
+    size_t *upload_len, void **con_cls)
+{
+	static const char too_large[] =
+	    "{\"error\":{\"code\":\"body_too_large\",\"message\":\"The request "
+	    "body is over the limit.\",\"ran\":\"not_run\"}}\n";
+	struct jh_http_server *s = cls;
+	struct jh_http_req *r = *con_cls;
+
+	if (r == NULL) {
+		*con_cls = req_create(s, conn, method, url);
+		return MHD_YES;
+	}
+	if (*upload_len > 0) {
+		if (r->body->len + *upload_len > s->spec.body_limit)
+			r->too_large = true;
+		else
+			g_string_append_len(
+			    r->body, upload, (gssize)*upload_len);
+		*upload_len = 0;
+		return MHD_YES;
+	}
+	if (!r->handled) {
+		r->handled = true;
+		g_mutex_lock(&s->lock);
+		g_hash_table_add(s->waiting, r);
+		g_mutex_unlock(&s->lock);
+		if (r->too_large)
+			jh_http_req_reply(r, 413, "application/json", too_large,
+			    sizeof(too_large) - 1);
+		else
+			s->spec.ops->request(s->spec.arg, jh_http_req_ref(r));
+	}
+	return continue_request(r);
+}
+
+static void
+tell_closed(struct jh_http_req *r)
+{
+	bool tell;
+
+	g_mutex_lock(&r->lock);
+	tell = r->handled && !r->closed_told &&
+	    !(r->ended && r->out_pos == r->out->len);
+	r->closed_told = true;
+	g_mutex_unlock(&r->lock);
+	if (tell && r->ops != NULL && r->ops->closed != NULL)
+		r->ops->closed(r->arg);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *conn, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	struct jh_http_server *s = cls;
+	struct jh_http_req *r = *con_cls;
+
+	if (r == NULL)
+		return;
+	g_mutex_lock(&s->lock);
+	g_hash_table_remove(s->waiting, r);
+	g_mutex_unlock(&s->lock);
+	g_mutex_lock(&r->lock);
+	r->attached = false;
+	g_mutex_unlock(&r->lock);
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		tell_closed(r);
+	g_atomic_int_add(&s->active, -1);
+	*con_cls = NULL;
+	jh_http_req_unref(r);
+}
+
+static bool
+peer_left(struct jh_http_req *r)
+{
+	const union MHD_ConnectionInfo *info;
+	struct pollfd p = {.events = POLLRDHUP};
+
+	info = MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info == NULL)
+		return false;
+	p.fd = info->connect_fd;
+	return poll(&p, 1, 0) == 1 &&
+	    (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/*
+ * libmicrohttpd does not watch suspended connections, so a caller that leaves
+ * while its request waits would go unnoticed.
+ */
+static void
+sweep(struct jh_http_server *s)
+{
+	GPtrArray *left = g_ptr_array_new();
+	struct jh_http_req *r;
+	GHashTableIter it;
+	gpointer key;
+	guint i;
+
+	g_mutex_lock(&s->lock);
+	g_hash_table_iter_init(&it, s->waiting);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		r = key;
+		g_mutex_lock(&r->lock);
+		if (r->attached && r->suspended && peer_left(r))
+			g_ptr_array_add(left, jh_http_req_ref(r));
+		g_mutex_unlock(&r->lock);
+	}
+	g_mutex_unlock(&s->lock);
+	for (i = 0; i < left->len; i++) {
+		r = left->pdata[i];
+		tell_closed(r);
+		jh_http_req_abort(r);
+		jh_http_req_unref(r);
+	}
+	g_ptr_array_free(left, TRUE);
+}
+
+static gpointer
+sweep_main(gpointer arg)
+{
+	struct jh_http_server *s = arg;
+	gint64 next;
+
+	g_mutex_lock(&s->lock);
+	while (!s->stopping) {
+		next = g_get_monotonic_time() + SWEEP_INTERVAL_MS * 1000;
+		while (!s->stopping &&
+		    g_cond_wait_until(&s->stop_cond, &s->lock, next))
+			;
+		if (s->stopping)
+			break;
+		g_mutex_unlock(&s->lock);
+		sweep(s);
+		g_mutex_lock(&s->lock);
+	}
+	g_mutex_unlock(&s->lock);
+	return NULL;
+}
+
+struct jh_http_server *
+jh_http_server_create(const struct jh_http_server_spec *spec, GError **err)
+{
+	struct jh_http_server *s = g_new0(struct jh_http_server, 1);
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+	    MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+	char *text;
+
+	s->spec = *spec;
+	g_mutex_init(&s->lock);
+	g_cond_init(&s->stop_cond);
+	s->waiting = g_hash_table_new(NULL, NULL);
+	s->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, s,
+	    MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&s->spec.listen,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
+	    MHD_OPTION_CONNECTION_LIMIT, spec->max_conns,
+	    MHD_OPTION_THREAD_POOL_SIZE,
+	    spec->threads > 1 ? spec->threads : 0u, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+	    1u, MHD_OPTION_END);
+	if (s->daemon == NULL) {
+		text = g_strdup_printf(
+		    "cannot listen on port %u", ntohs(spec->listen.sin_port));
+		g_set_error_literal(
+		    err, JH_HTTP_ERROR, JH_HTTP_ERROR_LISTEN, text);
+		g_free(text);
+		g_hash_table_destroy(s->waiting);
+		g_mutex_clear(&s->lock);
+		g_cond_clear(&s->stop_cond);
+		g_free(s);
+		return NULL;
+	}
+	s->sweeper = g_thread_new("sweep", sweep_main, s);
+	return s;
+}
+
+void
+jh_http_server_quiesce(struct jh_http_server *s)
+{
+	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+static void
+abort_all(struct jh_http_server *s)
+{
+	GHashTableIter it;
+	gpointer key;
+	GPtrArray *all = g_ptr_array_new();
+	guint i;
+
+	g_mutex_lock(&s->lock);
+	g_hash_table_iter_init(&it, s->waiting);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_ptr_array_add(all, jh_http_req_ref(key));
+	g_mutex_unlock(&s->lock);
+	for (i = 0; i < all->len; i++) {
+		tell_closed(all->pdata[i]);
+		jh_http_req_abort(all->pdata[i]);
+		jh_http_req_unref(all->pdata[i]);
+	}
+	g_ptr_array_free(all, TRUE);
+}
+
+void
+jh_http_server_destroy(struct jh_http_server *s)
+{
+	if (s == NULL)
+		return;
+	g_mutex_lock(&s->lock);
+	s->stopping = true;
+	g_cond_signal(&s->stop_cond);
+	g_mutex_unlock(&s->lock);
+	g_thread_join(s->sweeper);
+	abort_all(s);
+	MHD_stop_daemon(s->daemon);
+	g_hash_table_destroy(s->waiting);
+	g_mutex_clear(&s->lock);
+	g_cond_clear(&s->stop_cond);
+	g_free(s);
+}
+
+unsigned int
+jh_http_server_port(const struct jh_http_server *s)
+{
+	const union MHD_DaemonInfo *info;
+
+	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	return info == NULL ? 0 : info->port;
+}
+
+unsigned int
+jh_http_server_active(const struct jh_http_server *s)
+{
+	return (unsigned int)g_atomic_int_get(&s->active);
+}
+
+const char *
+jh_http_req_method(const struct jh_http_req *r)
+{
+	return r->method;
+}
+
+const char *
+jh_http_req_path(const struct jh_http_req *r)
+{
+	return r->path;
+}
+
+const char *
+jh_http_req_header(const struct jh_http_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
+}
+
+const char *
+jh_http_req_query(const struct jh_http_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    r->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+struct jh_str
+jh_http_req_body(const struct jh_http_req *r)
+{
+	return (struct jh_str){r->body->str, r->body->len};
+}
+
+void
+jh_http_req_watch(
+    struct jh_http_req *r, const struct jh_http_req_ops *ops, void *arg)
+{
+	r->ops = ops;
+	r->arg = arg;
+}
+
+void
+jh_http_req_add_header(
+    struct jh_http_req *r, const char *name, const char *value)
+{
+	struct reply_header h = {g_strdup(name), g_strdup(value)};
+
+	g_mutex_lock(&r->lock);
+	if (r->begun)
+		clear_header(&h);
+	else
+		g_array_append_val(r->headers, h);
+	g_mutex_unlock(&r->lock);
+}
+
+void
+jh_http_req_begin(struct jh_http_req *r, unsigned int status)
+{
+	g_mutex_lock(&r->lock);
+	if (!r->begun) {
+		r->begun = true;
+		r->status = status;
+		wake(r);
+	}
+	g_mutex_unlock(&r->lock);
+}
+
+bool
+jh_http_req_write(struct jh_http_req *r, const void *data, size_t len)
+{
+	bool room;
+
+	g_mutex_lock(&r->lock);
+	if (r->attached && !r->aborted && !r->ended) {
+		g_string_append_len(r->out, data, (gssize)len);
+		if (r->out->len - r->out_pos >= r->server->spec.buffer_limit)
+			r->full = true;
+		wake(r);
+	}
+	room = !r->full;
+	g_mutex_unlock(&r->lock);
+	return room;
+}
+
+void
+jh_http_req_end(struct jh_http_req *r)
+{
+	g_mutex_lock(&r->lock);
+	r->ended = true;
+	wake(r);
+	g_mutex_unlock(&r->lock);
+}
+
+void
+jh_http_req_abort(struct jh_http_req *r)
+{
+	g_mutex_lock(&r->lock);
+	if (!r->ended) {
+		r->aborted = true;
+		wake(r);
+	}
+	g_mutex_unlock(&r->lock);
+}
+
+void
+jh_http_req_reply(struct jh_http_req *r, unsigned int status,
+    const char *content_type, const void *data, size_t len)
+{
+	jh_http_req_add_header(r, "Content-Type", content_type);
+	g_mutex_lock(&r->lock);
+	if (!r->begun) {
+		r->begun = true;
+		r->status = status;
+		g_string_append_len(r->out, data, (gssize)len);
+		r->ended = true;
+		wake(r);
+	}
+	g_mutex_unlock(&r->lock);
+}
--- /dev/null
+++ b/test/run.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# Runs every test program given, prints one line each and a total.
+# Programs named in KNOWN-RED.txt (lines "test: NAME") may fail; they are
+# printed and not counted as failures.
+set -u
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+passed=0
+failed=0
+red=0
+for t in "$@"; do
+	name=$(basename "$t")
+	if "$t" >"$out/$name" 2>&1; then
+		passed=$((passed + 1))
+		echo "ok   $name"
+	elif grep -qs "^test: $name\$" KNOWN-RED.txt; then
+		red=$((red + 1))
+		echo "RED  $name (listed in KNOWN-RED.txt)"
+		tail -n 20 "$out/$name"
+	else
+		failed=$((failed + 1))
+		echo "FAIL $name"
+		tail -n 60 "$out/$name"
+	fi
+done
+[ "$red" -eq 0 ] || echo "known red: $red"
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
