--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,8 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	@echo "CC $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(LIB): $(call objs,$(LIB_SRC))
 $(NET): $(call objs,$(NET_SRC))
@@ -70,8 +71,8 @@
 $(CTL_LIB): $(call objs,$(CTL_SRC))
 $(TEST_LIB): $(call objs,$(TEST_LIB_SRC))
 $(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(TEST_LIB):
-	rm -f $@
-	ar rcs $@ $(filter %.o,$^)
+	@rm -f $@
+	@ar rcs $@ $(filter %.o,$^)
 
 $(BUILD)/jhentry: $(BUILD)/src/entry/main.o $(ENTRY_LIB) $(NET) $(LIB)
 $(BUILD)/jhagent: $(BUILD)/src/agent/main.o $(AGENT_LIB) $(NET) $(LIB)
@@ -84,12 +85,14 @@
 $(foreach d,$(FAKES),$(eval $(call FAKE_RULE,$(d))))
 
 $(DAEMONS) $(FAKE_BINS) $(BENCH_BINS):
-	$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
 
 $(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(ENTRY_LIB) $(AGENT_LIB) \
     $(CTL_LIB) $(NET) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 test: all $(TESTS)
 	BUILD=$(BUILD) sh test/run.sh $(TESTS)
@@ -103,11 +106,11 @@
 
 lint:
 	clang-format --dry-run -Werror $(C_FILES)
-	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+	cppcheck --quiet --std=c11 --library=gtk '-DG_DEFINE_QUARK(a,b)=' --error-exitcode=1 --inline-suppr \
 	    --enable=warning,portability --suppress=missingIncludeSystem \
 	    -D_GNU_SOURCE -Iinclude -Isrc $(filter %.c,$(C_FILES))
-	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 4 \
-	    clang-tidy --quiet -- -std=c11 $(CPPFLAGS)
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 2 \
+	    sh -c 'clang-tidy --quiet "$$@" -- -std=c11 $(CPPFLAGS)' sh
 
 demo: all
 	BUILD=$(BUILD) sh demo/run.sh
--- a/src/base/auth.c
+++ b/src/base/auth.c
@@ -19,7 +19,7 @@
 		return false;
 	return sodium_hex2bin(key->bytes, sizeof(key->bytes), hex, strlen(hex),
 		   NULL, &len, NULL) == 0 &&
-	    len == JH_AUTH_KEY_LEN;
+	       len == JH_AUTH_KEY_LEN;
 }
 
 struct jh_auth_mac *
@@ -76,7 +76,7 @@
 {
 	uint8_t hash[JH_AUTH_HASH_HEX_LEN / 2];
 
-	crypto_generichash(hash, sizeof(hash), (const uint8_t *)s.ptr, s.len,
-	    NULL, 0);
+	crypto_generichash(
+	    hash, sizeof(hash), (const uint8_t *)s.ptr, s.len, NULL, 0);
 	sodium_bin2hex(out, JH_AUTH_HASH_HEX_LEN + 1, hash, sizeof(hash));
 }
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -9,7 +9,7 @@
 
 	clock_gettime(id, &ts);
 	return (uint64_t)ts.tv_sec * JH_USEC_PER_SEC +
-	    (uint64_t)ts.tv_nsec / 1000;
+	       (uint64_t)ts.tv_nsec / 1000;
 }
 
 uint64_t
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -65,7 +65,7 @@
 	msg = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
 	snprintf(number, sizeof(number), "%d", (int)ev);
-	g_log_structured("jacinthhill", level, "JH_EVENT", number, "MESSAGE",
-	    "%s", msg);
+	g_log_structured(
+	    "jacinthhill", level, "JH_EVENT", number, "MESSAGE", "%s", msg);
 	g_free(msg);
 }
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -13,7 +13,8 @@
 bool
 jh_str_eq(struct jh_str a, struct jh_str b)
 {
-	return a.len == b.len && (a.len == 0 || memcmp(a.ptr, b.ptr, a.len) == 0);
+	return a.len == b.len &&
+	       (a.len == 0 || memcmp(a.ptr, b.ptr, a.len) == 0);
 }
 
 char *
--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -12,13 +12,13 @@
 	GString *faults;
 };
 
-G_DEFINE_QUARK(jh-settings-error-quark, jh_settings_error)
+G_DEFINE_QUARK(jh_settings_error_quark, jh_settings_error)
 
 static bool read_mapping(struct reader *r, yaml_node_t *node,
     const struct jh_setting *table, void *out);
 
 static void G_GNUC_PRINTF(3, 4)
-fault(struct reader *r, const yaml_node_t *node, const char *fmt, ...)
+    fault(struct reader *r, const yaml_node_t *node, const char *fmt, ...)
 {
 	va_list ap;
 
@@ -55,7 +55,8 @@
 
 	if (s->choices != NULL && !is_choice(s->choices, text)) {
 		all = g_strjoinv(", ", (char **)s->choices);
-		fault(r, node, "%s is \"%s\"; use one of %s", s->key, text, all);
+		fault(
+		    r, node, "%s is \"%s\"; use one of %s", s->key, text, all);
 		g_free(all);
 		return;
 	}
@@ -108,8 +109,8 @@
 			    s->key, text);
 		break;
 	case JH_SET_HEX32:
-		if (sodium_hex2bin(out, 32, text, strlen(text), NULL, &len,
-			NULL) != 0 ||
+		if (sodium_hex2bin(
+			out, 32, text, strlen(text), NULL, &len, NULL) != 0 ||
 		    len != 32)
 			fault(r, node, "%s must be 64 hexadecimal digits",
 			    s->key);
@@ -138,8 +139,8 @@
 		if (item->type != YAML_SCALAR_NODE)
 			fault(r, item, "%s must hold plain values", s->key);
 		else
-			g_ptr_array_add(*out,
-			    g_strdup((char *)item->data.scalar.value));
+			g_ptr_array_add(
+			    *out, g_strdup((char *)item->data.scalar.value));
 	}
 }
 
@@ -166,8 +167,8 @@
 }
 
 static void
-read_value(struct reader *r, yaml_node_t *node, const struct jh_setting *s,
-    void *out)
+read_value(
+    struct reader *r, yaml_node_t *node, const struct jh_setting *s, void *out)
 {
 	if (s->type == JH_SET_LIST)
 		read_list(r, node, s, field(out, s));
@@ -176,8 +177,8 @@
 	else if (node->type != YAML_SCALAR_NODE)
 		fault(r, node, "%s must be a single value", s->key);
 	else
-		set_scalar(r, node, s, (char *)node->data.scalar.value,
-		    field(out, s));
+		set_scalar(
+		    r, node, s, (char *)node->data.scalar.value, field(out, s));
 }
 
 static const struct jh_setting *
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -15,12 +15,12 @@
  */
 
 enum jh_setting_type {
-	JH_SET_STRING,	/* char *, owned by the settings struct */
-	JH_SET_INT,	/* int64_t in [min, max] */
-	JH_SET_BOOL,	/* bool; true or false */
+	JH_SET_STRING, /* char *, owned by the settings struct */
+	JH_SET_INT, /* int64_t in [min, max] */
+	JH_SET_BOOL, /* bool; true or false */
 	JH_SET_ADDRESS, /* struct sockaddr_in; "A.B.C.D:PORT" */
-	JH_SET_HEX32,	/* uint8_t[32]; 64 hexadecimal digits */
-	JH_SET_LIST,	/* GPtrArray * of structs described by item */
+	JH_SET_HEX32, /* uint8_t[32]; 64 hexadecimal digits */
+	JH_SET_LIST, /* GPtrArray * of structs described by item */
 	JH_SET_STRINGS, /* GPtrArray * of char * */
 };
 
@@ -39,7 +39,7 @@
 
 #define JH_SETTINGS_ERROR jh_settings_error_quark()
 enum jh_settings_error {
-	JH_SETTINGS_ERROR_READ,	  /* the file cannot be read */
+	JH_SETTINGS_ERROR_READ, /* the file cannot be read */
 	JH_SETTINGS_ERROR_INVALID /* the message lists every fault */
 };
 GQuark jh_settings_error_quark(void);
@@ -49,8 +49,8 @@
  * a NULL key. Returns false and sets err on any fault; *out must be cleared
  * with jh_settings_clear() in both cases.
  */
-bool jh_settings_load(const char *path, const struct jh_setting *table,
-    void *out, GError **err);
+bool jh_settings_load(
+    const char *path, const struct jh_setting *table, void *out, GError **err);
 
 /* The same for text in memory; name stands in place of the path. */
 bool jh_settings_parse(const char *name, const char *text, size_t len,
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -52,7 +52,7 @@
 	void *arg;
 };
 
-G_DEFINE_QUARK(jh-http-error-quark, jh_http_error)
+G_DEFINE_QUARK(jh_http_error_quark, jh_http_error)
 
 static void
 clear_header(gpointer p)
@@ -259,7 +259,7 @@
 
 	g_mutex_lock(&r->lock);
 	tell = r->handled && !r->closed_told &&
-	    !(r->ended && r->out_pos == r->out->len);
+	       !(r->ended && r->out_pos == r->out->len);
 	r->closed_told = true;
 	g_mutex_unlock(&r->lock);
 	if (tell && r->ops != NULL && r->ops->closed != NULL)
@@ -294,12 +294,13 @@
 	const union MHD_ConnectionInfo *info;
 	struct pollfd p = {.events = POLLRDHUP};
 
-	info = MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	info =
+	    MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	if (info == NULL)
 		return false;
 	p.fd = info->connect_fd;
 	return poll(&p, 1, 0) == 1 &&
-	    (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+	       (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 /*
@@ -344,7 +345,7 @@
 	while (!s->stopping) {
 		next = g_get_monotonic_time() + SWEEP_INTERVAL_MS * 1000;
 		while (!s->stopping &&
-		    g_cond_wait_until(&s->stop_cond, &s->lock, next))
+		       g_cond_wait_until(&s->stop_cond, &s->lock, next))
 			;
 		if (s->stopping)
 			break;
@@ -361,7 +362,7 @@
 {
 	struct jh_http_server *s = g_new0(struct jh_http_server, 1);
 	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
-	    MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+			     MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
 	char *text;
 
 	s->spec = *spec;
@@ -372,9 +373,8 @@
 	    MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&s->spec.listen,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
 	    MHD_OPTION_CONNECTION_LIMIT, spec->max_conns,
-	    MHD_OPTION_THREAD_POOL_SIZE,
-	    spec->threads > 1 ? spec->threads : 0u, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-	    1u, MHD_OPTION_END);
+	    MHD_OPTION_THREAD_POOL_SIZE, spec->threads > 1 ? spec->threads : 0u,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 	if (s->daemon == NULL) {
 		text = g_strdup_printf(
 		    "cannot listen on port %u", ntohs(spec->listen.sin_port));
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -41,8 +41,8 @@
 
 struct jh_http_server_spec {
 	struct sockaddr_in listen;
-	size_t body_limit;     /* bytes; a larger body is answered with 413 */
-	size_t buffer_limit;   /* bytes of reply buffered per request */
+	size_t body_limit; /* bytes; a larger body is answered with 413 */
+	size_t buffer_limit; /* bytes of reply buffered per request */
 	unsigned int max_conns;
 	unsigned int threads;
 	const struct jh_http_server_ops *ops;
