--- /dev/null
+++ b/bench/parts/bench.h
@@ -0,0 +1,13 @@
+#ifndef BENCH_PARTS_BENCH_H
+#define BENCH_PARTS_BENCH_H
+
+#include <stdint.h>
+
+/* Runs one benchmark in virtual time and prints its table. */
+struct bench {
+	const char *name;
+	const char *summary;
+	int (*run)(uint64_t seed);
+};
+
+#endif
