--- /dev/null
+++ b/src/http/client.c
@@ -0,0 +1,401 @@
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/ring.h"
+#include "config/settings.h"
+#include "http/client.h"
+
+/* Longest time to wait for a TCP connection to be accepted. */
+#define CONNECT_TIMEOUT_MS 1000L
+
+/* Longest sleep of the thread when no transfer needs attention. */
+#define POLL_INTERVAL_MS 1000
+
+/* Start, resume and cancel commands that may wait per call. */
+#define COMMANDS_PER_CALL 4
+
+enum command_kind { CMD_START, CMD_RESUME, CMD_CANCEL };
+
+struct command {
+	enum command_kind kind;
+	struct jh_http_call *call;
+};
+
+struct jh_http_client {
+	CURLM *multi;
+	GThread *thread;
+	struct jh_ring *commands;
+	unsigned int max_calls;
+	int live; /* atomic: calls whose done() has not run */
+	int stopping; /* atomic */
+	GHashTable *running; /* set of calls; client thread only */
+};
+
+struct jh_http_call {
+	int refs; /* atomic */
+	struct jh_http_client *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	GString *body;
+	struct jh_http_call_ops ops;
+	void *arg;
+	uint64_t deadline;
+	int resume_queued; /* atomic: bounds the commands of one call */
+	int cancel_queued; /* atomic */
+	bool sent; /* a connection stood; the peer may have the request */
+	bool began;
+	bool paused;
+	bool cancelled;
+};
+
+static void
+call_ref(struct jh_http_call *call)
+{
+	g_atomic_int_inc(&call->refs);
+}
+
+void
+jh_http_call_unref(struct jh_http_call *call)
+{
+	if (call == NULL || !g_atomic_int_dec_and_test(&call->refs))
+		return;
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+unsigned int
+jh_http_call_status(const struct jh_http_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	return (unsigned int)status;
+}
+
+const char *
+jh_http_call_header(struct jh_http_call *call, const char *name)
+{
+	struct curl_header *h;
+
+	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &h) !=
+	    CURLHE_OK)
+		return NULL;
+	return h->value;
+}
+
+static void
+note_begun(struct jh_http_call *call)
+{
+	if (call->began)
+		return;
+	call->began = true;
+	if (call->ops.begun != NULL)
+		call->ops.begun(call->arg, call);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct jh_http_call *call = arg;
+
+	/* An empty line ends the headers; interim 1xx replies are skipped. */
+	if (size * n == 2 && data[0] == '\r' &&
+	    jh_http_call_status(call) >= 200)
+		note_begun(call);
+	return size * n;
+}
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct jh_http_call *call = arg;
+	struct jh_str bytes = {data, size * n};
+
+	if (call->cancelled)
+		return bytes.len;
+	if (!call->ops.data(call->arg, call, bytes)) {
+		call->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	return bytes.len;
+}
+
+/* Runs when a connection stands and nothing of the request is written. */
+static int
+on_connected(
+    void *arg, char *peer_ip, char *local_ip, int peer_port, int local_port)
+{
+	struct jh_http_call *call = arg;
+
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+/*
+ * libcurl repeats a request by itself when a kept connection turns out to be
+ * dead, so a failed connect alone does not show that the peer saw nothing.
+ */
+static enum jh_http_result
+classify(const struct jh_http_call *call, CURLcode code)
+{
+	if (call->cancelled)
+		return JH_HTTP_CANCELLED;
+	if (code == CURLE_OK)
+		return JH_HTTP_OK;
+	if (!call->sent)
+		return JH_HTTP_NOT_SENT;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return JH_HTTP_TIMED_OUT;
+	return JH_HTTP_BROKEN;
+}
+
+static void
+finish(struct jh_http_client *c, struct jh_http_call *call, CURLcode code)
+{
+	enum jh_http_result result = classify(call, code);
+
+	g_hash_table_remove(c->running, call);
+	curl_multi_remove_handle(c->multi, call->easy);
+	call->ops.done(call->arg, call, result);
+	g_atomic_int_add(&c->live, -1);
+	jh_http_call_unref(call);
+}
+
+static void
+start(struct jh_http_client *c, struct jh_http_call *call)
+{
+	uint64_t now = jh_now();
+
+	if (call->deadline != JH_NEVER) {
+		long left =
+		    call->deadline <= now
+			? 1
+			: (long)((call->deadline - now) / JH_USEC_PER_MSEC) + 1;
+
+		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, left);
+	}
+	g_hash_table_add(c->running, call);
+	curl_multi_add_handle(c->multi, call->easy);
+}
+
+static void
+unpause(struct jh_http_call *call)
+{
+	g_atomic_int_set(&call->resume_queued, 0);
+	if (!call->paused)
+		return;
+	call->paused = false;
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+}
+
+static void
+run_command(struct jh_http_client *c, struct command *cmd)
+{
+	struct jh_http_call *call = cmd->call;
+
+	if (cmd->kind == CMD_START) {
+		/* The start command's reference passes to the running set. */
+		start(c, call);
+	} else {
+		if (g_hash_table_contains(c->running, call)) {
+			if (cmd->kind == CMD_CANCEL) {
+				call->cancelled = true;
+				finish(c, call, CURLE_OK);
+			} else {
+				unpause(call);
+			}
+		}
+		jh_http_call_unref(call);
+	}
+	g_free(cmd);
+}
+
+static void
+reap(struct jh_http_client *c)
+{
+	struct jh_http_call *call;
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(c->multi, &left)) != NULL) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
+		finish(c, call, msg->data.result);
+	}
+}
+
+static void
+run_commands(struct jh_http_client *c)
+{
+	struct command *cmd;
+
+	while ((cmd = jh_ring_pop(c->commands)) != NULL)
+		run_command(c, cmd);
+}
+
+static void
+cancel_all(struct jh_http_client *c)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	run_commands(c);
+	for (;;) {
+		g_hash_table_iter_init(&it, c->running);
+		if (!g_hash_table_iter_next(&it, &key, NULL))
+			break;
+		((struct jh_http_call *)key)->cancelled = true;
+		finish(c, key, CURLE_OK);
+		run_commands(c);
+	}
+}
+
+static gpointer
+client_main(gpointer arg)
+{
+	struct jh_http_client *c = arg;
+	int running;
+
+	while (!g_atomic_int_get(&c->stopping)) {
+		run_commands(c);
+		curl_multi_perform(c->multi, &running);
+		reap(c);
+		curl_multi_poll(c->multi, NULL, 0, POLL_INTERVAL_MS, NULL);
+	}
+	cancel_all(c);
+	return NULL;
+}
+
+struct jh_http_client *
+jh_http_client_create(const char *thread_name, unsigned int max_calls)
+{
+	struct jh_http_client *c = g_new0(struct jh_http_client, 1);
+
+	c->multi = curl_multi_init();
+	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, (long)max_calls);
+	c->commands = jh_ring_create(max_calls * COMMANDS_PER_CALL);
+	c->max_calls = max_calls;
+	c->running = g_hash_table_new(NULL, NULL);
+	c->thread = g_thread_new(thread_name, client_main, c);
+	return c;
+}
+
+void
+jh_http_client_destroy(struct jh_http_client *c)
+{
+	if (c == NULL)
+		return;
+	g_atomic_int_set(&c->stopping, 1);
+	curl_multi_wakeup(c->multi);
+	g_thread_join(c->thread);
+	curl_multi_cleanup(c->multi);
+	jh_ring_destroy(c->commands);
+	g_hash_table_destroy(c->running);
+	g_free(c);
+}
+
+static void
+send_command(struct jh_http_call *call, enum command_kind kind)
+{
+	struct command *cmd = g_new(struct command, 1);
+
+	cmd->kind = kind;
+	cmd->call = call;
+	/* Each call has at most one command of each kind waiting. */
+	if (!jh_ring_push(call->client->commands, cmd))
+		g_assert_not_reached();
+	curl_multi_wakeup(call->client->multi);
+}
+
+static void
+set_request(struct jh_http_call *call, const struct jh_http_call_spec *spec)
+{
+	char *host = jh_address_format(&spec->peer);
+	char *url = g_strdup_printf("http://%s%s", host, spec->path);
+	const char *const *h;
+
+	curl_easy_setopt(call->easy, CURLOPT_URL, url);
+	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, spec->method);
+	if (spec->body.len > 0 || strcmp(spec->method, "GET") != 0) {
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)spec->body.len);
+		curl_easy_setopt(
+		    call->easy, CURLOPT_POSTFIELDS, call->body->str);
+	}
+	for (h = spec->headers; h != NULL && *h != NULL; h++)
+		call->headers = curl_slist_append(call->headers, *h);
+	/* Waiting for "100 Continue" would add a round trip to each body. */
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	g_free(url);
+	g_free(host);
+}
+
+static void
+set_transfer(struct jh_http_call *call)
+{
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(
+	    call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_connected);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+}
+
+struct jh_http_call *
+jh_http_call_start(
+    struct jh_http_client *c, const struct jh_http_call_spec *spec)
+{
+	struct jh_http_call *call;
+
+	if (g_atomic_int_add(&c->live, 1) >= (int)c->max_calls) {
+		g_atomic_int_add(&c->live, -1);
+		return NULL;
+	}
+	call = g_new0(struct jh_http_call, 1);
+	call->refs = 2; /* the caller's and the running set's */
+	call->client = c;
+	call->easy = curl_easy_init();
+	call->body = g_string_new_len(spec->body.ptr, (gssize)spec->body.len);
+	call->ops = *spec->ops;
+	call->arg = spec->arg;
+	call->deadline = spec->deadline;
+	set_request(call, spec);
+	set_transfer(call);
+	if (spec->once) {
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	send_command(call, CMD_START);
+	return call;
+}
+
+void
+jh_http_call_resume(struct jh_http_call *call)
+{
+	if (!g_atomic_int_compare_and_exchange(&call->resume_queued, 0, 1))
+		return;
+	call_ref(call);
+	send_command(call, CMD_RESUME);
+}
+
+void
+jh_http_call_cancel(struct jh_http_call *call)
+{
+	if (!g_atomic_int_compare_and_exchange(&call->cancel_queued, 0, 1))
+		return;
+	call_ref(call);
+	send_command(call, CMD_CANCEL);
+}
