--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -36,6 +36,8 @@
 	g_option_context_add_main_entries(ctx, options, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
 		fprintf(stderr, "jhbench: %s\n", err->message);
+		g_option_context_free(ctx);
+		g_error_free(err);
 		return 2;
 	}
 	g_option_context_free(ctx);
