--- /dev/null
+++ b/fakes/engine/batch.c
@@ -0,0 +1,305 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include <jacinthhill/clock.h>
+
+#include "batch.h"
+
+struct batch {
+	struct batch_config cfg;
+	struct cache *cache;
+	GMutex *cache_lock;
+	GMutex lock; /* guards the lists and flags */
+	GCond cond;
+	GQueue waiting; /* of struct sequence, by priority then arrival */
+	GQueue running;
+	bool stopping;
+	bool stalled;
+	GThread *thread;
+};
+
+static const char *const words[] = {"rinse", "dry", "the", "coat", "warm",
+    "water", "petal", "lot", "grade", "check", "tray", "manual", "page", "safe",
+    "towel", "batch"};
+
+void
+sequence_free(struct sequence *seq)
+{
+	if (seq == NULL)
+		return;
+	g_free(seq->id);
+	g_free(seq->model);
+	g_free(seq->chain);
+	if (seq->text != NULL)
+		g_string_free(seq->text, TRUE);
+	g_free(seq);
+}
+
+/* The text at a position depends on the prompt alone, as with greedy decode. */
+static void
+token_text(const struct sequence *seq, uint64_t position, char *out, size_t max)
+{
+	uint64_t x = (seq->seed + position) * 0x9e3779b97f4a7c15ULL;
+
+	snprintf(out, max, "%s ", words[(x >> 40) % G_N_ELEMENTS(words)]);
+}
+
+static void
+send_headers(struct sequence *seq, const char *content_type)
+{
+	char cached[32];
+
+	snprintf(cached, sizeof(cached), "%llu",
+	    (unsigned long long)seq->cached_tokens);
+	jh_http_req_add_header(seq->req, "X-Cached-Tokens", cached);
+	jh_http_req_add_header(seq->req, "Content-Type", content_type);
+	jh_http_req_begin(seq->req, 200);
+}
+
+static void
+send_token(struct sequence *seq)
+{
+	char word[32], event[256];
+	int n;
+
+	token_text(seq, seq->position, word, sizeof(word));
+	if (!seq->stream) {
+		g_string_append(seq->text, word);
+		return;
+	}
+	n = snprintf(event, sizeof(event),
+	    "id: %llu\ndata: {\"id\":\"%.64s\",\"object\":"
+	    "\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":"
+	    "{\"content\":\"%s\"}}]}\n\n",
+	    (unsigned long long)seq->position, seq->id, word);
+	jh_http_req_write(seq->req, event, (size_t)n);
+}
+
+static void
+send_whole(struct sequence *seq)
+{
+	json_t *root;
+	char *body;
+
+	root = json_pack("{s:s, s:s, s:s, s:[{s:i, s:{s:s, s:s}, s:s}], "
+			 "s:{s:I, s:I, s:{s:I}}}",
+	    "id", seq->id, "object", "chat.completion", "model", seq->model,
+	    "choices", "index", 0, "message", "role", "assistant", "content",
+	    seq->text->str, "finish_reason", "stop", "usage", "prompt_tokens",
+	    (json_int_t)seq->prompt_tokens, "completion_tokens",
+	    (json_int_t)seq->position, "prompt_tokens_details", "cached_tokens",
+	    (json_int_t)seq->cached_tokens);
+	body = json_dumps(root, JSON_COMPACT);
+	send_headers(seq, "application/json");
+	jh_http_req_write(seq->req, body, strlen(body));
+	free(body);
+	json_decref(root);
+}
+
+static void
+finish(struct sequence *seq)
+{
+	static const char done[] = "data: [DONE]\n\n";
+
+	if (g_atomic_int_get(&seq->gone)) {
+		jh_http_req_abort(seq->req);
+	} else if (seq->stream) {
+		jh_http_req_write(seq->req, done, sizeof(done) - 1);
+		jh_http_req_end(seq->req);
+	} else {
+		send_whole(seq);
+		jh_http_req_end(seq->req);
+	}
+	jh_http_req_unref(seq->req);
+}
+
+static void
+admit(struct batch *b)
+{
+	struct sequence *seq;
+	size_t pieces;
+
+	while (g_queue_get_length(&b->running) < (guint)b->cfg.max_batch &&
+	       (seq = g_queue_pop_head(&b->waiting)) != NULL) {
+		g_mutex_lock(b->cache_lock);
+		pieces = cache_match(b->cache, seq->chain, seq->chain_len);
+		g_mutex_unlock(b->cache_lock);
+		seq->cached_tokens = pieces * (uint64_t)b->cfg.piece_tokens;
+		seq->prefill_left = seq->prompt_tokens - seq->cached_tokens;
+		g_queue_push_tail(&b->running, seq);
+	}
+}
+
+static void
+end_prefill(struct batch *b, struct sequence *seq)
+{
+	g_mutex_lock(b->cache_lock);
+	cache_store(b->cache, seq->chain, seq->chain_len, jh_now());
+	g_mutex_unlock(b->cache_lock);
+	seq->begun = true;
+	if (seq->stream)
+		send_headers(seq, "text/event-stream");
+}
+
+/* Runs one step; returns its length in microseconds. */
+static uint64_t
+step(struct batch *b)
+{
+	uint64_t budget = (uint64_t)b->cfg.prefill_chunk, used = 0, n;
+	uint64_t decoding = 0;
+	struct sequence *seq;
+	GList *l, *next;
+
+	for (l = b->running.head; l != NULL; l = next) {
+		next = l->next;
+		seq = l->data;
+		if (g_atomic_int_get(&seq->gone) ||
+		    seq->position >= seq->max_tokens) {
+			g_queue_delete_link(&b->running, l);
+			finish(seq);
+			continue;
+		}
+		if (seq->prefill_left > 0) {
+			n = MIN(seq->prefill_left, budget);
+			seq->prefill_left -= n;
+			budget -= n;
+			used += n;
+			if (seq->prefill_left > 0)
+				continue;
+		}
+		decoding++;
+		if (!seq->begun)
+			end_prefill(b, seq);
+		seq->position++;
+		send_token(seq);
+	}
+	return used * JH_USEC_PER_SEC / (uint64_t)b->cfg.prefill_per_sec +
+	       (decoding > 0 ? (uint64_t)b->cfg.step_usec : 0) +
+	       decoding * (uint64_t)b->cfg.step_per_seq_usec;
+}
+
+static gpointer
+batch_main(gpointer arg)
+{
+	struct batch *b = arg;
+	uint64_t usec, next = jh_now();
+
+	g_mutex_lock(&b->lock);
+	for (;;) {
+		while (b->stalled || (!b->stopping && b->running.length == 0 &&
+					 b->waiting.length == 0)) {
+			g_cond_wait(&b->cond, &b->lock);
+			next = jh_now();
+		}
+		if (b->stopping && b->running.length == 0 &&
+		    b->waiting.length == 0)
+			break;
+		admit(b);
+		usec = step(b);
+		g_mutex_unlock(&b->lock);
+		next += usec * (uint64_t)b->cfg.time_scale_percent / 100;
+		if (next > jh_now())
+			g_usleep(next - jh_now());
+		else
+			next = jh_now();
+		g_mutex_lock(&b->lock);
+	}
+	g_mutex_unlock(&b->lock);
+	return NULL;
+}
+
+struct batch *
+batch_create(
+    const struct batch_config *cfg, struct cache *cache, GMutex *cache_lock)
+{
+	struct batch *b = g_new0(struct batch, 1);
+
+	b->cfg = *cfg;
+	b->cache = cache;
+	b->cache_lock = cache_lock;
+	g_mutex_init(&b->lock);
+	g_cond_init(&b->cond);
+	g_queue_init(&b->waiting);
+	g_queue_init(&b->running);
+	b->thread = g_thread_new("batch", batch_main, b);
+	return b;
+}
+
+static gint
+by_priority(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct sequence *x = a, *y = b;
+
+	/* Equal priorities keep their order of arrival. */
+	return x->priority <= y->priority ? -1 : 1;
+}
+
+void
+batch_submit(struct batch *b, struct sequence *seq)
+{
+	g_mutex_lock(&b->lock);
+	g_queue_insert_sorted(&b->waiting, seq, by_priority, NULL);
+	g_cond_signal(&b->cond);
+	g_mutex_unlock(&b->lock);
+}
+
+static bool
+mark_gone(GQueue *q, const char *id)
+{
+	struct sequence *seq;
+	GList *l;
+
+	for (l = q->head; l != NULL; l = l->next) {
+		seq = l->data;
+		if (strcmp(seq->id, id) == 0) {
+			g_atomic_int_set(&seq->gone, 1);
+			return true;
+		}
+	}
+	return false;
+}
+
+bool
+batch_cancel(struct batch *b, const char *id)
+{
+	bool found;
+
+	g_mutex_lock(&b->lock);
+	found = mark_gone(&b->running, id) || mark_gone(&b->waiting, id);
+	g_mutex_unlock(&b->lock);
+	return found;
+}
+
+void
+batch_counts(struct batch *b, unsigned int *running, unsigned int *waiting)
+{
+	g_mutex_lock(&b->lock);
+	*running = b->running.length;
+	*waiting = b->waiting.length;
+	g_mutex_unlock(&b->lock);
+}
+
+void
+batch_stall(struct batch *b, bool stalled)
+{
+	g_mutex_lock(&b->lock);
+	b->stalled = stalled;
+	g_cond_signal(&b->cond);
+	g_mutex_unlock(&b->lock);
+}
+
+void
+batch_destroy(struct batch *b)
+{
+	g_mutex_lock(&b->lock);
+	b->stopping = true;
+	b->stalled = false;
+	g_cond_signal(&b->cond);
+	g_mutex_unlock(&b->lock);
+	g_thread_join(b->thread);
+	g_mutex_clear(&b->lock);
+	g_cond_clear(&b->cond);
+	g_free(b);
+}
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -210,6 +210,7 @@
 				unpause(call);
 			}
 		}
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): own reference */
 		jh_http_call_unref(call);
 	}
 	g_free(cmd);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -96,6 +96,8 @@
 {
 	if (!g_atomic_int_dec_and_test(&r->refs))
 		return;
+	if (r->ops != NULL && r->ops->released != NULL)
+		r->ops->released(r->arg);
 	g_free(r->method);
 	g_free(r->path);
 	g_string_free(r->body, TRUE);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -33,6 +33,12 @@
 	void (*writable)(void *arg);
 	/* The peer left before the reply was complete. Called at most once. */
 	void (*closed)(void *arg);
+	/*
+	 * The request is freed and no other callback can follow. The other
+	 * callbacks may still run after the reply has ended, so arg must live
+	 * until here.
+	 */
+	void (*released)(void *arg);
 };
 
 #define JH_HTTP_ERROR jh_http_error_quark()
--- a/src/rpc/server.c
+++ b/src/rpc/server.c
@@ -138,7 +138,7 @@
     const struct jh_auth_key *key, const struct jh_rpc_handler *handlers,
     void *arg, GError **err)
 {
-	struct sockaddr_in bound;
+	struct sockaddr_in bound = {0};
 	socklen_t len = sizeof(bound);
 	/* A record limit also makes libtirpc read without blocking. */
 	int max_record = JH_MAX_PAYLOAD + 1024;
