--- a/fakes/engine/batch.h
+++ b/fakes/engine/batch.h
@@ -36,7 +36,7 @@
 	uint64_t max_tokens;
 	uint32_t seed; /* of the generated text */
 	GString *text; /* whole answers only */
-	struct jh_http_req *req;
+	struct jh_http_req *req; /* frees the sequence when released */
 	bool begun; /* prefill is complete */
 	int gone; /* atomic: the caller left */
 };
