--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -83,7 +83,14 @@
 	g_atomic_int_set(&seq->gone, 1);
 }
 
-static const struct jh_http_req_ops completion_ops = {.closed = on_caller_left};
+static void
+on_released(void *arg)
+{
+	sequence_free(arg);
+}
+
+static const struct jh_http_req_ops completion_ops = {
+    .closed = on_caller_left, .released = on_released};
 
 static uint64_t
 header_number(const struct jh_http_req *req, const char *name)
