--- /dev/null
+++ b/src/work/work.c
@@ -0,0 +1,202 @@
+#include <string.h>
+
+#include <sodium.h>
+
+#include <jacinthhill/clock.h>
+
+#include "work/work.h"
+
+struct jh_work {
+	char *field[JH_WORK_FIELDS];
+};
+
+static const char *const names[JH_WORK_FIELDS] = {
+    [JH_WORK_REQUEST_ID] = "Jh-Request-Id",
+    [JH_WORK_ORG] = "Jh-Org",
+    [JH_WORK_CLASS] = "Jh-Class",
+    [JH_WORK_RANK] = "Jh-Rank",
+    [JH_WORK_BUDGET_MS] = "Jh-Budget-Ms",
+    [JH_WORK_MAX_WAIT_MS] = "Jh-Max-Wait-Ms",
+    [JH_WORK_PREFIX] = "Jh-Prefix",
+    [JH_WORK_SALT] = "Jh-Salt",
+    [JH_WORK_SHARED_SALT] = "Jh-Shared-Salt",
+    [JH_WORK_DECODE] = "Jh-Decode",
+    [JH_WORK_WEIGHT] = "Jh-Weight",
+    [JH_WORK_RESUME] = "Jh-Resume",
+    [JH_WORK_CRASHES] = "Jh-Crashes",
+    [JH_WORK_WIDTH] = "Jh-Width",
+    [JH_WORK_CATALOG_REV] = "Jh-Catalog-Rev",
+    [JH_WORK_ONCE] = "Jh-Once",
+    [JH_WORK_FIRST_ATTEMPT] = "Jh-First-Attempt",
+    [JH_WORK_KEY] = "Idempotency-Key",
+};
+
+struct stamp {
+	uint8_t nonce[JH_AUTH_NONCE_LEN];
+	uint64_t sent_usec;
+};
+
+struct jh_work *
+jh_work_create(void)
+{
+	return g_new0(struct jh_work, 1);
+}
+
+void
+jh_work_destroy(struct jh_work *w)
+{
+	size_t i;
+
+	if (w == NULL)
+		return;
+	for (i = 0; i < JH_WORK_FIELDS; i++)
+		g_free(w->field[i]);
+	g_free(w);
+}
+
+void
+jh_work_set(struct jh_work *w, enum jh_work_field f, const char *value)
+{
+	g_free(w->field[f]);
+	w->field[f] = g_strdup(value);
+}
+
+void
+jh_work_set_uint(struct jh_work *w, enum jh_work_field f, uint64_t value)
+{
+	g_free(w->field[f]);
+	w->field[f] = g_strdup_printf("%" G_GUINT64_FORMAT, value);
+}
+
+const char *
+jh_work_get(const struct jh_work *w, enum jh_work_field f)
+{
+	return w->field[f];
+}
+
+uint64_t
+jh_work_get_uint(
+    const struct jh_work *w, enum jh_work_field f, uint64_t fallback)
+{
+	guint64 value;
+
+	if (w->field[f] == NULL || !g_ascii_string_to_unsigned(w->field[f], 10,
+				       0, G_MAXUINT64, &value, NULL))
+		return fallback;
+	return value;
+}
+
+static void
+compute_mac(const struct jh_work *w, const struct jh_auth_key *key,
+    const char *method, const char *path, struct jh_str body,
+    const struct stamp *st, uint8_t out[JH_AUTH_MAC_LEN])
+{
+	struct jh_auth_mac *m = jh_auth_mac_create(key);
+	uint64_t sent = GUINT64_TO_BE(st->sent_usec);
+	size_t i;
+
+	jh_auth_mac_add_str(m, jh_str_from(method));
+	jh_auth_mac_add_str(m, jh_str_from(path));
+	for (i = 0; i < JH_WORK_FIELDS; i++)
+		jh_auth_mac_add_str(m, jh_str_from(w->field[i]));
+	jh_auth_mac_add(m, st->nonce, sizeof(st->nonce));
+	jh_auth_mac_add(m, &sent, sizeof(sent));
+	jh_auth_mac_add_str(m, body);
+	jh_auth_mac_finish(m, out);
+}
+
+/* "Jh-Auth: SENT:NONCE:MAC" with nonce and MAC in hexadecimal. */
+static char *
+auth_header(const struct stamp *st, const uint8_t mac[JH_AUTH_MAC_LEN])
+{
+	char nonce[2 * JH_AUTH_NONCE_LEN + 1], hex[2 * JH_AUTH_MAC_LEN + 1];
+
+	sodium_bin2hex(nonce, sizeof(nonce), st->nonce, sizeof(st->nonce));
+	sodium_bin2hex(hex, sizeof(hex), mac, JH_AUTH_MAC_LEN);
+	return g_strdup_printf(
+	    "Jh-Auth: %" G_GUINT64_FORMAT ":%s:%s", st->sent_usec, nonce, hex);
+}
+
+char **
+jh_work_headers(const struct jh_work *w, const struct jh_auth_key *key,
+    const char *method, const char *path, struct jh_str body)
+{
+	GPtrArray *lines = g_ptr_array_new();
+	uint8_t mac[JH_AUTH_MAC_LEN];
+	struct stamp st;
+	size_t i;
+
+	jh_auth_random(st.nonce, sizeof(st.nonce));
+	st.sent_usec = jh_wall_now();
+	compute_mac(w, key, method, path, body, &st, mac);
+	for (i = 0; i < JH_WORK_FIELDS; i++) {
+		if (w->field[i] != NULL)
+			g_ptr_array_add(lines,
+			    g_strdup_printf("%s: %s", names[i], w->field[i]));
+	}
+	g_ptr_array_add(lines, auth_header(&st, mac));
+	g_ptr_array_add(lines, NULL);
+	return (char **)g_ptr_array_free(lines, FALSE);
+}
+
+static bool
+parse_hex(const char *text, uint8_t *out, size_t len)
+{
+	size_t got = 0;
+
+	return strlen(text) == 2 * len &&
+	       sodium_hex2bin(out, len, text, 2 * len, NULL, &got, NULL) == 0 &&
+	       got == len;
+}
+
+static bool
+parse_auth(const char *value, struct stamp *st, uint8_t mac[JH_AUTH_MAC_LEN])
+{
+	char **part;
+	guint64 sent = 0;
+	bool ok;
+
+	if (value == NULL)
+		return false;
+	part = g_strsplit(value, ":", 3);
+	ok = g_strv_length(part) == 3 &&
+	     g_ascii_string_to_unsigned(
+		 part[0], 10, 0, G_MAXUINT64, &sent, NULL) &&
+	     parse_hex(part[1], st->nonce, sizeof(st->nonce)) &&
+	     parse_hex(part[2], mac, JH_AUTH_MAC_LEN);
+	st->sent_usec = sent;
+	g_strfreev(part);
+	return ok;
+}
+
+static bool
+is_recent(uint64_t sent)
+{
+	uint64_t now = jh_wall_now();
+
+	return (now > sent ? now - sent : sent - now) <= JH_AUTH_SKEW_USEC;
+}
+
+struct jh_work *
+jh_work_from_request(
+    const struct jh_http_req *req, const struct jh_auth_key *key)
+{
+	uint8_t told[JH_AUTH_MAC_LEN], mac[JH_AUTH_MAC_LEN];
+	struct stamp st;
+	struct jh_work *w;
+	size_t i;
+
+	if (!parse_auth(jh_http_req_header(req, "Jh-Auth"), &st, told) ||
+	    !is_recent(st.sent_usec))
+		return NULL;
+	w = jh_work_create();
+	for (i = 0; i < JH_WORK_FIELDS; i++)
+		w->field[i] = g_strdup(jh_http_req_header(req, names[i]));
+	compute_mac(w, key, jh_http_req_method(req), jh_http_req_path(req),
+	    jh_http_req_body(req), &st, mac);
+	if (!jh_auth_mac_eq(mac, told)) {
+		jh_work_destroy(w);
+		return NULL;
+	}
+	return w;
+}
