admit: add the rank queue

A treap with subtree sums gives the work before a deadline, so an offer's estimate and every other decision costs O(log n).

An estimate adds the prefill and the slots ahead at the rates learnt from first tokens and completions; what cannot be on time is refused at once.

--- /dev/null
+++ b/src/admit/queue_fit.c
@@ -0,0 +1,70 @@
+#include "admit/queue_fit.h"
+
+/* Weight kept by old samples: half of it is gone after about 23 samples. */
+#define FIT_DECAY 0.97
+#define MEAN_GAIN 0.05
+/* Relative variance of x below which the slope cannot be told. */
+#define FIT_MIN_SPREAD 0.01
+
+static void
+add(struct jh_queue_fit *f, double x, double y)
+{
+	f->n += 1;
+	f->x += x;
+	f->y += y;
+	f->xx += x * x;
+	f->xy += x * y;
+}
+
+/* Keeps both parameters at or above 0, which time per token must be. */
+static void
+solve(struct jh_queue_fit *f)
+{
+	double mx = f->x / f->n, my = f->y / f->n;
+	double var = f->xx / f->n - mx * mx;
+
+	if (var > FIT_MIN_SPREAD * mx * mx)
+		f->slope = (f->xy / f->n - mx * my) / var;
+	if (f->slope < 0)
+		f->slope = 0;
+	f->base = my - f->slope * mx;
+	if (f->base < 0) {
+		f->base = 0;
+		f->slope = mx > 0 ? my / mx : f->slope;
+	}
+}
+
+void
+jh_queue_fit_init(
+    struct jh_queue_fit *f, double base, double slope, double x_scale)
+{
+	*f = (struct jh_queue_fit){0};
+	add(f, 0, base);
+	add(f, x_scale, base + slope * x_scale);
+	f->base = base;
+	f->slope = slope;
+}
+
+void
+jh_queue_fit_add(struct jh_queue_fit *f, double x, double y)
+{
+	f->n *= FIT_DECAY;
+	f->x *= FIT_DECAY;
+	f->y *= FIT_DECAY;
+	f->xx *= FIT_DECAY;
+	f->xy *= FIT_DECAY;
+	add(f, x, y);
+	solve(f);
+}
+
+double
+jh_queue_fit_at(const struct jh_queue_fit *f, double count, double x)
+{
+	return count * f->base + x * f->slope;
+}
+
+void
+jh_queue_mean_add(struct jh_queue_mean *m, double sample)
+{
+	m->value += MEAN_GAIN * (sample - m->value);
+}
--- /dev/null
+++ b/src/admit/queue_fit.h
@@ -0,0 +1,26 @@
+#ifndef ADMIT_QUEUE_FIT_H
+#define ADMIT_QUEUE_FIT_H
+
+/*
+ * A moving linear fit y = base + slope * x: least squares over samples whose
+ * weight decays with each new one.
+ */
+struct jh_queue_fit {
+	double n, x, y, xx, xy;
+	double base, slope;
+};
+
+/* Starts from an assumed line, which fades as samples arrive. */
+void jh_queue_fit_init(
+    struct jh_queue_fit *f, double base, double slope, double x_scale);
+void jh_queue_fit_add(struct jh_queue_fit *f, double x, double y);
+double jh_queue_fit_at(const struct jh_queue_fit *f, double count, double x);
+
+/* An exponentially weighted mean of samples. */
+struct jh_queue_mean {
+	double value;
+};
+
+void jh_queue_mean_add(struct jh_queue_mean *m, double sample);
+
+#endif
--- /dev/null
+++ b/src/admit/queue_rank.c
@@ -0,0 +1,205 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "admit/queue_rank.h"
+
+/* A lookup key that views the organisation; flows are their own keys. */
+static guint
+flow_hash(gconstpointer p)
+{
+	const struct jh_queue_flow *f = p;
+
+	return (guint)XXH3_64bits(f->org, f->org_len);
+}
+
+static gboolean
+flow_eq(gconstpointer a, gconstpointer b)
+{
+	const struct jh_queue_flow *f = a, *g = b;
+
+	return f->org_len == g->org_len &&
+	       memcmp(f->org, g->org, f->org_len) == 0;
+}
+
+void
+jh_queue_rank_init(struct jh_queue_rank *r)
+{
+	*r = (struct jh_queue_rank){0};
+	r->flows = g_hash_table_new_full(
+	    flow_hash, flow_eq, NULL, (GDestroyNotify)jh_queue_flow_destroy);
+}
+
+void
+jh_queue_rank_clear(struct jh_queue_rank *r)
+{
+	g_hash_table_destroy(r->flows);
+	jh_queue_heap_clear(&r->waiting);
+	jh_queue_heap_clear(&r->largest);
+	jh_queue_heap_clear(&r->idle);
+}
+
+struct jh_queue_flow *
+jh_queue_rank_find(const struct jh_queue_rank *r, struct jh_str org)
+{
+	struct jh_queue_flow key = {
+	    .org = org.len == 0 ? "" : (char *)org.ptr, .org_len = org.len};
+
+	return g_hash_table_lookup(r->flows, &key);
+}
+
+static struct jh_queue_flow *
+obtain(struct jh_queue_rank *r, struct jh_str org)
+{
+	struct jh_queue_flow *f = jh_queue_rank_find(r, org);
+
+	if (f == NULL) {
+		f = jh_queue_flow_create(org, r->next_tie++);
+		f->tag = r->virtual_time;
+		g_hash_table_add(r->flows, f);
+	}
+	return f;
+}
+
+/* Puts the flow into the heaps that its state calls for. */
+static void
+settle(struct jh_queue_rank *r, struct jh_queue_flow *f, bool waited)
+{
+	struct jh_queue_sum sum = jh_queue_flow_sum(f);
+
+	if (sum.count > 0) {
+		if (!waited) {
+			jh_queue_heap_remove(&r->idle, &f->order);
+			f->tag = MAX(f->tag, r->virtual_time);
+			r->waiting_weight += f->weight;
+		}
+		jh_queue_heap_update(&r->waiting, &f->order, f->tag);
+		jh_queue_heap_update(
+		    &r->largest, &f->size, UINT64_MAX - sum.cost);
+		return;
+	}
+	if (waited) {
+		jh_queue_heap_remove(&r->waiting, &f->order);
+		jh_queue_heap_remove(&r->largest, &f->size);
+		r->waiting_weight -= f->weight;
+	}
+	if (f->running == 0)
+		jh_queue_heap_update(&r->idle, &f->order, f->tag);
+}
+
+/*
+ * Forgets idle flows that virtual time has caught up with: a new flow would
+ * start at the same tag.
+ */
+static void
+forget_idle(struct jh_queue_rank *r)
+{
+	struct jh_queue_heap_node *n;
+	struct jh_queue_flow *f;
+
+	while ((n = jh_queue_heap_top(&r->idle)) != NULL &&
+	       n->key <= r->virtual_time) {
+		f = JH_CONTAINER(n, struct jh_queue_flow, order);
+		jh_queue_heap_remove(&r->idle, n);
+		g_hash_table_remove(r->flows, f);
+	}
+}
+
+void
+jh_queue_rank_push(struct jh_queue_rank *r, struct jh_queue_entry *e)
+{
+	struct jh_queue_flow *f = obtain(r, e->item.org);
+	bool waited = f->tree.root != NULL;
+
+	if (!waited)
+		f->weight = MAX(e->item.weight, 1);
+	e->flow = f;
+	e->item.org = (struct jh_str){f->org, f->org_len};
+	jh_queue_tree_insert(&f->tree, &e->node);
+	jh_queue_sum_add(&r->queued, &e->node.own);
+	settle(r, f, waited);
+}
+
+static void
+detach(struct jh_queue_rank *r, struct jh_queue_entry *e)
+{
+	jh_queue_tree_remove(&e->flow->tree, &e->node);
+	jh_queue_sum_sub(&r->queued, &e->node.own);
+}
+
+void
+jh_queue_rank_remove(struct jh_queue_rank *r, struct jh_queue_entry *e)
+{
+	detach(r, e);
+	settle(r, e->flow, true);
+}
+
+static struct jh_queue_entry *
+entry_of(struct jh_queue_tree_node *n)
+{
+	return JH_CONTAINER(n, struct jh_queue_entry, node);
+}
+
+struct jh_queue_entry *
+jh_queue_rank_first(const struct jh_queue_rank *r)
+{
+	struct jh_queue_heap_node *n = jh_queue_heap_top(&r->waiting);
+	struct jh_queue_flow *f;
+
+	if (n == NULL)
+		return NULL;
+	f = JH_CONTAINER(n, struct jh_queue_flow, order);
+	return entry_of(jh_queue_tree_first(&f->tree));
+}
+
+void
+jh_queue_rank_start(struct jh_queue_rank *r, struct jh_queue_entry *e)
+{
+	struct jh_queue_flow *f = e->flow;
+
+	r->virtual_time = MAX(r->virtual_time, f->tag);
+	f->tag += jh_queue_flow_span(f, e->cost);
+	r->max_tag = MAX(r->max_tag, f->tag);
+	f->running++;
+	r->running++;
+	r->in_prefill++;
+	detach(r, e);
+	settle(r, f, true);
+	forget_idle(r);
+}
+
+void
+jh_queue_rank_finish(
+    struct jh_queue_rank *r, struct jh_queue_entry *e, uint64_t cost)
+{
+	struct jh_queue_flow *f = e->flow;
+	uint64_t refund;
+
+	f->running--;
+	r->running--;
+	if (e->first_token == 0)
+		r->in_prefill--;
+	if (cost >= e->cost) {
+		f->tag += jh_queue_flow_span(f, cost - e->cost);
+		r->max_tag = MAX(r->max_tag, f->tag);
+	} else {
+		refund = jh_queue_flow_span(f, e->cost - cost);
+		f->tag -= MIN(refund, f->tag);
+	}
+	settle(r, f, f->tree.root != NULL);
+	if (r->running == 0 && r->queued.count == 0)
+		r->virtual_time = r->max_tag;
+	forget_idle(r);
+}
+
+struct jh_queue_entry *
+jh_queue_rank_victim(const struct jh_queue_rank *r, uint64_t floor)
+{
+	struct jh_queue_heap_node *n = jh_queue_heap_top(&r->largest);
+	struct jh_queue_flow *f;
+
+	if (n == NULL || UINT64_MAX - n->key <= floor)
+		return NULL;
+	f = JH_CONTAINER(n, struct jh_queue_flow, size);
+	return entry_of(jh_queue_tree_last(&f->tree));
+}
