--- /dev/null
+++ b/src/agent/agent.h
@@ -0,0 +1,76 @@
+#ifndef AGENT_AGENT_H
+#define AGENT_AGENT_H
+
+#include <jacinthhill/cacheview.h>
+#include <jacinthhill/counters.h>
+#include <jacinthhill/queue.h>
+
+#include "agent/settings.h"
+#include "http/client.h"
+#include "http/server.h"
+
+/* How long a stream without its entry daemon is kept for a reconnect. */
+#define AGENT_ORPHAN_USEC (10 * 1000000ULL)
+
+/* Bytes of a stream kept for a reconnect. */
+#define AGENT_STREAM_LOG_LEN (64 * 1024)
+
+enum agent_counter {
+	AGENT_REQUESTS,
+	AGENT_UNAUTHENTICATED,
+	AGENT_REFUSED,
+	AGENT_STARTED,
+	AGENT_COMPLETED,
+	AGENT_CANCELLED,
+	AGENT_ENGINE_LOST,
+	AGENT_REATTACHED,
+	AGENT_TOKENS,
+	AGENT_PROMPT_TOKENS,
+	AGENT_CACHED_TOKENS,
+	AGENT_COUNTERS
+};
+
+extern const char *const agent_counter_names[AGENT_COUNTERS];
+
+/* What the engine last said about itself. */
+struct agent_engine {
+	uint64_t incarnation; /* 0: not known */
+	char *model;
+	char *weights;
+	uint64_t piece_tokens;
+	uint64_t events_from; /* last cache event taken */
+};
+
+/* The state of one jhagent process. */
+struct agent {
+	struct agent_settings set;
+	uint64_t incarnation;
+	struct jh_counters *counters;
+	struct jh_http_client *client;
+	struct jh_http_server *server;
+
+	GMutex lock; /* guards all below */
+	struct jh_queue *queue;
+	struct jh_cacheview *cache;
+	struct agent_engine engine;
+	GHashTable *jobs;	/* &id -> struct agent_job */
+	GHashTable *by_request; /* request id -> struct agent_job */
+	uint64_t next_id;
+
+	int leaving;  /* atomic */
+	int wait_ms;  /* atomic: estimated wait of new urgent work */
+};
+
+/* Routes one authenticated work request (server.c). */
+extern const struct jh_http_server_ops agent_server_ops;
+
+/* Adds the headers that every answer carries, and refuses as not run. */
+void agent_refuse(struct agent *a, struct jh_http_req *req,
+    unsigned int status, const char *reason);
+void agent_add_headers(
+    struct agent *a, struct jh_http_req *req, const char *outcome);
+
+/* Expires queued work and orphaned streams (chat.c). */
+void agent_tick(struct agent *a);
+
+#endif
--- /dev/null
+++ b/src/agent/chat.c
@@ -0,0 +1,394 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/prefix.h>
+
+#include "agent/chat.h"
+
+/* Answer length assumed when the entry daemon does not estimate one. */
+#define DEFAULT_DECODE_TOKENS 64
+
+/* Time to first token when the entry daemon gives no budget. */
+#define DEFAULT_BUDGET_MS 600000
+
+/* What the queue decided, to be carried out without agent->lock. */
+struct outcome {
+	struct agent_job *job;
+	const char *refusal; /* NULL: start it */
+};
+
+/* Collects what may start or is refused now. Holds agent->lock. */
+static GArray *
+pump(struct agent *a)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+	struct jh_queue_item item;
+	struct jh_queue_refused refused;
+	struct outcome o;
+	uint64_t now = jh_now();
+
+	jh_queue_expire(a->queue, jh_now());
+	while (jh_queue_next(a->queue, jh_now(), &item)) {
+		o = (struct outcome){agent_job_ref(item.data), NULL};
+		g_array_append_val(out, o);
+	}
+	while (jh_queue_take_refused(a->queue, &refused)) {
+		o = (struct outcome){agent_job_ref(refused.item.data),
+		    jh_queue_reason_name(refused.reason)};
+		g_array_append_val(out, o);
+	}
+	item = (struct jh_queue_item){.rank = JH_RANK_URGENT,
+		.org = JH_STR("-"), .deadline = JH_NEVER};
+	g_atomic_int_set(&a->wait_ms,
+	    (int)((jh_queue_estimate(a->queue, now, &item) - now) /
+		JH_USEC_PER_MSEC));
+	return out;
+}
+
+/* Removes the job from the tables. Holds agent->lock. */
+static void
+forget(struct agent_job *j)
+{
+	const char *rid = jh_work_get(j->work, JH_WORK_REQUEST_ID);
+
+	if (g_hash_table_lookup(j->agent->by_request, rid) == j)
+		g_hash_table_remove(j->agent->by_request, rid);
+	g_hash_table_remove(j->agent->jobs, &j->id);
+}
+
+static void
+refuse_job(struct agent_job *j, const char *reason)
+{
+	g_mutex_lock(&j->agent->lock);
+	forget(j);
+	g_mutex_unlock(&j->agent->lock);
+	g_mutex_lock(&j->lock);
+	j->state = JOB_ENDED;
+	if (j->req != NULL)
+		agent_refuse(j->agent, j->req, 503, reason);
+	g_mutex_unlock(&j->lock);
+	agent_job_drop_req(j);
+}
+
+static void
+carry_out(GArray *outcomes)
+{
+	struct outcome *o;
+	guint i;
+
+	for (i = 0; i < outcomes->len; i++) {
+		o = &g_array_index(outcomes, struct outcome, i);
+		if (o->refusal == NULL)
+			agent_job_start(o->job);
+		else
+			refuse_job(o->job, o->refusal);
+		agent_job_unref(o->job);
+	}
+	g_array_free(outcomes, TRUE);
+}
+
+static void
+pump_now(struct agent *a)
+{
+	GArray *outcomes;
+
+	g_mutex_lock(&a->lock);
+	outcomes = pump(a);
+	g_mutex_unlock(&a->lock);
+	carry_out(outcomes);
+}
+
+void
+agent_job_ended(struct agent_job *j, bool completed)
+{
+	struct agent *a = j->agent;
+
+	jh_counters_add(a->counters, AGENT_TOKENS, j->tokens);
+	jh_counters_add(
+	    a->counters, completed ? AGENT_COMPLETED : AGENT_CANCELLED, 1);
+	g_mutex_lock(&a->lock);
+	jh_queue_finished(a->queue, jh_now(), j->id,
+	    completed ? JH_QUEUE_END_DONE : JH_QUEUE_END_ABORTED, j->tokens);
+	/* An orphaned stream that is whole is kept for its reader. */
+	g_mutex_lock(&j->lock);
+	j->state = JOB_ENDED;
+	if (j->req != NULL || !completed)
+		forget(j);
+	g_mutex_unlock(&j->lock);
+	g_mutex_unlock(&a->lock);
+	agent_job_drop_req(j);
+	pump_now(a);
+}
+
+static void
+cancel_job(struct agent_job *j)
+{
+	struct agent *a = j->agent;
+	bool queued;
+
+	g_mutex_lock(&a->lock);
+	queued = jh_queue_cancel(a->queue, j->id);
+	if (queued || j->state == JOB_ENDED)
+		forget(j);
+	g_mutex_unlock(&a->lock);
+	g_mutex_lock(&j->lock);
+	j->cancelled = true;
+	if (queued)
+		j->state = JOB_ENDED;
+	if (j->call != NULL && j->state == JOB_RUNNING)
+		jh_http_call_cancel(j->call);
+	if (queued && j->req != NULL)
+		jh_http_req_abort(j->req);
+	g_mutex_unlock(&j->lock);
+	if (queued) {
+		agent_job_drop_req(j);
+		jh_counters_add(a->counters, AGENT_CANCELLED, 1);
+	}
+}
+
+bool
+agent_cancel(struct agent *a, const char *request_id)
+{
+	struct agent_job *j;
+
+	g_mutex_lock(&a->lock);
+	j = g_hash_table_lookup(a->by_request, request_id);
+	if (j != NULL)
+		agent_job_ref(j);
+	g_mutex_unlock(&a->lock);
+	if (j == NULL)
+		return false;
+	cancel_job(j);
+	agent_job_unref(j);
+	return true;
+}
+
+/*
+ * The entry daemon's connection broke without a cancellation, so the daemon
+ * died: a stream waits for its reader, anything else ends.
+ */
+static void
+on_closed(void *arg)
+{
+	struct agent_job *j = arg;
+	bool keep;
+
+	g_mutex_lock(&j->lock);
+	keep = j->begun && !j->cancelled && j->state != JOB_ENDED;
+	if (keep) {
+		j->orphan_deadline = jh_now() + AGENT_ORPHAN_USEC;
+		j->blocked = false;
+		if (j->call != NULL && j->state == JOB_RUNNING)
+			jh_http_call_resume(j->call);
+	}
+	g_mutex_unlock(&j->lock);
+	if (keep)
+		agent_job_drop_req(j);
+	else
+		cancel_job(j);
+}
+
+static void
+on_writable(void *arg)
+{
+	struct agent_job *j = arg;
+
+	g_mutex_lock(&j->lock);
+	j->blocked = false;
+	if (j->call != NULL && j->state == JOB_RUNNING)
+		jh_http_call_resume(j->call);
+	g_mutex_unlock(&j->lock);
+}
+
+static void
+on_released(void *arg)
+{
+	agent_job_unref(arg);
+}
+
+static const struct jh_http_req_ops job_req_ops = {.writable = on_writable,
+    .closed = on_closed,
+    .released = on_released};
+
+/* Replays the kept stream; the entry daemon's relay drops repeats. */
+void
+agent_job_reattach(struct agent_job *j, struct jh_http_req *req)
+{
+	struct jh_http_req *old;
+	bool ended;
+
+	jh_counters_add(j->agent->counters, AGENT_REATTACHED, 1);
+	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
+	g_mutex_lock(&j->lock);
+	old = j->req;
+	j->req = req;
+	j->orphan_deadline = JH_NEVER;
+	jh_http_req_add_header(req, "Content-Type", "text/event-stream");
+	agent_add_headers(j->agent, req, "ran");
+	jh_http_req_begin(req, 200);
+	if (!jh_http_req_write(req, j->log->str, j->log->len))
+		j->blocked = true;
+	ended = j->state == JOB_ENDED;
+	if (ended)
+		jh_http_req_end(req);
+	g_mutex_unlock(&j->lock);
+	if (old != NULL) {
+		jh_http_req_abort(old);
+		jh_http_req_unref(old);
+	}
+	if (ended) {
+		g_mutex_lock(&j->agent->lock);
+		forget(j);
+		g_mutex_unlock(&j->agent->lock);
+		agent_job_drop_req(j);
+	}
+}
+
+static bool
+try_reattach(struct agent *a, struct jh_work *w, struct jh_http_req *req)
+{
+	const char *rid = jh_work_get(w, JH_WORK_REQUEST_ID);
+	struct agent_job *j;
+	bool same_org;
+
+	if (jh_work_get(w, JH_WORK_RESUME) == NULL)
+		return false;
+	g_mutex_lock(&a->lock);
+	j = g_hash_table_lookup(a->by_request, rid);
+	if (j != NULL)
+		agent_job_ref(j);
+	g_mutex_unlock(&a->lock);
+	if (j == NULL)
+		return false;
+	same_org = g_strcmp0(jh_work_get(j->work, JH_WORK_ORG),
+		       jh_work_get(w, JH_WORK_ORG)) == 0;
+	if (same_org && j->begun) {
+		agent_job_reattach(j, req);
+		jh_work_destroy(w);
+	}
+	agent_job_unref(j);
+	return same_org && j->begun;
+}
+
+/* Prompt tokens that the engine's cache is not known to hold. */
+static uint32_t
+uncached_tokens(struct agent *a, struct agent_job *j)
+{
+	return (uint32_t)MIN(j->prompt_tokens, UINT32_MAX);
+}
+
+static struct jh_queue_item
+queue_item(struct agent *a, struct agent_job *j)
+{
+	const struct jh_work *w = j->work;
+	uint64_t budget =
+	    jh_work_get_uint(w, JH_WORK_BUDGET_MS, DEFAULT_BUDGET_MS);
+
+	return (struct jh_queue_item){.id = j->id,
+	    .org = jh_str_from(jh_work_get(w, JH_WORK_ORG)),
+	    .weight = (unsigned int)jh_work_get_uint(w, JH_WORK_WEIGHT, 1),
+	    .rank = g_strcmp0(jh_work_get(w, JH_WORK_RANK), "urgent") == 0
+		? JH_RANK_URGENT
+		: JH_RANK_BACKGROUND,
+	    .deadline = jh_now() + budget * JH_USEC_PER_MSEC,
+	    .prefill = uncached_tokens(a, j),
+	    .decode = (uint32_t)jh_work_get_uint(
+		w, JH_WORK_DECODE, DEFAULT_DECODE_TOKENS),
+	    .data = j};
+}
+
+/* A wait over the entry daemon's bound: another worker would be faster. */
+static bool
+over_max_wait(struct agent *a, const struct jh_queue_item *item)
+{
+	const struct agent_job *j = item->data;
+	uint64_t now = jh_now(), max_ms, own, first;
+
+	max_ms = jh_work_get_uint(j->work, JH_WORK_MAX_WAIT_MS, UINT64_MAX);
+	if (max_ms == UINT64_MAX)
+		return false;
+	first = jh_queue_estimate(a->queue, now, item);
+	own = item->prefill * JH_USEC_PER_SEC / (uint64_t)a->set.prefill_rate;
+	return first > now + own + max_ms * JH_USEC_PER_MSEC;
+}
+
+/* Returns the reason of a refusal, or NULL when queued. */
+static const char *
+offer(struct agent *a, struct agent_job *j)
+{
+	struct jh_queue_decision d = {0};
+	struct jh_queue_item item;
+	const char *reason = NULL;
+
+	g_mutex_lock(&a->lock);
+	j->id = a->next_id++;
+	item = queue_item(a, j);
+	if (g_atomic_int_get(&a->leaving))
+		reason = "leaving";
+	else if (over_max_wait(a, &item))
+		reason = "busy";
+	else if (!jh_queue_offer(a->queue, jh_now(), &item, &d))
+		reason = jh_queue_reason_name(d.reason);
+	if (reason == NULL) {
+		g_hash_table_insert(a->jobs, &j->id, agent_job_ref(j));
+		g_hash_table_replace(a->by_request,
+		    (char *)jh_work_get(j->work, JH_WORK_REQUEST_ID), j);
+	}
+	g_mutex_unlock(&a->lock);
+	return reason;
+}
+
+void
+agent_chat(struct agent *a, struct jh_work *w, struct jh_http_req *req)
+{
+	const char *levels = jh_work_get(w, JH_WORK_PREFIX);
+	struct jh_prefix prefix = {0};
+	const char *reason;
+	struct agent_job *j;
+
+	if (try_reattach(a, w, req))
+		return;
+	if (jh_work_get(w, JH_WORK_REQUEST_ID) == NULL || levels == NULL ||
+	    !jh_prefix_parse(&prefix, jh_str_from(levels))) {
+		jh_work_destroy(w);
+		agent_refuse(a, req, 400, "malformed");
+		jh_http_req_unref(req);
+		return;
+	}
+	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
+	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
+	reason = offer(a, j);
+	if (reason != NULL) {
+		agent_refuse(a, req, 503, reason);
+		agent_job_drop_req(j);
+	}
+	agent_job_unref(j);
+	pump_now(a);
+}
+
+void
+agent_tick(struct agent *a)
+{
+	GPtrArray *late = g_ptr_array_new();
+	struct agent_job *j;
+	GHashTableIter it;
+	gpointer value;
+	guint i;
+
+	g_mutex_lock(&a->lock);
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		j = value;
+		g_mutex_lock(&j->lock);
+		if (jh_now() >= j->orphan_deadline)
+			g_ptr_array_add(late, agent_job_ref(j));
+		g_mutex_unlock(&j->lock);
+	}
+	g_mutex_unlock(&a->lock);
+	for (i = 0; i < late->len; i++) {
+		cancel_job(late->pdata[i]);
+		agent_job_unref(late->pdata[i]);
+	}
+	g_ptr_array_free(late, TRUE);
+	pump_now(a);
+}
--- /dev/null
+++ b/src/agent/engine_call.c
@@ -0,0 +1,234 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/prefix.h>
+
+#include "agent/job.h"
+#include "base/event.h"
+
+/* Longest time one request may take on an engine. */
+#define ENGINE_CALL_USEC (600 * JH_USEC_PER_SEC)
+
+/* Keeps the end of the stream, cut after whole events. Holds j->lock. */
+static void
+keep_log(struct agent_job *j, struct jh_str data)
+{
+	const char *cut;
+	size_t excess;
+
+	g_string_append_len(j->log, data.ptr, (gssize)data.len);
+	if (j->log->len <= AGENT_STREAM_LOG_LEN)
+		return;
+	excess = j->log->len - AGENT_STREAM_LOG_LEN;
+	cut = g_strstr_len(
+	    j->log->str + excess, (gssize)(j->log->len - excess), "\n\n");
+	excess = cut == NULL ? j->log->len : (size_t)(cut + 2 - j->log->str);
+	g_string_erase(j->log, 0, (gssize)excess);
+	j->log_trimmed = true;
+}
+
+static uint32_t
+count_events(struct jh_str data)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 1; i < data.len; i++) {
+		if (data.ptr[i] == '\n' && data.ptr[i - 1] == '\n')
+			n++;
+	}
+	return n;
+}
+
+static void
+copy_header(struct jh_http_call *call, struct jh_http_req *req,
+    const char *from, const char *to)
+{
+	const char *value = jh_http_call_header(call, from);
+
+	if (value != NULL)
+		jh_http_req_add_header(req, to, value);
+}
+
+static void
+note_first_token(struct agent_job *j, struct jh_http_call *call)
+{
+	const char *cached = jh_http_call_header(call, "X-Cached-Tokens");
+	struct agent *a = j->agent;
+
+	g_mutex_lock(&a->lock);
+	jh_queue_first_token(a->queue, jh_now(), j->id);
+	g_mutex_unlock(&a->lock);
+	jh_counters_add(a->counters, AGENT_PROMPT_TOKENS, j->prompt_tokens);
+	if (cached != NULL)
+		jh_counters_add(a->counters, AGENT_CACHED_TOKENS,
+		    g_ascii_strtoull(cached, NULL, 10));
+}
+
+/* Starts the reply to the entry daemon. Holds j->lock. */
+static void
+begin_reply(struct agent_job *j, struct jh_http_call *call)
+{
+	if (j->req == NULL)
+		return;
+	copy_header(call, j->req, "X-Cached-Tokens", "Jh-Cached");
+	copy_header(call, j->req, "Content-Type", "Content-Type");
+	agent_add_headers(
+	    j->agent, j->req, j->engine_ok ? "ran" : "not_run");
+	jh_http_req_begin(j->req, jh_http_call_status(call));
+}
+
+static void
+on_begun(void *arg, struct jh_http_call *call)
+{
+	struct agent_job *j = arg;
+
+	j->engine_ok = jh_http_call_status(call) == 200;
+	if (j->engine_ok)
+		note_first_token(j, call);
+	g_mutex_lock(&j->lock);
+	j->begun = true;
+	begin_reply(j, call);
+	g_mutex_unlock(&j->lock);
+}
+
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	struct agent_job *j = arg;
+
+	g_mutex_lock(&j->lock);
+	if (j->blocked) {
+		g_mutex_unlock(&j->lock);
+		return false;
+	}
+	keep_log(j, data);
+	j->tokens += count_events(data);
+	if (j->req != NULL && !jh_http_req_write(j->req, data.ptr, data.len))
+		j->blocked = true;
+	g_mutex_unlock(&j->lock);
+	return true;
+}
+
+/* The engine broke before its reply was whole. Holds j->lock. */
+static void
+break_reply(struct agent_job *j, enum jh_http_result result)
+{
+	struct jh_http_req *req = j->req;
+
+	if (req == NULL)
+		return;
+	if (j->begun || j->cancelled) {
+		jh_http_req_abort(req);
+		return;
+	}
+	jh_http_req_add_header(req, "Jh-Reason", "engine_lost");
+	agent_add_headers(j->agent, req,
+	    result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
+	jh_http_req_reply(req, 502, "text/plain", "engine lost\n", 12);
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct agent_job *j = arg;
+	bool whole = result == JH_HTTP_OK;
+
+	g_mutex_lock(&j->lock);
+	if (whole && j->req != NULL)
+		jh_http_req_end(j->req);
+	else
+		break_reply(j, result);
+	g_mutex_unlock(&j->lock);
+	if (!whole && result != JH_HTTP_CANCELLED) {
+		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
+		jh_event(JH_EV_ENGINE_LOST, G_LOG_LEVEL_WARNING,
+		    "engine broke off request %s",
+		    jh_work_get(j->work, JH_WORK_REQUEST_ID));
+	}
+	agent_job_ended(j, whole && j->engine_ok);
+	agent_job_unref(j);
+}
+
+static const struct jh_http_call_ops engine_ops = {
+	.begun = on_begun, .data = on_data, .done = on_done};
+
+/* Adds the engine's incarnation and weights to an entry daemon's salt. */
+static char *
+salt_line(struct agent_job *j, const char *name, enum jh_work_field field)
+{
+	const char *text = jh_work_get(j->work, field);
+	char salt[JH_CACHE_SALT_LEN + 1];
+	struct jh_prefix_scope scope;
+	struct agent *a = j->agent;
+
+	if (text == NULL)
+		return NULL;
+	g_mutex_lock(&a->lock);
+	scope.model = jh_str_from(a->engine.model);
+	scope.weights_version = jh_str_from(a->engine.weights);
+	scope.org = jh_str_from(text);
+	jh_cache_salt(&scope, a->engine.incarnation, salt);
+	g_mutex_unlock(&a->lock);
+	return g_strdup_printf("%s: %s", name, salt);
+}
+
+static void
+add_line(GPtrArray *lines, char *line)
+{
+	if (line != NULL)
+		g_ptr_array_add(lines, line);
+}
+
+static GPtrArray *
+engine_headers(struct agent_job *j)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	const char *rank = jh_work_get(j->work, JH_WORK_RANK);
+
+	add_line(lines, g_strdup("Content-Type: application/json"));
+	add_line(lines, salt_line(j, "X-Cache-Salt", JH_WORK_SALT));
+	add_line(lines, salt_line(j, "X-Shared-Salt", JH_WORK_SHARED_SALT));
+	if (jh_work_get(j->work, JH_WORK_SHARED_SALT) != NULL)
+		add_line(lines, g_strdup("X-Shared-Messages: 1"));
+	add_line(lines,
+	    g_strdup_printf("X-Request-Id: %s",
+		jh_work_get(j->work, JH_WORK_REQUEST_ID)));
+	add_line(lines,
+	    g_strdup_printf("X-Priority: %d",
+		g_strcmp0(rank, "urgent") == 0 ? JH_RANK_URGENT
+					       : JH_RANK_BACKGROUND));
+	g_ptr_array_add(lines, NULL);
+	return lines;
+}
+
+void
+agent_job_start(struct agent_job *j)
+{
+	struct agent *a = j->agent;
+	GPtrArray *lines = engine_headers(j);
+	struct jh_http_call_spec spec = {.peer = a->set.backend,
+	    .method = "POST",
+	    .path = "/v1/chat/completions",
+	    .headers = (const char *const *)lines->pdata,
+	    .body = {j->body->str, j->body->len},
+	    .deadline = jh_now() + ENGINE_CALL_USEC,
+	    .ops = &engine_ops,
+	    .arg = agent_job_ref(j)};
+
+	jh_counters_add(a->counters, AGENT_STARTED, 1);
+	g_mutex_lock(&j->lock);
+	j->state = JOB_RUNNING;
+	j->call = jh_http_call_start(a->client, &spec);
+	if (j->call == NULL)
+		break_reply(j, JH_HTTP_NOT_SENT);
+	else if (j->cancelled)
+		jh_http_call_cancel(j->call);
+	g_mutex_unlock(&j->lock);
+	g_ptr_array_free(lines, TRUE);
+	if (j->call == NULL) {
+		agent_job_ended(j, false);
+		agent_job_unref(j);
+	}
+}
--- /dev/null
+++ b/src/agent/job.c
@@ -0,0 +1,56 @@
+#include "agent/job.h"
+
+#include <jacinthhill/clock.h>
+
+struct agent_job *
+agent_job_create(struct agent *a, struct jh_work *w, struct jh_http_req *req,
+    uint64_t prompt_tokens)
+{
+	struct agent_job *j = g_new0(struct agent_job, 1);
+	struct jh_str body = jh_http_req_body(req);
+
+	j->refs = 1;
+	j->agent = a;
+	j->work = w;
+	j->body = g_string_new_len(body.ptr, (gssize)body.len);
+	j->prompt_tokens = prompt_tokens;
+	j->req = req;
+	j->orphan_deadline = JH_NEVER;
+	j->log = g_string_new(NULL);
+	g_mutex_init(&j->lock);
+	return j;
+}
+
+struct agent_job *
+agent_job_ref(struct agent_job *j)
+{
+	g_atomic_int_inc(&j->refs);
+	return j;
+}
+
+/* The request and the job refer to each other; this breaks the cycle. */
+void
+agent_job_drop_req(struct agent_job *j)
+{
+	struct jh_http_req *req;
+
+	g_mutex_lock(&j->lock);
+	req = j->req;
+	j->req = NULL;
+	g_mutex_unlock(&j->lock);
+	if (req != NULL)
+		jh_http_req_unref(req);
+}
+
+void
+agent_job_unref(struct agent_job *j)
+{
+	if (!g_atomic_int_dec_and_test(&j->refs))
+		return;
+	jh_http_call_unref(j->call);
+	jh_work_destroy(j->work);
+	g_string_free(j->body, TRUE);
+	g_string_free(j->log, TRUE);
+	g_mutex_clear(&j->lock);
+	g_free(j);
+}
--- /dev/null
+++ b/src/agent/main.c
@@ -0,0 +1,184 @@
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include <jacinthhill/clock.h>
+
+#include "agent/agent.h"
+#include "agent/engine_poll.h"
+#include "agent/job.h"
+#include "agent/rpc.h"
+#include "base/event.h"
+
+/* Exit statuses, also in docs/operators.md. */
+#define EXIT_SETTINGS 2
+#define EXIT_START 3
+
+#define MAX_CALLS 8192
+#define MAX_CONNS 8192
+#define REPLY_BUFFER_LEN (64 * 1024)
+#define TICK_MSEC 20
+#define TICKS_PER_POLL 10
+
+/* Streams get this long to finish after SIGTERM. */
+#define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
+
+static void
+init_state(struct agent *a)
+{
+	struct jh_queue_config cfg;
+
+	jh_queue_config_init(&cfg);
+	cfg.slots = (unsigned int)a->set.slots;
+	cfg.background_floor_percent = (unsigned int)a->set.background_floor;
+	cfg.max_items = (size_t)a->set.max_queue;
+	cfg.prefill_rate = (unsigned int)a->set.prefill_rate;
+	cfg.decode_rate = (unsigned int)a->set.decode_rate;
+	jh_auth_random(&a->incarnation, sizeof(a->incarnation));
+	a->counters = jh_counters_create(agent_counter_names, AGENT_COUNTERS);
+	a->queue = jh_queue_create(&cfg);
+	a->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	    (GDestroyNotify)agent_job_unref);
+	a->by_request = g_hash_table_new(g_str_hash, g_str_equal);
+	a->next_id = 1;
+	g_mutex_init(&a->lock);
+	a->client = jh_http_client_create("upstream", MAX_CALLS);
+}
+
+static void
+clear_state(struct agent *a)
+{
+	jh_http_client_destroy(a->client);
+	g_hash_table_destroy(a->by_request);
+	g_hash_table_destroy(a->jobs);
+	jh_queue_destroy(a->queue);
+	jh_counters_destroy(a->counters);
+	g_free(a->engine.model);
+	g_free(a->engine.weights);
+	g_mutex_clear(&a->lock);
+}
+
+/* Waits for a stop signal for one tick; returns true when it has come. */
+static bool
+wait_signal(const sigset_t *set)
+{
+	struct timespec tick = {0, TICK_MSEC * 1000000L};
+
+	return sigtimedwait(set, NULL, &tick) > 0;
+}
+
+static void
+run_until_stopped(struct agent *a, const sigset_t *set)
+{
+	unsigned int ticks = 0;
+
+	do {
+		if (ticks++ % TICKS_PER_POLL == 0)
+			agent_poll_engine(a);
+		agent_tick(a);
+	} while (!wait_signal(set));
+}
+
+/* Takes nothing new and lets what runs finish. */
+static void
+finish_work(struct agent *a, const sigset_t *set)
+{
+	uint64_t deadline = jh_now() + STOP_TIMEOUT_USEC;
+
+	g_atomic_int_set(&a->leaving, 1);
+	while (jh_http_server_active(a->server) > 0 && jh_now() < deadline) {
+		agent_tick(a);
+		if (wait_signal(set))
+			break;
+	}
+}
+
+static int
+run(struct agent *a, const sigset_t *set)
+{
+	struct jh_http_server_spec spec = {.listen = a->set.listen,
+		.body_limit = (size_t)a->set.body_limit,
+		.buffer_limit = REPLY_BUFFER_LEN,
+		.max_conns = MAX_CONNS,
+		.threads = 1,
+		.ops = &agent_server_ops,
+		.arg = a};
+	struct jh_rpc_server *rpc;
+	GError *err = NULL;
+
+	a->server = jh_http_server_create(&spec, &err);
+	if (a->server == NULL) {
+		jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s",
+		    err->message);
+		g_error_free(err);
+		return EXIT_START;
+	}
+	rpc = jh_rpc_server_create(&a->set.rpc_listen, &a->set.secret,
+	    agent_rpc_handlers, a, &err);
+	if (rpc == NULL) {
+		jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s",
+		    err->message);
+		g_error_free(err);
+		jh_http_server_destroy(a->server);
+		return EXIT_START;
+	}
+	jh_event(JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started",
+	    a->set.instance);
+	run_until_stopped(a, set);
+	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its work",
+	    a->set.instance);
+	finish_work(a, set);
+	jh_rpc_server_destroy(rpc);
+	jh_http_server_destroy(a->server);
+	jh_event(JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped",
+	    a->set.instance);
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	static gchar *path;
+	static const GOptionEntry options[] = {
+		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		    "settings file (YAML)", "FILE"},
+		{NULL, 0, 0, 0, NULL, NULL, NULL}};
+	GOptionContext *ctx =
+	    g_option_context_new("- the gate beside one backend server");
+	static struct agent agent;
+	GError *err = NULL;
+	sigset_t set;
+	int status;
+
+	jh_event_init("jhagent");
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err) || path == NULL) {
+		fprintf(stderr, "jhagent: %s\n",
+		    err == NULL ? "--settings FILE is missing" : err->message);
+		g_option_context_free(ctx);
+		g_clear_error(&err);
+		return EXIT_SETTINGS;
+	}
+	g_option_context_free(ctx);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0)
+		return EXIT_START;
+	if (!jh_settings_load(path, agent_settings_table, &agent.set, &err)) {
+		fprintf(stderr, "%s\n", err->message);
+		g_error_free(err);
+		jh_settings_clear(agent_settings_table, &agent.set);
+		return EXIT_SETTINGS;
+	}
+	init_state(&agent);
+	status = run(&agent, &set);
+	clear_state(&agent);
+	jh_settings_clear(agent_settings_table, &agent.set);
+	return status;
+}
--- /dev/null
+++ b/src/agent/rpc.c
@@ -0,0 +1,81 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "agent/agent.h"
+#include "agent/rpc.h"
+
+static void
+handle_drain(void *arg, const void *args, void *reply)
+{
+	const struct jh_drain_args *d = args;
+	struct jh_status_reply *r = reply;
+	struct agent *a = arg;
+
+	if (d->incarnation != a->incarnation) {
+		r->code = 1;
+		r->message = g_strdup("another incarnation is running");
+		return;
+	}
+	g_atomic_int_set(&a->leaving, 1);
+	r->message = g_strdup("draining");
+}
+
+static void
+add_figure(void *arg, const char *name, uint64_t value)
+{
+	json_object_set_new(arg, name, json_integer((json_int_t)value));
+}
+
+static json_t *
+dump_counters(const struct jh_counters *c)
+{
+	json_t *out = json_object();
+	size_t i;
+
+	for (i = 0; i < jh_counters_len(c); i++)
+		add_figure(out, jh_counters_name(c, i), jh_counters_get(c, i));
+	return out;
+}
+
+static json_t *
+dump_state(struct agent *a)
+{
+	char incarnation[17], engine[17];
+	json_t *queue = json_object();
+	json_t *root;
+
+	snprintf(incarnation, sizeof(incarnation), "%016llx",
+	    (unsigned long long)a->incarnation);
+	g_mutex_lock(&a->lock);
+	jh_queue_visit(a->queue, add_figure, queue);
+	snprintf(engine, sizeof(engine), "%016llx",
+	    (unsigned long long)a->engine.incarnation);
+	root = json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:o, s:{s:s, s:s*, "
+			 "s:s*}, s:o}",
+	    "instance", a->set.instance, "role", "agent", "incarnation",
+	    incarnation, "availability_zone", a->set.zone, "leaving",
+	    g_atomic_int_get(&a->leaving), "jobs",
+	    (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
+	    "incarnation", engine, "model", a->engine.model, "weights",
+	    a->engine.weights, "counters", dump_counters(a->counters));
+	g_mutex_unlock(&a->lock);
+	return root;
+}
+
+static void
+handle_dump(void *arg, const void *args, void *reply)
+{
+	struct jh_text_reply *r = reply;
+	json_t *root = dump_state(arg);
+
+	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+	if (r->text == NULL)
+		r->text = strdup("{}");
+	json_decref(root);
+}
+
+const struct jh_rpc_handler agent_rpc_handlers[] = {
+	{JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- /dev/null
+++ b/src/agent/service.c
@@ -0,0 +1,71 @@
+#include <string.h>
+
+#include "agent/service.h"
+#include "agent/service_call.h"
+
+/* An idempotent call in progress. */
+struct plain {
+	struct agent *agent;
+	struct jh_http_req *req;
+};
+
+static void
+reply_answer(struct agent *a, struct jh_http_req *req,
+    const struct service_call_answer *answer)
+{
+	if (answer->result == JH_HTTP_NOT_SENT) {
+		agent_refuse(a, req, 503, "backend_down");
+	} else if (answer->result != JH_HTTP_OK || answer->too_long) {
+		jh_http_req_add_header(req, "Jh-Reason", "backend_lost");
+		agent_add_headers(a, req, "unknown");
+		jh_http_req_reply(
+		    req, 502, "text/plain", "backend lost\n", 13);
+	} else {
+		agent_add_headers(a, req, "ran");
+		jh_http_req_reply(req, answer->status,
+		    answer->type == NULL ? "application/octet-stream"
+					 : answer->type,
+		    answer->body.ptr, answer->body.len);
+	}
+}
+
+static void
+on_plain_done(void *arg, const struct service_call_answer *answer)
+{
+	struct plain *p = arg;
+
+	reply_answer(p->agent, p->req, answer);
+	jh_http_req_unref(p->req);
+	g_free(p);
+}
+
+static const struct service_call_ops plain_ops = {.done = on_plain_done};
+
+static void
+start_plain(struct agent *a, struct jh_http_req *req, const char *path)
+{
+	struct plain *p = g_new0(struct plain, 1);
+
+	p->agent = a;
+	p->req = req;
+	if (service_call_start(a, jh_http_req_method(req), path,
+		jh_http_req_header(req, "Content-Type"),
+		jh_http_req_body(req), &plain_ops, p))
+		return;
+	agent_refuse(a, req, 503, "busy");
+	jh_http_req_unref(req);
+	g_free(p);
+}
+
+void
+agent_service(struct agent *a, struct jh_work *w, struct jh_http_req *req,
+    const char *path)
+{
+	if (g_atomic_int_get(&a->leaving)) {
+		agent_refuse(a, req, 503, "leaving");
+		jh_http_req_unref(req);
+	} else {
+		start_plain(a, req, path);
+	}
+	jh_work_destroy(w);
+}
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -78,26 +78,17 @@
 };
 typedef struct jh_sync_reply jh_sync_reply;
 
-enum jh_call_state {
-	JH_CALL_UNKNOWN_NONCE = 0,
-	JH_CALL_RUNNING = 1,
-	JH_CALL_ABANDONED = 2,
-	JH_CALL_DONE = 3,
-};
-typedef enum jh_call_state jh_call_state;
-
 struct jh_nonce_args {
-	char *key;
 	u_quad_t incarnation;
-	u_quad_t nonce_hi;
-	u_quad_t nonce_lo;
+	u_quad_t seq;
 };
 typedef struct jh_nonce_args jh_nonce_args;
 
 struct jh_nonce_reply {
-	u_quad_t incarnation;
-	jh_call_state state;
+	u_int state;
+	u_int has_answer;
 	u_int status;
+	char *type;
 	struct {
 		u_int answer_len;
 		char *answer_val;
@@ -233,7 +224,6 @@
 extern  bool_t xdr_jh_wire_crash (XDR *, jh_wire_crash*);
 extern  bool_t xdr_jh_sync_args (XDR *, jh_sync_args*);
 extern  bool_t xdr_jh_sync_reply (XDR *, jh_sync_reply*);
-extern  bool_t xdr_jh_call_state (XDR *, jh_call_state*);
 extern  bool_t xdr_jh_nonce_args (XDR *, jh_nonce_args*);
 extern  bool_t xdr_jh_nonce_reply (XDR *, jh_nonce_reply*);
 extern  bool_t xdr_jh_quota_demand (XDR *, jh_quota_demand*);
@@ -253,7 +243,6 @@
 extern bool_t xdr_jh_wire_crash ();
 extern bool_t xdr_jh_sync_args ();
 extern bool_t xdr_jh_sync_reply ();
-extern bool_t xdr_jh_call_state ();
 extern bool_t xdr_jh_nonce_args ();
 extern bool_t xdr_jh_nonce_reply ();
 extern bool_t xdr_jh_quota_demand ();
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -52,25 +52,18 @@
 	jh_wire_crash crashes<JH_MAX_ITEMS>;
 };
 
-enum jh_call_state {
-	JH_CALL_UNKNOWN_NONCE = 0,
-	JH_CALL_RUNNING = 1,
-	JH_CALL_ABANDONED = 2,
-	JH_CALL_DONE = 3
-};
-
+/* Values of enum jh_nonce_state. */
 struct jh_nonce_args {
-	string key<JH_MAX_NAME>;
-	unsigned hyper incarnation;	/* of the agent that wrote the record */
-	unsigned hyper nonce_hi;
-	unsigned hyper nonce_lo;
+	unsigned hyper incarnation;	/* of the agent that issued it */
+	unsigned hyper seq;
 };
 
 struct jh_nonce_reply {
-	unsigned hyper incarnation;
-	jh_call_state state;
+	unsigned int state;
+	unsigned int has_answer;
 	unsigned int status;		/* done: HTTP status of the answer */
-	opaque answer<JH_MAX_TEXT>;	/* done: the stored answer */
+	string type<JH_MAX_NAME>;
+	opaque answer<JH_MAX_TEXT>;
 };
 
 struct jh_quota_demand {
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -95,28 +95,14 @@
 	return TRUE;
 }
 
-bool_t
-xdr_jh_call_state (XDR *xdrs, jh_call_state *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_jh_nonce_args (XDR *xdrs, jh_nonce_args *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->key, JH_MAX_NAME))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->nonce_hi))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->nonce_lo))
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
 		 return FALSE;
 	return TRUE;
 }
@@ -126,12 +112,57 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_jh_call_state (xdrs, &objp->state))
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->has_answer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->state);
+		IXDR_PUT_U_LONG(buf, objp->has_answer);
+		IXDR_PUT_U_LONG(buf, objp->status);
+		}
+		 if (!xdr_string (xdrs, &objp->type, JH_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, JH_MAX_TEXT))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->has_answer))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+
+		} else {
+		objp->state = IXDR_GET_U_LONG(buf);
+		objp->has_answer = IXDR_GET_U_LONG(buf);
+		objp->status = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->type, JH_MAX_NAME))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, JH_MAX_TEXT))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->has_answer))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->type, JH_MAX_NAME))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, JH_MAX_TEXT))
 		 return FALSE;
 	return TRUE;
