--- /dev/null
+++ b/src/once/answer.c
@@ -0,0 +1,70 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include <jacinthhill/ledger.h>
+
+struct jh_call_answer {
+	int refs; /* atomic */
+	unsigned int status;
+	char *type;
+	char *body;
+	size_t type_len;
+	size_t body_len;
+};
+
+struct jh_call_answer *
+jh_call_answer_create(
+    unsigned int status, struct jh_str type, struct jh_str body)
+{
+	struct jh_call_answer *a = g_new0(struct jh_call_answer, 1);
+
+	a->refs = 1;
+	a->status = status;
+	/* Records are JSON, which is UTF-8. */
+	a->type = g_utf8_make_valid(
+	    type.ptr == NULL ? "" : type.ptr, (gssize)type.len);
+	a->type_len = strlen(a->type);
+	a->body = g_malloc(body.len + 1);
+	if (body.len > 0)
+		memcpy(a->body, body.ptr, body.len);
+	a->body[body.len] = '\0';
+	a->body_len = body.len;
+	return a;
+}
+
+struct jh_call_answer *
+jh_call_answer_ref(struct jh_call_answer *a)
+{
+	if (a != NULL)
+		g_atomic_int_inc(&a->refs);
+	return a;
+}
+
+void
+jh_call_answer_unref(struct jh_call_answer *a)
+{
+	if (a == NULL || !g_atomic_int_dec_and_test(&a->refs))
+		return;
+	g_free(a->type);
+	g_free(a->body);
+	g_free(a);
+}
+
+unsigned int
+jh_call_answer_status(const struct jh_call_answer *a)
+{
+	return a->status;
+}
+
+struct jh_str
+jh_call_answer_type(const struct jh_call_answer *a)
+{
+	return (struct jh_str){a->type, a->type_len};
+}
+
+struct jh_str
+jh_call_answer_body(const struct jh_call_answer *a)
+{
+	return (struct jh_str){a->body, a->body_len};
+}
--- /dev/null
+++ b/src/once/finish.c
@@ -0,0 +1,212 @@
+#include "once/state.h"
+
+static enum jh_ledger_ran
+ran_of(enum jh_ledger_outcome outcome)
+{
+	switch (outcome) {
+	case JH_LEDGER_DONE:
+	case JH_LEDGER_NOT_KEPT:
+		return JH_LEDGER_RAN_YES;
+	case JH_LEDGER_NOT_RUN:
+	case JH_LEDGER_KEY_REUSED:
+		return JH_LEDGER_RAN_NOT;
+	case JH_LEDGER_UNKNOWN:
+		break;
+	}
+	return JH_LEDGER_RAN_UNKNOWN;
+}
+
+void
+jh_reply(struct jh_ledger *l, uint64_t attempt, enum jh_ledger_outcome outcome,
+    enum jh_ledger_reason reason, struct jh_call_answer *answer)
+{
+	struct jh_ledger_action *a = g_new0(struct jh_ledger_action, 1);
+
+	a->act = JH_LEDGER_REPLY;
+	a->attempt = attempt;
+	a->outcome = outcome;
+	a->reason = reason;
+	a->ran = ran_of(outcome);
+	a->answer = jh_call_answer_ref(answer);
+	g_queue_push_tail(&l->actions, a);
+}
+
+void
+jh_reply_reused(struct jh_ledger *l, uint64_t attempt, bool unrun)
+{
+	struct jh_ledger_action *a;
+
+	jh_reply(
+	    l, attempt, JH_LEDGER_KEY_REUSED, JH_LEDGER_REASON_NONE, NULL);
+	a = g_queue_peek_tail(&l->actions);
+	if (!unrun)
+		a->ran = JH_LEDGER_RAN_UNKNOWN;
+}
+
+void
+jh_reply_recent(
+    struct jh_ledger *l, uint64_t attempt, const struct jh_recent_entry *e)
+{
+	switch (e->result) {
+	case JH_RESULT_DONE:
+		jh_reply(l, attempt, JH_LEDGER_DONE, JH_LEDGER_REASON_NONE,
+		    e->answer);
+		break;
+	case JH_RESULT_NOT_KEPT:
+		jh_reply(l, attempt, JH_LEDGER_NOT_KEPT, JH_LEDGER_REASON_NONE,
+		    NULL);
+		break;
+	default:
+		jh_reply(l, attempt, JH_LEDGER_UNKNOWN,
+		    JH_LEDGER_REASON_SERVER_BROKE, NULL);
+		break;
+	}
+}
+
+void
+jh_finish_waiters(struct jh_ledger *l, struct jh_call *c,
+    enum jh_ledger_outcome outcome, enum jh_ledger_reason reason,
+    struct jh_call_answer *answer)
+{
+	struct jh_waiter *w;
+	guint i;
+
+	for (i = 0; i < c->waiters->len; i++) {
+		w = &g_array_index(c->waiters, struct jh_waiter, i);
+		jh_reply(l, w->id, outcome, reason, answer);
+		g_hash_table_remove(l->by_attempt, &w->id);
+	}
+	g_array_set_size(c->waiters, 0);
+}
+
+void
+jh_remember(struct jh_ledger *l, struct jh_call *c, enum jh_result result,
+    struct jh_call_answer *answer)
+{
+	struct jh_recent_entry e = {
+	    .object = c->object,
+	    .request_hash = c->request_hash,
+	    .result = result,
+	    .seq = c->seq,
+	    .answer = answer,
+	};
+
+	jh_recent_put(l->recent, &e);
+}
+
+/*
+ * The record may hold this call's nonce instead of the unused one remembered
+ * for the key, so being asked about that one no longer shows a disclosure.
+ */
+static void
+forget_unused(struct jh_ledger *l, const struct jh_call *c)
+{
+	const struct jh_recent_entry *e = jh_recent_get(l->recent, c->object);
+
+	if (e != NULL && e->result == JH_RESULT_UNUSED && e->seq != c->seq)
+		jh_recent_remove(l->recent, c->object);
+}
+
+void
+jh_call_remove(struct jh_ledger *l, struct jh_call *c)
+{
+	guint i;
+
+	if (c->wrote)
+		forget_unused(l, c);
+	for (i = 0; i < c->waiters->len; i++)
+		g_hash_table_remove(l->by_attempt,
+		    &g_array_index(c->waiters, struct jh_waiter, i).id);
+	l->unwritten -= c->answer_bytes;
+	g_hash_table_remove(l->by_op, &c->op);
+	g_hash_table_remove(l->by_seq, &c->seq);
+	g_hash_table_remove(l->by_object, c->object);
+}
+
+void
+jh_finish_done(
+    struct jh_ledger *l, struct jh_call *c, struct jh_call_answer *answer)
+{
+	bool kept = answer != NULL;
+
+	jh_remember(
+	    l, c, kept ? JH_RESULT_DONE : JH_RESULT_NOT_KEPT, answer);
+	jh_finish_waiters(l, c, kept ? JH_LEDGER_DONE : JH_LEDGER_NOT_KEPT,
+	    JH_LEDGER_REASON_NONE, answer);
+	jh_call_remove(l, c);
+}
+
+bool
+jh_unrun(struct jh_ledger *l, const char *object, bool first)
+{
+	const struct jh_recent_entry *e;
+
+	if (first)
+		return true;
+	e = jh_recent_get(l->recent, object);
+	return e != NULL && e->result == JH_RESULT_UNUSED;
+}
+
+static enum jh_ledger_outcome
+refusal(struct jh_ledger *l, const struct jh_call *c, bool first)
+{
+	/* The holder of a foreign record may have let another agent run. */
+	if (!c->foreign && jh_unrun(l, c->object, first))
+		return JH_LEDGER_NOT_RUN;
+	return JH_LEDGER_UNKNOWN;
+}
+
+void
+jh_finish_refused(
+    struct jh_ledger *l, struct jh_call *c, enum jh_ledger_reason reason)
+{
+	struct jh_waiter *w;
+	guint i;
+
+	for (i = 0; i < c->waiters->len; i++) {
+		w = &g_array_index(c->waiters, struct jh_waiter, i);
+		jh_reply(l, w->id, refusal(l, c, w->first), reason, NULL);
+	}
+	jh_call_remove(l, c);
+}
+
+void
+jh_finish_unused(
+    struct jh_ledger *l, struct jh_call *c, enum jh_ledger_reason reason)
+{
+	jh_remember(l, c, JH_RESULT_UNUSED, NULL);
+	jh_finish_waiters(l, c, JH_LEDGER_NOT_RUN, reason, NULL);
+	jh_call_remove(l, c);
+}
+
+/* The last waiter of an unsent call takes the call with it. */
+static bool
+expire_waiter(struct jh_ledger *l, struct jh_call *c, guint i)
+{
+	struct jh_waiter w = g_array_index(c->waiters, struct jh_waiter, i);
+
+	if (c->step < JH_STEP_RUN && c->waiters->len == 1) {
+		jh_finish_refused(l, c, JH_LEDGER_REASON_DEADLINE);
+		return true;
+	}
+	/* The call may still run, or has run, for the other waiters. */
+	jh_reply(l, w.id, JH_LEDGER_UNKNOWN, JH_LEDGER_REASON_DEADLINE, NULL);
+	g_hash_table_remove(l->by_attempt, &w.id);
+	g_array_remove_index(c->waiters, i);
+	return false;
+}
+
+bool
+jh_finish_expired(struct jh_ledger *l, struct jh_call *c, uint64_t now)
+{
+	guint i = c->waiters->len;
+
+	while (i-- > 0) {
+		if (g_array_index(c->waiters, struct jh_waiter, i).deadline >
+		    now)
+			continue;
+		if (expire_waiter(l, c, i))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/once/recent.h
@@ -0,0 +1,41 @@
+#ifndef ONCE_RECENT_H
+#define ONCE_RECENT_H
+
+#include <jacinthhill/ledger.h>
+
+enum jh_result {
+	JH_RESULT_DONE,
+	JH_RESULT_NOT_KEPT,
+	JH_RESULT_LOST,
+	/*
+	 * The record holds our nonce, which never ran, and nobody was told
+	 * so. While this stands, no attempt of the key can have run.
+	 */
+	JH_RESULT_UNUSED,
+};
+
+/* A remembered result of one key. */
+struct jh_recent_entry {
+	char *object;
+	char *request_hash;
+	enum jh_result result;
+	uint64_t seq; /* of our nonce; only for JH_RESULT_UNUSED */
+	struct jh_call_answer *answer;
+};
+
+/* A bounded memory of results; the oldest go first. */
+struct jh_recent;
+
+struct jh_recent *jh_recent_create(size_t max, size_t max_bytes);
+void jh_recent_destroy(struct jh_recent *r);
+
+/* Copies the strings, takes a reference on the answer; replaces an entry. */
+void jh_recent_put(struct jh_recent *r, const struct jh_recent_entry *e);
+const struct jh_recent_entry *jh_recent_get(
+    struct jh_recent *r, const char *object);
+void jh_recent_remove(struct jh_recent *r, const char *object);
+
+/* Forgets the unused nonce with this number, if it is remembered. */
+void jh_recent_disclose(struct jh_recent *r, uint64_t seq);
+
+#endif
