--- a/include/jacinthhill/ledger.h
+++ b/include/jacinthhill/ledger.h
@@ -47,9 +47,9 @@
 	uint64_t poll_usec; /* between questions about a running call */
 };
 
-#define JH_LEDGER_DEFAULTS                                                     \
-	.max_calls = 1024, .max_attempts = 4096, .max_recent = 4096,           \
-	.recent_bytes = 8 << 20, .unwritten_bytes = 32 << 20,                  \
+#define JH_LEDGER_DEFAULTS                                           \
+	.max_calls = 1024, .max_attempts = 4096, .max_recent = 4096, \
+	.recent_bytes = 8 << 20, .unwritten_bytes = 32 << 20,        \
 	.patience_usec = 2000000, .poll_usec = 50000
 
 /* One attempt of a caller. The strings are copied. */
@@ -173,8 +173,8 @@
     struct jh_ledger *l, uint64_t now, uint64_t op, bool sent);
 
 /* Answers another agent's question. A given answer is a new reference. */
-enum jh_nonce_state jh_ledger_asked(struct jh_ledger *l, struct jh_nonce nonce,
-    struct jh_call_answer **answer);
+enum jh_nonce_state jh_ledger_asked(
+    struct jh_ledger *l, struct jh_nonce nonce, struct jh_call_answer **answer);
 
 /* Call at jh_ledger_due() or later; JH_NEVER if nothing waits. */
 void jh_ledger_tick(struct jh_ledger *l, uint64_t now);
--- a/src/once/event.c
+++ b/src/once/event.c
@@ -149,10 +149,8 @@
 	c->tries = 0;
 	keep(l, c, answer);
 	jh_remember(l, c,
-	    c->answer == NULL ? JH_RESULT_NOT_KEPT : JH_RESULT_DONE,
-	    c->answer);
-	jh_finish_waiters(
-	    l, c, JH_LEDGER_DONE, JH_LEDGER_REASON_NONE, answer);
+	    c->answer == NULL ? JH_RESULT_NOT_KEPT : JH_RESULT_DONE, c->answer);
+	jh_finish_waiters(l, c, JH_LEDGER_DONE, JH_LEDGER_REASON_NONE, answer);
 	jh_step_start(l, c, JH_STEP_WRITE);
 }
 
--- a/src/once/finish.c
+++ b/src/once/finish.c
@@ -36,8 +36,7 @@
 {
 	struct jh_ledger_action *a;
 
-	jh_reply(
-	    l, attempt, JH_LEDGER_KEY_REUSED, JH_LEDGER_REASON_NONE, NULL);
+	jh_reply(l, attempt, JH_LEDGER_KEY_REUSED, JH_LEDGER_REASON_NONE, NULL);
 	a = g_queue_peek_tail(&l->actions);
 	if (!unrun)
 		a->ran = JH_LEDGER_RAN_UNKNOWN;
@@ -129,8 +128,7 @@
 {
 	bool kept = answer != NULL;
 
-	jh_remember(
-	    l, c, kept ? JH_RESULT_DONE : JH_RESULT_NOT_KEPT, answer);
+	jh_remember(l, c, kept ? JH_RESULT_DONE : JH_RESULT_NOT_KEPT, answer);
 	jh_finish_waiters(l, c, kept ? JH_LEDGER_DONE : JH_LEDGER_NOT_KEPT,
 	    JH_LEDGER_REASON_NONE, answer);
 	jh_call_remove(l, c);
--- a/src/once/ledger.c
+++ b/src/once/ledger.c
@@ -23,8 +23,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_call);
 	l->by_op = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
-	l->by_attempt = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	l->by_attempt =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	l->recent = jh_recent_create(s->max_recent, s->recent_bytes);
 	g_queue_init(&l->actions);
 	return l;
@@ -114,14 +114,13 @@
 {
 	if (!same_request(c->request_hash, a)) {
 		/* Until then the record may yet show the caller's request. */
-		jh_reply_reused(
-		    l, a->id, c->step >= JH_STEP_RUN || a->first);
+		jh_reply_reused(l, a->id, c->step >= JH_STEP_RUN || a->first);
 		return;
 	}
 	/* The call may run on, so this attempt proves nothing. */
 	if (c->step != JH_STEP_WRITE && attempts_full(l))
-		jh_reply(l, a->id, JH_LEDGER_UNKNOWN, JH_LEDGER_REASON_FULL,
-		    NULL);
+		jh_reply(
+		    l, a->id, JH_LEDGER_UNKNOWN, JH_LEDGER_REASON_FULL, NULL);
 	else if (c->step != JH_STEP_WRITE)
 		add_waiter(l, c, a);
 	else if (c->lost)
@@ -134,8 +133,8 @@
 }
 
 static void
-begin(struct jh_ledger *l, uint64_t now, const struct jh_attempt *a,
-    char *object)
+begin(
+    struct jh_ledger *l, uint64_t now, const struct jh_attempt *a, char *object)
 {
 	struct jh_call *c;
 
@@ -155,8 +154,7 @@
 }
 
 void
-jh_ledger_attempt(
-    struct jh_ledger *l, uint64_t now, const struct jh_attempt *a)
+jh_ledger_attempt(struct jh_ledger *l, uint64_t now, const struct jh_attempt *a)
 {
 	char *object = jh_ledger_object(a->org, a->key);
 	struct jh_call *c = g_hash_table_lookup(l->by_object, object);
@@ -247,9 +245,9 @@
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&c)) {
 		due = MIN(due, c->due);
 		for (i = 0; i < c->waiters->len; i++)
-			due = MIN(due,
-			    g_array_index(c->waiters, struct jh_waiter, i)
-				.deadline);
+			due = MIN(
+			    due, g_array_index(c->waiters, struct jh_waiter, i)
+				     .deadline);
 	}
 	return due;
 }
--- a/src/once/record.c
+++ b/src/once/record.c
@@ -83,8 +83,7 @@
 static bool
 invalid(GError **err, const char *what)
 {
-	g_set_error(
-	    err, JH_RECORD_ERROR, JH_RECORD_ERROR_INVALID, "%s", what);
+	g_set_error(err, JH_RECORD_ERROR, JH_RECORD_ERROR_INVALID, "%s", what);
 	return false;
 }
 
--- a/src/once/step.c
+++ b/src/once/step.c
@@ -71,8 +71,7 @@
 		break;
 	case JH_STEP_RUN:
 		a->act = JH_LEDGER_SEND;
-		a->attempt =
-		    g_array_index(c->waiters, struct jh_waiter, 0).id;
+		a->attempt = g_array_index(c->waiters, struct jh_waiter, 0).id;
 		break;
 	case JH_STEP_WRITE:
 		a->act = JH_LEDGER_UPDATE;
@@ -192,8 +191,8 @@
     const struct jh_record *r)
 {
 	return r->state != JH_RECORD_STARTED &&
-	       nonce_eq(r->nonce,
-		   (struct jh_nonce){l->set.incarnation, c->seq});
+	       nonce_eq(
+		   r->nonce, (struct jh_nonce){l->set.incarnation, c->seq});
 }
 
 static void
@@ -216,8 +215,7 @@
 	switch (result) {
 	case JH_STORE_UNAVAILABLE:
 	case JH_STORE_NO_ANSWER:
-		jh_step_later(
-		    l, c, JH_STEP_WRITE, now, JH_LEDGER_REASON_STORE);
+		jh_step_later(l, c, JH_STEP_WRITE, now, JH_LEDGER_REASON_STORE);
 		return;
 	case JH_STORE_CONFLICT:
 		if (!jh_record_decode(value, &r, NULL) ||
