--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 ENTRY_SRC = $(filter-out src/entry/main.c,$(wildcard src/entry/*.c))
 AGENT_SRC = $(filter-out src/agent/main.c,$(wildcard src/agent/*.c))
 CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c))
+FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list,\
+    $(wildcard fakes/$(d)/*.c)))
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_LIB_SRC = $(filter-out $(TEST_SRC),$(wildcard test/*.c))
 
@@ -42,6 +44,7 @@
 ENTRY_LIB = $(BUILD)/libjhentry.a
 AGENT_LIB = $(BUILD)/libjhagent.a
 CTL_LIB = $(BUILD)/libjhctl.a
+FAKE_LIB = $(BUILD)/libjhfakes.a
 TEST_LIB = $(BUILD)/libjhtest.a
 
 DAEMONS = $(foreach d,entry agent ctl,$(if $(wildcard src/$(d)/main.c),\
@@ -69,8 +72,9 @@
 $(ENTRY_LIB): $(call objs,$(ENTRY_SRC))
 $(AGENT_LIB): $(call objs,$(AGENT_SRC))
 $(CTL_LIB): $(call objs,$(CTL_SRC))
+$(FAKE_LIB): $(call objs,$(FAKE_LIB_SRC))
 $(TEST_LIB): $(call objs,$(TEST_LIB_SRC))
-$(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(TEST_LIB):
+$(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(FAKE_LIB) $(TEST_LIB):
 	@rm -f $@
 	@ar rcs $@ $(filter %.o,$^)
 
@@ -89,7 +93,7 @@
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
 
 $(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(ENTRY_LIB) $(AGENT_LIB) \
-    $(CTL_LIB) $(NET) $(LIB)
+    $(CTL_LIB) $(FAKE_LIB) $(NET) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
--- /dev/null
+++ b/fakes/store/control.c
@@ -0,0 +1,64 @@
+#include <string.h>
+
+#include "state.h"
+
+static const char *const mode_names[] = {"up", "down", "slow", "hang"};
+
+static bool
+set_mode(struct fake_store *s, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(mode_names); i++) {
+		if (strcmp(mode_names[i], name) == 0) {
+			s->mode = (enum fake_mode)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+bool
+fake_store_control(struct fake_store *s, const json_t *o)
+{
+	const char *mode = NULL;
+	json_int_t slow_ms = -1, lose_next = -1, seed = -1;
+	double lose = -1;
+	bool ok = true;
+
+	if (json_unpack((json_t *)o, "{s?s, s?I, s?F, s?I, s?I !}", "mode",
+		&mode, "slow_ms", &slow_ms, "lose_answers", &lose, "lose_next",
+		&lose_next, "seed", &seed) != 0)
+		return false;
+	g_mutex_lock(&s->lock);
+	if (mode != NULL)
+		ok = set_mode(s, mode);
+	if (slow_ms >= 0)
+		s->slow_usec = (uint64_t)slow_ms * 1000;
+	if (lose >= 0)
+		s->lose_answers = lose;
+	if (lose_next >= 0)
+		s->lose_next = (uint64_t)lose_next;
+	if (seed >= 0)
+		g_rand_set_seed(s->rand, (guint32)seed);
+	g_cond_signal(&s->wake);
+	g_mutex_unlock(&s->lock);
+	return ok;
+}
+
+json_t *
+fake_store_state(struct fake_store *s)
+{
+	json_t *o;
+
+	g_mutex_lock(&s->lock);
+	o = json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "mode",
+	    mode_names[s->mode], "revision",
+	    (json_int_t)fake_table_revision(s->table), "writes",
+	    (json_int_t)s->n_writes, "reads", (json_int_t)s->n_reads, "watches",
+	    (json_int_t)s->n_watches, "throttled", (json_int_t)s->n_throttled,
+	    "lost", (json_int_t)s->n_lost, "waiting",
+	    (json_int_t)s->parked->len);
+	g_mutex_unlock(&s->lock);
+	return o;
+}
--- /dev/null
+++ b/src/store/internal.h
@@ -0,0 +1,9 @@
+#ifndef STORE_INTERNAL_H
+#define STORE_INTERNAL_H
+
+#include "store/store.h"
+
+/* Whether jh_store_destroy() has begun, so that nothing is tried again. */
+bool store_is_stopping(const struct jh_store *s);
+
+#endif
--- /dev/null
+++ b/src/store/wait.c
@@ -0,0 +1,85 @@
+#include <string.h>
+
+#include "store/store.h"
+
+struct jh_store_waiter {
+	GMutex lock;
+	GCond cond;
+	bool done;
+	struct jh_store_reply reply;
+	GStringChunk *text;
+};
+
+struct jh_store_waiter *
+jh_store_waiter_create(void)
+{
+	struct jh_store_waiter *w = g_new0(struct jh_store_waiter, 1);
+
+	g_mutex_init(&w->lock);
+	g_cond_init(&w->cond);
+	w->text = g_string_chunk_new(1024);
+	return w;
+}
+
+static struct jh_str
+keep(struct jh_store_waiter *w, struct jh_str s)
+{
+	return (struct jh_str){
+	    g_string_chunk_insert_len(w->text, s.ptr, (gssize)s.len), s.len};
+}
+
+static void
+copy_reply(struct jh_store_waiter *w, const struct jh_store_reply *reply)
+{
+	struct jh_store_item *items = NULL;
+	size_t i;
+
+	w->reply = *reply;
+	w->reply.value = keep(w, reply->value);
+	if (reply->n_items > 0)
+		items = g_memdup2(
+		    reply->items, reply->n_items * sizeof(reply->items[0]));
+	for (i = 0; i < reply->n_items; i++) {
+		items[i].key = g_string_chunk_insert(w->text, items[i].key);
+		items[i].value = keep(w, items[i].value);
+	}
+	w->reply.items = items;
+}
+
+static void
+on_reply(void *arg, const struct jh_store_reply *reply)
+{
+	struct jh_store_waiter *w = arg;
+
+	g_mutex_lock(&w->lock);
+	copy_reply(w, reply);
+	w->done = true;
+	g_cond_signal(&w->cond);
+	g_mutex_unlock(&w->lock);
+}
+
+struct jh_store_done
+jh_store_waiter_done(struct jh_store_waiter *w)
+{
+	return (struct jh_store_done){on_reply, w};
+}
+
+const struct jh_store_reply *
+jh_store_waiter_wait(struct jh_store_waiter *w)
+{
+	g_mutex_lock(&w->lock);
+	while (!w->done)
+		g_cond_wait(&w->cond, &w->lock);
+	g_mutex_unlock(&w->lock);
+	return &w->reply;
+}
+
+void
+jh_store_waiter_destroy(struct jh_store_waiter *w)
+{
+	g_free((struct jh_store_item *)w->reply.items);
+	g_string_chunk_free(w->text);
+	g_cond_clear(&w->cond);
+	g_mutex_clear(&w->lock);
+	g_free(w);
+}
--- /dev/null
+++ b/test/test_store.c
@@ -0,0 +1,313 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+
+#include "../fakes/store/service.h"
+#include "store/store.h"
+
+/* Far beyond any run; a call that waits this long has failed. */
+#define CALL_TIMEOUT_USEC (30 * JH_USEC_PER_SEC)
+
+struct fixture {
+	struct fake_store *fake;
+	struct jh_store *store;
+	struct jh_store_waiter *w;
+};
+
+static int
+setup_with(void **state, double writes, double reads, unsigned int history)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	struct fake_store_options o = {.writes_per_second = writes,
+	    .reads_per_second = reads,
+	    .history = history};
+	struct sockaddr_in peer = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+	o.listen = peer;
+	f->fake = fake_store_create(&o, NULL);
+	assert_non_null(f->fake);
+	peer.sin_port = htons((uint16_t)fake_store_port(f->fake));
+	f->store = jh_store_create(&peer, 8);
+	*state = f;
+	return 0;
+}
+
+static int
+setup(void **state)
+{
+	return setup_with(state, 0, 0, 4);
+}
+
+/* Buckets hold a second's worth: here less than one token. */
+static int
+setup_throttled(void **state)
+{
+	return setup_with(state, 1e-3, 1e-3, 4);
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	if (f->w != NULL)
+		jh_store_waiter_destroy(f->w);
+	jh_store_destroy(f->store);
+	fake_store_destroy(f->fake);
+	g_free(f);
+	return 0;
+}
+
+static void
+control(struct fixture *f, const char *text)
+{
+	json_t *o = json_loads(text, 0, NULL);
+
+	assert_true(fake_store_control(f->fake, o));
+	json_decref(o);
+}
+
+/* A completion for the next call; the reply lives until the next one. */
+static struct jh_store_done
+next(struct fixture *f)
+{
+	if (f->w != NULL)
+		jh_store_waiter_destroy(f->w);
+	f->w = jh_store_waiter_create();
+	return jh_store_waiter_done(f->w);
+}
+
+static uint64_t
+soon(void)
+{
+	return jh_now() + CALL_TIMEOUT_USEC;
+}
+
+static const struct jh_store_reply *
+get(struct fixture *f, const char *key)
+{
+	assert_true(jh_store_get(f->store, key, soon(), next(f)));
+	return jh_store_waiter_wait(f->w);
+}
+
+static const struct jh_store_reply *
+put(struct fixture *f, const char *key, const char *value, uint64_t version)
+{
+	assert_true(jh_store_put(
+	    f->store, key, jh_str_from(value), version, soon(), next(f)));
+	return jh_store_waiter_wait(f->w);
+}
+
+static const struct jh_store_reply *
+put_nonce(struct fixture *f, const char *nonce, uint64_t version)
+{
+	char *value = g_strdup_printf("{\"nonce\":\"%s\"}", nonce);
+	bool ok = jh_store_put_nonce(f->store, "calls/a", jh_str_from(value),
+	    nonce, version, soon(), next(f));
+
+	g_free(value);
+	assert_true(ok);
+	return jh_store_waiter_wait(f->w);
+}
+
+/* Guards against a conditional update overwriting another writer's value. */
+static void
+writes_only_on_the_expected_version(void **state)
+{
+	struct fixture *f = *state;
+	const struct jh_store_reply *r;
+	uint64_t v;
+
+	assert_int_equal(get(f, "a/b c?&%/d")->result, JH_STORE_NOT_FOUND);
+	r = put(f, "a/b c?&%/d", "one", JH_STORE_ABSENT);
+	assert_int_equal(r->result, JH_STORE_OK);
+	v = r->version;
+	r = put(f, "a/b c?&%/d", "two", JH_STORE_ABSENT);
+	assert_int_equal(r->result, JH_STORE_CONFLICT);
+	assert_int_equal(r->version, v);
+	assert_string_equal(r->value.ptr, "one");
+	assert_int_equal(put(f, "a/b c?&%/d", "two", v)->result, JH_STORE_OK);
+	r = get(f, "a/b c?&%/d");
+	assert_string_equal(r->value.ptr, "two");
+	assert_true(r->version > v);
+	assert_true(
+	    jh_store_delete(f->store, "a/b c?&%/d", v, soon(), next(f)));
+	assert_int_equal(jh_store_waiter_wait(f->w)->result, JH_STORE_CONFLICT);
+	assert_true(jh_store_delete(
+	    f->store, "a/b c?&%/d", JH_STORE_ANY, soon(), next(f)));
+	assert_int_equal(jh_store_waiter_wait(f->w)->result, JH_STORE_OK);
+	assert_int_equal(get(f, "a/b c?&%/d")->result, JH_STORE_NOT_FOUND);
+	assert_false(jh_store_get(f->store, "a/../b", soon(), next(f)));
+}
+
+/* Guards against a lost answer being taken for a failure or a success. */
+static void
+lost_answers_are_unknown_and_settle_by_nonce(void **state)
+{
+	struct fixture *f = *state;
+	const struct jh_store_reply *r;
+
+	control(f, "{\"lose_next\": 1}");
+	assert_int_equal(put(f, "k", "v", 0)->result, JH_STORE_UNKNOWN);
+	assert_string_equal(get(f, "k")->value.ptr, "v");
+
+	control(f, "{\"lose_next\": 1}");
+	r = put_nonce(f, "mine", JH_STORE_ABSENT);
+	assert_int_equal(r->result, JH_STORE_OK);
+	assert_int_equal(r->version, get(f, "calls/a")->version);
+	r = put_nonce(f, "other", JH_STORE_ABSENT);
+	assert_int_equal(r->result, JH_STORE_CONFLICT);
+	assert_true(jh_store_value_has_nonce(r->value, "mine"));
+	/* The caller's own earlier attempt may also show as a conflict. */
+	assert_int_equal(
+	    put_nonce(f, "mine", JH_STORE_ABSENT)->result, JH_STORE_OK);
+}
+
+/* Guards against an outage being reported as a write that may have run. */
+static void
+outages_are_told_apart(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t past = 1;
+
+	control(f, "{\"mode\": \"down\"}");
+	assert_int_equal(put(f, "k", "v", 0)->result, JH_STORE_UNAVAILABLE);
+	assert_int_equal(get(f, "k")->result, JH_STORE_UNAVAILABLE);
+	assert_int_equal(put_nonce(f, "n", 0)->result, JH_STORE_UNAVAILABLE);
+	control(f, "{\"mode\": \"hang\"}");
+	assert_true(jh_store_get(f->store, "k", past, next(f)));
+	assert_int_equal(
+	    jh_store_waiter_wait(f->w)->result, JH_STORE_UNAVAILABLE);
+	control(f, "{\"mode\": \"slow\", \"slow_ms\": 1}");
+	assert_int_equal(put(f, "k", "v", 0)->result, JH_STORE_OK);
+}
+
+/* Guards against a write in flight at shutdown losing its completion. */
+static void
+destroy_ends_calls_in_flight(void **state)
+{
+	struct fixture *f = *state;
+	struct jh_store_waiter *w = jh_store_waiter_create();
+
+	control(f, "{\"mode\": \"hang\"}");
+	assert_true(jh_store_put(
+	    f->store, "k", JH_STR("v"), 0, JH_NEVER, jh_store_waiter_done(w)));
+	jh_store_destroy(f->store);
+	f->store = NULL;
+	assert_int_equal(jh_store_waiter_wait(w)->result, JH_STORE_UNKNOWN);
+	jh_store_waiter_destroy(w);
+}
+
+/* Guards against lists that skip or repeat keys between pages. */
+static void
+lists_in_pages(void **state)
+{
+	struct fixture *f = *state;
+	const struct jh_store_reply *r;
+
+	put(f, "catalog/a/x", "1", 0);
+	put(f, "catalog/b/x", "2", 0);
+	put(f, "calls/z", "3", 0);
+	put(f, "orgs/a", "4", 0);
+	assert_true(
+	    jh_store_list(f->store, "catalog/,orgs/", "", 2, soon(), next(f)));
+	r = jh_store_waiter_wait(f->w);
+	assert_int_equal(r->result, JH_STORE_OK);
+	assert_int_equal(r->n_items, 2);
+	assert_true(r->more);
+	assert_int_equal(r->revision, 4);
+	assert_string_equal(r->items[1].key, "catalog/b/x");
+	assert_true(jh_store_list(
+	    f->store, "catalog/,orgs/", "catalog/b/x", 2, soon(), next(f)));
+	r = jh_store_waiter_wait(f->w);
+	assert_int_equal(r->n_items, 1);
+	assert_false(r->more);
+	assert_string_equal(r->items[0].key, "orgs/a");
+	assert_string_equal(r->items[0].value.ptr, "4");
+}
+
+/* Guards against watches that miss changes, deletions or a cut history. */
+static void
+watches_changes(void **state)
+{
+	struct fixture *f = *state;
+	struct jh_store_waiter *w = jh_store_waiter_create();
+	const struct jh_store_reply *r;
+
+	assert_true(jh_store_watch(
+	    f->store, "catalog/", 0, 30000, soon(), jh_store_waiter_done(w)));
+	put(f, "calls/z", "3", 0);
+	put(f, "catalog/a", "1", 0);
+	r = jh_store_waiter_wait(w);
+	assert_int_equal(r->result, JH_STORE_OK);
+	assert_int_equal(r->n_items, 1);
+	assert_string_equal(r->items[0].key, "catalog/a");
+	assert_int_equal(r->revision, 2);
+	jh_store_waiter_destroy(w);
+
+	put(f, "catalog/a", "2", JH_STORE_ANY);
+	assert_true(jh_store_delete(
+	    f->store, "catalog/a", JH_STORE_ANY, soon(), next(f)));
+	jh_store_waiter_wait(f->w);
+	assert_true(
+	    jh_store_watch(f->store, "catalog/", 2, 0, soon(), next(f)));
+	r = jh_store_waiter_wait(f->w);
+	assert_int_equal(r->n_items, 1);
+	assert_true(r->items[0].deleted);
+	assert_int_equal(r->items[0].version, 4);
+	assert_true(
+	    jh_store_watch(f->store, "catalog/", 4, 0, soon(), next(f)));
+	r = jh_store_waiter_wait(f->w);
+	assert_int_equal(r->n_items, 0);
+	assert_int_equal(r->revision, 4);
+
+	put(f, "x", "1", 0);
+	assert_true(
+	    jh_store_watch(f->store, "catalog/", 0, 0, soon(), next(f)));
+	assert_int_equal(jh_store_waiter_wait(f->w)->result, JH_STORE_EXPIRED);
+}
+
+/* Guards against a throttled write being retried as if it were lost. */
+static void
+reports_throttling(void **state)
+{
+	struct fixture *f = *state;
+	json_t *o;
+
+	assert_int_equal(put(f, "k", "v", 0)->result, JH_STORE_THROTTLED);
+	assert_int_equal(get(f, "k")->result, JH_STORE_THROTTLED);
+	o = fake_store_state(f->fake);
+	assert_int_equal(
+	    json_integer_value(json_object_get(o, "throttled")), 2);
+	assert_int_equal(json_integer_value(json_object_get(o, "writes")), 1);
+	json_decref(o);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		writes_only_on_the_expected_version, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		lost_answers_are_unknown_and_settle_by_nonce, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		outages_are_told_apart, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		destroy_ends_calls_in_flight, setup, teardown),
+	    cmocka_unit_test_setup_teardown(lists_in_pages, setup, teardown),
+	    cmocka_unit_test_setup_teardown(watches_changes, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		reports_throttling, setup_throttled, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
