--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -48,25 +48,26 @@
 	struct jh_counters *counters;
 	struct jh_http_client *client;
 	struct jh_http_server *server;
+	struct agent_once *once; /* NULL beside an engine */
 
 	GMutex lock; /* guards all below */
 	struct jh_queue *queue;
 	struct jh_cacheview *cache;
 	struct agent_engine engine;
-	GHashTable *jobs;	/* &id -> struct agent_job */
+	GHashTable *jobs; /* &id -> struct agent_job */
 	GHashTable *by_request; /* request id -> struct agent_job */
 	uint64_t next_id;
 
-	int leaving;  /* atomic */
-	int wait_ms;  /* atomic: estimated wait of new urgent work */
+	int leaving; /* atomic */
+	int wait_ms; /* atomic: estimated wait of new urgent work */
 };
 
 /* Routes one authenticated work request (server.c). */
 extern const struct jh_http_server_ops agent_server_ops;
 
 /* Adds the headers that every answer carries, and refuses as not run. */
-void agent_refuse(struct agent *a, struct jh_http_req *req,
-    unsigned int status, const char *reason);
+void agent_refuse(struct agent *a, struct jh_http_req *req, unsigned int status,
+    const char *reason);
 void agent_add_headers(
     struct agent *a, struct jh_http_req *req, const char *outcome);
 
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -37,11 +37,11 @@
 		    jh_queue_reason_name(refused.reason)};
 		g_array_append_val(out, o);
 	}
-	item = (struct jh_queue_item){.rank = JH_RANK_URGENT,
-		.org = JH_STR("-"), .deadline = JH_NEVER};
-	g_atomic_int_set(&a->wait_ms,
-	    (int)((jh_queue_estimate(a->queue, now, &item) - now) /
-		JH_USEC_PER_MSEC));
+	item = (struct jh_queue_item){
+	    .rank = JH_RANK_URGENT, .org = JH_STR("-"), .deadline = JH_NEVER};
+	g_atomic_int_set(
+	    &a->wait_ms, (int)((jh_queue_estimate(a->queue, now, &item) - now) /
+			       JH_USEC_PER_MSEC));
 	return out;
 }
 
@@ -206,9 +206,8 @@
 	agent_job_unref(arg);
 }
 
-static const struct jh_http_req_ops job_req_ops = {.writable = on_writable,
-    .closed = on_closed,
-    .released = on_released};
+static const struct jh_http_req_ops job_req_ops = {
+    .writable = on_writable, .closed = on_closed, .released = on_released};
 
 /* Replays the kept stream; the entry daemon's relay drops repeats. */
 void
@@ -288,8 +287,8 @@
 	    .org = jh_str_from(jh_work_get(w, JH_WORK_ORG)),
 	    .weight = (unsigned int)jh_work_get_uint(w, JH_WORK_WEIGHT, 1),
 	    .rank = g_strcmp0(jh_work_get(w, JH_WORK_RANK), "urgent") == 0
-		? JH_RANK_URGENT
-		: JH_RANK_BACKGROUND,
+			? JH_RANK_URGENT
+			: JH_RANK_BACKGROUND,
 	    .deadline = jh_now() + budget * JH_USEC_PER_MSEC,
 	    .prefill = uncached_tokens(a, j),
 	    .decode = (uint32_t)jh_work_get_uint(
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -74,8 +74,7 @@
 		return;
 	copy_header(call, j->req, "X-Cached-Tokens", "Jh-Cached");
 	copy_header(call, j->req, "Content-Type", "Content-Type");
-	agent_add_headers(
-	    j->agent, j->req, j->engine_ok ? "ran" : "not_run");
+	agent_add_headers(j->agent, j->req, j->engine_ok ? "ran" : "not_run");
 	jh_http_req_begin(j->req, jh_http_call_status(call));
 }
 
@@ -124,8 +123,8 @@
 		return;
 	}
 	jh_http_req_add_header(req, "Jh-Reason", "engine_lost");
-	agent_add_headers(j->agent, req,
-	    result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
+	agent_add_headers(
+	    j->agent, req, result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
 	jh_http_req_reply(req, 502, "text/plain", "engine lost\n", 12);
 }
 
@@ -152,7 +151,7 @@
 }
 
 static const struct jh_http_call_ops engine_ops = {
-	.begun = on_begun, .data = on_data, .done = on_done};
+    .begun = on_begun, .data = on_data, .done = on_done};
 
 /* Adds the engine's incarnation and weights to an entry daemon's salt. */
 static char *
@@ -192,13 +191,12 @@
 	add_line(lines, salt_line(j, "X-Shared-Salt", JH_WORK_SHARED_SALT));
 	if (jh_work_get(j->work, JH_WORK_SHARED_SALT) != NULL)
 		add_line(lines, g_strdup("X-Shared-Messages: 1"));
+	add_line(lines, g_strdup_printf("X-Request-Id: %s",
+			    jh_work_get(j->work, JH_WORK_REQUEST_ID)));
 	add_line(lines,
-	    g_strdup_printf("X-Request-Id: %s",
-		jh_work_get(j->work, JH_WORK_REQUEST_ID)));
-	add_line(lines,
-	    g_strdup_printf("X-Priority: %d",
-		g_strcmp0(rank, "urgent") == 0 ? JH_RANK_URGENT
-					       : JH_RANK_BACKGROUND));
+	    g_strdup_printf("X-Priority: %d", g_strcmp0(rank, "urgent") == 0
+						  ? JH_RANK_URGENT
+						  : JH_RANK_BACKGROUND));
 	g_ptr_array_add(lines, NULL);
 	return lines;
 }
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -41,7 +41,7 @@
 }
 
 static const struct jh_http_call_ops poll_ops = {
-	.data = on_data, .done = on_done};
+    .data = on_data, .done = on_done};
 
 static uint64_t
 incarnation_of(const json_t *root)
@@ -84,11 +84,11 @@
 {
 	struct poll *p = g_new0(struct poll, 1);
 	struct jh_http_call_spec spec = {.peer = a->set.backend,
-		.method = "GET",
-		.path = path,
-		.deadline = jh_now() + POLL_TIMEOUT_USEC,
-		.ops = &poll_ops,
-		.arg = p};
+	    .method = "GET",
+	    .path = path,
+	    .deadline = jh_now() + POLL_TIMEOUT_USEC,
+	    .ops = &poll_ops,
+	    .arg = p};
 	struct jh_http_call *call;
 
 	p->agent = a;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -10,6 +10,7 @@
 #include "agent/agent.h"
 #include "agent/engine_poll.h"
 #include "agent/job.h"
+#include "agent/once.h"
 #include "agent/rpc.h"
 #include "base/event.h"
 
@@ -40,18 +41,22 @@
 	jh_auth_random(&a->incarnation, sizeof(a->incarnation));
 	a->counters = jh_counters_create(agent_counter_names, AGENT_COUNTERS);
 	a->queue = jh_queue_create(&cfg);
-	a->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-	    (GDestroyNotify)agent_job_unref);
+	a->jobs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)agent_job_unref);
 	a->by_request = g_hash_table_new(g_str_hash, g_str_equal);
 	a->next_id = 1;
 	g_mutex_init(&a->lock);
 	a->client = jh_http_client_create("upstream", MAX_CALLS);
+	if (g_strcmp0(a->set.kind, "service") == 0)
+		a->once = agent_once_create(a);
 }
 
 static void
 clear_state(struct agent *a)
 {
 	jh_http_client_destroy(a->client);
+	if (a->once != NULL)
+		agent_once_destroy(a->once);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
 	jh_queue_destroy(a->queue);
@@ -76,12 +81,21 @@
 	unsigned int ticks = 0;
 
 	do {
-		if (ticks++ % TICKS_PER_POLL == 0)
+		if (a->once != NULL)
+			agent_once_tick(a->once);
+		else if (ticks++ % TICKS_PER_POLL == 0)
 			agent_poll_engine(a);
 		agent_tick(a);
 	} while (!wait_signal(set));
 }
 
+static bool
+has_work(struct agent *a)
+{
+	return jh_http_server_active(a->server) > 0 ||
+	       (a->once != NULL && agent_once_calls(a->once) > 0);
+}
+
 /* Takes nothing new and lets what runs finish. */
 static void
 finish_work(struct agent *a, const sigset_t *set)
@@ -89,8 +103,10 @@
 	uint64_t deadline = jh_now() + STOP_TIMEOUT_USEC;
 
 	g_atomic_int_set(&a->leaving, 1);
-	while (jh_http_server_active(a->server) > 0 && jh_now() < deadline) {
+	while (has_work(a) && jh_now() < deadline) {
 		agent_tick(a);
+		if (a->once != NULL)
+			agent_once_tick(a->once);
 		if (wait_signal(set))
 			break;
 	}
@@ -100,12 +116,12 @@
 run(struct agent *a, const sigset_t *set)
 {
 	struct jh_http_server_spec spec = {.listen = a->set.listen,
-		.body_limit = (size_t)a->set.body_limit,
-		.buffer_limit = REPLY_BUFFER_LEN,
-		.max_conns = MAX_CONNS,
-		.threads = 1,
-		.ops = &agent_server_ops,
-		.arg = a};
+	    .body_limit = (size_t)a->set.body_limit,
+	    .buffer_limit = REPLY_BUFFER_LEN,
+	    .max_conns = MAX_CONNS,
+	    .threads = 1,
+	    .ops = &agent_server_ops,
+	    .arg = a};
 	struct jh_rpc_server *rpc;
 	GError *err = NULL;
 
@@ -116,8 +132,8 @@
 		g_error_free(err);
 		return EXIT_START;
 	}
-	rpc = jh_rpc_server_create(&a->set.rpc_listen, &a->set.secret,
-	    agent_rpc_handlers, a, &err);
+	rpc = jh_rpc_server_create(
+	    &a->set.rpc_listen, &a->set.secret, agent_rpc_handlers, a, &err);
 	if (rpc == NULL) {
 		jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s",
 		    err->message);
@@ -125,16 +141,16 @@
 		jh_http_server_destroy(a->server);
 		return EXIT_START;
 	}
-	jh_event(JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started",
-	    a->set.instance);
+	jh_event(
+	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", a->set.instance);
 	run_until_stopped(a, set);
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its work",
 	    a->set.instance);
 	finish_work(a, set);
 	jh_rpc_server_destroy(rpc);
 	jh_http_server_destroy(a->server);
-	jh_event(JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped",
-	    a->set.instance);
+	jh_event(
+	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", a->set.instance);
 	return 0;
 }
 
@@ -143,9 +159,9 @@
 {
 	static gchar *path;
 	static const GOptionEntry options[] = {
-		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-		    "settings file (YAML)", "FILE"},
-		{NULL, 0, 0, 0, NULL, NULL, NULL}};
+	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		"settings file (YAML)", "FILE"},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
 	GOptionContext *ctx =
 	    g_option_context_new("- the gate beside one backend server");
 	static struct agent agent;
--- /dev/null
+++ b/src/agent/once.c
@@ -0,0 +1,472 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/ledger.h>
+
+#include "agent/once.h"
+#include "agent/once_ask.h"
+#include "agent/service_call.h"
+#include "base/event.h"
+#include "store/store.h"
+
+#define MAX_STORE_CALLS 4096
+#define STORE_TIMEOUT_USEC (1 * JH_USEC_PER_SEC)
+#define DEFAULT_BUDGET_MS 30000
+
+/* A waiting attempt and the request it came with. */
+struct attempt {
+	uint64_t id;
+	struct agent_once *once;
+	struct jh_http_req *req;
+	char *path;
+};
+
+struct agent_once {
+	struct agent *agent;
+	struct jh_store *store;
+	struct once_ask *ask;
+	GMutex lock; /* guards all below */
+	struct jh_ledger *ledger;
+	GHashTable *attempts; /* &id -> struct attempt */
+	uint64_t next_attempt;
+};
+
+/* An operation whose result goes back to the ledger. */
+struct pending {
+	struct agent_once *once;
+	uint64_t op;
+};
+
+static void carry_out(struct agent_once *o);
+
+static struct pending *
+pending_create(struct agent_once *o, uint64_t op)
+{
+	struct pending *p = g_new0(struct pending, 1);
+
+	p->once = o;
+	p->op = op;
+	return p;
+}
+
+static enum jh_ledger_store_result
+convert_result(enum jh_store_result result)
+{
+	switch (result) {
+	case JH_STORE_OK:
+		return JH_LEDGER_STORE_OK;
+	case JH_STORE_NOT_FOUND:
+		return JH_LEDGER_STORE_NOT_FOUND;
+	case JH_STORE_CONFLICT:
+		return JH_LEDGER_STORE_CONFLICT;
+	case JH_STORE_UNAVAILABLE:
+	case JH_STORE_THROTTLED:
+	case JH_STORE_INVALID:
+		return JH_LEDGER_STORE_UNAVAILABLE;
+	default:
+		return JH_LEDGER_STORE_NO_ANSWER;
+	}
+}
+
+static void
+on_store_done(void *arg, const struct jh_store_reply *reply)
+{
+	struct pending *p = arg;
+	struct agent_once *o = p->once;
+
+	g_mutex_lock(&o->lock);
+	jh_ledger_store_result(o->ledger, jh_now(), p->op,
+	    convert_result(reply->result), reply->version, reply->value);
+	g_mutex_unlock(&o->lock);
+	g_free(p);
+	carry_out(o);
+}
+
+static void
+start_store_call(struct agent_once *o, const struct jh_ledger_action *act)
+{
+	struct jh_str value = {act->value, act->value_len};
+	struct pending *p = pending_create(o, act->op);
+	struct jh_store_done done = {on_store_done, p};
+	uint64_t deadline = jh_now() + STORE_TIMEOUT_USEC;
+	bool started;
+
+	if (act->act == JH_LEDGER_READ)
+		started = jh_store_get(o->store, act->object, deadline, done);
+	else
+		started = jh_store_put(o->store, act->object, value,
+		    act->act == JH_LEDGER_CREATE ? JH_STORE_ABSENT
+						 : act->version,
+		    deadline, done);
+	if (started)
+		return;
+	g_free(p);
+	g_mutex_lock(&o->lock);
+	jh_ledger_store_result(o->ledger, jh_now(), act->op,
+	    JH_LEDGER_STORE_UNAVAILABLE, 0, (struct jh_str){NULL, 0});
+	g_mutex_unlock(&o->lock);
+}
+
+static void
+on_peer_answered(void *arg, uint64_t op, enum jh_nonce_state state,
+    struct jh_call_answer *answer)
+{
+	struct agent_once *o = arg;
+
+	g_mutex_lock(&o->lock);
+	jh_ledger_peer_result(o->ledger, jh_now(), op, state, answer);
+	g_mutex_unlock(&o->lock);
+	carry_out(o);
+}
+
+static const struct once_ask_ops ask_ops = {.answered = on_peer_answered};
+
+static void
+on_service_done(void *arg, const struct service_call_answer *answer)
+{
+	struct pending *p = arg;
+	struct agent_once *o = p->once;
+	struct jh_call_answer *kept;
+
+	g_mutex_lock(&o->lock);
+	if (answer->result == JH_HTTP_OK && !answer->too_long) {
+		kept = jh_call_answer_create(
+		    answer->status, jh_str_from(answer->type), answer->body);
+		jh_ledger_server_answer(o->ledger, jh_now(), p->op, kept);
+		jh_call_answer_unref(kept);
+	} else {
+		jh_ledger_server_broke(o->ledger, jh_now(), p->op,
+		    answer->result != JH_HTTP_NOT_SENT);
+	}
+	g_mutex_unlock(&o->lock);
+	g_free(p);
+	carry_out(o);
+}
+
+static const struct service_call_ops service_ops = {.done = on_service_done};
+
+/* A reference to the request of a waiting attempt, or NULL. */
+static struct jh_http_req *
+find_request(struct agent_once *o, uint64_t id, char **path)
+{
+	struct jh_http_req *req = NULL;
+	struct attempt *t;
+
+	g_mutex_lock(&o->lock);
+	t = g_hash_table_lookup(o->attempts, &id);
+	if (t != NULL) {
+		req = jh_http_req_ref(t->req);
+		*path = g_strdup(t->path);
+	}
+	g_mutex_unlock(&o->lock);
+	return req;
+}
+
+static void
+send_call(struct agent_once *o, const struct jh_ledger_action *act)
+{
+	struct pending *p = pending_create(o, act->op);
+	char *path = NULL;
+	struct jh_http_req *req = find_request(o, act->attempt, &path);
+
+	if (req != NULL && service_call_start(o->agent, jh_http_req_method(req),
+			       path, jh_http_req_header(req, "Content-Type"),
+			       jh_http_req_body(req), &service_ops, p)) {
+		p = NULL;
+	} else {
+		g_mutex_lock(&o->lock);
+		jh_ledger_server_broke(o->ledger, jh_now(), act->op, false);
+		g_mutex_unlock(&o->lock);
+	}
+	if (req != NULL)
+		jh_http_req_unref(req);
+	g_free(path);
+	g_free(p);
+}
+
+static const char *
+reason_name(const struct jh_ledger_action *act)
+{
+	switch (act->reason) {
+	case JH_LEDGER_REASON_STORE:
+		return "store_unavailable";
+	case JH_LEDGER_REASON_SERVER_UNREACHABLE:
+		return "backend_down";
+	case JH_LEDGER_REASON_SERVER_BROKE:
+		return "backend_lost";
+	case JH_LEDGER_REASON_HOLDER_GONE:
+		return "holder_gone";
+	case JH_LEDGER_REASON_HOLDER_SILENT:
+		return "holder_silent";
+	case JH_LEDGER_REASON_DEADLINE:
+		return "deadline";
+	case JH_LEDGER_REASON_FULL:
+		return "busy";
+	case JH_LEDGER_REASON_RECORD:
+		return "record_malformed";
+	default:
+		break;
+	}
+	if (act->outcome == JH_LEDGER_KEY_REUSED)
+		return "key_reused";
+	return act->outcome == JH_LEDGER_NOT_KEPT ? "answer_not_kept" : "none";
+}
+
+static const char *
+ran_name(enum jh_ledger_ran ran)
+{
+	if (ran == JH_LEDGER_RAN_NOT)
+		return "not_run";
+	return ran == JH_LEDGER_RAN_YES ? "ran" : "unknown";
+}
+
+static unsigned int
+refusal_status(enum jh_ledger_outcome outcome)
+{
+	if (outcome == JH_LEDGER_KEY_REUSED)
+		return 422;
+	return outcome == JH_LEDGER_NOT_KEPT ? 409 : 503;
+}
+
+static void
+write_reply(struct agent_once *o, struct jh_http_req *req,
+    const struct jh_ledger_action *act)
+{
+	const char *reason = reason_name(act);
+	struct jh_str type, body;
+	char *type_text;
+
+	agent_add_headers(o->agent, req, ran_name(act->ran));
+	if (act->outcome != JH_LEDGER_DONE) {
+		jh_http_req_add_header(req, "Jh-Reason", reason);
+		jh_http_req_reply(req, refusal_status(act->outcome),
+		    "text/plain", reason, strlen(reason));
+		return;
+	}
+	type = jh_call_answer_type(act->answer);
+	body = jh_call_answer_body(act->answer);
+	type_text = type.len == 0 ? g_strdup("application/octet-stream")
+				  : jh_str_dup(type);
+	jh_http_req_reply(req, jh_call_answer_status(act->answer), type_text,
+	    body.ptr, body.len);
+	g_free(type_text);
+}
+
+static void
+reply_attempt(struct agent_once *o, const struct jh_ledger_action *act)
+{
+	struct jh_http_req *req = NULL;
+	struct attempt *t;
+
+	g_mutex_lock(&o->lock);
+	t = g_hash_table_lookup(o->attempts, &act->attempt);
+	if (t != NULL) {
+		g_hash_table_remove(o->attempts, &act->attempt);
+		req = t->req;
+	}
+	g_mutex_unlock(&o->lock);
+	if (req == NULL)
+		return;
+	write_reply(o, req, act);
+	jh_http_req_unref(req);
+}
+
+static void
+ask_peer(struct agent_once *o, const struct jh_ledger_action *act)
+{
+	if (once_ask_start(o->ask, act->op, act->agent, act->nonce))
+		return;
+	g_mutex_lock(&o->lock);
+	jh_ledger_peer_result(
+	    o->ledger, jh_now(), act->op, JH_NONCE_NO_ANSWER, NULL);
+	g_mutex_unlock(&o->lock);
+}
+
+static void
+carry_out_one(struct agent_once *o, const struct jh_ledger_action *act)
+{
+	switch (act->act) {
+	case JH_LEDGER_READ:
+	case JH_LEDGER_CREATE:
+	case JH_LEDGER_UPDATE:
+		start_store_call(o, act);
+		break;
+	case JH_LEDGER_ASK:
+		ask_peer(o, act);
+		break;
+	case JH_LEDGER_SEND:
+		send_call(o, act);
+		break;
+	case JH_LEDGER_REPLY:
+		reply_attempt(o, act);
+		break;
+	case JH_LEDGER_GIVE_UP:
+		jh_event(JH_EV_OUTCOME_NOT_RECORDED, G_LOG_LEVEL_WARNING,
+		    "the outcome of %s cannot be recorded", act->object);
+		break;
+	}
+}
+
+/* Carries out what the ledger asks for; o->lock is not held. */
+static void
+carry_out(struct agent_once *o)
+{
+	struct jh_ledger_action *act;
+
+	for (;;) {
+		g_mutex_lock(&o->lock);
+		act = jh_ledger_next(o->ledger);
+		g_mutex_unlock(&o->lock);
+		if (act == NULL)
+			return;
+		carry_out_one(o, act);
+		jh_ledger_action_free(act);
+	}
+}
+
+static void
+on_closed(void *arg)
+{
+	struct attempt *t = arg;
+	struct agent_once *o = t->once;
+	bool waiting;
+
+	g_mutex_lock(&o->lock);
+	waiting = g_hash_table_remove(o->attempts, &t->id);
+	if (waiting)
+		jh_ledger_attempt_left(o->ledger, jh_now(), t->id);
+	g_mutex_unlock(&o->lock);
+	if (waiting)
+		jh_http_req_unref(t->req);
+	carry_out(o);
+}
+
+static void
+on_released(void *arg)
+{
+	struct attempt *t = arg;
+
+	g_free(t->path);
+	g_free(t);
+}
+
+static const struct jh_http_req_ops attempt_ops = {
+    .closed = on_closed, .released = on_released};
+
+static void
+hash_request(struct jh_http_req *req, const char *path,
+    char out[JH_AUTH_HASH_HEX_LEN + 1])
+{
+	struct jh_str body = jh_http_req_body(req);
+	GString *all = g_string_new(jh_http_req_method(req));
+
+	g_string_append_printf(all, " %s\n", path);
+	g_string_append_len(all, body.ptr, (gssize)body.len);
+	jh_auth_hash_hex((struct jh_str){all->str, all->len}, out);
+	g_string_free(all, TRUE);
+}
+
+void
+agent_once_attempt(struct agent_once *o, struct jh_work *w,
+    struct jh_http_req *req, const char *path)
+{
+	uint64_t budget =
+	    jh_work_get_uint(w, JH_WORK_BUDGET_MS, DEFAULT_BUDGET_MS);
+	char hash[JH_AUTH_HASH_HEX_LEN + 1];
+	struct attempt *t = g_new0(struct attempt, 1);
+	struct jh_attempt attempt = {
+	    .org = jh_str_from(jh_work_get(w, JH_WORK_ORG)),
+	    .key = jh_str_from(jh_work_get(w, JH_WORK_KEY)),
+	    .first = jh_work_get(w, JH_WORK_FIRST_ATTEMPT) != NULL,
+	    .deadline = jh_now() + budget * JH_USEC_PER_MSEC};
+
+	hash_request(req, path, hash);
+	attempt.request_hash = jh_str_from(hash);
+	t->once = o;
+	t->req = req;
+	t->path = g_strdup(path);
+	g_mutex_lock(&o->lock);
+	t->id = o->next_attempt++;
+	attempt.id = t->id;
+	jh_http_req_watch(req, &attempt_ops, t);
+	g_hash_table_insert(o->attempts, &t->id, t);
+	jh_ledger_attempt(o->ledger, jh_now(), &attempt);
+	g_mutex_unlock(&o->lock);
+	jh_work_destroy(w);
+	carry_out(o);
+}
+
+void
+agent_once_tick(struct agent_once *o)
+{
+	g_mutex_lock(&o->lock);
+	if (jh_now() >= jh_ledger_due(o->ledger))
+		jh_ledger_tick(o->ledger, jh_now());
+	g_mutex_unlock(&o->lock);
+	carry_out(o);
+}
+
+size_t
+agent_once_calls(struct agent_once *o)
+{
+	size_t n;
+
+	g_mutex_lock(&o->lock);
+	n = jh_ledger_calls(o->ledger);
+	g_mutex_unlock(&o->lock);
+	return n;
+}
+
+void
+agent_once_asked(struct agent_once *o, const struct jh_nonce_args *args,
+    struct jh_nonce_reply *reply)
+{
+	struct jh_nonce nonce = {args->incarnation, args->seq};
+	struct jh_call_answer *answer = NULL;
+	struct jh_str body;
+
+	g_mutex_lock(&o->lock);
+	reply->state = jh_ledger_asked(o->ledger, nonce, &answer);
+	g_mutex_unlock(&o->lock);
+	reply->type = g_strdup("");
+	if (answer == NULL)
+		return;
+	g_free(reply->type);
+	reply->type = jh_str_dup(jh_call_answer_type(answer));
+	reply->status = jh_call_answer_status(answer);
+	reply->has_answer = 1;
+	body = jh_call_answer_body(answer);
+	reply->answer.answer_val = g_memdup2(body.ptr, body.len);
+	reply->answer.answer_len = (u_int)body.len;
+	jh_call_answer_unref(answer);
+}
+
+struct agent_once *
+agent_once_create(struct agent *a)
+{
+	struct agent_once *o = g_new0(struct agent_once, 1);
+	char *self = jh_address_format(&a->set.rpc_listen);
+	struct jh_ledger_settings settings = {JH_LEDGER_DEFAULTS,
+	    .agent = jh_str_from(self), .incarnation = a->incarnation};
+
+	o->agent = a;
+	g_mutex_init(&o->lock);
+	o->ledger = jh_ledger_create(&settings);
+	o->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	o->next_attempt = 1;
+	o->store = jh_store_create(&a->set.store, MAX_STORE_CALLS);
+	o->ask = once_ask_create(&a->set.secret, &ask_ops, o);
+	g_free(self);
+	return o;
+}
+
+void
+agent_once_destroy(struct agent_once *o)
+{
+	once_ask_destroy(o->ask);
+	jh_store_destroy(o->store);
+	jh_ledger_destroy(o->ledger);
+	g_hash_table_destroy(o->attempts);
+	g_mutex_clear(&o->lock);
+	g_free(o);
+}
--- /dev/null
+++ b/src/agent/once_ask.c
@@ -0,0 +1,138 @@
+#include <jacinthhill/clock.h>
+
+#include "agent/once_ask.h"
+#include "base/ring.h"
+#include "config/settings.h"
+#include "rpc/server.h"
+
+#define MAX_QUESTIONS 1024
+#define ASK_TIMEOUT_USEC (1 * JH_USEC_PER_SEC)
+
+struct question {
+	uint64_t op;
+	struct sockaddr_in peer;
+	struct jh_nonce nonce;
+};
+
+struct once_ask {
+	struct jh_auth_key key;
+	const struct once_ask_ops *ops;
+	void *arg;
+	struct jh_ring *questions;
+	GMutex lock; /* guards the condition */
+	GCond cond;
+	bool stopping;
+	GThread *thread;
+};
+
+static void
+ask(struct once_ask *k, const struct question *q)
+{
+	struct jh_nonce_args args = {
+	    .incarnation = q->nonce.incarnation, .seq = q->nonce.seq};
+	enum jh_nonce_state state = JH_NONCE_NO_ANSWER;
+	struct jh_call_answer *answer = NULL;
+	struct jh_nonce_reply reply = {0};
+	GError *err = NULL;
+
+	if (jh_rpc_call(&q->peer, &k->key, JH_NONCE, &args, &reply,
+		jh_now() + ASK_TIMEOUT_USEC, &err)) {
+		state = (enum jh_nonce_state)reply.state;
+		if (reply.has_answer)
+			answer = jh_call_answer_create(reply.status,
+			    jh_str_from(reply.type),
+			    (struct jh_str){reply.answer.answer_val,
+				reply.answer.answer_len});
+		jh_rpc_reply_clear(JH_NONCE, &reply);
+	} else if (g_error_matches(err, JH_RPC_ERROR, JH_RPC_ERROR_ABSENT)) {
+		state = JH_NONCE_NO_SUCH_AGENT;
+	}
+	g_clear_error(&err);
+	k->ops->answered(k->arg, q->op, state, answer);
+	if (answer != NULL)
+		jh_call_answer_unref(answer);
+}
+
+static gpointer
+ask_main(gpointer arg)
+{
+	struct once_ask *k = arg;
+	struct question *q;
+
+	for (;;) {
+		while ((q = jh_ring_pop(k->questions)) != NULL) {
+			ask(k, q);
+			g_free(q);
+		}
+		g_mutex_lock(&k->lock);
+		if (k->stopping) {
+			g_mutex_unlock(&k->lock);
+			return NULL;
+		}
+		/* A question may have come since the ring was empty. */
+		q = jh_ring_pop(k->questions);
+		if (q == NULL)
+			g_cond_wait(&k->cond, &k->lock);
+		g_mutex_unlock(&k->lock);
+		if (q != NULL) {
+			ask(k, q);
+			g_free(q);
+		}
+	}
+}
+
+struct once_ask *
+once_ask_create(
+    const struct jh_auth_key *key, const struct once_ask_ops *ops, void *arg)
+{
+	struct once_ask *k = g_new0(struct once_ask, 1);
+
+	k->key = *key;
+	k->ops = ops;
+	k->arg = arg;
+	k->questions = jh_ring_create(MAX_QUESTIONS);
+	g_mutex_init(&k->lock);
+	g_cond_init(&k->cond);
+	k->thread = g_thread_new("ask", ask_main, k);
+	return k;
+}
+
+void
+once_ask_destroy(struct once_ask *k)
+{
+	struct question *q;
+
+	g_mutex_lock(&k->lock);
+	k->stopping = true;
+	g_cond_signal(&k->cond);
+	g_mutex_unlock(&k->lock);
+	g_thread_join(k->thread);
+	while ((q = jh_ring_pop(k->questions)) != NULL)
+		g_free(q);
+	jh_ring_destroy(k->questions);
+	g_mutex_clear(&k->lock);
+	g_cond_clear(&k->cond);
+	g_free(k);
+}
+
+bool
+once_ask_start(
+    struct once_ask *k, uint64_t op, const char *agent, struct jh_nonce nonce)
+{
+	struct question *q = g_new0(struct question, 1);
+	bool queued;
+
+	q->op = op;
+	q->nonce = nonce;
+	if (!jh_address_parse(agent, &q->peer)) {
+		g_free(q);
+		return false;
+	}
+	g_mutex_lock(&k->lock);
+	queued = jh_ring_push(k->questions, q);
+	g_cond_signal(&k->cond);
+	g_mutex_unlock(&k->lock);
+	if (!queued)
+		g_free(q);
+	return queued;
+}
--- /dev/null
+++ b/src/agent/once_ask.h
@@ -0,0 +1,25 @@
+#ifndef AGENT_ONCE_ASK_H
+#define AGENT_ONCE_ASK_H
+
+#include <jacinthhill/ledger.h>
+
+#include "base/auth.h"
+
+/* Asks other agents about nonces, on a thread of its own. */
+struct once_ask;
+
+struct once_ask_ops {
+	/* Runs on the ask thread; the answer may be NULL and is borrowed. */
+	void (*answered)(void *arg, uint64_t op, enum jh_nonce_state state,
+	    struct jh_call_answer *answer);
+};
+
+struct once_ask *once_ask_create(
+    const struct jh_auth_key *key, const struct once_ask_ops *ops, void *arg);
+void once_ask_destroy(struct once_ask *k);
+
+/* Returns false when too many questions wait. */
+bool once_ask_start(
+    struct once_ask *k, uint64_t op, const char *agent, struct jh_nonce nonce);
+
+#endif
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -4,7 +4,10 @@
 
 #include <jansson.h>
 
+#include <jacinthhill/ledger.h>
+
 #include "agent/agent.h"
+#include "agent/once.h"
 #include "agent/rpc.h"
 
 static void
@@ -77,5 +80,19 @@
 	json_decref(root);
 }
 
-const struct jh_rpc_handler agent_rpc_handlers[] = {
-	{JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
+static void
+handle_nonce(void *arg, const void *args, void *reply)
+{
+	struct jh_nonce_reply *r = reply;
+	struct agent *a = arg;
+
+	if (a->once != NULL) {
+		agent_once_asked(a->once, args, r);
+		return;
+	}
+	r->state = JH_NONCE_NO_SUCH_AGENT;
+	r->type = g_strdup("");
+}
+
+const struct jh_rpc_handler agent_rpc_handlers[] = {{JH_NONCE, handle_nonce},
+    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- a/src/agent/server.c
+++ b/src/agent/server.c
@@ -9,17 +9,17 @@
 #define WORK_PREFIX "/v1/work/"
 
 const char *const agent_counter_names[AGENT_COUNTERS] = {
-	[AGENT_REQUESTS] = "requests",
-	[AGENT_UNAUTHENTICATED] = "unauthenticated",
-	[AGENT_REFUSED] = "refused",
-	[AGENT_STARTED] = "started",
-	[AGENT_COMPLETED] = "completed",
-	[AGENT_CANCELLED] = "cancelled",
-	[AGENT_ENGINE_LOST] = "engine_lost",
-	[AGENT_REATTACHED] = "reattached",
-	[AGENT_TOKENS] = "tokens",
-	[AGENT_PROMPT_TOKENS] = "prompt_tokens",
-	[AGENT_CACHED_TOKENS] = "cached_tokens",
+    [AGENT_REQUESTS] = "requests",
+    [AGENT_UNAUTHENTICATED] = "unauthenticated",
+    [AGENT_REFUSED] = "refused",
+    [AGENT_STARTED] = "started",
+    [AGENT_COMPLETED] = "completed",
+    [AGENT_CANCELLED] = "cancelled",
+    [AGENT_ENGINE_LOST] = "engine_lost",
+    [AGENT_REATTACHED] = "reattached",
+    [AGENT_TOKENS] = "tokens",
+    [AGENT_PROMPT_TOKENS] = "prompt_tokens",
+    [AGENT_CACHED_TOKENS] = "cached_tokens",
 };
 
 void
@@ -30,8 +30,8 @@
 	jh_http_req_add_header(req, "Jh-Outcome", outcome);
 	snprintf(text, sizeof(text), "%d", g_atomic_int_get(&a->wait_ms));
 	jh_http_req_add_header(req, "Jh-Load", text);
-	snprintf(text, sizeof(text), "%016llx",
-	    (unsigned long long)a->incarnation);
+	snprintf(
+	    text, sizeof(text), "%016llx", (unsigned long long)a->incarnation);
 	jh_http_req_add_header(req, "Jh-Incarnation", text);
 	if (g_atomic_int_get(&a->leaving))
 		jh_http_req_add_header(req, "Jh-Leaving", "1");
--- a/src/agent/service.c
+++ b/src/agent/service.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "agent/once.h"
 #include "agent/service.h"
 #include "agent/service_call.h"
 
@@ -18,8 +19,7 @@
 	} else if (answer->result != JH_HTTP_OK || answer->too_long) {
 		jh_http_req_add_header(req, "Jh-Reason", "backend_lost");
 		agent_add_headers(a, req, "unknown");
-		jh_http_req_reply(
-		    req, 502, "text/plain", "backend lost\n", 13);
+		jh_http_req_reply(req, 502, "text/plain", "backend lost\n", 13);
 	} else {
 		agent_add_headers(a, req, "ran");
 		jh_http_req_reply(req, answer->status,
@@ -49,8 +49,8 @@
 	p->agent = a;
 	p->req = req;
 	if (service_call_start(a, jh_http_req_method(req), path,
-		jh_http_req_header(req, "Content-Type"),
-		jh_http_req_body(req), &plain_ops, p))
+		jh_http_req_header(req, "Content-Type"), jh_http_req_body(req),
+		&plain_ops, p))
 		return;
 	agent_refuse(a, req, 503, "busy");
 	jh_http_req_unref(req);
@@ -64,6 +64,12 @@
 	if (g_atomic_int_get(&a->leaving)) {
 		agent_refuse(a, req, 503, "leaving");
 		jh_http_req_unref(req);
+	} else if (a->once == NULL) {
+		agent_refuse(a, req, 404, "not_a_service");
+		jh_http_req_unref(req);
+	} else if (jh_work_get(w, JH_WORK_ONCE) != NULL) {
+		agent_once_attempt(a->once, w, req, path);
+		return;
 	} else {
 		start_plain(a, req, path);
 	}
--- a/src/agent/service_call.c
+++ b/src/agent/service_call.c
@@ -30,10 +30,10 @@
 {
 	struct service_call *c = arg;
 	struct service_call_answer answer = {.result = result,
-		.too_long = c->too_long,
-		.status = jh_http_call_status(call),
-		.type = jh_http_call_header(call, "Content-Type"),
-		.body = {c->body->str, c->body->len}};
+	    .too_long = c->too_long,
+	    .status = jh_http_call_status(call),
+	    .type = jh_http_call_header(call, "Content-Type"),
+	    .body = {c->body->str, c->body->len}};
 
 	c->ops->done(c->arg, &answer);
 	g_string_free(c->body, TRUE);
@@ -41,7 +41,7 @@
 }
 
 static const struct jh_http_call_ops call_ops = {
-	.data = on_data, .done = on_done};
+    .data = on_data, .done = on_done};
 
 bool
 service_call_start(struct agent *a, const char *method, const char *path,
@@ -53,14 +53,14 @@
 	const char *headers[] = {type_line, NULL};
 	struct service_call *c = g_new0(struct service_call, 1);
 	struct jh_http_call_spec spec = {.peer = a->set.backend,
-		.method = method,
-		.path = path,
-		.headers = headers,
-		.body = body,
-		.deadline = jh_now() + SERVICE_CALL_USEC,
-		.once = true,
-		.ops = &call_ops,
-		.arg = c};
+	    .method = method,
+	    .path = path,
+	    .headers = headers,
+	    .body = body,
+	    .deadline = jh_now() + SERVICE_CALL_USEC,
+	    .once = true,
+	    .ops = &call_ops,
+	    .arg = c};
 	struct jh_http_call *call;
 
 	c->agent = a;
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -19,6 +19,7 @@
 	JH_EV_REQUEST_REFUSED = 3002,
 	JH_EV_STREAM_RESUMED = 3003,
 	JH_EV_ENGINE_LOST = 4001,
+	JH_EV_OUTCOME_NOT_RECORDED = 4002,
 };
 
 /* Logs one event through GLib structured logging with field JH_EVENT. */
--- /dev/null
+++ b/src/entry/attempt.c
@@ -0,0 +1,427 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/event.h"
+#include "entry/job.h"
+#include "work/work.h"
+
+#define CHAT_PATH "/v1/work/chat"
+
+/* Longest time of one attempt. */
+#define ATTEMPT_USEC (600 * JH_USEC_PER_SEC)
+
+/* Longest whole answer passed on. */
+#define ANSWER_LIMIT (16 << 20)
+
+/* Requests whose attempts crashed this often are not sent again. */
+#define MAX_CRASHES 3
+
+static void
+on_token(void *arg, uint64_t position, struct jh_str payload)
+{
+	struct entry_job *j = arg;
+	char head[128];
+	int n;
+
+	n = snprintf(head, sizeof(head), "id: %.64s.%016llx:%llu\ndata: ",
+	    j->rid, (unsigned long long)j->worker,
+	    (unsigned long long)position);
+	jh_http_req_write(j->req, head, (size_t)n);
+	jh_http_req_write(j->req, payload.ptr, payload.len);
+	if (!jh_http_req_write(j->req, "\n\n", 2) && !j->left)
+		j->blocked = true;
+	jh_counters_add(j->entry->counters, ENTRY_TOKENS, 1);
+}
+
+static void
+on_end(void *arg)
+{
+	struct entry_job *j = arg;
+
+	jh_http_req_write(j->req, "data: [DONE]\n\n", 14);
+	jh_http_req_end(j->req);
+}
+
+static const struct jh_relay_ops relay_ops = {
+	.token = on_token, .end = on_end};
+
+/* Sends the caller status and headers. Holds j->lock. */
+static void
+begin_reply(struct entry_job *j)
+{
+	if (j->begun || !j->stream)
+		return;
+	j->begun = true;
+	jh_http_req_add_header(j->req, "Content-Type", "text/event-stream");
+	jh_http_req_add_header(j->req, "Cache-Control", "no-cache");
+	jh_http_req_add_header(j->req, "X-Request-Id", j->rid);
+	jh_http_req_begin(j->req, 200);
+}
+
+static uint64_t
+header_number(struct jh_http_call *call, const char *name, uint64_t fallback)
+{
+	const char *text = jh_http_call_header(call, name);
+	guint64 value;
+
+	if (text == NULL ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &value, NULL))
+		return fallback;
+	return value;
+}
+
+static void
+learn(struct entry_job *j, struct jh_http_call *call,
+    enum jh_place_outcome outcome)
+{
+	uint64_t wait = header_number(call, "Jh-Load", UINT64_MAX);
+	uint64_t cached = header_number(call, "Jh-Cached", UINT64_MAX);
+	struct jh_place_answer a = {.outcome = outcome,
+		.prefix = &j->prefix,
+		.width = (uint32_t)header_number(call, "Jh-Width", 0)};
+
+	if (jh_http_call_header(call, "Jh-Leaving") != NULL)
+		a.outcome = JH_PLACE_LEAVING;
+	if (wait != UINT64_MAX) {
+		a.has_wait = true;
+		a.wait = wait * JH_USEC_PER_MSEC;
+	}
+	if (cached != UINT64_MAX) {
+		a.has_cached = true;
+		a.cached_tokens = (uint32_t)cached;
+		jh_counters_add(
+		    j->entry->counters, ENTRY_CACHED_TOKENS, cached);
+		jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
+		    jh_prefix_tokens(&j->prefix));
+	}
+	entry_workers_learn(j->entry->workers, j->model, j->worker, &a);
+}
+
+static void
+on_begun(void *arg, struct jh_http_call *call)
+{
+	struct entry_job *j = arg;
+
+	if (jh_http_call_status(call) != 200)
+		return;
+	learn(j, call, JH_PLACE_ACCEPTED);
+	g_mutex_lock(&j->lock);
+	j->accepted = true;
+	g_free(j->answer_type);
+	j->answer_type = g_strdup(jh_http_call_header(call, "Content-Type"));
+	begin_reply(j);
+	g_mutex_unlock(&j->lock);
+}
+
+/* Returns whether the bytes were taken. Holds j->lock. */
+static bool
+take_data(struct entry_job *j, struct jh_http_call *call, struct jh_str data)
+{
+	if (!j->accepted || j->violated || j->req == NULL)
+		return true;
+	if (j->blocked)
+		return false;
+	if (j->stream) {
+		if (jh_relay_feed(j->relay, data) != JH_RELAY_OK) {
+			j->violated = true;
+			jh_http_call_cancel(call);
+		}
+	} else if (j->answer->len + data.len > ANSWER_LIMIT) {
+		j->violated = true;
+		jh_http_call_cancel(call);
+	} else {
+		g_string_append_len(j->answer, data.ptr, (gssize)data.len);
+	}
+	return true;
+}
+
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	struct entry_job *j = arg;
+	bool taken;
+
+	g_mutex_lock(&j->lock);
+	taken = take_data(j, call, data);
+	g_mutex_unlock(&j->lock);
+	return taken;
+}
+
+static bool
+is_whole(const struct entry_job *j, enum jh_http_result result)
+{
+	if (!j->accepted || j->violated)
+		return false;
+	/* The end marker shows completeness even if the close was lost. */
+	return j->stream ? jh_relay_ended(j->relay) : result == JH_HTTP_OK;
+}
+
+static void
+complete(struct entry_job *j)
+{
+	struct entry *e = j->entry;
+
+	g_mutex_lock(&j->lock);
+	if (!j->stream && j->req != NULL) {
+		jh_http_req_add_header(j->req, "X-Request-Id", j->rid);
+		jh_http_req_reply(j->req, 200,
+		    j->answer_type == NULL ? "application/json"
+					   : j->answer_type,
+		    j->answer->str, j->answer->len);
+	}
+	g_mutex_unlock(&j->lock);
+	g_mutex_lock(&e->lock);
+	jh_retry_success(e->retry);
+	g_mutex_unlock(&e->lock);
+	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
+	entry_job_finish(j);
+}
+
+/* The agent refused: nothing ran, the next worker may. */
+static void
+next_worker(struct entry_job *j, struct jh_http_call *call)
+{
+	const char *reason = jh_http_call_header(call, "Jh-Reason");
+
+	if (g_strcmp0(reason, "stream_lost") == 0) {
+		entry_job_refuse(j, ENTRY_ERR_STREAM_LOST, ENTRY_RAN);
+		return;
+	}
+	learn(j, call,
+	    g_strcmp0(reason, "engine_down") == 0 ? JH_PLACE_FAILED
+						  : JH_PLACE_BUSY);
+	if (g_strcmp0(reason, "deadline") == 0)
+		j->unreachable = true;
+	entry_job_advance(j);
+}
+
+/* The attempt failed and may have run on the backend server. */
+static void
+retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
+{
+	struct entry *e = j->entry;
+	bool allowed;
+
+	learn(j, call, JH_PLACE_FAILED);
+	if (!not_sent) {
+		j->may_have_run = true;
+		j->crashes++;
+	}
+	g_mutex_lock(&e->lock);
+	allowed = not_sent || jh_retry_take(e->retry);
+	g_mutex_unlock(&e->lock);
+	if (!allowed || j->crashes >= MAX_CRASHES) {
+		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+		return;
+	}
+	jh_counters_add(e->counters, ENTRY_RETRIES, 1);
+	if (j->begun) {
+		jh_counters_add(e->counters, ENTRY_RESUMES, 1);
+		jh_event(JH_EV_STREAM_RESUMED, G_LOG_LEVEL_INFO,
+		    "stream %s goes on elsewhere after token %llu", j->rid,
+		    (unsigned long long)jh_relay_position(j->relay));
+	}
+	entry_job_advance(j);
+}
+
+/* An error of the engine about the request itself is passed on. */
+static void
+pass_error(struct entry_job *j, unsigned int status)
+{
+	entry_job_refuse(j,
+	    status == 404 ? ENTRY_ERR_UNKNOWN_MODEL : ENTRY_ERR_BAD_REQUEST,
+	    ENTRY_NOT_RUN);
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct entry_job *j = arg;
+	const char *outcome = jh_http_call_header(call, "Jh-Outcome");
+	unsigned int status = jh_http_call_status(call);
+	bool whole, left;
+
+	g_mutex_lock(&j->lock);
+	whole = is_whole(j, result);
+	left = j->left && result == JH_HTTP_CANCELLED;
+	g_mutex_unlock(&j->lock);
+	if (whole)
+		complete(j);
+	else if (left || j->left)
+		entry_job_finish(j);
+	else if (result == JH_HTTP_NOT_SENT)
+		retry(j, call, true);
+	else if (result == JH_HTTP_OK && status != 200 &&
+	    g_strcmp0(outcome, "not_run") == 0 && status >= 500)
+		next_worker(j, call);
+	else if (result == JH_HTTP_OK && status >= 400 && status < 500 &&
+	    status != 401)
+		pass_error(j, status);
+	else
+		retry(j, call, false);
+	entry_job_unref(j);
+}
+
+static const struct jh_http_call_ops attempt_ops = {
+	.begun = on_begun, .data = on_data, .done = on_done};
+
+static struct jh_work *
+describe_work(struct entry_job *j, const struct jh_candidate *c)
+{
+	char levels[JH_PREFIX_HEADER_SIZE];
+	struct jh_work *w = jh_work_create();
+	uint64_t now = jh_now();
+	uint64_t left = j->first_token_deadline > now
+	    ? j->first_token_deadline - now
+	    : 0;
+
+	jh_prefix_format(&j->prefix, levels);
+	jh_work_set(w, JH_WORK_REQUEST_ID, j->rid);
+	jh_work_set(w, JH_WORK_ORG, j->caller.org->name);
+	jh_work_set(w, JH_WORK_CLASS, j->caller.rule->class_name);
+	jh_work_set(w, JH_WORK_RANK, caller_rank_name(j->caller.rank));
+	/* Streams that have begun must go on, however late they are. */
+	if (!j->begun)
+		jh_work_set_uint(w, JH_WORK_BUDGET_MS, left / JH_USEC_PER_MSEC);
+	if (c->max_wait != JH_NEVER)
+		jh_work_set_uint(
+		    w, JH_WORK_MAX_WAIT_MS, c->max_wait / JH_USEC_PER_MSEC);
+	jh_work_set(w, JH_WORK_PREFIX, levels);
+	jh_work_set(w, JH_WORK_SALT, j->salt);
+	if (j->shared_salt[0] != '\0')
+		jh_work_set(w, JH_WORK_SHARED_SALT, j->shared_salt);
+	jh_work_set_uint(w, JH_WORK_DECODE, j->max_tokens);
+	jh_work_set_uint(w, JH_WORK_WIDTH,
+	    entry_workers_width(j->entry->workers, j->model, &j->prefix));
+	jh_work_set_uint(w, JH_WORK_CRASHES, j->crashes);
+	jh_work_set_uint(w, JH_WORK_CATALOG_REV,
+	    jh_catalog_revision(j->entry->catalog));
+	if (j->reconnect_worker != 0)
+		jh_work_set_uint(w, JH_WORK_RESUME, j->reconnect_position);
+	return w;
+}
+
+/* Prepares a stream for its next upstream. Holds j->lock. */
+static char *
+prepare_attempt(struct entry_job *j)
+{
+	j->accepted = false;
+	j->violated = false;
+	if (!j->stream) {
+		if (j->answer == NULL)
+			j->answer = g_string_new(NULL);
+		g_string_truncate(j->answer, 0);
+		return NULL;
+	}
+	if (j->relay == NULL)
+		j->relay =
+		    jh_relay_create(j->reconnect_position, &relay_ops, j);
+	jh_relay_restart(j->relay);
+	if (!j->begun || j->reconnect_worker != 0)
+		return NULL;
+	return chat_request_resumed(
+	    j->body, jh_relay_position(j->relay), jh_relay_text(j->relay));
+}
+
+/* Returns false when the call could not be started. Holds j->lock. */
+static bool
+start(struct entry_job *j, const struct jh_candidate *c,
+    const struct worker_address *to)
+{
+	char *resumed = prepare_attempt(j);
+	struct jh_str body =
+	    resumed == NULL ? j->body : jh_str_from(resumed);
+	struct jh_work *w = describe_work(j, c);
+	char **lines = jh_work_headers(
+	    w, &j->entry->set.secret, "POST", CHAT_PATH, body);
+	struct jh_http_call_spec spec = {.peer = to->address,
+		.method = "POST",
+		.path = CHAT_PATH,
+		.headers = (const char *const *)lines,
+		.body = body,
+		.deadline = jh_now() + ATTEMPT_USEC,
+		.ops = &attempt_ops,
+		.arg = entry_job_ref(j)};
+
+	jh_http_call_unref(j->call);
+	j->worker = c->worker;
+	j->call = jh_http_call_start(j->entry->client, &spec);
+	g_strfreev(lines);
+	jh_work_destroy(w);
+	free(resumed);
+	return j->call != NULL;
+}
+
+/* Asks the placement policy for candidates. */
+static bool
+choose(struct entry_job *j)
+{
+	struct jh_place_request r = {.prefix = &j->prefix,
+		.region = entry_workers_region(j->entry->set.region),
+		.prefill_tokens =
+		    j->prefix.n == 0 ? 0 : j->prefix.level[j->prefix.n - 1].tokens,
+		.decode_tokens = j->max_tokens,
+		.any_region = j->caller.rank == JH_RANK_URGENT,
+		.again = j->next_candidate > 0};
+
+	j->again = r.again;
+	j->next_candidate = 0;
+	j->n_candidates = entry_workers_choose(j->entry->workers, j->model, &r,
+	    j->candidates, JH_PLACE_MAX_CANDIDATES);
+	return j->n_candidates > 0;
+}
+
+static bool
+next_candidate(struct entry_job *j, struct jh_candidate *out)
+{
+	if (j->reconnect_worker != 0) {
+		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
+		return j->worker == 0;
+	}
+	if (j->next_candidate == j->n_candidates &&
+	    (j->again || !choose(j)))
+		return false;
+	*out = j->candidates[j->next_candidate++];
+	return true;
+}
+
+static void
+refuse_all(struct entry_job *j)
+{
+	if (j->reconnect_worker != 0)
+		entry_job_refuse(j, ENTRY_ERR_STREAM_LOST, ENTRY_RAN);
+	else if (j->may_have_run)
+		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+	else
+		entry_job_refuse(j,
+		    j->unreachable ? ENTRY_ERR_DEADLINE : ENTRY_ERR_NO_CAPACITY,
+		    ENTRY_NOT_RUN);
+}
+
+void
+entry_job_advance(struct entry_job *j)
+{
+	struct worker_address to;
+	struct jh_candidate c;
+	bool started = false;
+
+	while (next_candidate(j, &c)) {
+		if (!entry_workers_find(j->entry->workers, c.worker, &to))
+			continue;
+		g_mutex_lock(&j->lock);
+		if (j->left && !j->resumable) {
+			g_mutex_unlock(&j->lock);
+			entry_job_finish(j);
+			return;
+		}
+		started = start(j, &c, &to);
+		g_mutex_unlock(&j->lock);
+		if (started)
+			return;
+		entry_job_unref(j);
+		break;
+	}
+	refuse_all(j);
+}
--- /dev/null
+++ b/src/entry/caller.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include "base/auth.h"
+#include "entry/caller.h"
+
+static const char bearer[] = "Bearer ";
+
+static bool
+find_org(struct entry *e, struct jh_http_req *req, struct caller *c)
+{
+	const char *value = jh_http_req_header(req, "Authorization");
+	const char *claimed = jh_http_req_header(req, "X-Organisation");
+	char hash[JH_AUTH_HASH_HEX_LEN + 1];
+
+	if (value == NULL || !g_str_has_prefix(value, bearer)) {
+		entry_reply_error(
+		    req, ENTRY_ERR_UNAUTHORIZED, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	jh_auth_hash_hex(jh_str_from(value + strlen(bearer)), hash);
+	c->org = jh_catalog_find_org_by_key(e->catalog, hash);
+	if (c->org == NULL || c->org->disabled) {
+		entry_reply_error(
+		    req, ENTRY_ERR_UNAUTHORIZED, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	if (claimed != NULL && strcmp(claimed, c->org->name) != 0) {
+		entry_reply_error(
+		    req, ENTRY_ERR_WRONG_ORGANISATION, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	return true;
+}
+
+/* The rank asked for, as far as the catalogue entry allows it. */
+static bool
+find_rank(struct jh_http_req *req, struct caller *c)
+{
+	const char *asked = jh_http_req_header(req, "X-Rank");
+
+	c->rank = c->rule->rank;
+	if (asked == NULL)
+		return true;
+	if (strcmp(asked, "urgent") == 0)
+		c->rank = JH_RANK_URGENT;
+	else if (strcmp(asked, "background") == 0)
+		c->rank = JH_RANK_BACKGROUND;
+	else
+		return false;
+	/* A lower value is more urgent. */
+	if (c->rank < c->rule->rank_ceiling)
+		c->rank = c->rule->rank_ceiling;
+	return true;
+}
+
+bool
+caller_identify(struct entry *e, struct jh_http_req *req,
+    const char *default_class, enum jh_entry_kind kind, struct caller *out)
+{
+	const char *class_name = jh_http_req_header(req, "X-Class");
+
+	memset(out, 0, sizeof(*out));
+	if (!find_org(e, req, out))
+		return false;
+	out->rule = jh_catalog_find(e->catalog, out->org->name,
+	    class_name == NULL ? default_class : class_name);
+	if (out->rule == NULL || out->rule->kind != kind) {
+		entry_reply_error(
+		    req, ENTRY_ERR_CLASS_NOT_ALLOWED, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	if (!find_rank(req, out)) {
+		entry_reply_error(req, ENTRY_ERR_BAD_REQUEST, ENTRY_NOT_RUN,
+		    "X-Rank must be urgent or background.");
+		return false;
+	}
+	return true;
+}
+
+void
+caller_clear(struct caller *c)
+{
+	if (c->rule != NULL)
+		jh_catalog_entry_unref(c->rule);
+	if (c->org != NULL)
+		jh_org_unref(c->org);
+	memset(c, 0, sizeof(*c));
+}
+
+const char *
+caller_rank_name(enum jh_rank rank)
+{
+	return rank == JH_RANK_URGENT ? "urgent" : "background";
+}
--- /dev/null
+++ b/src/entry/cancel.c
@@ -0,0 +1,71 @@
+#include <stdio.h>
+
+#include <jacinthhill/clock.h>
+
+#include "entry/job.h"
+#include "work/work.h"
+
+#define CANCEL_TIMEOUT_USEC (1 * JH_USEC_PER_SEC)
+
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	return true;
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+}
+
+static const struct jh_http_call_ops cancel_ops = {
+	.data = on_data, .done = on_done};
+
+/* Tells the agent; a lost message only delays the end by 10 s. */
+static void
+send_cancel(struct entry_job *j, uint64_t worker)
+{
+	struct entry *e = j->entry;
+	char *path = g_strdup_printf("/v1/work/%s", j->rid);
+	struct jh_http_call_spec spec = {.method = "DELETE",
+		.path = path,
+		.deadline = jh_now() + CANCEL_TIMEOUT_USEC,
+		.ops = &cancel_ops};
+	struct worker_address to;
+	struct jh_work *w;
+	char **lines;
+
+	if (entry_workers_find(e->workers, worker, &to)) {
+		w = jh_work_create();
+		jh_work_set(w, JH_WORK_REQUEST_ID, j->rid);
+		lines = jh_work_headers(w, &e->set.secret, "DELETE", path,
+		    (struct jh_str){NULL, 0});
+		spec.peer = to.address;
+		spec.headers = (const char *const *)lines;
+		jh_http_call_unref(jh_http_call_start(e->client, &spec));
+		g_strfreev(lines);
+		jh_work_destroy(w);
+	}
+	g_free(path);
+}
+
+void
+entry_job_cancel(struct entry_job *j)
+{
+	struct jh_http_call *call = NULL;
+	uint64_t worker;
+
+	g_mutex_lock(&j->lock);
+	j->left = true;
+	j->leave_deadline = JH_NEVER;
+	worker = j->worker;
+	if (!j->finished)
+		call = j->call;
+	if (call != NULL)
+		jh_http_call_cancel(call);
+	g_mutex_unlock(&j->lock);
+	if (call == NULL)
+		return;
+	jh_counters_add(j->entry->counters, ENTRY_CANCELLED, 1);
+	send_cancel(j, worker);
+}
--- /dev/null
+++ b/src/entry/chat.c
@@ -0,0 +1,177 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "entry/chat.h"
+#include "entry/job.h"
+
+#define DEFAULT_CLASS "chat"
+
+/* How long a caller with X-Resumable may take to reconnect. */
+#define RECONNECT_USEC (10 * JH_USEC_PER_SEC)
+
+static void
+on_writable(void *arg)
+{
+	struct entry_job *j = arg;
+
+	g_mutex_lock(&j->lock);
+	j->blocked = false;
+	if (j->call != NULL && !j->finished)
+		jh_http_call_resume(j->call);
+	g_mutex_unlock(&j->lock);
+}
+
+static void
+on_closed(void *arg)
+{
+	struct entry_job *j = arg;
+	bool wait;
+
+	g_mutex_lock(&j->lock);
+	wait = j->resumable && j->begun && !j->finished;
+	j->left = true;
+	if (wait)
+		j->leave_deadline = jh_now() + RECONNECT_USEC;
+	/* Nobody reads any more, so nothing may wait for the reader. */
+	if (wait && j->blocked) {
+		j->blocked = false;
+		jh_http_call_resume(j->call);
+	}
+	g_mutex_unlock(&j->lock);
+	if (!wait)
+		entry_job_cancel(j);
+}
+
+static void
+on_released(void *arg)
+{
+	entry_job_unref(arg);
+}
+
+static const struct jh_http_req_ops job_ops = {.writable = on_writable,
+	.closed = on_closed,
+	.released = on_released};
+
+/* "RID.WORKER:POSITION", as sent in the id of each event. */
+static bool
+parse_event_id(struct entry_job *j, const char *text)
+{
+	char rid[65], worker[17];
+	unsigned long long position;
+
+	if (sscanf(text, "%64[0-9a-f].%16[0-9a-f]:%llu", rid, worker,
+		&position) != 3)
+		return false;
+	g_free(j->rid);
+	j->rid = g_strdup(rid);
+	j->reconnect_worker = g_ascii_strtoull(worker, NULL, 16);
+	j->reconnect_position = position;
+	return true;
+}
+
+static void
+set_prefix(struct entry_job *j, const struct chat_request *c,
+    const struct jh_model *m)
+{
+	const struct caller *who = &j->caller;
+	struct jh_prefix_scope scope = {.model = jh_str_from(m->name),
+		.weights_version = jh_str_from(m->weights),
+		.org = jh_str_from(who->org->name)};
+	size_t shared = jh_catalog_entry_shares_prompt(
+			    who->rule, c->first_message_hash)
+	    ? 1
+	    : 0;
+
+	chat_request_prefix(c, &scope, shared, &j->prefix);
+	jh_cache_salt(&scope, 0, j->salt);
+	if (shared == 0)
+		return;
+	scope.org = JH_STR("");
+	jh_cache_salt(&scope, 0, j->shared_salt);
+}
+
+/* Fills the job from the body; replies and returns false on a fault. */
+static bool
+read_request(struct entry_job *j, struct jh_http_req *req)
+{
+	struct chat_request c;
+	struct jh_model *m = NULL;
+	const char *detail;
+	enum chat_fault fault;
+	bool ok = false;
+
+	fault = chat_request_parse(&c, jh_http_req_body(req), &detail);
+	if (fault != CHAT_OK) {
+		entry_reply_error(req,
+		    fault == CHAT_BAD_JSON ? ENTRY_ERR_BAD_JSON
+					   : ENTRY_ERR_BAD_REQUEST,
+		    ENTRY_NOT_RUN, detail);
+		goto out;
+	}
+	m = jh_catalog_find_model(j->entry->catalog, c.model);
+	if (m == NULL) {
+		entry_reply_error(
+		    req, ENTRY_ERR_UNKNOWN_MODEL, ENTRY_NOT_RUN, NULL);
+		goto out;
+	}
+	if (!jh_catalog_entry_allows_model(j->caller.rule, m->name)) {
+		entry_reply_error(req, ENTRY_ERR_CLASS_NOT_ALLOWED,
+		    ENTRY_NOT_RUN, "The class does not allow this model.");
+		goto out;
+	}
+	j->model = g_strdup(m->name);
+	j->stream = c.stream;
+	j->max_tokens = c.max_tokens;
+	set_prefix(j, &c, m);
+	ok = true;
+out:
+	if (m != NULL)
+		jh_model_unref(m);
+	chat_request_clear(&c);
+	return ok;
+}
+
+static bool
+prepare(struct entry_job *j, struct jh_http_req *req)
+{
+	const char *resumable = jh_http_req_header(req, "X-Resumable");
+	const char *last = jh_http_req_header(req, "Last-Event-ID");
+
+	if (!caller_identify(
+		j->entry, req, DEFAULT_CLASS, JH_ENTRY_CHAT, &j->caller) ||
+	    !read_request(j, req))
+		return false;
+	j->resumable = g_strcmp0(resumable, "true") == 0;
+	if (last != NULL && !parse_event_id(j, last)) {
+		entry_reply_error(req, ENTRY_ERR_BAD_REQUEST, ENTRY_NOT_RUN,
+		    "Last-Event-ID is not one of this service.");
+		return false;
+	}
+	if (j->reconnect_worker != 0)
+		jh_counters_add(j->entry->counters, ENTRY_RECONNECTS, 1);
+	j->first_token_deadline = j->arrived_at +
+	    (uint64_t)j->caller.rule->ttft_target_ms * JH_USEC_PER_MSEC;
+	return true;
+}
+
+void
+entry_chat(struct entry *e, struct jh_http_req *req)
+{
+	struct entry_job *j = entry_job_create(e, req);
+
+	if (!prepare(j, req)) {
+		jh_counters_add(e->counters, ENTRY_REJECTED, 1);
+		j->req = NULL;
+		jh_http_req_unref(req);
+		entry_job_unref(j);
+		return;
+	}
+	jh_http_req_watch(req, &job_ops, entry_job_ref(j));
+	g_mutex_lock(&e->lock);
+	g_hash_table_add(e->jobs, entry_job_ref(j));
+	g_mutex_unlock(&e->lock);
+	entry_job_advance(j);
+	entry_job_unref(j);
+}
--- /dev/null
+++ b/src/entry/chat_request.c
@@ -0,0 +1,137 @@
+#include <string.h>
+
+#include "base/auth.h"
+#include "entry/chat_request.h"
+
+/* Answer length assumed for a request that sets no max_tokens. */
+#define DEFAULT_MAX_TOKENS 256
+#define MAX_MAX_TOKENS 1000000
+
+static enum chat_fault
+check_messages(const json_t *messages, const char **detail)
+{
+	json_t *msg;
+	size_t i;
+
+	if (!json_is_array(messages) || json_array_size(messages) == 0) {
+		*detail = "messages must be an array with at least one item.";
+		return CHAT_BAD_REQUEST;
+	}
+	json_array_foreach (messages, i, msg) {
+		if (json_is_string(json_object_get(msg, "role")) &&
+		    json_is_string(json_object_get(msg, "content")))
+			continue;
+		*detail = "each message needs the strings role and content.";
+		return CHAT_BAD_REQUEST;
+	}
+	return CHAT_OK;
+}
+
+static enum chat_fault
+read_options(struct chat_request *c, const char **detail)
+{
+	json_t *n = json_object_get(c->root, "max_tokens");
+	json_t *stream = json_object_get(c->root, "stream");
+
+	c->max_tokens = DEFAULT_MAX_TOKENS;
+	if (n != NULL) {
+		if (!json_is_integer(n) || json_integer_value(n) < 1 ||
+		    json_integer_value(n) > MAX_MAX_TOKENS) {
+			*detail = "max_tokens must be a whole number from 1.";
+			return CHAT_BAD_REQUEST;
+		}
+		c->max_tokens = (uint32_t)json_integer_value(n);
+	}
+	if (stream != NULL && !json_is_boolean(stream)) {
+		*detail = "stream must be true or false.";
+		return CHAT_BAD_REQUEST;
+	}
+	c->stream = json_is_true(stream);
+	return CHAT_OK;
+}
+
+static void
+hash_first_message(struct chat_request *c, const json_t *messages)
+{
+	json_t *content =
+	    json_object_get(json_array_get(messages, 0), "content");
+
+	c->first_message_hash = g_malloc(JH_AUTH_HASH_HEX_LEN + 1);
+	jh_auth_hash_hex((struct jh_str){json_string_value(content),
+			     json_string_length(content)},
+	    c->first_message_hash);
+}
+
+enum chat_fault
+chat_request_parse(
+    struct chat_request *c, struct jh_str body, const char **detail)
+{
+	json_t *messages;
+	enum chat_fault fault;
+
+	memset(c, 0, sizeof(*c));
+	*detail = NULL;
+	c->root = json_loadb(body.ptr, body.len, JSON_REJECT_DUPLICATES, NULL);
+	if (!json_is_object(c->root))
+		return CHAT_BAD_JSON;
+	c->model = json_string_value(json_object_get(c->root, "model"));
+	if (c->model == NULL) {
+		*detail = "model must be a string.";
+		return CHAT_BAD_REQUEST;
+	}
+	/* The router adds this field itself when it resumes a stream. */
+	if (json_object_get(c->root, "resume") != NULL) {
+		*detail = "resume is not a field of this request.";
+		return CHAT_BAD_REQUEST;
+	}
+	messages = json_object_get(c->root, "messages");
+	fault = check_messages(messages, detail);
+	if (fault == CHAT_OK)
+		fault = read_options(c, detail);
+	if (fault == CHAT_OK)
+		hash_first_message(c, messages);
+	return fault;
+}
+
+void
+chat_request_clear(struct chat_request *c)
+{
+	json_decref(c->root);
+	g_free(c->first_message_hash);
+	memset(c, 0, sizeof(*c));
+}
+
+void
+chat_request_prefix(const struct chat_request *c,
+    const struct jh_prefix_scope *scope, size_t shared, struct jh_prefix *out)
+{
+	json_t *messages = json_object_get(c->root, "messages"), *msg, *s;
+	size_t i, n = json_array_size(messages);
+	struct jh_prefix_message *list = g_new0(struct jh_prefix_message, n);
+
+	json_array_foreach (messages, i, msg) {
+		s = json_object_get(msg, "role");
+		list[i].role = (struct jh_str){
+			json_string_value(s), json_string_length(s)};
+		s = json_object_get(msg, "content");
+		list[i].content = (struct jh_str){
+			json_string_value(s), json_string_length(s)};
+	}
+	jh_prefix_build(out, scope, list, n, shared);
+	g_free(list);
+}
+
+char *
+chat_request_resumed(
+    struct jh_str body, uint64_t position, struct jh_str text)
+{
+	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	char *out;
+
+	json_object_set_new(root, "resume",
+	    json_pack("{s:I, s:s%}", "position", (json_int_t)position, "text",
+		text.ptr, text.len));
+	out = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return out;
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,52 @@
+#ifndef ENTRY_ENTRY_H
+#define ENTRY_ENTRY_H
+
+#include <jacinthhill/catalog.h>
+#include <jacinthhill/counters.h>
+#include <jacinthhill/retry.h>
+
+#include "entry/settings.h"
+#include "entry/workers.h"
+#include "http/client.h"
+#include "http/server.h"
+
+enum entry_counter {
+	ENTRY_REQUESTS,
+	ENTRY_REJECTED,
+	ENTRY_REFUSED,
+	ENTRY_COMPLETED,
+	ENTRY_CANCELLED,
+	ENTRY_RETRIES,
+	ENTRY_RESUMES,
+	ENTRY_RECONNECTS,
+	ENTRY_TOKENS,
+	ENTRY_PROMPT_TOKENS,
+	ENTRY_CACHED_TOKENS,
+	ENTRY_COUNTERS
+};
+
+extern const char *const entry_counter_names[ENTRY_COUNTERS];
+
+/* The state of one jhentry process. */
+struct entry {
+	struct entry_settings set;
+	uint64_t incarnation;
+	struct jh_counters *counters;
+	struct jh_http_client *client;
+	struct jh_http_server *server;
+	struct jh_catalog *catalog;
+	struct entry_workers *workers;
+	int leaving; /* atomic */
+
+	GMutex lock; /* guards all below */
+	struct jh_retry *retry;
+	GHashTable *jobs; /* set of struct entry_job */
+};
+
+extern const struct jh_http_server_ops entry_server_ops;
+
+/* A request was refused that the catalogue entry would have allowed. */
+void entry_count_refusal(
+    struct entry *e, const char *owner, const char *class_name);
+
+#endif
--- /dev/null
+++ b/src/entry/job.c
@@ -0,0 +1,122 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "entry/job.h"
+
+
+
+#define REQUEST_ID_BYTES 12
+
+struct entry_job *
+entry_job_create(struct entry *e, struct jh_http_req *req)
+{
+	struct entry_job *j = g_new0(struct entry_job, 1);
+	uint8_t id[REQUEST_ID_BYTES];
+	size_t i;
+
+	j->refs = 1;
+	j->entry = e;
+	j->req = req;
+	j->body = jh_http_req_body(req);
+	j->arrived_at = jh_now();
+	j->leave_deadline = JH_NEVER;
+	j->rid = g_malloc(2 * REQUEST_ID_BYTES + 1);
+	jh_auth_random(id, sizeof(id));
+	for (i = 0; i < REQUEST_ID_BYTES; i++)
+		snprintf(j->rid + 2 * i, 3, "%02x", id[i]);
+	g_mutex_init(&j->lock);
+	return j;
+}
+
+struct entry_job *
+entry_job_ref(struct entry_job *j)
+{
+	g_atomic_int_inc(&j->refs);
+	return j;
+}
+
+void
+entry_job_unref(struct entry_job *j)
+{
+	if (!g_atomic_int_dec_and_test(&j->refs))
+		return;
+	jh_http_call_unref(j->call);
+	jh_relay_destroy(j->relay);
+	caller_clear(&j->caller);
+	if (j->answer != NULL)
+		g_string_free(j->answer, TRUE);
+	g_free(j->answer_type);
+	g_free(j->model);
+	g_free(j->rid);
+	g_mutex_clear(&j->lock);
+	g_free(j);
+}
+
+void
+entry_job_finish(struct entry_job *j)
+{
+	struct entry *e = j->entry;
+	struct jh_http_req *req;
+	bool known;
+
+	g_mutex_lock(&j->lock);
+	j->finished = true;
+	req = j->req;
+	j->req = NULL;
+	g_mutex_unlock(&j->lock);
+	if (req != NULL)
+		jh_http_req_unref(req);
+	g_mutex_lock(&e->lock);
+	known = g_hash_table_remove(e->jobs, j);
+	g_mutex_unlock(&e->lock);
+	if (known)
+		entry_job_unref(j);
+}
+
+void
+entry_job_refuse(
+    struct entry_job *j, enum entry_error code, enum entry_ran ran)
+{
+	struct entry *e = j->entry;
+
+	g_mutex_lock(&j->lock);
+	if (j->req != NULL && !j->begun)
+		entry_reply_error(j->req, code, ran, NULL);
+	else if (j->req != NULL)
+		jh_http_req_abort(j->req);
+	g_mutex_unlock(&j->lock);
+	jh_counters_add(e->counters, ENTRY_REFUSED, 1);
+	if (code == ENTRY_ERR_NO_CAPACITY || code == ENTRY_ERR_DEADLINE ||
+	    code == ENTRY_ERR_LIMIT_EXCEEDED)
+		entry_count_refusal(e, j->caller.rule->owner,
+		    j->caller.rule->class_name);
+	entry_job_finish(j);
+}
+
+void
+entry_jobs_tick(struct entry *e)
+{
+	GPtrArray *late = g_ptr_array_new();
+	struct entry_job *j;
+	GHashTableIter it;
+	gpointer key;
+	guint i;
+
+	g_mutex_lock(&e->lock);
+	g_hash_table_iter_init(&it, e->jobs);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		j = key;
+		g_mutex_lock(&j->lock);
+		if (jh_now() >= j->leave_deadline)
+			g_ptr_array_add(late, entry_job_ref(j));
+		g_mutex_unlock(&j->lock);
+	}
+	g_mutex_unlock(&e->lock);
+	for (i = 0; i < late->len; i++) {
+		entry_job_cancel(late->pdata[i]);
+		entry_job_unref(late->pdata[i]);
+	}
+	g_ptr_array_free(late, TRUE);
+}
--- a/src/rpc/client.c
+++ b/src/rpc/client.c
@@ -29,25 +29,30 @@
 	int status = 0;
 	socklen_t len = sizeof(status);
 
+	errno = ETIMEDOUT;
 	if (poll(&p, 1, (int)(left.tv_sec * 1000 + left.tv_usec / 1000) + 1) !=
 	    1)
 		return false;
-	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &status, &len) == 0 &&
-	       status == 0;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &status, &len) == -1)
+		return false;
+	errno = status;
+	return status == 0;
 }
 
 static int
 connect_to(const struct sockaddr_in *peer, uint64_t deadline)
 {
 	struct timeval left;
-	int fd;
+	int fd, cause;
 
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 	if (fd == -1)
 		return -1;
 	if (connect(fd, (const struct sockaddr *)peer, sizeof(*peer)) == -1 &&
 	    (errno != EINPROGRESS || !wait_connected(fd, deadline))) {
+		cause = errno;
 		close(fd);
+		errno = cause;
 		return -1;
 	}
 	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
@@ -127,7 +132,9 @@
 	}
 	c = create_client(peer, deadline);
 	if (c == NULL) {
-		g_set_error(err, JH_RPC_ERROR, JH_RPC_ERROR_CONNECT,
+		g_set_error(err, JH_RPC_ERROR,
+		    errno == ECONNREFUSED ? JH_RPC_ERROR_ABSENT
+					  : JH_RPC_ERROR_CONNECT,
 		    "%s: no connection to the peer", p->name);
 		ok = false;
 	} else {
