Add catalogue records, table and sync reply flag

The table keeps the higher version of each key; a copy that is complete up to a revision ignores older versions of keys that it lacks, so tombstones can be forgotten beyond 16,384 and a peer behind them gets a full copy. A full copy must drop what it lacks, which a delta must not, so JH_SYNC replies gain a flag. Full copies are not cut, so the RPC payload limit rises from 4 MB to 16 MB: the test's 7,800 objects are about 2.5 MB of JSON, and entries with more models and prompt hashes are longer.

--- /dev/null
+++ b/src/catalog/delta.c
@@ -0,0 +1,119 @@
+#include <string.h>
+
+#include "catalog/table.h"
+
+static size_t
+item_bytes(const struct catalog_slot *s)
+{
+	return sizeof(struct jh_catalog_item) + strlen(s->key) + s->json_len;
+}
+
+static void
+add_item(GArray *items, const struct catalog_slot *s)
+{
+	struct jh_catalog_item item = {
+	    g_strdup(s->key), s->version, g_strdup(s->json)};
+
+	g_array_append_val(items, item);
+}
+
+/* Caller holds the read lock. Returns false when max_bytes cut the walk. */
+static bool
+collect(struct jh_catalog *c, uint64_t above, size_t max_bytes, bool live_only,
+    GArray *items)
+{
+	struct catalog_slot from = {.key = (char *)"", .version = above + 1};
+	const struct catalog_slot *s;
+	size_t bytes = 0;
+	GTreeNode *n;
+
+	for (n = g_tree_lower_bound(c->by_version, &from); n != NULL;
+	     n = g_tree_node_next(n)) {
+		s = g_tree_node_value(n);
+		if (s->version > c->revision)
+			break;
+		if (live_only && s->json == NULL)
+			continue;
+		bytes += item_bytes(s);
+		if (bytes > max_bytes)
+			return false;
+		add_item(items, s);
+	}
+	return true;
+}
+
+static void
+give_items(GArray *items, struct jh_catalog_delta *out)
+{
+	out->n = items->len;
+	out->items =
+	    (struct jh_catalog_item *)(void *)g_array_free(items, FALSE);
+}
+
+/* Caller holds the read lock. */
+static bool
+fill(struct jh_catalog *c, uint64_t revision, size_t max_bytes,
+    struct jh_catalog_delta *out)
+{
+	GArray *items =
+	    g_array_new(FALSE, FALSE, sizeof(struct jh_catalog_item));
+	bool whole;
+
+	out->full = revision < c->floor;
+	out->revision = c->revision;
+	whole =
+	    collect(c, out->full ? 0 : revision, max_bytes, out->full, items);
+	if (!whole && !out->full && items->len > 0)
+		out->revision =
+		    g_array_index(items, struct jh_catalog_item, items->len - 1)
+			.version;
+	give_items(items, out);
+	return whole || (!out->full && out->n > 0);
+}
+
+bool
+jh_catalog_delta(struct jh_catalog *c, uint64_t revision, size_t max_bytes,
+    struct jh_catalog_delta *out)
+{
+	bool ok = false;
+
+	memset(out, 0, sizeof(*out));
+	g_rw_lock_reader_lock(&c->lock);
+	if (c->revision >= revision)
+		ok = fill(c, revision, max_bytes, out);
+	g_rw_lock_reader_unlock(&c->lock);
+	if (!ok)
+		jh_catalog_delta_clear(out);
+	return ok;
+}
+
+void
+jh_catalog_delta_clear(struct jh_catalog_delta *d)
+{
+	size_t i;
+
+	for (i = 0; i < d->n; i++) {
+		g_free((char *)d->items[i].key);
+		g_free((char *)d->items[i].json);
+	}
+	g_free(d->items);
+	memset(d, 0, sizeof(*d));
+}
+
+bool
+jh_catalog_apply(struct jh_catalog *c, uint64_t asked_revision,
+    const struct jh_catalog_delta *d)
+{
+	uint64_t before = jh_catalog_revision(c);
+	size_t i;
+
+	if (d->full) {
+		jh_catalog_replace(c, d->items, d->n, d->revision);
+	} else if (asked_revision <= before) {
+		for (i = 0; i < d->n; i++)
+			jh_catalog_merge(c, d->items[i].key,
+			    d->items[i].version, d->items[i].json);
+		jh_catalog_advance(c, d->revision);
+	}
+	return jh_catalog_revision(c) > before;
+}
--- /dev/null
+++ b/src/catalog/lookup.c
@@ -0,0 +1,100 @@
+#include <stdio.h>
+
+#include "catalog/table.h"
+
+/* Room for the longest valid key and its prefix. */
+#define KEY_SIZE 160
+
+/* Caller holds the read lock. */
+static struct catalog_slot *
+find_named(struct jh_catalog *c, const char *prefix, const char *first,
+    const char *slash, const char *second)
+{
+	char key[KEY_SIZE];
+	int n;
+
+	n = snprintf(
+	    key, sizeof(key), "%s%s%s%s", prefix, first, slash, second);
+	if (n < 0 || (size_t)n >= sizeof(key))
+		return NULL;
+	return g_hash_table_lookup(c->by_key, key);
+}
+
+struct jh_catalog_entry *
+jh_catalog_find(struct jh_catalog *c, const char *org, const char *class_name)
+{
+	struct jh_catalog_entry *e = NULL;
+	struct catalog_slot *s;
+
+	g_rw_lock_reader_lock(&c->lock);
+	s = find_named(c, JH_RECORD_PREFIX_ENTRY, org, "/", class_name);
+	if (s != NULL && s->entry != NULL)
+		e = jh_catalog_entry_ref(s->entry);
+	g_rw_lock_reader_unlock(&c->lock);
+	return e;
+}
+
+struct jh_org *
+jh_catalog_find_org(struct jh_catalog *c, const char *name)
+{
+	struct jh_org *o = NULL;
+	struct catalog_slot *s;
+
+	g_rw_lock_reader_lock(&c->lock);
+	s = find_named(c, JH_RECORD_PREFIX_ORG, name, "", "");
+	if (s != NULL && s->org != NULL)
+		o = jh_org_ref(s->org);
+	g_rw_lock_reader_unlock(&c->lock);
+	return o;
+}
+
+struct jh_org *
+jh_catalog_find_org_by_key(struct jh_catalog *c, const char *key_hash)
+{
+	struct jh_org *o = NULL;
+	struct catalog_slot *s;
+
+	g_rw_lock_reader_lock(&c->lock);
+	s = g_hash_table_lookup(c->orgs_by_hash, key_hash);
+	if (s != NULL)
+		o = jh_org_ref(s->org);
+	g_rw_lock_reader_unlock(&c->lock);
+	return o;
+}
+
+struct jh_model *
+jh_catalog_find_model(struct jh_catalog *c, const char *name)
+{
+	struct jh_model *m = NULL;
+	struct catalog_slot *s;
+
+	g_rw_lock_reader_lock(&c->lock);
+	s = find_named(c, JH_RECORD_PREFIX_MODEL, name, "", "");
+	if (s == NULL || s->model == NULL)
+		s = g_hash_table_lookup(c->models_by_name, name);
+	if (s != NULL && s->model != NULL)
+		m = jh_model_ref(s->model);
+	g_rw_lock_reader_unlock(&c->lock);
+	return m;
+}
+
+void
+jh_catalog_each(struct jh_catalog *c,
+    void (*fn)(void *arg, const struct jh_catalog_item *item), void *arg)
+{
+	struct jh_catalog_item item;
+	struct catalog_slot *s;
+	GHashTableIter it;
+	gpointer value;
+
+	g_rw_lock_reader_lock(&c->lock);
+	g_hash_table_iter_init(&it, c->by_key);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		s = value;
+		if (s->json == NULL)
+			continue;
+		item = (struct jh_catalog_item){s->key, s->version, s->json};
+		fn(arg, &item);
+	}
+	g_rw_lock_reader_unlock(&c->lock);
+}
--- /dev/null
+++ b/src/catalog/slot.c
@@ -0,0 +1,66 @@
+#include <string.h>
+
+#include "catalog/table.h"
+
+/* Estimates of hash table, tree and allocator overhead, in bytes. */
+#define SLOT_OVERHEAD 160
+/* A parsed record takes about twice its JSON text in small allocations. */
+#define RECORD_FACTOR 3
+
+static void
+clear_content(struct catalog_slot *s)
+{
+	jh_catalog_entry_unref(s->entry);
+	jh_org_unref(s->org);
+	jh_model_unref(s->model);
+	g_free(s->json);
+	s->entry = NULL;
+	s->org = NULL;
+	s->model = NULL;
+	s->json = NULL;
+	s->json_len = 0;
+}
+
+void
+catalog_slot_fill(struct catalog_slot *s, const char *json)
+{
+	struct jh_str text = jh_str_from(json);
+
+	clear_content(s);
+	s->kind = jh_record_kind_of(s->key);
+	if (json == NULL)
+		return;
+	s->json = g_strdup(json);
+	s->json_len = text.len;
+	/* A record under another's key must not answer for that other. */
+	if (!jh_record_check(s->key, text, NULL))
+		return;
+	if (s->kind == JH_RECORD_ENTRY)
+		s->entry = jh_catalog_entry_parse(text, NULL);
+	else if (s->kind == JH_RECORD_ORG)
+		s->org = jh_org_parse(text, NULL);
+	else if (s->kind == JH_RECORD_MODEL)
+		s->model = jh_model_parse(text, NULL);
+}
+
+void
+catalog_slot_free(struct catalog_slot *s)
+{
+	clear_content(s);
+	g_free(s->key);
+	g_free(s);
+}
+
+size_t
+catalog_slot_bytes(const struct catalog_slot *s)
+{
+	return sizeof(*s) + SLOT_OVERHEAD + strlen(s->key) +
+	       RECORD_FACTOR * s->json_len;
+}
+
+bool
+catalog_slot_is_invalid(const struct catalog_slot *s)
+{
+	return s->json != NULL && s->entry == NULL && s->org == NULL &&
+	       s->model == NULL;
+}
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define JH_MAX_PAYLOAD 4194304
+#define JH_MAX_PAYLOAD 16777216
 #define JH_MAX_TEXT 1048576
 #define JH_MAX_NAME 256
 #define JH_MAX_ITEMS 65536
@@ -75,6 +75,7 @@
 		u_int crashes_len;
 		jh_wire_crash *crashes_val;
 	} crashes;
+	bool_t full;
 };
 typedef struct jh_sync_reply jh_sync_reply;
 
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -5,7 +5,7 @@
  * nonce of its request.
  */
 
-const JH_MAX_PAYLOAD = 4194304;
+const JH_MAX_PAYLOAD = 16777216;
 const JH_MAX_TEXT = 1048576;
 const JH_MAX_NAME = 256;
 const JH_MAX_ITEMS = 65536;
@@ -50,6 +50,7 @@
 	jh_wire_entry entries<JH_MAX_ITEMS>; /* changed after the asker's */
 	unsigned hyper suspects_position;
 	jh_wire_crash crashes<JH_MAX_ITEMS>;
+	bool full;			/* entries is all there is */
 };
 
 enum jh_call_state {
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -92,6 +92,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_ITEMS,
 		sizeof (jh_wire_crash), (xdrproc_t) xdr_jh_wire_crash))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
 	return TRUE;
 }
 
