--- a/src/agent/server.c
+++ b/src/agent/server.c
@@ -69,7 +69,8 @@
 	}
 	if (strcmp(method, "POST") == 0 &&
 	    g_str_has_prefix(path, SERVICE_PREFIX)) {
-		agent_service(a, w, req, path + strlen(SERVICE_PREFIX) - 1);
+		agent_service(a, w, req,
+		    jh_http_req_target(req) + strlen(SERVICE_PREFIX) - 1);
 		return;
 	}
 	jh_work_destroy(w);
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -25,9 +25,9 @@
 	char head[128];
 	int n;
 
-	n = snprintf(head, sizeof(head), "id: %.64s.%016llx:%llu\ndata: ",
-	    j->rid, (unsigned long long)j->worker,
-	    (unsigned long long)position);
+	n = snprintf(head, sizeof(head),
+	    "id: %.64s.%016llx:%llu\ndata: ", j->rid,
+	    (unsigned long long)j->worker, (unsigned long long)position);
 	jh_http_req_write(j->req, head, (size_t)n);
 	jh_http_req_write(j->req, payload.ptr, payload.len);
 	if (!jh_http_req_write(j->req, "\n\n", 2) && !j->left)
@@ -44,8 +44,18 @@
 	jh_http_req_end(j->req);
 }
 
-static const struct jh_relay_ops relay_ops = {
-	.token = on_token, .end = on_end};
+static const struct jh_relay_ops relay_ops = {.token = on_token, .end = on_end};
+
+/* Tells the caller where the answer came from. Holds j->lock. */
+static void
+add_trace_headers(struct entry_job *j)
+{
+	jh_http_req_add_header(j->req, "X-Request-Id", j->rid);
+	jh_http_req_add_header(j->req, "X-Worker", j->worker_name);
+	if (j->cached_text[0] != '\0')
+		jh_http_req_add_header(
+		    j->req, "X-Cached-Tokens", j->cached_text);
+}
 
 /* Sends the caller status and headers. Holds j->lock. */
 static void
@@ -54,9 +64,9 @@
 	if (j->begun || !j->stream)
 		return;
 	j->begun = true;
+	add_trace_headers(j);
 	jh_http_req_add_header(j->req, "Content-Type", "text/event-stream");
 	jh_http_req_add_header(j->req, "Cache-Control", "no-cache");
-	jh_http_req_add_header(j->req, "X-Request-Id", j->rid);
 	jh_http_req_begin(j->req, 200);
 }
 
@@ -79,8 +89,8 @@
 	uint64_t wait = header_number(call, "Jh-Load", UINT64_MAX);
 	uint64_t cached = header_number(call, "Jh-Cached", UINT64_MAX);
 	struct jh_place_answer a = {.outcome = outcome,
-		.prefix = &j->prefix,
-		.width = (uint32_t)header_number(call, "Jh-Width", 0)};
+	    .prefix = &j->prefix,
+	    .width = (uint32_t)header_number(call, "Jh-Width", 0)};
 
 	if (jh_http_call_header(call, "Jh-Leaving") != NULL)
 		a.outcome = JH_PLACE_LEAVING;
@@ -103,12 +113,16 @@
 on_begun(void *arg, struct jh_http_call *call)
 {
 	struct entry_job *j = arg;
+	const char *cached;
 
 	if (jh_http_call_status(call) != 200)
 		return;
 	learn(j, call, JH_PLACE_ACCEPTED);
+	cached = jh_http_call_header(call, "Jh-Cached");
 	g_mutex_lock(&j->lock);
 	j->accepted = true;
+	if (cached != NULL)
+		g_strlcpy(j->cached_text, cached, sizeof(j->cached_text));
 	g_free(j->answer_type);
 	j->answer_type = g_strdup(jh_http_call_header(call, "Content-Type"));
 	begin_reply(j);
@@ -165,7 +179,7 @@
 
 	g_mutex_lock(&j->lock);
 	if (!j->stream && j->req != NULL) {
-		jh_http_req_add_header(j->req, "X-Request-Id", j->rid);
+		add_trace_headers(j);
 		jh_http_req_reply(j->req, 200,
 		    j->answer_type == NULL ? "application/json"
 					   : j->answer_type,
@@ -254,10 +268,10 @@
 	else if (result == JH_HTTP_NOT_SENT)
 		retry(j, call, true);
 	else if (result == JH_HTTP_OK && status != 200 &&
-	    g_strcmp0(outcome, "not_run") == 0 && status >= 500)
+		 g_strcmp0(outcome, "not_run") == 0 && status >= 500)
 		next_worker(j, call);
 	else if (result == JH_HTTP_OK && status >= 400 && status < 500 &&
-	    status != 401)
+		 status != 401)
 		pass_error(j, status);
 	else
 		retry(j, call, false);
@@ -265,7 +279,7 @@
 }
 
 static const struct jh_http_call_ops attempt_ops = {
-	.begun = on_begun, .data = on_data, .done = on_done};
+    .begun = on_begun, .data = on_data, .done = on_done};
 
 static struct jh_work *
 describe_work(struct entry_job *j, const struct jh_candidate *c)
@@ -273,9 +287,8 @@
 	char levels[JH_PREFIX_HEADER_SIZE];
 	struct jh_work *w = jh_work_create();
 	uint64_t now = jh_now();
-	uint64_t left = j->first_token_deadline > now
-	    ? j->first_token_deadline - now
-	    : 0;
+	uint64_t left =
+	    j->first_token_deadline > now ? j->first_token_deadline - now : 0;
 
 	jh_prefix_format(&j->prefix, levels);
 	jh_work_set(w, JH_WORK_REQUEST_ID, j->rid);
@@ -296,8 +309,8 @@
 	jh_work_set_uint(w, JH_WORK_WIDTH,
 	    entry_workers_width(j->entry->workers, j->model, &j->prefix));
 	jh_work_set_uint(w, JH_WORK_CRASHES, j->crashes);
-	jh_work_set_uint(w, JH_WORK_CATALOG_REV,
-	    jh_catalog_revision(j->entry->catalog));
+	jh_work_set_uint(
+	    w, JH_WORK_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
 	if (j->reconnect_worker != 0)
 		jh_work_set_uint(w, JH_WORK_RESUME, j->reconnect_position);
 	return w;
@@ -331,22 +344,22 @@
     const struct worker_address *to)
 {
 	char *resumed = prepare_attempt(j);
-	struct jh_str body =
-	    resumed == NULL ? j->body : jh_str_from(resumed);
+	struct jh_str body = resumed == NULL ? j->body : jh_str_from(resumed);
 	struct jh_work *w = describe_work(j, c);
-	char **lines = jh_work_headers(
-	    w, &j->entry->set.secret, "POST", CHAT_PATH, body);
+	char **lines =
+	    jh_work_headers(w, &j->entry->set.secret, "POST", CHAT_PATH, body);
 	struct jh_http_call_spec spec = {.peer = to->address,
-		.method = "POST",
-		.path = CHAT_PATH,
-		.headers = (const char *const *)lines,
-		.body = body,
-		.deadline = jh_now() + ATTEMPT_USEC,
-		.ops = &attempt_ops,
-		.arg = entry_job_ref(j)};
+	    .method = "POST",
+	    .path = CHAT_PATH,
+	    .headers = (const char *const *)lines,
+	    .body = body,
+	    .deadline = jh_now() + ATTEMPT_USEC,
+	    .ops = &attempt_ops,
+	    .arg = entry_job_ref(j)};
 
 	jh_http_call_unref(j->call);
 	j->worker = c->worker;
+	g_strlcpy(j->worker_name, to->instance, sizeof(j->worker_name));
 	j->call = jh_http_call_start(j->entry->client, &spec);
 	g_strfreev(lines);
 	jh_work_destroy(w);
@@ -354,17 +367,23 @@
 	return j->call != NULL;
 }
 
+/* A well placed request finds all levels in cache but the last. */
+static uint32_t
+expected_uncached(const struct jh_prefix *p)
+{
+	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
+}
+
 /* Asks the placement policy for candidates. */
 static bool
 choose(struct entry_job *j)
 {
 	struct jh_place_request r = {.prefix = &j->prefix,
-		.region = entry_workers_region(j->entry->set.region),
-		.prefill_tokens =
-		    j->prefix.n == 0 ? 0 : j->prefix.level[j->prefix.n - 1].tokens,
-		.decode_tokens = j->max_tokens,
-		.any_region = j->caller.rank == JH_RANK_URGENT,
-		.again = j->next_candidate > 0};
+	    .region = entry_workers_region(j->entry->set.region),
+	    .prefill_tokens = expected_uncached(&j->prefix),
+	    .decode_tokens = j->max_tokens,
+	    .any_region = j->caller.rank == JH_RANK_URGENT,
+	    .again = j->next_candidate > 0};
 
 	j->again = r.again;
 	j->next_candidate = 0;
@@ -380,8 +399,7 @@
 		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
 		return j->worker == 0;
 	}
-	if (j->next_candidate == j->n_candidates &&
-	    (j->again || !choose(j)))
+	if (j->next_candidate == j->n_candidates && (j->again || !choose(j)))
 		return false;
 	*out = j->candidates[j->next_candidate++];
 	return true;
--- a/src/entry/cancel.c
+++ b/src/entry/cancel.c
@@ -19,7 +19,7 @@
 }
 
 static const struct jh_http_call_ops cancel_ops = {
-	.data = on_data, .done = on_done};
+    .data = on_data, .done = on_done};
 
 /* Tells the agent; a lost message only delays the end by 10 s. */
 static void
@@ -28,9 +28,9 @@
 	struct entry *e = j->entry;
 	char *path = g_strdup_printf("/v1/work/%s", j->rid);
 	struct jh_http_call_spec spec = {.method = "DELETE",
-		.path = path,
-		.deadline = jh_now() + CANCEL_TIMEOUT_USEC,
-		.ops = &cancel_ops};
+	    .path = path,
+	    .deadline = jh_now() + CANCEL_TIMEOUT_USEC,
+	    .ops = &cancel_ops};
 	struct worker_address to;
 	struct jh_work *w;
 	char **lines;
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -50,9 +50,8 @@
 	entry_job_unref(arg);
 }
 
-static const struct jh_http_req_ops job_ops = {.writable = on_writable,
-	.closed = on_closed,
-	.released = on_released};
+static const struct jh_http_req_ops job_ops = {
+    .writable = on_writable, .closed = on_closed, .released = on_released};
 
 /* "RID.WORKER:POSITION", as sent in the id of each event. */
 static bool
@@ -72,17 +71,17 @@
 }
 
 static void
-set_prefix(struct entry_job *j, const struct chat_request *c,
-    const struct jh_model *m)
+set_prefix(
+    struct entry_job *j, const struct chat_request *c, const struct jh_model *m)
 {
 	const struct caller *who = &j->caller;
 	struct jh_prefix_scope scope = {.model = jh_str_from(m->name),
-		.weights_version = jh_str_from(m->weights),
-		.org = jh_str_from(who->org->name)};
-	size_t shared = jh_catalog_entry_shares_prompt(
-			    who->rule, c->first_message_hash)
-	    ? 1
-	    : 0;
+	    .weights_version = jh_str_from(m->weights),
+	    .org = jh_str_from(who->org->name)};
+	size_t shared =
+	    jh_catalog_entry_shares_prompt(who->rule, c->first_message_hash)
+		? 1
+		: 0;
 
 	chat_request_prefix(c, &scope, shared, &j->prefix);
 	jh_cache_salt(&scope, 0, j->salt);
@@ -151,7 +150,8 @@
 	}
 	if (j->reconnect_worker != 0)
 		jh_counters_add(j->entry->counters, ENTRY_RECONNECTS, 1);
-	j->first_token_deadline = j->arrived_at +
+	j->first_token_deadline =
+	    j->arrived_at +
 	    (uint64_t)j->caller.rule->ttft_target_ms * JH_USEC_PER_MSEC;
 	return true;
 }
--- a/src/entry/chat_request.c
+++ b/src/entry/chat_request.c
@@ -17,7 +17,8 @@
 		*detail = "messages must be an array with at least one item.";
 		return CHAT_BAD_REQUEST;
 	}
-	json_array_foreach (messages, i, msg) {
+	json_array_foreach(messages, i, msg)
+	{
 		if (json_is_string(json_object_get(msg, "role")) &&
 		    json_is_string(json_object_get(msg, "content")))
 			continue;
@@ -109,21 +110,21 @@
 	size_t i, n = json_array_size(messages);
 	struct jh_prefix_message *list = g_new0(struct jh_prefix_message, n);
 
-	json_array_foreach (messages, i, msg) {
+	json_array_foreach(messages, i, msg)
+	{
 		s = json_object_get(msg, "role");
 		list[i].role = (struct jh_str){
-			json_string_value(s), json_string_length(s)};
+		    json_string_value(s), json_string_length(s)};
 		s = json_object_get(msg, "content");
 		list[i].content = (struct jh_str){
-			json_string_value(s), json_string_length(s)};
+		    json_string_value(s), json_string_length(s)};
 	}
 	jh_prefix_build(out, scope, list, n, shared);
 	g_free(list);
 }
 
 char *
-chat_request_resumed(
-    struct jh_str body, uint64_t position, struct jh_str text)
+chat_request_resumed(struct jh_str body, uint64_t position, struct jh_str text)
 {
 	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
 	char *out;
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -5,8 +5,6 @@
 
 #include "entry/job.h"
 
-
-
 #define REQUEST_ID_BYTES 12
 
 struct entry_job *
@@ -76,8 +74,7 @@
 }
 
 void
-entry_job_refuse(
-    struct entry_job *j, enum entry_error code, enum entry_ran ran)
+entry_job_refuse(struct entry_job *j, enum entry_error code, enum entry_ran ran)
 {
 	struct entry *e = j->entry;
 
@@ -90,8 +87,8 @@
 	jh_counters_add(e->counters, ENTRY_REFUSED, 1);
 	if (code == ENTRY_ERR_NO_CAPACITY || code == ENTRY_ERR_DEADLINE ||
 	    code == ENTRY_ERR_LIMIT_EXCEEDED)
-		entry_count_refusal(e, j->caller.rule->owner,
-		    j->caller.rule->class_name);
+		entry_count_refusal(
+		    e, j->caller.rule->owner, j->caller.rule->class_name);
 	entry_job_finish(j);
 }
 
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -36,6 +36,8 @@
 	size_t next_candidate;
 	bool again; /* the candidates are of a second decision */
 	uint64_t worker; /* of the running attempt */
+	char worker_name[64];
+	char cached_text[24]; /* tokens found in cache, as the agent said */
 	bool accepted; /* the running attempt answered 200 */
 	bool begun; /* the caller has status and headers */
 	bool blocked; /* the caller reads slowly */
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,212 @@
+#include <signal.h>
+#include <stdio.h>
+#include <time.h>
+
+#include <sodium.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/event.h"
+#include "entry/catalog_feed.h"
+#include "entry/entry.h"
+#include "entry/instances.h"
+#include "entry/job.h"
+#include "entry/rpc.h"
+
+/* Exit statuses, also in docs/operators.md. */
+#define EXIT_SETTINGS 2
+#define EXIT_START 3
+
+#define MAX_CALLS 16384
+#define REPLY_BUFFER_LEN (64 * 1024)
+#define TICK_MSEC 20
+
+/* Requests get this long to finish after SIGTERM. */
+#define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
+
+/*
+ * After SIGTERM the entry daemon goes on serving for this long, so that the
+ * balancer sees the failing health check before the port closes.
+ */
+#define STOP_NOTICE_USEC (1 * JH_USEC_PER_SEC)
+
+struct duties {
+	struct entry_instances *instances;
+	struct entry_feed *feed;
+};
+
+void
+entry_count_refusal(struct entry *e, const char *owner, const char *class_name)
+{
+	jh_event(JH_EV_REQUEST_REFUSED, G_LOG_LEVEL_INFO,
+	    "refused a request of %s/%s", owner, class_name);
+}
+
+static void
+init_state(struct entry *e)
+{
+	jh_auth_random(&e->incarnation, sizeof(e->incarnation));
+	e->counters = jh_counters_create(entry_counter_names, ENTRY_COUNTERS);
+	e->catalog = jh_catalog_create();
+	e->workers = entry_workers_create(e);
+	e->retry = jh_retry_create();
+	e->jobs = g_hash_table_new(NULL, NULL);
+	g_mutex_init(&e->lock);
+	e->client = jh_http_client_create("upstream", MAX_CALLS);
+}
+
+static void
+clear_state(struct entry *e)
+{
+	g_hash_table_destroy(e->jobs);
+	jh_retry_destroy(e->retry);
+	entry_workers_destroy(e->workers);
+	jh_catalog_destroy(e->catalog);
+	jh_counters_destroy(e->counters);
+	g_mutex_clear(&e->lock);
+}
+
+/* Waits for a stop signal for one tick; returns true when it has come. */
+static bool
+wait_signal(const sigset_t *set)
+{
+	struct timespec tick = {0, TICK_MSEC * 1000000L};
+
+	return sigtimedwait(set, NULL, &tick) > 0;
+}
+
+static void
+tick(struct entry *e, struct duties *d)
+{
+	entry_instances_tick(d->instances);
+	entry_feed_tick(d->feed);
+	entry_jobs_tick(e);
+}
+
+static void
+finish_work(struct entry *e, struct duties *d, const sigset_t *set)
+{
+	uint64_t quiet = jh_now() + STOP_NOTICE_USEC;
+	uint64_t deadline = jh_now() + STOP_TIMEOUT_USEC;
+
+	g_atomic_int_set(&e->leaving, 1);
+	while (jh_now() < quiet) {
+		tick(e, d);
+		wait_signal(set);
+	}
+	jh_http_server_quiesce(e->server);
+	while (jh_http_server_active(e->server) > 0 && jh_now() < deadline) {
+		tick(e, d);
+		wait_signal(set);
+	}
+}
+
+static int
+start_failed(GError *err)
+{
+	jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s", err->message);
+	g_error_free(err);
+	return EXIT_START;
+}
+
+static int
+run(struct entry *e, const sigset_t *set)
+{
+	struct jh_http_server_spec spec = {.listen = e->set.listen,
+	    .body_limit = (size_t)e->set.body_limit,
+	    .buffer_limit = REPLY_BUFFER_LEN,
+	    .max_conns = (unsigned int)e->set.max_connections,
+	    .threads = (unsigned int)e->set.http_threads,
+	    .ops = &entry_server_ops,
+	    .arg = e};
+	struct jh_rpc_server *rpc;
+	struct duties d;
+	GError *err = NULL;
+
+	rpc = jh_rpc_server_create(
+	    &e->set.rpc_listen, &e->set.secret, entry_rpc_handlers, e, &err);
+	if (rpc == NULL)
+		return start_failed(err);
+	e->server = jh_http_server_create(&spec, &err);
+	if (e->server == NULL) {
+		jh_rpc_server_destroy(rpc);
+		return start_failed(err);
+	}
+	d.instances = entry_instances_create(e);
+	d.feed = entry_feed_create(e);
+	jh_event(
+	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", e->set.instance);
+	do {
+		tick(e, &d);
+	} while (!wait_signal(set));
+	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its requests",
+	    e->set.instance);
+	finish_work(e, &d, set);
+	jh_rpc_server_destroy(rpc);
+	entry_feed_destroy(d.feed);
+	jh_http_client_destroy(e->client);
+	entry_instances_destroy(d.instances);
+	jh_http_server_destroy(e->server);
+	jh_event(
+	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", e->set.instance);
+	return 0;
+}
+
+static gchar *
+parse_options(int argc, char **argv)
+{
+	static gchar *path;
+	static const GOptionEntry options[] = {
+	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		"settings file (YAML)", "FILE"},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
+	GOptionContext *ctx =
+	    g_option_context_new("- serves callers of the router");
+	GError *err = NULL;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err) || path == NULL)
+		fprintf(stderr, "jhentry: %s\n",
+		    err == NULL ? "--settings FILE is missing" : err->message);
+	g_option_context_free(ctx);
+	if (err != NULL) {
+		g_error_free(err);
+		return NULL;
+	}
+	return path;
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct entry entry;
+	GError *err = NULL;
+	gchar *path;
+	sigset_t set;
+	int status;
+
+	jh_event_init("jhentry");
+	path = parse_options(argc, argv);
+	if (path == NULL)
+		return EXIT_SETTINGS;
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0)
+		return EXIT_START;
+	if (!jh_settings_load(path, entry_settings_table, &entry.set, &err)) {
+		fprintf(stderr, "%s\n", err->message);
+		g_error_free(err);
+		jh_settings_clear(entry_settings_table, &entry.set);
+		return EXIT_SETTINGS;
+	}
+	init_state(&entry);
+	status = run(&entry, &set);
+	if (status == 0)
+		clear_state(&entry);
+	jh_settings_clear(entry_settings_table, &entry.set);
+	g_free(path);
+	return status;
+}
--- /dev/null
+++ b/src/entry/rpc.c
@@ -0,0 +1,88 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "entry/entry.h"
+#include "entry/rpc.h"
+
+static void
+handle_drain(void *arg, const void *args, void *reply)
+{
+	const struct jh_drain_args *d = args;
+	struct jh_status_reply *r = reply;
+	struct entry *e = arg;
+
+	if (d->incarnation != e->incarnation) {
+		r->code = 1;
+		r->message = g_strdup("another incarnation is running");
+		return;
+	}
+	g_atomic_int_set(&e->leaving, 1);
+	r->message = g_strdup("draining");
+}
+
+static json_t *
+dump_counters(const struct jh_counters *c)
+{
+	json_t *out = json_object();
+	size_t i;
+
+	for (i = 0; i < jh_counters_len(c); i++)
+		json_object_set_new(out, jh_counters_name(c, i),
+		    json_integer((json_int_t)jh_counters_get(c, i)));
+	return out;
+}
+
+static void
+add_worker(void *arg, const struct worker_row *row, uint64_t id)
+{
+	char text[17];
+
+	snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
+	json_array_append_new(arg,
+	    json_pack("{s:s, s:s, s:s, s:s, s:b}", "instance", row->instance,
+		"id", text, "role", row->entry ? "entry" : "agent", "region",
+		row->region, "leaving", row->leaving));
+}
+
+static json_t *
+dump_state(struct entry *e)
+{
+	struct jh_catalog_stats st;
+	json_t *workers = json_array();
+	char incarnation[17];
+	unsigned int jobs;
+
+	entry_workers_each(e->workers, add_worker, workers);
+	jh_catalog_stats(e->catalog, &st);
+	snprintf(incarnation, sizeof(incarnation), "%016llx",
+	    (unsigned long long)e->incarnation);
+	g_mutex_lock(&e->lock);
+	jobs = g_hash_table_size(e->jobs);
+	g_mutex_unlock(&e->lock);
+	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, "
+			 "s:{s:I, s:i, s:i, s:i, s:i}, s:o, s:o}",
+	    "instance", e->set.instance, "role", "entry", "incarnation",
+	    incarnation, "availability_zone", e->set.zone, "leaving",
+	    g_atomic_int_get(&e->leaving), "jobs", (int)jobs, "catalogue",
+	    "revision", (json_int_t)jh_catalog_revision(e->catalog), "entries",
+	    (int)st.entries, "organisations", (int)st.orgs, "models",
+	    (int)st.models, "invalid", (int)st.invalid, "members", workers,
+	    "counters", dump_counters(e->counters));
+}
+
+static void
+handle_dump(void *arg, const void *args, void *reply)
+{
+	struct jh_text_reply *r = reply;
+	json_t *root = dump_state(arg);
+
+	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+	if (r->text == NULL)
+		r->text = strdup("{}");
+	json_decref(root);
+}
+
+const struct jh_rpc_handler entry_rpc_handlers[] = {
+    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- /dev/null
+++ b/src/entry/service.c
@@ -0,0 +1,329 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "entry/caller.h"
+#include "entry/service.h"
+#include "work/work.h"
+
+#define SERVICES_PREFIX "/v1/services/"
+#define WORK_PREFIX "/v1/work/service"
+
+/* Longest time of one attempt. */
+#define ATTEMPT_USEC (60 * JH_USEC_PER_SEC)
+
+/* Longest answer passed on. */
+#define ANSWER_LIMIT (16 << 20)
+
+/* Longest Idempotency-Key, in bytes. */
+#define KEY_LIMIT 255
+
+/* One call to a plain service, over all its attempts. */
+struct service_job {
+	struct entry *entry;
+	struct jh_http_req *req;
+	struct caller caller;
+	char *path; /* at the agent */
+	const char *key; /* in req; NULL for an idempotent call */
+	bool first_attempt;
+	uint64_t deadline;
+	GArray *agents; /* of struct worker_address */
+	guint next;
+	GString *answer;
+	bool too_long;
+	bool may_have_run;
+	bool store_down; /* an agent refused because of the store */
+};
+
+static void advance(struct service_job *j);
+
+static void
+destroy(struct service_job *j)
+{
+	jh_http_req_unref(j->req);
+	caller_clear(&j->caller);
+	if (j->agents != NULL)
+		g_array_free(j->agents, TRUE);
+	g_string_free(j->answer, TRUE);
+	g_free(j->path);
+	g_free(j);
+}
+
+static void
+refuse(struct service_job *j, enum entry_error code, enum entry_ran ran)
+{
+	struct entry *e = j->entry;
+
+	entry_reply_error(j->req, code, ran, NULL);
+	jh_counters_add(e->counters, ENTRY_REFUSED, 1);
+	if (code == ENTRY_ERR_NO_CAPACITY || code == ENTRY_ERR_STORE ||
+	    code == ENTRY_ERR_LIMIT_EXCEEDED)
+		entry_count_refusal(
+		    e, j->caller.rule->owner, j->caller.rule->class_name);
+	destroy(j);
+}
+
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	struct service_job *j = arg;
+
+	if (j->answer->len + data.len > ANSWER_LIMIT)
+		j->too_long = true;
+	else
+		g_string_append_len(j->answer, data.ptr, (gssize)data.len);
+	return true;
+}
+
+static enum entry_ran
+ran_of(struct service_job *j, const char *outcome)
+{
+	if (g_strcmp0(outcome, "ran") == 0)
+		return ENTRY_RAN;
+	/* The agent's word on a key covers all attempts of the key. */
+	if (g_strcmp0(outcome, "not_run") == 0 &&
+	    (j->key != NULL || !j->may_have_run))
+		return ENTRY_NOT_RUN;
+	return ENTRY_UNKNOWN;
+}
+
+/* Tells the caller of a refusal that no other agent can better. */
+static void
+refuse_final(struct service_job *j, const char *reason, enum entry_ran ran)
+{
+	if (g_strcmp0(reason, "key_reused") == 0)
+		refuse(j, ENTRY_ERR_KEY_REUSED, ran);
+	else if (g_strcmp0(reason, "answer_not_kept") == 0)
+		refuse(j, ENTRY_ERR_ANSWER_NOT_KEPT, ran);
+	else if (g_strcmp0(reason, "store_unavailable") == 0)
+		refuse(j, ENTRY_ERR_STORE, ran);
+	else if (ran == ENTRY_UNKNOWN)
+		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ran);
+	else
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ran);
+}
+
+static bool
+is_final(const char *reason)
+{
+	static const char *const finals[] = {"key_reused", "answer_not_kept",
+	    "store_unavailable", "holder_gone", "holder_silent",
+	    "record_malformed", NULL};
+
+	return reason != NULL && g_strv_contains(finals, reason);
+}
+
+static void
+pass_answer(struct service_job *j, struct jh_http_call *call)
+{
+	const char *type = jh_http_call_header(call, "Content-Type");
+	struct entry *e = j->entry;
+
+	jh_http_req_reply(j->req, jh_http_call_status(call),
+	    type == NULL ? "application/octet-stream" : type, j->answer->str,
+	    j->answer->len);
+	g_mutex_lock(&e->lock);
+	jh_retry_success(e->retry);
+	g_mutex_unlock(&e->lock);
+	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
+	destroy(j);
+}
+
+static void
+attempt_failed(struct service_job *j, bool not_sent)
+{
+	struct entry *e = j->entry;
+	bool allowed = true;
+
+	if (!not_sent) {
+		j->may_have_run = true;
+		g_mutex_lock(&e->lock);
+		allowed = jh_retry_take(e->retry);
+		g_mutex_unlock(&e->lock);
+	}
+	if (!allowed) {
+		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+		return;
+	}
+	jh_counters_add(e->counters, ENTRY_RETRIES, 1);
+	advance(j);
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct service_job *j = arg;
+	const char *outcome = jh_http_call_header(call, "Jh-Outcome");
+	const char *reason = jh_http_call_header(call, "Jh-Reason");
+
+	if (result != JH_HTTP_OK || outcome == NULL || j->too_long)
+		attempt_failed(j, result == JH_HTTP_NOT_SENT);
+	else if (reason == NULL && strcmp(outcome, "ran") == 0)
+		pass_answer(j, call);
+	else if (is_final(reason))
+		refuse_final(j, reason, ran_of(j, outcome));
+	else if (strcmp(outcome, "not_run") == 0)
+		advance(j);
+	else
+		attempt_failed(j, false);
+}
+
+static const struct jh_http_call_ops attempt_ops = {
+    .data = on_data, .done = on_done};
+
+static struct jh_work *
+describe_work(struct service_job *j)
+{
+	struct jh_work *w = jh_work_create();
+	uint64_t now = jh_now();
+
+	jh_work_set(w, JH_WORK_ORG, j->caller.org->name);
+	jh_work_set(w, JH_WORK_CLASS, j->caller.rule->class_name);
+	jh_work_set(w, JH_WORK_RANK, caller_rank_name(j->caller.rank));
+	jh_work_set_uint(w, JH_WORK_BUDGET_MS,
+	    j->deadline > now ? (j->deadline - now) / JH_USEC_PER_MSEC : 0);
+	jh_work_set_uint(
+	    w, JH_WORK_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
+	if (j->key != NULL) {
+		jh_work_set(w, JH_WORK_ONCE, "1");
+		jh_work_set(w, JH_WORK_KEY, j->key);
+		if (j->first_attempt && !j->may_have_run)
+			jh_work_set(w, JH_WORK_FIRST_ATTEMPT, "1");
+	}
+	return w;
+}
+
+static bool
+start(struct service_job *j, const struct worker_address *to)
+{
+	const char *method = jh_http_req_method(j->req);
+	const char *type = jh_http_req_header(j->req, "Content-Type");
+	struct jh_str body = jh_http_req_body(j->req);
+	struct jh_work *w = describe_work(j);
+	char **lines =
+	    jh_work_headers(w, &j->entry->set.secret, method, j->path, body);
+	GPtrArray *all = g_ptr_array_new_with_free_func(g_free);
+	struct jh_http_call_spec spec = {.peer = to->address,
+	    .method = method,
+	    .path = j->path,
+	    .body = body,
+	    .deadline = jh_now() + ATTEMPT_USEC,
+	    .once = j->key != NULL,
+	    .ops = &attempt_ops,
+	    .arg = j};
+	struct jh_http_call *call;
+	char **l;
+
+	g_string_truncate(j->answer, 0);
+	j->too_long = false;
+	for (l = lines; *l != NULL; l++)
+		g_ptr_array_add(all, *l);
+	if (type != NULL)
+		g_ptr_array_add(all, g_strdup_printf("Content-Type: %s", type));
+	g_ptr_array_add(all, NULL);
+	spec.headers = (const char *const *)all->pdata;
+	call = jh_http_call_start(j->entry->client, &spec);
+	g_free(lines);
+	g_ptr_array_free(all, TRUE);
+	jh_work_destroy(w);
+	jh_http_call_unref(call);
+	return call != NULL;
+}
+
+static void
+advance(struct service_job *j)
+{
+	const struct worker_address *to;
+
+	if (j->next < j->agents->len) {
+		to =
+		    &g_array_index(j->agents, struct worker_address, j->next++);
+		if (start(j, to))
+			return;
+	}
+	if (j->may_have_run)
+		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+	else
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
+}
+
+/* Splits "/v1/services/NAME/REST"; free the name with g_free(). */
+static char *
+split_path(const char *path, const char **rest)
+{
+	const char *name = path + strlen(SERVICES_PREFIX);
+	const char *slash = strchr(name, '/');
+
+	if (slash == NULL || slash == name)
+		return NULL;
+	*rest = slash;
+	return g_strndup(name, (gsize)(slash - name));
+}
+
+static bool
+check_key(struct service_job *j)
+{
+	const char *key = jh_http_req_header(j->req, "Idempotency-Key");
+	const char *first = jh_http_req_header(j->req, "X-First-Attempt");
+
+	if (j->caller.rule->idempotent)
+		return true;
+	if (key == NULL || key[0] == '\0' || strlen(key) > KEY_LIMIT) {
+		entry_reply_error(
+		    j->req, ENTRY_ERR_MISSING_KEY, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	j->key = key;
+	j->first_attempt = g_strcmp0(first, "true") == 0;
+	return true;
+}
+
+/* Replies and returns false when the call may not go on. */
+static bool
+prepare(struct service_job *j)
+{
+	const char *rest;
+	char *name = split_path(jh_http_req_target(j->req), &rest);
+	bool ok = false;
+
+	if (name == NULL) {
+		entry_reply_error(
+		    j->req, ENTRY_ERR_NOT_FOUND, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
+	if (!caller_identify(
+		j->entry, j->req, name, JH_ENTRY_SERVICE, &j->caller) ||
+	    !check_key(j))
+		goto out;
+	if (!jh_catalog_entry_allows_model(j->caller.rule, name)) {
+		entry_reply_error(j->req, ENTRY_ERR_CLASS_NOT_ALLOWED,
+		    ENTRY_NOT_RUN, "The class does not allow this service.");
+		goto out;
+	}
+	j->path = g_strconcat(WORK_PREFIX, rest, NULL);
+	j->deadline = jh_now() + (uint64_t)j->caller.rule->ttft_target_ms *
+				     JH_USEC_PER_MSEC;
+	j->agents = entry_workers_of_service(j->entry->workers, name,
+	    j->key == NULL ? jh_str_from(j->path) : jh_str_from(j->key));
+	ok = true;
+out:
+	g_free(name);
+	return ok;
+}
+
+void
+entry_service(struct entry *e, struct jh_http_req *req)
+{
+	struct service_job *j = g_new0(struct service_job, 1);
+
+	j->entry = e;
+	j->req = req;
+	j->answer = g_string_new(NULL);
+	if (prepare(j)) {
+		advance(j);
+		return;
+	}
+	jh_counters_add(e->counters, ENTRY_REJECTED, 1);
+	destroy(j);
+}
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -49,8 +49,8 @@
 	w->rows = g_ptr_array_new_with_free_func(worker_row_free);
 	w->by_id =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	w->placers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)jh_placer_destroy);
+	w->placers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)jh_placer_destroy);
 	return w;
 }
 
@@ -68,7 +68,7 @@
 serves_model(const struct worker_row *r, const char *model)
 {
 	return !r->entry && r->service == NULL &&
-	    g_strv_contains((const gchar *const *)r->models, model);
+	       g_strv_contains((const gchar *const *)r->models, model);
 }
 
 /* Gives a placer the workers of its model. Holds w->lock. */
@@ -89,7 +89,8 @@
 			entries++;
 		if (!serves_model(r, model))
 			continue;
-		pw = (struct jh_place_worker){.id = entry_worker_id(r->instance),
+		pw =
+		    (struct jh_place_worker){.id = entry_worker_id(r->instance),
 			.region = entry_workers_region(r->region),
 			.prefill_rate = (uint32_t)set->prefill_rate,
 			.decode_rate = (uint32_t)set->decode_rate,
@@ -111,8 +112,8 @@
 
 	if (p != NULL)
 		return p;
-	p = jh_placer_create(jh_place_policy_find(w->entry->set.policy),
-	    w->entry->incarnation);
+	p = jh_placer_create(
+	    jh_place_policy_find(w->entry->set.policy), w->entry->incarnation);
 	fill_placer(w, model, p);
 	g_hash_table_insert(w->placers, g_strdup(model), p);
 	return p;
@@ -156,8 +157,8 @@
 }
 
 void
-entry_workers_learn(struct entry_workers *w, const char *model,
-    uint64_t worker, const struct jh_place_answer *a)
+entry_workers_learn(struct entry_workers *w, const char *model, uint64_t worker,
+    const struct jh_place_answer *a)
 {
 	g_mutex_lock(&w->lock);
 	jh_placer_learn(find_placer(w, model), jh_now(), worker, a);
@@ -180,9 +181,12 @@
 static struct worker_address
 address_of(const struct entry_workers *w, const struct worker_row *r)
 {
-	return (struct worker_address){.id = entry_worker_id(r->instance),
-		.address = r->address,
-		.same_region = strcmp(r->region, w->entry->set.region) == 0};
+	struct worker_address a = {.id = entry_worker_id(r->instance),
+	    .address = r->address,
+	    .same_region = strcmp(r->region, w->entry->set.region) == 0};
+
+	g_strlcpy(a.instance, r->instance, sizeof(a.instance));
+	return a;
 }
 
 bool
@@ -233,8 +237,7 @@
 		    g_strcmp0(r->service, service) != 0)
 			continue;
 		item.to = address_of(w, r);
-		item.score =
-		    XXH3_64bits_withSeed(key.ptr, key.len, item.to.id);
+		item.score = XXH3_64bits_withSeed(key.ptr, key.len, item.to.id);
 		g_array_append_val(ranked, item);
 	}
 	g_mutex_unlock(&w->lock);
@@ -248,8 +251,7 @@
 
 void
 entry_workers_each(struct entry_workers *w,
-    void (*fn)(void *arg, const struct worker_row *row, uint64_t id),
-    void *arg)
+    void (*fn)(void *arg, const struct worker_row *row, uint64_t id), void *arg)
 {
 	const struct worker_row *r;
 	guint i;
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -16,6 +16,7 @@
 
 /* Where one agent is reached; a copy. */
 struct worker_address {
+	char instance[64];
 	uint64_t id;
 	struct sockaddr_in address;
 	bool same_region;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -29,8 +29,9 @@
 	int refs; /* atomic */
 	struct jh_http_server *server;
 	struct MHD_Connection *conn; /* valid while attached */
-	char *method;
+	char *method; /* NULL until the headers are read */
 	char *path;
+	char *target;
 	GString *body;
 	bool too_large;
 	bool handled; /* the request callback has run */
@@ -64,16 +65,15 @@
 }
 
 static struct jh_http_req *
-req_create(struct jh_http_server *s, struct MHD_Connection *conn,
-    const char *method, const char *path)
+req_create(
+    struct jh_http_server *s, struct MHD_Connection *conn, const char *target)
 {
 	struct jh_http_req *r = g_new0(struct jh_http_req, 1);
 
 	r->refs = 1;
 	r->server = s;
 	r->conn = conn;
-	r->method = g_strdup(method);
-	r->path = g_strdup(path);
+	r->target = g_strdup(target);
 	r->body = g_string_new(NULL);
 	r->out = g_string_new(NULL);
 	r->headers = g_array_new(FALSE, FALSE, sizeof(struct reply_header));
@@ -100,6 +100,7 @@
 		r->ops->released(r->arg);
 	g_free(r->method);
 	g_free(r->path);
+	g_free(r->target);
 	g_string_free(r->body, TRUE);
 	g_string_free(r->out, TRUE);
 	g_array_free(r->headers, TRUE);
@@ -216,6 +217,13 @@
 	return result;
 }
 
+/* Called first for each request; the result becomes its con_cls. */
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
+{
+	return req_create(cls, conn, uri);
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *upload,
@@ -227,8 +235,9 @@
 	struct jh_http_server *s = cls;
 	struct jh_http_req *r = *con_cls;
 
-	if (r == NULL) {
-		*con_cls = req_create(s, conn, method, url);
+	if (r->method == NULL) {
+		r->method = g_strdup(method);
+		r->path = g_strdup(url);
 		return MHD_YES;
 	}
 	if (*upload_len > 0) {
@@ -373,8 +382,8 @@
 	s->waiting = g_hash_table_new(NULL, NULL);
 	s->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, s,
 	    MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&s->spec.listen,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
-	    MHD_OPTION_CONNECTION_LIMIT, spec->max_conns,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, s, MHD_OPTION_NOTIFY_COMPLETED,
+	    on_completed, s, MHD_OPTION_CONNECTION_LIMIT, spec->max_conns,
 	    MHD_OPTION_THREAD_POOL_SIZE, spec->threads > 1 ? spec->threads : 0u,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
 	if (s->daemon == NULL) {
@@ -481,6 +490,12 @@
 	    r->conn, MHD_GET_ARGUMENT_KIND, name);
 }
 
+const char *
+jh_http_req_target(const struct jh_http_req *r)
+{
+	return r->target;
+}
+
 struct jh_str
 jh_http_req_body(const struct jh_http_req *r)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -68,7 +68,10 @@
 unsigned int jh_http_server_active(const struct jh_http_server *s);
 
 const char *jh_http_req_method(const struct jh_http_req *r);
+/* The decoded path without the query. */
 const char *jh_http_req_path(const struct jh_http_req *r);
+/* Path and query as they were sent. */
+const char *jh_http_req_target(const struct jh_http_req *r);
 /* NULL when absent; header names compare without case. */
 const char *jh_http_req_header(const struct jh_http_req *r, const char *name);
 /* A query argument; NULL when absent. */
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -192,7 +192,7 @@
 	w = jh_work_create();
 	for (i = 0; i < JH_WORK_FIELDS; i++)
 		w->field[i] = g_strdup(jh_http_req_header(req, names[i]));
-	compute_mac(w, key, jh_http_req_method(req), jh_http_req_path(req),
+	compute_mac(w, key, jh_http_req_method(req), jh_http_req_target(req),
 	    jh_http_req_body(req), &st, mac);
 	if (!jh_auth_mac_eq(mac, told)) {
 		jh_work_destroy(w);
