--- a/test/once_world.c
+++ b/test/once_world.c
@@ -27,7 +27,7 @@
 	uint64_t incarnation;
 	int key;
 	bool applied; /* the rest holds the answer */
-	enum jh_store_result result;
+	enum jh_ledger_store_result result;
 	uint64_t version;
 	GString *value;
 	enum jh_nonce_state state;
@@ -223,16 +223,16 @@
 	struct object *o = g_hash_table_lookup(w->store, a->object);
 	bool write;
 
-	e->result = JH_STORE_OK;
+	e->result = JH_LEDGER_STORE_OK;
 	if (a->act == JH_LEDGER_CREATE)
 		write = o == NULL || w->mutant == ONCE_STORE_IGNORES_CONDITION;
 	else
 		write = a->act == JH_LEDGER_UPDATE && o != NULL &&
 			o->version == a->version;
 	if (a->act != JH_LEDGER_CREATE && o == NULL)
-		e->result = JH_STORE_NOT_FOUND;
+		e->result = JH_LEDGER_STORE_NOT_FOUND;
 	else if (a->act != JH_LEDGER_READ && !write)
-		e->result = JH_STORE_CONFLICT;
+		e->result = JH_LEDGER_STORE_CONFLICT;
 	if (write) {
 		if (o == NULL) {
 			o = g_new0(struct object, 1);
@@ -328,7 +328,7 @@
 			    l, w->now, e->act->op, JH_NONCE_NO_ANSWER, NULL);
 		else
 			jh_ledger_store_result(l, w->now, e->act->op,
-			    JH_STORE_NO_ANSWER, 0, JH_STR(""));
+			    JH_LEDGER_STORE_NO_ANSWER, 0, JH_STR(""));
 		drain(w, e->agent);
 	}
 	if (e->applied || chance(w, 50))
@@ -358,7 +358,7 @@
 		return;
 	}
 	if (!e->applied && store && w->outage) {
-		e->result = JH_STORE_UNAVAILABLE;
+		e->result = JH_LEDGER_STORE_UNAVAILABLE;
 	} else if (!e->applied) {
 		if (store)
 			apply_store(w, e);
