--- a/src/once/record.c
+++ b/src/once/record.c
@@ -9,7 +9,7 @@
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 
-G_DEFINE_QUARK(jh_record_error_quark, jh_record_error)
+G_DEFINE_QUARK(jh_call_record_error_quark, jh_call_record_error)
 
 static const char *const state_names[] = {"started", "done", "lost"};
 
@@ -83,7 +83,8 @@
 static bool
 invalid(GError **err, const char *what)
 {
-	g_set_error(err, JH_RECORD_ERROR, JH_RECORD_ERROR_INVALID, "%s", what);
+	g_set_error(err, JH_CALL_RECORD_ERROR, JH_CALL_RECORD_ERROR_INVALID,
+	    "%s", what);
 	return false;
 }
 
@@ -216,8 +217,9 @@
 	o = json_loadb(text.ptr == NULL ? "" : text.ptr, text.len,
 	    JSON_REJECT_DUPLICATES, &fault);
 	if (o == NULL) {
-		g_set_error(err, JH_RECORD_ERROR, JH_RECORD_ERROR_INVALID,
-		    "record is not JSON: %s", fault.text);
+		g_set_error(err, JH_CALL_RECORD_ERROR,
+		    JH_CALL_RECORD_ERROR_INVALID, "record is not JSON: %s",
+		    fault.text);
 		return false;
 	}
 	ok = decode_fields(o, r, err);
--- a/src/once/record.h
+++ b/src/once/record.h
@@ -5,10 +5,11 @@
 
 #include <jacinthhill/ledger.h>
 
-#define JH_RECORD_ERROR (jh_record_error_quark())
+#define JH_CALL_RECORD_ERROR (jh_call_record_error_quark())
 
-enum jh_record_error {
-	JH_RECORD_ERROR_INVALID, /* not a call record, or a field is wrong */
+enum jh_call_record_error {
+	JH_CALL_RECORD_ERROR_INVALID, /* not a call record, or a field is wrong
+				       */
 };
 
 enum jh_record_state {
@@ -26,12 +27,12 @@
 	struct jh_call_answer *answer; /* NULL: not done, or not kept */
 };
 
-GQuark jh_record_error_quark(void);
+GQuark jh_call_record_error_quark(void);
 
 /* Returns JSON text; free it with g_free(). */
 char *jh_record_encode(const struct jh_record *r, size_t *len);
 
-/* Fails with JH_RECORD_ERROR on anything but a whole, valid record. */
+/* Fails with JH_CALL_RECORD_ERROR on anything but a whole, valid record. */
 bool jh_record_decode(struct jh_str text, struct jh_record *r, GError **err);
 void jh_record_clear(struct jh_record *r);
 
--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -296,7 +296,7 @@
 		err = NULL;
 		assert_false(jh_record_decode(jh_str_from(texts[i]), &r, &err));
 		assert_true(g_error_matches(
-		    err, JH_RECORD_ERROR, JH_RECORD_ERROR_INVALID));
+		    err, JH_CALL_RECORD_ERROR, JH_CALL_RECORD_ERROR_INVALID));
 		g_error_free(err);
 	}
 	attempt(l, 1, 1, "k", "h", true);
