--- /dev/null
+++ b/test/fleet.c
@@ -0,0 +1,377 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "fleet.h"
+
+static const char *
+key_name(unsigned int k)
+{
+	static char name[16];
+
+	snprintf(name, sizeof(name), "models/m%u", k);
+	return name;
+}
+
+static char *
+key_json(const struct fleet *f, unsigned int k)
+{
+	if (f->deleted[k])
+		return NULL;
+	return g_strdup_printf("{\"name\":\"m%u\",\"weights\":\"%u\"}", k,
+	    (unsigned int)f->version[k]);
+}
+
+void
+fleet_edit(struct fleet *f)
+{
+	unsigned int k = (unsigned int)g_rand_int_range(f->rand, 0, KEYS);
+
+	if (!f->store_up)
+		return;
+	f->version[k] = ++f->revision;
+	f->deleted[k] = g_rand_int_range(f->rand, 0, 4) == 0;
+	f->changed[k] = f->now;
+}
+
+static void
+boot(struct fleet *f, struct daemon *d)
+{
+	struct jh_sync_spec spec = {d->name, d->zone, d->role, f->rand};
+
+	d->alive = true;
+	d->since = f->now;
+	d->copy = jh_catalog_create();
+	d->sync = jh_sync_create(&spec, f->now);
+	memset(d->seen, 0, sizeof(d->seen));
+}
+
+void
+fleet_crash(struct fleet *f, struct daemon *d)
+{
+	jh_catalog_delta_clear(&d->pull.delta);
+	memset(&d->pull, 0, sizeof(d->pull));
+	memset(&d->store, 0, sizeof(d->store));
+	jh_sync_destroy(d->sync);
+	jh_catalog_destroy(d->copy);
+	d->sync = NULL;
+	d->copy = NULL;
+	d->alive = false;
+	d->since = f->now;
+}
+
+/* What the lagging list shows: a change counts only after LIST_LAG. */
+static bool
+is_listed(const struct fleet *f, const struct daemon *d)
+{
+	bool lagging = f->now > LIST_LAG && f->now < d->since + LIST_LAG;
+
+	return d->role == JH_SYNC_ENTRY &&
+	       (f->list_frozen || d->alive != lagging);
+}
+
+static void
+show_members(struct fleet *f, struct daemon *d)
+{
+	struct jh_sync_peer peers[FLEET];
+	size_t n = 0, i;
+
+	for (i = 0; i < FLEET; i++) {
+		if (!is_listed(f, &f->d[i]))
+			continue;
+		peers[n].instance = f->d[i].name;
+		peers[n++].zone = f->d[i].zone;
+	}
+	jh_sync_set_peers(d->sync, peers, n);
+}
+
+static void
+copy_all(struct fleet *f, struct daemon *d)
+{
+	struct jh_catalog_item items[KEYS];
+	char *keys[KEYS] = {NULL}, *json[KEYS] = {NULL};
+	size_t n = 0, i;
+	unsigned int k;
+
+	for (k = 0; k < KEYS; k++) {
+		if (f->version[k] == 0 || f->deleted[k])
+			continue;
+		keys[n] = g_strdup(key_name(k));
+		json[n] = key_json(f, k);
+		items[n] =
+		    (struct jh_catalog_item){keys[n], f->version[k], json[n]};
+		n++;
+	}
+	jh_catalog_replace(d->copy, items, n, f->revision);
+	for (i = 0; i < n; i++) {
+		g_free(keys[i]);
+		g_free(json[i]);
+	}
+}
+
+static bool
+copy_changes(struct fleet *f, struct daemon *d, uint64_t from)
+{
+	bool any = false;
+	unsigned int k;
+	char *json;
+
+	for (k = 0; k < KEYS; k++) {
+		if (f->version[k] <= from)
+			continue;
+		any = true;
+		json = key_json(f, k);
+		jh_catalog_merge(d->copy, key_name(k), f->version[k], json);
+		g_free(json);
+	}
+	jh_catalog_advance(d->copy, f->revision);
+	return any;
+}
+
+static void
+end_store(struct fleet *f, struct daemon *d, enum jh_sync_result result)
+{
+	d->store.busy = false;
+	jh_sync_on_store(d->sync, f->now, result);
+}
+
+static void
+step_store(struct fleet *f, struct daemon *d)
+{
+	struct op *o = &d->store;
+	uint64_t from = o->action.from;
+	uint64_t wait_end =
+	    o->asked + DELAY + o->action.wait_ms * JH_USEC_PER_MSEC;
+
+	if (!o->busy || f->now < o->at)
+		return;
+	if (!f->store_up) {
+		/* Half of the outage's calls hang instead of failing. */
+		if (o->lost && f->now < o->action.deadline)
+			return;
+		end_store(f, d, JH_SYNC_FAILED);
+	} else if (o->action.kind == JH_SYNC_LIST) {
+		copy_all(f, d);
+		end_store(f, d, JH_SYNC_OK);
+	} else if (f->revision > from + f->history) {
+		end_store(f, d, JH_SYNC_EXPIRED);
+	} else if (f->revision > from) {
+		end_store(
+		    f, d, copy_changes(f, d, from) ? JH_SYNC_OK : JH_SYNC_IDLE);
+	} else if (f->now >= wait_end) {
+		end_store(f, d, JH_SYNC_IDLE);
+	}
+}
+
+static struct daemon *
+find(struct fleet *f, const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; i < FLEET; i++) {
+		if (strcmp(f->d[i].name, name) == 0)
+			return &f->d[i];
+	}
+	return NULL;
+}
+
+/* The request has reached the peer: take its answer as of now. */
+static void
+answer_pull(struct fleet *f, struct daemon *d)
+{
+	struct daemon *peer = find(f, d->pull.action.peer);
+	uint64_t confirmed;
+
+	d->pull.answered = true;
+	d->pull.at = f->now + DELAY;
+	if (d->pull.lost)
+		d->pull.at = d->pull.action.deadline;
+	if (!peer->alive || !jh_catalog_delta(peer->copy, d->pull.asked,
+				SIZE_MAX, &d->pull.delta)) {
+		d->pull.lost = true;
+		return;
+	}
+	confirmed = jh_sync_confirmed(peer->sync);
+	d->pull.age = confirmed == 0 ? JH_SYNC_AGE_UNKNOWN : f->now - confirmed;
+}
+
+static void
+step_pull(struct fleet *f, struct daemon *d)
+{
+	struct op *o = &d->pull;
+
+	if (!o->busy || f->now < o->at)
+		return;
+	if (!o->answered) {
+		answer_pull(f, d);
+		return;
+	}
+	if (!o->lost)
+		jh_catalog_apply(d->copy, o->asked, &o->delta);
+	jh_catalog_delta_clear(&o->delta);
+	o->busy = false;
+	jh_sync_on_pull(d->sync, f->now, !o->lost, o->age);
+}
+
+static void
+start_actions(struct fleet *f, struct daemon *d)
+{
+	uint64_t revision = jh_catalog_revision(d->copy);
+	struct jh_sync_action a;
+	struct op *o;
+
+	while (jh_sync_next(d->sync, f->now, revision, &a)) {
+		o = a.kind == JH_SYNC_PULL ? &d->pull : &d->store;
+		assert_false(o->busy);
+		f->reads += a.kind != JH_SYNC_PULL;
+		memset(o, 0, sizeof(*o));
+		o->busy = true;
+		o->action = a;
+		o->at = f->now + DELAY;
+		o->asked = a.kind == JH_SYNC_PULL ? revision : f->now;
+		o->lost = g_rand_double(f->rand) <
+			  (a.kind == JH_SYNC_PULL ? f->loss : 0.5);
+	}
+	assert_true(jh_sync_wake(d->sync) > f->now);
+}
+
+/* The version in force at a daemon, 0 when the object does not exist. */
+static uint64_t
+in_force(struct daemon *d, unsigned int k)
+{
+	struct jh_model *m =
+	    jh_catalog_find_model(d->copy, key_name(k) + strlen("models/"));
+	uint64_t version = 0;
+
+	if (m != NULL)
+		version = g_ascii_strtoull(m->weights, NULL, 10);
+	jh_model_unref(m);
+	return version;
+}
+
+static void
+check(struct fleet *f, struct daemon *d)
+{
+	uint64_t calm = MAX(f->calm_since, d->since);
+	unsigned int k;
+	uint64_t v;
+
+	for (k = 0; k < KEYS; k++) {
+		v = in_force(d, k);
+		if (v != 0 && v < d->seen[k])
+			fail_msg("%s went back on key %u", d->name, k);
+		d->seen[k] = MAX(d->seen[k], v);
+		if (f->now <= MAX(f->changed[k], calm) + IN_FORCE)
+			continue;
+		f->checks++;
+		if (v != (f->deleted[k] ? 0 : f->version[k]))
+			fail_msg("%s has not version %u of key %u after 8 s",
+			    d->name, (unsigned int)f->version[k], k);
+	}
+}
+
+static void
+tick(struct fleet *f)
+{
+	struct daemon *d;
+	unsigned int i;
+
+	f->now += TICK;
+	for (i = 0; i < FLEET; i++) {
+		d = &f->d[i];
+		if (!d->alive)
+			continue;
+		if ((f->now / TICK + i) % 50 == 0)
+			show_members(f, d);
+		step_store(f, d);
+		step_pull(f, d);
+		start_actions(f, d);
+		check(f, d);
+	}
+}
+
+void
+fleet_run(struct fleet *f, uint64_t usec, double edits_per_second)
+{
+	uint64_t end = f->now + usec;
+
+	while (f->now < end) {
+		if (g_rand_double(f->rand) <
+		    edits_per_second * TICK / JH_USEC_PER_SEC)
+			fleet_edit(f);
+		tick(f);
+	}
+}
+
+void
+fleet_set_network(struct fleet *f, bool store_up, double loss)
+{
+	f->store_up = store_up;
+	f->loss = loss;
+	f->calm_since = store_up && loss == 0 ? f->now : UINT64_MAX / 2;
+}
+
+struct fleet *
+fleet_create(uint32_t seed)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+	struct daemon *d;
+	unsigned int i;
+
+	f->now = JH_USEC_PER_SEC;
+	f->rand = g_rand_new_with_seed(seed);
+	f->history = 1000;
+	fleet_set_network(f, true, 0);
+	for (i = 0; i < FLEET; i++) {
+		d = &f->d[i];
+		snprintf(d->name, sizeof(d->name), "i%u", i);
+		snprintf(d->zone, sizeof(d->zone), "z%u", i / PER_ZONE);
+		d->role =
+		    i % PER_ZONE < ENTRIES ? JH_SYNC_ENTRY : JH_SYNC_AGENT;
+		boot(f, d);
+	}
+	for (i = 0; i < 20; i++)
+		fleet_edit(f);
+	return f;
+}
+
+void
+fleet_destroy(struct fleet *f)
+{
+	unsigned int i;
+
+	for (i = 0; i < FLEET; i++) {
+		if (f->d[i].alive)
+			fleet_crash(f, &f->d[i]);
+	}
+	g_rand_free(f->rand);
+	g_free(f);
+}
+
+void
+fleet_crash_some(struct fleet *f, unsigned int n)
+{
+	struct daemon *d;
+
+	for (; n > 0; n--) {
+		d = &f->d[g_rand_int_range(f->rand, 0, FLEET)];
+		if (d->alive)
+			fleet_crash(f, d);
+	}
+}
+
+void
+fleet_boot_all(struct fleet *f)
+{
+	unsigned int i;
+
+	for (i = 0; i < FLEET; i++) {
+		if (!f->d[i].alive)
+			boot(f, &f->d[i]);
+	}
+}
