--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 endif
 
 LIB_DIRS = base place admit once stream member catalog refuse poison cache
-NET_DIRS = config http rpc store work
+NET_DIRS = config http rpc store work feed
 FAKES = engine store service list
 BENCHES = load parts
 
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -39,8 +39,9 @@
 
 # row ID ROLE PORT ZONE REGION MODELS SERVICE: one line of the instance list.
 row() {
-	printf '{"id":"%s","role":"%s","address":"127.0.0.1:%s","rpc_address":"127.0.0.1:%s","availability_zone":"%s","region":"%s","models":[%s],"service":"%s","leaving":false}' \
-	    "$1" "$2" "$3" "$(($3 + 1))" "$4" "$5" "$6" "$7"
+	printf '{"id":"%s","role":"%s","address":"127.0.0.1:%s","rpc_address":"127.0.0.1:%s","zone":"%s","region":"%s","models":[%s]%s}' \
+	    "$1" "$2" "$3" "$(($3 + 1))" "$4" "$5" "$6" \
+	    "${7:+,\"service\":\"$7\"}"
 }
 
 # common ID PORT ZONE REGION: settings that every daemon has.
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -6,6 +6,7 @@
 #include <jacinthhill/queue.h>
 
 #include "agent/settings.h"
+#include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -48,6 +49,8 @@
 	struct jh_counters *counters;
 	struct jh_http_client *client;
 	struct jh_http_server *server;
+	struct jh_catalog *catalog;
+	struct jh_feed *feed;
 	struct agent_once *once; /* NULL beside an engine */
 
 	GMutex lock; /* guards all below */
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -13,6 +13,7 @@
 #include "agent/once.h"
 #include "agent/rpc.h"
 #include "base/event.h"
+#include "feed/instances.h"
 
 /* Exit statuses, also in docs/operators.md. */
 #define EXIT_SETTINGS 2
@@ -30,6 +31,7 @@
 static void
 init_state(struct agent *a)
 {
+	struct jh_feed_spec feed = {.role = JH_SYNC_AGENT};
 	struct jh_queue_config cfg;
 
 	jh_queue_config_init(&cfg);
@@ -47,6 +49,13 @@
 	a->next_id = 1;
 	g_mutex_init(&a->lock);
 	a->client = jh_http_client_create("upstream", MAX_CALLS);
+	a->catalog = jh_catalog_create();
+	feed.instance = a->set.instance;
+	feed.zone = a->set.zone;
+	feed.incarnation = a->incarnation;
+	feed.catalog = a->catalog;
+	feed.key = a->set.secret;
+	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
 }
@@ -54,9 +63,10 @@
 static void
 clear_state(struct agent *a)
 {
-	jh_http_client_destroy(a->client);
 	if (a->once != NULL)
 		agent_once_destroy(a->once);
+	jh_feed_destroy(a->feed);
+	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
 	jh_queue_destroy(a->queue);
@@ -66,6 +76,29 @@
 	g_mutex_clear(&a->lock);
 }
 
+/* Entry daemons of the list are the peers of the feed. */
+static void
+on_list(void *arg, const struct jh_instance *const *list, size_t n)
+{
+	GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct jh_feed_peer));
+	struct agent *a = arg;
+	struct jh_feed_peer p;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (list[i]->role != JH_ROLE_ENTRY || list[i]->leaving)
+			continue;
+		p = (struct jh_feed_peer){
+		    list[i]->id, list[i]->zone, list[i]->rpc_address};
+		g_array_append_val(peers, p);
+	}
+	jh_feed_set_peers(a->feed,
+	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
+	g_array_free(peers, TRUE);
+}
+
+static const struct jh_instances_ops instances_ops = {.list = on_list};
+
 /* Waits for a stop signal for one tick; returns true when it has come. */
 static bool
 wait_signal(const sigset_t *set)
@@ -76,11 +109,14 @@
 }
 
 static void
-run_until_stopped(struct agent *a, const sigset_t *set)
+run_until_stopped(
+    struct agent *a, struct jh_instances *list, const sigset_t *set)
 {
 	unsigned int ticks = 0;
 
 	do {
+		jh_instances_tick(list);
+		jh_feed_tick(a->feed);
 		if (a->once != NULL)
 			agent_once_tick(a->once);
 		else if (ticks++ % TICKS_PER_POLL == 0)
@@ -122,6 +158,7 @@
 	    .threads = 1,
 	    .ops = &agent_server_ops,
 	    .arg = a};
+	struct jh_instances *list;
 	struct jh_rpc_server *rpc;
 	GError *err = NULL;
 
@@ -141,13 +178,17 @@
 		jh_http_server_destroy(a->server);
 		return EXIT_START;
 	}
+	list = jh_instances_create(
+	    a->client, &a->set.instance_list, &instances_ops, a);
 	jh_event(
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", a->set.instance);
-	run_until_stopped(a, set);
+	run_until_stopped(a, list, set);
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its work",
 	    a->set.instance);
 	finish_work(a, set);
 	jh_rpc_server_destroy(rpc);
+	jh_http_client_destroy(a->client);
+	jh_instances_destroy(list);
 	jh_http_server_destroy(a->server);
 	jh_event(
 	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", a->set.instance);
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -56,14 +56,16 @@
 	jh_queue_visit(a->queue, add_figure, queue);
 	snprintf(engine, sizeof(engine), "%016llx",
 	    (unsigned long long)a->engine.incarnation);
-	root = json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:o, s:{s:s, s:s*, "
-			 "s:s*}, s:o}",
-	    "instance", a->set.instance, "role", "agent", "incarnation",
-	    incarnation, "availability_zone", a->set.zone, "leaving",
-	    g_atomic_int_get(&a->leaving), "jobs",
-	    (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
-	    "incarnation", engine, "model", a->engine.model, "weights",
-	    a->engine.weights, "counters", dump_counters(a->counters));
+	root =
+	    json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:i, s:o, s:{s:s, s:s*, "
+		      "s:s*}, s:o}",
+		"instance", a->set.instance, "role", "agent", "incarnation",
+		incarnation, "availability_zone", a->set.zone, "leaving",
+		g_atomic_int_get(&a->leaving), "catalogue_revision",
+		(json_int_t)jh_catalog_revision(a->catalog), "jobs",
+		(int)g_hash_table_size(a->jobs), "queue", queue, "engine",
+		"incarnation", engine, "model", a->engine.model, "weights",
+		a->engine.weights, "counters", dump_counters(a->counters));
 	g_mutex_unlock(&a->lock);
 	return root;
 }
@@ -80,6 +82,14 @@
 	json_decref(root);
 }
 
+static void
+handle_sync(void *arg, const void *args, void *reply)
+{
+	struct agent *a = arg;
+
+	jh_feed_serve(a->feed, args, reply);
+}
+
 static void
 handle_nonce(void *arg, const void *args, void *reply)
 {
@@ -94,5 +104,6 @@
 	r->type = g_strdup("");
 }
 
-const struct jh_rpc_handler agent_rpc_handlers[] = {{JH_NONCE, handle_nonce},
-    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
+const struct jh_rpc_handler agent_rpc_handlers[] = {{JH_SYNC, handle_sync},
+    {JH_NONCE, handle_nonce}, {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump},
+    {0, NULL}};
--- a/src/agent/server.c
+++ b/src/agent/server.c
@@ -33,6 +33,9 @@
 	snprintf(
 	    text, sizeof(text), "%016llx", (unsigned long long)a->incarnation);
 	jh_http_req_add_header(req, "Jh-Incarnation", text);
+	snprintf(text, sizeof(text), "%llu",
+	    (unsigned long long)jh_catalog_revision(a->catalog));
+	jh_http_req_add_header(req, "Jh-Catalog-Rev", text);
 	if (g_atomic_int_get(&a->leaving))
 		jh_http_req_add_header(req, "Jh-Leaving", "1");
 }
@@ -56,6 +59,14 @@
 	jh_http_req_unref(req);
 }
 
+/* Whether the request was judged by an older catalogue than this copy. */
+static bool
+is_stale(struct agent *a, const struct jh_work *w)
+{
+	return jh_work_get_uint(w, JH_WORK_CATALOG_REV, UINT64_MAX) <
+	       jh_catalog_revision(a->catalog);
+}
+
 /* Takes w and req. */
 static void
 route(struct agent *a, struct jh_work *w, struct jh_http_req *req)
@@ -63,6 +74,12 @@
 	const char *path = jh_http_req_path(req);
 	const char *method = jh_http_req_method(req);
 
+	if (is_stale(a, w)) {
+		jh_work_destroy(w);
+		agent_refuse(a, req, 409, "stale_catalogue");
+		jh_http_req_unref(req);
+		return;
+	}
 	if (strcmp(method, "POST") == 0 && strcmp(path, CHAT_PATH) == 0) {
 		agent_chat(a, w, req);
 		return;
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -5,6 +5,7 @@
 
 #include "base/event.h"
 #include "entry/job.h"
+#include "entry/wait.h"
 #include "work/work.h"
 
 #define CHAT_PATH "/v1/work/chat"
@@ -249,6 +250,35 @@
 	    ENTRY_NOT_RUN);
 }
 
+/* The catalogue copy has caught up, or has not in time. */
+static void
+on_catalogue(void *arg, bool reached)
+{
+	struct entry_job *j = arg;
+
+	if (!reached)
+		entry_job_refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
+	else if (!caller_refresh(j->entry, &j->caller) ||
+		 !jh_catalog_entry_allows_model(j->caller.rule, j->model))
+		entry_job_refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED, ENTRY_NOT_RUN);
+	else
+		entry_job_advance(j);
+	entry_job_unref(j);
+}
+
+/* The agent knows a newer catalogue: judge the request again by that one. */
+static void
+await_catalogue(struct entry_job *j, struct jh_http_call *call)
+{
+	uint64_t revision = header_number(call, "Jh-Catalog-Rev", 0);
+	struct worker_address to;
+
+	if (entry_workers_find(j->entry->workers, j->worker, &to))
+		jh_feed_hint(j->entry->feed, &to.rpc_address);
+	entry_wait_add(
+	    j->entry->wait, revision, on_catalogue, entry_job_ref(j));
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -267,6 +297,8 @@
 		entry_job_finish(j);
 	else if (result == JH_HTTP_NOT_SENT)
 		retry(j, call, true);
+	else if (result == JH_HTTP_OK && status == 409)
+		await_catalogue(j, call);
 	else if (result == JH_HTTP_OK && status != 200 &&
 		 g_strcmp0(outcome, "not_run") == 0 && status >= 500)
 		next_worker(j, call);
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -53,6 +53,19 @@
 	return true;
 }
 
+/* Puts a newer organisation and rule in the place of the old ones. */
+static void
+caller_replace(
+    struct caller *c, struct jh_org *org, struct jh_catalog_entry *rule)
+{
+	jh_org_unref(c->org);
+	jh_catalog_entry_unref(c->rule);
+	c->org = org;
+	c->rule = rule;
+	if (c->rank < rule->rank_ceiling)
+		c->rank = rule->rank_ceiling;
+}
+
 bool
 caller_identify(struct entry *e, struct jh_http_req *req,
     const char *default_class, enum jh_entry_kind kind, struct caller *out)
@@ -77,6 +90,26 @@
 	return true;
 }
 
+bool
+caller_refresh(struct entry *e, struct caller *c)
+{
+	struct jh_org *org = jh_catalog_find_org(e->catalog, c->org->name);
+	struct jh_catalog_entry *rule = NULL;
+
+	if (org != NULL && !org->disabled)
+		rule =
+		    jh_catalog_find(e->catalog, org->name, c->rule->class_name);
+	if (rule == NULL || rule->kind != c->rule->kind) {
+		if (rule != NULL)
+			jh_catalog_entry_unref(rule);
+		if (org != NULL)
+			jh_org_unref(org);
+		return false;
+	}
+	caller_replace(c, org, rule);
+	return true;
+}
+
 void
 caller_clear(struct caller *c)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -7,6 +7,7 @@
 
 #include "entry/settings.h"
 #include "entry/workers.h"
+#include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -36,6 +37,8 @@
 	struct jh_http_server *server;
 	struct jh_catalog *catalog;
 	struct entry_workers *workers;
+	struct jh_feed *feed;
+	struct entry_wait *wait;
 	int leaving; /* atomic */
 
 	GMutex lock; /* guards all below */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -7,11 +7,13 @@
 #include <jacinthhill/clock.h>
 
 #include "base/event.h"
-#include "entry/catalog_feed.h"
+
 #include "entry/entry.h"
-#include "entry/instances.h"
+
 #include "entry/job.h"
 #include "entry/rpc.h"
+#include "entry/wait.h"
+#include "feed/instances.h"
 
 /* Exit statuses, also in docs/operators.md. */
 #define EXIT_SETTINGS 2
@@ -30,11 +32,6 @@
  */
 #define STOP_NOTICE_USEC (1 * JH_USEC_PER_SEC)
 
-struct duties {
-	struct entry_instances *instances;
-	struct entry_feed *feed;
-};
-
 void
 entry_count_refusal(struct entry *e, const char *owner, const char *class_name)
 {
@@ -45,20 +42,31 @@
 static void
 init_state(struct entry *e)
 {
+	struct jh_feed_spec feed = {.role = JH_SYNC_ENTRY};
 	jh_auth_random(&e->incarnation, sizeof(e->incarnation));
 	e->counters = jh_counters_create(entry_counter_names, ENTRY_COUNTERS);
 	e->catalog = jh_catalog_create();
 	e->workers = entry_workers_create(e);
 	e->retry = jh_retry_create();
+	e->wait = entry_wait_create();
 	e->jobs = g_hash_table_new(NULL, NULL);
 	g_mutex_init(&e->lock);
 	e->client = jh_http_client_create("upstream", MAX_CALLS);
+	feed.instance = e->set.instance;
+	feed.zone = e->set.zone;
+	feed.incarnation = e->incarnation;
+	feed.catalog = e->catalog;
+	feed.key = e->set.secret;
+	feed.store = e->set.store;
+	e->feed = jh_feed_create(&feed);
 }
 
 static void
 clear_state(struct entry *e)
 {
+	jh_feed_destroy(e->feed);
 	g_hash_table_destroy(e->jobs);
+	entry_wait_destroy(e->wait);
 	jh_retry_destroy(e->retry);
 	entry_workers_destroy(e->workers);
 	jh_catalog_destroy(e->catalog);
@@ -76,15 +84,16 @@
 }
 
 static void
-tick(struct entry *e, struct duties *d)
+tick(struct entry *e, struct jh_instances *d)
 {
-	entry_instances_tick(d->instances);
-	entry_feed_tick(d->feed);
+	jh_instances_tick(d);
+	jh_feed_tick(e->feed);
+	entry_wait_tick(e->wait, jh_catalog_revision(e->catalog));
 	entry_jobs_tick(e);
 }
 
 static void
-finish_work(struct entry *e, struct duties *d, const sigset_t *set)
+finish_work(struct entry *e, struct jh_instances *d, const sigset_t *set)
 {
 	uint64_t quiet = jh_now() + STOP_NOTICE_USEC;
 	uint64_t deadline = jh_now() + STOP_TIMEOUT_USEC;
@@ -101,6 +110,31 @@
 	}
 }
 
+static void
+add_peer(void *arg, const struct jh_member *m)
+{
+	struct jh_feed_peer p = {
+	    m->instance.id, m->instance.zone, m->instance.rpc_address};
+
+	if (!m->instance.leaving)
+		g_array_append_val((GArray *)arg, p);
+}
+
+static void
+on_list(void *arg, const struct jh_instance *const *list, size_t n)
+{
+	GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct jh_feed_peer));
+	struct entry *e = arg;
+
+	entry_workers_set(e->workers, list, n);
+	entry_workers_each(e->workers, JH_ROLE_ENTRY, add_peer, peers);
+	jh_feed_set_peers(e->feed,
+	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
+	g_array_free(peers, TRUE);
+}
+
+static const struct jh_instances_ops instances_ops = {.list = on_list};
+
 static int
 start_failed(GError *err)
 {
@@ -120,7 +154,7 @@
 	    .ops = &entry_server_ops,
 	    .arg = e};
 	struct jh_rpc_server *rpc;
-	struct duties d;
+	struct jh_instances *d;
 	GError *err = NULL;
 
 	rpc = jh_rpc_server_create(
@@ -132,20 +166,19 @@
 		jh_rpc_server_destroy(rpc);
 		return start_failed(err);
 	}
-	d.instances = entry_instances_create(e);
-	d.feed = entry_feed_create(e);
+	d = jh_instances_create(
+	    e->client, &e->set.instance_list, &instances_ops, e);
 	jh_event(
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", e->set.instance);
 	do {
-		tick(e, &d);
+		tick(e, d);
 	} while (!wait_signal(set));
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its requests",
 	    e->set.instance);
-	finish_work(e, &d, set);
+	finish_work(e, d, set);
 	jh_rpc_server_destroy(rpc);
-	entry_feed_destroy(d.feed);
 	jh_http_client_destroy(e->client);
-	entry_instances_destroy(d.instances);
+	jh_instances_destroy(d);
 	jh_http_server_destroy(e->server);
 	jh_event(
 	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", e->set.instance);
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -3,6 +3,8 @@
 
 #include <jansson.h>
 
+#include <jacinthhill/clock.h>
+
 #include "entry/entry.h"
 #include "entry/rpc.h"
 
@@ -35,15 +37,21 @@
 }
 
 static void
-add_worker(void *arg, const struct worker_row *row, uint64_t id)
+add_member(void *arg, const struct jh_member *m)
 {
-	char text[17];
-
-	snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
 	json_array_append_new(arg,
-	    json_pack("{s:s, s:s, s:s, s:s, s:b}", "instance", row->instance,
-		"id", text, "role", row->entry ? "entry" : "agent", "region",
-		row->region, "leaving", row->leaving));
+	    json_pack("{s:s, s:s, s:s, s:b, s:i}", "instance", m->instance.id,
+		"role", m->instance.role == JH_ROLE_ENTRY ? "entry" : "agent",
+		"region", m->instance.region, "leaving", m->instance.leaving,
+		"failures", (int)m->failures));
+}
+
+static void
+handle_sync(void *arg, const void *args, void *reply)
+{
+	struct entry *e = arg;
+
+	jh_feed_serve(e->feed, args, reply);
 }
 
 static json_t *
@@ -52,9 +60,11 @@
 	struct jh_catalog_stats st;
 	json_t *workers = json_array();
 	char incarnation[17];
+	uint64_t age = jh_feed_age(e->feed);
 	unsigned int jobs;
 
-	entry_workers_each(e->workers, add_worker, workers);
+	entry_workers_each(e->workers, JH_ROLE_ENTRY, add_member, workers);
+	entry_workers_each(e->workers, JH_ROLE_AGENT, add_member, workers);
 	jh_catalog_stats(e->catalog, &st);
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 	    (unsigned long long)e->incarnation);
@@ -62,14 +72,18 @@
 	jobs = g_hash_table_size(e->jobs);
 	g_mutex_unlock(&e->lock);
 	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, "
-			 "s:{s:I, s:i, s:i, s:i, s:i}, s:o, s:o}",
+			 "s:{s:I, s:I, s:b, s:i, s:i, s:i, s:i}, s:o, s:o}",
 	    "instance", e->set.instance, "role", "entry", "incarnation",
 	    incarnation, "availability_zone", e->set.zone, "leaving",
 	    g_atomic_int_get(&e->leaving), "jobs", (int)jobs, "catalogue",
-	    "revision", (json_int_t)jh_catalog_revision(e->catalog), "entries",
-	    (int)st.entries, "organisations", (int)st.orgs, "models",
-	    (int)st.models, "invalid", (int)st.invalid, "members", workers,
-	    "counters", dump_counters(e->counters));
+	    "revision", (json_int_t)jh_catalog_revision(e->catalog),
+	    "confirmed_age_ms",
+	    age == JH_SYNC_AGE_UNKNOWN ? (json_int_t)-1
+				       : (json_int_t)(age / JH_USEC_PER_MSEC),
+	    "watcher", jh_feed_is_watcher(e->feed), "entries", (int)st.entries,
+	    "organisations", (int)st.orgs, "models", (int)st.models, "invalid",
+	    (int)st.invalid, "members", workers, "counters",
+	    dump_counters(e->counters));
 }
 
 static void
@@ -84,5 +98,5 @@
 	json_decref(root);
 }
 
-const struct jh_rpc_handler entry_rpc_handlers[] = {
+const struct jh_rpc_handler entry_rpc_handlers[] = {{JH_SYNC, handle_sync},
     {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -5,6 +5,7 @@
 
 #include "entry/caller.h"
 #include "entry/service.h"
+#include "entry/wait.h"
 #include "work/work.h"
 
 #define SERVICES_PREFIX "/v1/services/"
@@ -30,6 +31,7 @@
 	uint64_t deadline;
 	GArray *agents; /* of struct worker_address */
 	guint next;
+	const char *agent; /* of the running attempt; in agents */
 	GString *answer;
 	bool too_long;
 	bool may_have_run;
@@ -150,6 +152,50 @@
 	advance(j);
 }
 
+static void
+on_catalogue(void *arg, bool reached)
+{
+	struct service_job *j = arg;
+
+	if (!reached) {
+		refuse(j, ENTRY_ERR_NO_CAPACITY,
+		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+	} else if (!caller_refresh(j->entry, &j->caller)) {
+		refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED,
+		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+	} else {
+		j->next = 0;
+		advance(j);
+	}
+}
+
+/* The agent knows a newer catalogue: judge the request again by that one. */
+static void
+await_catalogue(struct service_job *j, struct jh_http_call *call)
+{
+	const char *text = jh_http_call_header(call, "Jh-Catalog-Rev");
+	const struct worker_address *to =
+	    &g_array_index(j->agents, struct worker_address, j->next - 1);
+
+	jh_feed_hint(j->entry->feed, &to->rpc_address);
+	entry_wait_add(j->entry->wait,
+	    text == NULL ? 0 : g_ascii_strtoull(text, NULL, 10), on_catalogue,
+	    j);
+}
+
+static void
+note_agent(struct service_job *j, struct jh_http_call *call,
+    enum jh_http_result result)
+{
+	struct entry_workers *w = j->entry->workers;
+
+	if (result == JH_HTTP_OK)
+		entry_workers_heard(w, j->agent,
+		    jh_http_call_header(call, "Jh-Leaving") != NULL);
+	else
+		entry_workers_failed(w, j->agent);
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -157,10 +203,13 @@
 	const char *outcome = jh_http_call_header(call, "Jh-Outcome");
 	const char *reason = jh_http_call_header(call, "Jh-Reason");
 
+	note_agent(j, call, result);
 	if (result != JH_HTTP_OK || outcome == NULL || j->too_long)
 		attempt_failed(j, result == JH_HTTP_NOT_SENT);
 	else if (reason == NULL && strcmp(outcome, "ran") == 0)
 		pass_answer(j, call);
+	else if (g_strcmp0(reason, "stale_catalogue") == 0)
+		await_catalogue(j, call);
 	else if (is_final(reason))
 		refuse_final(j, reason, ran_of(j, outcome));
 	else if (strcmp(outcome, "not_run") == 0)
@@ -239,6 +288,7 @@
 	if (j->next < j->agents->len) {
 		to =
 		    &g_array_index(j->agents, struct worker_address, j->next++);
+		j->agent = to->instance;
 		if (start(j, to))
 			return;
 	}
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -9,8 +9,9 @@
 struct entry_workers {
 	struct entry *entry;
 	GMutex lock; /* guards all below */
-	GPtrArray *rows; /* of struct worker_row */
-	GHashTable *by_id; /* &id -> row; keys owned */
+	struct jh_members *members;
+	uint64_t generation; /* of members, that the placers have seen */
+	GHashTable *names; /* &id -> instance name; both owned */
 	GHashTable *placers; /* model -> struct jh_placer */
 };
 
@@ -26,19 +27,6 @@
 	return (uint32_t)XXH3_64bits(region, strlen(region));
 }
 
-void
-worker_row_free(void *row)
-{
-	struct worker_row *r = row;
-
-	g_free(r->instance);
-	g_free(r->zone);
-	g_free(r->region);
-	g_strfreev(r->models);
-	g_free(r->service);
-	g_free(r);
-}
-
 struct entry_workers *
 entry_workers_create(struct entry *e)
 {
@@ -46,9 +34,9 @@
 
 	w->entry = e;
 	g_mutex_init(&w->lock);
-	w->rows = g_ptr_array_new_with_free_func(worker_row_free);
-	w->by_id =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	w->members = jh_members_create();
+	w->names =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	w->placers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)jh_placer_destroy);
 	return w;
@@ -58,50 +46,50 @@
 entry_workers_destroy(struct entry_workers *w)
 {
 	g_hash_table_destroy(w->placers);
-	g_hash_table_destroy(w->by_id);
-	g_ptr_array_free(w->rows, TRUE);
+	g_hash_table_destroy(w->names);
+	jh_members_destroy(w->members);
 	g_mutex_clear(&w->lock);
 	g_free(w);
 }
 
-static bool
-serves_model(const struct worker_row *r, const char *model)
+struct placer_list {
+	const struct entry_settings *set;
+	GArray *workers; /* of struct jh_place_worker */
+};
+
+static void
+add_worker(void *arg, const struct jh_member *m)
 {
-	return !r->entry && r->service == NULL &&
-	       g_strv_contains((const gchar *const *)r->models, model);
+	struct placer_list *l = arg;
+	struct jh_place_worker w = {.id = entry_worker_id(m->instance.id),
+	    .region = entry_workers_region(m->instance.region),
+	    .prefill_rate = (uint32_t)l->set->prefill_rate,
+	    .decode_rate = (uint32_t)l->set->decode_rate,
+	    .leaving = m->instance.leaving};
+
+	g_array_append_val(l->workers, w);
 }
 
 /* Gives a placer the workers of its model. Holds w->lock. */
 static void
 fill_placer(struct entry_workers *w, const char *model, struct jh_placer *p)
 {
-	GArray *list =
-	    g_array_new(FALSE, FALSE, sizeof(struct jh_place_worker));
 	const struct entry_settings *set = &w->entry->set;
-	const struct worker_row *r;
-	struct jh_place_worker pw;
-	uint32_t entries = 0;
-	guint i;
+	struct jh_member_filter workers = {
+	    .role = JH_ROLE_AGENT, .model = model};
+	struct jh_member_filter entries = {
+	    .role = JH_ROLE_ENTRY, .region = set->region};
+	struct placer_list l = {
+	    set, g_array_new(FALSE, FALSE, sizeof(struct jh_place_worker))};
+	size_t n;
 
-	for (i = 0; i < w->rows->len; i++) {
-		r = w->rows->pdata[i];
-		if (r->entry && strcmp(r->region, set->region) == 0)
-			entries++;
-		if (!serves_model(r, model))
-			continue;
-		pw =
-		    (struct jh_place_worker){.id = entry_worker_id(r->instance),
-			.region = entry_workers_region(r->region),
-			.prefill_rate = (uint32_t)set->prefill_rate,
-			.decode_rate = (uint32_t)set->decode_rate,
-			.leaving = r->leaving};
-		g_array_append_val(list, pw);
-	}
-	jh_placer_set_entries(p, MAX(entries, 1));
+	jh_members_each(w->members, &workers, add_worker, &l);
+	n = jh_members_count_usable(w->members, &entries, jh_now());
+	jh_placer_set_entries(p, (uint32_t)MAX(n, 1));
 	jh_placer_set_workers(p, jh_now(),
-	    (const struct jh_place_worker *)(const void *)list->data,
-	    list->len);
-	g_array_free(list, TRUE);
+	    (const struct jh_place_worker *)(const void *)l.workers->data,
+	    l.workers->len);
+	g_array_free(l.workers, TRUE);
 }
 
 /* Holds w->lock. */
@@ -119,28 +107,37 @@
 	return p;
 }
 
-void
-entry_workers_set(struct entry_workers *w, GPtrArray *rows)
+/* Tells the placers when the members have changed. Holds w->lock. */
+static void
+refresh_placers(struct entry_workers *w)
 {
 	GHashTableIter it;
 	gpointer model, placer;
-	struct worker_row *r;
+
+	if (jh_members_generation(w->members) == w->generation)
+		return;
+	w->generation = jh_members_generation(w->members);
+	g_hash_table_iter_init(&it, w->placers);
+	while (g_hash_table_iter_next(&it, &model, &placer))
+		fill_placer(w, model, placer);
+}
+
+void
+entry_workers_set(
+    struct entry_workers *w, const struct jh_instance *const *list, size_t n)
+{
 	uint64_t *id;
-	guint i;
+	size_t i;
 
 	g_mutex_lock(&w->lock);
-	g_hash_table_remove_all(w->by_id);
-	g_ptr_array_free(w->rows, TRUE);
-	w->rows = rows;
-	for (i = 0; i < rows->len; i++) {
-		r = rows->pdata[i];
+	jh_members_set_list(w->members, list, n);
+	g_hash_table_remove_all(w->names);
+	for (i = 0; i < n; i++) {
 		id = g_new(uint64_t, 1);
-		*id = entry_worker_id(r->instance);
-		g_hash_table_replace(w->by_id, id, r);
+		*id = entry_worker_id(list[i]->id);
+		g_hash_table_replace(w->names, id, g_strdup(list[i]->id));
 	}
-	g_hash_table_iter_init(&it, w->placers);
-	while (g_hash_table_iter_next(&it, &model, &placer))
-		fill_placer(w, model, placer);
+	refresh_placers(w);
 	g_mutex_unlock(&w->lock);
 }
 
@@ -177,15 +174,38 @@
 	return width;
 }
 
+void
+entry_workers_heard(struct entry_workers *w, const char *instance, bool leaving)
+{
+	const struct jh_member *m;
+
+	g_mutex_lock(&w->lock);
+	m = jh_members_find(w->members, instance);
+	if (m != NULL)
+		jh_members_heard(
+		    w->members, instance, m->instance.incarnation, leaving);
+	refresh_placers(w);
+	g_mutex_unlock(&w->lock);
+}
+
+void
+entry_workers_failed(struct entry_workers *w, const char *instance)
+{
+	g_mutex_lock(&w->lock);
+	jh_members_failed(w->members, instance, 0, jh_now());
+	g_mutex_unlock(&w->lock);
+}
+
 /* Holds w->lock. */
 static struct worker_address
-address_of(const struct entry_workers *w, const struct worker_row *r)
+address_of(const struct entry_workers *w, const struct jh_instance *i)
 {
-	struct worker_address a = {.id = entry_worker_id(r->instance),
-	    .address = r->address,
-	    .same_region = strcmp(r->region, w->entry->set.region) == 0};
+	struct worker_address a = {.id = entry_worker_id(i->id),
+	    .address = i->address,
+	    .rpc_address = i->rpc_address,
+	    .same_region = strcmp(i->region, w->entry->set.region) == 0};
 
-	g_strlcpy(a.instance, r->instance, sizeof(a.instance));
+	g_strlcpy(a.instance, i->id, sizeof(a.instance));
 	return a;
 }
 
@@ -193,26 +213,38 @@
 entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out)
 {
-	const struct worker_row *r;
+	const struct jh_member *m = NULL;
+	const char *name;
 
 	g_mutex_lock(&w->lock);
-	r = g_hash_table_lookup(w->by_id, &id);
-	if (r != NULL)
-		*out = address_of(w, r);
+	name = g_hash_table_lookup(w->names, &id);
+	if (name != NULL)
+		m = jh_members_find(w->members, name);
+	if (m != NULL)
+		*out = address_of(w, &m->instance);
 	g_mutex_unlock(&w->lock);
-	return r != NULL;
+	return m != NULL;
 }
 
 struct ranked {
 	struct worker_address to;
+	bool usable;
 	uint64_t score;
 };
 
+struct ranking {
+	const struct entry_workers *workers;
+	struct jh_str key;
+	GArray *list; /* of struct ranked */
+};
+
 static gint
 by_rank(gconstpointer a, gconstpointer b)
 {
 	const struct ranked *x = a, *y = b;
 
+	if (x->usable != y->usable)
+		return x->usable ? -1 : 1;
 	if (x->to.same_region != y->to.same_region)
 		return x->to.same_region ? -1 : 1;
 	if (x->score != y->score)
@@ -220,46 +252,48 @@
 	return x->to.id < y->to.id ? -1 : 1;
 }
 
+static void
+add_ranked(void *arg, const struct jh_member *m)
+{
+	struct ranking *r = arg;
+	struct ranked item = {.to = address_of(r->workers, &m->instance),
+	    .usable = jh_member_usable(m, jh_now())};
+
+	if (m->instance.leaving)
+		return;
+	item.score = XXH3_64bits_withSeed(r->key.ptr, r->key.len, item.to.id);
+	g_array_append_val(r->list, item);
+}
+
 GArray *
 entry_workers_of_service(
     struct entry_workers *w, const char *service, struct jh_str key)
 {
-	GArray *ranked = g_array_new(FALSE, FALSE, sizeof(struct ranked));
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct worker_address));
-	const struct worker_row *r;
-	struct ranked item;
+	struct jh_member_filter filter = {
+	    .role = JH_ROLE_AGENT, .service = service};
+	struct ranking r = {
+	    w, key, g_array_new(FALSE, FALSE, sizeof(struct ranked))};
 	guint i;
 
 	g_mutex_lock(&w->lock);
-	for (i = 0; i < w->rows->len; i++) {
-		r = w->rows->pdata[i];
-		if (r->entry || r->leaving ||
-		    g_strcmp0(r->service, service) != 0)
-			continue;
-		item.to = address_of(w, r);
-		item.score = XXH3_64bits_withSeed(key.ptr, key.len, item.to.id);
-		g_array_append_val(ranked, item);
-	}
+	jh_members_each(w->members, &filter, add_ranked, &r);
 	g_mutex_unlock(&w->lock);
-	g_array_sort(ranked, by_rank);
-	for (i = 0; i < ranked->len; i++)
+	g_array_sort(r.list, by_rank);
+	for (i = 0; i < r.list->len; i++)
 		g_array_append_val(
-		    out, g_array_index(ranked, struct ranked, i).to);
-	g_array_free(ranked, TRUE);
+		    out, g_array_index(r.list, struct ranked, i).to);
+	g_array_free(r.list, TRUE);
 	return out;
 }
 
 void
-entry_workers_each(struct entry_workers *w,
-    void (*fn)(void *arg, const struct worker_row *row, uint64_t id), void *arg)
+entry_workers_each(struct entry_workers *w, enum jh_role role,
+    void (*fn)(void *arg, const struct jh_member *member), void *arg)
 {
-	const struct worker_row *r;
-	guint i;
+	struct jh_member_filter filter = {.role = role};
 
 	g_mutex_lock(&w->lock);
-	for (i = 0; i < w->rows->len; i++) {
-		r = w->rows->pdata[i];
-		fn(arg, r, entry_worker_id(r->instance));
-	}
+	jh_members_each(w->members, &filter, fn, arg);
 	g_mutex_unlock(&w->lock);
 }
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include <jacinthhill/members.h>
 #include <jacinthhill/place.h>
 
 struct entry;
@@ -19,28 +20,16 @@
 	char instance[64];
 	uint64_t id;
 	struct sockaddr_in address;
-	bool same_region;
-};
-
-/* One row of the platform's instance list. */
-struct worker_row {
-	char *instance;
-	struct sockaddr_in address;
 	struct sockaddr_in rpc_address;
-	char *zone;
-	char *region;
-	char **models; /* empty for a plain service */
-	char *service; /* NULL for an engine */
-	bool entry; /* an entry daemon, not an agent */
-	bool leaving;
+	bool same_region;
 };
 
 struct entry_workers *entry_workers_create(struct entry *e);
 void entry_workers_destroy(struct entry_workers *w);
 
-/* Replaces the list; takes the rows of struct worker_row. */
-void entry_workers_set(struct entry_workers *w, GPtrArray *rows);
-void worker_row_free(void *row);
+/* Takes a whole instance list over; copied. */
+void entry_workers_set(
+    struct entry_workers *w, const struct jh_instance *const *list, size_t n);
 
 /* Candidates for a model, best first; 0 when no worker may take it. */
 size_t entry_workers_choose(struct entry_workers *w, const char *model,
@@ -50,24 +39,28 @@
 uint32_t entry_workers_width(
     struct entry_workers *w, const char *model, const struct jh_prefix *p);
 
+/* What an attempt showed about an agent of a plain service. */
+void entry_workers_heard(
+    struct entry_workers *w, const char *instance, bool leaving);
+void entry_workers_failed(struct entry_workers *w, const char *instance);
+
 bool entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out);
 
 /*
- * Agents of a plain service in rendezvous order of the key, own region first.
- * Returns an array of struct worker_address.
+ * Agents of a plain service in rendezvous order of the key: usable ones first,
+ * then own region first. Returns an array of struct worker_address.
  */
 GArray *entry_workers_of_service(
     struct entry_workers *w, const char *service, struct jh_str key);
 
-/* The number this region has in placement requests. */
+/* The number a region has in placement requests. */
 uint32_t entry_workers_region(const char *region);
 
 uint64_t entry_worker_id(const char *instance);
 
-/* Reports on the placers for the state dump. */
-void entry_workers_each(struct entry_workers *w,
-    void (*fn)(void *arg, const struct worker_row *row, uint64_t id),
-    void *arg);
+/* Calls fn for every listed instance of a role, under the lock. */
+void entry_workers_each(struct entry_workers *w, enum jh_role role,
+    void (*fn)(void *arg, const struct jh_member *member), void *arg);
 
 #endif
--- /dev/null
+++ b/src/feed/pull.c
@@ -0,0 +1,159 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/ring.h"
+#include "feed/pull.h"
+#include "rpc/server.h"
+
+#define MAX_PULLS 16
+
+struct pull {
+	struct sockaddr_in peer;
+	uint64_t deadline;
+	bool hinted;
+};
+
+struct feed_pull {
+	struct jh_feed_spec spec; /* strings are not used */
+	char *instance;
+	const struct feed_pull_ops *ops;
+	void *arg;
+	struct jh_ring *pulls;
+	GMutex lock; /* guards stopping and the condition */
+	GCond cond;
+	bool stopping;
+	GThread *thread;
+};
+
+/* Takes the peer's part of the catalogue over. */
+static bool
+apply(struct feed_pull *p, uint64_t asked, const struct jh_sync_reply *r)
+{
+	struct jh_catalog_delta d = {
+		.revision = r->revision, .full = r->full};
+	u_int i;
+
+	d.n = r->entries.entries_len;
+	d.items = g_new0(struct jh_catalog_item, d.n);
+	for (i = 0; i < d.n; i++) {
+		d.items[i].key = r->entries.entries_val[i].key;
+		d.items[i].version = r->entries.entries_val[i].entry_version;
+		/* An empty text stands for a deleted entry. */
+		if (r->entries.entries_val[i].json[0] != '\0')
+			d.items[i].json = r->entries.entries_val[i].json;
+	}
+	jh_catalog_apply(p->spec.catalog, asked, &d);
+	g_free(d.items);
+	return jh_catalog_revision(p->spec.catalog) >= r->revision;
+}
+
+static struct feed_pull_result
+run_pull(struct feed_pull *p, const struct pull *pull)
+{
+	struct feed_pull_result result = {false, JH_SYNC_AGE_UNKNOWN};
+	struct jh_sync_reply reply = {0};
+	struct jh_sync_args args = {.instance = p->instance,
+		.incarnation = p->spec.incarnation,
+		.revision = jh_catalog_revision(p->spec.catalog)};
+
+	if (p->spec.ops != NULL && p->spec.ops->ask != NULL)
+		p->spec.ops->ask(p->spec.arg, &args);
+	if (jh_rpc_call(&pull->peer, &p->spec.key, JH_SYNC, &args, &reply,
+		pull->deadline, NULL)) {
+		result.ok = true;
+		if (apply(p, args.revision, &reply) &&
+		    reply.confirmed_age_ms != UINT32_MAX)
+			result.age =
+			    reply.confirmed_age_ms * JH_USEC_PER_MSEC;
+		if (p->spec.ops != NULL && p->spec.ops->told != NULL)
+			p->spec.ops->told(p->spec.arg, &reply);
+		jh_rpc_reply_clear(JH_SYNC, &reply);
+	}
+	args.instance = NULL; /* not from malloc() */
+	xdr_free((xdrproc_t)xdr_jh_sync_args, &args);
+	return result;
+}
+
+/* Waits for the next pull; NULL when the thread shall stop. */
+static struct pull *
+next_pull(struct feed_pull *p)
+{
+	struct pull *pull = NULL;
+
+	g_mutex_lock(&p->lock);
+	while (!p->stopping && (pull = jh_ring_pop(p->pulls)) == NULL)
+		g_cond_wait(&p->cond, &p->lock);
+	g_mutex_unlock(&p->lock);
+	return pull;
+}
+
+static gpointer
+pull_main(gpointer arg)
+{
+	struct feed_pull *p = arg;
+	struct feed_pull_result result;
+	struct pull *pull;
+
+	while ((pull = next_pull(p)) != NULL) {
+		result = run_pull(p, pull);
+		p->ops->done(p->arg, pull->hinted, result);
+		g_free(pull);
+	}
+	return NULL;
+}
+
+struct feed_pull *
+feed_pull_create(const struct jh_feed_spec *spec,
+    const struct feed_pull_ops *ops, void *arg)
+{
+	struct feed_pull *p = g_new0(struct feed_pull, 1);
+
+	p->spec = *spec;
+	p->instance = g_strdup(spec->instance);
+	p->ops = ops;
+	p->arg = arg;
+	p->pulls = jh_ring_create(MAX_PULLS);
+	g_mutex_init(&p->lock);
+	g_cond_init(&p->cond);
+	p->thread = g_thread_new("pull", pull_main, p);
+	return p;
+}
+
+void
+feed_pull_destroy(struct feed_pull *p)
+{
+	struct pull *pull;
+
+	g_mutex_lock(&p->lock);
+	p->stopping = true;
+	g_cond_signal(&p->cond);
+	g_mutex_unlock(&p->lock);
+	g_thread_join(p->thread);
+	while ((pull = jh_ring_pop(p->pulls)) != NULL)
+		g_free(pull);
+	jh_ring_destroy(p->pulls);
+	g_mutex_clear(&p->lock);
+	g_cond_clear(&p->cond);
+	g_free(p->instance);
+	g_free(p);
+}
+
+bool
+feed_pull_start(struct feed_pull *p, const struct sockaddr_in *peer,
+    uint64_t deadline, bool hinted)
+{
+	struct pull *pull = g_new0(struct pull, 1);
+	bool queued;
+
+	pull->peer = *peer;
+	pull->deadline = deadline;
+	pull->hinted = hinted;
+	g_mutex_lock(&p->lock);
+	queued = jh_ring_push(p->pulls, pull);
+	g_cond_signal(&p->cond);
+	g_mutex_unlock(&p->lock);
+	if (!queued)
+		g_free(pull);
+	return queued;
+}
