--- /dev/null
+++ b/test/test_members.c
@@ -0,0 +1,200 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/members.h>
+
+#define NOW (1000 * JH_USEC_PER_SEC)
+
+static const char list_json[] =
+    "[{\"id\":\"a1\",\"role\":\"agent\",\"address\":\"127.0.0.1:81\","
+    "\"rpc_address\":\"127.0.0.1:82\",\"zone\":\"mtl-a\","
+    "\"region\":\"mtl\",\"incarnation\":\"00000000000000a1\","
+    "\"models\":[\"large\",\"small\"],\"leaving\":false},"
+    "{\"id\":\"a2\",\"role\":\"agent\",\"address\":\"127.0.0.1:83\","
+    "\"rpc_address\":\"127.0.0.1:84\",\"zone\":\"qc-a\","
+    "\"region\":\"qc\",\"service\":\"pay\"},"
+    "{\"id\":\"e1\",\"role\":\"entry\",\"address\":\"127.0.0.1:85\","
+    "\"rpc_address\":\"127.0.0.1:86\",\"zone\":\"mtl-a\","
+    "\"region\":\"mtl\"},"
+    "{\"id\":\"bad\",\"role\":\"entry\",\"address\":\"localhost:1\","
+    "\"rpc_address\":\"127.0.0.1:86\",\"zone\":\"z\",\"region\":\"r\"}]";
+
+struct fixture {
+	struct jh_members *m;
+	GPtrArray *list;
+};
+
+static bool
+show(struct fixture *f)
+{
+	return jh_members_set_list(f->m,
+	    (const struct jh_instance *const *)f->list->pdata, f->list->len);
+}
+
+static struct jh_instance *
+listed(struct fixture *f, guint i)
+{
+	return f->list->pdata[i];
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	unsigned int faults;
+
+	f->m = jh_members_create();
+	f->list = jh_instances_parse(jh_str_from(list_json), &faults);
+	assert_int_equal(f->list->len, 3);
+	assert_int_equal(faults, 1);
+	assert_true(show(f));
+	*state = f;
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	jh_members_destroy(f->m);
+	g_ptr_array_unref(f->list);
+	g_free(f);
+	return 0;
+}
+
+static bool
+usable(struct fixture *f, const char *id, uint64_t now)
+{
+	return jh_member_usable(jh_members_find(f->m, id), now);
+}
+
+/* Guards against work for an instance that cannot serve it. */
+static void
+filters_by_role_place_and_duty(void **state)
+{
+	struct fixture *f = *state;
+	struct jh_member_filter agents = {.role = JH_ROLE_AGENT};
+	struct jh_member_filter large = {
+	    .role = JH_ROLE_AGENT, .model = "large", .region = "mtl"};
+	struct jh_member_filter pay = {
+	    .role = JH_ROLE_AGENT, .service = "pay", .zone = "qc-a"};
+	struct jh_member_filter none = {
+	    .role = JH_ROLE_ENTRY, .service = "pay"};
+
+	assert_int_equal(jh_members_count_usable(f->m, &agents, NOW), 2);
+	assert_int_equal(jh_members_count_usable(f->m, &large, NOW), 1);
+	assert_int_equal(jh_members_count_usable(f->m, &pay, NOW), 1);
+	assert_int_equal(jh_members_count_usable(f->m, &none, NOW), 0);
+	assert_int_equal(
+	    ntohs(jh_members_find(f->m, "a1")->instance.rpc_address.sin_port),
+	    82);
+}
+
+/* Guards against the lagging list undoing what the instance itself said. */
+static void
+fresher_facts_outlive_the_list(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t generation = jh_members_generation(f->m);
+
+	jh_members_heard(f->m, "a1", 0xa1, true);
+	assert_false(usable(f, "a1", NOW));
+	assert_true(jh_members_generation(f->m) > generation);
+	assert_false(show(f));
+	assert_false(usable(f, "a1", NOW));
+	/* A late answer of the same process does not bring it back. */
+	jh_members_heard(f->m, "a1", 0xa1, false);
+	assert_false(usable(f, "a1", NOW));
+
+	jh_members_heard(f->m, "a1", 0xb2, false);
+	assert_true(usable(f, "a1", NOW));
+	listed(f, 0)->leaving = true; /* still of the former process */
+	show(f);
+	assert_true(usable(f, "a1", NOW));
+	jh_members_heard(f->m, "a1", 0xa1, true);
+	assert_true(usable(f, "a1", NOW));
+
+	listed(f, 0)->incarnation = 0xc3;
+	assert_true(show(f));
+	assert_false(usable(f, "a1", NOW));
+	assert_int_equal(
+	    jh_members_find(f->m, "a1")->instance.incarnation, 0xc3);
+}
+
+/* Guards against leaving instances of the list getting work. */
+static void
+list_changes_are_taken_over(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t generation;
+
+	listed(f, 1)->leaving = true;
+	assert_true(show(f));
+	assert_false(usable(f, "a2", NOW));
+	generation = jh_members_generation(f->m);
+	assert_false(show(f));
+	assert_int_equal(jh_members_generation(f->m), generation);
+	g_ptr_array_remove_index(f->list, 1);
+	assert_true(show(f));
+	assert_null(jh_members_find(f->m, "a2"));
+	g_free(listed(f, 0)->zone);
+	listed(f, 0)->zone = g_strdup("mtl-b");
+	assert_true(show(f));
+	assert_string_equal(
+	    jh_members_find(f->m, "a1")->instance.zone, "mtl-b");
+	/* An empty list is the list's fault. */
+	assert_false(jh_members_set_list(f->m, NULL, 0));
+	assert_non_null(jh_members_find(f->m, "a1"));
+}
+
+/* Guards against hammering a dead instance, and against never trying again. */
+static void
+failures_hold_out_for_growing_spans(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t now = NOW, span, last = 0;
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		jh_members_failed(f->m, "a1", 0xa1, now);
+		jh_members_failed(f->m, "a1", 0xa1, now);
+		span = jh_members_find(f->m, "a1")->held_until - now;
+		assert_true(span >= last && span <= 30 * JH_USEC_PER_SEC);
+		assert_false(usable(f, "a1", now + span - 1));
+		assert_true(usable(f, "a1", now + span));
+		last = span;
+		now += span;
+	}
+	assert_int_equal(last, 30 * JH_USEC_PER_SEC);
+	/* A connection to the former process says nothing of this one. */
+	jh_members_heard(f->m, "a1", 0xb2, false);
+	jh_members_failed(f->m, "a1", 0xa1, now);
+	assert_true(usable(f, "a1", now));
+	jh_members_failed(f->m, "a1", 0xb2, now);
+	assert_int_equal(
+	    jh_members_find(f->m, "a1")->held_until - now, JH_USEC_PER_SEC / 2);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		filters_by_role_place_and_duty, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		fresher_facts_outlive_the_list, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		list_changes_are_taken_over, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		failures_hold_out_for_growing_spans, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
