feed: let agents fall back to the store

Cause: the sync machine lets an agent list the store when all peers are silent, but the feed gave agents no store reader, so they crashed on a slow start. Found by the demo's exit status check under AddressSanitizer.

--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -144,7 +144,7 @@
 	start_engines
 	start_services
 	start_entries
-	{ echo '['; cat "$DIR/list.json"; echo ']'; } >"$DIR/instances.json"
+	{ echo '{"instances":['; cat "$DIR/list.json"; echo ']}'; } >"$DIR/instances.json"
 	spawn list "$BUILD/fake-list" --listen "$LIST" \
 	    --instances "$DIR/instances.json"
 	wait_for "$ENTRY1/health"
@@ -175,11 +175,15 @@
 			kill -TERM "$pid" 2>/dev/null || true
 		done
 		for pid in $(grep " $kind" "$DIR/pids" | cut -d' ' -f1); do
-			if wait "$pid"; then :; else
-				case $kind in
-				entry | worker | app) bad=1 ;;
-				esac
-			fi
+			wait "$pid" 2>/dev/null
+			status=$?
+			[ $status -ne 0 ] || continue
+			case $kind in
+			entry | worker | app)
+				echo "$(grep "^$pid " "$DIR/pids") exited with status $status" >&2
+				bad=1
+				;;
+			esac
 		done
 	done
 	return $bad
@@ -188,12 +192,12 @@
 deployment() {
 	case $1 in
 	lavoir)
-		BASE=18000 ENGINES=12 SERVICE=kiosk
+		BASE=${JH_BASE:-18000} ENGINES=12 SERVICE=kiosk
 		ZONE_A=mtl-a ZONE_B=mtl-b ZONE_C=qc-a
 		REGION_1=montreal REGION_2=quebec
 		;;
 	mwakilema)
-		BASE=19000 ENGINES=9 SERVICE=floor
+		BASE=${JH_BASE:-19000} ENGINES=9 SERVICE=floor
 		ZONE_A=arusha-a ZONE_B=arusha-b ZONE_C=tanga-a
 		REGION_1=arusha REGION_2=tanga
 		;;
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 . demo/lib.sh
 DIR=$(mktemp -d)
-trap 'stop_all >/dev/null 2>&1; rm -rf "$DIR"' EXIT
+trap 'stop_all >/dev/null 2>&1; [ -n "${KEEP:-}" ] || rm -rf "$DIR"' EXIT
 failures=0
 
 # body ORG RANK QUESTION STREAM: a question about the manual.
@@ -87,7 +87,8 @@
 	: >"$DIR/pids"
 }
 
-for d in lavoir mwakilema; do
+[ $# -gt 0 ] || set -- lavoir mwakilema
+for d in "$@"; do
 	run_one $d || failures=$((failures + 1))
 done
 [ $failures -eq 0 ] && echo "demo: all as it should be" ||
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -55,6 +55,7 @@
 	feed.incarnation = a->incarnation;
 	feed.catalog = a->catalog;
 	feed.key = a->set.secret;
+	feed.store = a->set.store;
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
