--- /dev/null
+++ b/src/place/rank.h
@@ -0,0 +1,26 @@
+#ifndef PLACE_RANK_H
+#define PLACE_RANK_H
+
+#include <stdint.h>
+
+/* A worker index with its rendezvous weight. */
+struct jh_ranked {
+	uint64_t weight;
+	uint32_t index;
+};
+
+/* Sorts by weight, highest first. */
+void jh_rank_sort(struct jh_ranked *r, uint32_t n);
+
+/*
+ * Collects the k highest-weighted of ids[0..n) for key into r, which has room
+ * for n, best first; index counts from 0. Returns min(k, n).
+ */
+uint32_t jh_rank_top(struct jh_ranked *r, const uint64_t *ids, uint32_t n,
+    uint64_t key, uint32_t k);
+
+/* Moves the k highest-weighted to the front, best first, keeping ties' order.
+ */
+uint32_t jh_rank_select(struct jh_ranked *r, uint32_t n, uint32_t k);
+
+#endif
