--- a/test/test_cacheview.c
+++ b/test/test_cacheview.c
@@ -1,5 +1,6 @@
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
