bench: add the queue benchmark

One agent's queue before a model of one engine with continuous batching, in virtual time, against FIFO and strict priority.

--- a/bench/parts/bench.h
+++ b/bench/parts/bench.h
@@ -10,4 +10,6 @@
 	int (*run)(uint64_t seed);
 };
 
+int queue_bench_run(uint64_t seed);
+
 #endif
--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -7,6 +7,8 @@
 #include "bench.h"
 
 static const struct bench benches[] = {
+    {"queue", "rank queue of one agent against FIFO and strict priority",
+	queue_bench_run},
     {0},
 };
 
