Use POSIX locks in catalogue, store client and stand-ins

The catalogue's lock prefers writers, as glibc's default lets readers starve an edit. test_store also used a reply after its waiter was gone, which AddressSanitizer found.

--- a/fakes/list/lister.c
+++ b/fakes/list/lister.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <microhttpd.h>
@@ -21,7 +22,7 @@
 struct fake_list {
 	struct jh_http_server *http;
 	uint64_t lag_usec;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	json_t *instances; /* object: id to instance */
 	GQueue *changes; /* of struct change, oldest first */
 };
@@ -118,9 +119,9 @@
 	c = g_new(struct change, 1);
 	c->due = jh_now() + (lag ? l->lag_usec : 0);
 	c->request = json_deep_copy(o);
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	g_queue_push_tail(l->changes, c);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return true;
 }
 
@@ -131,14 +132,14 @@
 	const char *id;
 	char *text;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	apply_due(l);
 	json_object_foreach(l->instances, id, v)
 	{
 		json_array_append(list, v);
 	}
 	text = json_dumps(list, JSON_COMPACT);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	json_decref(list);
 	return text;
 }
@@ -188,7 +189,7 @@
 	    .ops = &ops,
 	    .arg = l};
 
-	g_mutex_init(&l->lock);
+	pthread_mutex_init(&l->lock, NULL);
 	l->lag_usec = options->lag_usec;
 	l->instances = json_object();
 	l->changes = g_queue_new();
@@ -206,7 +207,7 @@
 		jh_http_server_destroy(l->http);
 	g_queue_free_full(l->changes, free_change);
 	json_decref(l->instances);
-	g_mutex_clear(&l->lock);
+	pthread_mutex_destroy(&l->lock);
 	g_free(l);
 }
 
--- a/fakes/store/control.c
+++ b/fakes/store/control.c
@@ -30,7 +30,7 @@
 		&mode, "slow_ms", &slow_ms, "lose_answers", &lose, "lose_next",
 		&lose_next, "seed", &seed) != 0)
 		return false;
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	if (mode != NULL)
 		ok = set_mode(s, mode);
 	if (slow_ms >= 0)
@@ -41,8 +41,8 @@
 		s->lose_next = (uint64_t)lose_next;
 	if (seed >= 0)
 		g_rand_set_seed(s->rand, (guint32)seed);
-	g_cond_signal(&s->wake);
-	g_mutex_unlock(&s->lock);
+	pthread_cond_signal(&s->wake);
+	pthread_mutex_unlock(&s->lock);
 	return ok;
 }
 
@@ -51,7 +51,7 @@
 {
 	json_t *o;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	o = json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "mode",
 	    mode_names[s->mode], "revision",
 	    (json_int_t)fake_table_revision(s->table), "writes",
@@ -59,6 +59,6 @@
 	    (json_int_t)s->n_watches, "throttled", (json_int_t)s->n_throttled,
 	    "lost", (json_int_t)s->n_lost, "waiting",
 	    (json_int_t)s->parked->len);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return o;
 }
--- a/fakes/store/service.c
+++ b/fakes/store/service.c
@@ -70,7 +70,7 @@
 	p->due = due;
 	p->watch = watch;
 	g_ptr_array_add(s->parked, p);
-	g_cond_signal(&s->wake);
+	pthread_cond_signal(&s->wake);
 }
 
 /* Answers the watches that a write has made ready. */
@@ -178,7 +178,7 @@
 		on_control(s, req);
 		return;
 	}
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	switch (s->mode) {
 	case FAKE_UP:
 		fake_serve(s, req);
@@ -194,7 +194,7 @@
 		park(s, req, JH_NEVER, false);
 		break;
 	}
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 }
 
 /* Handles one parked request that is due or cut off by the mode. */
@@ -239,19 +239,33 @@
 timer_main(gpointer arg)
 {
 	struct fake_store *s = arg;
+	struct timespec until;
 	uint64_t next;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	while (!s->stopping) {
 		next = run_due(s);
-		/* GLib's monotonic clock is the one jh_now() reads. */
-		g_cond_wait_until(&s->wake, &s->lock, (gint64)next);
+		until.tv_sec = (time_t)(next / JH_USEC_PER_SEC);
+		until.tv_nsec = (long)(next % JH_USEC_PER_SEC) * 1000;
+		pthread_cond_timedwait(&s->wake, &s->lock, &until);
 	}
 	run_due(s);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return NULL;
 }
 
+/* The timer waits for jh_now() times. */
+static void
+init_wake(struct fake_store *s)
+{
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&s->wake, &attr);
+	pthread_condattr_destroy(&attr);
+}
+
 struct fake_store *
 fake_store_create(const struct fake_store_options *options, GError **err)
 {
@@ -265,8 +279,8 @@
 	    .ops = &ops,
 	    .arg = s};
 
-	g_mutex_init(&s->lock);
-	g_cond_init(&s->wake);
+	pthread_mutex_init(&s->lock, NULL);
+	init_wake(s);
 	s->table = fake_table_create(options->history);
 	s->writes.rate = options->writes_per_second;
 	s->reads.rate = options->reads_per_second;
@@ -286,10 +300,10 @@
 fake_store_destroy(struct fake_store *s)
 {
 	if (s->timer != NULL) {
-		g_mutex_lock(&s->lock);
+		pthread_mutex_lock(&s->lock);
 		s->stopping = true;
-		g_cond_signal(&s->wake);
-		g_mutex_unlock(&s->lock);
+		pthread_cond_signal(&s->wake);
+		pthread_mutex_unlock(&s->lock);
 		g_thread_join(s->timer);
 	}
 	if (s->http != NULL)
@@ -297,8 +311,8 @@
 	g_ptr_array_free(s->parked, TRUE);
 	g_rand_free(s->rand);
 	fake_table_destroy(s->table);
-	g_cond_clear(&s->wake);
-	g_mutex_clear(&s->lock);
+	pthread_cond_destroy(&s->wake);
+	pthread_mutex_destroy(&s->lock);
 	g_free(s);
 }
 
--- a/fakes/store/state.h
+++ b/fakes/store/state.h
@@ -1,6 +1,7 @@
 #ifndef FAKE_STORE_STATE_H
 #define FAKE_STORE_STATE_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -18,8 +19,8 @@
 struct fake_store {
 	struct jh_http_server *http;
 	GThread *timer;
-	GMutex lock; /* guards all below */
-	GCond wake; /* the timer has something new to wait for */
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t wake; /* the timer has something new to wait for */
 	bool stopping;
 	struct fake_table *table;
 	struct fake_bucket writes;
--- a/include/jacinthhill/catalog.h
+++ b/include/jacinthhill/catalog.h
@@ -98,7 +98,10 @@
 
 void jh_catalog_stats(struct jh_catalog *c, struct jh_catalog_stats *out);
 
-/* Calls fn for every object that exists, in no order, under the read lock. */
+/*
+ * Calls fn for every object that exists, in no order, under the read lock; fn
+ * must not call the catalogue.
+ */
 void jh_catalog_each(struct jh_catalog *c,
     void (*fn)(void *arg, const struct jh_catalog_item *item), void *arg);
 
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -19,12 +19,25 @@
 	return strcmp(x->key, y->key);
 }
 
+/* By default glibc lets a steady flow of readers keep an edit out for ever. */
+static void
+init_lock(struct jh_catalog *c)
+{
+	pthread_rwlockattr_t attr;
+
+	pthread_rwlockattr_init(&attr);
+	pthread_rwlockattr_setkind_np(
+	    &attr, PTHREAD_RWLOCK_PREFER_WRITER_NONRECURSIVE_NP);
+	pthread_rwlock_init(&c->lock, &attr);
+	pthread_rwlockattr_destroy(&attr);
+}
+
 struct jh_catalog *
 jh_catalog_create(void)
 {
 	struct jh_catalog *c = g_new0(struct jh_catalog, 1);
 
-	g_rw_lock_init(&c->lock);
+	init_lock(c);
 	c->by_key =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_slot);
 	c->by_version = g_tree_new_full(compare_versions, NULL, NULL, NULL);
@@ -44,7 +57,7 @@
 	g_hash_table_destroy(c->orgs_by_hash);
 	g_hash_table_destroy(c->models_by_name);
 	g_hash_table_destroy(c->by_key);
-	g_rw_lock_clear(&c->lock);
+	pthread_rwlock_destroy(&c->lock);
 	g_free(c);
 }
 
@@ -142,18 +155,18 @@
 {
 	bool changed;
 
-	g_rw_lock_writer_lock(&c->lock);
+	pthread_rwlock_wrlock(&c->lock);
 	changed = merge(c, key, version, json);
-	g_rw_lock_writer_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return changed;
 }
 
 void
 jh_catalog_advance(struct jh_catalog *c, uint64_t revision)
 {
-	g_rw_lock_writer_lock(&c->lock);
+	pthread_rwlock_wrlock(&c->lock);
 	c->revision = MAX(c->revision, revision);
-	g_rw_lock_writer_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 }
 
 /* Drops what is no newer than revision and not in the set of keys. */
@@ -180,7 +193,7 @@
 	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
 	size_t i;
 
-	g_rw_lock_writer_lock(&c->lock);
+	pthread_rwlock_wrlock(&c->lock);
 	if (revision > c->revision) {
 		for (i = 0; i < n; i++) {
 			merge(c, items[i].key, items[i].version, items[i].json);
@@ -191,7 +204,7 @@
 		c->revision = revision;
 		c->floor = MAX(c->floor, revision);
 	}
-	g_rw_lock_writer_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	g_hash_table_destroy(keys);
 }
 
@@ -200,16 +213,16 @@
 {
 	uint64_t revision;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	revision = c->revision;
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return revision;
 }
 
 void
 jh_catalog_stats(struct jh_catalog *c, struct jh_catalog_stats *out)
 {
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	*out = c->stats;
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 }
--- a/src/catalog/delta.c
+++ b/src/catalog/delta.c
@@ -78,10 +78,10 @@
 	bool ok = false;
 
 	memset(out, 0, sizeof(*out));
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	if (c->revision >= revision)
 		ok = fill(c, revision, max_bytes, out);
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	if (!ok)
 		jh_catalog_delta_clear(out);
 	return ok;
--- a/src/catalog/lookup.c
+++ b/src/catalog/lookup.c
@@ -26,11 +26,11 @@
 	struct jh_catalog_entry *e = NULL;
 	struct catalog_slot *s;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	s = find_named(c, JH_RECORD_PREFIX_ENTRY, org, "/", class_name);
 	if (s != NULL && s->entry != NULL)
 		e = jh_catalog_entry_ref(s->entry);
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return e;
 }
 
@@ -40,11 +40,11 @@
 	struct jh_org *o = NULL;
 	struct catalog_slot *s;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	s = find_named(c, JH_RECORD_PREFIX_ORG, name, "", "");
 	if (s != NULL && s->org != NULL)
 		o = jh_org_ref(s->org);
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return o;
 }
 
@@ -54,11 +54,11 @@
 	struct jh_org *o = NULL;
 	struct catalog_slot *s;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	s = g_hash_table_lookup(c->orgs_by_hash, key_hash);
 	if (s != NULL)
 		o = jh_org_ref(s->org);
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return o;
 }
 
@@ -68,13 +68,13 @@
 	struct jh_model *m = NULL;
 	struct catalog_slot *s;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	s = find_named(c, JH_RECORD_PREFIX_MODEL, name, "", "");
 	if (s == NULL || s->model == NULL)
 		s = g_hash_table_lookup(c->models_by_name, name);
 	if (s != NULL && s->model != NULL)
 		m = jh_model_ref(s->model);
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 	return m;
 }
 
@@ -87,7 +87,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	g_rw_lock_reader_lock(&c->lock);
+	pthread_rwlock_rdlock(&c->lock);
 	g_hash_table_iter_init(&it, c->by_key);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		s = value;
@@ -96,5 +96,5 @@
 		item = (struct jh_catalog_item){s->key, s->version, s->json};
 		fn(arg, &item);
 	}
-	g_rw_lock_reader_unlock(&c->lock);
+	pthread_rwlock_unlock(&c->lock);
 }
--- a/src/catalog/table.h
+++ b/src/catalog/table.h
@@ -1,6 +1,8 @@
 #ifndef CATALOG_TABLE_H
 #define CATALOG_TABLE_H
 
+#include <pthread.h>
+
 #include <jacinthhill/catalog.h>
 
 /* What is known of one key. */
@@ -17,7 +19,7 @@
 };
 
 struct jh_catalog {
-	GRWLock lock; /* guards all below */
+	pthread_rwlock_t lock; /* guards all below */
 	GHashTable *by_key; /* owns struct catalog_slot */
 	GTree *by_version; /* slots of by_key */
 	GHashTable *orgs_by_hash; /* API key hash to a slot with an org */
--- a/src/store/wait.c
+++ b/src/store/wait.c
@@ -1,10 +1,11 @@
+#include <pthread.h>
 #include <string.h>
 
 #include "store/store.h"
 
 struct jh_store_waiter {
-	GMutex lock;
-	GCond cond;
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
 	bool done;
 	struct jh_store_reply reply;
 	GStringChunk *text;
@@ -15,8 +16,8 @@
 {
 	struct jh_store_waiter *w = g_new0(struct jh_store_waiter, 1);
 
-	g_mutex_init(&w->lock);
-	g_cond_init(&w->cond);
+	pthread_mutex_init(&w->lock, NULL);
+	pthread_cond_init(&w->cond, NULL);
 	w->text = g_string_chunk_new(1024);
 	return w;
 }
@@ -51,11 +52,11 @@
 {
 	struct jh_store_waiter *w = arg;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	copy_reply(w, reply);
 	w->done = true;
-	g_cond_signal(&w->cond);
-	g_mutex_unlock(&w->lock);
+	pthread_cond_signal(&w->cond);
+	pthread_mutex_unlock(&w->lock);
 }
 
 struct jh_store_done
@@ -67,10 +68,10 @@
 const struct jh_store_reply *
 jh_store_waiter_wait(struct jh_store_waiter *w)
 {
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	while (!w->done)
-		g_cond_wait(&w->cond, &w->lock);
-	g_mutex_unlock(&w->lock);
+		pthread_cond_wait(&w->cond, &w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return &w->reply;
 }
 
@@ -79,7 +80,7 @@
 {
 	g_free((struct jh_store_item *)w->reply.items);
 	g_string_chunk_free(w->text);
-	g_cond_clear(&w->cond);
-	g_mutex_clear(&w->lock);
+	pthread_cond_destroy(&w->cond);
+	pthread_mutex_destroy(&w->lock);
 	g_free(w);
 }
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -139,14 +139,12 @@
 	assert_non_null(strstr(f->out, "cost_tokens_per_second: 3000"));
 	assert_non_null(strstr(f->out, "cost_tokens_per_second: 2000"));
 	assert_non_null(strstr(f->out, "version: 2"));
+	assert_int_equal(run(f, "catalog apply --version 2", f->file), CTL_OK);
 	assert_int_equal(
-	    run(f, "catalog apply --version 2", f->file), CTL_OK);
-	assert_int_equal(run(f, "catalog delete --version 2",
-			     "catalog/acme/chat"),
+	    run(f, "catalog delete --version 2", "catalog/acme/chat"),
 	    CTL_CONFLICT);
-	assert_int_equal(run(f, "catalog delete --version 3",
-			     "catalog/acme/chat"),
-	    CTL_OK);
+	assert_int_equal(
+	    run(f, "catalog delete --version 3", "catalog/acme/chat"), CTL_OK);
 	assert_int_equal(
 	    run(f, "catalog show", "catalog/acme/chat"), CTL_FAILED);
 }
@@ -159,8 +157,7 @@
 
 	write_entry(f, 0, 1000);
 	assert_int_equal(run(f, "catalog apply", f->file), CTL_OK);
-	assert_int_equal(
-	    run(f, "catalog show", "catalog/acme/chat"), CTL_OK);
+	assert_int_equal(run(f, "catalog show", "catalog/acme/chat"), CTL_OK);
 	assert_true(g_file_set_contents(f->file, f->out, -1, NULL));
 	assert_int_equal(run(f, "check", f->file), CTL_OK);
 	assert_int_equal(run(f, "catalog apply", f->file), CTL_OK);
@@ -181,9 +178,8 @@
 	assert_int_equal(run(f, "catalog apply", f->file), CTL_OK);
 	assert_non_null(strstr(f->out, "version 1"));
 	control(f, "{\"lose_next\": 1}");
-	assert_int_equal(run(f, "catalog delete --version 1",
-			     "catalog/acme/chat"),
-	    CTL_OK);
+	assert_int_equal(
+	    run(f, "catalog delete --version 1", "catalog/acme/chat"), CTL_OK);
 	control(f, "{\"mode\": \"down\"}");
 	assert_int_equal(run(f, "catalog apply", f->file), CTL_UNAVAILABLE);
 	assert_int_equal(run(f, "catalog list", NULL), CTL_UNAVAILABLE);
@@ -210,8 +206,8 @@
 	assert_non_null(strstr(f->err, "entry.yaml: name is \"Acme\""));
 	assert_non_null(strstr(f->err, "entry.yaml: key_hashes holds"));
 	assert_int_equal(run(f, "check", f->settings), CTL_OK);
-	assert_int_equal(run(f, "check --program other", f->settings),
-	    CTL_USAGE);
+	assert_int_equal(
+	    run(f, "check --program other", f->settings), CTL_USAGE);
 	assert_int_equal(run(f, "catalog", NULL), CTL_USAGE);
 	assert_int_equal(run(f, "catalog show", NULL), CTL_USAGE);
 	assert_int_equal(run(f, "catalog delete", "orgs/a"), CTL_USAGE);
@@ -226,7 +222,8 @@
 {
 	struct jh_text_reply *r = reply;
 
-	r->text = g_strdup("{\"process\":{\"incarnation\":\"00000000000000ab\"}}");
+	r->text =
+	    g_strdup("{\"process\":{\"incarnation\":\"00000000000000ab\"}}");
 }
 
 static void
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -154,6 +154,7 @@
 {
 	struct fixture *f = *state;
 	const struct jh_store_reply *r;
+	uint64_t version;
 
 	control(f, "{\"lose_next\": 1}");
 	assert_int_equal(put(f, "k", "v", 0)->result, JH_STORE_UNKNOWN);
@@ -162,7 +163,8 @@
 	control(f, "{\"lose_next\": 1}");
 	r = put_nonce(f, "mine", JH_STORE_ABSENT);
 	assert_int_equal(r->result, JH_STORE_OK);
-	assert_int_equal(r->version, get(f, "calls/a")->version);
+	version = r->version;
+	assert_int_equal(get(f, "calls/a")->version, version);
 	r = put_nonce(f, "other", JH_STORE_ABSENT);
 	assert_int_equal(r->result, JH_STORE_CONFLICT);
 	assert_true(jh_store_value_has_nonce(r->value, "mine"));
