refuse: add refusal minutes, recorder and report

Cumulative counts per hour and incarnation, overwritten by conditional update, so a lost answer or a retry cannot count twice. Minutes that no record covers are reported as unaccounted.

--- a/include/jacinthhill/ledger.h
+++ b/include/jacinthhill/ledger.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <jacinthhill/store_result.h>
 #include <jacinthhill/str.h>
 
 /*
@@ -67,14 +68,6 @@
 	uint64_t deadline;
 };
 
-enum jh_store_result {
-	JH_STORE_OK, /* written, or read and found */
-	JH_STORE_CONFLICT, /* not written; existing record given */
-	JH_STORE_NOT_FOUND,
-	JH_STORE_UNAVAILABLE, /* certainly not written */
-	JH_STORE_NO_ANSWER, /* a write may have taken effect, now or later */
-};
-
 /* What an agent says of a nonce. */
 enum jh_nonce_state {
 	JH_NONCE_RUNNING, /* or about to run */
--- /dev/null
+++ b/include/jacinthhill/store_result.h
@@ -0,0 +1,13 @@
+#ifndef JACINTHHILL_STORE_RESULT_H
+#define JACINTHHILL_STORE_RESULT_H
+
+/* What came of one operation on the object store. */
+enum jh_store_result {
+	JH_STORE_OK, /* written, or read and found */
+	JH_STORE_CONFLICT, /* not written; the object has another version */
+	JH_STORE_NOT_FOUND,
+	JH_STORE_UNAVAILABLE, /* certainly not written */
+	JH_STORE_NO_ANSWER, /* a write may have taken effect, now or later */
+};
+
+#endif
--- /dev/null
+++ b/src/refuse/hour.c
@@ -0,0 +1,186 @@
+#include <string.h>
+
+#include "refuse/hour.h"
+
+/* Upper bounds of the encoded sizes in bytes. */
+#define BASE_BYTES 2048 /* the fixed fields and the overflow row */
+#define CELL_BYTES 26 /* [59,18446744073709551615], */
+#define PAIR_BYTES 40 /* without its names */
+#define PEER_BYTES 72 /* without its name */
+
+static void
+free_pair(gpointer p)
+{
+	struct jh_refusal_pair *pair = p;
+
+	g_free(pair->owner);
+	g_free(pair->class);
+	g_array_free(pair->cells, TRUE);
+	g_free(pair);
+}
+
+static void
+free_peer(gpointer p)
+{
+	struct jh_refusal_peer *peer = p;
+
+	g_free(peer->instance);
+	g_free(peer);
+}
+
+struct jh_refusal_hour *
+jh_refusal_hour_create(
+    uint64_t hour, const char *instance, uint64_t incarnation)
+{
+	struct jh_refusal_hour *h = g_new0(struct jh_refusal_hour, 1);
+
+	h->hour = hour;
+	h->instance = g_strdup(instance);
+	h->incarnation = incarnation;
+	h->pairs = g_ptr_array_new_with_free_func(free_pair);
+	h->by_name =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	h->seen = g_ptr_array_new_with_free_func(free_peer);
+	h->bytes = BASE_BYTES + strlen(instance);
+	return h;
+}
+
+void
+jh_refusal_hour_free(struct jh_refusal_hour *h)
+{
+	if (h == NULL)
+		return;
+	g_hash_table_destroy(h->by_name);
+	g_ptr_array_free(h->pairs, TRUE);
+	g_ptr_array_free(h->seen, TRUE);
+	g_free(h->instance);
+	g_free(h);
+}
+
+/* Names that are short and need no JSON escapes keep the size bounded. */
+static bool
+fits(struct jh_str s)
+{
+	size_t i;
+
+	if (s.len > JH_REFUSALS_NAME_MAX ||
+	    !g_utf8_validate(s.ptr, (gssize)s.len, NULL))
+		return false;
+	for (i = 0; i < s.len; i++) {
+		if ((unsigned char)s.ptr[i] < 0x20 || s.ptr[i] == '"' ||
+		    s.ptr[i] == '\\')
+			return false;
+	}
+	return true;
+}
+
+static struct jh_refusal_pair *
+add_pair(struct jh_refusal_hour *h, size_t max_pairs, size_t max_bytes,
+    struct jh_str owner, struct jh_str class, char *name)
+{
+	size_t bytes = PAIR_BYTES + owner.len + class.len;
+	struct jh_refusal_pair *p;
+
+	if (h->pairs->len >= max_pairs ||
+	    h->bytes + bytes + CELL_BYTES > max_bytes)
+		return NULL;
+	p = g_new0(struct jh_refusal_pair, 1);
+	p->owner = jh_str_dup(owner);
+	p->class = jh_str_dup(class);
+	p->cells = g_array_new(FALSE, FALSE, sizeof(struct jh_refusal_cell));
+	g_ptr_array_add(h->pairs, p);
+	g_hash_table_insert(h->by_name, g_strdup(name), p);
+	h->bytes += bytes;
+	return p;
+}
+
+static bool
+add_cell(struct jh_refusal_hour *h, size_t max_bytes, struct jh_refusal_pair *p,
+    unsigned int minute, uint64_t count)
+{
+	struct jh_refusal_cell cell = {minute, count}, *c;
+	guint i = p->cells->len;
+
+	while (i > 0) {
+		c = &g_array_index(p->cells, struct jh_refusal_cell, i - 1);
+		if (c->minute == minute) {
+			c->count += count;
+			return true;
+		}
+		if (c->minute < minute)
+			break;
+		i--;
+	}
+	if (h->bytes + CELL_BYTES > max_bytes)
+		return false;
+	g_array_insert_val(p->cells, i, cell);
+	h->bytes += CELL_BYTES;
+	return true;
+}
+
+bool
+jh_refusal_hour_add(struct jh_refusal_hour *h, size_t max_pairs,
+    size_t max_bytes, struct jh_str owner, struct jh_str class,
+    unsigned int minute, uint64_t count)
+{
+	struct jh_refusal_pair *p;
+	char *name;
+
+	if (!fits(owner) || !fits(class))
+		return false;
+	name = g_strdup_printf(
+	    "%.*s\n%.*s", (int)owner.len, owner.ptr, (int)class.len, class.ptr);
+	p = g_hash_table_lookup(h->by_name, name);
+	if (p == NULL)
+		p = add_pair(h, max_pairs, max_bytes, owner, class, name);
+	g_free(name);
+	return p != NULL && add_cell(h, max_bytes, p, minute, count);
+}
+
+bool
+jh_refusal_hour_see(struct jh_refusal_hour *h, size_t max_seen,
+    size_t max_bytes, struct jh_str instance, uint64_t incarnation,
+    unsigned int minute)
+{
+	struct jh_refusal_peer *p;
+	guint i;
+
+	for (i = 0; i < h->seen->len; i++) {
+		p = h->seen->pdata[i];
+		if (p->incarnation == incarnation &&
+		    jh_str_eq(jh_str_from(p->instance), instance))
+			return true;
+	}
+	if (!fits(instance) || h->seen->len >= max_seen ||
+	    h->bytes + PEER_BYTES + instance.len > max_bytes)
+		return false;
+	p = g_new0(struct jh_refusal_peer, 1);
+	p->instance = jh_str_dup(instance);
+	p->incarnation = incarnation;
+	p->from = minute;
+	g_ptr_array_add(h->seen, p);
+	h->bytes += PEER_BYTES + instance.len;
+	return true;
+}
+
+char *
+jh_refusals_prefix(uint64_t hour)
+{
+	GDateTime *t = g_date_time_new_from_unix_utc((gint64)(hour * 3600));
+	char *text = g_date_time_format(t, "refusals/%Y-%m-%dT%H/");
+
+	g_date_time_unref(t);
+	return text;
+}
+
+char *
+jh_refusal_hour_name(const struct jh_refusal_hour *h)
+{
+	char *prefix = jh_refusals_prefix(h->hour);
+	char *name;
+
+	name = g_strdup_printf("%s%s-%016" G_GINT64_MODIFIER "x", prefix,
+	    h->instance, h->incarnation);
+	g_free(prefix);
+	return name;
+}
