--- a/include/jacinthhill/ledger.h
+++ b/include/jacinthhill/ledger.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <jacinthhill/store_result.h>
 #include <jacinthhill/str.h>
 
 /*
@@ -67,15 +68,6 @@
 	uint64_t deadline;
 };
 
-enum jh_ledger_store_result {
-	JH_LEDGER_STORE_OK, /* written, or read and found */
-	JH_LEDGER_STORE_CONFLICT, /* not written; existing record given */
-	JH_LEDGER_STORE_NOT_FOUND,
-	JH_LEDGER_STORE_UNAVAILABLE, /* certainly not written */
-	JH_LEDGER_STORE_NO_ANSWER, /* a write may have taken effect, now or
-				      later */
-};
-
 /* What an agent says of a nonce. */
 enum jh_nonce_state {
 	JH_NONCE_RUNNING, /* or about to run */
@@ -157,8 +149,7 @@
 void jh_ledger_attempt_left(struct jh_ledger *l, uint64_t now, uint64_t id);
 
 /* Result of READ, CREATE or UPDATE. The value is given for a found record
- * and a conflict; without it, report JH_LEDGER_STORE_NO_ANSWER for a conflict.
- */
+ * and a conflict; without it, report JH_LEDGER_STORE_NO_ANSWER for a conflict. */
 void jh_ledger_store_result(struct jh_ledger *l, uint64_t now, uint64_t op,
     enum jh_ledger_store_result result, uint64_t version, struct jh_str value);
 
