--- a/include/jacinthhill/lease.h
+++ b/include/jacinthhill/lease.h
@@ -37,7 +37,8 @@
 	uint64_t deadline; /* of the call; a wall-clock time */
 };
 
-/* As enum jh_ledger_store_result says; the rest of that enum counts as FAILED. */
+/* As enum jh_store_result says; the rest of that enum counts as FAILED.
+ */
 enum jh_lease_result {
 	JH_LEASE_OK,
 	JH_LEASE_NOT_FOUND,
--- a/include/jacinthhill/ledger.h
+++ b/include/jacinthhill/ledger.h
@@ -149,9 +149,10 @@
 void jh_ledger_attempt_left(struct jh_ledger *l, uint64_t now, uint64_t id);
 
 /* Result of READ, CREATE or UPDATE. The value is given for a found record
- * and a conflict; without it, report JH_LEDGER_STORE_NO_ANSWER for a conflict. */
+ * and a conflict; without it, report JH_STORE_UNKNOWN for a conflict.
+ */
 void jh_ledger_store_result(struct jh_ledger *l, uint64_t now, uint64_t op,
-    enum jh_ledger_store_result result, uint64_t version, struct jh_str value);
+    enum jh_store_result result, uint64_t version, struct jh_str value);
 
 /* Answer to ASK; the answer is NULL unless state is DONE and it was kept. */
 void jh_ledger_peer_result(struct jh_ledger *l, uint64_t now, uint64_t op,
--- a/include/jacinthhill/refusals.h
+++ b/include/jacinthhill/refusals.h
@@ -63,7 +63,7 @@
 
 /* The version is the object's present one, for OK and CONFLICT. */
 void jh_refusals_result(struct jh_refusals *r, uint64_t now, uint64_t op,
-    enum jh_ledger_store_result result, uint64_t version);
+    enum jh_store_result result, uint64_t version);
 
 /* When jh_refusals_next() may have something, JH_NEVER if it has not. */
 uint64_t jh_refusals_due(const struct jh_refusals *r);
--- a/include/jacinthhill/store_result.h
+++ b/include/jacinthhill/store_result.h
@@ -2,12 +2,15 @@
 #define JACINTHHILL_STORE_RESULT_H
 
 /* What came of one operation on the object store. */
-enum jh_ledger_store_result {
-	JH_LEDGER_STORE_OK, /* written, or read and found */
-	JH_LEDGER_STORE_CONFLICT, /* not written; the object has another version */
-	JH_LEDGER_STORE_NOT_FOUND,
-	JH_LEDGER_STORE_UNAVAILABLE, /* certainly not written */
-	JH_LEDGER_STORE_NO_ANSWER, /* a write may have taken effect, now or later */
+enum jh_store_result {
+	JH_STORE_OK, /* written, or read and found */
+	JH_STORE_NOT_FOUND,
+	JH_STORE_CONFLICT, /* the condition failed; nothing was written */
+	JH_STORE_UNAVAILABLE, /* nothing can have taken effect */
+	JH_STORE_UNKNOWN, /* a write may have taken effect, or may yet */
+	JH_STORE_THROTTLED, /* over the store's rate; nothing was written */
+	JH_STORE_EXPIRED, /* watch: the revision is too old, list again */
+	JH_STORE_INVALID /* the store rejects the request itself */
 };
 
 #endif
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -28,6 +28,7 @@
 	AGENT_TOKENS,
 	AGENT_PROMPT_TOKENS,
 	AGENT_CACHED_TOKENS,
+	AGENT_EVENT_GAPS,
 	AGENT_COUNTERS
 };
 
@@ -55,7 +56,7 @@
 
 	GMutex lock; /* guards all below */
 	struct jh_queue *queue;
-	struct jh_cacheview *cache;
+	struct jh_cacheview *cache; /* NULL until the engine has answered */
 	struct agent_engine engine;
 	GHashTable *jobs; /* &id -> struct agent_job */
 	GHashTable *by_request; /* request id -> struct agent_job */
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -4,6 +4,7 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/chat.h"
+#include "agent/pieces.h"
 
 /* Answer length assumed when the entry daemon does not estimate one. */
 #define DEFAULT_DECODE_TOKENS 64
@@ -269,11 +270,20 @@
 	return same_org && j->begun;
 }
 
-/* Prompt tokens that the engine's cache is not known to hold. */
+/*
+ * Prompt tokens that the engine's cache is not known to hold. Holds a->lock.
+ */
 static uint32_t
 uncached_tokens(struct agent *a, struct agent_job *j)
 {
-	return (uint32_t)MIN(j->prompt_tokens, UINT32_MAX);
+	uint64_t cached = 0;
+
+	if (a->cache != NULL && j->pieces != NULL)
+		cached = jh_cacheview_cached(a->cache,
+		    (const uint64_t *)(const void *)j->pieces->data,
+		    j->pieces->len);
+	return (uint32_t)MIN(
+	    j->prompt_tokens - MIN(cached, j->prompt_tokens), UINT32_MAX);
 }
 
 static struct jh_queue_item
@@ -355,6 +365,7 @@
 		return;
 	}
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
+	j->pieces = agent_pieces(a, w, jh_http_req_body(req));
 	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
 	reason = offer(a, j);
 	if (reason != NULL) {
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -5,6 +5,7 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/job.h"
+#include "agent/pieces.h"
 #include "base/event.h"
 
 /* Longest time one request may take on an engine. */
@@ -153,22 +154,17 @@
 static const struct jh_http_call_ops engine_ops = {
     .begun = on_begun, .data = on_data, .done = on_done};
 
-/* Adds the engine's incarnation and weights to an entry daemon's salt. */
 static char *
 salt_line(struct agent_job *j, const char *name, enum jh_work_field field)
 {
 	const char *text = jh_work_get(j->work, field);
 	char salt[JH_CACHE_SALT_LEN + 1];
-	struct jh_prefix_scope scope;
 	struct agent *a = j->agent;
 
 	if (text == NULL)
 		return NULL;
 	g_mutex_lock(&a->lock);
-	scope.model = jh_str_from(a->engine.model);
-	scope.weights_version = jh_str_from(a->engine.weights);
-	scope.org = jh_str_from(text);
-	jh_cache_salt(&scope, a->engine.incarnation, salt);
+	agent_engine_salt(a, text, salt);
 	g_mutex_unlock(&a->lock);
 	return g_strdup_printf("%s: %s", name, salt);
 }
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -6,6 +6,9 @@
 
 #include "agent/engine_poll.h"
 
+/* Blocks of the engine's cache that the agent remembers. */
+#define CACHE_VIEW_BLOCKS 65536
+
 /* An engine that does not answer in this time is asked again later. */
 #define POLL_TIMEOUT_USEC (500 * JH_USEC_PER_MSEC)
 
@@ -72,12 +75,53 @@
 	if (incarnation != a->engine.incarnation)
 		a->engine.events_from = 0;
 	a->engine.incarnation = incarnation;
+	if (a->cache == NULL && piece > 0)
+		a->cache =
+		    jh_cacheview_create(CACHE_VIEW_BLOCKS, (uint32_t)piece);
+	if (a->cache != NULL)
+		jh_cacheview_set_incarnation(a->cache, incarnation);
 	set_text(&a->engine.model, json_object_get(root, "model"));
 	set_text(&a->engine.weights, json_object_get(root, "weights"));
 	a->engine.piece_tokens = piece > 0 ? (uint64_t)piece : 0;
 	g_mutex_unlock(&a->lock);
 }
 
+/* Applies one [sequence, "stored" or "removed", hash]. Holds a->lock. */
+static void
+take_event(struct agent *a, uint64_t incarnation, const json_t *event)
+{
+	json_int_t seq = json_integer_value(json_array_get(event, 0));
+	const char *kind = json_string_value(json_array_get(event, 1));
+	uint64_t hash = (uint64_t)json_integer_value(json_array_get(event, 2));
+	struct jh_cache_event ev = {.incarnation = incarnation,
+	    .seq = (uint64_t)seq,
+	    .change = g_strcmp0(kind, "stored") == 0 ? JH_CACHE_STORED
+						     : JH_CACHE_REMOVED,
+	    .blocks = &hash,
+	    .n = 1};
+
+	if (seq <= 0 || kind == NULL)
+		return;
+	if (jh_cacheview_apply(a->cache, &ev) == JH_CACHEVIEW_GAP)
+		jh_counters_add(a->counters, AGENT_EVENT_GAPS, 1);
+	a->engine.events_from = ev.seq;
+}
+
+static void
+take_events(struct agent *a, const json_t *root)
+{
+	uint64_t incarnation = incarnation_of(root);
+	json_t *event;
+	size_t i;
+
+	g_mutex_lock(&a->lock);
+	if (a->cache != NULL && incarnation == a->engine.incarnation) {
+		json_array_foreach(json_object_get(root, "events"), i, event)
+		    take_event(a, incarnation, event);
+	}
+	g_mutex_unlock(&a->lock);
+}
+
 static void
 start(struct agent *a, const char *path,
     void (*take)(struct agent *a, const json_t *root))
@@ -105,5 +149,14 @@
 void
 agent_poll_engine(struct agent *a)
 {
+	char path[64];
+	uint64_t from;
+
 	start(a, "/v1/load", take_load);
+	g_mutex_lock(&a->lock);
+	from = a->engine.events_from;
+	g_mutex_unlock(&a->lock);
+	snprintf(path, sizeof(path), "/v1/cache_events?from=%llu",
+	    (unsigned long long)from);
+	start(a, path, take_events);
 }
--- a/src/agent/job.c
+++ b/src/agent/job.c
@@ -48,6 +48,8 @@
 	if (!g_atomic_int_dec_and_test(&j->refs))
 		return;
 	jh_http_call_unref(j->call);
+	if (j->pieces != NULL)
+		g_array_free(j->pieces, TRUE);
 	jh_work_destroy(j->work);
 	g_string_free(j->body, TRUE);
 	g_string_free(j->log, TRUE);
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -21,6 +21,7 @@
 	struct jh_work *work;
 	GString *body;
 	uint64_t prompt_tokens;
+	GArray *pieces; /* of uint64_t, cache blocks of the prompt; or NULL */
 
 	GMutex lock; /* guards all below; taken after agent->lock */
 	enum job_state state;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -70,6 +70,8 @@
 	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
+	if (a->cache != NULL)
+		jh_cacheview_destroy(a->cache);
 	jh_queue_destroy(a->queue);
 	jh_counters_destroy(a->counters);
 	g_free(a->engine.model);
--- a/src/agent/once.c
+++ b/src/agent/once.c
@@ -49,23 +49,13 @@
 	return p;
 }
 
-static enum jh_ledger_store_result
+/* The ledger knows only whether a write can have taken effect. */
+static enum jh_store_result
 convert_result(enum jh_store_result result)
 {
-	switch (result) {
-	case JH_STORE_OK:
-		return JH_LEDGER_STORE_OK;
-	case JH_STORE_NOT_FOUND:
-		return JH_LEDGER_STORE_NOT_FOUND;
-	case JH_STORE_CONFLICT:
-		return JH_LEDGER_STORE_CONFLICT;
-	case JH_STORE_UNAVAILABLE:
-	case JH_STORE_THROTTLED:
-	case JH_STORE_INVALID:
-		return JH_LEDGER_STORE_UNAVAILABLE;
-	default:
-		return JH_LEDGER_STORE_NO_ANSWER;
-	}
+	if (result == JH_STORE_THROTTLED || result == JH_STORE_INVALID)
+		return JH_STORE_UNAVAILABLE;
+	return result;
 }
 
 static void
@@ -103,7 +93,7 @@
 	g_free(p);
 	g_mutex_lock(&o->lock);
 	jh_ledger_store_result(o->ledger, jh_now(), act->op,
-	    JH_LEDGER_STORE_UNAVAILABLE, 0, (struct jh_str){NULL, 0});
+	    JH_STORE_UNAVAILABLE, 0, (struct jh_str){NULL, 0});
 	g_mutex_unlock(&o->lock);
 }
 
--- /dev/null
+++ b/src/agent/pieces.c
@@ -0,0 +1,120 @@
+#include <string.h>
+
+#include <jansson.h>
+#include <xxhash.h>
+
+#include "agent/pieces.h"
+
+/* Bytes of text the engine counts as one token. */
+#define TOKEN_BYTES 4
+
+struct hasher {
+	GArray *chain;
+	GString *piece;
+	uint64_t last;
+	size_t piece_bytes;
+};
+
+void
+agent_engine_salt(
+    const struct agent *a, const char *salt, char out[JH_CACHE_SALT_LEN + 1])
+{
+	struct jh_prefix_scope scope = {.model = jh_str_from(a->engine.model),
+	    .weights_version = jh_str_from(a->engine.weights),
+	    .org = jh_str_from(salt)};
+
+	jh_cache_salt(&scope, a->engine.incarnation, out);
+}
+
+/* Blocks never span a change of salt. */
+static void
+start_section(struct hasher *h, const char *salt)
+{
+	g_string_truncate(h->piece, 0);
+	h->last = XXH3_64bits_withSeed(salt, strlen(salt), h->last);
+}
+
+static void
+add_text(struct hasher *h, const char *text, size_t len)
+{
+	size_t n;
+
+	while (len > 0) {
+		n = MIN(len, h->piece_bytes - h->piece->len);
+		g_string_append_len(h->piece, text, (gssize)n);
+		text += n;
+		len -= n;
+		if (h->piece->len < h->piece_bytes)
+			return;
+		h->last =
+		    XXH3_64bits_withSeed(h->piece->str, h->piece->len, h->last);
+		g_array_append_val(h->chain, h->last);
+		g_string_truncate(h->piece, 0);
+	}
+}
+
+static void
+add_string(struct hasher *h, const json_t *s)
+{
+	if (json_is_string(s))
+		add_text(h, json_string_value(s), json_string_length(s));
+	add_text(h, "\n", 1);
+}
+
+static void
+add_messages(struct hasher *h, const json_t *messages, const char *salt,
+    const char *shared_salt)
+{
+	/* Only the first message can be shared. */
+	size_t private_from = shared_salt == NULL ? 0 : 1, i;
+	json_t *msg;
+
+	if (shared_salt != NULL)
+		start_section(h, shared_salt);
+	json_array_foreach(messages, i, msg)
+	{
+		if (i == private_from)
+			start_section(h, salt);
+		add_string(h, json_object_get(msg, "role"));
+		add_string(h, json_object_get(msg, "content"));
+	}
+}
+
+/* Fills the salts for this engine; returns its block size in tokens. */
+static uint64_t
+read_engine(struct agent *a, const struct jh_work *w, char *salt, char *shared)
+{
+	const char *own = jh_work_get(w, JH_WORK_SALT);
+	const char *common = jh_work_get(w, JH_WORK_SHARED_SALT);
+	uint64_t tokens;
+
+	g_mutex_lock(&a->lock);
+	tokens = a->engine.piece_tokens;
+	agent_engine_salt(a, own == NULL ? "" : own, salt);
+	if (common != NULL)
+		agent_engine_salt(a, common, shared);
+	g_mutex_unlock(&a->lock);
+	return tokens;
+}
+
+GArray *
+agent_pieces(struct agent *a, const struct jh_work *w, struct jh_str body)
+{
+	char salt[JH_CACHE_SALT_LEN + 1], shared[JH_CACHE_SALT_LEN + 1] = "";
+	struct hasher h = {0};
+	json_t *root;
+
+	h.piece_bytes = read_engine(a, w, salt, shared) * TOKEN_BYTES;
+	if (h.piece_bytes == 0)
+		return NULL;
+	root = json_loadb(body.ptr, body.len, 0, NULL);
+	if (root == NULL)
+		return NULL;
+	h.chain = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	h.piece = g_string_sized_new(h.piece_bytes);
+	add_messages(&h, json_object_get(root, "messages"), salt,
+	    shared[0] == '\0' ? NULL : shared);
+	g_string_free(h.piece, TRUE);
+	json_decref(root);
+	return h.chain;
+}
--- a/src/ctl/control.c
+++ b/src/ctl/control.c
@@ -13,7 +13,8 @@
 static int
 exit_of(const GError *err)
 {
-	if (err->code == JH_RPC_ERROR_CONNECT ||
+	if (err->code == JH_RPC_ERROR_ABSENT ||
+	    err->code == JH_RPC_ERROR_CONNECT ||
 	    err->code == JH_RPC_ERROR_TIMEOUT)
 		return CTL_UNAVAILABLE;
 	return CTL_FAILED;
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -188,7 +188,7 @@
 	}
 	g_mutex_unlock(&j->lock);
 	g_mutex_lock(&e->lock);
-	jh_retry_success(e->retry);
+	jh_retry_success(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	entry_job_finish(j);
@@ -225,7 +225,7 @@
 		j->crashes++;
 	}
 	g_mutex_lock(&e->lock);
-	allowed = not_sent || jh_retry_take(e->retry);
+	allowed = not_sent || jh_retry_take(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
 	if (!allowed || j->crashes >= MAX_CRASHES) {
 		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -39,6 +39,7 @@
 	struct entry_workers *workers;
 	struct jh_feed *feed;
 	struct entry_wait *wait;
+	struct refusal_log *refusals;
 	int leaving; /* atomic */
 
 	GMutex lock; /* guards all below */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -11,6 +11,7 @@
 #include "entry/entry.h"
 
 #include "entry/job.h"
+#include "entry/refusal_log.h"
 #include "entry/rpc.h"
 #include "entry/wait.h"
 #include "feed/instances.h"
@@ -26,6 +27,9 @@
 /* Requests get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
+/* The last refusal record gets this long; a later reader shows a gap. */
+#define LAST_WRITE_USEC (5 * JH_USEC_PER_SEC)
+
 /*
  * After SIGTERM the entry daemon goes on serving for this long, so that the
  * balancer sees the failing health check before the port closes.
@@ -35,10 +39,22 @@
 void
 entry_count_refusal(struct entry *e, const char *owner, const char *class_name)
 {
-	jh_event(JH_EV_REQUEST_REFUSED, G_LOG_LEVEL_INFO,
+	refusal_log_count(e->refusals, owner, class_name);
+	jh_event(JH_EV_REQUEST_REFUSED, G_LOG_LEVEL_DEBUG,
 	    "refused a request of %s/%s", owner, class_name);
 }
 
+/* A peer's reply to a pull. */
+static void
+on_told(void *arg, const struct jh_sync_reply *reply)
+{
+	struct entry *e = arg;
+
+	refusal_log_seen(e->refusals, reply->instance, reply->incarnation);
+}
+
+static const struct jh_feed_ops feed_ops = {.told = on_told};
+
 static void
 init_state(struct entry *e)
 {
@@ -47,7 +63,7 @@
 	e->counters = jh_counters_create(entry_counter_names, ENTRY_COUNTERS);
 	e->catalog = jh_catalog_create();
 	e->workers = entry_workers_create(e);
-	e->retry = jh_retry_create();
+	e->retry = jh_retry_create(jh_now());
 	e->wait = entry_wait_create();
 	e->jobs = g_hash_table_new(NULL, NULL);
 	g_mutex_init(&e->lock);
@@ -58,6 +74,9 @@
 	feed.catalog = e->catalog;
 	feed.key = e->set.secret;
 	feed.store = e->set.store;
+	feed.ops = &feed_ops;
+	feed.arg = e;
+	e->refusals = refusal_log_create(e);
 	e->feed = jh_feed_create(&feed);
 }
 
@@ -65,6 +84,7 @@
 clear_state(struct entry *e)
 {
 	jh_feed_destroy(e->feed);
+	refusal_log_destroy(e->refusals);
 	g_hash_table_destroy(e->jobs);
 	entry_wait_destroy(e->wait);
 	jh_retry_destroy(e->retry);
@@ -88,6 +108,7 @@
 {
 	jh_instances_tick(d);
 	jh_feed_tick(e->feed);
+	refusal_log_tick(e->refusals);
 	entry_wait_tick(e->wait, jh_catalog_revision(e->catalog));
 	entry_jobs_tick(e);
 }
@@ -108,6 +129,12 @@
 		tick(e, d);
 		wait_signal(set);
 	}
+	refusal_log_close(e->refusals);
+	deadline = jh_now() + LAST_WRITE_USEC;
+	while (!refusal_log_idle(e->refusals) && jh_now() < deadline) {
+		tick(e, d);
+		wait_signal(set);
+	}
 }
 
 static void
--- /dev/null
+++ b/src/entry/refusal_log.c
@@ -0,0 +1,147 @@
+#include <jacinthhill/clock.h>
+#include <jacinthhill/refusals.h>
+
+#include "entry/refusal_log.h"
+#include "store/store.h"
+
+#define MAX_STORE_CALLS 8
+#define WRITE_TIMEOUT_USEC (2 * JH_USEC_PER_SEC)
+
+struct refusal_log {
+	struct jh_store *store;
+	GMutex lock; /* guards the recorder */
+	struct jh_refusals *recorder;
+};
+
+struct write {
+	struct refusal_log *log;
+	uint64_t op;
+};
+
+static void
+settle(struct refusal_log *g, uint64_t op, enum jh_store_result result,
+    uint64_t version)
+{
+	g_mutex_lock(&g->lock);
+	jh_refusals_result(g->recorder, jh_wall_now(), op, result, version);
+	g_mutex_unlock(&g->lock);
+}
+
+static void
+on_written(void *arg, const struct jh_store_reply *reply)
+{
+	struct write *w = arg;
+	enum jh_store_result result = reply->result;
+
+	/* A conflict with no object there means that it must be created. */
+	if (result == JH_STORE_CONFLICT && reply->version == 0)
+		result = JH_STORE_NOT_FOUND;
+	settle(w->log, w->op, result, reply->version);
+	g_free(w);
+}
+
+static void
+start_write(struct refusal_log *g, const struct jh_refusals_write *due)
+{
+	struct write *w = g_new0(struct write, 1);
+
+	w->log = g;
+	w->op = due->op;
+	if (jh_store_put(g->store, due->object,
+		(struct jh_str){due->value, due->value_len},
+		due->create ? JH_STORE_ABSENT : due->version,
+		jh_now() + WRITE_TIMEOUT_USEC,
+		(struct jh_store_done){on_written, w}))
+		return;
+	settle(g, due->op, JH_STORE_UNAVAILABLE, 0);
+	g_free(w);
+}
+
+void
+refusal_log_tick(struct refusal_log *g)
+{
+	struct jh_refusals_write *due;
+
+	for (;;) {
+		g_mutex_lock(&g->lock);
+		due = jh_refusals_next(g->recorder, jh_wall_now());
+		g_mutex_unlock(&g->lock);
+		if (due == NULL)
+			return;
+		start_write(g, due);
+		jh_refusals_write_free(due);
+	}
+}
+
+void
+refusal_log_count(
+    struct refusal_log *g, const char *owner, const char *class_name)
+{
+	g_mutex_lock(&g->lock);
+	jh_refusals_count(g->recorder, jh_wall_now(), jh_str_from(owner),
+	    jh_str_from(class_name));
+	g_mutex_unlock(&g->lock);
+}
+
+void
+refusal_log_seen(
+    struct refusal_log *g, const char *instance, uint64_t incarnation)
+{
+	g_mutex_lock(&g->lock);
+	jh_refusals_seen(
+	    g->recorder, jh_wall_now(), jh_str_from(instance), incarnation);
+	g_mutex_unlock(&g->lock);
+}
+
+void
+refusal_log_close(struct refusal_log *g)
+{
+	g_mutex_lock(&g->lock);
+	jh_refusals_close(g->recorder, jh_wall_now());
+	g_mutex_unlock(&g->lock);
+}
+
+bool
+refusal_log_idle(struct refusal_log *g)
+{
+	bool idle;
+
+	g_mutex_lock(&g->lock);
+	idle = jh_refusals_idle(g->recorder);
+	g_mutex_unlock(&g->lock);
+	return idle;
+}
+
+uint64_t
+refusal_log_dropped(struct refusal_log *g)
+{
+	uint64_t n;
+
+	g_mutex_lock(&g->lock);
+	n = jh_refusals_dropped(g->recorder);
+	g_mutex_unlock(&g->lock);
+	return n;
+}
+
+struct refusal_log *
+refusal_log_create(const struct entry *e)
+{
+	struct jh_refusals_settings s = {JH_REFUSALS_DEFAULTS,
+	    .instance = jh_str_from(e->set.instance),
+	    .incarnation = e->incarnation};
+	struct refusal_log *g = g_new0(struct refusal_log, 1);
+
+	g_mutex_init(&g->lock);
+	g->recorder = jh_refusals_create(&s, jh_wall_now());
+	g->store = jh_store_create(&e->set.store, MAX_STORE_CALLS);
+	return g;
+}
+
+void
+refusal_log_destroy(struct refusal_log *g)
+{
+	jh_store_destroy(g->store);
+	jh_refusals_destroy(g->recorder);
+	g_mutex_clear(&g->lock);
+	g_free(g);
+}
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -6,6 +6,7 @@
 #include <jacinthhill/clock.h>
 
 #include "entry/entry.h"
+#include "entry/refusal_log.h"
 #include "entry/rpc.h"
 
 static void
@@ -49,8 +50,11 @@
 static void
 handle_sync(void *arg, const void *args, void *reply)
 {
+	const struct jh_sync_args *s = args;
 	struct entry *e = arg;
 
+	if (entry_workers_is_entry(e->workers, s->instance))
+		refusal_log_seen(e->refusals, s->instance, s->incarnation);
 	jh_feed_serve(e->feed, args, reply);
 }
 
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -126,7 +126,7 @@
 	    type == NULL ? "application/octet-stream" : type, j->answer->str,
 	    j->answer->len);
 	g_mutex_lock(&e->lock);
-	jh_retry_success(e->retry);
+	jh_retry_success(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	destroy(j);
@@ -141,7 +141,7 @@
 	if (!not_sent) {
 		j->may_have_run = true;
 		g_mutex_lock(&e->lock);
-		allowed = jh_retry_take(e->retry);
+		allowed = jh_retry_take(e->retry, jh_now());
 		g_mutex_unlock(&e->lock);
 	}
 	if (!allowed) {
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -209,6 +209,19 @@
 	return a;
 }
 
+bool
+entry_workers_is_entry(struct entry_workers *w, const char *instance)
+{
+	const struct jh_member *m;
+	bool entry;
+
+	g_mutex_lock(&w->lock);
+	m = jh_members_find(w->members, instance);
+	entry = m != NULL && m->instance.role == JH_ROLE_ENTRY;
+	g_mutex_unlock(&w->lock);
+	return entry;
+}
+
 bool
 entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out)
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -44,6 +44,9 @@
     struct entry_workers *w, const char *instance, bool leaving);
 void entry_workers_failed(struct entry_workers *w, const char *instance);
 
+/* Whether the instance list names this as an entry daemon. */
+bool entry_workers_is_entry(struct entry_workers *w, const char *instance);
+
 bool entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out);
 
--- a/src/once/event.c
+++ b/src/once/event.c
@@ -47,7 +47,7 @@
 
 void
 jh_ledger_store_result(struct jh_ledger *l, uint64_t now, uint64_t op,
-    enum jh_ledger_store_result result, uint64_t version, struct jh_str value)
+    enum jh_store_result result, uint64_t version, struct jh_str value)
 {
 	struct jh_call *c = take_op(l, op);
 
@@ -58,27 +58,27 @@
 		return;
 	}
 	/* A store that finds nothing may yet lose every write. */
-	if (result < JH_LEDGER_STORE_NOT_FOUND)
+	if (result == JH_STORE_OK || result == JH_STORE_CONFLICT)
 		heard(l, c, now);
 	switch (result) {
-	case JH_LEDGER_STORE_OK:
+	case JH_STORE_OK:
 		if (c->step == JH_STEP_READ)
 			jh_step_examine(l, c, now, version, value);
 		else
 			jh_step_confirmed(l, c, now, version);
 		break;
-	case JH_LEDGER_STORE_CONFLICT:
+	case JH_STORE_CONFLICT:
 		jh_step_examine(l, c, now, version, value);
 		break;
-	case JH_LEDGER_STORE_NOT_FOUND:
+	case JH_STORE_NOT_FOUND:
 		on_absent(l, c);
 		break;
-	case JH_LEDGER_STORE_UNAVAILABLE:
-		jh_step_later(l, c, c->step, now, JH_LEDGER_REASON_STORE);
-		break;
-	case JH_LEDGER_STORE_NO_ANSWER:
+	case JH_STORE_UNKNOWN:
 		on_no_answer(l, c, now);
 		break;
+	default: /* nothing was written */
+		jh_step_later(l, c, c->step, now, JH_LEDGER_REASON_STORE);
+		break;
 	}
 }
 
--- a/src/once/state.h
+++ b/src/once/state.h
@@ -38,7 +38,7 @@
 
 /* Result of writing the outcome. */
 void jh_step_written(struct jh_ledger *l, struct jh_call *c, uint64_t now,
-    enum jh_ledger_store_result result, uint64_t version, struct jh_str value);
+    enum jh_store_result result, uint64_t version, struct jh_str value);
 
 void jh_reply(struct jh_ledger *l, uint64_t attempt,
     enum jh_ledger_outcome outcome, enum jh_ledger_reason reason,
--- a/src/once/step.c
+++ b/src/once/step.c
@@ -208,26 +208,25 @@
 
 void
 jh_step_written(struct jh_ledger *l, struct jh_call *c, uint64_t now,
-    enum jh_ledger_store_result result, uint64_t version, struct jh_str value)
+    enum jh_store_result result, uint64_t version, struct jh_str value)
 {
 	struct jh_record r = {0};
 
 	switch (result) {
-	case JH_LEDGER_STORE_UNAVAILABLE:
-	case JH_LEDGER_STORE_NO_ANSWER:
-		jh_step_later(l, c, JH_STEP_WRITE, now, JH_LEDGER_REASON_STORE);
-		return;
-	case JH_LEDGER_STORE_CONFLICT:
+	case JH_STORE_CONFLICT:
 		if (!jh_record_decode(value, &r, NULL) ||
 		    !holds_outcome(l, c, &r))
 			give_up(l, c);
 		jh_record_clear(&r);
 		break;
-	case JH_LEDGER_STORE_NOT_FOUND:
+	case JH_STORE_NOT_FOUND:
 		give_up(l, c);
 		break;
-	case JH_LEDGER_STORE_OK:
+	case JH_STORE_OK:
 		break;
+	default:
+		jh_step_later(l, c, JH_STEP_WRITE, now, JH_LEDGER_REASON_STORE);
+		return;
 	}
 	jh_call_remove(l, c);
 }
--- a/src/refuse/slot.c
+++ b/src/refuse/slot.c
@@ -97,8 +97,7 @@
 		s->version = 0;
 		retry_later(s, now, phase);
 		break;
-	case JH_STORE_UNAVAILABLE:
-	case JH_STORE_NO_ANSWER:
+	default:
 		retry_later(s, now, phase);
 		break;
 	}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 
+#include <jacinthhill/store_result.h>
 #include <jacinthhill/str.h>
 
 /*
@@ -24,17 +25,6 @@
 #define JH_STORE_ABSENT 0ULL /* the key must not exist */
 #define JH_STORE_ANY UINT64_MAX /* unconditional */
 
-enum jh_store_result {
-	JH_STORE_OK,
-	JH_STORE_NOT_FOUND,
-	JH_STORE_CONFLICT, /* the condition failed; nothing was written */
-	JH_STORE_UNAVAILABLE, /* nothing can have taken effect */
-	JH_STORE_UNKNOWN, /* a write may have taken effect, or may yet */
-	JH_STORE_THROTTLED, /* over the store's rate; nothing was written */
-	JH_STORE_EXPIRED, /* watch: the revision is too old, list again */
-	JH_STORE_INVALID /* the store rejects the request itself */
-};
-
 /* A word for logs and tools. */
 const char *jh_store_result_name(enum jh_store_result result);
 
--- a/test/once_fakes.c
+++ b/test/once_fakes.c
@@ -23,16 +23,16 @@
 	struct object *o = g_hash_table_lookup(w->store, a->object);
 	bool write;
 
-	e->result = JH_LEDGER_STORE_OK;
+	e->result = JH_STORE_OK;
 	if (a->act == JH_LEDGER_CREATE)
 		write = o == NULL || w->mutant == ONCE_STORE_IGNORES_CONDITION;
 	else
 		write = a->act == JH_LEDGER_UPDATE && o != NULL &&
 			o->version == a->version;
 	if (a->act != JH_LEDGER_CREATE && o == NULL)
-		e->result = JH_LEDGER_STORE_NOT_FOUND;
+		e->result = JH_STORE_NOT_FOUND;
 	else if (a->act != JH_LEDGER_READ && !write)
-		e->result = JH_LEDGER_STORE_CONFLICT;
+		e->result = JH_STORE_CONFLICT;
 	if (write) {
 		if (o == NULL) {
 			o = g_new0(struct object, 1);
--- a/test/once_state.h
+++ b/test/once_state.h
@@ -22,7 +22,7 @@
 	uint64_t incarnation;
 	int key;
 	bool applied; /* the rest holds the answer */
-	enum jh_ledger_store_result result;
+	enum jh_store_result result;
 	uint64_t version;
 	GString *value;
 	enum jh_nonce_state state;
--- a/test/once_world.c
+++ b/test/once_world.c
@@ -187,7 +187,7 @@
 			    l, w->now, e->act->op, JH_NONCE_NO_ANSWER, NULL);
 		else
 			jh_ledger_store_result(l, w->now, e->act->op,
-			    JH_LEDGER_STORE_NO_ANSWER, 0, JH_STR(""));
+			    JH_STORE_UNKNOWN, 0, JH_STR(""));
 		drain(w, e->agent);
 	}
 	if (e->applied || once_chance(w, 50))
@@ -217,7 +217,7 @@
 		return;
 	}
 	if (!e->applied && store && w->outage) {
-		e->result = JH_LEDGER_STORE_UNAVAILABLE;
+		e->result = JH_STORE_UNAVAILABLE;
 	} else if (!e->applied) {
 		if (store)
 			once_apply_store(w, e);
--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -61,8 +61,8 @@
 }
 
 static void
-store(struct jh_ledger *l, uint64_t now, uint64_t op,
-    enum jh_ledger_store_result r, uint64_t version, const char *value)
+store(struct jh_ledger *l, uint64_t now, uint64_t op, enum jh_store_result r,
+    uint64_t version, const char *value)
 {
 	jh_ledger_store_result(l, now, op, r, version, jh_str_from(value));
 }
@@ -72,8 +72,7 @@
 sent_call(struct jh_ledger *l, uint64_t id, const char *key)
 {
 	attempt(l, 1, id, key, "h", true);
-	store(
-	    l, 1, expect(l, JH_LEDGER_CREATE).op, JH_LEDGER_STORE_OK, 1, NULL);
+	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_STORE_OK, 1, NULL);
 	return expect(l, JH_LEDGER_SEND).op;
 }
 
@@ -150,7 +149,7 @@
 	expect_reply(l, 1, JH_LEDGER_NOT_RUN);
 	assert_int_equal(jh_ledger_asked(l, (struct jh_nonce){7, 1}, &got),
 	    JH_NONCE_ABANDONED);
-	store(l, now, op, JH_LEDGER_STORE_OK, 1, NULL);
+	store(l, now, op, JH_STORE_OK, 1, NULL);
 	assert_null(jh_ledger_next(l));
 	assert_int_equal(jh_ledger_calls(l), 0);
 	jh_ledger_destroy(l);
@@ -196,7 +195,7 @@
 	jh_ledger_server_broke(l, 1, sent_call(l, 1, "k"), false);
 	expect_reply(l, 1, JH_LEDGER_NOT_RUN);
 	attempt(l, 1, 2, "k", "h", true);
-	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_LEDGER_STORE_CONFLICT, 1,
+	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_STORE_CONFLICT, 1,
 	    started_by_a);
 	expect(l, JH_LEDGER_UPDATE);
 	jh_ledger_attempt_left(l, 1, 2);
@@ -216,7 +215,7 @@
 	struct jh_ledger *l = new_ledger("b", 8);
 
 	attempt(l, 1, 1, "k", "h", true);
-	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_LEDGER_STORE_CONFLICT, 1,
+	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_STORE_CONFLICT, 1,
 	    started_by_a);
 	jh_ledger_peer_result(
 	    l, 1, expect(l, JH_LEDGER_ASK).op, JH_NONCE_ABANDONED, NULL);
@@ -237,7 +236,7 @@
 	answer(l, op, 65); /* over unwritten_bytes */
 	expect_reply(l, 1, JH_LEDGER_DONE);
 	op = expect(l, JH_LEDGER_UPDATE).op;
-	store(l, 2, op, JH_LEDGER_STORE_UNAVAILABLE, 0, NULL);
+	store(l, 2, op, JH_STORE_UNAVAILABLE, 0, NULL);
 	attempt(l, 2, 2, "k", "h", false);
 	expect_reply(l, 2, JH_LEDGER_NOT_KEPT);
 	attempt(l, 2, 3, "k", "other", false);
@@ -270,10 +269,10 @@
 	expect_reply(l, 1, JH_LEDGER_DONE);
 	expect_reply(l, 2, JH_LEDGER_DONE);
 	op = expect(l, JH_LEDGER_UPDATE).op;
-	store(l, 2, op, JH_LEDGER_STORE_NO_ANSWER, 0, NULL);
+	store(l, 2, op, JH_STORE_UNKNOWN, 0, NULL);
 	jh_ledger_tick(l, jh_ledger_due(l));
 	op = expect(l, JH_LEDGER_UPDATE).op;
-	store(l, 3, op, JH_LEDGER_STORE_CONFLICT, 2, done);
+	store(l, 3, op, JH_STORE_CONFLICT, 2, done);
 	assert_null(jh_ledger_next(l));
 	assert_int_equal(jh_ledger_calls(l), 0);
 	jh_ledger_destroy(l);
@@ -345,8 +344,7 @@
 		g_error_free(err);
 	}
 	attempt(l, 1, 1, "k", "h", true);
-	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_LEDGER_STORE_CONFLICT, 1,
-	    "{}");
+	store(l, 1, expect(l, JH_LEDGER_CREATE).op, JH_STORE_CONFLICT, 1, "{}");
 	expect_reply(l, 1, JH_LEDGER_UNKNOWN);
 	jh_ledger_destroy(l);
 }
--- a/test/test_refusals.c
+++ b/test/test_refusals.c
@@ -101,7 +101,7 @@
 	} else if (!s->answered &&
 		   g_rand_int_range(w->rand, 0, 100) < percent) {
 		s->answered = true;
-		answer(w, s, JH_STORE_NO_ANSWER, 0);
+		answer(w, s, JH_STORE_UNKNOWN, 0);
 		if (g_rand_boolean(w->rand))
 			return; /* stays under way */
 		apply(w, s->w, &version);
