poison: add suspects, quarantine and their exchange

Each crash is named by its reporter's incarnation and number, so repeated reports and exchanges do not raise a count; deadlines merge to the earlier one, so an exchange cannot extend them. With the later one instead, the exchange test did not fail at a delay of 20 ms (expired entries were forgotten in time); at 2 s it does, so it runs at 2 s.

--- /dev/null
+++ b/src/poison/exchange.c
@@ -0,0 +1,83 @@
+#include "poison/table.h"
+
+static int
+compare_rev(gconstpointer a, gconstpointer b)
+{
+	const struct jh_suspect_entry *x = *(gpointer *)a, *y = *(gpointer *)b;
+
+	return (x->rev > y->rev) - (x->rev < y->rev);
+}
+
+static GPtrArray *
+changed_since(const struct jh_suspects *s, uint64_t since)
+{
+	GPtrArray *out = g_ptr_array_new();
+	struct jh_suspect_entry *e;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
+		if (e->rev > since)
+			g_ptr_array_add(out, e);
+	}
+	g_ptr_array_sort(out, compare_rev);
+	return out;
+}
+
+static size_t
+copy_entry(const struct jh_suspect_entry *e, uint64_t now, struct jh_crash *out)
+{
+	uint64_t last = jh_suspect_entry_last(e);
+	const struct jh_suspect_crash *c;
+	unsigned int i;
+	size_t n = 0;
+
+	/* An older crash counts until the last one expires, so it goes too. */
+	for (i = 0; i < e->n && last > now; i++) {
+		c = &e->crash[i];
+		out[n++] = (struct jh_crash){e->print, c->reporter, c->seq,
+		    c->deadline > now ? c->deadline - now : 0, c->sole,
+		    c->cleared};
+	}
+	return n;
+}
+
+size_t
+jh_suspects_export(const struct jh_suspects *s, uint64_t now, uint64_t since,
+    struct jh_crash *out, size_t max, uint64_t *next)
+{
+	GPtrArray *changed = changed_since(s, since);
+	struct jh_suspect_entry *e;
+	size_t n = 0;
+	guint i;
+
+	*next = since;
+	for (i = 0; i < changed->len; i++) {
+		e = changed->pdata[i];
+		if (e->n > max - n)
+			break;
+		n += copy_entry(e, now, out + n);
+		*next = e->rev;
+	}
+	g_ptr_array_free(changed, TRUE);
+	return n;
+}
+
+void
+jh_suspects_merge(struct jh_suspects *s, uint64_t now,
+    const struct jh_crash *crashes, size_t n)
+{
+	struct jh_suspect_entry *e;
+	struct jh_suspect_crash c;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		c = (struct jh_suspect_crash){crashes[i].reporter,
+		    crashes[i].seq,
+		    now + MIN(crashes[i].remaining_usec, s->set.hold_usec),
+		    crashes[i].sole, crashes[i].cleared};
+		e = jh_suspects_open(s, now, crashes[i].print);
+		if (jh_suspect_entry_put(e, &c))
+			e->rev = ++s->rev;
+	}
+}
--- /dev/null
+++ b/src/poison/fingerprint.c
@@ -0,0 +1,23 @@
+#include <glib.h>
+#include <xxhash.h>
+
+#include <jacinthhill/suspects.h>
+
+struct jh_fingerprint
+jh_fingerprint_of(struct jh_str org, struct jh_str body)
+{
+	XXH3_state_t *state = XXH3_createState();
+	uint64_t len = GUINT64_TO_LE(org.len);
+	XXH128_hash_t h;
+
+	XXH3_128bits_reset(state);
+	/* The length keeps organisation and body apart. */
+	XXH3_128bits_update(state, &len, sizeof(len));
+	if (org.len > 0)
+		XXH3_128bits_update(state, org.ptr, org.len);
+	if (body.len > 0)
+		XXH3_128bits_update(state, body.ptr, body.len);
+	h = XXH3_128bits_digest(state);
+	XXH3_freeState(state);
+	return (struct jh_fingerprint){h.high64, h.low64};
+}
--- /dev/null
+++ b/test/test_suspects.c
@@ -0,0 +1,282 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/suspects.h>
+
+#define HOLD (600 * JH_USEC_PER_SEC)
+#define MAX_CRASHES 512
+
+static const struct jh_fingerprint P = {1, 1}, Q = {2, 2}, R = {3, 3};
+
+static struct jh_suspects *
+new_table(size_t max)
+{
+	struct jh_suspects_settings s = {JH_SUSPECTS_DEFAULTS};
+
+	s.max_entries = max;
+	return jh_suspects_create(&s);
+}
+
+static void
+crash(struct jh_suspects *s, uint64_t now, uint64_t seq,
+    struct jh_fingerprint a, struct jh_fingerprint b)
+{
+	struct jh_fingerprint batch[] = {a, b};
+
+	jh_suspects_crashed(s, now, 7, seq, batch, 2);
+}
+
+/* Sends everything from one table to another. */
+static void
+send_all(struct jh_suspects *to, struct jh_suspects *from, uint64_t sent,
+    uint64_t received)
+{
+	struct jh_crash c[MAX_CRASHES];
+	uint64_t next;
+	size_t n;
+
+	n = jh_suspects_export(from, sent, 0, c, MAX_CRASHES, &next);
+	jh_suspects_merge(to, received, c, n);
+}
+
+static int
+compare_crashes(const void *a, const void *b)
+{
+	return memcmp(a, b, sizeof(struct jh_crash));
+}
+
+static bool
+same_content(struct jh_suspects *a, struct jh_suspects *b, uint64_t now)
+{
+	struct jh_crash x[MAX_CRASHES], y[MAX_CRASHES];
+	size_t n, m;
+	uint64_t next;
+
+	/* Padding is compared too. */
+	memset(x, 0, sizeof(x));
+	memset(y, 0, sizeof(y));
+	n = jh_suspects_export(a, now, 0, x, MAX_CRASHES, &next);
+	m = jh_suspects_export(b, now, 0, y, MAX_CRASHES, &next);
+	qsort(x, n, sizeof(x[0]), compare_crashes);
+	qsort(y, m, sizeof(y[0]), compare_crashes);
+	return n == m && memcmp(x, y, n * sizeof(x[0])) == 0;
+}
+
+#define assert_state(s, now, p, want) \
+	assert_int_equal(jh_suspects_state((s), (now), (p), NULL), (want))
+
+/* Guards against two suspects in one batch, where a crash proves nothing. */
+static void
+suspects_run_apart(void **state)
+{
+	struct jh_suspects *s = new_table(16);
+
+	crash(s, 1, 1, P, Q);
+	assert_int_equal(jh_suspects_may_run(s, 2, P, &Q, 1), JH_SUSPECT_WAIT);
+	assert_int_equal(jh_suspects_may_run(s, 2, P, &R, 1), JH_SUSPECT_RUN);
+	assert_int_equal(jh_suspects_may_run(s, 2, R, &P, 1), JH_SUSPECT_RUN);
+	jh_suspects_succeeded(s, 3, Q);
+	assert_int_equal(jh_suspects_may_run(s, 4, P, &Q, 1), JH_SUSPECT_RUN);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against a request that goes on crashing engines, and against an
+ * innocent one quarantined beside it. */
+static void
+quarantines_only_suspect(void **state)
+{
+	struct jh_suspects *s = new_table(16);
+	uint64_t deadline;
+
+	crash(s, 1, 1, P, Q);
+	crash(s, 10, 2, P, R);
+	assert_state(s, 11, P, JH_SUSPECT_QUARANTINED);
+	assert_state(s, 11, Q, JH_SUSPECT_SUSPECT);
+	assert_state(s, 11, R, JH_SUSPECT_SUSPECT);
+	assert_int_equal(
+	    jh_suspects_may_run(s, 11, P, NULL, 0), JH_SUSPECT_REFUSE);
+	/* An earlier run elsewhere ends well; the evidence stands. */
+	jh_suspects_succeeded(s, 12, P);
+	jh_suspects_state(s, 12, P, &deadline);
+	assert_true(deadline == 10 + HOLD);
+	assert_state(s, deadline - 1, P, JH_SUSPECT_QUARANTINED);
+	assert_state(s, deadline, P, JH_SUSPECT_NONE);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against two poison requests that shield each other. */
+static void
+third_crash_quarantines(void **state)
+{
+	struct jh_suspects *s = new_table(16);
+
+	crash(s, 1, 1, P, Q);
+	crash(s, 2, 2, P, Q);
+	assert_state(s, 3, P, JH_SUSPECT_SUSPECT);
+	crash(s, HOLD, 3, P, Q);
+	assert_state(s, 2 * HOLD - 1, P, JH_SUSPECT_QUARANTINED);
+	jh_suspects_hint(s, 3, R, 3);
+	assert_state(s, 4, R, JH_SUSPECT_QUARANTINED);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against one crash counted as several by repeated reports or
+ * exchange, and against a suspect that never expires among peers. */
+static void
+exchange_inflates_nothing(void **state)
+{
+	struct jh_suspects *t[3] = {
+	    new_table(16), new_table(16), new_table(16)};
+	uint64_t now = 1, delay = 2 * JH_USEC_PER_SEC;
+	int i;
+
+	crash(t[0], now, 1, P, Q);
+	crash(t[0], now, 1, P, Q);
+	for (; now < HOLD + 300 * JH_USEC_PER_SEC; now += JH_USEC_PER_SEC) {
+		for (i = 0; i < 3; i++) {
+			send_all(t[(i + 1) % 3], t[i], now, now + delay);
+			assert_int_not_equal(
+			    jh_suspects_state(t[i], now, P, NULL),
+			    JH_SUSPECT_QUARANTINED);
+			jh_suspects_expire(t[i], now);
+		}
+	}
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(jh_suspects_len(t[i]), 0);
+		jh_suspects_destroy(t[i]);
+	}
+}
+
+static void
+random_events(GRand *rand, struct jh_suspects *s, uint64_t reporter)
+{
+	struct jh_fingerprint batch[3];
+	int i, j;
+
+	for (i = 0; i < 12; i++) {
+		for (j = 0; j < 3; j++)
+			batch[j] = (struct jh_fingerprint){
+			    0, (uint64_t)g_rand_int_range(rand, 0, 8)};
+		if (g_rand_int_range(rand, 0, 3) == 0)
+			jh_suspects_succeeded(s, 100, batch[0]);
+		else
+			jh_suspects_crashed(s, 100 + (uint64_t)i, reporter,
+			    (uint64_t)i, batch, 3);
+	}
+}
+
+/* Guards against tables that differ for ever after the same exchanges. */
+static void
+merge_is_commutative_and_idempotent(void **state)
+{
+	static const int orders[][3] = {{0, 1, 2}, {2, 1, 0}, {1, 2, 0}};
+	struct jh_suspects *from[3], *to[3];
+	GRand *rand = g_rand_new_with_seed(3);
+	int round, i, j;
+
+	for (round = 0; round < 500; round++) {
+		for (i = 0; i < 3; i++) {
+			from[i] = new_table(64);
+			to[i] = new_table(64);
+			random_events(rand, from[i], (uint64_t)i);
+		}
+		for (i = 0; i < 3; i++) {
+			for (j = 0; j < 3; j++)
+				send_all(to[i], from[orders[i][j]], 200, 200);
+			send_all(to[i], from[0], 200, 200);
+			send_all(to[i], to[0], 200, 200);
+		}
+		assert_true(same_content(to[0], to[1], 200));
+		assert_true(same_content(to[0], to[2], 200));
+		for (i = 0; i < 3; i++) {
+			jh_suspects_destroy(from[i]);
+			jh_suspects_destroy(to[i]);
+		}
+	}
+	g_rand_free(rand);
+}
+
+/* Guards against a delta that leaves out or repeats changes. */
+static void
+exports_only_changes(void **state)
+{
+	struct jh_suspects *s = new_table(16), *peer = new_table(16);
+	struct jh_crash c[JH_SUSPECT_CRASHES];
+	uint64_t rev = 0;
+	size_t n, total = 0;
+
+	crash(s, 1, 1, P, Q);
+	crash(s, 2, 2, P, R);
+	while (
+	    (n = jh_suspects_export(s, 3, rev, c, G_N_ELEMENTS(c), &rev)) > 0) {
+		jh_suspects_merge(peer, 3, c, n);
+		total += n;
+	}
+	assert_int_equal(total, 4);
+	assert_true(same_content(s, peer, 3));
+	/* What came from a peer and changes nothing is not passed on. */
+	send_all(s, peer, 3, 3);
+	assert_int_equal(
+	    jh_suspects_export(s, 3, rev, c, G_N_ELEMENTS(c), &rev), 0);
+	jh_suspects_succeeded(s, 4, Q);
+	assert_int_equal(
+	    jh_suspects_export(s, 4, rev, c, G_N_ELEMENTS(c), &rev), 1);
+	assert_true(c[0].cleared);
+	jh_suspects_destroy(s);
+	jh_suspects_destroy(peer);
+}
+
+/* Guards against memory without bound, and against a flood of suspects that
+ * pushes out a quarantine. */
+static void
+table_is_bounded(void **state)
+{
+	struct jh_suspects *s = new_table(8);
+	uint64_t i;
+
+	crash(s, 1, 1, P, Q);
+	crash(s, 2, 2, P, R);
+	for (i = 10; i < 100; i++)
+		crash(s, i, i, (struct jh_fingerprint){i, 0},
+		    (struct jh_fingerprint){i, 1});
+	assert_int_equal(jh_suspects_len(s), 8);
+	assert_state(s, 100, P, JH_SUSPECT_QUARANTINED);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against one organisation's body standing for another's. */
+static void
+fingerprint_covers_organisation(void **state)
+{
+	struct jh_fingerprint a = jh_fingerprint_of(JH_STR("ab"), JH_STR("c"));
+	struct jh_fingerprint b = jh_fingerprint_of(JH_STR("a"), JH_STR("bc"));
+	struct jh_fingerprint c = jh_fingerprint_of(JH_STR("ab"), JH_STR("c"));
+
+	assert_true(a.high == c.high && a.low == c.low);
+	assert_true(a.high != b.high || a.low != b.low);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(suspects_run_apart),
+	    cmocka_unit_test(quarantines_only_suspect),
+	    cmocka_unit_test(third_crash_quarantines),
+	    cmocka_unit_test(exchange_inflates_nothing),
+	    cmocka_unit_test(merge_is_commutative_and_idempotent),
+	    cmocka_unit_test(exports_only_changes),
+	    cmocka_unit_test(table_is_bounded),
+	    cmocka_unit_test(fingerprint_covers_organisation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
