--- /dev/null
+++ b/test/harness_call.c
@@ -0,0 +1,314 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+
+#include "harness.h"
+
+/* Longer than any request of a test takes. */
+#define CALL_TIMEOUT_MS 60000L
+
+/* A reader that stops is felt by the sender after this many bytes. */
+#define SLOW_BUFFER_LEN 4096
+
+struct call {
+	GThread *thread;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *url;
+	char *body;
+	int leave; /* atomic */
+	int ended; /* atomic */
+
+	GMutex lock; /* guards all below */
+	GCond cond;
+	bool held;
+	GString *answer;
+	size_t parsed; /* bytes of the answer split into events */
+	GPtrArray *events; /* of struct event */
+	CURLcode result;
+};
+
+static void
+event_free(gpointer p)
+{
+	struct event *ev = p;
+
+	g_free(ev->id);
+	g_free(ev->data);
+	g_free(ev);
+}
+
+static void
+add_event(struct call *c, const char *text, size_t len)
+{
+	struct event *ev = g_new0(struct event, 1);
+	char *block = g_strndup(text, len);
+	char **lines = g_strsplit(block, "\n", -1), **l;
+
+	for (l = lines; *l != NULL; l++) {
+		if (g_str_has_prefix(*l, "id: "))
+			ev->id = g_strdup(*l + 4);
+		else if (g_str_has_prefix(*l, "data: "))
+			ev->data = g_strdup(*l + 6);
+	}
+	g_strfreev(lines);
+	g_free(block);
+	g_ptr_array_add(c->events, ev);
+}
+
+/* Holds c->lock. */
+static void
+split_events(struct call *c)
+{
+	const char *from, *end;
+
+	for (;;) {
+		from = c->answer->str + c->parsed;
+		end = strstr(from, "\n\n");
+		if (end == NULL)
+			return;
+		add_event(c, from, (size_t)(end - from));
+		c->parsed += (size_t)(end + 2 - from);
+	}
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *arg)
+{
+	struct call *c = arg;
+
+	g_mutex_lock(&c->lock);
+	while (c->held && !g_atomic_int_get(&c->leave))
+		g_cond_wait(&c->cond, &c->lock);
+	g_string_append_len(c->answer, data, (gssize)(size * n));
+	split_events(c);
+	g_mutex_unlock(&c->lock);
+	return g_atomic_int_get(&c->leave) ? 0 : size * n;
+}
+
+static int
+on_progress(void *arg, curl_off_t a, curl_off_t b, curl_off_t d, curl_off_t e)
+{
+	struct call *c = arg;
+
+	return g_atomic_int_get(&c->leave);
+}
+
+static int
+shrink_buffer(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	int len = SLOW_BUFFER_LEN;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &len, sizeof(len));
+	return CURL_SOCKOPT_OK;
+}
+
+static gpointer
+call_main(gpointer arg)
+{
+	struct call *c = arg;
+	CURLcode result = curl_easy_perform(c->easy);
+
+	g_mutex_lock(&c->lock);
+	c->result = result;
+	g_mutex_unlock(&c->lock);
+	g_atomic_int_set(&c->ended, 1);
+	return NULL;
+}
+
+static void
+set_headers(struct call *c, const struct call_spec *spec)
+{
+	size_t i;
+	char *line;
+
+	for (i = 0; i < G_N_ELEMENTS(spec->headers); i++) {
+		if (spec->headers[i] != NULL)
+			c->headers =
+			    curl_slist_append(c->headers, spec->headers[i]);
+	}
+	if (spec->key != NULL) {
+		line = g_strdup_printf("Authorization: Bearer %s", spec->key);
+		c->headers = curl_slist_append(c->headers, line);
+		g_free(line);
+	}
+	c->headers = curl_slist_append(c->headers, "Expect:");
+	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
+}
+
+struct call *
+call_start(const struct call_spec *spec)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->easy = curl_easy_init();
+	c->url = g_strdup_printf("http://127.0.0.1:%u%s", spec->port,
+	    spec->path);
+	c->body = g_strdup(spec->body);
+	c->held = spec->slow;
+	c->answer = g_string_new(NULL);
+	c->events = g_ptr_array_new_with_free_func(event_free);
+	g_mutex_init(&c->lock);
+	g_cond_init(&c->cond);
+	curl_easy_setopt(c->easy, CURLOPT_URL, c->url);
+	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+	if (c->body != NULL)
+		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body);
+	curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST,
+	    spec->method == NULL ? "POST" : spec->method);
+	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(c->easy, CURLOPT_XFERINFODATA, c);
+	curl_easy_setopt(c->easy, CURLOPT_NOPROGRESS, 0L);
+	if (spec->slow)
+		curl_easy_setopt(
+		    c->easy, CURLOPT_SOCKOPTFUNCTION, shrink_buffer);
+	set_headers(c, spec);
+	c->thread = g_thread_new("call", call_main, c);
+	return c;
+}
+
+void
+call_join(struct call *c)
+{
+	if (c->thread != NULL)
+		g_thread_join(c->thread);
+	c->thread = NULL;
+}
+
+struct call *
+call_run(const struct call_spec *spec)
+{
+	struct call *c = call_start(spec);
+
+	call_join(c);
+	return c;
+}
+
+void
+call_free(struct call *c)
+{
+	if (c == NULL)
+		return;
+	call_release(c);
+	call_join(c);
+	curl_easy_cleanup(c->easy);
+	curl_slist_free_all(c->headers);
+	g_ptr_array_free(c->events, TRUE);
+	g_string_free(c->answer, TRUE);
+	g_mutex_clear(&c->lock);
+	g_cond_clear(&c->cond);
+	g_free(c->url);
+	g_free(c->body);
+	g_free(c);
+}
+
+bool
+call_ended(struct call *c)
+{
+	return g_atomic_int_get(&c->ended) != 0;
+}
+
+static void
+set_held(struct call *c, bool held)
+{
+	g_mutex_lock(&c->lock);
+	c->held = held;
+	g_cond_signal(&c->cond);
+	g_mutex_unlock(&c->lock);
+}
+
+void
+call_hold(struct call *c)
+{
+	set_held(c, true);
+}
+
+void
+call_release(struct call *c)
+{
+	set_held(c, false);
+}
+
+void
+call_leave(struct call *c)
+{
+	g_atomic_int_set(&c->leave, 1);
+	call_release(c);
+	call_join(c);
+	/* The connection closes with its handle, not with the transfer. */
+	curl_easy_cleanup(c->easy);
+	c->easy = NULL;
+}
+
+guint
+call_event_count(struct call *c)
+{
+	guint n;
+
+	g_mutex_lock(&c->lock);
+	n = c->events->len;
+	g_mutex_unlock(&c->lock);
+	return n;
+}
+
+unsigned int
+call_status(const struct call *c)
+{
+	long status = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	return (unsigned int)status;
+}
+
+const char *
+call_header(const struct call *c, const char *name)
+{
+	struct curl_header *h;
+
+	if (curl_easy_header(c->easy, name, 0, CURLH_HEADER, -1, &h) !=
+	    CURLHE_OK)
+		return NULL;
+	return h->value;
+}
+
+const char *
+call_body(const struct call *c)
+{
+	return c->answer->str;
+}
+
+bool
+call_complete(const struct call *c)
+{
+	return c->result == CURLE_OK;
+}
+
+const GPtrArray *
+call_events(const struct call *c)
+{
+	return c->events;
+}
+
+char *
+call_last_id(struct call *c)
+{
+	const struct event *ev;
+	char *id = NULL;
+	guint i;
+
+	g_mutex_lock(&c->lock);
+	for (i = c->events->len; i > 0 && id == NULL; i--) {
+		ev = c->events->pdata[i - 1];
+		id = g_strdup(ev->id);
+	}
+	g_mutex_unlock(&c->lock);
+	return id;
+}
--- /dev/null
+++ b/test/harness_world.c
@@ -0,0 +1,352 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <curl/curl.h>
+#include <glib/gstdio.h>
+#include <sodium.h>
+
+#include "harness.h"
+
+static char *
+binary(const char *name)
+{
+	return g_strdup_printf("%s/%s", proc_build_dir(), name);
+}
+
+/* An argument list of the given strings, NULL-ended. */
+static char **
+arguments(const char *name, const char *const *rest, size_t n)
+{
+	GPtrArray *list = g_ptr_array_new();
+	size_t i;
+
+	g_ptr_array_add(list, binary(name));
+	for (i = 0; i < n && rest[i] != NULL; i++)
+		g_ptr_array_add(list, g_strdup(rest[i]));
+	g_ptr_array_add(list, NULL);
+	return (char **)g_ptr_array_free(list, FALSE);
+}
+
+static void
+start_store(struct world *w)
+{
+	unsigned int port = proc_port();
+	char *at = g_strdup_printf("127.0.0.1:%u", port);
+	const char *args[] = {"--listen", at};
+
+	proc_init(&w->store, w->dir, "store", port,
+	    arguments("fake-store", args, G_N_ELEMENTS(args)));
+	proc_start(&w->store);
+	proc_await(&w->store);
+	g_free(at);
+}
+
+static json_t *
+instance_row(const char *id, const char *role, unsigned int port,
+    unsigned int rpc_port)
+{
+	char *address = g_strdup_printf("127.0.0.1:%u", port);
+	char *rpc = g_strdup_printf("127.0.0.1:%u", rpc_port);
+	json_t *row;
+
+	row = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:[], s:s, s:b}", "id",
+	    id, "role", role, "address", address, "rpc_address", rpc,
+	    "availability_zone", "mtl-a", "region", "montreal", "models",
+	    "service", "", "leaving", 0);
+	g_free(address);
+	g_free(rpc);
+	return row;
+}
+
+static json_t *
+agent_row(const struct world *w, unsigned int i)
+{
+	const struct proc *p = &w->agent[i];
+	json_t *row = instance_row(p->name, "agent", p->port, w->rpc_port[i]);
+
+	if (i < w->engines)
+		json_array_append_new(
+		    json_object_get(row, "models"), json_string("small"));
+	else
+		json_object_set_new(row, "service", json_string("pay"));
+	json_object_set_new(row, "leaving", json_boolean(w->leaving[i]));
+	return row;
+}
+
+static json_t *
+instance_rows(const struct world *w)
+{
+	json_t *rows = json_array();
+	unsigned int i;
+
+	for (i = 0; i < w->entries; i++)
+		json_array_append_new(rows,
+		    instance_row(w->entry[i].name, "entry", w->entry[i].port,
+			w->entry[i].port));
+	for (i = 0; i < w->agents; i++) {
+		if (w->listed[i])
+			json_array_append_new(rows, agent_row(w, i));
+	}
+	return rows;
+}
+
+static char *
+instances_path(const struct world *w)
+{
+	return g_build_filename(w->dir, "instances.json", NULL);
+}
+
+static void
+write_instances(const struct world *w)
+{
+	char *path = instances_path(w);
+	json_t *rows = instance_rows(w);
+
+	assert_int_equal(json_dump_file(rows, path, JSON_INDENT(1)), 0);
+	json_decref(rows);
+	g_free(path);
+}
+
+void
+world_publish(struct world *w)
+{
+	write_instances(w);
+}
+
+static void
+start_list(struct world *w)
+{
+	char *path = instances_path(w);
+	char *at = g_strdup_printf("127.0.0.1:%u", w->list.port);
+	const char *args[] = {"--listen", at, "--instances", path};
+
+	write_instances(w);
+	w->list.argv = arguments("fake-list", args, G_N_ELEMENTS(args));
+	proc_start(&w->list);
+	proc_await(&w->list);
+	g_free(path);
+	g_free(at);
+}
+
+/* Writes the settings of one daemon; returns their path. */
+static char *
+write_settings(struct world *w, const char *name, unsigned int port,
+    unsigned int rpc_port, const char *more)
+{
+	char *file = g_strdup_printf("%s/%s.yaml", w->dir, name);
+	char *text = g_strdup_printf(
+	    "instance: %s\navailability_zone: mtl-a\nregion: montreal\n"
+	    "listen: 127.0.0.1:%u\nrpc_listen: 127.0.0.1:%u\nsecret: %s\n"
+	    "store: 127.0.0.1:%u\ninstance_list: 127.0.0.1:%u\n%s",
+	    name, port, rpc_port, WORLD_SECRET, w->store.port, w->list.port,
+	    more == NULL ? "" : more);
+
+	assert_true(g_file_set_contents(file, text, -1, NULL));
+	g_free(text);
+	return file;
+}
+
+static void
+prepare_daemon(struct world *w, struct proc *p, const char *program,
+    const char *name, unsigned int rpc_port, const char *more)
+{
+	unsigned int port = proc_port();
+	char *file = write_settings(w, name, port, rpc_port, more);
+	const char *args[] = {"--settings", file};
+
+	proc_init(p, w->dir, name, port,
+	    arguments(program, args, G_N_ELEMENTS(args)));
+	g_free(file);
+}
+
+static void
+start_backend(
+    struct world *w, unsigned int i, const struct world_spec *spec)
+{
+	unsigned int port = proc_port();
+	bool engine = i < spec->engines;
+	char *name = g_strdup_printf("backend-%u", i);
+	char *at = g_strdup_printf("127.0.0.1:%u", port);
+	const char *args[2 + G_N_ELEMENTS(spec->engine_args)] = {
+	    "--listen", at};
+
+	if (engine)
+		memcpy(args + 2, spec->engine_args, sizeof(spec->engine_args));
+	proc_init(&w->backend[i], w->dir, name, port,
+	    arguments(engine ? "fake-engine" : "fake-service", args,
+		G_N_ELEMENTS(args)));
+	proc_start(&w->backend[i]);
+	g_free(name);
+	g_free(at);
+}
+
+static void
+start_agent(struct world *w, unsigned int i, bool engine)
+{
+	char *name = g_strdup_printf("worker-%u", i);
+	char *more = g_strdup_printf("backend: 127.0.0.1:%u\nkind: %s\n%s",
+	    w->backend[i].port, engine ? "engine" : "service",
+	    engine ? "" : "service: pay\n");
+
+	w->rpc_port[i] = proc_port();
+	prepare_daemon(
+	    w, &w->agent[i], "jhagent", name, w->rpc_port[i], more);
+	proc_start(&w->agent[i]);
+	w->listed[i] = true;
+	g_free(name);
+	g_free(more);
+}
+
+static void
+fill_catalogue(struct world *w)
+{
+	static const char *const orgs[] = {"alpha", "beta"};
+	size_t i;
+
+	store_put(w, "models/small", "{\"name\":\"small\",\"weights\":\"v1\"}");
+	for (i = 0; i < G_N_ELEMENTS(orgs); i++) {
+		put_org(w, orgs[i], false);
+		put_class(w, orgs[i], "chat", "chat", "small", true);
+		put_class(w, orgs[i], "pay", "service", "pay", false);
+		put_class(w, orgs[i], "look", "service", "pay", true);
+	}
+}
+
+static unsigned int
+probe(struct world *w, unsigned int entry)
+{
+	static unsigned int count;
+	char *chat = chat_body("ready?", 1, false);
+	char *look = g_strdup_printf("{\"probe\":%u}", ++count);
+	struct call_spec spec = {.port = w->entry[entry].port,
+	    .path = "/v1/chat/completions",
+	    .key = "key-alpha",
+	    .body = chat};
+	struct call *c;
+	unsigned int status;
+
+	if (w->engines == 0) {
+		spec.path = "/v1/services/pay/ready";
+		spec.headers[0] = "X-Class: look";
+		spec.body = look;
+	}
+	c = call_run(&spec);
+	status = call_status(c);
+	call_free(c);
+	g_free(chat);
+	g_free(look);
+	return status;
+}
+
+void
+world_await_entry(struct world *w, unsigned int entry)
+{
+	await(probe(w, entry) == 200);
+}
+
+void
+world_start_entries(struct world *w)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->entries; i++)
+		proc_start(&w->entry[i]);
+	for (i = 0; i < w->entries; i++)
+		world_await_entry(w, i);
+	w->probes = 0;
+	w->probes = service_runs(w);
+}
+
+struct world *
+world_create(const struct world_spec *spec)
+{
+	struct world *w = g_new0(struct world, 1);
+	unsigned int i;
+	char *name;
+
+	assert_int_equal(curl_global_init(CURL_GLOBAL_DEFAULT), CURLE_OK);
+	assert_true(sodium_init() >= 0);
+	w->dir = g_dir_make_tmp("jh-test-XXXXXX", NULL);
+	assert_non_null(w->dir);
+	w->entries = spec->entries;
+	w->engines = spec->engines;
+	w->agents = spec->engines + spec->services;
+	assert_true(w->entries <= WORLD_MAX && w->agents <= WORLD_MAX);
+	start_store(w);
+	fill_catalogue(w);
+	proc_init(&w->list, w->dir, "list", proc_port(), NULL);
+	for (i = 0; i < w->agents; i++) {
+		start_backend(w, i, spec);
+		start_agent(w, i, i < spec->engines);
+	}
+	for (i = 0; i < w->entries; i++) {
+		name = g_strdup_printf("entry-%u", i);
+		prepare_daemon(w, &w->entry[i], "jhentry", name, proc_port(),
+		    spec->entry_settings);
+		g_free(name);
+	}
+	start_list(w);
+	for (i = 0; i < w->agents; i++) {
+		proc_await(&w->backend[i]);
+		proc_await(&w->agent[i]);
+	}
+	if (!spec->entries_later)
+		world_start_entries(w);
+	return w;
+}
+
+static void
+remove_dir(const char *path)
+{
+	GDir *d = g_dir_open(path, 0, NULL);
+	const char *name;
+	char *file;
+
+	while (d != NULL && (name = g_dir_read_name(d)) != NULL) {
+		file = g_build_filename(path, name, NULL);
+		g_unlink(file);
+		g_free(file);
+	}
+	if (d != NULL)
+		g_dir_close(d);
+	g_rmdir(path);
+}
+
+void
+world_destroy(struct world *w)
+{
+	unsigned int i;
+
+	if (w == NULL)
+		return;
+	for (i = 0; i < w->entries; i++)
+		proc_clear(&w->entry[i]);
+	for (i = 0; i < w->agents; i++) {
+		proc_clear(&w->agent[i]);
+		proc_clear(&w->backend[i]);
+	}
+	proc_clear(&w->list);
+	proc_clear(&w->store);
+	if (g_getenv("JH_TEST_KEEP") != NULL)
+		print_message("logs are in %s\n", w->dir);
+	else
+		remove_dir(w->dir);
+	g_free(w->dir);
+	g_free(w);
+}
+
+unsigned int
+world_agent(const struct world *w, const char *instance)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->agents; i++) {
+		if (g_strcmp0(w->agent[i].name, instance) == 0)
+			return i;
+	}
+	fail_msg("no agent is named %s", instance);
+	return 0;
+}
--- /dev/null
+++ b/test/test_proc_streams.c
@@ -0,0 +1,167 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness.h"
+
+#define QUESTION "How warm is the water?"
+
+/* Tokens of a stream that is long enough to be broken in the middle. */
+#define TOKENS 300
+#define MIDDLE 30
+
+static int
+setup(void **state)
+{
+	static const struct world_spec spec = {.entries = 2,
+	    .engines = 2,
+	    .engine_args = {"--step-usec", "5000"}};
+
+	*state = world_create(&spec);
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	world_destroy(*state);
+	return 0;
+}
+
+/* Starts a stream and returns once it is in its middle. */
+static struct call *
+start_stream(struct world *w, unsigned int entry, const char *header)
+{
+	char *body = chat_body(QUESTION, TOKENS, true);
+	struct call *c = chat_start(w, entry, body, header);
+
+	g_free(body);
+	await(call_event_count(c) >= MIDDLE || call_ended(c));
+	assert_false(call_ended(c));
+	return c;
+}
+
+static unsigned int
+worker_of(struct world *w, struct call *c)
+{
+	return world_agent(w, call_header(c, "X-Worker"));
+}
+
+/* A stream ends early, or repeats tokens, when its engine dies. */
+static void
+test_engine_killed(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *c = start_stream(w, 0, NULL);
+
+	proc_kill(&w->backend[worker_of(w, c)]);
+	call_join(c);
+	check_stream(&c, 1, TOKENS, text);
+	assert_int_equal(stream_workers(c), 2);
+	call_free(c);
+	g_free(text);
+}
+
+/* A stream ends early, or repeats tokens, when its agent dies. */
+static void
+test_agent_killed(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *c = start_stream(w, 0, NULL);
+
+	proc_kill(&w->agent[worker_of(w, c)]);
+	call_join(c);
+	check_stream(&c, 1, TOKENS, text);
+	assert_int_equal(stream_workers(c), 2);
+	call_free(c);
+	g_free(text);
+}
+
+/* Tokens are lost or repeated when a caller goes on at another entry. */
+static void
+test_entry_killed(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *part[2] = {start_stream(w, 0, NULL)};
+	char *body = chat_body(QUESTION, TOKENS, true);
+	char *last, *header;
+
+	proc_kill(&w->entry[0]);
+	call_join(part[0]);
+	assert_false(call_complete(part[0]));
+	last = call_last_id(part[0]);
+	header = g_strdup_printf("Last-Event-ID: %s", last);
+	part[1] = chat_start(w, 1, body, header);
+	call_join(part[1]);
+	check_stream(part, 2, TOKENS, text);
+	assert_string_equal(call_header(part[0], "X-Worker"),
+	    call_header(part[1], "X-Worker"));
+	await(engines_load(w) == 0);
+	call_free(part[0]);
+	call_free(part[1]);
+	g_free(header);
+	g_free(last);
+	g_free(body);
+	g_free(text);
+}
+
+/* A second failure in one stream loses what the first one did not. */
+static void
+test_engine_and_agent_killed(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *c = start_stream(w, 0, NULL);
+	unsigned int first = worker_of(w, c);
+	guint seen;
+
+	proc_kill(&w->backend[first]);
+	seen = call_event_count(c) + MIDDLE;
+	await(call_event_count(c) >= seen);
+	proc_start(&w->backend[first]);
+	proc_await(&w->backend[first]);
+	proc_kill(&w->agent[1 - first]);
+	call_join(c);
+	check_stream(&c, 1, TOKENS, text);
+	call_free(c);
+	g_free(text);
+}
+
+/* The engine goes on computing for a caller that has left. */
+static void
+test_caller_leaves(void **state)
+{
+	struct world *w = *state;
+	struct call *c = start_stream(w, 0, NULL);
+	unsigned int worker = worker_of(w, c);
+
+	assert_int_equal(engine_load(w, worker), 1);
+	call_leave(c);
+	await(engine_load(w, worker) == 0);
+	call_free(c);
+	/* Far fewer tokens than the stream has were made in that time. */
+	world_await_entry(w, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		test_engine_killed, setup, teardown),
+	    cmocka_unit_test_setup_teardown(test_agent_killed, setup, teardown),
+	    cmocka_unit_test_setup_teardown(test_entry_killed, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_engine_and_agent_killed, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		test_caller_leaves, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
