fake-engine: make the text depend on the messages alone

The seed of the generated text came from the salted chain of cache hashes, which covers the engine's incarnation. Two engines therefore wrote different texts for one prompt, contrary to the comment at token_text(), and a test could not compare a stream that went on elsewhere with an unbroken one.

--- a/fakes/engine/prompt.c
+++ b/fakes/engine/prompt.c
@@ -14,6 +14,7 @@
 	GArray *chain;
 	GString *piece;
 	uint64_t last;
+	uint64_t text; /* hash of the messages alone, without salts */
 	size_t piece_bytes;
 	uint64_t bytes;
 };
@@ -32,6 +33,7 @@
 	size_t n;
 
 	h->bytes += len;
+	h->text = XXH3_64bits_withSeed(text, len, h->text);
 	while (len > 0) {
 		n = MIN(len, h->piece_bytes - h->piece->len);
 		g_string_append_len(h->piece, text, (gssize)n);
@@ -117,8 +119,7 @@
 			      ? (uint64_t)json_integer_value(n)
 			      : DEFAULT_MAX_TOKENS;
 	seq->prompt_tokens = (h.bytes + TOKEN_BYTES - 1) / TOKEN_BYTES;
-	seq->seed =
-	    (uint32_t)XXH3_64bits_withSeed(h.piece->str, h.piece->len, h.last);
+	seq->seed = (uint32_t)h.text;
 	seq->chain_len = h.chain->len;
 	seq->chain = (uint64_t *)(void *)g_array_free(h.chain, FALSE);
 	read_resume(seq, root);
