agent: ignore callbacks of a stream's former request

Cause: after an entry daemon died, a caller that reconnected at once got a stream that never ended. The agent had attached the new request, and then libmicrohttpd reported the dead connection of the old one. The callback's argument was the job, so the job took its new reader for the one that had left, and dropped it.

Seen: test_proc_streams, test_entry_killed: 31 of 300 tokens, then nothing for 60 s.

Change: the callbacks' argument names the request that they belong to. The job also counts as ended from the moment its reply ends, because a reader that attached between that and agent_job_ended() was dropped without an end (found by reading; no run showed it).

--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -170,12 +170,15 @@
 static void
 on_closed(void *arg)
 {
-	struct agent_job *j = arg;
-	bool keep;
+	struct agent_reader *r = arg;
+	struct agent_job *j = r->job;
+	bool own, keep;
 
 	g_mutex_lock(&j->lock);
-	keep = j->begun && !j->cancelled && j->state != JOB_ENDED;
+	own = j->req == r->req;
+	keep = own && j->begun && !j->cancelled && j->state != JOB_ENDED;
 	if (keep) {
+		j->req = NULL;
 		j->orphan_deadline = jh_now() + AGENT_ORPHAN_USEC;
 		j->blocked = false;
 		if (j->call != NULL && j->state == JOB_RUNNING)
@@ -183,31 +186,29 @@
 	}
 	g_mutex_unlock(&j->lock);
 	if (keep)
-		agent_job_drop_req(j);
-	else
+		jh_http_req_unref(r->req);
+	else if (own)
 		cancel_job(j);
 }
 
 static void
 on_writable(void *arg)
 {
-	struct agent_job *j = arg;
+	struct agent_reader *r = arg;
+	struct agent_job *j = r->job;
 
 	g_mutex_lock(&j->lock);
-	j->blocked = false;
-	if (j->call != NULL && j->state == JOB_RUNNING)
-		jh_http_call_resume(j->call);
+	if (j->req == r->req) {
+		j->blocked = false;
+		if (j->call != NULL && j->state == JOB_RUNNING)
+			jh_http_call_resume(j->call);
+	}
 	g_mutex_unlock(&j->lock);
 }
 
-static void
-on_released(void *arg)
-{
-	agent_job_unref(arg);
-}
-
-static const struct jh_http_req_ops job_req_ops = {
-    .writable = on_writable, .closed = on_closed, .released = on_released};
+static const struct jh_http_req_ops job_req_ops = {.writable = on_writable,
+    .closed = on_closed,
+    .released = agent_reader_free};
 
 /* Replays the kept stream; the entry daemon's relay drops repeats. */
 void
@@ -217,7 +218,7 @@
 	bool ended;
 
 	jh_counters_add(j->agent->counters, AGENT_REATTACHED, 1);
-	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
+	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	g_mutex_lock(&j->lock);
 	old = j->req;
 	j->req = req;
@@ -355,7 +356,7 @@
 		return;
 	}
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
-	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
+	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	reason = offer(a, j);
 	if (reason != NULL) {
 		agent_refuse(a, req, 503, reason);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -139,6 +139,8 @@
 		jh_http_req_end(j->req);
 	else
 		break_reply(j, result);
+	/* A reader that comes back from here on gets the log and its end. */
+	j->state = JOB_ENDED;
 	g_mutex_unlock(&j->lock);
 	if (!whole && result != JH_HTTP_CANCELLED) {
 		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
--- a/src/agent/job.c
+++ b/src/agent/job.c
@@ -54,3 +54,22 @@
 	g_mutex_clear(&j->lock);
 	g_free(j);
 }
+
+struct agent_reader *
+agent_reader_create(struct agent_job *j, struct jh_http_req *req)
+{
+	struct agent_reader *r = g_new(struct agent_reader, 1);
+
+	r->job = agent_job_ref(j);
+	r->req = req;
+	return r;
+}
+
+void
+agent_reader_free(void *reader)
+{
+	struct agent_reader *r = reader;
+
+	agent_job_unref(r->job);
+	g_free(r);
+}
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -36,6 +36,19 @@
 	uint32_t tokens;
 };
 
+/*
+ * The argument of an HTTP request's callbacks. A job that is reattached changes
+ * its request, and callbacks of the former one may still come.
+ */
+struct agent_reader {
+	struct agent_job *job;
+	struct jh_http_req *req; /* compared, not used */
+};
+
+struct agent_reader *agent_reader_create(
+    struct agent_job *j, struct jh_http_req *req);
+void agent_reader_free(void *reader);
+
 struct agent_job *agent_job_create(struct agent *a, struct jh_work *w,
     struct jh_http_req *req, uint64_t prompt_tokens);
 struct agent_job *agent_job_ref(struct agent_job *j);
