--- a/test/harness.h
+++ b/test/harness.h
@@ -50,6 +50,8 @@
 void proc_kill(struct proc *p);
 void proc_freeze(struct proc *p);
 void proc_thaw(struct proc *p);
+/* Kills it and starts it again, with a new incarnation. */
+void proc_restart(struct proc *p);
 /* Sends SIGTERM and returns the exit status, -1 for any other end. */
 int proc_stop(struct proc *p);
 void proc_terminate(struct proc *p);
@@ -120,6 +122,18 @@
 
 #define WORLD_MAX 8
 
+/*
+ * The main function of a test program; its argument is a pattern of the tests
+ * to run.
+ */
+#define HARNESS_MAIN(tests)                                       \
+	int main(int argc, char **argv)                           \
+	{                                                         \
+		if (argc > 1)                                     \
+			cmocka_set_test_filter(argv[1]);          \
+		return cmocka_run_group_tests(tests, NULL, NULL); \
+	}
+
 /* A deployment: one store, one instance list, entry daemons and agents. */
 struct world {
 	char *dir;
@@ -129,12 +143,13 @@
 	struct proc agent[WORLD_MAX];
 	struct proc backend[WORLD_MAX]; /* of the agent with that index */
 	unsigned int rpc_port[WORLD_MAX]; /* of the agents */
+	unsigned int entry_rpc[WORLD_MAX];
 	unsigned int entries;
 	unsigned int engines;
 	unsigned int agents; /* engines first, then services */
 	bool listed[WORLD_MAX]; /* agents in the instance list */
 	bool leaving[WORLD_MAX]; /* as marked there */
-	json_int_t probes; /* service calls made before the test began */
+	json_int_t probed[WORLD_MAX]; /* calls run before the test began */
 };
 
 #define WORLD_SECRET                       \
@@ -151,6 +166,13 @@
 /* The agent with that instance name, as in X-Worker. */
 unsigned int world_agent(const struct world *w, const char *instance);
 
+/* The state dump of a daemon by its RPC port; NULL without an answer. */
+json_t *daemon_dump(unsigned int rpc_port);
+/* A counter of that dump. */
+json_int_t daemon_counter(unsigned int rpc_port, const char *name);
+/* Whether the entry daemon knows the agent, and not as leaving. */
+bool entry_knows(struct world *w, unsigned int entry, unsigned int agent);
+
 /* Store access over its protocol. */
 void store_put(struct world *w, const char *key, const char *json);
 void store_delete(struct world *w, const char *key);
@@ -169,16 +191,16 @@
 /* A chat body; free with g_free(). */
 char *chat_body(const char *question, unsigned int tokens, bool stream);
 /* Starts one chat request of organisation alpha. */
-struct call *chat_start(struct world *w, unsigned int entry, const char *body,
-    const char *header);
+struct call *chat_start(
+    struct world *w, unsigned int entry, const char *body, const char *header);
 /* The text of an answer without failures; free with g_free(). */
 char *chat_reference(struct world *w, const char *question, unsigned int n);
 /*
  * Checks that the events of the calls, one after the other, are exactly the
  * tokens 1 to n, each once, in order, with this text and one end marker.
  */
-void check_stream(
-    struct call *const *calls, size_t n_calls, unsigned int n, const char *text);
+void check_stream(struct call *const *calls, size_t n_calls, unsigned int n,
+    const char *text);
 /* How many workers took part, by the ids of the events. */
 unsigned int stream_workers(const struct call *c);
 /* Language requests that run or wait on an engine. */
@@ -190,6 +212,10 @@
     const char *body, const char *header);
 /* Checks a payment that succeeded with this receipt. */
 void check_receipt(struct call *c, const char *receipt);
+/* The agent whose service has run a call; the test fails if none has. */
+unsigned int service_used(struct world *w);
+/* Sets the control page of every service. */
+void services_set(struct world *w, const char *json);
 /* Runs of service calls since the test began. */
 json_int_t service_runs(struct world *w);
 /* Checks the number of runs, and that no body ran twice. */
--- a/test/harness_call.c
+++ b/test/harness_call.c
@@ -146,8 +146,8 @@
 	struct call *c = g_new0(struct call, 1);
 
 	c->easy = curl_easy_init();
-	c->url = g_strdup_printf("http://127.0.0.1:%u%s", spec->port,
-	    spec->path);
+	c->url =
+	    g_strdup_printf("http://127.0.0.1:%u%s", spec->port, spec->path);
 	c->body = g_strdup(spec->body);
 	c->held = spec->slow;
 	c->answer = g_string_new(NULL);
--- a/test/harness_check.c
+++ b/test/harness_check.c
@@ -23,8 +23,8 @@
 }
 
 struct call *
-chat_start(struct world *w, unsigned int entry, const char *body,
-    const char *header)
+chat_start(
+    struct world *w, unsigned int entry, const char *body, const char *header)
 {
 	struct call_spec spec = {.port = w->entry[entry].port,
 	    .path = "/v1/chat/completions",
@@ -42,8 +42,8 @@
 	json_t *root = json_loads(call_body(c), 0, NULL);
 	const char *text = NULL;
 
-	json_unpack(root, "{s:[{s:{s:s}}]}", "choices", "message", "content",
-	    &text);
+	json_unpack(
+	    root, "{s:[{s:{s:s}}]}", "choices", "message", "content", &text);
 	assert_non_null(text);
 	text = g_strdup(text);
 	json_decref(root);
@@ -80,8 +80,8 @@
 	json_t *root = json_loads(ev->data, 0, NULL);
 	const char *text = NULL;
 
-	json_unpack(root, "{s:[{s:{s:s}}]}", "choices", "delta", "content",
-	    &text);
+	json_unpack(
+	    root, "{s:[{s:{s:s}}]}", "choices", "delta", "content", &text);
 	assert_non_null(text);
 	g_string_append(out, text);
 	json_decref(root);
@@ -135,9 +135,9 @@
 	for (i = 0; i < events->len; i++) {
 		ev = events->pdata[i];
 		if (ev->id != NULL)
-			g_hash_table_add(seen,
-			    g_strndup(ev->id,
-				(gsize)(strrchr(ev->id, ':') - ev->id)));
+			g_hash_table_add(
+			    seen, g_strndup(ev->id,
+				      (gsize)(strrchr(ev->id, ':') - ev->id)));
 	}
 	n = g_hash_table_size(seen);
 	g_hash_table_destroy(seen);
@@ -220,8 +220,9 @@
 	unsigned int i;
 
 	for (i = w->engines; i < w->agents; i++)
-		sum += control_figure(&w->backend[i], "/control", "total");
-	return sum - w->probes;
+		sum += control_figure(&w->backend[i], "/control", "total") -
+		       w->probed[i];
+	return sum;
 }
 
 void
@@ -238,3 +239,26 @@
 		json_decref(root);
 	}
 }
+
+unsigned int
+service_used(struct world *w)
+{
+	unsigned int i;
+
+	for (i = w->engines; i < w->agents; i++) {
+		if (control_figure(&w->backend[i], "/control", "total") >
+		    w->probed[i])
+			return i;
+	}
+	fail_msg("no service has run a call");
+	return 0;
+}
+
+void
+services_set(struct world *w, const char *json)
+{
+	unsigned int i;
+
+	for (i = w->engines; i < w->agents; i++)
+		control_set(&w->backend[i], json);
+}
--- a/test/harness_proc.c
+++ b/test/harness_proc.c
@@ -161,8 +161,8 @@
 	guard_processes();
 	assert_int_equal(p->pid, 0);
 	posix_spawn_file_actions_init(&files);
-	posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, p->log,
-	    O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_addopen(
+	    &files, STDOUT_FILENO, p->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
 	/* A daemon must not inherit that SIGPIPE is ignored here. */
 	sigemptyset(&defaults);
@@ -213,6 +213,14 @@
 	forget_pid(p);
 }
 
+void
+proc_restart(struct proc *p)
+{
+	proc_kill(p);
+	proc_start(p);
+	proc_await(p);
+}
+
 /* Signals are asynchronous: waits until the kernel reports the new state. */
 static void
 await_state(struct proc *p, int flag)
--- a/test/harness_world.c
+++ b/test/harness_world.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -45,17 +46,16 @@
 }
 
 static json_t *
-instance_row(const char *id, const char *role, unsigned int port,
-    unsigned int rpc_port)
+instance_row(
+    const char *id, const char *role, unsigned int port, unsigned int rpc_port)
 {
 	char *address = g_strdup_printf("127.0.0.1:%u", port);
 	char *rpc = g_strdup_printf("127.0.0.1:%u", rpc_port);
 	json_t *row;
 
-	row = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:[], s:s, s:b}", "id",
-	    id, "role", role, "address", address, "rpc_address", rpc,
-	    "availability_zone", "mtl-a", "region", "montreal", "models",
-	    "service", "", "leaving", 0);
+	row = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:[], s:b}", "id", id,
+	    "role", role, "address", address, "rpc_address", rpc, "zone",
+	    "mtl-a", "region", "montreal", "models", "leaving", 0);
 	g_free(address);
 	g_free(rpc);
 	return row;
@@ -83,9 +83,9 @@
 	unsigned int i;
 
 	for (i = 0; i < w->entries; i++)
-		json_array_append_new(rows,
-		    instance_row(w->entry[i].name, "entry", w->entry[i].port,
-			w->entry[i].port));
+		json_array_append_new(
+		    rows, instance_row(w->entry[i].name, "entry",
+			      w->entry[i].port, w->entry_rpc[i]));
 	for (i = 0; i < w->agents; i++) {
 		if (w->listed[i])
 			json_array_append_new(rows, agent_row(w, i));
@@ -93,37 +93,37 @@
 	return rows;
 }
 
-static char *
-instances_path(const struct world *w)
-{
-	return g_build_filename(w->dir, "instances.json", NULL);
-}
-
-static void
-write_instances(const struct world *w)
-{
-	char *path = instances_path(w);
-	json_t *rows = instance_rows(w);
-
-	assert_int_equal(json_dump_file(rows, path, JSON_INDENT(1)), 0);
-	json_decref(rows);
-	g_free(path);
-}
-
 void
 world_publish(struct world *w)
 {
-	write_instances(w);
+	json_t *removed = json_array(), *request;
+	unsigned int i;
+	char *text;
+
+	for (i = 0; i < w->agents; i++) {
+		if (!w->listed[i])
+			json_array_append_new(
+			    removed, json_string(w->agent[i].name));
+	}
+	request =
+	    json_pack("{s:o, s:o}", "add", instance_rows(w), "remove", removed);
+	text = json_dumps(request, 0);
+	control_set(&w->list, text);
+	free(text);
+	json_decref(request);
 }
 
+/* Daemons take an answering list for the truth, so it is never empty. */
 static void
 start_list(struct world *w)
 {
-	char *path = instances_path(w);
+	char *path = g_build_filename(w->dir, "instances.json", NULL);
 	char *at = g_strdup_printf("127.0.0.1:%u", w->list.port);
 	const char *args[] = {"--listen", at, "--instances", path};
+	json_t *root = json_pack("{s:o}", "instances", instance_rows(w));
 
-	write_instances(w);
+	assert_int_equal(json_dump_file(root, path, JSON_INDENT(1)), 0);
+	json_decref(root);
 	w->list.argv = arguments("fake-list", args, G_N_ELEMENTS(args));
 	proc_start(&w->list);
 	proc_await(&w->list);
@@ -163,8 +163,7 @@
 }
 
 static void
-start_backend(
-    struct world *w, unsigned int i, const struct world_spec *spec)
+start_backend(struct world *w, unsigned int i, const struct world_spec *spec)
 {
 	unsigned int port = proc_port();
 	bool engine = i < spec->engines;
@@ -192,8 +191,7 @@
 	    engine ? "" : "service: pay\n");
 
 	w->rpc_port[i] = proc_port();
-	prepare_daemon(
-	    w, &w->agent[i], "jhagent", name, w->rpc_port[i], more);
+	prepare_daemon(w, &w->agent[i], "jhagent", name, w->rpc_port[i], more);
 	proc_start(&w->agent[i]);
 	w->listed[i] = true;
 	g_free(name);
@@ -247,6 +245,16 @@
 	await(probe(w, entry) == 200);
 }
 
+static void
+world_count_probes(struct world *w)
+{
+	unsigned int i;
+
+	for (i = w->engines; i < w->agents; i++)
+		w->probed[i] =
+		    control_figure(&w->backend[i], "/control", "total");
+}
+
 void
 world_start_entries(struct world *w)
 {
@@ -256,8 +264,7 @@
 		proc_start(&w->entry[i]);
 	for (i = 0; i < w->entries; i++)
 		world_await_entry(w, i);
-	w->probes = 0;
-	w->probes = service_runs(w);
+	world_count_probes(w);
 }
 
 struct world *
@@ -284,8 +291,9 @@
 	}
 	for (i = 0; i < w->entries; i++) {
 		name = g_strdup_printf("entry-%u", i);
-		prepare_daemon(w, &w->entry[i], "jhentry", name, proc_port(),
-		    spec->entry_settings);
+		w->entry_rpc[i] = proc_port();
+		prepare_daemon(w, &w->entry[i], "jhentry", name,
+		    w->entry_rpc[i], spec->entry_settings);
 		g_free(name);
 	}
 	start_list(w);
--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -16,9 +16,8 @@
 static int
 setup(void **state)
 {
-	static const struct world_spec spec = {.entries = 2,
-	    .engines = 2,
-	    .engine_args = {"--step-usec", "5000"}};
+	static const struct world_spec spec = {
+	    .entries = 2, .engines = 3, .engine_args = {"--step-usec", "5000"}};
 
 	*state = world_create(&spec);
 	return 0;
@@ -33,10 +32,10 @@
 
 /* Starts a stream and returns once it is in its middle. */
 static struct call *
-start_stream(struct world *w, unsigned int entry, const char *header)
+start_stream(struct world *w, unsigned int entry, unsigned int tokens)
 {
-	char *body = chat_body(QUESTION, TOKENS, true);
-	struct call *c = chat_start(w, entry, body, header);
+	char *body = chat_body(QUESTION, tokens, true);
+	struct call *c = chat_start(w, entry, body, NULL);
 
 	g_free(body);
 	await(call_event_count(c) >= MIDDLE || call_ended(c));
@@ -56,7 +55,7 @@
 {
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
-	struct call *c = start_stream(w, 0, NULL);
+	struct call *c = start_stream(w, 0, TOKENS);
 
 	proc_kill(&w->backend[worker_of(w, c)]);
 	call_join(c);
@@ -72,7 +71,7 @@
 {
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
-	struct call *c = start_stream(w, 0, NULL);
+	struct call *c = start_stream(w, 0, TOKENS);
 
 	proc_kill(&w->agent[worker_of(w, c)]);
 	call_join(c);
@@ -88,7 +87,7 @@
 {
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
-	struct call *part[2] = {start_stream(w, 0, NULL)};
+	struct call *part[2] = {start_stream(w, 0, TOKENS)};
 	char *body = chat_body(QUESTION, TOKENS, true);
 	char *last, *header;
 
@@ -100,8 +99,8 @@
 	part[1] = chat_start(w, 1, body, header);
 	call_join(part[1]);
 	check_stream(part, 2, TOKENS, text);
-	assert_string_equal(call_header(part[0], "X-Worker"),
-	    call_header(part[1], "X-Worker"));
+	assert_string_equal(
+	    call_header(part[0], "X-Worker"), call_header(part[1], "X-Worker"));
 	await(engines_load(w) == 0);
 	call_free(part[0]);
 	call_free(part[1]);
@@ -111,57 +110,69 @@
 	g_free(text);
 }
 
+/* The agent whose engine runs a request; WORLD_MAX: none. */
+static unsigned int
+running_agent(struct world *w)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->engines; i++) {
+		if (w->backend[i].pid != 0 && engine_load(w, i) > 0)
+			return i;
+	}
+	return WORLD_MAX;
+}
+
 /* A second failure in one stream loses what the first one did not. */
 static void
 test_engine_and_agent_killed(void **state)
 {
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
-	struct call *c = start_stream(w, 0, NULL);
-	unsigned int first = worker_of(w, c);
-	guint seen;
+	struct call *c = start_stream(w, 0, TOKENS);
+	unsigned int first = worker_of(w, c), second;
 
 	proc_kill(&w->backend[first]);
-	seen = call_event_count(c) + MIDDLE;
-	await(call_event_count(c) >= seen);
-	proc_start(&w->backend[first]);
-	proc_await(&w->backend[first]);
-	proc_kill(&w->agent[1 - first]);
+	await((second = running_agent(w)) != WORLD_MAX);
+	proc_kill(&w->agent[second]);
 	call_join(c);
 	check_stream(&c, 1, TOKENS, text);
+	assert_int_equal(stream_workers(c), 3);
 	call_free(c);
 	g_free(text);
 }
 
-/* The engine goes on computing for a caller that has left. */
+/* One failure breaks more streams than one, or mixes them up. */
 static void
-test_caller_leaves(void **state)
+test_two_at_once(void **state)
 {
 	struct world *w = *state;
-	struct call *c = start_stream(w, 0, NULL);
-	unsigned int worker = worker_of(w, c);
-
-	assert_int_equal(engine_load(w, worker), 1);
-	call_leave(c);
-	await(engine_load(w, worker) == 0);
-	call_free(c);
-	/* Far fewer tokens than the stream has were made in that time. */
-	world_await_entry(w, 0);
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *a = start_stream(w, 0, TOKENS);
+	struct call *b = start_stream(w, 1, TOKENS);
+	unsigned int worker = worker_of(w, a);
+
+	proc_kill(&w->backend[worker]);
+	if (worker_of(w, b) != worker)
+		proc_kill(&w->agent[worker_of(w, b)]);
+	call_join(a);
+	call_join(b);
+	check_stream(&a, 1, TOKENS, text);
+	check_stream(&b, 1, TOKENS, text);
+	assert_int_equal(stream_workers(a), 2);
+	assert_int_equal(stream_workers(b), 2);
+	call_free(a);
+	call_free(b);
+	g_free(text);
 }
 
-int
-main(void)
-{
-	const struct CMUnitTest tests[] = {
-	    cmocka_unit_test_setup_teardown(
-		test_engine_killed, setup, teardown),
-	    cmocka_unit_test_setup_teardown(test_agent_killed, setup, teardown),
-	    cmocka_unit_test_setup_teardown(test_entry_killed, setup, teardown),
-	    cmocka_unit_test_setup_teardown(
-		test_engine_and_agent_killed, setup, teardown),
-	    cmocka_unit_test_setup_teardown(
-		test_caller_leaves, setup, teardown),
-	};
-
-	return cmocka_run_group_tests(tests, NULL, NULL);
-}
+static const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown(test_engine_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_agent_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_entry_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_engine_and_agent_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_two_at_once, setup, teardown),
+};
+
+HARNESS_MAIN(tests)
