--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 LIB_DIRS = base place admit once stream member catalog refuse poison cache
 NET_DIRS = config http rpc store work
 FAKES = engine store service list
-BENCHES = load parts
+BENCHES = load parts relay
 
 srcs = $(foreach d,$(1),$(wildcard src/$(d)/*.c))
 objs = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -52,7 +52,8 @@
 FAKE_BINS = $(foreach d,$(FAKES),$(if $(wildcard fakes/$(d)/*.c),\
     $(BUILD)/fake-$(d)))
 BENCH_BINS = $(if $(wildcard bench/load/*.c),$(BUILD)/jhload) \
-    $(if $(wildcard bench/parts/*.c),$(BUILD)/jhbench)
+    $(if $(wildcard bench/parts/*.c),$(BUILD)/jhbench) \
+    $(if $(wildcard bench/relay/*.c),$(BUILD)/jhrelay)
 TESTS = $(patsubst test/%.c,$(BUILD)/test/%,$(TEST_SRC))
 
 all: $(LIB) $(DAEMONS) $(FAKE_BINS) $(BENCH_BINS)
@@ -82,6 +83,7 @@
 $(BUILD)/jhagent: $(BUILD)/src/agent/main.o $(AGENT_LIB) $(NET) $(LIB)
 $(BUILD)/jhctl: $(BUILD)/src/ctl/main.o $(CTL_LIB) $(NET) $(LIB)
 $(BUILD)/jhload: $(call objs,$(wildcard bench/load/*.c)) $(NET) $(LIB)
+$(BUILD)/jhrelay: $(call objs,$(wildcard bench/relay/*.c)) $(NET) $(LIB)
 $(BUILD)/jhbench: $(call objs,$(wildcard bench/parts/*.c)) $(NET) $(LIB)
 define FAKE_RULE
 $(BUILD)/fake-$(1): $(call objs,$(wildcard fakes/$(1)/*.c)) $(NET) $(LIB)
--- /dev/null
+++ b/bench/load/call.h
@@ -0,0 +1,27 @@
+#ifndef BENCH_LOAD_CALL_H
+#define BENCH_LOAD_CALL_H
+
+#include "http/client.h"
+
+#include "report.h"
+#include "shape.h"
+
+/* What all calls of one run share. */
+struct call_context {
+	const struct load_options *opt;
+	struct jh_http_client *client;
+	struct report *report;
+	uint64_t started_at;
+	uint64_t next_target;
+	GMutex lock; /* guards in_progress */
+	GCond ended;
+	unsigned int in_progress;
+};
+
+/*
+ * Sends one request that was due at the given time, which its time to first
+ * token counts from. Takes the request's body.
+ */
+void call_send(struct call_context *ctx, struct shape_request *q, uint64_t due);
+
+#endif
