Hold poison requests back from further engines

Agents report which requests ran when an engine died; the reports travel with catalogue pulls, and between entry daemons at random while any are held.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -6,6 +6,7 @@
 #include <jacinthhill/queue.h>
 
 #include "agent/settings.h"
+#include "feed/crash_log.h"
 #include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -52,6 +53,7 @@
 	struct jh_http_server *server;
 	struct jh_catalog *catalog;
 	struct jh_feed *feed;
+	struct crash_log *crashes;
 	struct agent_once *once; /* NULL beside an engine */
 
 	GMutex lock; /* guards all below */
@@ -61,6 +63,8 @@
 	GHashTable *jobs; /* &id -> struct agent_job */
 	GHashTable *by_request; /* request id -> struct agent_job */
 	uint64_t next_id;
+	uint64_t crash_seq;
+	uint64_t crashed_at; /* 0: no crash yet */
 
 	int leaving; /* atomic */
 	int wait_ms; /* atomic: estimated wait of new urgent work */
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -5,6 +5,7 @@
 
 #include "agent/chat.h"
 #include "agent/pieces.h"
+#include "agent/suspect.h"
 
 /* Answer length assumed when the entry daemon does not estimate one. */
 #define DEFAULT_DECODE_TOKENS 64
@@ -30,6 +31,7 @@
 
 	jh_queue_expire(a->queue, jh_now());
 	while (jh_queue_next(a->queue, jh_now(), &item)) {
+		((struct agent_job *)item.data)->started_at = now;
 		o = (struct outcome){agent_job_ref(item.data), NULL};
 		g_array_append_val(out, o);
 	}
@@ -328,13 +330,19 @@
 {
 	struct jh_queue_decision d = {0};
 	struct jh_queue_item item;
+	enum jh_suspect_verdict verdict;
 	const char *reason = NULL;
 
 	g_mutex_lock(&a->lock);
 	j->id = a->next_id++;
 	item = queue_item(a, j);
+	verdict = agent_may_run(j);
 	if (g_atomic_int_get(&a->leaving))
 		reason = "leaving";
+	else if (verdict == JH_SUSPECT_REFUSE)
+		reason = "quarantined";
+	else if (verdict == JH_SUSPECT_WAIT)
+		reason = "suspect_beside";
 	else if (over_max_wait(a, &item))
 		reason = "busy";
 	else if (!jh_queue_offer(a->queue, jh_now(), &item, &d))
@@ -348,6 +356,22 @@
 	return reason;
 }
 
+/* "HIGH:LOW" in hexadecimal; zero when absent. */
+static struct jh_fingerprint
+read_fingerprint(const struct jh_work *w)
+{
+	const char *text = jh_work_get(w, JH_WORK_FINGERPRINT);
+	struct jh_fingerprint print = {0, 0};
+	char *end;
+
+	if (text == NULL)
+		return print;
+	print.high = g_ascii_strtoull(text, &end, 16);
+	if (*end == ':')
+		print.low = g_ascii_strtoull(end + 1, NULL, 16);
+	return print;
+}
+
 void
 agent_chat(struct agent *a, struct jh_work *w, struct jh_http_req *req)
 {
@@ -366,6 +390,10 @@
 		return;
 	}
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
+	j->print = read_fingerprint(w);
+	if (jh_work_get_uint(w, JH_WORK_CRASHES, 0) > 0)
+		crash_log_hint(a->crashes, j->print,
+		    (unsigned int)jh_work_get_uint(w, JH_WORK_CRASHES, 0));
 	j->pieces = agent_pieces(a, w, jh_http_req_body(req));
 	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	reason = offer(a, j);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -5,6 +5,7 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/job.h"
+#include "agent/suspect.h"
 #include "agent/pieces.h"
 #include "base/event.h"
 
@@ -123,6 +124,9 @@
 		jh_http_req_abort(req);
 		return;
 	}
+	if (crash_log_state(j->agent->crashes, j->print) ==
+	    JH_SUSPECT_QUARANTINED)
+		jh_http_req_add_header(req, "Jh-Quarantined", "1");
 	jh_http_req_add_header(req, "Jh-Reason", "engine_lost");
 	agent_add_headers(
 	    j->agent, req, result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
@@ -135,6 +139,8 @@
 	struct agent_job *j = arg;
 	bool whole = result == JH_HTTP_OK;
 
+	if (result == JH_HTTP_BROKEN)
+		agent_engine_crashed(j);
 	g_mutex_lock(&j->lock);
 	if (whole && j->req != NULL)
 		jh_http_req_end(j->req);
@@ -149,6 +155,8 @@
 		    "engine broke off request %s",
 		    jh_work_get(j->work, JH_WORK_REQUEST_ID));
 	}
+	if (whole && j->engine_ok)
+		crash_log_succeeded(j->agent->crashes, j->print);
 	agent_job_ended(j, whole && j->engine_ok);
 	agent_job_unref(j);
 }
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -21,6 +21,8 @@
 	struct jh_work *work;
 	GString *body;
 	uint64_t prompt_tokens;
+	struct jh_fingerprint print;
+	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
 	GArray *pieces; /* of uint64_t, cache blocks of the prompt; or NULL */
 
 	GMutex lock; /* guards all below; taken after agent->lock */
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -28,6 +28,26 @@
 /* Streams get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
+static void
+on_ask(void *arg, struct jh_sync_args *args)
+{
+	struct agent *a = arg;
+
+	crash_log_export(
+	    a->crashes, &args->crashes.crashes_len, &args->crashes.crashes_val);
+}
+
+static void
+on_told(void *arg, const struct jh_sync_reply *reply)
+{
+	struct agent *a = arg;
+
+	crash_log_merge(
+	    a->crashes, reply->crashes.crashes_val, reply->crashes.crashes_len);
+}
+
+static const struct jh_feed_ops feed_ops = {.ask = on_ask, .told = on_told};
+
 static void
 init_state(struct agent *a)
 {
@@ -56,6 +76,9 @@
 	feed.catalog = a->catalog;
 	feed.key = a->set.secret;
 	feed.store = a->set.store;
+	feed.ops = &feed_ops;
+	feed.arg = a;
+	a->crashes = crash_log_create();
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
@@ -67,6 +90,7 @@
 	if (a->once != NULL)
 		agent_once_destroy(a->once);
 	jh_feed_destroy(a->feed);
+	crash_log_destroy(a->crashes);
 	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
@@ -120,6 +144,7 @@
 	do {
 		jh_instances_tick(list);
 		jh_feed_tick(a->feed);
+		crash_log_expire(a->crashes);
 		if (a->once != NULL)
 			agent_once_tick(a->once);
 		else if (ticks++ % TICKS_PER_POLL == 0)
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -85,9 +85,15 @@
 static void
 handle_sync(void *arg, const void *args, void *reply)
 {
+	const struct jh_sync_args *s = args;
+	struct jh_sync_reply *r = reply;
 	struct agent *a = arg;
 
+	crash_log_merge(
+	    a->crashes, s->crashes.crashes_val, s->crashes.crashes_len);
 	jh_feed_serve(a->feed, args, reply);
+	crash_log_export(
+	    a->crashes, &r->crashes.crashes_len, &r->crashes.crashes_val);
 }
 
 static void
--- /dev/null
+++ b/src/agent/suspect.c
@@ -0,0 +1,61 @@
+#include <jacinthhill/clock.h>
+
+#include "agent/suspect.h"
+
+/* Fingerprints of the jobs held, or only of the running. Holds agent->lock. */
+static GArray *
+collect_prints(struct agent *a, const struct agent_job *but, bool running)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct jh_fingerprint));
+	struct agent_job *j;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		j = value;
+		if (j != but && (!running || j->started_at != 0))
+			g_array_append_val(out, j->print);
+	}
+	return out;
+}
+
+void
+agent_engine_crashed(struct agent_job *j)
+{
+	struct agent *a = j->agent;
+	GArray *batch = NULL;
+	uint64_t seq = 0;
+
+	g_mutex_lock(&a->lock);
+	if (j->started_at > a->crashed_at) {
+		a->crashed_at = jh_now();
+		seq = ++a->crash_seq;
+		batch = collect_prints(a, NULL, true);
+	}
+	g_mutex_unlock(&a->lock);
+	if (batch == NULL)
+		return;
+	crash_log_crashed(a->crashes, a->incarnation, seq,
+	    (const struct jh_fingerprint *)(const void *)batch->data,
+	    batch->len);
+	g_array_free(batch, TRUE);
+}
+
+enum jh_suspect_verdict
+agent_may_run(struct agent_job *j)
+{
+	struct agent *a = j->agent;
+	enum jh_suspect_verdict verdict;
+	GArray *others;
+
+	/* Nearly all requests are in no crash: look no further then. */
+	if (crash_log_len(a->crashes) == 0)
+		return JH_SUSPECT_RUN;
+	others = collect_prints(a, j, false);
+	verdict = crash_log_may_run(a->crashes, j->print,
+	    (const struct jh_fingerprint *)(const void *)others->data,
+	    others->len);
+	g_array_free(others, TRUE);
+	return verdict;
+}
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -16,8 +16,8 @@
 /* Longest whole answer passed on. */
 #define ANSWER_LIMIT (16 << 20)
 
-/* Requests whose attempts crashed this often are not sent again. */
-#define MAX_CRASHES 3
+/* Crashes that quarantine a request; see docs/poison.md. */
+#define QUARANTINE_CRASHES 3
 
 static void
 on_token(void *arg, uint64_t position, struct jh_str payload)
@@ -217,17 +217,28 @@
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
 {
 	struct entry *e = j->entry;
-	bool allowed;
+	bool allowed, told;
 
 	learn(j, call, JH_PLACE_FAILED);
 	if (!not_sent) {
 		j->may_have_run = true;
 		j->crashes++;
+		told = jh_http_call_header(call, "Jh-Quarantined") != NULL;
+		crash_log_hint(e->crashes, j->print,
+		    told ? QUARANTINE_CRASHES : j->crashes);
+		/* A new decision: the failed worker is now held out. */
+		j->n_candidates = 0;
+		j->next_candidate = 0;
+		j->again = false;
 	}
 	g_mutex_lock(&e->lock);
 	allowed = not_sent || jh_retry_take(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
-	if (!allowed || j->crashes >= MAX_CRASHES) {
+	if (crash_log_state(e->crashes, j->print) == JH_SUSPECT_QUARANTINED) {
+		entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ENTRY_UNKNOWN);
+		return;
+	}
+	if (!allowed) {
 		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 		return;
 	}
@@ -241,6 +252,15 @@
 	entry_job_advance(j);
 }
 
+/* The agent knows the request to crash engines. */
+static void
+quarantined(struct entry_job *j)
+{
+	crash_log_hint(j->entry->crashes, j->print, QUARANTINE_CRASHES);
+	entry_job_refuse(j, ENTRY_ERR_QUARANTINED,
+	    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+}
+
 /* An error of the engine about the request itself is passed on. */
 static void
 pass_error(struct entry_job *j, unsigned int status)
@@ -297,6 +317,9 @@
 		entry_job_finish(j);
 	else if (result == JH_HTTP_NOT_SENT)
 		retry(j, call, true);
+	else if (g_strcmp0(jh_http_call_header(call, "Jh-Reason"),
+		     "quarantined") == 0)
+		quarantined(j);
 	else if (result == JH_HTTP_OK && status == 409)
 		await_catalogue(j, call);
 	else if (result == JH_HTTP_OK && status != 200 &&
@@ -316,7 +339,7 @@
 static struct jh_work *
 describe_work(struct entry_job *j, const struct jh_candidate *c)
 {
-	char levels[JH_PREFIX_HEADER_SIZE];
+	char levels[JH_PREFIX_HEADER_SIZE], print[34];
 	struct jh_work *w = jh_work_create();
 	uint64_t now = jh_now();
 	uint64_t left =
@@ -341,6 +364,11 @@
 	jh_work_set_uint(w, JH_WORK_WIDTH,
 	    entry_workers_width(j->entry->workers, j->model, &j->prefix));
 	jh_work_set_uint(w, JH_WORK_CRASHES, j->crashes);
+	/* A resumed request has another body but is the same request. */
+	snprintf(print, sizeof(print), "%016llx:%016llx",
+	    (unsigned long long)j->print.high,
+	    (unsigned long long)j->print.low);
+	jh_work_set(w, JH_WORK_FINGERPRINT, print);
 	jh_work_set_uint(
 	    w, JH_WORK_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
 	if (j->reconnect_worker != 0)
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -142,6 +142,14 @@
 		j->entry, req, DEFAULT_CLASS, JH_ENTRY_CHAT, &j->caller) ||
 	    !read_request(j, req))
 		return false;
+	j->print = jh_fingerprint_of(
+	    jh_str_from(j->caller.org->name), jh_http_req_body(req));
+	if (crash_log_state(j->entry->crashes, j->print) ==
+	    JH_SUSPECT_QUARANTINED) {
+		entry_reply_error(
+		    req, ENTRY_ERR_QUARANTINED, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
 	j->resumable = g_strcmp0(resumable, "true") == 0;
 	if (last != NULL && !parse_event_id(j, last)) {
 		entry_reply_error(req, ENTRY_ERR_BAD_REQUEST, ENTRY_NOT_RUN,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -7,6 +7,7 @@
 
 #include "entry/settings.h"
 #include "entry/workers.h"
+#include "feed/crash_log.h"
 #include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -40,6 +41,7 @@
 	struct jh_feed *feed;
 	struct entry_wait *wait;
 	struct refusal_log *refusals;
+	struct crash_log *crashes;
 	int leaving; /* atomic */
 
 	GMutex lock; /* guards all below */
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -47,6 +47,7 @@
 	bool violated; /* the running attempt broke the stream's order */
 	bool unreachable; /* an attempt was refused for its deadline */
 	uint32_t crashes;
+	struct jh_fingerprint print;
 	uint64_t leave_deadline; /* JH_NEVER unless a reconnect is awaited */
 };
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -23,6 +23,7 @@
 #define MAX_CALLS 16384
 #define REPLY_BUFFER_LEN (64 * 1024)
 #define TICK_MSEC 20
+#define EXCHANGE_INTERVAL_USEC (500 * JH_USEC_PER_MSEC)
 
 /* Requests get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
@@ -51,9 +52,20 @@
 	struct entry *e = arg;
 
 	refusal_log_seen(e->refusals, reply->instance, reply->incarnation);
+	crash_log_merge(
+	    e->crashes, reply->crashes.crashes_val, reply->crashes.crashes_len);
 }
 
-static const struct jh_feed_ops feed_ops = {.told = on_told};
+static void
+on_ask(void *arg, struct jh_sync_args *args)
+{
+	struct entry *e = arg;
+
+	crash_log_export(
+	    e->crashes, &args->crashes.crashes_len, &args->crashes.crashes_val);
+}
+
+static const struct jh_feed_ops feed_ops = {.ask = on_ask, .told = on_told};
 
 static void
 init_state(struct entry *e)
@@ -77,6 +89,7 @@
 	feed.ops = &feed_ops;
 	feed.arg = e;
 	e->refusals = refusal_log_create(e);
+	e->crashes = crash_log_create();
 	e->feed = jh_feed_create(&feed);
 }
 
@@ -85,6 +98,7 @@
 {
 	jh_feed_destroy(e->feed);
 	refusal_log_destroy(e->refusals);
+	crash_log_destroy(e->crashes);
 	g_hash_table_destroy(e->jobs);
 	entry_wait_destroy(e->wait);
 	jh_retry_destroy(e->retry);
@@ -103,12 +117,26 @@
 	return sigtimedwait(set, NULL, &tick) > 0;
 }
 
+/* While there are suspects, their reports spread from daemon to daemon. */
+static void
+exchange_crashes(struct entry *e)
+{
+	static uint64_t next;
+
+	crash_log_expire(e->crashes);
+	if (jh_now() < next || crash_log_len(e->crashes) == 0)
+		return;
+	next = jh_now() + EXCHANGE_INTERVAL_USEC;
+	jh_feed_exchange(e->feed);
+}
+
 static void
 tick(struct entry *e, struct jh_instances *d)
 {
 	jh_instances_tick(d);
 	jh_feed_tick(e->feed);
 	refusal_log_tick(e->refusals);
+	exchange_crashes(e);
 	entry_wait_tick(e->wait, jh_catalog_revision(e->catalog));
 	entry_jobs_tick(e);
 }
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -51,11 +51,16 @@
 handle_sync(void *arg, const void *args, void *reply)
 {
 	const struct jh_sync_args *s = args;
+	struct jh_sync_reply *r = reply;
 	struct entry *e = arg;
 
 	if (entry_workers_is_entry(e->workers, s->instance))
 		refusal_log_seen(e->refusals, s->instance, s->incarnation);
+	crash_log_merge(
+	    e->crashes, s->crashes.crashes_val, s->crashes.crashes_len);
 	jh_feed_serve(e->feed, args, reply);
+	crash_log_export(
+	    e->crashes, &r->crashes.crashes_len, &r->crashes.crashes_val);
 }
 
 static json_t *
--- /dev/null
+++ b/src/feed/crash_log.c
@@ -0,0 +1,142 @@
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "feed/crash_log.h"
+
+struct crash_log {
+	GMutex lock; /* guards the table */
+	struct jh_suspects *table;
+};
+
+struct crash_log *
+crash_log_create(void)
+{
+	struct jh_suspects_settings s = {JH_SUSPECTS_DEFAULTS};
+	struct crash_log *l = g_new0(struct crash_log, 1);
+
+	g_mutex_init(&l->lock);
+	l->table = jh_suspects_create(&s);
+	return l;
+}
+
+void
+crash_log_destroy(struct crash_log *l)
+{
+	jh_suspects_destroy(l->table);
+	g_mutex_clear(&l->lock);
+	g_free(l);
+}
+
+void
+crash_log_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
+    const struct jh_fingerprint *batch, size_t n)
+{
+	g_mutex_lock(&l->lock);
+	jh_suspects_crashed(l->table, jh_now(), reporter, seq, batch, n);
+	g_mutex_unlock(&l->lock);
+}
+
+void
+crash_log_hint(
+    struct crash_log *l, struct jh_fingerprint print, unsigned int crashes)
+{
+	g_mutex_lock(&l->lock);
+	jh_suspects_hint(l->table, jh_now(), print, crashes);
+	g_mutex_unlock(&l->lock);
+}
+
+void
+crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print)
+{
+	g_mutex_lock(&l->lock);
+	jh_suspects_succeeded(l->table, jh_now(), print);
+	g_mutex_unlock(&l->lock);
+}
+
+enum jh_suspect_state
+crash_log_state(struct crash_log *l, struct jh_fingerprint print)
+{
+	enum jh_suspect_state state;
+
+	g_mutex_lock(&l->lock);
+	state = jh_suspects_state(l->table, jh_now(), print, NULL);
+	g_mutex_unlock(&l->lock);
+	return state;
+}
+
+enum jh_suspect_verdict
+crash_log_may_run(struct crash_log *l, struct jh_fingerprint print,
+    const struct jh_fingerprint *running, size_t n)
+{
+	enum jh_suspect_verdict verdict;
+
+	g_mutex_lock(&l->lock);
+	verdict = jh_suspects_may_run(l->table, jh_now(), print, running, n);
+	g_mutex_unlock(&l->lock);
+	return verdict;
+}
+
+void
+crash_log_export(struct crash_log *l, u_int *n, struct jh_wire_crash **list)
+{
+	struct jh_crash all[JH_MAX_CRASHES];
+	uint64_t next;
+	size_t i, len;
+
+	g_mutex_lock(&l->lock);
+	len = jh_suspects_export(
+	    l->table, jh_now(), 0, all, G_N_ELEMENTS(all), &next);
+	g_mutex_unlock(&l->lock);
+	*n = (u_int)len;
+	*list = g_new0(struct jh_wire_crash, len);
+	for (i = 0; i < len; i++) {
+		(*list)[i].print_high = all[i].print.high;
+		(*list)[i].print_low = all[i].print.low;
+		(*list)[i].reporter = all[i].reporter;
+		(*list)[i].sequence = all[i].seq;
+		(*list)[i].remaining_ms =
+		    (u_int)(all[i].remaining_usec / JH_USEC_PER_MSEC);
+		(*list)[i].sole = all[i].sole;
+		(*list)[i].cleared = all[i].cleared;
+	}
+}
+
+void
+crash_log_merge(struct crash_log *l, const struct jh_wire_crash *list, u_int n)
+{
+	struct jh_crash c;
+	u_int i;
+
+	g_mutex_lock(&l->lock);
+	for (i = 0; i < n; i++) {
+		c = (struct jh_crash){
+		    .print = {list[i].print_high, list[i].print_low},
+		    .reporter = list[i].reporter,
+		    .seq = list[i].sequence,
+		    .remaining_usec = list[i].remaining_ms * JH_USEC_PER_MSEC,
+		    .sole = list[i].sole != 0,
+		    .cleared = list[i].cleared != 0};
+		jh_suspects_merge(l->table, jh_now(), &c, 1);
+	}
+	g_mutex_unlock(&l->lock);
+}
+
+void
+crash_log_expire(struct crash_log *l)
+{
+	g_mutex_lock(&l->lock);
+	jh_suspects_expire(l->table, jh_now());
+	g_mutex_unlock(&l->lock);
+}
+
+size_t
+crash_log_len(struct crash_log *l)
+{
+	size_t n;
+
+	g_mutex_lock(&l->lock);
+	n = jh_suspects_len(l->table);
+	g_mutex_unlock(&l->lock);
+	return n;
+}
--- /dev/null
+++ b/src/feed/crash_log.h
@@ -0,0 +1,37 @@
+#ifndef FEED_CRASH_LOG_H
+#define FEED_CRASH_LOG_H
+
+#include <jacinthhill/suspects.h>
+
+#include "rpc/control.h"
+
+/*
+ * A daemon's suspects table with its lock, and its exchange with peers: the
+ * latest crashes travel with every catalogue pull, in both directions.
+ */
+struct crash_log;
+
+struct crash_log *crash_log_create(void);
+void crash_log_destroy(struct crash_log *l);
+
+void crash_log_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
+    const struct jh_fingerprint *batch, size_t n);
+void crash_log_hint(
+    struct crash_log *l, struct jh_fingerprint print, unsigned int crashes);
+void crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print);
+enum jh_suspect_state crash_log_state(
+    struct crash_log *l, struct jh_fingerprint print);
+enum jh_suspect_verdict crash_log_may_run(struct crash_log *l,
+    struct jh_fingerprint print, const struct jh_fingerprint *running,
+    size_t n);
+
+/* Fills n and list of a message; the list comes from g_malloc(). */
+void crash_log_export(
+    struct crash_log *l, u_int *n, struct jh_wire_crash **list);
+void crash_log_merge(
+    struct crash_log *l, const struct jh_wire_crash *list, u_int n);
+
+void crash_log_expire(struct crash_log *l);
+size_t crash_log_len(struct crash_log *l);
+
+#endif
--- a/src/feed/feed.c
+++ b/src/feed/feed.c
@@ -153,6 +153,24 @@
 		g_atomic_int_set(&f->hinting, 0);
 }
 
+void
+jh_feed_exchange(struct jh_feed *f)
+{
+	struct sockaddr_in peer = {0};
+	struct jh_feed_peer *p;
+
+	g_mutex_lock(&f->lock);
+	if (f->peers->len > 0) {
+		p = &g_array_index(f->peers, struct jh_feed_peer,
+		    g_rand_int_range(f->rand, 0, (gint32)f->peers->len));
+		if (strcmp(p->instance, f->instance) != 0)
+			peer = p->rpc_address;
+	}
+	g_mutex_unlock(&f->lock);
+	if (peer.sin_port != 0)
+		jh_feed_hint(f, &peer);
+}
+
 uint64_t
 jh_feed_age(struct jh_feed *f)
 {
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -60,6 +60,12 @@
  */
 void jh_feed_hint(struct jh_feed *f, const struct sockaddr_in *rpc_address);
 
+/*
+ * Pulls out of turn from an entry daemon drawn at random, which exchanges
+ * crash reports in both directions. Watchers pull from nobody otherwise.
+ */
+void jh_feed_exchange(struct jh_feed *f);
+
 /* Answers a peer's pull, without crash reports. */
 void jh_feed_serve(struct jh_feed *f, const struct jh_sync_args *args,
     struct jh_sync_reply *reply);
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -17,6 +17,7 @@
 #define JH_MAX_TEXT 1048576
 #define JH_MAX_NAME 256
 #define JH_MAX_ITEMS 65536
+#define JH_MAX_CRASHES 64
 #define JH_NONCE_LEN 16
 #define JH_MAC_LEN 32
 
@@ -39,13 +40,13 @@
 typedef struct jh_wire_entry jh_wire_entry;
 
 struct jh_wire_crash {
+	u_quad_t print_high;
+	u_quad_t print_low;
 	u_quad_t reporter;
 	u_quad_t sequence;
-	u_int age_ms;
-	struct {
-		u_int fingerprints_len;
-		char *fingerprints_val;
-	} fingerprints;
+	u_int remaining_ms;
+	bool_t sole;
+	bool_t cleared;
 };
 typedef struct jh_wire_crash jh_wire_crash;
 
@@ -53,7 +54,6 @@
 	char *instance;
 	u_quad_t incarnation;
 	u_quad_t revision;
-	u_quad_t suspects_seen;
 	struct {
 		u_int crashes_len;
 		jh_wire_crash *crashes_val;
@@ -70,7 +70,6 @@
 		u_int entries_len;
 		jh_wire_entry *entries_val;
 	} entries;
-	u_quad_t suspects_position;
 	struct {
 		u_int crashes_len;
 		jh_wire_crash *crashes_val;
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -9,6 +9,7 @@
 const JH_MAX_TEXT = 1048576;
 const JH_MAX_NAME = 256;
 const JH_MAX_ITEMS = 65536;
+const JH_MAX_CRASHES = 64;
 const JH_NONCE_LEN = 16;
 const JH_MAC_LEN = 32;
 
@@ -26,20 +27,22 @@
 	string json<JH_MAX_TEXT>;
 };
 
-/* One crash report: which requests ran when an engine died. */
+/* One fingerprint in one crash; see struct jh_crash. */
 struct jh_wire_crash {
+	unsigned hyper print_high;
+	unsigned hyper print_low;
 	unsigned hyper reporter;	/* incarnation of the reporting agent */
 	unsigned hyper sequence;	/* of that reporter's crashes */
-	unsigned int age_ms;
-	opaque fingerprints<JH_MAX_TEXT>; /* 16 bytes each */
+	unsigned int remaining_ms;
+	bool sole;
+	bool cleared;
 };
 
 struct jh_sync_args {
 	string instance<JH_MAX_NAME>;
 	unsigned hyper incarnation;
 	unsigned hyper revision;	/* what the asker has in full */
-	unsigned hyper suspects_seen;	/* the peer's crash log position */
-	jh_wire_crash crashes<JH_MAX_ITEMS>; /* new at the asker */
+	jh_wire_crash crashes<JH_MAX_CRASHES>;
 };
 
 struct jh_sync_reply {
@@ -48,8 +51,7 @@
 	unsigned hyper revision;
 	unsigned int confirmed_age_ms;	/* since the store confirmed it */
 	jh_wire_entry entries<JH_MAX_ITEMS>; /* changed after the asker's */
-	unsigned hyper suspects_position;
-	jh_wire_crash crashes<JH_MAX_ITEMS>;
+	jh_wire_crash crashes<JH_MAX_CRASHES>;
 	bool full;			/* entries is all there is */
 };
 
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -41,13 +41,19 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->print_high))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->print_low))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reporter))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->sole))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->fingerprints.fingerprints_val, (u_int *) &objp->fingerprints.fingerprints_len, JH_MAX_TEXT))
+	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	return TRUE;
 }
@@ -63,9 +69,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->suspects_seen))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_CRASHES,
 		sizeof (jh_wire_crash), (xdrproc_t) xdr_jh_wire_crash))
 		 return FALSE;
 	return TRUE;
@@ -87,9 +91,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JH_MAX_ITEMS,
 		sizeof (jh_wire_entry), (xdrproc_t) xdr_jh_wire_entry))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->suspects_position))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_CRASHES,
 		sizeof (jh_wire_crash), (xdrproc_t) xdr_jh_wire_crash))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -24,6 +24,7 @@
     [JH_WORK_WEIGHT] = "Jh-Weight",
     [JH_WORK_RESUME] = "Jh-Resume",
     [JH_WORK_CRASHES] = "Jh-Crashes",
+    [JH_WORK_FINGERPRINT] = "Jh-Fingerprint",
     [JH_WORK_WIDTH] = "Jh-Width",
     [JH_WORK_CATALOG_REV] = "Jh-Catalog-Rev",
     [JH_WORK_ONCE] = "Jh-Once",
