--- a/src/feed/feed.c
+++ b/src/feed/feed.c
@@ -158,13 +158,16 @@
 {
 	struct sockaddr_in peer = {0};
 	struct jh_feed_peer *p;
+	guint i;
 
 	g_mutex_lock(&f->lock);
 	if (f->peers->len > 0) {
-		p = &g_array_index(f->peers, struct jh_feed_peer,
-		    g_rand_int_range(f->rand, 0, (gint32)f->peers->len));
-		if (strcmp(p->instance, f->instance) != 0)
-			peer = p->rpc_address;
+		i = (guint)g_rand_int_range(f->rand, 0, (gint32)f->peers->len);
+		p = &g_array_index(f->peers, struct jh_feed_peer, i);
+		if (strcmp(p->instance, f->instance) == 0)
+			p = &g_array_index(f->peers, struct jh_feed_peer,
+			    (i + 1) % f->peers->len);
+		peer = p->rpc_address;
 	}
 	g_mutex_unlock(&f->lock);
 	if (peer.sin_port != 0)
