admit: reserve slots by measured need, and between organisations

Cause: in steady load 11% of the background was refused, as two deviations of slots kept free were too many and their mean followed every wave; a background prompt in the engine held urgent prompts back in the queue; and nothing kept a large organisation from taking every slot, so that a small one waited for an answer to end.

Change: levels over 60 s instead of 10 s; 1.25 deviations; the prefill window of urgent prompts ignores background ones; the last free slots are for organisations that hold few, now and on average; background that is owed its floor leaves two slots free until it is owed twice as much; an organisation's own pace counts in the estimate.

--- a/bench/parts/queue_sim.c
+++ b/bench/parts/queue_sim.c
@@ -212,10 +212,11 @@
 				   : JH_RANK_BACKGROUND;
 			queue_request_draw(rand, rank, &req);
 			queue_engine_start(&e, now,
-			    &(struct queue_work){.id = id++,
+			    &(struct queue_work){.id = id,
 				.rank = rank,
 				.prefill_left = req.item.prefill,
 				.decode = req.answer});
+			id++;
 		}
 		if (!queue_engine_begin(&e, now)) {
 			now = queue_engine_wake_at(&e);
--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -38,7 +38,7 @@
 	q->entries =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	for (r = 0; r < JH_RANKS; r++)
-		jh_queue_rank_init(&q->ranks[r]);
+		jh_queue_rank_init(&q->ranks[r], config->slots);
 	g_queue_init(&q->refused);
 	jh_queue_engine_init(&q->engine, config);
 	q->open_at = JH_NEVER;
@@ -160,9 +160,10 @@
 jh_queue_offer(struct jh_queue *q, uint64_t now,
     const struct jh_queue_item *item, struct jh_queue_decision *decision)
 {
-	uint64_t estimate = jh_queue_estimate(q, now, item);
+	uint64_t estimate;
 
 	jh_queue_observe(q, now);
+	estimate = jh_queue_estimate(q, now, item);
 	*decision = (struct jh_queue_decision){
 	    .reason = admit(q, item, estimate), .first_token = estimate};
 	q->counts[item->rank][decision->reason]++;
--- a/src/admit/queue_engine.c
+++ b/src/admit/queue_engine.c
@@ -26,38 +26,50 @@
 		e->hold[r].value = e->token.value * ASSUMED_DECODE_TOKENS;
 }
 
+static unsigned int
+in_prefill(const struct jh_queue_engine *e, enum jh_rank up_to)
+{
+	return e->in_prefill[JH_RANK_URGENT] +
+	       (up_to == JH_RANK_URGENT ? 0
+					: e->in_prefill[JH_RANK_BACKGROUND]);
+}
+
+static uint64_t
+prefill_tokens(const struct jh_queue_engine *e, enum jh_rank up_to)
+{
+	return e->prefill_tokens[JH_RANK_URGENT] +
+	       (up_to == JH_RANK_URGENT
+		       ? 0
+		       : e->prefill_tokens[JH_RANK_BACKGROUND]);
+}
+
 void
 jh_queue_engine_started(
-    struct jh_queue_engine *e, uint64_t now, uint32_t prefill)
+    struct jh_queue_engine *e, uint64_t now, const struct jh_queue_item *item)
 {
-	if (e->in_prefill++ == 0)
+	if (in_prefill(e, JH_RANK_BACKGROUND) == 0)
 		e->prefill_since = now;
-	e->prefill_tokens += prefill;
+	e->in_prefill[item->rank]++;
+	e->prefill_tokens[item->rank] += item->prefill;
 	e->running++;
 }
 
-static void
-leave_prefill(struct jh_queue_engine *e, uint64_t now, uint32_t prefill)
+void
+jh_queue_engine_lost_prefill(
+    struct jh_queue_engine *e, uint64_t now, const struct jh_queue_item *item)
 {
-	e->in_prefill--;
-	e->prefill_tokens -= prefill;
+	e->in_prefill[item->rank]--;
+	e->prefill_tokens[item->rank] -= item->prefill;
 	e->prefill_since = now;
 }
 
 void
 jh_queue_engine_first_token(
-    struct jh_queue_engine *e, uint64_t now, uint32_t prefill)
+    struct jh_queue_engine *e, uint64_t now, const struct jh_queue_item *item)
 {
 	jh_queue_fit_add(
-	    &e->prefill, prefill, (double)(now - e->prefill_since));
-	leave_prefill(e, now, prefill);
-}
-
-void
-jh_queue_engine_lost_prefill(
-    struct jh_queue_engine *e, uint64_t now, uint32_t prefill)
-{
-	leave_prefill(e, now, prefill);
+	    &e->prefill, item->prefill, (double)(now - e->prefill_since));
+	jh_queue_engine_lost_prefill(e, now, item);
 }
 
 double
@@ -68,28 +80,32 @@
 }
 
 double
-jh_queue_engine_prefill_left(const struct jh_queue_engine *e, uint64_t now)
+jh_queue_engine_prefill_left(
+    const struct jh_queue_engine *e, uint64_t now, enum jh_rank rank)
 {
+	unsigned int n = in_prefill(e, rank);
 	double left;
 
-	if (e->in_prefill == 0)
+	if (n == 0)
 		return 0;
 	left = jh_queue_engine_prefill_time(
-		   e, e->in_prefill, (double)e->prefill_tokens) -
+		   e, n, (double)prefill_tokens(e, rank)) -
 	       (double)(now - e->prefill_since);
 	return MAX(left, 0);
 }
 
 uint64_t
-jh_queue_engine_open_at(const struct jh_queue_engine *e, unsigned int window)
+jh_queue_engine_open_at(
+    const struct jh_queue_engine *e, enum jh_rank rank, unsigned int window)
 {
-	double wait;
+	unsigned int n = in_prefill(e, rank);
+	uint64_t tokens = prefill_tokens(e, rank);
 
-	if (e->in_prefill == 0 || e->prefill_tokens <= window)
+	if (n == 0 || tokens <= window)
 		return 0;
 	/* Two prompts at most, so that a stalled engine is not filled up. */
-	if (e->in_prefill > 1)
+	if (n > 1)
 		return JH_NEVER;
-	wait = ((double)e->prefill_tokens - window) * e->prefill.slope;
-	return e->prefill_since + (uint64_t)wait;
+	return e->prefill_since +
+	       (uint64_t)((double)(tokens - window) * e->prefill.slope);
 }
--- a/src/admit/queue_estimate.c
+++ b/src/admit/queue_estimate.c
@@ -6,6 +6,8 @@
 struct ahead {
 	double count;
 	double prefill;
+	/* Items of the same organisation among these. */
+	double own;
 };
 
 /*
@@ -19,7 +21,7 @@
 	const struct jh_queue_flow *f = jh_queue_rank_find(r, item->org);
 	struct jh_queue_sum own = {0}, rest = r->queued;
 	double weight = MAX(item->weight, 1), span = 0, share, mean;
-	size_t others = r->waiting.len;
+	size_t others = r->waiting;
 	uint64_t others_weight = r->waiting_weight;
 	struct jh_queue_sum all;
 
@@ -36,15 +38,20 @@
 			       JH_QUEUE_TAG_SCALE;
 	}
 	if (rest.count == 0)
-		return (struct ahead){(double)own.count, (double)own.prefill};
+		return (struct ahead){
+		    (double)own.count, (double)own.prefill, (double)own.count};
 	span += (double)own.cost / weight;
 	/* Each other organisation may be ahead by one item at equal tags. */
 	mean = (double)rest.cost / (double)rest.count;
 	share = (span * (double)others_weight + mean * (double)others) /
 		(double)rest.cost;
+	/* Those who hold more slots wait, however much they queue. */
+	share = MIN(share,
+	    (double)others * (double)(own.count + 1) / (double)rest.count);
 	share = MIN(share, 1);
 	return (struct ahead){(double)own.count + share * (double)rest.count,
-	    (double)own.prefill + share * (double)rest.prefill};
+	    (double)own.prefill + share * (double)rest.prefill,
+	    (double)own.count};
 }
 
 /* Time until a slot is free behind count items, when all are taken. */
@@ -57,8 +64,30 @@
 	return over > 0 ? over * hold / slots : 0;
 }
 
+/*
+ * Time until the organisation itself may take another slot. What it holds on
+ * average while it waits is its pace.
+ */
+static double
+own_wait(const struct jh_queue *q, const struct jh_queue_item *item, double own)
+{
+	const struct jh_queue_flow *f =
+	    jh_queue_rank_find(&q->ranks[JH_RANK_URGENT], item->org);
+	double bound = jh_queue_urgent_bound(q), may_start, pace;
+
+	if (f == NULL)
+		return 0;
+	may_start = 2 * bound * f->weight - f->held.mean - f->running;
+	if (may_start > own)
+		return 0;
+	pace = MAX(MAX(f->held.mean, f->running), 1);
+	return (own + 1 - MAX(may_start, 0)) *
+	       q->engine.hold[JH_RANK_URGENT].value / pace;
+}
+
 static double
-wait_urgent(const struct jh_queue *q, uint64_t now, struct ahead a)
+wait_urgent(const struct jh_queue *q, uint64_t now,
+    const struct jh_queue_item *item, struct ahead a)
 {
 	const struct jh_queue_engine *e = &q->engine;
 	double floor = q->config.background_floor_percent / 100.0;
@@ -74,7 +103,8 @@
 		prefill /= 1 - floor;
 		slot /= 1 - floor;
 	}
-	return MAX(prefill + jh_queue_engine_prefill_left(e, now), slot);
+	prefill += jh_queue_engine_prefill_left(e, now, JH_RANK_URGENT);
+	return MAX(MAX(prefill, slot), own_wait(q, item, a.own));
 }
 
 /*
@@ -86,8 +116,9 @@
 {
 	const struct jh_queue_engine *e = &q->engine;
 	const struct jh_queue_rank *u = &q->ranks[JH_RANK_URGENT];
-	unsigned int slots = jh_queue_background_slots(q);
-	double pace = 1 - q->urgent_mean / q->config.slots;
+	unsigned int running = q->ranks[JH_RANK_BACKGROUND].running;
+	unsigned int slots = MAX(jh_queue_background_slots(q), running);
+	double pace = 1 - q->urgent.mean / q->config.slots;
 	double prefill, slot;
 
 	pace = MAX(pace, q->config.background_floor_percent / 100.0);
@@ -95,10 +126,12 @@
 	prefill = jh_queue_engine_prefill_time(e, a.count, a.prefill) / pace;
 	prefill += jh_queue_engine_prefill_time(
 	    e, (double)u->queued.count, (double)u->queued.prefill);
-	slot =
-	    slot_wait(q, a.count, slots, q->ranks[JH_RANK_BACKGROUND].running,
-		e->hold[JH_RANK_BACKGROUND].value);
-	return MAX(prefill + jh_queue_engine_prefill_left(e, now), slot);
+	/* In an urgent flood background holds what its floor gives it. */
+	slot = slot_wait(
+	    q, a.count, slots, running, e->hold[JH_RANK_BACKGROUND].value);
+	return MAX(
+	    prefill + jh_queue_engine_prefill_left(e, now, JH_RANK_BACKGROUND),
+	    slot);
 }
 
 uint64_t
@@ -106,8 +139,9 @@
     const struct jh_queue *q, uint64_t now, const struct jh_queue_item *item)
 {
 	struct ahead a = ahead_in_rank(&q->ranks[item->rank], item);
-	double wait = item->rank == JH_RANK_URGENT ? wait_urgent(q, now, a)
-						   : wait_background(q, now, a);
+	double wait = item->rank == JH_RANK_URGENT
+			  ? wait_urgent(q, now, item, a)
+			  : wait_background(q, now, a);
 
 	wait += jh_queue_engine_prefill_time(&q->engine, 1, item->prefill);
 	return now + (uint64_t)wait;
--- a/src/admit/queue_fit.c
+++ b/src/admit/queue_fit.c
@@ -1,3 +1,7 @@
+#include <math.h>
+
+#include <jacinthhill/clock.h>
+
 #include "admit/queue_fit.h"
 
 /* Weight kept by old samples: half of it is gone after about 23 samples. */
@@ -5,6 +9,11 @@
 #define MEAN_GAIN 0.05
 /* Relative variance of x below which the slope cannot be told. */
 #define FIT_MIN_SPREAD 0.01
+/*
+ * Time constant of levels: some times that for which an item holds a slot, or
+ * the mean follows each wave and background fills the trough before the next.
+ */
+#define LEVEL_USEC (60.0 * JH_USEC_PER_SEC)
 
 static void
 add(struct jh_queue_fit *f, double x, double y)
@@ -68,3 +77,21 @@
 {
 	m->value += MEAN_GAIN * (sample - m->value);
 }
+
+void
+jh_queue_level_hold(struct jh_queue_level *l, uint64_t now, double value)
+{
+	double gain = 1 - exp(-(double)(now - l->at) / LEVEL_USEC);
+
+	l->mean += gain * (value - l->mean);
+	l->square += gain * (value * value - l->square);
+	l->at = now;
+}
+
+double
+jh_queue_level_deviation(const struct jh_queue_level *l)
+{
+	double variance = l->square - l->mean * l->mean;
+
+	return variance > 0 ? sqrt(variance) : 0;
+}
--- a/src/admit/queue_fit.h
+++ b/src/admit/queue_fit.h
@@ -1,6 +1,8 @@
 #ifndef ADMIT_QUEUE_FIT_H
 #define ADMIT_QUEUE_FIT_H
 
+#include <stdint.h>
+
 /*
  * A moving linear fit y = base + slope * x: least squares over samples whose
  * weight decays with each new one.
@@ -23,4 +25,15 @@
 
 void jh_queue_mean_add(struct jh_queue_mean *m, double sample);
 
+/* Mean and mean square over time of a value, the past fading. */
+struct jh_queue_level {
+	double mean;
+	double square;
+	uint64_t at;
+};
+
+/* Says that the value has held since the previous call. */
+void jh_queue_level_hold(struct jh_queue_level *l, uint64_t now, double value);
+double jh_queue_level_deviation(const struct jh_queue_level *l);
+
 #endif
--- a/src/admit/queue_flow.h
+++ b/src/admit/queue_flow.h
@@ -7,6 +7,7 @@
 
 #include <jacinthhill/queue.h>
 
+#include "admit/queue_fit.h"
 #include "admit/queue_heap.h"
 #include "admit/queue_tree.h"
 
@@ -36,9 +37,13 @@
 	unsigned int weight;
 	struct jh_queue_tree tree;
 	unsigned int running;
+	/* Slots held, over time. */
+	struct jh_queue_level held;
+	/* Index of the heap that holds the flow while it waits. */
+	unsigned int level;
 	/* Virtual time at which the flow's next item starts. */
 	uint64_t tag;
-	/* In the heap of waiting flows, or of idle ones, by tag. */
+	/* In the heap of its level or of the idle flows, by tag. */
 	struct jh_queue_heap_node order;
 	/* In the heap of waiting flows by queued cost, largest first. */
 	struct jh_queue_heap_node size;
--- a/src/admit/queue_rank.c
+++ b/src/admit/queue_rank.c
@@ -23,9 +23,10 @@
 }
 
 void
-jh_queue_rank_init(struct jh_queue_rank *r)
+jh_queue_rank_init(struct jh_queue_rank *r, unsigned int slots)
 {
-	*r = (struct jh_queue_rank){0};
+	*r = (struct jh_queue_rank){.level_count = slots + 1};
+	r->levels = g_new0(struct jh_queue_heap, r->level_count);
 	r->flows = g_hash_table_new_full(
 	    flow_hash, flow_eq, NULL, (GDestroyNotify)jh_queue_flow_destroy);
 }
@@ -33,8 +34,12 @@
 void
 jh_queue_rank_clear(struct jh_queue_rank *r)
 {
+	unsigned int i;
+
 	g_hash_table_destroy(r->flows);
-	jh_queue_heap_clear(&r->waiting);
+	for (i = 0; i < r->level_count; i++)
+		jh_queue_heap_clear(&r->levels[i]);
+	g_free(r->levels);
 	jh_queue_heap_clear(&r->largest);
 	jh_queue_heap_clear(&r->idle);
 }
@@ -56,35 +61,55 @@
 	if (f == NULL) {
 		f = jh_queue_flow_create(org, r->next_tie++);
 		f->tag = r->virtual_time;
+		f->held.at = r->now;
 		g_hash_table_add(r->flows, f);
+		jh_queue_heap_insert(&r->idle, &f->order, f->tag);
 	}
 	return f;
 }
 
-/* Puts the flow into the heaps that its state calls for. */
+static unsigned int
+level_of(const struct jh_queue_rank *r, const struct jh_queue_flow *f)
+{
+	double level = (f->running + f->held.mean) / 2 / f->weight;
+
+	return (unsigned int)MIN(level, r->level_count - 1);
+}
+
+/* Takes the flow out of the heaps before its state changes. */
 static void
-settle(struct jh_queue_rank *r, struct jh_queue_flow *f, bool waited)
-{
-	struct jh_queue_sum sum = jh_queue_flow_sum(f);
-
-	if (sum.count > 0) {
-		if (!waited) {
-			jh_queue_heap_remove(&r->idle, &f->order);
-			f->tag = MAX(f->tag, r->virtual_time);
-			r->waiting_weight += f->weight;
-		}
-		jh_queue_heap_update(&r->waiting, &f->order, f->tag);
-		jh_queue_heap_update(
-		    &r->largest, &f->size, UINT64_MAX - sum.cost);
-		return;
+unsettle(struct jh_queue_rank *r, struct jh_queue_flow *f)
+{
+	jh_queue_level_hold(&f->held, r->now, f->running);
+	if (f->tree.root != NULL) {
+		jh_queue_heap_remove(&r->levels[f->level], &f->order);
+		r->waiting--;
+		r->waiting_weight -= f->weight;
+	} else if (f->running == 0) {
+		jh_queue_heap_remove(&r->idle, &f->order);
 	}
-	if (waited) {
-		jh_queue_heap_remove(&r->waiting, &f->order);
+	if (f->tree.root != NULL || f->running > 0)
+		r->active_weight -= f->weight;
+}
+
+/* Puts the flow into the heaps that its state calls for. */
+static void
+settle(struct jh_queue_rank *r, struct jh_queue_flow *f)
+{
+	if (f->tree.root != NULL) {
+		f->level = level_of(r, f);
+		jh_queue_heap_insert(&r->levels[f->level], &f->order, f->tag);
+		jh_queue_heap_update(&r->largest, &f->size,
+		    UINT64_MAX - jh_queue_flow_sum(f).cost);
+		r->waiting++;
+		r->waiting_weight += f->weight;
+	} else {
 		jh_queue_heap_remove(&r->largest, &f->size);
-		r->waiting_weight -= f->weight;
+		if (f->running == 0)
+			jh_queue_heap_insert(&r->idle, &f->order, f->tag);
 	}
-	if (f->running == 0)
-		jh_queue_heap_update(&r->idle, &f->order, f->tag);
+	if (f->tree.root != NULL || f->running > 0)
+		r->active_weight += f->weight;
 }
 
 /*
@@ -109,15 +134,18 @@
 jh_queue_rank_push(struct jh_queue_rank *r, struct jh_queue_entry *e)
 {
 	struct jh_queue_flow *f = obtain(r, e->item.org);
-	bool waited = f->tree.root != NULL;
 
-	if (!waited)
-		f->weight = MAX(e->item.weight, 1);
+	unsettle(r, f);
+	if (f->tree.root == NULL) {
+		f->tag = MAX(f->tag, r->virtual_time);
+		if (f->running == 0)
+			f->weight = MAX(e->item.weight, 1);
+	}
 	e->flow = f;
 	e->item.org = (struct jh_str){f->org, f->org_len};
 	jh_queue_tree_insert(&f->tree, &e->node);
 	jh_queue_sum_add(&r->queued, &e->node.own);
-	settle(r, f, waited);
+	settle(r, f);
 }
 
 static void
@@ -130,8 +158,9 @@
 void
 jh_queue_rank_remove(struct jh_queue_rank *r, struct jh_queue_entry *e)
 {
+	unsettle(r, e->flow);
 	detach(r, e);
-	settle(r, e->flow, true);
+	settle(r, e->flow);
 }
 
 static struct jh_queue_entry *
@@ -141,14 +170,20 @@
 }
 
 struct jh_queue_entry *
-jh_queue_rank_first(const struct jh_queue_rank *r)
+jh_queue_rank_first(const struct jh_queue_rank *r, double held)
 {
-	struct jh_queue_heap_node *n = jh_queue_heap_top(&r->waiting);
+	struct jh_queue_heap_node *n, *best = NULL;
 	struct jh_queue_flow *f;
+	unsigned int i;
 
-	if (n == NULL)
+	for (i = 0; i < r->level_count && i < held; i++) {
+		n = jh_queue_heap_top(&r->levels[i]);
+		if (n != NULL && (best == NULL || n->key < best->key))
+			best = n;
+	}
+	if (best == NULL)
 		return NULL;
-	f = JH_CONTAINER(n, struct jh_queue_flow, order);
+	f = JH_CONTAINER(best, struct jh_queue_flow, order);
 	return entry_of(jh_queue_tree_first(&f->tree));
 }
 
@@ -157,6 +192,7 @@
 {
 	struct jh_queue_flow *f = e->flow;
 
+	unsettle(r, f);
 	r->virtual_time = MAX(r->virtual_time, f->tag);
 	f->tag += jh_queue_flow_span(f, e->cost);
 	r->max_tag = MAX(r->max_tag, f->tag);
@@ -164,7 +200,7 @@
 	r->running++;
 	r->in_prefill++;
 	detach(r, e);
-	settle(r, f, true);
+	settle(r, f);
 	forget_idle(r);
 }
 
@@ -175,6 +211,7 @@
 	struct jh_queue_flow *f = e->flow;
 	uint64_t refund;
 
+	unsettle(r, f);
 	f->running--;
 	r->running--;
 	if (e->first_token == 0)
@@ -186,7 +223,7 @@
 		refund = jh_queue_flow_span(f, e->cost - cost);
 		f->tag -= MIN(refund, f->tag);
 	}
-	settle(r, f, f->tree.root != NULL);
+	settle(r, f);
 	if (r->running == 0 && r->queued.count == 0)
 		r->virtual_time = r->max_tag;
 	forget_idle(r);
--- a/src/admit/queue_rank.h
+++ b/src/admit/queue_rank.h
@@ -8,14 +8,22 @@
 /* All flows of one rank: start-time fair queueing on cost. */
 struct jh_queue_rank {
 	GHashTable *flows;
-	/* Flows with queued items, by tag, and the same by queued cost. */
-	struct jh_queue_heap waiting;
+	/*
+	 * Flows with queued items, by tag: one heap for each number of slots
+	 * that a flow holds for each unit of weight, the mean of now and of
+	 * the recent past.
+	 */
+	struct jh_queue_heap *levels;
+	unsigned int level_count;
+	size_t waiting;
+	/* The same flows by queued cost. */
 	struct jh_queue_heap largest;
 	/* Flows without queued or running items, by tag. */
 	struct jh_queue_heap idle;
 	struct jh_queue_sum queued;
-	/* Weights of the waiting flows. */
+	/* Weights of flows with queued items, and with any items. */
 	uint64_t waiting_weight;
+	uint64_t active_weight;
 	unsigned int running;
 	/* Running items without a first token. */
 	unsigned int in_prefill;
@@ -23,9 +31,11 @@
 	/* Largest tag given; virtual time jumps to it when the rank idles. */
 	uint64_t max_tag;
 	uint64_t next_tie;
+	/* Time of the present call, set by the queue. */
+	uint64_t now;
 };
 
-void jh_queue_rank_init(struct jh_queue_rank *r);
+void jh_queue_rank_init(struct jh_queue_rank *r, unsigned int slots);
 /* Frees the flows; their items belong to the queue. */
 void jh_queue_rank_clear(struct jh_queue_rank *r);
 
@@ -37,8 +47,13 @@
 void jh_queue_rank_push(struct jh_queue_rank *r, struct jh_queue_entry *e);
 /* Removes a queued entry without charging its flow. */
 void jh_queue_rank_remove(struct jh_queue_rank *r, struct jh_queue_entry *e);
-/* Entry to run next, or NULL; does not remove it. */
-struct jh_queue_entry *jh_queue_rank_first(const struct jh_queue_rank *r);
+/*
+ * Entry to run next, or NULL; does not remove it. Only flows that hold less
+ * than held slots for each unit of weight are considered. The cost grows with
+ * the number of slots, not with what is queued.
+ */
+struct jh_queue_entry *jh_queue_rank_first(
+    const struct jh_queue_rank *r, double held);
 /* Removes the entry, charges its flow and counts it as running. */
 void jh_queue_rank_start(struct jh_queue_rank *r, struct jh_queue_entry *e);
 /* Ends a running entry; cost is what it really cost. */
--- a/src/admit/queue_run.c
+++ b/src/admit/queue_run.c
@@ -4,62 +4,114 @@
 
 #include "admit/queue_state.h"
 
-/* Time over which the mean number of urgent items is taken. */
-#define URGENT_MEAN_USEC (10.0 * JH_USEC_PER_SEC)
 /*
- * Slots kept for urgent work: its mean number plus this many standard
- * deviations of a Poisson variable of that mean, and one for an arrival now.
+ * Slots kept free of background for urgent work: those it holds on average,
+ * so many standard deviations of a Poisson variable of that mean, and one for
+ * the next arrival.
  */
-#define RESERVE_DEVIATIONS 2.0
+#define BACKGROUND_DEVIATIONS 1.25
+/*
+ * The last free slots, this part of all but no more than there are other
+ * organisations, are for those who hold less than the light part of their
+ * fair share; free slots beyond are worth another share each so many.
+ */
+#define RESERVE_PART 0.25
+#define LIGHT_PART 0.5
+#define SLOTS_PER_SHARE 3.0
 /* Credit is bounded to this many times the cost of the next item. */
-#define CREDIT_ITEMS 2
+#define CREDIT_ITEMS 4
+/*
+ * Background that is owed its floor leaves so many slots free, until it is
+ * owed twice as much.
+ */
+#define OWED_FREE_SLOTS 2
 
 void
 jh_queue_observe(struct jh_queue *q, uint64_t now)
 {
 	const struct jh_queue_rank *u = &q->ranks[JH_RANK_URGENT];
 	double present = u->running + (double)u->queued.count;
-	double age = (double)(now - q->urgent_mean_at);
 
-	present = MIN(present, q->config.slots);
-	q->urgent_mean +=
-	    (1 - exp(-age / URGENT_MEAN_USEC)) * (present - q->urgent_mean);
-	q->urgent_mean_at = now;
+	q->ranks[JH_RANK_URGENT].now = now;
+	q->ranks[JH_RANK_BACKGROUND].now = now;
+	jh_queue_level_hold(&q->urgent, now, MIN(present, q->config.slots));
+	jh_queue_level_hold(&q->active, now, (double)u->active_weight);
 }
 
 unsigned int
 jh_queue_background_slots(const struct jh_queue *q)
 {
 	double reserve =
-	    q->urgent_mean + RESERVE_DEVIATIONS * sqrt(q->urgent_mean) + 1;
+	    q->urgent.mean + BACKGROUND_DEVIATIONS * sqrt(q->urgent.mean) + 1;
 	double left = q->config.slots - ceil(reserve);
 
 	return left < 1 ? 1 : (unsigned int)left;
 }
 
+double
+jh_queue_urgent_bound(const struct jh_queue *q)
+{
+	double active = MAX(q->active.mean, 1);
+	double fair = q->config.slots / active;
+	double reserve = MIN(active - 1, RESERVE_PART * q->config.slots);
+	double over = q->config.slots - q->engine.running - reserve;
+
+	/* With half of the slots free there is nothing to hold back for. */
+	if (2 * q->engine.running < q->config.slots)
+		return INFINITY;
+	return fair * (LIGHT_PART + MAX(over, 0) / SLOTS_PER_SHARE);
+}
+
 /* Whether background may start although it is owed nothing. */
 static bool
 background_fits(const struct jh_queue *q)
 {
-	return q->ranks[JH_RANK_URGENT].in_prefill == 0 &&
+	return q->ranks[JH_RANK_URGENT].queued.count == 0 &&
+	       q->ranks[JH_RANK_URGENT].in_prefill == 0 &&
 	       q->ranks[JH_RANK_BACKGROUND].in_prefill == 0 &&
 	       q->ranks[JH_RANK_BACKGROUND].running <
 		   jh_queue_background_slots(q);
 }
 
+/* Whether the engine takes another prompt now; else when, in *open_at. */
+static bool
+engine_open(const struct jh_queue *q, uint64_t now, enum jh_rank rank,
+    uint64_t *open_at)
+{
+	uint64_t at =
+	    jh_queue_engine_open_at(&q->engine, rank, q->config.prefill_window);
+
+	if (at <= now)
+		return true;
+	*open_at = MIN(*open_at, at);
+	return false;
+}
+
+/* Whether the floor share lets this background item go before urgent work. */
+static bool
+owed(const struct jh_queue *q, const struct jh_queue_entry *b)
+{
+	unsigned int free_slots = q->config.slots - q->engine.running;
+
+	return q->background_credit >=
+	       (free_slots > OWED_FREE_SLOTS ? b->cost : 2 * b->cost);
+}
+
 static struct jh_queue_entry *
-choose(const struct jh_queue *q)
+choose(struct jh_queue *q, uint64_t now)
 {
-	struct jh_queue_entry *u =
-	    jh_queue_rank_first(&q->ranks[JH_RANK_URGENT]);
-	struct jh_queue_entry *b =
-	    jh_queue_rank_first(&q->ranks[JH_RANK_BACKGROUND]);
-
-	if (b != NULL && q->background_credit >= b->cost)
-		return b;
-	if (u != NULL)
-		return u;
-	return b != NULL && background_fits(q) ? b : NULL;
+	const struct jh_queue_rank *u = &q->ranks[JH_RANK_URGENT];
+	struct jh_queue_entry *e =
+	    jh_queue_rank_first(&q->ranks[JH_RANK_BACKGROUND], INFINITY);
+
+	q->open_at = JH_NEVER;
+	if (e != NULL && (owed(q, e) || background_fits(q)) &&
+	    engine_open(q, now, JH_RANK_BACKGROUND, &q->open_at))
+		return e;
+	if (u->queued.count == 0 ||
+	    !engine_open(q, now, JH_RANK_URGENT, &q->open_at))
+		return NULL;
+	return jh_queue_rank_first(u, jh_queue_urgent_bound(q));
 }
 
 /* Keeps account of the cost that waiting background is owed. */
@@ -74,11 +126,9 @@
 		q->background_credit -= MIN(q->background_credit, e->cost);
 		return;
 	}
-	b = jh_queue_rank_first(&q->ranks[JH_RANK_BACKGROUND]);
-	if (b == NULL) {
-		q->background_credit = 0;
+	b = jh_queue_rank_first(&q->ranks[JH_RANK_BACKGROUND], INFINITY);
+	if (b == NULL)
 		return;
-	}
 	q->background_credit += e->cost * floor / (100 - floor);
 	q->background_credit =
 	    MIN(q->background_credit, CREDIT_ITEMS * b->cost);
@@ -90,7 +140,7 @@
 	e->started = MAX(now, 1);
 	jh_queue_heap_remove(&q->expiry, &e->expiry);
 	jh_queue_rank_start(&q->ranks[e->item.rank], e);
-	jh_queue_engine_started(&q->engine, now, e->item.prefill);
+	jh_queue_engine_started(&q->engine, now, &e->item);
 	account(q, e);
 }
 
@@ -98,19 +148,13 @@
 jh_queue_next(struct jh_queue *q, uint64_t now, struct jh_queue_item *item)
 {
 	struct jh_queue_entry *e;
-	uint64_t open_at;
 
 	jh_queue_observe(q, now);
 	jh_queue_expire(q, now);
 	q->open_at = JH_NEVER;
 	if (q->engine.running >= q->config.slots)
 		return false;
-	open_at = jh_queue_engine_open_at(&q->engine, q->config.prefill_window);
-	if (open_at > now) {
-		q->open_at = open_at;
-		return false;
-	}
-	e = choose(q);
+	e = choose(q, now);
 	if (e == NULL)
 		return false;
 	start(q, now, e);
@@ -127,7 +171,7 @@
 		return;
 	e->first_token = MAX(now, 1);
 	q->ranks[e->item.rank].in_prefill--;
-	jh_queue_engine_first_token(&q->engine, now, e->item.prefill);
+	jh_queue_engine_first_token(&q->engine, now, &e->item);
 }
 
 static void
@@ -153,7 +197,7 @@
 	if (end == JH_QUEUE_END_DONE && e->first_token != 0)
 		learn(q, now, e, decoded);
 	if (e->first_token == 0)
-		jh_queue_engine_lost_prefill(&q->engine, now, e->item.prefill);
+		jh_queue_engine_lost_prefill(&q->engine, now, &e->item);
 	q->engine.running--;
 	jh_queue_rank_finish(&q->ranks[e->item.rank], e,
 	    jh_queue_cost(q, e->item.prefill, decoded));
--- a/src/admit/queue_state.h
+++ b/src/admit/queue_state.h
@@ -20,9 +20,10 @@
 	struct jh_queue_engine engine;
 	/* Cost that background may still claim before urgent work. */
 	uint64_t background_credit;
-	/* Mean number of urgent items running or waiting, moving in time. */
-	double urgent_mean;
-	uint64_t urgent_mean_at;
+	/* Slots that urgent items hold or wait for. */
+	struct jh_queue_level urgent;
+	/* Weight of the organisations with urgent items. */
+	struct jh_queue_level active;
 	/* When jh_queue_next() can give more without another event. */
 	uint64_t open_at;
 	uint64_t next_seq;
@@ -37,7 +38,14 @@
     struct jh_queue *q, struct jh_queue_entry *e, enum jh_queue_reason reason);
 /* Slots that background may hold beyond its floor. */
 unsigned int jh_queue_background_slots(const struct jh_queue *q);
-/* Brings the mean number of urgent items up to now. */
+/*
+ * Slots for each unit of weight below which an organisation may start urgent
+ * work; compared with the mean of what it holds now and of late. The bound
+ * rises with the free slots, so that those who hold few find one soon, and
+ * nobody needs to be told who asks for too much.
+ */
+double jh_queue_urgent_bound(const struct jh_queue *q);
+/* Brings the levels up to now; called before each change. */
 void jh_queue_observe(struct jh_queue *q, uint64_t now);
 
 #endif
--- a/src/admit/queue_visit.c
+++ b/src/admit/queue_visit.c
@@ -46,7 +46,8 @@
 	visit(arg, "background_dispatched_cost",
 	    q->dispatched_cost[JH_RANK_BACKGROUND]);
 	visit(arg, "background_slots", jh_queue_background_slots(q));
-	visit(arg, "in_prefill", q->engine.in_prefill);
+	visit(arg, "urgent_in_prefill", u->in_prefill);
+	visit(arg, "background_in_prefill", b->in_prefill);
 	visit(arg, "prefill_base_usec", (uint64_t)q->engine.prefill.base);
 	visit(arg, "prefill_nsec_per_token",
 	    (uint64_t)(q->engine.prefill.slope * 1000));
