--- a/bench/parts/spread_model.c
+++ b/bench/parts/spread_model.c
@@ -50,7 +50,8 @@
 		m->second = m->now / JH_USEC_PER_SEC;
 		m->second_reads = 0;
 	}
-	m->worst_second = MAX(m->worst_second, ++m->second_reads);
+	m->second_reads++;
+	m->worst_second = MAX(m->worst_second, m->second_reads);
 }
 
 static void
