--- a/src/catalog/sync.c
+++ b/src/catalog/sync.c
@@ -37,9 +37,9 @@
  * daemons, agents that pull every second would alone take an entry daemon's
  * 15 KB/s, so they pull every 3 s.
  *
- * Store polls are of daemons that are not watchers and hear no peer. With all
- * daemons cut off from each other, 340 entry daemons and 6,400 agents stay
- * below 30 and 150 reads/s at the longest interval.
+ * Store polls are of daemons that are not watchers and hear no peer. At the
+ * longest interval, 340 entry daemons make about 30 and 6,400 agents about 142
+ * reads/s.
  */
 struct sync_policy {
 	uint64_t pull_interval;
--- a/src/ctl/record_file.c
+++ b/src/ctl/record_file.c
@@ -4,13 +4,22 @@
 #include "ctl/record_file.h"
 #include "ctl/record_table.h"
 
-/* Finds "record: NAME" at the top level of YAML or JSON text. */
 static char *
-find_record_name(const char *text)
+find_in_json(const char *text)
+{
+	json_t *o = json_loads(text, 0, NULL);
+	char *name = g_strdup(json_string_value(json_object_get(o, "record")));
+
+	json_decref(o);
+	return name;
+}
+
+static char *
+find_in_yaml(const char *text)
 {
-	GRegex *regex = g_regex_new(
-	    "^(?:\\{\\s*)?[\"']?record[\"']?\\s*:\\s*[\"']?([a-z]+)",
-	    G_REGEX_MULTILINE, 0, NULL);
+	GRegex *regex =
+	    g_regex_new("^[\"']?record[\"']?\\s*:\\s*[\"']?([a-z]+)",
+		G_REGEX_MULTILINE, 0, NULL);
 	GMatchInfo *match;
 	char *name = NULL;
 
@@ -21,6 +30,19 @@
 	return name;
 }
 
+/* The value of "record" at the top level, or NULL. */
+static char *
+find_record_name(const char *text)
+{
+	char *name;
+
+	/* The regular expression needs valid text. */
+	if (!g_utf8_validate(text, -1, NULL))
+		return NULL;
+	name = find_in_json(text);
+	return name != NULL ? name : find_in_yaml(text);
+}
+
 bool
 record_file_recognises(const char *text)
 {
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -192,6 +192,9 @@
 	struct fixture *f = *state;
 	static const char bad[] = "record: entry\nowner: acme\nrank: high\n"
 				  "colour: red\n";
+	static const char json[] =
+	    "{\n  \"name\": \"m\", \"weights\": \"w1\",\n"
+	    "  \"record\": \"model\"\n}\n";
 	static const char bad_rule[] =
 	    "record: organisation\nname: Acme\ndisplay_name: A\n"
 	    "key_hashes: [zz]\n";
@@ -201,6 +204,10 @@
 	assert_non_null(strstr(f->err, "entry.yaml:3: rank"));
 	assert_non_null(strstr(f->err, "entry.yaml:4: unknown key"));
 	assert_non_null(strstr(f->err, "missing key \"models\""));
+	g_file_set_contents(f->file, json, -1, NULL);
+	assert_int_equal(run(f, "check", f->file), CTL_OK);
+	g_file_set_contents(f->file, "record: \xff", -1, NULL);
+	assert_int_equal(run(f, "check", f->file), CTL_FAILED);
 	g_file_set_contents(f->file, bad_rule, -1, NULL);
 	assert_int_equal(run(f, "check", f->file), CTL_FAILED);
 	assert_non_null(strstr(f->err, "entry.yaml: name is \"Acme\""));
