catalog: hand remembered deletions on with full copies

A daemon that started from a peer's full copy knew no deletions, so each peer or agent of it that was one edit behind had to copy in full too (3 MB each at the design size). JH_SYNC replies gain the revision from which deletions are known; 0, as an older sender gives, means that none are.

--- a/include/jacinthhill/catalog.h
+++ b/include/jacinthhill/catalog.h
@@ -52,9 +52,8 @@
  */
 void jh_catalog_advance(struct jh_catalog *c, uint64_t revision);
 /*
- * Takes over a complete copy as of a revision: all pages of a list with the
- * revision of the first page, or a peer's full copy. Keys that are not in it
- * and not newer are dropped.
+ * Takes over a complete list as of a revision: all pages with the revision of
+ * the first page. Keys that are not in it and not newer are dropped.
  */
 void jh_catalog_replace(struct jh_catalog *c,
     const struct jh_catalog_item *items, size_t n, uint64_t revision);
@@ -75,7 +74,12 @@
 /* What a peer that has everything up to a revision lacks. */
 struct jh_catalog_delta {
 	uint64_t revision; /* complete up to here once applied */
-	bool full; /* apply with jh_catalog_replace() */
+	bool full; /* all objects; what is absent does not exist */
+	/*
+	 * Full: the items hold all deletions after this revision. 0 is taken
+	 * for "none are known".
+	 */
+	uint64_t floor;
 	struct jh_catalog_item *items;
 	size_t n;
 };
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -187,8 +187,8 @@
 }
 
 void
-jh_catalog_replace(struct jh_catalog *c, const struct jh_catalog_item *items,
-    size_t n, uint64_t revision)
+catalog_take_copy(struct jh_catalog *c, const struct jh_catalog_item *items,
+    size_t n, uint64_t revision, uint64_t floor)
 {
 	GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
 	size_t i;
@@ -197,17 +197,24 @@
 	if (revision > c->revision) {
 		for (i = 0; i < n; i++) {
 			merge(c, items[i].key, items[i].version, items[i].json);
-			if (items[i].json != NULL)
-				g_hash_table_add(keys, (char *)items[i].key);
+			g_hash_table_add(keys, (char *)items[i].key);
 		}
 		drop_absent(c, keys, revision);
 		c->revision = revision;
-		c->floor = MAX(c->floor, revision);
+		c->floor = MAX(c->floor, floor);
 	}
 	pthread_rwlock_unlock(&c->lock);
 	g_hash_table_destroy(keys);
 }
 
+void
+jh_catalog_replace(struct jh_catalog *c, const struct jh_catalog_item *items,
+    size_t n, uint64_t revision)
+{
+	/* A list does not tell what was deleted before. */
+	catalog_take_copy(c, items, n, revision, revision);
+}
+
 uint64_t
 jh_catalog_revision(struct jh_catalog *c)
 {
--- a/src/catalog/delta.c
+++ b/src/catalog/delta.c
@@ -19,8 +19,7 @@
 
 /* Caller holds the read lock. Returns false when max_bytes cut the walk. */
 static bool
-collect(struct jh_catalog *c, uint64_t above, size_t max_bytes, bool live_only,
-    GArray *items)
+collect(struct jh_catalog *c, uint64_t above, size_t max_bytes, GArray *items)
 {
 	struct catalog_slot from = {.key = (char *)"", .version = above + 1};
 	const struct catalog_slot *s;
@@ -32,8 +31,6 @@
 		s = g_tree_node_value(n);
 		if (s->version > c->revision)
 			break;
-		if (live_only && s->json == NULL)
-			continue;
 		bytes += item_bytes(s);
 		if (bytes > max_bytes)
 			return false;
@@ -60,9 +57,9 @@
 	bool whole;
 
 	out->full = revision < c->floor;
+	out->floor = c->floor;
 	out->revision = c->revision;
-	whole =
-	    collect(c, out->full ? 0 : revision, max_bytes, out->full, items);
+	whole = collect(c, out->full ? 0 : revision, max_bytes, items);
 	if (!whole && !out->full && items->len > 0)
 		out->revision =
 		    g_array_index(items, struct jh_catalog_item, items->len - 1)
@@ -108,7 +105,8 @@
 	size_t i;
 
 	if (d->full) {
-		jh_catalog_replace(c, d->items, d->n, d->revision);
+		catalog_take_copy(c, d->items, d->n, d->revision,
+		    d->floor == 0 ? d->revision : d->floor);
 	} else if (asked_revision <= before) {
 		for (i = 0; i < d->n; i++)
 			jh_catalog_merge(c, d->items[i].key,
--- a/src/catalog/table.h
+++ b/src/catalog/table.h
@@ -36,6 +36,13 @@
 size_t catalog_slot_bytes(const struct catalog_slot *s);
 bool catalog_slot_is_invalid(const struct catalog_slot *s);
 
+/*
+ * Takes over a complete copy as of a revision, with all deletions after floor.
+ */
+void catalog_take_copy(struct jh_catalog *c,
+    const struct jh_catalog_item *items, size_t n, uint64_t revision,
+    uint64_t floor);
+
 /* Keeps the lookups by hash, name and alias. */
 void catalog_index_add(struct jh_catalog *c, struct catalog_slot *s);
 void catalog_index_remove(struct jh_catalog *c, struct catalog_slot *s);
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -76,6 +76,7 @@
 		jh_wire_crash *crashes_val;
 	} crashes;
 	bool_t full;
+	u_quad_t floor;
 };
 typedef struct jh_sync_reply jh_sync_reply;
 
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -51,6 +51,7 @@
 	unsigned hyper suspects_position;
 	jh_wire_crash crashes<JH_MAX_ITEMS>;
 	bool full;			/* entries is all there is */
+	unsigned hyper floor;		/* full: deletions known from here */
 };
 
 enum jh_call_state {
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -94,6 +94,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->floor))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/test_catalog.c
+++ b/test/test_catalog.c
@@ -250,6 +250,32 @@
 	g_free(json);
 }
 
+/* Guards against each start making all peers of the new daemon copy in full. */
+static void
+full_copies_hand_deletions_on(void **state)
+{
+	struct jh_catalog *a = jh_catalog_create(), *b = jh_catalog_create();
+	struct jh_catalog *late = jh_catalog_create();
+	char *json = org_json("x", HASH_A);
+	struct jh_catalog_item item = {"orgs/x", 30, json};
+	struct jh_catalog_delta d;
+
+	jh_catalog_replace(a, &item, 1, 30);
+	jh_catalog_replace(late, &item, 1, 30);
+	jh_catalog_merge(a, "orgs/x", 31, NULL);
+	jh_catalog_advance(a, 31);
+	assert_true(pull(b, a, NO_LIMIT));
+	assert_true(jh_catalog_delta(b, 30, NO_LIMIT, &d));
+	assert_false(d.full);
+	assert_true(jh_catalog_apply(late, 30, &d));
+	assert_int_equal(version_of(late, "orgs/x"), 0);
+	jh_catalog_delta_clear(&d);
+	jh_catalog_destroy(a);
+	jh_catalog_destroy(b);
+	jh_catalog_destroy(late);
+	g_free(json);
+}
+
 /* Guards against forgotten deletions being passed over in a delta. */
 static void
 bounds_tombstones(void **state)
@@ -323,6 +349,7 @@
 	    cmocka_unit_test(finds_by_key_hash_and_alias),
 	    cmocka_unit_test(deltas_bring_a_peer_up_to_date),
 	    cmocka_unit_test(full_copy_drops_what_a_list_lacks),
+	    cmocka_unit_test(full_copies_hand_deletions_on),
 	    cmocka_unit_test(bounds_tombstones),
 	    cmocka_unit_test(design_size_fits_memory),
 	};
