--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -5,10 +5,12 @@
 #include <glib.h>
 
 #include "bench.h"
+#include "spread.h"
 
 static const struct bench benches[] = {
     {"queue", "rank queue of one agent against FIFO and strict priority",
 	queue_bench_run},
+    {"spread", "catalogue edits over the design-size fleet", spread_run},
     {0},
 };
 
