--- a/test/harness.h
+++ b/test/harness.h
@@ -181,6 +181,8 @@
 void put_org(struct world *w, const char *name, bool disabled);
 void put_class(struct world *w, const char *org, const char *class_name,
     const char *kind, const char *models, bool idempotent);
+/* A class of payments with a deadline of its own, in milliseconds. */
+void put_pay_class(struct world *w, const char *class_name, unsigned int ms);
 
 /* The control pages of the stand-ins. */
 void control_set(struct proc *p, const char *json);
@@ -193,6 +195,13 @@
 /* Starts one chat request of organisation alpha. */
 struct call *chat_start(
     struct world *w, unsigned int entry, const char *body, const char *header);
+/*
+ * Asks for one token and returns the worker's number, once status and answer
+ * are found to be right.
+ */
+unsigned int chat_ok(struct world *w, unsigned int entry, const char *question);
+/* The status of the first answer that a starting entry daemon gives. */
+unsigned int first_status(struct world *w, unsigned int entry, const char *key);
 /* The text of an answer without failures; free with g_free(). */
 char *chat_reference(struct world *w, const char *question, unsigned int n);
 /*
@@ -203,6 +212,8 @@
     const char *text);
 /* How many workers took part, by the ids of the events. */
 unsigned int stream_workers(const struct call *c);
+/* Chat requests that have reached the engine since its start. */
+json_int_t engine_requests(struct world *w, unsigned int engine);
 /* Language requests that run or wait on an engine. */
 json_int_t engine_load(struct world *w, unsigned int engine);
 json_int_t engines_load(struct world *w);
--- a/test/harness_check.c
+++ b/test/harness_check.c
@@ -50,6 +50,23 @@
 	return (char *)text;
 }
 
+unsigned int
+chat_ok(struct world *w, unsigned int entry, const char *question)
+{
+	char *body = chat_body(question, 1, false);
+	struct call *c = chat_start(w, entry, body, NULL);
+	unsigned int worker;
+
+	call_join(c);
+	if (call_status(c) != 200 || !call_complete(c))
+		fail_msg("%u %s", call_status(c), call_body(c));
+	g_free(answer_text(c));
+	worker = world_agent(w, call_header(c, "X-Worker"));
+	call_free(c);
+	g_free(body);
+	return worker;
+}
+
 char *
 chat_reference(struct world *w, const char *question, unsigned int n)
 {
@@ -65,6 +82,27 @@
 	return text;
 }
 
+unsigned int
+first_status(struct world *w, unsigned int entry, const char *key)
+{
+	char *body = chat_body("first?", 1, false);
+	struct call_spec spec = {.port = w->entry[entry].port,
+	    .path = "/v1/chat/completions",
+	    .key = key,
+	    .body = body};
+	uint64_t until = jh_now() + AWAIT_USEC;
+	unsigned int status = 0;
+	struct call *c;
+
+	while (status == 0 && jh_now() < until) {
+		c = call_run(&spec);
+		status = call_status(c);
+		call_free(c);
+	}
+	g_free(body);
+	return status;
+}
+
 static uint64_t
 event_position(const struct event *ev)
 {
@@ -144,6 +182,12 @@
 	return n;
 }
 
+json_int_t
+engine_requests(struct world *w, unsigned int engine)
+{
+	return control_figure(&w->backend[engine], "/control", "requests");
+}
+
 json_int_t
 engine_load(struct world *w, unsigned int engine)
 {
--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -10,7 +10,7 @@
 #define QUESTION "How warm is the water?"
 
 /* Tokens of a stream that is long enough to be broken in the middle. */
-#define TOKENS 300
+#define TOKENS 200
 #define MIDDLE 30
 
 static int
