--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -55,6 +55,7 @@
 	feed.incarnation = a->incarnation;
 	feed.catalog = a->catalog;
 	feed.key = a->set.secret;
+	feed.store = a->set.store;
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
@@ -69,6 +70,8 @@
 	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
+	if (a->cache != NULL)
+		jh_cacheview_destroy(a->cache);
 	jh_queue_destroy(a->queue);
 	jh_counters_destroy(a->counters);
 	g_free(a->engine.model);
