entry: listen only with a catalogue and the instance list

Cause: a restarted entry daemon opened its port before it had a catalogue, and answered its first requests with 401 unauthorized, which callers don't repeat. After that it could refuse for want of workers until the instance list came.

Seen: test_proc_lifecycle, test_entry_restarts, test_entry_restarts_without_store and test_herd_restart: the first status was 401. With the change it is 200.

Change: the port opens once store or a peer has confirmed the catalogue and the instance list has been read. Until then callers find the port closed, as with an instance that is not up yet. Considered and left out: holding early requests, which needs a bound and a refusal of its own and gains nothing behind a balancer that checks /health.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -41,6 +41,7 @@
 	struct entry_wait *wait;
 	struct refusal_log *refusals;
 	int leaving; /* atomic */
+	int listed; /* atomic: the instance list has been read */
 
 	GMutex lock; /* guards all below */
 	struct jh_retry *retry;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -158,6 +158,7 @@
 	jh_feed_set_peers(e->feed,
 	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
 	g_array_free(peers, TRUE);
+	g_atomic_int_set(&e->listed, 1);
 }
 
 static const struct jh_instances_ops instances_ops = {.list = on_list};
@@ -170,8 +171,32 @@
 	return EXIT_START;
 }
 
+/*
+ * A daemon that listened without catalogue or instance list would refuse its
+ * first requests as unauthorized or for want of workers.
+ */
+static bool
+is_ready(struct entry *e)
+{
+	return g_atomic_int_get(&e->listed) &&
+	       jh_feed_age(e->feed) != JH_SYNC_AGE_UNKNOWN;
+}
+
+/* Returns false when a stop signal came first. */
+static bool
+get_ready(struct entry *e, struct jh_instances *d, const sigset_t *set)
+{
+	while (!is_ready(e)) {
+		tick(e, d);
+		if (wait_signal(set))
+			return false;
+	}
+	return true;
+}
+
+/* Serves until a stop signal. */
 static int
-run(struct entry *e, const sigset_t *set)
+serve(struct entry *e, struct jh_instances *d, const sigset_t *set)
 {
 	struct jh_http_server_spec spec = {.listen = e->set.listen,
 	    .body_limit = (size_t)e->set.body_limit,
@@ -180,21 +205,13 @@
 	    .threads = (unsigned int)e->set.http_threads,
 	    .ops = &entry_server_ops,
 	    .arg = e};
-	struct jh_rpc_server *rpc;
-	struct jh_instances *d;
 	GError *err = NULL;
 
-	rpc = jh_rpc_server_create(
-	    &e->set.rpc_listen, &e->set.secret, entry_rpc_handlers, e, &err);
-	if (rpc == NULL)
-		return start_failed(err);
+	if (!get_ready(e, d, set))
+		return 0;
 	e->server = jh_http_server_create(&spec, &err);
-	if (e->server == NULL) {
-		jh_rpc_server_destroy(rpc);
+	if (e->server == NULL)
 		return start_failed(err);
-	}
-	d = jh_instances_create(
-	    e->client, &e->set.instance_list, &instances_ops, e);
 	jh_event(
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", e->set.instance);
 	do {
@@ -203,13 +220,31 @@
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its requests",
 	    e->set.instance);
 	finish_work(e, d, set);
+	return 0;
+}
+
+static int
+run(struct entry *e, const sigset_t *set)
+{
+	struct jh_rpc_server *rpc;
+	struct jh_instances *d;
+	GError *err = NULL;
+	int status;
+
+	rpc = jh_rpc_server_create(
+	    &e->set.rpc_listen, &e->set.secret, entry_rpc_handlers, e, &err);
+	if (rpc == NULL)
+		return start_failed(err);
+	d = jh_instances_create(
+	    e->client, &e->set.instance_list, &instances_ops, e);
+	status = serve(e, d, set);
 	jh_rpc_server_destroy(rpc);
 	jh_http_client_destroy(e->client);
 	jh_instances_destroy(d);
 	jh_http_server_destroy(e->server);
 	jh_event(
 	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", e->set.instance);
-	return 0;
+	return status;
 }
 
 static gchar *
