--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -43,6 +43,7 @@
 	struct refusal_log *refusals;
 	struct crash_log *crashes;
 	int leaving; /* atomic */
+	int listed; /* atomic: the instance list has been read */
 
 	GMutex lock; /* guards all below */
 	struct jh_retry *retry;
