--- a/src/feed/feed.c
+++ b/src/feed/feed.c
@@ -203,6 +203,7 @@
 	size_t i;
 
 	reply->full = d->full;
+	reply->floor = d->floor;
 	reply->entries.entries_len = (u_int)d->n;
 	reply->entries.entries_val = g_new0(struct jh_wire_entry, d->n);
 	for (i = 0; i < d->n; i++) {
--- a/src/feed/pull.c
+++ b/src/feed/pull.c
@@ -30,7 +30,8 @@
 static bool
 apply(struct feed_pull *p, uint64_t asked, const struct jh_sync_reply *r)
 {
-	struct jh_catalog_delta d = {.revision = r->revision, .full = r->full};
+	struct jh_catalog_delta d = {
+	    .revision = r->revision, .full = r->full, .floor = r->floor};
 	u_int i;
 
 	d.n = r->entries.entries_len;
