entry: claim not_run only where it is known; name a disabled organisation

Two faults that the process tests found:

test_proc_once, test_no_agent: a payment ran, its agents died, and its caller sent it again. The answer was 503 no_capacity with ran not_run. The entry daemon looked only at its own attempts. A refusal that no agent's record backs now says unknown unless the caller sent X-First-Attempt: true. Refusals of agents that did read the record (test_no_service) still say not_run.

test_proc_catalogue, test_edit and test_edit_after_outage: after an agent's 409 a request of a disabled organisation got 403 class_not_allowed; before and after that it is 401 unauthorized. caller_refresh() now tells which of the two it is.

Found by reading, no run showed it: refusals of a chat request after a 409 or an engine's 4xx said not_run although an earlier attempt may have run.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -252,13 +252,19 @@
 	entry_job_advance(j);
 }
 
+/* An earlier attempt that failed may have run. */
+static enum entry_ran
+ran_so_far(const struct entry_job *j)
+{
+	return j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN;
+}
+
 /* The agent knows the request to crash engines. */
 static void
 quarantined(struct entry_job *j)
 {
 	crash_log_hint(j->entry->crashes, j->print, QUARANTINE_CRASHES);
-	entry_job_refuse(j, ENTRY_ERR_QUARANTINED,
-	    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran_so_far(j));
 }
 
 /* An error of the engine about the request itself is passed on. */
@@ -267,7 +273,7 @@
 {
 	entry_job_refuse(j,
 	    status == 404 ? ENTRY_ERR_UNKNOWN_MODEL : ENTRY_ERR_BAD_REQUEST,
-	    ENTRY_NOT_RUN);
+	    ran_so_far(j));
 }
 
 /* The catalogue copy has caught up, or has not in time. */
@@ -275,12 +281,14 @@
 on_catalogue(void *arg, bool reached)
 {
 	struct entry_job *j = arg;
+	enum entry_error why;
 
 	if (!reached)
-		entry_job_refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
-	else if (!caller_refresh(j->entry, &j->caller) ||
-		 !jh_catalog_entry_allows_model(j->caller.rule, j->model))
-		entry_job_refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED, ENTRY_NOT_RUN);
+		entry_job_refuse(j, ENTRY_ERR_NO_CAPACITY, ran_so_far(j));
+	else if (!caller_refresh(j->entry, &j->caller, &why))
+		entry_job_refuse(j, why, ran_so_far(j));
+	else if (!jh_catalog_entry_allows_model(j->caller.rule, j->model))
+		entry_job_refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED, ran_so_far(j));
 	else
 		entry_job_advance(j);
 	entry_job_unref(j);
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -91,14 +91,17 @@
 }
 
 bool
-caller_refresh(struct entry *e, struct caller *c)
+caller_refresh(struct entry *e, struct caller *c, enum entry_error *why)
 {
 	struct jh_org *org = jh_catalog_find_org(e->catalog, c->org->name);
 	struct jh_catalog_entry *rule = NULL;
 
-	if (org != NULL && !org->disabled)
+	*why = ENTRY_ERR_UNAUTHORIZED;
+	if (org != NULL && !org->disabled) {
+		*why = ENTRY_ERR_CLASS_NOT_ALLOWED;
 		rule =
 		    jh_catalog_find(e->catalog, org->name, c->rule->class_name);
+	}
 	if (rule == NULL || rule->kind != c->rule->kind) {
 		if (rule != NULL)
 			jh_catalog_entry_unref(rule);
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -19,10 +19,10 @@
 bool caller_identify(struct entry *e, struct jh_http_req *req,
     const char *default_class, enum jh_entry_kind kind, struct caller *out);
 /*
- * Finds the catalogue entry again after an edit. Returns false when the
- * organisation or class is no longer allowed.
+ * Finds the catalogue entry again after an edit. Returns false, with the
+ * error, when the organisation or class is no longer allowed.
  */
-bool caller_refresh(struct entry *e, struct caller *c);
+bool caller_refresh(struct entry *e, struct caller *c, enum entry_error *why);
 void caller_clear(struct caller *c);
 
 const char *caller_rank_name(enum jh_rank rank);
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -35,6 +35,7 @@
 	GString *answer;
 	bool too_long;
 	bool may_have_run;
+	bool vouched; /* an agent's record shows that the key has not run */
 	bool store_down; /* an agent refused because of the store */
 };
 
@@ -90,6 +91,19 @@
 	return ENTRY_UNKNOWN;
 }
 
+/*
+ * What a refusal without an agent's word may claim: an earlier request of the
+ * key can have run unless the caller says that there was none.
+ */
+static enum entry_ran
+ran_unasked(const struct service_job *j)
+{
+	if (j->may_have_run ||
+	    (j->key != NULL && !j->first_attempt && !j->vouched))
+		return ENTRY_UNKNOWN;
+	return ENTRY_NOT_RUN;
+}
+
 /* Tells the caller of a refusal that no other agent can better. */
 static void
 refuse_final(struct service_job *j, const char *reason, enum entry_ran ran)
@@ -156,13 +170,12 @@
 on_catalogue(void *arg, bool reached)
 {
 	struct service_job *j = arg;
+	enum entry_error why;
 
 	if (!reached) {
-		refuse(j, ENTRY_ERR_NO_CAPACITY,
-		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
-	} else if (!caller_refresh(j->entry, &j->caller)) {
-		refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED,
-		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ran_unasked(j));
+	} else if (!caller_refresh(j->entry, &j->caller, &why)) {
+		refuse(j, why, ran_unasked(j));
 	} else {
 		j->next = 0;
 		advance(j);
@@ -196,6 +209,14 @@
 		entry_workers_failed(w, j->agent);
 }
 
+/* An agent that leaves refuses without reading the record. */
+static void
+refused_by_agent(struct service_job *j, const char *reason)
+{
+	j->vouched = j->vouched || g_strcmp0(reason, "leaving") != 0;
+	advance(j);
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -213,7 +234,7 @@
 	else if (is_final(reason))
 		refuse_final(j, reason, ran_of(j, outcome));
 	else if (strcmp(outcome, "not_run") == 0)
-		advance(j);
+		refused_by_agent(j, reason);
 	else
 		attempt_failed(j, false);
 }
@@ -295,7 +316,7 @@
 	if (j->may_have_run)
 		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 	else
-		refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ran_unasked(j));
 }
 
 /* Splits "/v1/services/NAME/REST"; free the name with g_free(). */
--- a/test/test_proc_catalogue.c
+++ b/test/test_proc_catalogue.c
@@ -29,9 +29,20 @@
 	return 0;
 }
 
-/* Asks as organisation beta; checks the code of a refusal. */
-static unsigned int
-ask(struct world *w, unsigned int entry, const char *code)
+/* What an entry daemon answers organisation beta. */
+struct answer {
+	unsigned int status;
+	const char *code;
+};
+
+static const struct answer served = {200, NULL};
+static const struct answer disabled = {401, "unauthorized"};
+static const struct answer no_class = {403, "class_not_allowed"};
+
+/* Asks; returns whether the answer is the new one, else it is the old one. */
+static bool
+ask(struct world *w, unsigned int entry, const struct answer *old,
+    const struct answer *new)
 {
 	char *body = chat_body("in force?", 1, false);
 	struct call_spec spec = {.port = w->entry[entry].port,
@@ -39,32 +50,35 @@
 	    .key = "key-beta",
 	    .body = body};
 	struct call *c = call_run(&spec);
-	unsigned int status = call_status(c);
+	const struct answer *got = call_status(c) == new->status ? new : old;
 
-	if (status != 200)
-		check_error(c, status, code, "not_run");
+	if (got->code == NULL)
+		assert_int_equal(call_status(c), got->status);
+	else
+		check_error(c, got->status, got->code, "not_run");
 	call_free(c);
 	g_free(body);
-	return status;
+	return got == new;
 }
 
 /*
- * Checks that every entry daemon answers with the status by the deadline, and
- * goes on to.
+ * Checks that every entry daemon gives the new answer by the deadline, and goes
+ * on to.
  */
 static void
 check_in_force(
-    struct world *w, uint64_t edited, unsigned int status, const char *code)
+    struct world *w, const struct answer *old, const struct answer *new)
 {
+	uint64_t until = jh_now() + IN_FORCE_USEC;
 	unsigned int i, n;
 
 	for (i = 0; i < w->entries; i++) {
-		while (ask(w, i, code) != status)
-			assert_true(jh_now() < edited + IN_FORCE_USEC);
+		while (!ask(w, i, old, new))
+			assert_true(jh_now() < until);
 	}
 	for (n = 0; n < REPEATS; n++) {
 		for (i = 0; i < w->entries; i++)
-			assert_int_equal(ask(w, i, code), status);
+			assert_true(ask(w, i, new, new));
 	}
 }
 
@@ -74,15 +88,15 @@
 {
 	struct world *w = *state;
 
-	check_in_force(w, jh_now(), 200, NULL);
+	check_in_force(w, &served, &served);
 	put_org(w, "beta", true);
-	check_in_force(w, jh_now(), 401, "unauthorized");
+	check_in_force(w, &served, &disabled);
 	put_org(w, "beta", false);
-	check_in_force(w, jh_now(), 200, NULL);
+	check_in_force(w, &disabled, &served);
 	put_class(w, "beta", "chat", "chat", "large", true);
-	check_in_force(w, jh_now(), 403, "class_not_allowed");
+	check_in_force(w, &served, &no_class);
 	put_class(w, "beta", "chat", "chat", "small", true);
-	check_in_force(w, jh_now(), 200, NULL);
+	check_in_force(w, &no_class, &served);
 }
 
 /* An edit is lost on entry daemons that were down or paused meanwhile. */
@@ -97,7 +111,7 @@
 	proc_start(&w->entry[0]);
 	assert_int_equal(first_status(w, 0, "key-beta"), 401);
 	proc_thaw(&w->entry[1]);
-	check_in_force(w, jh_now(), 401, "unauthorized");
+	check_in_force(w, &served, &disabled);
 }
 
 /* A deleted object comes back with a restarted entry daemon. */
@@ -107,7 +121,7 @@
 	struct world *w = *state;
 
 	store_delete(w, "catalog/beta/chat");
-	check_in_force(w, jh_now(), 403, "class_not_allowed");
+	check_in_force(w, &served, &no_class);
 	proc_kill(&w->entry[0]);
 	proc_start(&w->entry[0]);
 	assert_int_equal(first_status(w, 0, "key-beta"), 403);
@@ -115,9 +129,9 @@
 	proc_kill(&w->entry[1]);
 	proc_start(&w->entry[1]);
 	assert_int_equal(first_status(w, 1, "key-beta"), 403);
-	check_in_force(w, jh_now(), 403, "class_not_allowed");
+	check_in_force(w, &no_class, &no_class);
 	control_set(&w->store, "{\"mode\":\"up\"}");
-	check_in_force(w, jh_now(), 403, "class_not_allowed");
+	check_in_force(w, &no_class, &no_class);
 }
 
 /* An edit made while some entry daemons could not read the store is lost. */
@@ -127,10 +141,10 @@
 	struct world *w = *state;
 
 	control_set(&w->store, "{\"mode\":\"down\"}");
-	check_in_force(w, jh_now(), 200, NULL);
+	check_in_force(w, &served, &served);
 	control_set(&w->store, "{\"mode\":\"up\"}");
 	put_org(w, "beta", true);
-	check_in_force(w, jh_now(), 401, "unauthorized");
+	check_in_force(w, &served, &disabled);
 }
 
 static const struct CMUnitTest tests[] = {
--- a/test/test_proc_once.c
+++ b/test/test_proc_once.c
@@ -229,6 +229,51 @@
 	call_free(a);
 }
 
+/*
+ * A payment that ran is reported as not run because no agent could be asked,
+ * or a payment that cannot have run is reported as unknown.
+ */
+static void
+test_no_agent(void **state)
+{
+	struct world *w = *state;
+	struct call *c;
+	unsigned int i;
+
+	expect_receipt(w, 0, "order-1");
+	for (i = 0; i < w->agents; i++)
+		proc_kill(&w->agent[i]);
+	expect_error(w, 1, "order-1", 503, "no_capacity", "unknown");
+	c = pay(w, 1, "order-2", BODY, FIRST);
+	check_error(c, 503, "no_capacity", "not_run");
+	call_free(c);
+	for (i = 0; i < w->agents; i++) {
+		proc_start(&w->agent[i]);
+		proc_await(&w->agent[i]);
+	}
+	expect_receipt(w, 1, "order-1");
+	check_runs(w, 1);
+}
+
+/* The same when agents answer, but no service does: the record tells. */
+static void
+test_no_service(void **state)
+{
+	struct world *w = *state;
+	unsigned int i;
+
+	for (i = 0; i < w->agents; i++)
+		proc_kill(&w->backend[i]);
+	expect_error(w, 0, "order-1", 503, "no_capacity", "not_run");
+	for (i = 0; i < w->agents; i++) {
+		proc_start(&w->backend[i]);
+		proc_await(&w->backend[i]);
+		w->probed[i] = 0;
+	}
+	expect_receipt(w, 1, "order-1");
+	check_runs(w, 1);
+}
+
 /* Waits until the entry daemon has the class, by a call that cannot run. */
 static void
 await_class(struct world *w, unsigned int entry, const char *class_name)
@@ -288,6 +333,8 @@
     cmocka_unit_test_setup_teardown(test_store_down, setup, teardown),
     cmocka_unit_test_setup_teardown(
 	test_store_down_while_running, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_no_agent, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_no_service, setup, teardown),
     cmocka_unit_test_setup_teardown(test_agent_frozen, setup, teardown),
 };
 
