--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -53,6 +53,7 @@
 	jh_wire_entry entries<JH_MAX_ITEMS>; /* changed after the asker's */
 	jh_wire_crash crashes<JH_MAX_CRASHES>;
 	bool full;			/* entries is all there is */
+	unsigned hyper floor;		/* full: deletions known from here */
 };
 
 /* Values of enum jh_nonce_state. */
