--- /dev/null
+++ b/test/test_proc_poison.c
@@ -0,0 +1,160 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "harness.h"
+
+#define MARKER "petal-of-death"
+
+/* So many crashes quarantine a request (docs/design.md). */
+#define MAX_CRASHES 3
+#define REPEATS 10
+#define QUESTION "How warm is the water?"
+#define TOKENS 200
+#define MIDDLE 20
+#define STREAMS 3
+
+static int
+setup(void **state)
+{
+	static const struct world_spec spec = {.entries = 2,
+	    .engines = 6,
+	    .engine_args = {"--step-usec", "5000", "--crash-on", MARKER}};
+
+	*state = world_create(&spec);
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	world_destroy(*state);
+	return 0;
+}
+
+static unsigned int
+crashed_engines(struct world *w)
+{
+	unsigned int i, n = 0;
+
+	for (i = 0; i < w->engines; i++) {
+		if (proc_has_ended(&w->backend[i]))
+			n++;
+	}
+	return n;
+}
+
+static bool
+has_code(struct call *c, const char *code)
+{
+	char *text = g_strdup_printf("\"code\":\"%s\"", code);
+	bool has = strstr(call_body(c), text) != NULL;
+
+	g_free(text);
+	return has;
+}
+
+/* Sends the request that crashes engines; returns whether it is quarantined. */
+static bool
+send_poison(struct world *w, unsigned int entry)
+{
+	char *body = chat_body(MARKER, 4, true);
+	struct call *c = chat_start(w, entry, body, NULL);
+	bool quarantined;
+
+	call_join(c);
+	quarantined = has_code(c, "request_quarantined");
+	assert_int_not_equal(call_status(c), 200);
+	call_free(c);
+	g_free(body);
+	return quarantined;
+}
+
+/* Once quarantined, it is refused everywhere as not run. */
+static void
+check_quarantined(struct world *w, unsigned int entry)
+{
+	char *body = chat_body(MARKER, 4, true);
+	struct call *c = chat_start(w, entry, body, NULL);
+
+	call_join(c);
+	check_error(c, 422, "request_quarantined", "not_run");
+	call_free(c);
+	g_free(body);
+}
+
+/* A request that crashes engines takes the fleet down, one by one. */
+static void
+test_sent_again(void **state)
+{
+	struct world *w = *state;
+	unsigned int i;
+
+	send_poison(w, 0);
+	assert_true(crashed_engines(w) >= 1);
+	assert_true(crashed_engines(w) <= MAX_CRASHES);
+	await(send_poison(w, 1));
+	await(send_poison(w, 0));
+	assert_true(crashed_engines(w) <= MAX_CRASHES);
+	for (i = 0; i < REPEATS; i++)
+		check_quarantined(w, i % w->entries);
+	assert_true(crashed_engines(w) <= MAX_CRASHES);
+	chat_ok(w, 0, QUESTION);
+	chat_ok(w, 1, QUESTION);
+}
+
+/* The quarantine is forgotten with an entry daemon, or with all of them. */
+static void
+test_entries_restart(void **state)
+{
+	struct world *w = *state;
+	unsigned int i;
+
+	await(send_poison(w, 0));
+	await(send_poison(w, 1));
+	for (i = 0; i < w->entries; i++) {
+		proc_kill(&w->entry[i]);
+		proc_start(&w->entry[i]);
+		world_await_entry(w, i);
+		await(send_poison(w, i));
+	}
+	assert_true(crashed_engines(w) <= MAX_CRASHES);
+}
+
+/* Requests that ran beside it are lost, or refused from then on. */
+static void
+test_innocent_streams(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	char *body = chat_body(QUESTION, TOKENS, true);
+	struct call *c[STREAMS];
+	size_t i;
+
+	for (i = 0; i < STREAMS; i++)
+		c[i] = chat_start(w, i % w->entries, body, NULL);
+	for (i = 0; i < STREAMS; i++)
+		await(call_event_count(c[i]) >= MIDDLE);
+	await(send_poison(w, 0));
+	assert_true(crashed_engines(w) <= MAX_CRASHES);
+	for (i = 0; i < STREAMS; i++) {
+		call_join(c[i]);
+		check_stream(&c[i], 1, TOKENS, text);
+		call_free(c[i]);
+	}
+	for (i = 0; i < w->entries; i++)
+		chat_ok(w, (unsigned int)i, QUESTION);
+	g_free(body);
+	g_free(text);
+}
+
+static const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown(test_sent_again, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_entries_restart, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_innocent_streams, setup, teardown),
+};
+
+HARNESS_MAIN(tests)
