--- a/Makefile
+++ b/Makefile
@@ -103,7 +103,7 @@
 test: all $(TESTS)
 	BUILD=$(BUILD) sh test/run.sh $(TESTS)
 
-check: test lint
+check: test check-install lint
 
 C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '^src/rpc/control')
 
@@ -124,6 +124,10 @@
 	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 2 \
 	    sh -c 'clang-tidy --quiet "$$@" -- -std=c11 $(CPPFLAGS)' sh
 
+# Installs what packages.txt lists; needs root.
+setup:
+	sh packages.sh
+
 demo: all
 	BUILD=$(BUILD) sh demo/run.sh
 
@@ -142,5 +146,5 @@
 -include $(wildcard Makefile.d/*.mk)
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all test check lint format demo demo-up demo-down bench clean
+.PHONY: all setup test check lint format demo demo-up demo-down bench clean
 .SECONDARY:
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -5,6 +5,7 @@
 #include <jacinthhill/clock.h>
 
 #include "agent/engine_poll.h"
+#include "base/event.h"
 
 /* Blocks of the engine's cache that the agent remembers. */
 #define CACHE_VIEW_BLOCKS 65536
@@ -72,8 +73,12 @@
 
 	piece = json_integer_value(json_object_get(root, "piece_tokens"));
 	g_mutex_lock(&a->lock);
-	if (incarnation != a->engine.incarnation)
+	if (incarnation != a->engine.incarnation) {
 		a->engine.events_from = 0;
+		jh_event(JH_EV_ENGINE_RESTARTED, G_LOG_LEVEL_INFO,
+		    "the engine runs as incarnation %016llx",
+		    (unsigned long long)incarnation);
+	}
 	a->engine.incarnation = incarnation;
 	if (a->cache == NULL && piece > 0)
 		a->cache =
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -7,6 +7,7 @@
 #include <jacinthhill/ledger.h>
 
 #include "agent/agent.h"
+#include "base/event.h"
 #include "agent/once.h"
 #include "agent/rpc.h"
 
@@ -23,6 +24,8 @@
 		return;
 	}
 	g_atomic_int_set(&a->leaving, 1);
+	jh_event(JH_EV_DRAINING, G_LOG_LEVEL_INFO, "%s drains by order",
+	    a->set.instance);
 	r->message = g_strdup("draining");
 }
 
--- a/src/agent/server.c
+++ b/src/agent/server.c
@@ -3,6 +3,7 @@
 
 #include "agent/chat.h"
 #include "agent/service.h"
+#include "base/event.h"
 
 #define CHAT_PATH "/v1/work/chat"
 #define SERVICE_PREFIX "/v1/work/service/"
@@ -110,6 +111,8 @@
 	jh_counters_add(a->counters, AGENT_REQUESTS, 1);
 	if (w == NULL) {
 		jh_counters_add(a->counters, AGENT_UNAUTHENTICATED, 1);
+		jh_event(JH_EV_UNAUTHENTICATED, G_LOG_LEVEL_WARNING,
+		    "refused an unauthenticated request");
 		agent_refuse(a, req, 401, "unauthenticated");
 		jh_http_req_unref(req);
 		return;
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -212,6 +212,14 @@
 	entry_job_advance(j);
 }
 
+static void
+refuse_quarantined(struct entry_job *j, enum entry_ran ran)
+{
+	jh_event(JH_EV_REQUEST_QUARANTINED, G_LOG_LEVEL_WARNING,
+	    "request %s of %s is quarantined", j->rid, j->caller.org->name);
+	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran);
+}
+
 /* The attempt failed and may have run on the backend server. */
 static void
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
@@ -235,7 +243,7 @@
 	allowed = not_sent || jh_retry_take(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
 	if (crash_log_state(e->crashes, j->print) == JH_SUSPECT_QUARANTINED) {
-		entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ENTRY_UNKNOWN);
+		refuse_quarantined(j, ENTRY_UNKNOWN);
 		return;
 	}
 	if (!allowed) {
@@ -264,7 +272,7 @@
 quarantined(struct entry_job *j)
 {
 	crash_log_hint(j->entry->crashes, j->print, QUARANTINE_CRASHES);
-	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran_so_far(j));
+	refuse_quarantined(j, ran_so_far(j));
 }
 
 /* An error of the engine about the request itself is passed on. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -23,6 +23,9 @@
 #define MAX_CALLS 16384
 #define REPLY_BUFFER_LEN (64 * 1024)
 #define TICK_MSEC 20
+
+/* An accepted edit is in force everywhere within this time. */
+#define IN_FORCE_USEC (8 * JH_USEC_PER_SEC)
 #define EXCHANGE_INTERVAL_USEC (500 * JH_USEC_PER_MSEC)
 
 /* Requests get this long to finish after SIGTERM. */
@@ -117,6 +120,24 @@
 	return sigtimedwait(set, NULL, &tick) > 0;
 }
 
+/* Tells the log when an accepted edit may not be in force here in time. */
+static void
+watch_age(struct entry *e)
+{
+	static bool stale;
+	uint64_t age = jh_feed_age(e->feed);
+
+	if (age == JH_SYNC_AGE_UNKNOWN || (age > IN_FORCE_USEC) == stale)
+		return;
+	stale = age > IN_FORCE_USEC;
+	if (stale)
+		jh_event(JH_EV_CATALOGUE_STALE, G_LOG_LEVEL_WARNING,
+		    "the catalogue has not been confirmed for 8 s");
+	else
+		jh_event(JH_EV_CATALOGUE_CURRENT, G_LOG_LEVEL_INFO,
+		    "the catalogue is confirmed again");
+}
+
 /* While there are suspects, their reports spread from daemon to daemon. */
 static void
 exchange_crashes(struct entry *e)
@@ -137,6 +158,7 @@
 	jh_feed_tick(e->feed);
 	refusal_log_tick(e->refusals);
 	exchange_crashes(e);
+	watch_age(e);
 	entry_wait_tick(e->wait, jh_catalog_revision(e->catalog));
 	entry_jobs_tick(e);
 }
--- a/src/entry/refusal_log.c
+++ b/src/entry/refusal_log.c
@@ -1,6 +1,7 @@
 #include <jacinthhill/clock.h>
 #include <jacinthhill/refusals.h>
 
+#include "base/event.h"
 #include "entry/refusal_log.h"
 #include "store/store.h"
 
@@ -11,6 +12,7 @@
 	struct jh_store *store;
 	GMutex lock; /* guards the recorder */
 	struct jh_refusals *recorder;
+	uint64_t dropped; /* ticking thread only */
 };
 
 struct write {
@@ -57,11 +59,26 @@
 	g_free(w);
 }
 
+static void
+report_dropped(struct refusal_log *g)
+{
+	uint64_t dropped = refusal_log_dropped(g);
+
+	if (dropped == g->dropped)
+		return;
+	g->dropped = dropped;
+	jh_event(JH_EV_REFUSALS_DROPPED, G_LOG_LEVEL_WARNING,
+	    "refusal counts of %llu hours were dropped",
+	    (unsigned long long)dropped);
+}
+
 void
 refusal_log_tick(struct refusal_log *g)
 {
 	struct jh_refusals_write *due;
 
+	report_dropped(g);
+
 	for (;;) {
 		g_mutex_lock(&g->lock);
 		due = jh_refusals_next(g->recorder, jh_wall_now());
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -5,6 +5,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/event.h"
 #include "entry/entry.h"
 #include "entry/refusal_log.h"
 #include "entry/rpc.h"
@@ -22,6 +23,8 @@
 		return;
 	}
 	g_atomic_int_set(&e->leaving, 1);
+	jh_event(JH_EV_DRAINING, G_LOG_LEVEL_INFO, "%s drains by order",
+	    e->set.instance);
 	r->message = g_strdup("draining");
 }
 
--- /dev/null
+++ b/test/test_docs.c
@@ -0,0 +1,102 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "agent/settings.h"
+#include "entry/reply.h"
+#include "entry/settings.h"
+
+/* Tests run in the root of the source tree. */
+static char *
+read_file(const char *path)
+{
+	char *text = NULL;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	return text;
+}
+
+static void
+assert_documented(const char *text, const char *format, const char *name)
+{
+	char *cell = g_strdup_printf(format, name);
+
+	if (strstr(text, cell) == NULL)
+		fail_msg("\"%s\" is not documented", name);
+	g_free(cell);
+}
+
+/* Guards against log events that the catalogue does not list. */
+static void
+events_are_documented(void **state)
+{
+	char *header = read_file("src/base/event.h");
+	char *page = read_file("docs/events.md");
+	char *at = header, number[16];
+	int found = 0;
+
+	while ((at = strstr(at, "JH_EV_")) != NULL) {
+		if (sscanf(at, "JH_EV_%*[A-Z_] = %15[0-9]", number) == 1) {
+			assert_documented(page, "\n| %s |", number);
+			found++;
+		}
+		at++;
+	}
+	assert_true(found > 0);
+	g_free(header);
+	g_free(page);
+}
+
+/* Guards against settings that the reference does not list. */
+static void
+settings_are_documented(void **state)
+{
+	const struct jh_setting *const tables[] = {
+	    entry_settings_table, agent_settings_table};
+	char *page = read_file("docs/settings.md");
+	const struct jh_setting *s;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(tables); i++) {
+		for (s = tables[i]; s->key != NULL; s++)
+			assert_documented(page, "\n| `%s` |", s->key);
+	}
+	g_free(page);
+}
+
+/* Guards against error codes that callers cannot look up. */
+static void
+errors_are_documented(void **state)
+{
+	char *page = read_file("docs/callers.md");
+	char code[64], *json;
+	int i;
+
+	for (i = 0; i < ENTRY_ERRORS; i++) {
+		json =
+		    entry_error_json((enum entry_error)i, ENTRY_NOT_RUN, NULL);
+		assert_int_equal(
+		    sscanf(json, "{\"error\":{\"code\":\"%63[a-z_]", code), 1);
+		assert_documented(page, "\n| `%s` |", code);
+		g_free(json);
+	}
+	g_free(page);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(events_are_documented),
+	    cmocka_unit_test(settings_are_documented),
+	    cmocka_unit_test(errors_are_documented),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
