--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -5,8 +5,11 @@
 #include <glib.h>
 
 #include "bench.h"
+#include "place_bench.h"
 
 static const struct bench benches[] = {
+    {"place", "placement policies: hit rate, TTFT, decision cost",
+	place_bench_run},
     {0},
 };
 
--- /dev/null
+++ b/bench/parts/place_sim.h
@@ -0,0 +1,45 @@
+#ifndef BENCH_PARTS_PLACE_SIM_H
+#define BENCH_PARTS_PLACE_SIM_H
+
+#include <stdint.h>
+
+#include <jacinthhill/place.h>
+
+#include "place_stats.h"
+
+enum place_event {
+	PLACE_STEADY,
+	PLACE_SHIFT, /* the hottest manuals change */
+	PLACE_HERD, /* all entry daemons restart */
+	PLACE_CRASH /* one worker in twelve crashes and comes back empty */
+};
+
+/* One region is simulated; the placers know the workers of all. */
+struct place_case {
+	uint32_t workers;
+	uint32_t regions;
+	uint32_t entries;
+	uint32_t region_workers; /* of the simulated region */
+	uint32_t region_entries;
+	double load; /* share of capacity */
+	enum place_event event;
+	uint64_t seed;
+};
+
+/* Time after an event that is counted on its own. */
+#define PLACE_WINDOWS 2
+#define PLACE_WINDOW_USEC (5 * 1000000ULL)
+
+struct place_result {
+	struct place_stats all;
+	struct place_stats after[PLACE_WINDOWS]; /* 0-5 s and 5-10 s */
+	size_t bytes; /* of one placer */
+};
+
+/* Runs the policy; NULL places with full knowledge. */
+void place_sim_run(const struct place_case *c,
+    const struct jh_place_policy *policy, struct place_result *out);
+
+void place_result_clear(struct place_result *r);
+
+#endif
