place: offer with a bound on the first token, then choose by refusals

Cause: with only a bound on the queue, requests that spilled from a busy worker recomputed the prefix on any of 15 others, found no copy again and kept the queues long. Change: an offer is refused if the first token, including the prefill of what is not cached, would come too late; when all refuse, the next choice weighs the waits and cached tokens that they told.

--- a/include/jacinthhill/place.h
+++ b/include/jacinthhill/place.h
@@ -28,6 +28,13 @@
 	bool leaving;
 };
 
+/* What a worker that refused an offer as busy said of this request. */
+struct jh_place_heard {
+	uint64_t worker;
+	uint64_t wait; /* before its prefill starts, microseconds */
+	uint32_t cached_tokens; /* of the prompt */
+};
+
 struct jh_place_request {
 	const struct jh_prefix *prefix;
 	uint32_t region;
@@ -36,15 +43,19 @@
 	bool any_region; /* add workers of other regions at the end */
 	/*
 	 * A further decision for a request that all candidates refused: it
-	 * does not count as demand and bounds no wait.
+	 * does not count as demand and bounds no wait. The refusals tell which
+	 * worker is fastest after all.
 	 */
 	bool again;
+	const struct jh_place_heard *heard;
+	size_t n_heard;
 };
 
 /*
- * A worker to offer the request to. The offer should be refused as busy by a
- * worker whose wait exceeds max_wait, since the next candidate is then
- * expected to be faster. The caller's own deadline applies as well.
+ * A worker to offer the request to. It should refuse the offer as busy if it
+ * expects the first token (its queue and the prefill of what it has not
+ * cached) later than max_wait. The caller's own deadline applies as well. When
+ * all candidates refused, choose again with what they said.
  */
 struct jh_candidate {
 	uint64_t worker;
--- a/src/place/affinity.c
+++ b/src/place/affinity.c
@@ -6,10 +6,19 @@
 #define TRIES JH_PLACE_MAX_CANDIDATES
 
 /*
- * Added to a bound on the wait: below it, a refusal and another attempt take
- * about as long as the wait.
+ * A first offer is accepted only if the first token comes within this time
+ * beside the prefill that every worker has to do; most holders of the prefix
+ * with a free slot are found so, at one round trip each.
  */
-#define WAIT_SLACK_USEC 20000ULL
+#define OFFER_USEC 60000ULL
+
+/*
+ * Weight of recomputing against waiting: it delays other requests too.
+ */
+#define RECOMPUTE_WEIGHT 1.5
+
+/* Keeps cold prefixes near the front of their order, where they are found. */
+#define RANK_USEC 20000ULL
 
 /* A wider width is not learned once this much demand was seen here. */
 #define CONFIDENT_COUNT 20.0
@@ -214,20 +223,44 @@
 	}
 }
 
-/* A worker is worth waiting for until the next candidate is faster. */
 static size_t
-emit(const struct jh_placer *p, const struct jh_place_request *r,
-    const struct options *o, struct jh_candidate *out, size_t max)
+emit(const struct jh_placer *p, const struct jh_place_region *g,
+    const struct jh_place_request *r, const struct options *o,
+    struct jh_candidate *out, size_t max)
 {
+	uint64_t bound = OFFER_USEC + prefill_usec(g, r->prefill_tokens);
 	size_t i, n = MIN(o->n, max);
 
 	for (i = 0; i < n; i++) {
-		const struct option *c = &o->at[i];
+		out[i].worker = p->id[o->at[i].index];
+		out[i].max_wait = r->again ? JH_NEVER : bound;
+	}
+	return n;
+}
+
+/* Sorts the workers that refused by when they would be done. */
+static size_t
+emit_heard(const struct jh_place_region *g, const struct jh_place_request *r,
+    struct jh_candidate *out, size_t max)
+{
+	uint64_t all = jh_prefix_tokens(r->prefix);
+	uint64_t cost[TRIES];
+	size_t i, j, n = MIN(r->n_heard, max);
 
-		out[i].worker = p->id[c->index];
-		out[i].max_wait = JH_NEVER;
-		if (!r->again && i + 1 < n)
-			out[i].max_wait = c[1].cost - c->base + WAIT_SLACK_USEC;
+	for (i = 0; i < n; i++) {
+		const struct jh_place_heard *h = &r->heard[i];
+		uint64_t missing = all - MIN(all, h->cached_tokens);
+		uint64_t c = h->wait + i * RANK_USEC +
+			     (uint64_t)(RECOMPUTE_WEIGHT *
+					(double)prefill_usec(g, missing));
+
+		for (j = i; j > 0 && cost[j - 1] > c; j--) {
+			cost[j] = cost[j - 1];
+			out[j] = out[j - 1];
+		}
+		cost[j] = c;
+		out[j].worker = h->worker;
+		out[j].max_wait = JH_NEVER;
 	}
 	return n;
 }
@@ -269,11 +302,13 @@
 	struct options o = {0};
 	size_t n = 0;
 
+	if (g != NULL && r->again && r->n_heard > 0)
+		return emit_heard(g, r, out, max);
 	if (g != NULL && r->prefix->n > 0) {
 		add_region(p, now, g, r, &o);
 		sort_options(&o);
 		/* A quarter of the places is kept for other regions. */
-		n = emit(p, r, &o, out, r->any_region ? max - max / 4 : max);
+		n = emit(p, g, r, &o, out, r->any_region ? max - max / 4 : max);
 	}
 	if (n == 0 || r->any_region)
 		n = add_rest(p, now, r, out, n, max);
