place: offer to three workers past the width, weigh recomputing at 0.7

Cause: offering to up to 15 workers past the width cost a round trip each and scattered copies over all of them; the weight 1.5 made requests wait for a holder although a new copy would have served them and later ones sooner.

--- a/src/place/affinity.c
+++ b/src/place/affinity.c
@@ -15,11 +15,14 @@
 /*
  * Weight of recomputing against waiting: it delays other requests too.
  */
-#define RECOMPUTE_WEIGHT 1.5
+#define RECOMPUTE_WEIGHT 0.7
 
 /* Keeps cold prefixes near the front of their order, where they are found. */
 #define RANK_USEC 20000ULL
 
+/* Workers outside the width that are offered a request. */
+#define SPILL 3
+
 /* A wider width is not learned once this much demand was seen here. */
 #define CONFIDENT_COUNT 20.0
 #define CONFIDENT_AGE_USEC (10 * JH_USEC_PER_SEC)
@@ -204,7 +207,7 @@
 	} while (true);
 	if (inside > 0)
 		add_inside(p, now, g, r, inside, o);
-	for (i = 0; i < outside; i++)
+	for (i = 0; i < MIN(outside, SPILL); i++)
 		add_option(p, now, o, spill[i], all);
 }
 
