admit: add distributed limits

Holders admit requests by a token bucket and a count; the granter divides the region's share, max-min fair by reported demand. A grant ends one lifetime after the report that it answers was sent, so no clocks need to agree. A holder that keeps less than its equal share promises so for two lifetimes more, and the granter lends only what such promises and its own grants cover until the loan ends; a new granter waits or hears all holders.

Invariant: what all holders may use never exceeds the limit times the granters whose allocations are in force (at least one).

--- /dev/null
+++ b/src/admit/quota_granter.c
@@ -0,0 +1,259 @@
+#include <glib.h>
+
+#include "admit/quota_member.h"
+
+struct jh_quota_granter {
+	uint64_t id;
+	struct jh_quota_limit limit;
+	GHashTable *members;
+	/* Members that are not gone. */
+	unsigned int present;
+	/* Start of the time in which earlier allocations may be in force. */
+	uint64_t since;
+	uint64_t last_call;
+	uint64_t seq;
+};
+
+struct jh_quota_granter *
+jh_quota_granter_create(
+    uint64_t id, uint64_t now, const struct jh_quota_limit *limit)
+{
+	struct jh_quota_granter *g = g_new0(struct jh_quota_granter, 1);
+
+	g->id = id;
+	g->limit = *limit;
+	g->members =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	g->since = g->last_call = now;
+	return g;
+}
+
+void
+jh_quota_granter_destroy(struct jh_quota_granter *g)
+{
+	if (g == NULL)
+		return;
+	g_hash_table_destroy(g->members);
+	g_free(g);
+}
+
+void
+jh_quota_granter_set_limit(
+    struct jh_quota_granter *g, const struct jh_quota_limit *limit)
+{
+	g->limit = *limit;
+}
+
+/*
+ * A granter that was silent for a lifetime may have been replaced meanwhile:
+ * it starts anew, as after a restart.
+ */
+static void
+check_pause(struct jh_quota_granter *g, uint64_t now)
+{
+	struct jh_quota_member *m;
+	GHashTableIter it;
+	void *value;
+
+	if (now - g->last_call >= JH_QUOTA_LIFETIME_USEC) {
+		g->since = now;
+		g_hash_table_iter_init(&it, g->members);
+		while (g_hash_table_iter_next(&it, NULL, &value)) {
+			m = value;
+			m->heard = false;
+		}
+	}
+	g->last_call = now;
+}
+
+static struct jh_quota_member *
+obtain(struct jh_quota_granter *g, uint64_t id)
+{
+	struct jh_quota_member *m = g_hash_table_lookup(g->members, &id);
+
+	if (m == NULL) {
+		m = g_new0(struct jh_quota_member, 1);
+		m->id = id;
+		m->gone = true;
+		g_hash_table_insert(g->members, &m->id, m);
+	}
+	return m;
+}
+
+void
+jh_quota_granter_set_members(
+    struct jh_quota_granter *g, uint64_t now, const uint64_t *ids, size_t n)
+{
+	GHashTableIter it;
+	void *value;
+	size_t i;
+
+	g_hash_table_iter_init(&it, g->members);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		((struct jh_quota_member *)value)->gone = true;
+	for (i = 0; i < n; i++)
+		obtain(g, ids[i])->gone = false;
+	g->present = 0;
+	g_hash_table_iter_init(&it, g->members);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (!((struct jh_quota_member *)value)->gone)
+			g->present++;
+		else if (!jh_quota_member_outstanding(value, now))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+/* Whether an allocation that this granter does not know may be in force. */
+static bool
+waiting(struct jh_quota_granter *g, uint64_t now)
+{
+	struct jh_quota_member *m;
+	GHashTableIter it;
+	void *value;
+
+	if (now >= g->since + JH_QUOTA_LIFETIME_USEC)
+		return false;
+	g_hash_table_iter_init(&it, g->members);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		m = value;
+		if (!m->gone && !m->heard)
+			return true;
+	}
+	return false;
+}
+
+/* Demands of holders that report, and what the silent ones may use. */
+struct demands {
+	uint64_t silent;
+	uint64_t sum;
+	unsigned int n;
+};
+
+static bool
+reports(const struct jh_quota_member *m, uint64_t now)
+{
+	return !m->gone && m->heard &&
+	       now < m->heard_at + JH_QUOTA_LIFETIME_USEC;
+}
+
+static uint64_t
+bound_of(const struct jh_quota_granter *g, const struct jh_quota_member *m,
+    uint64_t now, enum jh_quota_kind kind)
+{
+	uint64_t limit = g->limit.amount[kind];
+
+	return jh_quota_member_bound(
+	    m, now, kind, limit, limit / MAX(g->present, 1));
+}
+
+static struct demands
+collect(struct jh_quota_granter *g, uint64_t now, enum jh_quota_kind kind)
+{
+	struct demands d = {0};
+	struct jh_quota_member *m;
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, g->members);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		m = value;
+		if (reports(m, now)) {
+			d.sum += m->demand[kind];
+			d.n++;
+		} else {
+			d.silent += bound_of(g, m, now, kind);
+		}
+	}
+	return d;
+}
+
+/* Largest level such that demands cut to it add up to no more than room. */
+static uint64_t
+water_level(struct jh_quota_granter *g, uint64_t now, enum jh_quota_kind kind,
+    uint64_t room, unsigned int n)
+{
+	struct jh_quota_member *m;
+	GHashTableIter it;
+	void *value;
+	uint64_t level = 0, next, below;
+	unsigned int above = n;
+
+	for (next = room / n; next > level; next = (room - below) / above) {
+		level = next;
+		below = 0;
+		above = 0;
+		g_hash_table_iter_init(&it, g->members);
+		while (g_hash_table_iter_next(&it, NULL, &value)) {
+			m = value;
+			if (!reports(m, now))
+				continue;
+			if (m->demand[kind] <= level)
+				below += m->demand[kind];
+			else
+				above++;
+		}
+		if (above == 0)
+			break;
+	}
+	return level;
+}
+
+/* Max-min fair part of the limit; what nobody asks for is shared equally. */
+static uint64_t
+fair_part(struct jh_quota_granter *g, const struct jh_quota_member *m,
+    uint64_t now, enum jh_quota_kind kind)
+{
+	struct demands d = collect(g, now, kind);
+	uint64_t limit = g->limit.amount[kind], room;
+
+	if (d.silent >= limit || d.n == 0)
+		return 0;
+	room = limit - d.silent;
+	if (d.sum <= room)
+		return m->demand[kind] + (room - d.sum) / d.n;
+	return MIN(m->demand[kind], water_level(g, now, kind, room, d.n));
+}
+
+/* What the other holders cannot use until a grant sent now ends. */
+static uint64_t
+available(struct jh_quota_granter *g, const struct jh_quota_member *m,
+    uint64_t now, enum jh_quota_kind kind)
+{
+	uint64_t used = 0, limit = g->limit.amount[kind];
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, g->members);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (value != m)
+			used += bound_of(g, value, now, kind);
+	}
+	return used < limit ? limit - used : 0;
+}
+
+bool
+jh_quota_granter_report(struct jh_quota_granter *g, uint64_t now,
+    const struct jh_quota_report *report, struct jh_quota_grant *grant)
+{
+	struct jh_quota_outstanding *slot;
+	struct jh_quota_member *m;
+	int k;
+
+	check_pause(g, now);
+	m = g_hash_table_lookup(g->members, &report->holder);
+	if (report->granter != g->id || m == NULL || m->gone ||
+	    !jh_quota_member_report(m, now, g->id, report))
+		return false;
+	slot = jh_quota_member_slot(m, now);
+	if (waiting(g, now) || slot == NULL)
+		return false;
+	*grant = (struct jh_quota_grant){.holder = report->holder,
+	    .granter = g->id,
+	    .report = report->seq,
+	    .seq = ++g->seq};
+	for (k = 0; k < JH_QUOTA_KINDS; k++)
+		grant->amount[k] =
+		    MIN(fair_part(g, m, now, k), available(g, m, now, k));
+	jh_quota_member_granted(m, now, slot, grant->seq, grant->amount);
+	return true;
+}
--- /dev/null
+++ b/src/admit/quota_holder.c
@@ -0,0 +1,234 @@
+#include <glib.h>
+
+#include <jacinthhill/quota.h>
+
+/* The bucket holds what the rate brings in this time. */
+#define BUCKET_SECONDS 1.0
+/* Reports whose answers are still useful: those of one lifetime. */
+#define SENT_REPORTS 4
+/* Share of the newest second in the demand. */
+#define DEMAND_GAIN 0.5
+
+struct sent {
+	uint64_t seq;
+	uint64_t granter;
+	uint64_t at;
+};
+
+struct jh_quota_holder {
+	uint64_t id;
+	struct jh_quota_limit limit;
+	uint64_t granter;
+	unsigned int members;
+	/* The allocation; none was ever held if held_granter is 0. */
+	uint64_t held_granter;
+	uint64_t held_seq;
+	uint64_t held[JH_QUOTA_KINDS];
+	uint64_t deadline;
+	/* Least that earlier granters were promised, until promise_until. */
+	uint64_t promise[JH_QUOTA_KINDS];
+	uint64_t promise_until;
+	struct sent sent[SENT_REPORTS];
+	uint64_t seq;
+	double bucket;
+	uint64_t bucket_at;
+	uint64_t running;
+	uint64_t most_running;
+	/* Requests refused for concurrency since the last report. */
+	uint64_t turned_away;
+	double asked;
+	double demand;
+	uint64_t asked_at;
+};
+
+struct jh_quota_holder *
+jh_quota_holder_create(
+    uint64_t id, uint64_t now, const struct jh_quota_limit *limit)
+{
+	struct jh_quota_holder *h = g_new0(struct jh_quota_holder, 1);
+
+	h->id = id;
+	h->limit = *limit;
+	h->members = 1;
+	h->bucket_at = h->asked_at = now;
+	return h;
+}
+
+void
+jh_quota_holder_destroy(struct jh_quota_holder *h)
+{
+	g_free(h);
+}
+
+uint64_t
+jh_quota_holder_allowed(
+    const struct jh_quota_holder *h, uint64_t now, enum jh_quota_kind kind)
+{
+	uint64_t share = h->limit.amount[kind] / h->members;
+
+	if (h->held_granter != 0 && now < h->deadline)
+		return MIN(h->held[kind], h->limit.amount[kind]);
+	if (h->held_granter != 0 && now < h->deadline + JH_QUOTA_QUIET_USEC)
+		share = MIN(share, h->held[kind]);
+	if (now < h->promise_until)
+		share = MIN(share, h->promise[kind]);
+	return share;
+}
+
+/* First time after t, or at end, at which what is allowed may change. */
+static uint64_t
+next_change(const struct jh_quota_holder *h, uint64_t t, uint64_t end)
+{
+	const uint64_t changes[] = {
+	    h->deadline, h->deadline + JH_QUOTA_QUIET_USEC, h->promise_until};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(changes); i++) {
+		if (changes[i] > t && changes[i] < end)
+			end = changes[i];
+	}
+	return end;
+}
+
+static void
+refill(struct jh_quota_holder *h, uint64_t now)
+{
+	double rate;
+	uint64_t t;
+
+	while (h->bucket_at < now) {
+		t = next_change(h, h->bucket_at, now);
+		rate = (double)jh_quota_holder_allowed(
+		    h, h->bucket_at, JH_QUOTA_RATE);
+		h->bucket +=
+		    rate * (double)(t - h->bucket_at) / JH_USEC_PER_SEC;
+		h->bucket = MIN(h->bucket, rate * BUCKET_SECONDS);
+		h->bucket_at = t;
+	}
+	rate = (double)jh_quota_holder_allowed(h, now, JH_QUOTA_RATE);
+	h->bucket = MIN(h->bucket, rate * BUCKET_SECONDS);
+}
+
+void
+jh_quota_holder_set_limit(
+    struct jh_quota_holder *h, uint64_t now, const struct jh_quota_limit *limit)
+{
+	refill(h, now);
+	h->limit = *limit;
+}
+
+void
+jh_quota_holder_set_view(struct jh_quota_holder *h, uint64_t now,
+    uint64_t granter, unsigned int members)
+{
+	refill(h, now);
+	h->granter = granter;
+	h->members = MAX(members, 1);
+}
+
+enum jh_quota_verdict
+jh_quota_holder_take(struct jh_quota_holder *h, uint64_t now, uint64_t cost)
+{
+	refill(h, now);
+	h->asked += (double)cost;
+	if (h->running >=
+	    jh_quota_holder_allowed(h, now, JH_QUOTA_CONCURRENT)) {
+		h->turned_away++;
+		return JH_QUOTA_CONCURRENT_EXCEEDED;
+	}
+	if (h->bucket <= 0)
+		return JH_QUOTA_RATE_EXCEEDED;
+	h->bucket -= (double)cost;
+	h->running++;
+	h->most_running = MAX(h->most_running, h->running);
+	return JH_QUOTA_OK;
+}
+
+void
+jh_quota_holder_done(struct jh_quota_holder *h, uint64_t now, int64_t more_cost)
+{
+	refill(h, now);
+	h->bucket -= (double)more_cost;
+	h->running -= MIN(h->running, 1);
+}
+
+static void
+measure_demand(struct jh_quota_holder *h, uint64_t now)
+{
+	double seconds = (double)(now - h->asked_at) / JH_USEC_PER_SEC;
+
+	if (seconds <= 0)
+		return;
+	h->demand += DEMAND_GAIN * (h->asked / seconds - h->demand);
+	h->asked = 0;
+	h->asked_at = now;
+}
+
+bool
+jh_quota_holder_report(
+    struct jh_quota_holder *h, uint64_t now, struct jh_quota_report *out)
+{
+	bool in_force = h->held_granter != 0 && now < h->deadline;
+	int k;
+
+	if (h->granter == 0)
+		return false;
+	measure_demand(h, now);
+	h->seq++;
+	h->sent[h->seq % SENT_REPORTS] = (struct sent){h->seq, h->granter, now};
+	*out = (struct jh_quota_report){.holder = h->id,
+	    .granter = h->granter,
+	    .seq = h->seq,
+	    .demand = {(uint64_t)h->demand, h->most_running + h->turned_away},
+	    .running = h->running,
+	    .members = h->members,
+	    .held_granter = in_force ? h->held_granter : 0,
+	    .held_seq = in_force ? h->held_seq : 0,
+	    .held_left_usec = in_force ? h->deadline - now : 0};
+	for (k = 0; in_force && k < JH_QUOTA_KINDS; k++)
+		out->held[k] = h->held[k];
+	h->most_running = h->running;
+	h->turned_away = 0;
+	return true;
+}
+
+/* Keeps what the granter of the present allocation may rely on. */
+static void
+keep_promise(struct jh_quota_holder *h, uint64_t now)
+{
+	uint64_t until = h->deadline + JH_QUOTA_QUIET_USEC;
+	bool older = now < h->promise_until;
+	int k;
+
+	if (h->held_granter == 0 || now >= until)
+		return;
+	for (k = 0; k < JH_QUOTA_KINDS; k++)
+		h->promise[k] =
+		    older ? MIN(h->promise[k], h->held[k]) : h->held[k];
+	h->promise_until = older ? MAX(h->promise_until, until) : until;
+}
+
+bool
+jh_quota_holder_grant(
+    struct jh_quota_holder *h, uint64_t now, const struct jh_quota_grant *grant)
+{
+	const struct sent *s = &h->sent[grant->report % SENT_REPORTS];
+	int k;
+
+	if (grant->holder != h->id || grant->report == 0 ||
+	    s->seq != grant->report || s->granter != grant->granter ||
+	    grant->granter != h->granter ||
+	    now >= s->at + JH_QUOTA_LIFETIME_USEC)
+		return false;
+	if (grant->granter == h->held_granter && grant->seq <= h->held_seq)
+		return false;
+	refill(h, now);
+	if (grant->granter != h->held_granter)
+		keep_promise(h, now);
+	h->held_granter = grant->granter;
+	h->held_seq = grant->seq;
+	h->deadline = s->at + JH_QUOTA_LIFETIME_USEC;
+	for (k = 0; k < JH_QUOTA_KINDS; k++)
+		h->held[k] = grant->amount[k];
+	return true;
+}
