--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -309,19 +310,18 @@
 	    .data = j};
 }
 
-/* A wait over the entry daemon's bound: another worker would be faster. */
+/* A first token later than the entry daemon's bound: ask another worker. */
 static bool
 over_max_wait(struct agent *a, const struct jh_queue_item *item)
 {
 	const struct agent_job *j = item->data;
-	uint64_t now = jh_now(), max_ms, own, first;
+	uint64_t now = jh_now(), max_ms;
 
 	max_ms = jh_work_get_uint(j->work, JH_WORK_MAX_WAIT_MS, UINT64_MAX);
 	if (max_ms == UINT64_MAX)
 		return false;
-	first = jh_queue_estimate(a->queue, now, item);
-	own = item->prefill * JH_USEC_PER_SEC / (uint64_t)a->set.prefill_rate;
-	return first > now + own + max_ms * JH_USEC_PER_MSEC;
+	return jh_queue_estimate(a->queue, now, item) >
+	       now + max_ms * JH_USEC_PER_MSEC;
 }
 
 /* Returns the reason of a refusal, or NULL when queued. */
@@ -356,6 +356,29 @@
 	return reason;
 }
 
+/* What a refused entry daemon needs to choose among those that refused. */
+static void
+add_offer_headers(struct agent *a, struct agent_job *j, struct jh_http_req *req)
+{
+	uint64_t uncached, wait, now;
+	struct jh_queue_item item;
+	char text[32];
+
+	g_mutex_lock(&a->lock);
+	uncached = uncached_tokens(a, j);
+	item = queue_item(a, j);
+	item.prefill = 0;
+	now = jh_now();
+	wait = jh_queue_estimate(a->queue, now, &item);
+	g_mutex_unlock(&a->lock);
+	snprintf(text, sizeof(text), "%llu",
+	    (unsigned long long)(j->prompt_tokens - uncached));
+	jh_http_req_add_header(req, "Jh-Cached", text);
+	snprintf(text, sizeof(text), "%llu",
+	    (unsigned long long)((wait - MIN(now, wait)) / JH_USEC_PER_MSEC));
+	jh_http_req_add_header(req, "Jh-Wait", text);
+}
+
 /* "HIGH:LOW" in hexadecimal; zero when absent. */
 static struct jh_fingerprint
 read_fingerprint(const struct jh_work *w)
@@ -398,6 +421,7 @@
 	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	reason = offer(a, j);
 	if (reason != NULL) {
+		add_offer_headers(a, j, req);
 		agent_refuse(a, req, 503, reason);
 		agent_job_drop_req(j);
 	}
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -102,10 +102,6 @@
 	if (cached != UINT64_MAX) {
 		a.has_cached = true;
 		a.cached_tokens = (uint32_t)cached;
-		jh_counters_add(
-		    j->entry->counters, ENTRY_CACHED_TOKENS, cached);
-		jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
-		    jh_prefix_tokens(&j->prefix));
 	}
 	entry_workers_learn(j->entry->workers, j->model, j->worker, &a);
 }
@@ -120,6 +116,10 @@
 		return;
 	learn(j, call, JH_PLACE_ACCEPTED);
 	cached = jh_http_call_header(call, "Jh-Cached");
+	jh_counters_add(j->entry->counters, ENTRY_CACHED_TOKENS,
+	    header_number(call, "Jh-Cached", 0));
+	jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
+	    jh_prefix_tokens(&j->prefix));
 	g_mutex_lock(&j->lock);
 	j->accepted = true;
 	if (cached != NULL)
@@ -194,6 +194,19 @@
 	entry_job_finish(j);
 }
 
+/* Remembers what a busy worker said, for the second decision. */
+static void
+hear(struct entry_job *j, struct jh_http_call *call)
+{
+	uint64_t wait = header_number(call, "Jh-Wait", UINT64_MAX);
+
+	if (wait == UINT64_MAX || j->n_heard == G_N_ELEMENTS(j->heard))
+		return;
+	j->heard[j->n_heard++] = (struct jh_place_heard){.worker = j->worker,
+	    .wait = wait * JH_USEC_PER_MSEC,
+	    .cached_tokens = (uint32_t)header_number(call, "Jh-Cached", 0)};
+}
+
 /* The agent refused: nothing ran, the next worker may. */
 static void
 next_worker(struct entry_job *j, struct jh_http_call *call)
@@ -207,6 +220,7 @@
 	learn(j, call,
 	    g_strcmp0(reason, "engine_down") == 0 ? JH_PLACE_FAILED
 						  : JH_PLACE_BUSY);
+	hear(j, call);
 	if (g_strcmp0(reason, "deadline") == 0)
 		j->unreachable = true;
 	entry_job_advance(j);
@@ -236,6 +250,7 @@
 		    told ? QUARANTINE_CRASHES : j->crashes);
 		/* A new decision: the failed worker is now held out. */
 		j->n_candidates = 0;
+		j->n_heard = 0;
 		j->next_candidate = 0;
 		j->again = false;
 	}
@@ -459,7 +474,9 @@
 	    .prefill_tokens = expected_uncached(&j->prefix),
 	    .decode_tokens = j->max_tokens,
 	    .any_region = j->caller.rank == JH_RANK_URGENT,
-	    .again = j->next_candidate > 0};
+	    .again = j->next_candidate > 0,
+	    .heard = j->heard,
+	    .n_heard = j->n_heard};
 
 	j->again = r.again;
 	j->next_candidate = 0;
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -33,6 +33,8 @@
 	char *answer_type;
 	struct jh_candidate candidates[JH_PLACE_MAX_CANDIDATES];
 	size_t n_candidates;
+	struct jh_place_heard heard[JH_PLACE_MAX_CANDIDATES];
+	size_t n_heard;
 	size_t next_candidate;
 	bool again; /* the candidates are of a second decision */
 	uint64_t worker; /* of the running attempt */
