entry: cross the region link only for urgent work that the region refused

Cause: the first decision also offered the request to the other region, which answered first in the demo although it had to recompute too; each offer carries the body over the slow link. Change: a third decision, for urgent work only.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -252,7 +252,7 @@
 		j->n_candidates = 0;
 		j->n_heard = 0;
 		j->next_candidate = 0;
-		j->again = false;
+		j->stage = STAGE_NONE;
 	}
 	g_mutex_lock(&e->lock);
 	allowed = not_sent || jh_retry_take(e->retry, jh_now());
@@ -465,7 +465,7 @@
 	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
 }
 
-/* Asks the placement policy for candidates. */
+/* Asks the placement policy for candidates of the stage. */
 static bool
 choose(struct entry_job *j)
 {
@@ -473,18 +473,38 @@
 	    .region = entry_workers_region(j->entry->set.region),
 	    .prefill_tokens = expected_uncached(&j->prefix),
 	    .decode_tokens = j->max_tokens,
-	    .any_region = j->caller.rank == JH_RANK_URGENT,
-	    .again = j->next_candidate > 0,
+	    .again = j->stage != STAGE_FIRST,
 	    .heard = j->heard,
 	    .n_heard = j->n_heard};
 
-	j->again = r.again;
+	if (j->stage == STAGE_OTHER_REGION) {
+		r.region = entry_workers_other_region(
+		    j->entry->workers, j->model, j->print.low);
+		r.n_heard = 0;
+		if (r.region == 0)
+			return false;
+	}
 	j->next_candidate = 0;
 	j->n_candidates = entry_workers_choose(j->entry->workers, j->model, &r,
 	    j->candidates, JH_PLACE_MAX_CANDIDATES);
 	return j->n_candidates > 0;
 }
 
+/*
+ * The link between regions is slow and paid by volume, so that only urgent
+ * work that no worker of the region can take crosses it.
+ */
+static bool
+next_stage(struct entry_job *j)
+{
+	if (j->stage == STAGE_OTHER_REGION)
+		return false;
+	if (j->stage == STAGE_AGAIN && j->caller.rank != JH_RANK_URGENT)
+		return false;
+	j->stage++;
+	return true;
+}
+
 static bool
 next_candidate(struct entry_job *j, struct jh_candidate *out)
 {
@@ -492,8 +512,13 @@
 		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
 		return j->worker == 0;
 	}
-	if (j->next_candidate == j->n_candidates && (j->again || !choose(j)))
-		return false;
+	while (j->next_candidate == j->n_candidates) {
+		j->next_candidate = 0;
+		j->n_candidates = 0;
+		if (!next_stage(j))
+			return false;
+		choose(j);
+	}
 	*out = j->candidates[j->next_candidate++];
 	return true;
 }
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -6,6 +6,14 @@
 #include "entry/caller.h"
 #include "entry/chat_request.h"
 
+/* Decisions about one request, in their order. */
+enum job_stage {
+	STAGE_NONE,
+	STAGE_FIRST, /* own region, with a bound on the first token */
+	STAGE_AGAIN, /* own region, by what the busy workers said */
+	STAGE_OTHER_REGION
+};
+
 /* One chat request, over all its attempts. Reference counted. */
 struct entry_job {
 	int refs; /* atomic */
@@ -36,7 +44,7 @@
 	struct jh_place_heard heard[JH_PLACE_MAX_CANDIDATES];
 	size_t n_heard;
 	size_t next_candidate;
-	bool again; /* the candidates are of a second decision */
+	enum job_stage stage; /* that the candidates are of */
 	uint64_t worker; /* of the running attempt */
 	char worker_name[64];
 	char cached_text[24]; /* tokens found in cache, as the agent said */
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -209,6 +209,47 @@
 	return a;
 }
 
+struct region_list {
+	const char *own;
+	GArray *regions; /* of uint32_t, each once */
+};
+
+static void
+add_region(void *arg, const struct jh_member *m)
+{
+	struct region_list *l = arg;
+	uint32_t region = entry_workers_region(m->instance.region);
+	guint i;
+
+	if (m->instance.leaving || strcmp(m->instance.region, l->own) == 0)
+		return;
+	for (i = 0; i < l->regions->len; i++) {
+		if (g_array_index(l->regions, uint32_t, i) == region)
+			return;
+	}
+	g_array_append_val(l->regions, region);
+}
+
+uint32_t
+entry_workers_other_region(
+    struct entry_workers *w, const char *model, uint64_t draw)
+{
+	struct jh_member_filter filter = {
+	    .role = JH_ROLE_AGENT, .model = model};
+	struct region_list l = {
+	    w->entry->set.region, g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+	uint32_t region = 0;
+
+	g_mutex_lock(&w->lock);
+	jh_members_each(w->members, &filter, add_region, &l);
+	g_mutex_unlock(&w->lock);
+	if (l.regions->len > 0)
+		region = g_array_index(
+		    l.regions, uint32_t, (guint)(draw % l.regions->len));
+	g_array_free(l.regions, TRUE);
+	return region;
+}
+
 bool
 entry_workers_is_entry(struct entry_workers *w, const char *instance)
 {
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -60,6 +60,10 @@
 /* The number a region has in placement requests. */
 uint32_t entry_workers_region(const char *region);
 
+/* A region other than the own with workers of the model; 0 if there is none. */
+uint32_t entry_workers_other_region(
+    struct entry_workers *w, const char *model, uint64_t draw);
+
 uint64_t entry_worker_id(const char *instance);
 
 /* Calls fn for every listed instance of a role, under the lock. */
