--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -465,6 +465,12 @@
 	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
 }
 
+uint64_t
+entry_job_cost(const struct entry_job *j)
+{
+	return (uint64_t)expected_uncached(&j->prefix) + j->max_tokens;
+}
+
 /* Asks the placement policy for candidates of the stage. */
 static bool
 choose(struct entry_job *j)
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -5,6 +5,7 @@
 
 #include "entry/chat.h"
 #include "entry/job.h"
+#include "entry/limits.h"
 
 #define DEFAULT_CLASS "chat"
 
@@ -176,6 +177,16 @@
 		entry_job_unref(j);
 		return;
 	}
+	if (j->reconnect_worker == 0) {
+		j->ticket = entry_limits_take(
+		    e->limits, j->caller.rule, entry_job_cost(j));
+		if (j->ticket == NULL) {
+			entry_job_refuse(
+			    j, ENTRY_ERR_LIMIT_EXCEEDED, ENTRY_NOT_RUN);
+			entry_job_unref(j);
+			return;
+		}
+	}
 	jh_http_req_watch(req, &job_ops, entry_job_ref(j));
 	g_mutex_lock(&e->lock);
 	g_hash_table_add(e->jobs, entry_job_ref(j));
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -42,6 +42,7 @@
 	struct entry_wait *wait;
 	struct refusal_log *refusals;
 	struct crash_log *crashes;
+	struct entry_limits *limits;
 	int leaving; /* atomic */
 	int listed; /* atomic: the instance list has been read */
 
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -4,6 +4,7 @@
 #include <jacinthhill/clock.h>
 
 #include "entry/job.h"
+#include "entry/limits.h"
 
 #define REQUEST_ID_BYTES 12
 
@@ -52,6 +53,23 @@
 	g_free(j);
 }
 
+/* Charges what the request cost: uncached prompt and answer tokens. */
+static void
+end_ticket(struct entry_job *j)
+{
+	uint64_t prompt = jh_prefix_tokens(&j->prefix);
+	uint64_t cached = g_ascii_strtoull(j->cached_text, NULL, 10);
+	uint64_t cost = 0;
+
+	if (j->accepted)
+		cost = prompt - MIN(cached, prompt) +
+		       (j->relay == NULL ? j->max_tokens
+					 : jh_relay_position(j->relay) -
+					       j->reconnect_position);
+	entry_limits_done(j->entry->limits, j->ticket, cost);
+	j->ticket = NULL;
+}
+
 void
 entry_job_finish(struct entry_job *j)
 {
@@ -66,6 +84,7 @@
 	g_mutex_unlock(&j->lock);
 	if (req != NULL)
 		jh_http_req_unref(req);
+	end_ticket(j);
 	g_mutex_lock(&e->lock);
 	known = g_hash_table_remove(e->jobs, j);
 	g_mutex_unlock(&e->lock);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -58,6 +58,7 @@
 	bool unreachable; /* an attempt was refused for its deadline */
 	uint32_t crashes;
 	struct jh_fingerprint print;
+	struct limit_ticket *ticket; /* NULL until admitted */
 	uint64_t leave_deadline; /* JH_NEVER unless a reconnect is awaited */
 };
 
@@ -65,6 +66,9 @@
 struct entry_job *entry_job_ref(struct entry_job *j);
 void entry_job_unref(struct entry_job *j);
 
+/* Expected cost in tokens, if the request is placed well. */
+uint64_t entry_job_cost(const struct entry_job *j);
+
 /* Offers the request to the next worker, or refuses it (attempt.c). */
 void entry_job_advance(struct entry_job *j);
 
--- /dev/null
+++ b/src/entry/limits.c
@@ -0,0 +1,286 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "entry/limits_state.h"
+
+/* An unused limit is forgotten after this long. */
+#define IDLE_USEC (60 * JH_USEC_PER_SEC)
+
+struct limit_ticket {
+	struct limit *limit;
+	uint64_t cost;
+};
+
+static void
+clear_peer(gpointer p)
+{
+	g_free(((struct peer *)p)->instance);
+}
+
+/* The entry daemon that grants this limit; NULL if none is known. */
+static struct peer *
+find_granter(struct entry_limits *l, const struct limit *t)
+{
+	uint64_t *ids = g_new(uint64_t, l->peers->len + 1), first;
+	struct peer *p, *found = NULL;
+	guint i;
+
+	for (i = 0; i < l->peers->len; i++)
+		ids[i] = g_array_index(l->peers, struct peer, i).id;
+	first = jh_quota_choose(jh_str_from(t->org), jh_str_from(t->class_name),
+	    ids, l->peers->len);
+	for (i = 0; i < l->peers->len && found == NULL; i++) {
+		p = &g_array_index(l->peers, struct peer, i);
+		if (p->id == first)
+			found = p;
+	}
+	g_free(ids);
+	return found;
+}
+
+/* Tells a granter who may hold allocations of it. Holds l->lock. */
+static void
+set_members(struct entry_limits *l, struct limit *t)
+{
+	uint64_t *ids = g_new(uint64_t, l->peers->len + 1);
+	size_t n = 0;
+	struct peer *p;
+	guint i;
+
+	for (i = 0; i < l->peers->len; i++) {
+		p = &g_array_index(l->peers, struct peer, i);
+		if (p->incarnation != 0)
+			ids[n++] = p->incarnation;
+	}
+	jh_quota_granter_set_members(t->granter, jh_now(), ids, n);
+	g_free(ids);
+}
+
+void
+limits_update_view(struct entry_limits *l, struct limit *t)
+{
+	struct peer *p = find_granter(l, t);
+	bool own =
+	    p != NULL && strcmp(p->instance, l->entry->set.instance) == 0;
+
+	if (own && t->granter == NULL)
+		t->granter = jh_quota_granter_create(
+		    l->entry->incarnation, jh_now(), &t->amount);
+	if (!own && t->granter != NULL) {
+		jh_quota_granter_destroy(t->granter);
+		t->granter = NULL;
+	}
+	if (t->granter != NULL)
+		set_members(l, t);
+	g_free(t->granter_instance);
+	t->granter_instance = p == NULL || own ? NULL : g_strdup(p->instance);
+	jh_quota_holder_set_view(t->holder, jh_now(),
+	    p == NULL ? 0 : p->incarnation, MAX(l->peers->len, 1));
+}
+
+static struct jh_quota_limit
+region_amount(struct entry_limits *l, const struct jh_catalog_entry *rule)
+{
+	unsigned int regions = entry_workers_regions(l->entry->workers);
+	unsigned int permille =
+	    (unsigned int)(10 * jh_catalog_entry_region_percent(rule,
+				    l->entry->set.region, MAX(regions, 1)));
+	struct jh_quota_limit amount;
+
+	amount.amount[JH_QUOTA_RATE] =
+	    jh_quota_share((uint64_t)rule->cost_tokens_per_second, permille);
+	amount.amount[JH_QUOTA_CONCURRENT] =
+	    jh_quota_share((uint64_t)rule->concurrent_requests, permille);
+	return amount;
+}
+
+/* Holds l->lock. */
+static struct limit *
+find_limit(struct entry_limits *l, const struct jh_catalog_entry *rule,
+    const struct jh_quota_limit *amount)
+{
+	char *key = g_strdup_printf("%s/%s", rule->owner, rule->class_name);
+	struct limit *t = g_hash_table_lookup(l->limits, key);
+
+	if (t == NULL) {
+		t = limit_create(rule->owner, rule->class_name,
+		    l->entry->incarnation, jh_now(), amount);
+		g_hash_table_insert(l->limits, t->key, t);
+		limits_update_view(l, t);
+	}
+	g_free(key);
+	return t;
+}
+
+struct limit_ticket *
+entry_limits_take(
+    struct entry_limits *l, const struct jh_catalog_entry *rule, uint64_t cost)
+{
+	struct jh_quota_limit amount = region_amount(l, rule);
+	struct limit_ticket *ticket = NULL;
+	uint64_t now = jh_now();
+	struct limit *t;
+
+	g_mutex_lock(&l->lock);
+	t = find_limit(l, rule, &amount);
+	limit_set_amount(t, now, &amount);
+	t->idle_deadline = now + IDLE_USEC;
+	if (jh_quota_holder_take(t->holder, now, cost) == JH_QUOTA_OK) {
+		t->running++;
+		ticket = g_new0(struct limit_ticket, 1);
+		ticket->limit = t;
+		ticket->cost = cost;
+	}
+	g_mutex_unlock(&l->lock);
+	return ticket;
+}
+
+void
+entry_limits_done(struct entry_limits *l, struct limit_ticket *t, uint64_t cost)
+{
+	if (t == NULL)
+		return;
+	g_mutex_lock(&l->lock);
+	t->limit->running--;
+	jh_quota_holder_done(
+	    t->limit->holder, jh_now(), (int64_t)cost - (int64_t)t->cost);
+	g_mutex_unlock(&l->lock);
+	g_free(t);
+}
+
+void
+entry_limits_heard(
+    struct entry_limits *l, const char *instance, uint64_t incarnation)
+{
+	uint64_t *copy = g_new(uint64_t, 1);
+
+	*copy = incarnation;
+	g_mutex_lock(&l->lock);
+	g_hash_table_replace(l->heard, g_strdup(instance), copy);
+	g_mutex_unlock(&l->lock);
+}
+
+/* Answers one report as granter; false if there is no grant. Holds l->lock. */
+static bool
+answer_report(struct entry_limits *l, const struct jh_wire_report *w,
+    uint64_t holder, struct jh_wire_grant *out)
+{
+	struct limit *t = g_hash_table_lookup(l->limits, w->key);
+	struct jh_quota_report r =
+	    limit_report_from_wire(w, holder, l->entry->incarnation);
+	struct jh_catalog_entry *rule;
+	struct jh_quota_limit amount;
+	struct jh_quota_grant g;
+	char **name;
+
+	if (t == NULL) {
+		name = g_strsplit(w->key, "/", 2);
+		rule =
+		    g_strv_length(name) == 2
+			? jh_catalog_find(l->entry->catalog, name[0], name[1])
+			: NULL;
+		g_strfreev(name);
+		if (rule == NULL)
+			return false;
+		amount = region_amount(l, rule);
+		t = find_limit(l, rule, &amount);
+		jh_catalog_entry_unref(rule);
+	}
+	t->idle_deadline = jh_now() + IDLE_USEC;
+	if (t->granter == NULL ||
+	    !jh_quota_granter_report(t->granter, jh_now(), &r, &g))
+		return false;
+	out->key = g_strdup(w->key);
+	out->report = g.report;
+	out->seq = g.seq;
+	out->rate = g.amount[JH_QUOTA_RATE];
+	out->concurrent = g.amount[JH_QUOTA_CONCURRENT];
+	return true;
+}
+
+void
+entry_limits_serve(struct entry_limits *l, const struct jh_quota_args *args,
+    struct jh_quota_reply *reply)
+{
+	u_int i, n = args->reports.reports_len;
+
+	entry_limits_heard(l, args->instance, args->incarnation);
+	reply->incarnation = l->entry->incarnation;
+	reply->grants.grants_val = g_new0(struct jh_wire_grant, n);
+	if (args->granter != l->entry->incarnation)
+		return;
+	g_mutex_lock(&l->lock);
+	for (i = 0; i < n; i++) {
+		if (answer_report(l, &args->reports.reports_val[i],
+			args->incarnation,
+			&reply->grants.grants_val[reply->grants.grants_len]))
+			reply->grants.grants_len++;
+	}
+	g_mutex_unlock(&l->lock);
+}
+
+static gpointer
+limits_main(gpointer arg)
+{
+	struct entry_limits *l = arg;
+	gint64 next;
+
+	g_mutex_lock(&l->lock);
+	while (!l->stopping) {
+		next = g_get_monotonic_time() + (gint64)JH_QUOTA_REPORT_USEC;
+		g_mutex_unlock(&l->lock);
+		limits_run_round(l);
+		g_mutex_lock(&l->lock);
+		while (!l->stopping &&
+		       g_cond_wait_until(&l->stop_cond, &l->lock, next))
+			;
+	}
+	g_mutex_unlock(&l->lock);
+	return NULL;
+}
+
+size_t
+entry_limits_len(struct entry_limits *l)
+{
+	size_t n;
+
+	g_mutex_lock(&l->lock);
+	n = g_hash_table_size(l->limits);
+	g_mutex_unlock(&l->lock);
+	return n;
+}
+
+struct entry_limits *
+entry_limits_create(struct entry *e)
+{
+	struct entry_limits *l = g_new0(struct entry_limits, 1);
+
+	l->entry = e;
+	g_mutex_init(&l->lock);
+	g_cond_init(&l->stop_cond);
+	l->limits =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, limit_free);
+	l->heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	l->peers = g_array_new(FALSE, FALSE, sizeof(struct peer));
+	g_array_set_clear_func(l->peers, clear_peer);
+	l->thread = g_thread_new("limits", limits_main, l);
+	return l;
+}
+
+void
+entry_limits_destroy(struct entry_limits *l)
+{
+	g_mutex_lock(&l->lock);
+	l->stopping = true;
+	g_cond_signal(&l->stop_cond);
+	g_mutex_unlock(&l->lock);
+	g_thread_join(l->thread);
+	g_hash_table_destroy(l->limits);
+	g_hash_table_destroy(l->heard);
+	g_array_free(l->peers, TRUE);
+	g_mutex_clear(&l->lock);
+	g_cond_clear(&l->stop_cond);
+	g_free(l);
+}
--- /dev/null
+++ b/src/entry/limits_state.h
@@ -0,0 +1,32 @@
+#ifndef ENTRY_LIMITS_STATE_H
+#define ENTRY_LIMITS_STATE_H
+
+#include "entry/limit.h"
+#include "entry/limits.h"
+
+/* An entry daemon of the region. */
+struct peer {
+	char *instance;
+	uint64_t id; /* for the choice of granters: hash of the instance */
+	uint64_t incarnation; /* 0: not heard of yet */
+	struct sockaddr_in rpc_address;
+};
+
+struct entry_limits {
+	struct entry *entry;
+	GMutex lock; /* guards all below */
+	GHashTable *limits; /* key -> struct limit */
+	GHashTable *heard; /* instance -> &incarnation; both owned */
+	GArray *peers; /* of struct peer: entry daemons of the region */
+	bool stopping;
+	GCond stop_cond;
+	GThread *thread;
+};
+
+/* Finds out who grants the limit now. Holds l->lock. */
+void limits_update_view(struct entry_limits *l, struct limit *t);
+
+/* Reports all limits to their granters once (limits_round.c). */
+void limits_run_round(struct entry_limits *l);
+
+#endif
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -11,6 +11,7 @@
 #include "entry/entry.h"
 
 #include "entry/job.h"
+#include "entry/limits.h"
 #include "entry/refusal_log.h"
 #include "entry/rpc.h"
 #include "entry/wait.h"
@@ -55,6 +56,7 @@
 	struct entry *e = arg;
 
 	refusal_log_seen(e->refusals, reply->instance, reply->incarnation);
+	entry_limits_heard(e->limits, reply->instance, reply->incarnation);
 	crash_log_merge(
 	    e->crashes, reply->crashes.crashes_val, reply->crashes.crashes_len);
 }
@@ -93,6 +95,7 @@
 	feed.arg = e;
 	e->refusals = refusal_log_create(e);
 	e->crashes = crash_log_create();
+	e->limits = entry_limits_create(e);
 	e->feed = jh_feed_create(&feed);
 }
 
@@ -102,6 +105,7 @@
 	jh_feed_destroy(e->feed);
 	refusal_log_destroy(e->refusals);
 	crash_log_destroy(e->crashes);
+	entry_limits_destroy(e->limits);
 	g_hash_table_destroy(e->jobs);
 	entry_wait_destroy(e->wait);
 	jh_retry_destroy(e->retry);
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -7,6 +7,7 @@
 
 #include "base/event.h"
 #include "entry/entry.h"
+#include "entry/limits.h"
 #include "entry/refusal_log.h"
 #include "entry/rpc.h"
 
@@ -50,6 +51,14 @@
 		"failures", (int)m->failures));
 }
 
+static void
+handle_quota(void *arg, const void *args, void *reply)
+{
+	struct entry *e = arg;
+
+	entry_limits_serve(e->limits, args, reply);
+}
+
 static void
 handle_sync(void *arg, const void *args, void *reply)
 {
@@ -57,8 +66,10 @@
 	struct jh_sync_reply *r = reply;
 	struct entry *e = arg;
 
-	if (entry_workers_is_entry(e->workers, s->instance))
+	if (entry_workers_is_entry(e->workers, s->instance)) {
 		refusal_log_seen(e->refusals, s->instance, s->incarnation);
+		entry_limits_heard(e->limits, s->instance, s->incarnation);
+	}
 	crash_log_merge(
 	    e->crashes, s->crashes.crashes_val, s->crashes.crashes_len);
 	jh_feed_serve(e->feed, args, reply);
@@ -111,4 +122,5 @@
 }
 
 const struct jh_rpc_handler entry_rpc_handlers[] = {{JH_SYNC, handle_sync},
-    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
+    {JH_QUOTA, handle_quota}, {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump},
+    {0, NULL}};
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -4,6 +4,7 @@
 #include <jacinthhill/clock.h>
 
 #include "entry/caller.h"
+#include "entry/limits.h"
 #include "entry/service.h"
 #include "entry/wait.h"
 #include "work/work.h"
@@ -17,6 +18,9 @@
 /* Longest answer passed on. */
 #define ANSWER_LIMIT (16 << 20)
 
+/* What one call counts against the limit of cost tokens. */
+#define SERVICE_COST 1
+
 /* Longest Idempotency-Key, in bytes. */
 #define KEY_LIMIT 255
 
@@ -32,6 +36,7 @@
 	GArray *agents; /* of struct worker_address */
 	guint next;
 	const char *agent; /* of the running attempt; in agents */
+	struct limit_ticket *ticket;
 	GString *answer;
 	bool too_long;
 	bool may_have_run;
@@ -45,6 +50,7 @@
 destroy(struct service_job *j)
 {
 	jh_http_req_unref(j->req);
+	entry_limits_done(j->entry->limits, j->ticket, SERVICE_COST);
 	caller_clear(&j->caller);
 	if (j->agents != NULL)
 		g_array_free(j->agents, TRUE);
@@ -392,7 +398,12 @@
 	j->req = req;
 	j->answer = g_string_new(NULL);
 	if (prepare(j)) {
-		advance(j);
+		j->ticket =
+		    entry_limits_take(e->limits, j->caller.rule, SERVICE_COST);
+		if (j->ticket == NULL)
+			refuse(j, ENTRY_ERR_LIMIT_EXCEEDED, ran_unasked(j));
+		else
+			advance(j);
 		return;
 	}
 	jh_counters_add(e->counters, ENTRY_REJECTED, 1);
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -13,6 +13,7 @@
 	uint64_t generation; /* of members, that the placers have seen */
 	GHashTable *names; /* &id -> instance name; both owned */
 	GHashTable *placers; /* model -> struct jh_placer */
+	unsigned int entry_regions; /* that have entry daemons */
 };
 
 uint64_t
@@ -35,6 +36,7 @@
 	w->entry = e;
 	g_mutex_init(&w->lock);
 	w->members = jh_members_create();
+	w->entry_regions = 1;
 	w->names =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	w->placers = g_hash_table_new_full(
@@ -122,6 +124,40 @@
 		fill_placer(w, model, placer);
 }
 
+struct region_list {
+	const char *own;
+	GArray *regions; /* of uint32_t, each once */
+};
+
+static void
+add_region(void *arg, const struct jh_member *m)
+{
+	struct region_list *l = arg;
+	uint32_t region = entry_workers_region(m->instance.region);
+	guint i;
+
+	if (m->instance.leaving || strcmp(m->instance.region, l->own) == 0)
+		return;
+	for (i = 0; i < l->regions->len; i++) {
+		if (g_array_index(l->regions, uint32_t, i) == region)
+			return;
+	}
+	g_array_append_val(l->regions, region);
+}
+
+/* Holds w->lock. */
+static void
+count_regions(struct entry_workers *w)
+{
+	struct jh_member_filter filter = {.role = JH_ROLE_ENTRY};
+	struct region_list l = {
+	    "", g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+
+	jh_members_each(w->members, &filter, add_region, &l);
+	w->entry_regions = MAX(l.regions->len, 1);
+	g_array_free(l.regions, TRUE);
+}
+
 void
 entry_workers_set(
     struct entry_workers *w, const struct jh_instance *const *list, size_t n)
@@ -137,6 +173,7 @@
 		*id = entry_worker_id(list[i]->id);
 		g_hash_table_replace(w->names, id, g_strdup(list[i]->id));
 	}
+	count_regions(w);
 	refresh_placers(w);
 	g_mutex_unlock(&w->lock);
 }
@@ -209,27 +246,6 @@
 	return a;
 }
 
-struct region_list {
-	const char *own;
-	GArray *regions; /* of uint32_t, each once */
-};
-
-static void
-add_region(void *arg, const struct jh_member *m)
-{
-	struct region_list *l = arg;
-	uint32_t region = entry_workers_region(m->instance.region);
-	guint i;
-
-	if (m->instance.leaving || strcmp(m->instance.region, l->own) == 0)
-		return;
-	for (i = 0; i < l->regions->len; i++) {
-		if (g_array_index(l->regions, uint32_t, i) == region)
-			return;
-	}
-	g_array_append_val(l->regions, region);
-}
-
 uint32_t
 entry_workers_other_region(
     struct entry_workers *w, const char *model, uint64_t draw)
@@ -250,6 +266,17 @@
 	return region;
 }
 
+unsigned int
+entry_workers_regions(struct entry_workers *w)
+{
+	unsigned int n;
+
+	g_mutex_lock(&w->lock);
+	n = w->entry_regions;
+	g_mutex_unlock(&w->lock);
+	return n;
+}
+
 bool
 entry_workers_is_entry(struct entry_workers *w, const char *instance)
 {
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -60,6 +60,9 @@
 /* The number a region has in placement requests. */
 uint32_t entry_workers_region(const char *region);
 
+/* Regions that have entry daemons; at least 1. */
+unsigned int entry_workers_regions(struct entry_workers *w);
+
 /* A region other than the own with workers of the model; 0 if there is none. */
 uint32_t entry_workers_other_region(
     struct entry_workers *w, const char *model, uint64_t draw);
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -97,38 +97,46 @@
 };
 typedef struct jh_nonce_reply jh_nonce_reply;
 
-struct jh_quota_demand {
+struct jh_wire_report {
 	char *key;
-	u_quad_t demand;
-	u_quad_t held;
-	u_int held_left_ms;
+	u_quad_t seq;
+	u_quad_t rate_demand;
+	u_quad_t concurrent_demand;
+	u_quad_t running;
+	u_int members;
+	u_quad_t held_granter;
+	u_quad_t held_seq;
+	u_quad_t held_rate;
+	u_quad_t held_concurrent;
+	u_quad_t held_left_usec;
 };
-typedef struct jh_quota_demand jh_quota_demand;
+typedef struct jh_wire_report jh_wire_report;
 
 struct jh_quota_args {
 	char *instance;
 	u_quad_t incarnation;
-	u_quad_t round;
+	u_quad_t granter;
 	struct {
-		u_int demands_len;
-		jh_quota_demand *demands_val;
-	} demands;
+		u_int reports_len;
+		jh_wire_report *reports_val;
+	} reports;
 };
 typedef struct jh_quota_args jh_quota_args;
 
-struct jh_quota_grant {
+struct jh_wire_grant {
 	char *key;
+	u_quad_t report;
+	u_quad_t seq;
 	u_quad_t rate;
-	u_int left_ms;
+	u_quad_t concurrent;
 };
-typedef struct jh_quota_grant jh_quota_grant;
+typedef struct jh_wire_grant jh_wire_grant;
 
 struct jh_quota_reply {
 	u_quad_t incarnation;
-	u_quad_t round;
 	struct {
 		u_int grants_len;
-		jh_quota_grant *grants_val;
+		jh_wire_grant *grants_val;
 	} grants;
 };
 typedef struct jh_quota_reply jh_quota_reply;
@@ -227,9 +235,9 @@
 extern  bool_t xdr_jh_sync_reply (XDR *, jh_sync_reply*);
 extern  bool_t xdr_jh_nonce_args (XDR *, jh_nonce_args*);
 extern  bool_t xdr_jh_nonce_reply (XDR *, jh_nonce_reply*);
-extern  bool_t xdr_jh_quota_demand (XDR *, jh_quota_demand*);
+extern  bool_t xdr_jh_wire_report (XDR *, jh_wire_report*);
 extern  bool_t xdr_jh_quota_args (XDR *, jh_quota_args*);
-extern  bool_t xdr_jh_quota_grant (XDR *, jh_quota_grant*);
+extern  bool_t xdr_jh_wire_grant (XDR *, jh_wire_grant*);
 extern  bool_t xdr_jh_quota_reply (XDR *, jh_quota_reply*);
 extern  bool_t xdr_jh_order_kind (XDR *, jh_order_kind*);
 extern  bool_t xdr_jh_order_args (XDR *, jh_order_args*);
@@ -246,9 +254,9 @@
 extern bool_t xdr_jh_sync_reply ();
 extern bool_t xdr_jh_nonce_args ();
 extern bool_t xdr_jh_nonce_reply ();
-extern bool_t xdr_jh_quota_demand ();
+extern bool_t xdr_jh_wire_report ();
 extern bool_t xdr_jh_quota_args ();
-extern bool_t xdr_jh_quota_grant ();
+extern bool_t xdr_jh_wire_grant ();
 extern bool_t xdr_jh_quota_reply ();
 extern bool_t xdr_jh_order_kind ();
 extern bool_t xdr_jh_order_args ();
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -70,30 +70,40 @@
 	opaque answer<JH_MAX_TEXT>;
 };
 
-struct jh_quota_demand {
+/* struct jh_quota_report of one (organisation, class). */
+struct jh_wire_report {
 	string key<JH_MAX_NAME>;	/* organisation/class */
-	unsigned hyper demand;		/* cost tokens per second */
-	unsigned hyper held;		/* allocation held */
-	unsigned int held_left_ms;	/* until that allocation's deadline */
+	unsigned hyper seq;
+	unsigned hyper rate_demand;
+	unsigned hyper concurrent_demand;
+	unsigned hyper running;
+	unsigned int members;
+	unsigned hyper held_granter;
+	unsigned hyper held_seq;
+	unsigned hyper held_rate;
+	unsigned hyper held_concurrent;
+	unsigned hyper held_left_usec;
 };
 
 struct jh_quota_args {
 	string instance<JH_MAX_NAME>;
-	unsigned hyper incarnation;
-	unsigned hyper round;
-	jh_quota_demand demands<JH_MAX_ITEMS>;
+	unsigned hyper incarnation;	/* of the holder */
+	unsigned hyper granter;		/* incarnation meant; 0: any */
+	jh_wire_report reports<JH_MAX_ITEMS>;
 };
 
-struct jh_quota_grant {
+/* struct jh_quota_grant of one (organisation, class). */
+struct jh_wire_grant {
 	string key<JH_MAX_NAME>;
+	unsigned hyper report;
+	unsigned hyper seq;
 	unsigned hyper rate;
-	unsigned int left_ms;
+	unsigned hyper concurrent;
 };
 
 struct jh_quota_reply {
-	unsigned hyper incarnation;
-	unsigned hyper round;
-	jh_quota_grant grants<JH_MAX_ITEMS>;
+	unsigned hyper incarnation;	/* of the granter */
+	jh_wire_grant grants<JH_MAX_ITEMS>;
 };
 
 enum jh_order_kind {
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -175,17 +175,31 @@
 }
 
 bool_t
-xdr_jh_quota_demand (XDR *xdrs, jh_quota_demand *objp)
+xdr_jh_wire_report (XDR *xdrs, jh_wire_report *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->key, JH_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->demand))
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rate_demand))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->concurrent_demand))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->members))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_granter))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->held))
+	 if (!xdr_u_quad_t (xdrs, &objp->held_seq))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->held_left_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->held_rate))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_concurrent))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_left_usec))
 		 return FALSE;
 	return TRUE;
 }
@@ -199,24 +213,28 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->round))
+	 if (!xdr_u_quad_t (xdrs, &objp->granter))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, JH_MAX_ITEMS,
-		sizeof (jh_quota_demand), (xdrproc_t) xdr_jh_quota_demand))
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, JH_MAX_ITEMS,
+		sizeof (jh_wire_report), (xdrproc_t) xdr_jh_wire_report))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_jh_quota_grant (XDR *xdrs, jh_quota_grant *objp)
+xdr_jh_wire_grant (XDR *xdrs, jh_wire_grant *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->key, JH_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->report))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rate))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->left_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->concurrent))
 		 return FALSE;
 	return TRUE;
 }
@@ -228,10 +246,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->round))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, JH_MAX_ITEMS,
-		sizeof (jh_quota_grant), (xdrproc_t) xdr_jh_quota_grant))
+		sizeof (jh_wire_grant), (xdrproc_t) xdr_jh_wire_grant))
 		 return FALSE;
 	return TRUE;
 }
