place: ask workers past the width as a last resort before refusing

Cause: a request whose four candidates all refused for their deadline had nowhere to go, although the region has idle workers (326 such requests in the hot prefix shift at 6,400 workers).

--- a/src/place/affinity.c
+++ b/src/place/affinity.c
@@ -23,6 +23,12 @@
 /* Workers outside the width that are offered a request. */
 #define SPILL 3
 
+/*
+ * Added for workers past the width that were not asked, which makes them the
+ * last resort: copies made there would not be looked for later.
+ */
+#define UNASKED_USEC (3600 * JH_USEC_PER_SEC)
+
 /* A wider width is not learned once this much demand was seen here. */
 #define CONFIDENT_COUNT 20.0
 #define CONFIDENT_AGE_USEC (10 * JH_USEC_PER_SEC)
@@ -207,10 +213,51 @@
 	} while (true);
 	if (inside > 0)
 		add_inside(p, now, g, r, inside, o);
-	for (i = 0; i < MIN(outside, SPILL); i++)
+	if (!r->again)
+		outside = MIN(outside, SPILL);
+	for (i = 0; i < outside; i++)
 		add_option(p, now, o, spill[i], all);
 }
 
+static const struct jh_place_heard *
+find_heard(const struct jh_place_request *r, uint64_t worker)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_heard; i++) {
+		if (r->heard[i].worker == worker)
+			return &r->heard[i];
+	}
+	return NULL;
+}
+
+/* Costs the options anew by what the workers told that refused. */
+static void
+weigh_heard(const struct jh_placer *p, const struct jh_place_region *g,
+    const struct jh_place_request *r, struct options *o)
+{
+	uint64_t all = jh_prefix_tokens(r->prefix), missing;
+	const struct jh_place_heard *h;
+	struct option *c;
+	uint32_t i;
+
+	for (i = 0; i < o->n; i++) {
+		c = &o->at[i];
+		h = find_heard(r, p->id[c->index]);
+		if (h != NULL) {
+			missing = all - MIN(all, h->cached_tokens);
+			c->base = prefill_usec(g, missing);
+			c->cost = h->wait;
+		} else {
+			c->cost -= c->base;
+			if (c->base > OFFER_USEC)
+				c->cost += UNASKED_USEC;
+		}
+		c->cost += i * RANK_USEC +
+			   (uint64_t)(RECOMPUTE_WEIGHT * (double)c->base);
+	}
+}
+
 /* Keeps the order of equal costs: it is what entry daemons agree on. */
 static void
 sort_options(struct options *o)
@@ -241,33 +288,6 @@
 	return n;
 }
 
-/* Sorts the workers that refused by when they would be done. */
-static size_t
-emit_heard(const struct jh_place_region *g, const struct jh_place_request *r,
-    struct jh_candidate *out, size_t max)
-{
-	uint64_t all = jh_prefix_tokens(r->prefix);
-	uint64_t cost[TRIES];
-	size_t i, j, n = MIN(r->n_heard, max);
-
-	for (i = 0; i < n; i++) {
-		const struct jh_place_heard *h = &r->heard[i];
-		uint64_t missing = all - MIN(all, h->cached_tokens);
-		uint64_t c = h->wait + i * RANK_USEC +
-			     (uint64_t)(RECOMPUTE_WEIGHT *
-					(double)prefill_usec(g, missing));
-
-		for (j = i; j > 0 && cost[j - 1] > c; j--) {
-			cost[j] = cost[j - 1];
-			out[j] = out[j - 1];
-		}
-		cost[j] = c;
-		out[j].worker = h->worker;
-		out[j].max_wait = JH_NEVER;
-	}
-	return n;
-}
-
 /* Fills up with workers that are held out, then with other regions'. */
 static size_t
 add_rest(struct jh_placer *p, uint64_t now, const struct jh_place_request *r,
@@ -305,10 +325,10 @@
 	struct options o = {0};
 	size_t n = 0;
 
-	if (g != NULL && r->again && r->n_heard > 0)
-		return emit_heard(g, r, out, max);
 	if (g != NULL && r->prefix->n > 0) {
 		add_region(p, now, g, r, &o);
+		if (r->again)
+			weigh_heard(p, g, r, &o);
 		sort_options(&o);
 		/* A quarter of the places is kept for other regions. */
 		n = emit(p, g, r, &o, out, r->any_region ? max - max / 4 : max);
