admit: weigh the past more when an organisation asks for slots

Cause: small callers' waves of three or four requests counted like the steady hold of large ones.

Change: an organisation's level is 0.4 of the slots it holds now and 0.6 of its mean, in place of halves.

--- a/src/admit/queue_estimate.c
+++ b/src/admit/queue_estimate.c
@@ -73,11 +73,11 @@
 {
 	const struct jh_queue_flow *f =
 	    jh_queue_rank_find(&q->ranks[JH_RANK_URGENT], item->org);
-	double bound = jh_queue_urgent_bound(q), may_start, pace;
+	double may_start, pace;
 
 	if (f == NULL)
 		return 0;
-	may_start = 2 * bound * f->weight - f->held.mean - f->running;
+	may_start = jh_queue_flow_left(f, jh_queue_urgent_bound(q));
 	if (may_start > own)
 		return 0;
 	pace = MAX(MAX(f->held.mean, f->running), 1);
--- a/src/admit/queue_flow.c
+++ b/src/admit/queue_flow.c
@@ -2,6 +2,12 @@
 
 #include "admit/queue_flow.h"
 
+/*
+ * Part of the present in a flow's level. With 0.5 waves of small callers
+ * waited more; with 0.3 large ones came back too soon after a pause.
+ */
+#define PRESENT_PART 0.4
+
 struct jh_queue_flow *
 jh_queue_flow_create(struct jh_str org, uint64_t tie)
 {
@@ -34,3 +40,16 @@
 {
 	return cost * JH_QUEUE_TAG_SCALE / f->weight;
 }
+
+double
+jh_queue_flow_level(const struct jh_queue_flow *f)
+{
+	return (PRESENT_PART * f->running + (1 - PRESENT_PART) * f->held.mean) /
+	       f->weight;
+}
+
+double
+jh_queue_flow_left(const struct jh_queue_flow *f, double bound)
+{
+	return (bound - jh_queue_flow_level(f)) * f->weight / PRESENT_PART;
+}
--- a/src/admit/queue_flow.h
+++ b/src/admit/queue_flow.h
@@ -54,5 +54,12 @@
 
 struct jh_queue_sum jh_queue_flow_sum(const struct jh_queue_flow *f);
 uint64_t jh_queue_flow_span(const struct jh_queue_flow *f, uint64_t cost);
+/*
+ * Slots that the flow holds for each unit of weight, a mean of now and of the
+ * recent past: a flow that holds few on average may have a wave of requests.
+ */
+double jh_queue_flow_level(const struct jh_queue_flow *f);
+/* How many more slots it may take before its level reaches the bound. */
+double jh_queue_flow_left(const struct jh_queue_flow *f, double bound);
 
 #endif
--- a/src/admit/queue_rank.c
+++ b/src/admit/queue_rank.c
@@ -71,7 +71,7 @@
 static unsigned int
 level_of(const struct jh_queue_rank *r, const struct jh_queue_flow *f)
 {
-	double level = (f->running + f->held.mean) / 2 / f->weight;
+	double level = jh_queue_flow_level(f);
 
 	return (unsigned int)MIN(level, r->level_count - 1);
 }
--- a/src/admit/queue_rank.h
+++ b/src/admit/queue_rank.h
@@ -10,8 +10,7 @@
 	GHashTable *flows;
 	/*
 	 * Flows with queued items, by tag: one heap for each number of slots
-	 * that a flow holds for each unit of weight, the mean of now and of
-	 * the recent past.
+	 * that a flow holds; see jh_queue_flow_level().
 	 */
 	struct jh_queue_heap *levels;
 	unsigned int level_count;
--- a/test/test_queue.c
+++ b/test/test_queue.c
@@ -6,60 +6,10 @@
 #include <cmocka.h>
 #include <glib.h>
 
-#include <jacinthhill/clock.h>
-#include <jacinthhill/queue.h>
+#include "queue_calls.h"
 
 #define MSEC JH_USEC_PER_MSEC
 
-static struct jh_queue *
-queue_with(unsigned int slots, size_t max_items)
-{
-	struct jh_queue_config config;
-
-	jh_queue_config_init(&config);
-	config.slots = slots;
-	config.max_items = max_items;
-	/* Wide enough not to limit tests of the order. */
-	config.prefill_window = 1000000;
-	return jh_queue_create(&config);
-}
-
-static struct jh_queue_item
-item(uint64_t id, const char *org, enum jh_rank rank, uint64_t deadline)
-{
-	return (struct jh_queue_item){.id = id,
-	    .org = jh_str_from(org),
-	    .rank = rank,
-	    .deadline = deadline,
-	    .prefill = 100,
-	    .decode = 100};
-}
-
-static enum jh_queue_reason
-offer(struct jh_queue *q, uint64_t now, struct jh_queue_item it)
-{
-	struct jh_queue_decision d;
-
-	jh_queue_offer(q, now, &it, &d);
-	return d.reason;
-}
-
-/* Gives the id of the next item, or 0. */
-static uint64_t
-next(struct jh_queue *q, uint64_t now)
-{
-	struct jh_queue_item it;
-
-	return jh_queue_next(q, now, &it) ? it.id : 0;
-}
-
-static void
-run_to_end(struct jh_queue *q, uint64_t now, uint64_t id)
-{
-	jh_queue_first_token(q, now, id);
-	assert_true(jh_queue_finished(q, now, id, JH_QUEUE_END_DONE, 100));
-}
-
 /* Guards against drafting that is served before a waiting urgent item. */
 static void
 urgent_goes_first(void **state)
@@ -155,6 +105,30 @@
 	jh_queue_destroy(q);
 }
 
+/* Guards against one organisation that takes every slot, and against slots
+ * that stay empty although only it has work. */
+static void
+large_organisation_leaves_a_slot(void **state)
+{
+	struct jh_queue *q = queue_with(8, 100);
+	uint64_t now = 1, i;
+
+	offer(q, now, item(99, "small", JH_RANK_URGENT, JH_NEVER));
+	for (i = 1; i <= 50; i++)
+		offer(q, now, item(i, "large", JH_RANK_URGENT, JH_NEVER));
+	assert_in_range(fill(q, now), 4, 8);
+	now += 300 * JH_USEC_PER_SEC;
+	for (i = 1; i <= 50; i++)
+		jh_queue_finished(q, now, i, JH_QUEUE_END_DONE, 100);
+	assert_in_range(fill(q, now), 3, 6);
+	offer(q, now, item(100, "small", JH_RANK_URGENT, JH_NEVER));
+	assert_int_equal(next(q, now), 100);
+	for (i = 1; i <= 100; i++)
+		jh_queue_finished(q, now, i, JH_QUEUE_END_DONE, 100);
+	assert_true(fill(q, now) >= 3);
+	jh_queue_destroy(q);
+}
+
 /* Guards against unspent time saved up by an idle organisation. */
 static void
 idle_organisation_gains_nothing(void **state)
@@ -360,6 +334,7 @@
 	    cmocka_unit_test(background_leaves_slots_free),
 	    cmocka_unit_test(background_waits_for_prefill),
 	    cmocka_unit_test(organisations_share_fairly),
+	    cmocka_unit_test(large_organisation_leaves_a_slot),
 	    cmocka_unit_test(idle_organisation_gains_nothing),
 	    cmocka_unit_test(long_answers_are_charged),
 	    cmocka_unit_test(earliest_deadline_first),
