test: remove two races of the process tests

test_slow_reader stalled until the request's time limit in 5 of 12 runs, three programs side by side. The caller's receive buffer of 4 KB was smaller than a loopback segment, so that the kernel sent only on its persist timer (seen with ss: 2.9 MB waiting in the entry daemon's socket, nothing at the caller).

test_no_agent killed the agents before the outcome of the payment was stored. The answer may go out earlier by design; the test now waits for the record.

--- a/test/harness.h
+++ b/test/harness.h
@@ -78,7 +78,7 @@
 	const char *key; /* API key, or NULL */
 	const char *headers[12]; /* "Name: value" */
 	const char *body;
-	bool slow; /* a small receive buffer; starts held */
+	bool held; /* reads nothing of the body until call_release() */
 };
 
 /* One HTTP request, driven by a thread of its own. */
--- a/test/harness_call.c
+++ b/test/harness_call.c
@@ -11,9 +11,6 @@
 /* Longer than any request of a test takes. */
 #define CALL_TIMEOUT_MS 60000L
 
-/* A reader that stops is felt by the sender after this many bytes. */
-#define SLOW_BUFFER_LEN 4096
-
 struct call {
 	GThread *thread;
 	CURL *easy;
@@ -98,15 +95,6 @@
 	return g_atomic_int_get(&c->leave);
 }
 
-static int
-shrink_buffer(void *arg, curl_socket_t fd, curlsocktype purpose)
-{
-	int len = SLOW_BUFFER_LEN;
-
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &len, sizeof(len));
-	return CURL_SOCKOPT_OK;
-}
-
 static gpointer
 call_main(gpointer arg)
 {
@@ -149,7 +137,7 @@
 	c->url =
 	    g_strdup_printf("http://127.0.0.1:%u%s", spec->port, spec->path);
 	c->body = g_strdup(spec->body);
-	c->held = spec->slow;
+	c->held = spec->held;
 	c->answer = g_string_new(NULL);
 	c->events = g_ptr_array_new_with_free_func(event_free);
 	g_mutex_init(&c->lock);
@@ -167,9 +155,6 @@
 	curl_easy_setopt(c->easy, CURLOPT_XFERINFOFUNCTION, on_progress);
 	curl_easy_setopt(c->easy, CURLOPT_XFERINFODATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_NOPROGRESS, 0L);
-	if (spec->slow)
-		curl_easy_setopt(
-		    c->easy, CURLOPT_SOCKOPTFUNCTION, shrink_buffer);
 	set_headers(c, spec);
 	c->thread = g_thread_new("call", call_main, c);
 	return c;
--- a/test/test_proc_once.c
+++ b/test/test_proc_once.c
@@ -229,6 +229,22 @@
 	call_free(a);
 }
 
+/* Whether the store has the outcome of the only call in it. */
+static bool
+outcome_is_stored(struct world *w)
+{
+	struct call_spec spec = {.port = w->store.port,
+	    .method = "GET",
+	    .path = "/v1/list?prefix=calls/"};
+	struct call *c = call_run(&spec);
+	bool stored;
+
+	assert_int_equal(call_status(c), 200);
+	stored = strstr(call_body(c), "\\\"done\\\"") != NULL;
+	call_free(c);
+	return stored;
+}
+
 /*
  * A payment that ran is reported as not run because no agent could be asked,
  * or a payment that cannot have run is reported as unknown.
@@ -241,6 +257,7 @@
 	unsigned int i;
 
 	expect_receipt(w, 0, "order-1");
+	await(outcome_is_stored(w));
 	for (i = 0; i < w->agents; i++)
 		proc_kill(&w->agent[i]);
 	expect_error(w, 1, "order-1", 503, "no_capacity", "unknown");
--- a/test/test_proc_readers.c
+++ b/test/test_proc_readers.c
@@ -121,7 +121,7 @@
 	    .path = "/v1/chat/completions",
 	    .key = "key-alpha",
 	    .body = body,
-	    .slow = true};
+	    .held = true};
 	long entry = proc_memory(&w->entry[0], "VmHWM:");
 	long agent = proc_memory(&w->agent[0], "VmHWM:");
 	struct call *c = call_start(&spec);
