--- a/test/test_proc_readers.c
+++ b/test/test_proc_readers.c
@@ -16,6 +16,9 @@
 /* The whole of a long stream is far over this; see test_slow_reader(). */
 #define MEMORY_LIMIT_KB 8192
 
+/* Unchanged readings of a process's memory that count as rest. */
+#define REST_POLLS 60
+
 static int
 setup(void **state)
 {
@@ -110,6 +113,24 @@
 	return 0;
 }
 
+/*
+ * Waits until a daemon's memory no longer grows, so that one that reads without
+ * bound has read a good part. Only a faulty daemon can be found growing later.
+ */
+static void
+await_rest(const struct proc *p)
+{
+	long last = -1, now;
+	unsigned int same = 0;
+
+	while (same < REST_POLLS) {
+		now = proc_memory(p, "VmHWM:");
+		same = now == last ? same + 1 : 0;
+		last = now;
+		g_usleep(AWAIT_POLL_USEC);
+	}
+}
+
 /* A daemon keeps in memory what a slow reader does not take. */
 static void
 test_slow_reader(void **state)
@@ -128,6 +149,8 @@
 
 	await(engines_load(w) > 0);
 	await(engines_load(w) == 0);
+	await_rest(&w->agent[0]);
+	await_rest(&w->entry[0]);
 	call_release(c);
 	call_join(c);
 	check_stream(&c, 1, LONG_TOKENS, text);
