agent: serve orders to load weights

The agent had no JH_ORDER handler, so nothing stood between an order and an engine that ignores fencing numbers. It now keeps the highest token per duty, gives the engine no new work while an order is in progress, waits for what runs, and gives work again after a report newer than the load. A change of the reported weights empties the cache view. Orders that contradict the model's catalogue record are refused, because the agent would undo them.

The reply tells whether the order was accepted, and the state dump what came of it: the RPC thread must not wait for streams that may run for minutes.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -55,6 +55,7 @@
 	struct jh_feed *feed;
 	struct crash_log *crashes;
 	struct agent_once *once; /* NULL beside an engine */
+	struct agent_orders *orders; /* guarded by lock */
 
 	GMutex lock; /* guards all below */
 	struct jh_queue *queue;
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -4,6 +4,7 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/chat.h"
+#include "agent/order.h"
 #include "agent/pieces.h"
 #include "agent/suspect.h"
 
@@ -19,6 +20,24 @@
 	const char *refusal; /* NULL: start it */
 };
 
+/* Hands queued work back while the engine is to get none. Holds agent->lock. */
+static void
+hand_back(struct agent *a, GArray *out)
+{
+	struct outcome o = {.refusal = "loading"};
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		o.job = value;
+		if (!jh_queue_cancel(a->queue, o.job->id))
+			continue;
+		agent_job_ref(o.job);
+		g_array_append_val(out, o);
+	}
+}
+
 /* Collects what may start or is refused now. Holds agent->lock. */
 static GArray *
 pump(struct agent *a)
@@ -30,6 +49,8 @@
 	uint64_t now = jh_now();
 
 	jh_queue_expire(a->queue, jh_now());
+	if (agent_order_holds(a))
+		hand_back(a, out);
 	while (jh_queue_next(a->queue, jh_now(), &item)) {
 		((struct agent_job *)item.data)->started_at = now;
 		o = (struct outcome){agent_job_ref(item.data), NULL};
@@ -339,6 +360,8 @@
 	verdict = agent_may_run(j);
 	if (g_atomic_int_get(&a->leaving))
 		reason = "leaving";
+	else if (agent_order_holds(a))
+		reason = "loading";
 	else if (verdict == JH_SUSPECT_REFUSE)
 		reason = "quarantined";
 	else if (verdict == JH_SUSPECT_WAIT)
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -5,6 +5,7 @@
 #include <jacinthhill/clock.h>
 
 #include "agent/engine_poll.h"
+#include "agent/order.h"
 
 /* Blocks of the engine's cache that the agent remembers. */
 #define CACHE_VIEW_BLOCKS 65536
@@ -15,7 +16,8 @@
 struct poll {
 	struct agent *agent;
 	GString *body;
-	void (*take)(struct agent *a, const json_t *root);
+	uint64_t asked_at;
+	void (*take)(struct poll *p, const json_t *root);
 };
 
 static bool
@@ -36,7 +38,7 @@
 	if (result == JH_HTTP_OK && jh_http_call_status(call) == 200) {
 		root = json_loadb(p->body->str, p->body->len, 0, NULL);
 		if (root != NULL)
-			p->take(p->agent, root);
+			p->take(p, root);
 		json_decref(root);
 	}
 	g_string_free(p->body, TRUE);
@@ -64,9 +66,21 @@
 	*field = g_strdup(json_string_value(value));
 }
 
+/* Blocks of former weights are never asked for again. Holds a->lock. */
 static void
-take_load(struct agent *a, const json_t *root)
+empty_cache_view(struct agent *a)
 {
+	if (a->cache == NULL)
+		return;
+	jh_cacheview_set_incarnation(a->cache, ~a->engine.incarnation);
+	jh_cacheview_set_incarnation(a->cache, a->engine.incarnation);
+}
+
+static void
+take_load(struct poll *p, const json_t *root)
+{
+	json_t *weights = json_object_get(root, "weights");
+	struct agent *a = p->agent;
 	uint64_t incarnation = incarnation_of(root);
 	json_int_t piece;
 
@@ -81,8 +95,11 @@
 	if (a->cache != NULL)
 		jh_cacheview_set_incarnation(a->cache, incarnation);
 	set_text(&a->engine.model, json_object_get(root, "model"));
-	set_text(&a->engine.weights, json_object_get(root, "weights"));
+	if (g_strcmp0(a->engine.weights, json_string_value(weights)) != 0)
+		empty_cache_view(a);
+	set_text(&a->engine.weights, weights);
 	a->engine.piece_tokens = piece > 0 ? (uint64_t)piece : 0;
+	agent_order_reported(a, p->asked_at);
 	g_mutex_unlock(&a->lock);
 }
 
@@ -108,8 +125,9 @@
 }
 
 static void
-take_events(struct agent *a, const json_t *root)
+take_events(struct poll *p, const json_t *root)
 {
+	struct agent *a = p->agent;
 	uint64_t incarnation = incarnation_of(root);
 	json_t *event;
 	size_t i;
@@ -124,7 +142,7 @@
 
 static void
 start(struct agent *a, const char *path,
-    void (*take)(struct agent *a, const json_t *root))
+    void (*take)(struct poll *p, const json_t *root))
 {
 	struct poll *p = g_new0(struct poll, 1);
 	struct jh_http_call_spec spec = {.peer = a->set.backend,
@@ -137,6 +155,7 @@
 
 	p->agent = a;
 	p->take = take;
+	p->asked_at = jh_now();
 	p->body = g_string_new(NULL);
 	call = jh_http_call_start(a->client, &spec);
 	if (call == NULL) {
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -11,6 +11,7 @@
 #include "agent/engine_poll.h"
 #include "agent/job.h"
 #include "agent/once.h"
+#include "agent/order.h"
 #include "agent/rpc.h"
 #include "base/event.h"
 #include "feed/instances.h"
@@ -79,6 +80,7 @@
 	feed.ops = &feed_ops;
 	feed.arg = a;
 	a->crashes = crash_log_create();
+	a->orders = agent_orders_create();
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
@@ -90,6 +92,7 @@
 	if (a->once != NULL)
 		agent_once_destroy(a->once);
 	jh_feed_destroy(a->feed);
+	agent_orders_destroy(a->orders);
 	crash_log_destroy(a->crashes);
 	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
@@ -149,6 +152,7 @@
 			agent_once_tick(a->once);
 		else if (ticks++ % TICKS_PER_POLL == 0)
 			agent_poll_engine(a);
+		agent_order_tick(a);
 		agent_tick(a);
 	} while (!wait_signal(set));
 }
--- /dev/null
+++ b/src/agent/order.c
@@ -0,0 +1,324 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/fence.h>
+#include <jacinthhill/rollout.h>
+
+#include "agent/job.h"
+#include "agent/order.h"
+#include "base/event.h"
+
+/* Duties whose tokens are remembered: the two slots, operators, and spare. */
+#define MAX_DUTIES 64
+
+enum order_state {
+	ORDER_NONE,
+	ORDER_DRAINING, /* work that was started before goes on */
+	ORDER_LOADING, /* the engine has been told */
+	ORDER_ASKING, /* waits for a report that is newer than the load */
+	ORDER_ENDED /* to be settled on the control thread */
+};
+
+static const char *const state_names[] = {
+    "none", "draining", "loading", "asking", "ended"};
+
+/* Guarded by a->lock. */
+struct agent_orders {
+	struct jh_fence *fence;
+	enum order_state state;
+	char *duty;
+	char *model;
+	char *weights;
+	uint64_t token;
+	const struct agent_order_ops *ops;
+	void *arg;
+	uint64_t answered_at; /* when the engine's answer came */
+	bool loaded;
+	char *outcome; /* of the last order, for the dump */
+};
+
+struct agent_orders *
+agent_orders_create(void)
+{
+	struct agent_orders *o = g_new0(struct agent_orders, 1);
+
+	o->fence = jh_fence_create(MAX_DUTIES);
+	o->outcome = g_strdup("");
+	return o;
+}
+
+void
+agent_orders_destroy(struct agent_orders *o)
+{
+	jh_fence_destroy(o->fence);
+	g_free(o->duty);
+	g_free(o->model);
+	g_free(o->weights);
+	g_free(o->outcome);
+	g_free(o);
+}
+
+bool
+agent_order_holds(const struct agent *a)
+{
+	return a->orders->state != ORDER_NONE;
+}
+
+static void
+set_outcome(struct agent_orders *o, const char *outcome)
+{
+	g_free(o->outcome);
+	o->outcome = g_strdup(outcome);
+}
+
+/*
+ * Whether the catalogue names other weights: the agent would load those again
+ * by itself.
+ */
+static bool
+contradicts_catalogue(struct agent *a, const struct agent_order *order)
+{
+	struct jh_model *m = jh_catalog_find_model(a->catalog, order->model);
+	bool differs;
+
+	if (m == NULL)
+		return false;
+	differs = strcmp(m->weights, order->weights) != 0;
+	jh_model_unref(m);
+	return differs;
+}
+
+/* Holds a->lock. */
+static const char *
+find_fault(struct agent *a, const struct agent_order *order)
+{
+	if (g_strcmp0(a->set.kind, "engine") != 0)
+		return "this backend server is no engine";
+	if (order->weights[0] == '\0')
+		return "the order names no weights";
+	if (g_strcmp0(order->model, a->engine.model) != 0)
+		return "the engine serves another model";
+	if (contradicts_catalogue(a, order))
+		return "the catalogue names other weights for the model";
+	if (g_atomic_int_get(&a->leaving))
+		return "the agent is leaving";
+	if (a->orders->state != ORDER_NONE)
+		return "another order is in progress";
+	/* Last, because an admitted token is remembered. */
+	if (!jh_fence_admit(a->orders->fence, order->duty, order->token))
+		return "the fencing token is old";
+	return NULL;
+}
+
+/* Holds a->lock. */
+static void
+begin(struct agent_orders *o, const struct agent_order *order)
+{
+	g_free(o->duty);
+	g_free(o->model);
+	g_free(o->weights);
+	o->duty = g_strdup(order->duty);
+	o->model = g_strdup(order->model);
+	o->weights = g_strdup(order->weights);
+	o->token = order->token;
+	o->ops = order->ops;
+	o->arg = order->arg;
+	o->loaded = false;
+	set_outcome(o, "");
+	o->state = ORDER_DRAINING;
+}
+
+const char *
+agent_order_start(struct agent *a, const struct agent_order *order)
+{
+	const char *fault;
+
+	g_mutex_lock(&a->lock);
+	fault = find_fault(a, order);
+	if (fault == NULL)
+		begin(a->orders, order);
+	g_mutex_unlock(&a->lock);
+	return fault;
+}
+
+/* Ends the order without the engine. Holds a->lock. */
+static void
+give_up(struct agent_orders *o, const char *why)
+{
+	set_outcome(o, why);
+	o->state = ORDER_ENDED;
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct agent *a = arg;
+	struct agent_orders *o = a->orders;
+
+	g_mutex_lock(&a->lock);
+	if (result == JH_HTTP_OK) {
+		o->loaded = jh_http_call_status(call) == 200;
+		set_outcome(o, o->loaded ? "loaded" : "refused by the engine");
+	} else {
+		set_outcome(o, "no answer from the engine");
+	}
+	/* Whatever came of it, only a later report tells what is served. */
+	o->answered_at = jh_now();
+	o->state = ORDER_ASKING;
+	g_mutex_unlock(&a->lock);
+}
+
+static const struct jh_http_call_ops order_ops = {.done = on_done};
+
+static void
+send_order(struct agent *a, uint64_t token, const char *weights)
+{
+	static const char *const headers[] = {
+	    "Content-Type: application/json", NULL};
+	json_t *root = json_pack(
+	    "{s:I, s:s}", "fencing", (json_int_t)token, "weights", weights);
+	char *text = json_dumps(root, JSON_COMPACT);
+	struct jh_http_call_spec spec = {.peer = a->set.backend,
+	    .method = "POST",
+	    .path = "/v1/orders",
+	    .headers = headers,
+	    .body = jh_str_from(text),
+	    .deadline = jh_now() + JH_ROLLOUT_LOAD_USEC,
+	    .once = true,
+	    .ops = &order_ops,
+	    .arg = a};
+	struct jh_http_call *call = jh_http_call_start(a->client, &spec);
+
+	if (call == NULL) {
+		g_mutex_lock(&a->lock);
+		give_up(a->orders, "no call to the engine could be made");
+		g_mutex_unlock(&a->lock);
+	}
+	jh_http_call_unref(call);
+	free(text);
+	json_decref(root);
+}
+
+/* Whether a request that was given to the engine still runs there. */
+static bool
+is_running(struct agent_job *j)
+{
+	bool running;
+
+	g_mutex_lock(&j->lock);
+	running = j->started_at != 0 && j->state != JOB_ENDED;
+	g_mutex_unlock(&j->lock);
+	return running;
+}
+
+/* Holds a->lock. */
+static bool
+is_drained(struct agent *a)
+{
+	GHashTableIter it;
+	gpointer j;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &j)) {
+		if (is_running(j))
+			return false;
+	}
+	return true;
+}
+
+static void
+try_send(struct agent *a)
+{
+	struct agent_orders *o = a->orders;
+	/* Only this thread changes these while the order drains. */
+	uint64_t token = o->ops == NULL ? o->token : o->ops->token(o->arg);
+	char *weights = NULL;
+
+	g_mutex_lock(&a->lock);
+	if (token == 0) {
+		give_up(o, "the lease ran out");
+	} else if (is_drained(a)) {
+		o->token = token;
+		if (jh_fence_admit(o->fence, o->duty, token)) {
+			weights = g_strdup(o->weights);
+			o->state = ORDER_LOADING;
+		} else {
+			give_up(o, "a newer order came in between");
+		}
+	}
+	g_mutex_unlock(&a->lock);
+	if (weights != NULL)
+		send_order(a, token, weights);
+	g_free(weights);
+}
+
+static void
+settle(struct agent *a)
+{
+	const struct agent_order_ops *ops;
+	struct agent_orders *o = a->orders;
+	bool loaded;
+	void *arg;
+
+	g_mutex_lock(&a->lock);
+	ops = o->ops;
+	arg = o->arg;
+	loaded = o->loaded;
+	jh_event(JH_EV_ORDER_ENDED, G_LOG_LEVEL_INFO,
+	    "order of %s to load %s of %s: %s", o->duty, o->weights, o->model,
+	    o->outcome);
+	o->state = ORDER_NONE;
+	g_mutex_unlock(&a->lock);
+	if (ops != NULL)
+		ops->done(arg, loaded);
+}
+
+void
+agent_order_tick(struct agent *a)
+{
+	enum order_state state;
+
+	g_mutex_lock(&a->lock);
+	state = a->orders->state;
+	g_mutex_unlock(&a->lock);
+	if (state == ORDER_DRAINING)
+		try_send(a);
+	else if (state == ORDER_ENDED)
+		settle(a);
+}
+
+void
+agent_order_reported(struct agent *a, uint64_t asked_at)
+{
+	struct agent_orders *o = a->orders;
+
+	if (o->state == ORDER_ASKING && asked_at > o->answered_at)
+		o->state = ORDER_ENDED;
+}
+
+json_t *
+agent_order_dump(const struct agent *a)
+{
+	const struct agent_orders *o = a->orders;
+
+	return json_pack("{s:s, s:s*, s:s*, s:I, s:s}", "state",
+	    state_names[o->state], "duty", o->duty, "weights", o->weights,
+	    "fencing", (json_int_t)o->token, "outcome", o->outcome);
+}
+
+void
+agent_order_handle(void *arg, const void *args, void *reply)
+{
+	const struct jh_order_args *in = args;
+	struct jh_status_reply *r = reply;
+	struct agent_order order = {.duty = in->duty,
+	    .token = in->fencing,
+	    .model = in->model,
+	    .weights = in->weights};
+	const char *fault = "only orders to load weights are served";
+
+	if (in->kind == JH_ORDER_LOAD_WEIGHTS)
+		fault = agent_order_start(arg, &order);
+	r->code = fault != NULL;
+	r->message = g_strdup(fault == NULL ? "accepted" : fault);
+}
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -8,6 +8,7 @@
 
 #include "agent/agent.h"
 #include "agent/once.h"
+#include "agent/order.h"
 #include "agent/rpc.h"
 
 static void
@@ -58,14 +59,15 @@
 	    (unsigned long long)a->engine.incarnation);
 	root =
 	    json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:i, s:o, s:{s:s, s:s*, "
-		      "s:s*}, s:o}",
+		      "s:s*}, s:o, s:o}",
 		"instance", a->set.instance, "role", "agent", "incarnation",
 		incarnation, "availability_zone", a->set.zone, "leaving",
 		g_atomic_int_get(&a->leaving), "catalogue_revision",
 		(json_int_t)jh_catalog_revision(a->catalog), "jobs",
 		(int)g_hash_table_size(a->jobs), "queue", queue, "engine",
 		"incarnation", engine, "model", a->engine.model, "weights",
-		a->engine.weights, "counters", dump_counters(a->counters));
+		a->engine.weights, "order", agent_order_dump(a), "counters",
+		dump_counters(a->counters));
 	g_mutex_unlock(&a->lock);
 	return root;
 }
@@ -111,5 +113,5 @@
 }
 
 const struct jh_rpc_handler agent_rpc_handlers[] = {{JH_SYNC, handle_sync},
-    {JH_NONCE, handle_nonce}, {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump},
-    {0, NULL}};
+    {JH_NONCE, handle_nonce}, {JH_ORDER, agent_order_handle},
+    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -20,6 +20,7 @@
 	JH_EV_STREAM_RESUMED = 3003,
 	JH_EV_ENGINE_LOST = 4001,
 	JH_EV_OUTCOME_NOT_RECORDED = 4002,
+	JH_EV_ORDER_ENDED = 4003,
 };
 
 /* Logs one event through GLib structured logging with field JH_EVENT. */
