--- a/src/member/rollout.c
+++ b/src/member/rollout.c
@@ -155,13 +155,6 @@
 	r->slot = (r->slot + 1) % JH_ROLLOUT_SLOTS;
 }
 
-void
-rollout_withdraw(struct jh_rollout *r, uint64_t now)
-{
-	release_slot(r);
-	wait_for_turn(r, now, ROLLOUT_WAITING);
-}
-
 /* Ends an attempt that has, or may have, a reservation. */
 static void
 leave(struct jh_rollout *r, uint64_t now)
@@ -171,11 +164,17 @@
 	r->due = now;
 }
 
+void
+rollout_withdraw(struct jh_rollout *r, uint64_t now)
+{
+	release_slot(r);
+	wait_for_turn(r, now, ROLLOUT_WAITING);
+}
+
 void
 rollout_finish(struct jh_rollout *r, uint64_t now)
 {
 	r->nonce = 0;
-	r->unsure = false;
 	if (r->loaded) {
 		/* The caller states anew what is to be loaded. */
 		g_clear_pointer(&r->weights, g_free);
@@ -257,10 +256,7 @@
 	} else if ((r->state == ROLLOUT_READING ||
 		       r->state == ROLLOUT_RESERVING) &&
 		   !held && !r->busy) {
-		if (r->unsure)
-			leave(r, now);
-		else
-			rollout_withdraw(r, now);
+		rollout_withdraw(r, now);
 	}
 }
 
--- a/src/member/rollout_seat.c
+++ b/src/member/rollout_seat.c
@@ -52,17 +52,10 @@
 	struct rollout_seat *own = rollout_record_find(seats, r->instance);
 
 	if (own != NULL && r->nonce != 0 && own->nonce == r->nonce) {
-		r->unsure = false;
 		r->acted = false;
 		r->state = ROLLOUT_LOADING;
 		return;
 	}
-	if (r->unsure && version == r->version) {
-		/* Repeating it settles whether the lost write comes yet. */
-		r->state = ROLLOUT_RESERVING;
-		return;
-	}
-	r->unsure = false;
 	rollout_record_remove(seats, r->instance);
 	rollout_record_expire(seats, now - JH_LEASE_MARGIN_USEC);
 	if (!has_stand_in(r, seats)) {
@@ -78,9 +71,7 @@
 decide_leave(
     struct jh_rollout *r, uint64_t now, uint64_t version, GArray *seats)
 {
-	/* A lost write can only come while its condition still holds. */
-	r->unsure = r->unsure && version == r->version;
-	if (!r->unsure && rollout_record_find(seats, r->instance) == NULL) {
+	if (rollout_record_find(seats, r->instance) == NULL) {
 		rollout_finish(r, now);
 		return;
 	}
@@ -111,13 +102,15 @@
 		return;
 	}
 	if (result == JH_LEASE_OK) {
-		r->unsure = false;
 		r->acted = false;
 		r->state = ROLLOUT_LOADING;
 		return;
 	}
-	r->unsure = r->unsure || result == JH_LEASE_UNKNOWN;
-	/* After a conflict, the object tells. */
+	/*
+	 * The object tells. A lost write that comes later meets another
+	 * version, or is found by its nonce or by the instance's name at the
+	 * next attempt.
+	 */
 	r->state = removing ? ROLLOUT_LEAVING : ROLLOUT_READING;
 }
 
--- a/src/member/rollout_state.h
+++ b/src/member/rollout_state.h
@@ -48,10 +48,9 @@
 	uint64_t version; /* condition of the last or next write */
 	uint64_t nonce;
 	uint64_t seat_deadline;
-	bool unsure; /* a write may have taken effect, or may yet */
 };
 
-/* Ends an attempt that has reserved nothing. */
+/* Ends an attempt before its reservation is known to exist. */
 void rollout_withdraw(struct jh_rollout *r, uint64_t now);
 /* The reservation is gone. */
 void rollout_finish(struct jh_rollout *r, uint64_t now);
