agent: load the weights that the catalogue names

Each agent beside an engine runs the rollout machine over the store client. The store client is created on first need, and no call is made while the engine serves what the catalogue names.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -56,6 +56,7 @@
 	struct crash_log *crashes;
 	struct agent_once *once; /* NULL beside an engine */
 	struct agent_orders *orders; /* guarded by lock */
+	struct agent_rollout *rollout; /* NULL beside a plain service */
 
 	GMutex lock; /* guards all below */
 	struct jh_queue *queue;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -12,6 +12,7 @@
 #include "agent/job.h"
 #include "agent/once.h"
 #include "agent/order.h"
+#include "agent/rollout_run.h"
 #include "agent/rpc.h"
 #include "base/event.h"
 #include "feed/instances.h"
@@ -84,6 +85,8 @@
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
+	else
+		a->rollout = agent_rollout_create(a);
 }
 
 static void
@@ -91,6 +94,8 @@
 {
 	if (a->once != NULL)
 		agent_once_destroy(a->once);
+	if (a->rollout != NULL)
+		agent_rollout_destroy(a->rollout);
 	jh_feed_destroy(a->feed);
 	agent_orders_destroy(a->orders);
 	crash_log_destroy(a->crashes);
@@ -125,6 +130,8 @@
 	jh_feed_set_peers(a->feed,
 	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
 	g_array_free(peers, TRUE);
+	if (a->rollout != NULL)
+		agent_rollout_set_list(a->rollout, list, n);
 }
 
 static const struct jh_instances_ops instances_ops = {.list = on_list};
@@ -153,6 +160,8 @@
 		else if (ticks++ % TICKS_PER_POLL == 0)
 			agent_poll_engine(a);
 		agent_order_tick(a);
+		if (a->rollout != NULL)
+			agent_rollout_tick(a->rollout);
 		agent_tick(a);
 	} while (!wait_signal(set));
 }
--- /dev/null
+++ b/src/agent/rollout_run.c
@@ -0,0 +1,275 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/rollout.h>
+
+#include "agent/order.h"
+#include "agent/rollout_run.h"
+#include "store/store.h"
+
+/* One call for each slot's lease and one for the reservation. */
+#define MAX_STORE_CALLS (JH_ROLLOUT_SLOTS + 1)
+
+/*
+ * A copy of the catalogue that was not confirmed for this long may name
+ * weights that are no longer wanted.
+ */
+#define MAX_CATALOG_AGE_USEC (30 * JH_USEC_PER_SEC)
+
+struct agent_rollout {
+	struct agent *agent;
+	struct jh_store *store; /* NULL until first needed */
+	GRand *rand; /* guarded by lock */
+	GMutex lock; /* guards machine; taken without agent->lock */
+	struct jh_rollout *machine;
+};
+
+/* A store call and what it needs. */
+struct run {
+	struct agent_rollout *rollout;
+	struct jh_rollout_action action;
+	char *key;
+	char *value;
+};
+
+struct agent_rollout *
+agent_rollout_create(struct agent *a)
+{
+	struct agent_rollout *r = g_new0(struct agent_rollout, 1);
+	struct jh_rollout_spec spec = {.instance = a->set.instance,
+	    .incarnation = a->incarnation,
+	    .region = a->set.region};
+
+	r->agent = a;
+	r->rand = g_rand_new_with_seed((guint32)a->incarnation);
+	spec.rand = r->rand;
+	g_mutex_init(&r->lock);
+	r->machine = jh_rollout_create(&spec);
+	return r;
+}
+
+void
+agent_rollout_destroy(struct agent_rollout *r)
+{
+	if (r->store != NULL)
+		jh_store_destroy(r->store);
+	jh_rollout_destroy(r->machine);
+	g_rand_free(r->rand);
+	g_mutex_clear(&r->lock);
+	g_free(r);
+}
+
+static enum jh_lease_result
+lease_result(enum jh_store_result result)
+{
+	switch (result) {
+	case JH_STORE_OK:
+		return JH_LEASE_OK;
+	case JH_STORE_NOT_FOUND:
+		return JH_LEASE_NOT_FOUND;
+	case JH_STORE_CONFLICT:
+		return JH_LEASE_CONFLICT;
+	case JH_STORE_UNKNOWN:
+		return JH_LEASE_UNKNOWN;
+	default:
+		return JH_LEASE_FAILED;
+	}
+}
+
+static void
+run_free(struct run *c)
+{
+	g_free(c->key);
+	g_free(c->value);
+	g_free(c);
+}
+
+static void
+report(struct run *c, enum jh_lease_result result, uint64_t version,
+    struct jh_str value)
+{
+	struct agent_rollout *r = c->rollout;
+
+	g_mutex_lock(&r->lock);
+	jh_rollout_on_result(
+	    r->machine, jh_wall_now(), c->action.call, result, version, value);
+	g_mutex_unlock(&r->lock);
+	run_free(c);
+}
+
+static void
+on_reply(void *arg, const struct jh_store_reply *reply)
+{
+	report(arg, lease_result(reply->result), reply->version, reply->value);
+}
+
+static void
+call_store(struct agent_rollout *r, struct run *c)
+{
+	struct jh_store_done done = {on_reply, c};
+	uint64_t wall = jh_wall_now(), deadline = jh_now();
+	bool started;
+
+	if (r->store == NULL)
+		r->store =
+		    jh_store_create(&r->agent->set.store, MAX_STORE_CALLS);
+	deadline += c->action.deadline - MIN(wall, c->action.deadline);
+	if (c->action.kind == JH_ROLLOUT_GET)
+		started = jh_store_get(r->store, c->key, deadline, done);
+	else
+		started = jh_store_put(r->store, c->key, jh_str_from(c->value),
+		    c->action.if_version, deadline, done);
+	if (!started)
+		report(c, JH_LEASE_FAILED, 0, JH_STR(""));
+}
+
+static uint64_t
+token(void *arg)
+{
+	struct agent_rollout *r = arg;
+	uint64_t n;
+
+	g_mutex_lock(&r->lock);
+	n = jh_rollout_token(r->machine, jh_wall_now());
+	g_mutex_unlock(&r->lock);
+	return n;
+}
+
+static void
+on_loaded(void *arg, bool loaded)
+{
+	struct agent_rollout *r = arg;
+
+	g_mutex_lock(&r->lock);
+	jh_rollout_on_loaded(r->machine, jh_wall_now(), loaded);
+	g_mutex_unlock(&r->lock);
+}
+
+static const struct agent_order_ops order_ops = {
+    .token = token, .done = on_loaded};
+
+static void
+load(struct agent_rollout *r, const struct jh_rollout_action *act)
+{
+	struct agent_order order = {.duty = act->duty,
+	    .token = token(r),
+	    .model = act->model,
+	    .weights = act->weights,
+	    .ops = &order_ops,
+	    .arg = r};
+
+	if (order.token == 0 || agent_order_start(r->agent, &order) != NULL)
+		on_loaded(r, false);
+}
+
+/* Copies the action, whose strings end with the next call on the machine. */
+static struct run *
+next_action(struct agent_rollout *r)
+{
+	struct run *c = g_new0(struct run, 1);
+	bool due;
+
+	c->rollout = r;
+	g_mutex_lock(&r->lock);
+	due = jh_rollout_next(r->machine, jh_wall_now(), &c->action);
+	if (due && c->action.kind != JH_ROLLOUT_LOAD) {
+		c->key = g_strdup(c->action.key);
+		c->value = jh_str_dup(c->action.value);
+	}
+	g_mutex_unlock(&r->lock);
+	if (!due)
+		g_clear_pointer(&c, run_free);
+	return c;
+}
+
+/*
+ * The weights to load, or NULL; the caller frees them and the model's name,
+ * which is NULL before the engine has answered.
+ */
+static char *
+find_target(struct agent *a, char **model)
+{
+	struct jh_model *m;
+	char *target = NULL, *serves;
+
+	g_mutex_lock(&a->lock);
+	*model = g_strdup(a->engine.model);
+	serves = g_strdup(a->engine.weights);
+	g_mutex_unlock(&a->lock);
+	m = *model == NULL ? NULL : jh_catalog_find_model(a->catalog, *model);
+	if (m != NULL && serves != NULL && strcmp(m->weights, serves) != 0 &&
+	    !g_atomic_int_get(&a->leaving) &&
+	    jh_feed_age(a->feed) <= MAX_CATALOG_AGE_USEC)
+		target = g_strdup(m->weights);
+	if (m != NULL)
+		jh_model_unref(m);
+	g_free(serves);
+	return target;
+}
+
+void
+agent_rollout_tick(struct agent_rollout *r)
+{
+	char *model, *weights = find_target(r->agent, &model);
+	struct run *c;
+
+	g_mutex_lock(&r->lock);
+	jh_rollout_set_target(r->machine, jh_wall_now(), model, weights);
+	g_mutex_unlock(&r->lock);
+	g_free(model);
+	g_free(weights);
+	while ((c = next_action(r)) != NULL) {
+		if (c->action.kind != JH_ROLLOUT_LOAD) {
+			call_store(r, c);
+			continue;
+		}
+		load(r, &c->action);
+		run_free(c);
+	}
+}
+
+static bool
+can_stand_in(
+    const struct agent *a, const struct jh_instance *i, const char *model)
+{
+	return i->role == JH_ROLE_AGENT && !i->leaving && model != NULL &&
+	       strcmp(i->id, a->set.instance) != 0 &&
+	       g_strcmp0(i->region, a->set.region) == 0 && i->models != NULL &&
+	       g_strv_contains((const char *const *)i->models, model);
+}
+
+void
+agent_rollout_set_list(
+    struct agent_rollout *r, const struct jh_instance *const *list, size_t n)
+{
+	GPtrArray *others = g_ptr_array_new();
+	struct agent *a = r->agent;
+	size_t i, fleet = 0;
+	char *model;
+
+	g_mutex_lock(&a->lock);
+	model = g_strdup(a->engine.model);
+	g_mutex_unlock(&a->lock);
+	for (i = 0; i < n; i++) {
+		fleet += list[i]->role == JH_ROLE_AGENT;
+		if (can_stand_in(a, list[i], model))
+			g_ptr_array_add(others, list[i]->id);
+	}
+	g_mutex_lock(&r->lock);
+	jh_rollout_set_workers(
+	    r->machine, (const char *const *)others->pdata, others->len, fleet);
+	g_mutex_unlock(&r->lock);
+	g_ptr_array_free(others, TRUE);
+	g_free(model);
+}
+
+const char *
+agent_rollout_state(struct agent_rollout *r)
+{
+	const char *state;
+
+	g_mutex_lock(&r->lock);
+	state = jh_rollout_state_name(r->machine);
+	g_mutex_unlock(&r->lock);
+	return state;
+}
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -4,11 +4,13 @@
 
 #include <jansson.h>
 
+#include <jacinthhill/clock.h>
 #include <jacinthhill/ledger.h>
 
 #include "agent/agent.h"
 #include "agent/once.h"
 #include "agent/order.h"
+#include "agent/rollout_run.h"
 #include "agent/rpc.h"
 
 static void
@@ -49,6 +51,10 @@
 {
 	char incarnation[17], engine[17];
 	json_t *queue = json_object();
+	/* Taken before a->lock, which the rollout's own lock never follows. */
+	const char *rollout =
+	    a->rollout == NULL ? NULL : agent_rollout_state(a->rollout);
+	uint64_t age = jh_feed_age(a->feed);
 	json_t *root;
 
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
@@ -57,17 +63,19 @@
 	jh_queue_visit(a->queue, add_figure, queue);
 	snprintf(engine, sizeof(engine), "%016llx",
 	    (unsigned long long)a->engine.incarnation);
-	root =
-	    json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:i, s:o, s:{s:s, s:s*, "
-		      "s:s*}, s:o, s:o}",
-		"instance", a->set.instance, "role", "agent", "incarnation",
-		incarnation, "availability_zone", a->set.zone, "leaving",
-		g_atomic_int_get(&a->leaving), "catalogue_revision",
-		(json_int_t)jh_catalog_revision(a->catalog), "jobs",
-		(int)g_hash_table_size(a->jobs), "queue", queue, "engine",
-		"incarnation", engine, "model", a->engine.model, "weights",
-		a->engine.weights, "order", agent_order_dump(a), "counters",
-		dump_counters(a->counters));
+	root = json_pack(
+	    "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:i, s:o, s:{s:s, s:s*, "
+	    "s:s*}, s:o, s:s*, s:o}",
+	    "instance", a->set.instance, "role", "agent", "incarnation",
+	    incarnation, "availability_zone", a->set.zone, "leaving",
+	    g_atomic_int_get(&a->leaving), "catalogue_revision",
+	    (json_int_t)jh_catalog_revision(a->catalog), "confirmed_age_ms",
+	    age == JH_SYNC_AGE_UNKNOWN ? (json_int_t)-1
+				       : (json_int_t)(age / JH_USEC_PER_MSEC),
+	    "jobs", (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
+	    "incarnation", engine, "model", a->engine.model, "weights",
+	    a->engine.weights, "order", agent_order_dump(a), "rollout", rollout,
+	    "counters", dump_counters(a->counters));
 	g_mutex_unlock(&a->lock);
 	return root;
 }
