--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -55,6 +55,8 @@
 	struct jh_feed *feed;
 	struct crash_log *crashes;
 	struct agent_once *once; /* NULL beside an engine */
+	struct agent_orders *orders; /* guarded by lock */
+	struct agent_rollout *rollout; /* NULL beside a plain service */
 
 	GMutex lock; /* guards all below */
 	struct jh_queue *queue;
