place: widen with more confidence, offer to five workers past the width

Cause: with 57 entry daemons the widest of many noisy estimates came back as the learned width, and each needless worker in the width recomputes the prefix (6,400 workers: 13% more computed than with one entry daemon). Change: the demand is taken 1.5 standard deviations low, a learned width counts only for the first 10 s that a prefix is watched, five workers past the width are asked and recomputing weighs 0.8. Ruled out: longer estimates (90 s, 8 s), a confidence of 0.5 or 2, learned widths always, never or at two thirds.

--- a/src/place/affinity.c
+++ b/src/place/affinity.c
@@ -15,13 +15,13 @@
 /*
  * Weight of recomputing against waiting: it delays other requests too.
  */
-#define RECOMPUTE_WEIGHT 0.7
+#define RECOMPUTE_WEIGHT 0.8
 
 /* Keeps cold prefixes near the front of their order, where they are found. */
 #define RANK_USEC 20000ULL
 
 /* Workers outside the width that are offered a request. */
-#define SPILL 3
+#define SPILL 5
 
 /*
  * Added for workers past the width that were not asked, which makes them the
@@ -29,8 +29,7 @@
  */
 #define UNASKED_USEC (3600 * JH_USEC_PER_SEC)
 
-/* A wider width is not learned once this much demand was seen here. */
-#define CONFIDENT_COUNT 20.0
+/* Learned widths count until a prefix was watched here for this long. */
 #define CONFIDENT_AGE_USEC (10 * JH_USEC_PER_SEC)
 
 /* One worker under consideration. */
@@ -65,9 +64,7 @@
 	const struct jh_demand *d = &e->demand;
 	uint32_t width = MAX(d->width, 1);
 
-	if (now < e->learned_deadline &&
-	    (d->long_n < CONFIDENT_COUNT ||
-		now - d->first < CONFIDENT_AGE_USEC))
+	if (now < e->learned_deadline && now - d->first < CONFIDENT_AGE_USEC)
 		width = MAX(width, e->learned);
 	return MIN(width, most);
 }
--- a/src/place/demand.c
+++ b/src/place/demand.c
@@ -6,6 +6,9 @@
 #define SHORT_USEC 3e6
 #define LONG_USEC 30e6
 
+/* Standard deviations below the estimate; 1 widened by chance too often. */
+#define CONFIDENCE 1.5
+
 /* Weight of a new request in the mean work. */
 #define WORK_GAIN 0.1
 
@@ -47,7 +50,7 @@
 static double
 lower_rate(double n, double tau, double age)
 {
-	double low = n - sqrt(n);
+	double low = n - CONFIDENCE * sqrt(n);
 
 	if (low <= 0)
 		return 0;
