--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -251,6 +251,34 @@
 	jh_ledger_destroy(l);
 }
 
+/* Guards against a store in an outage flooded with retries. */
+static void
+tries_failed_store_once_a_call(void **state)
+{
+	struct jh_ledger *l = new_ledger("a", 7);
+	uint64_t now = 1;
+	int tries = 0;
+
+	attempt(l, now, 1, "k", "h", true);
+	while (jh_ledger_calls(l) > 0) {
+		store(l, now, expect(l, JH_LEDGER_CREATE).op,
+		    JH_STORE_UNAVAILABLE, 0, NULL);
+		tries++;
+		now = MIN(jh_ledger_due(l), now + 10 * JH_USEC_PER_SEC);
+		jh_ledger_tick(l, now);
+	}
+	expect_reply(l, 1, JH_LEDGER_NOT_RUN);
+	assert_true(tries > 1);
+	attempt(l, now, 2, "k2", "h", true);
+	store(l, now, expect(l, JH_LEDGER_CREATE).op, JH_STORE_UNAVAILABLE, 0,
+	    NULL);
+	expect_reply(l, 2, JH_LEDGER_NOT_RUN);
+	attempt(l, now, 3, "k3", "h", true);
+	store(l, now, expect(l, JH_LEDGER_CREATE).op, JH_STORE_OK, 1, NULL);
+	expect(l, JH_LEDGER_SEND);
+	jh_ledger_destroy(l);
+}
+
 /* Guards against a lost answer of the outcome write leaving the call held,
  * and against attempts for one key running apart. */
 static void
@@ -360,6 +388,7 @@
 	    cmocka_unit_test(proof_ends_with_a_later_nonce),
 	    cmocka_unit_test(foreign_record_voids_first_mark),
 	    cmocka_unit_test(bounds_memory_during_outage),
+	    cmocka_unit_test(tries_failed_store_once_a_call),
 	    cmocka_unit_test(writes_outcome_until_stored),
 	    cmocka_unit_test(record_round_trips),
 	    cmocka_unit_test(rejects_malformed_records),
