--- a/include/jacinthhill/ledger.h
+++ b/include/jacinthhill/ledger.h
@@ -27,7 +27,7 @@
 /* A backend server's answer; shared and immutable. */
 struct jh_call_answer;
 
-/* Copies the type (content type, may be empty) and the body. */
+/* Copies the type (content type, up to 256 bytes) and the body. */
 struct jh_call_answer *jh_call_answer_create(
     unsigned int status, struct jh_str type, struct jh_str body);
 struct jh_call_answer *jh_call_answer_ref(struct jh_call_answer *a);
--- a/src/once/answer.c
+++ b/src/once/answer.c
@@ -4,6 +4,8 @@
 
 #include <jacinthhill/ledger.h>
 
+#define TYPE_MAX 256 /* bytes; no registered content type is longer */
+
 struct jh_call_answer {
 	int refs; /* atomic */
 	unsigned int status;
@@ -21,7 +23,8 @@
 
 	a->refs = 1;
 	a->status = status;
-	/* Records are JSON, which is UTF-8. */
+	/* Records are JSON, which is UTF-8, and end at 1 MB. */
+	type.len = MIN(type.len, TYPE_MAX);
 	a->type = g_utf8_make_valid(
 	    type.ptr == NULL ? "" : type.ptr, (gssize)type.len);
 	a->type_len = strlen(a->type);
