--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -14,6 +14,12 @@
     {"spread", "catalogue edits over the design-size fleet", spread_run},
     {"place", "placement policies: hit rate, TTFT, decision cost",
 	place_bench_run},
+    {"once", "at-most-once calls: store use, refusals, duplicates",
+	once_bench_run},
+    {"refuse", "refusal minutes: store writes, object size, gaps",
+	refuse_bench_run},
+    {"poison", "poison requests: crashes, innocents held back",
+	poison_bench_run},
     {0},
 };
 
