--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
-# Targets: all check test lint format demo demo-up demo-down bench fuzz model
-# install clean.  BUILD selects the output directory; SAN=address,undefined or
-# SAN=thread builds with sanitizers.
+# Targets: all check test lint format demo demo-up demo-down bench install clean,
+# and those of Makefile.d/*.mk (model, fuzz, sanitize and others).  BUILD selects
+# the output directory; SAN=address,undefined or SAN=thread builds with
+# sanitizers.
 
 PREFIX = /usr/local
 BUILD = build
@@ -97,7 +98,8 @@
 test: all $(TESTS)
 	BUILD=$(BUILD) sh test/run.sh $(TESTS)
 
-check: test lint
+check: test lint model fuzz-corpus generated check-clang sanitize
+	@echo "check passed"
 
 C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '^src/rpc/control')
 
--- /dev/null
+++ b/Makefile.d/proof.mk
@@ -0,0 +1,70 @@
+# Targets: model fuzz-corpus fuzz sanitize check-clang generated.
+
+MODEL_JOBS = 3
+RPCGEN_FLAGS = -C -N -M
+FUZZ_SECONDS = 60
+FUZZ_RUNS = 20000
+FUZZ_SEED = 1
+FUZZ_CC = clang
+FUZZ_BUILD = $(BUILD)/fuzz
+FUZZ_SAN = -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
+
+# Every fuzz/fuzz_NAME.c is a target with the kept inputs fuzz/corpus/NAME/.
+FUZZ_NAMES = $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
+FUZZ_BINS = $(patsubst %,$(FUZZ_BUILD)/fuzz_%,$(FUZZ_NAMES))
+FUZZ_LIB = $(FUZZ_BUILD)/libjhfuzz.a
+FUZZ_LIB_SRC = $(LIB_SRC) $(NET_SRC) $(ENTRY_SRC) $(AGENT_SRC) $(CTL_SRC)
+
+model:
+	BUILD=$(BUILD) JOBS=$(MODEL_JOBS) sh model/run.sh
+
+# Generated RPC code is not held to our warning set here either.
+$(FUZZ_BUILD)/src/rpc/control_%.o: CFLAGS += -Wno-unused-variable \
+    -Wno-missing-prototypes -Wno-strict-prototypes -Wno-cast-function-type \
+    -Wno-shadow
+
+$(FUZZ_BUILD)/src/%.o: src/%.c
+	@mkdir -p $(@D)
+	@$(FUZZ_CC) $(CPPFLAGS) $(CFLAGS) \
+	    $(subst fuzzer,fuzzer-no-link,$(FUZZ_SAN)) -MMD -MP -c -o $@ $<
+
+$(FUZZ_LIB): $(patsubst %.c,$(FUZZ_BUILD)/%.o,$(FUZZ_LIB_SRC))
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(FUZZ_BUILD)/fuzz_%: fuzz/fuzz_%.c $(FUZZ_LIB)
+	@echo "FUZZ $@"
+	@$(FUZZ_CC) $(CPPFLAGS) $(CFLAGS) $(FUZZ_SAN) -MMD -MP -MF $@.d -o $@ \
+	    $< $(FUZZ_LIB) $(LDLIBS)
+
+# The kept inputs, then a fixed number of runs with a fixed seed that write
+# nothing back.
+fuzz-corpus: $(FUZZ_BINS)
+	BUILD=$(BUILD) sh fuzz/run.sh corpus $(FUZZ_RUNS) $(FUZZ_SEED) \
+	    $(FUZZ_NAMES)
+
+# New inputs go into $(FUZZ_BUILD)/found/NAME; copy the useful ones into
+# fuzz/corpus/NAME.
+fuzz: $(FUZZ_BINS)
+	BUILD=$(BUILD) sh fuzz/run.sh search $(FUZZ_SECONDS) $(FUZZ_SEED) \
+	    $(FUZZ_NAMES)
+
+# ASan and UBSan, then TSan, each with the whole test suite. test/tsan.supp
+# lists what TSan cannot see in libraries that are not instrumented.
+TSAN_SETTINGS = exitcode=66:suppressions=$(CURDIR)/test/tsan.supp
+
+sanitize:
+	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+	    $(MAKE) BUILD=build-asan SAN=address,undefined test
+	TSAN_OPTIONS=$(TSAN_SETTINGS) $(MAKE) BUILD=build-tsan SAN=thread test
+
+check-clang:
+	$(MAKE) BUILD=build-clang CC=clang all $(patsubst \
+	    $(BUILD)/%,build-clang/%,$(TESTS))
+	@echo "1 passed, 0 failed"
+
+# What rpcgen makes of src/rpc/control.x must match what is committed.
+generated:
+	@sh Makefile.d/generated.sh $(RPCGEN_FLAGS)
+
+.PHONY: model fuzz-corpus fuzz sanitize check-clang generated
