--- a/test/test_proc_lifecycle.c
+++ b/test/test_proc_lifecycle.c
@@ -96,6 +96,16 @@
 	return n;
 }
 
+static bool
+is_leaving(struct world *w, unsigned int agent)
+{
+	json_t *root = daemon_dump(w->rpc_port[agent]);
+	bool leaving = json_is_true(json_object_get(root, "leaving"));
+
+	json_decref(root);
+	return leaving;
+}
+
 /* A planned stop of an entry daemon cuts requests. */
 static void
 test_entry_stops(void **state)
@@ -137,16 +147,6 @@
 	assert_int_equal(proc_join(&w->entry[0]), 0);
 }
 
-static bool
-is_leaving(struct world *w, unsigned int agent)
-{
-	json_t *root = daemon_dump(w->rpc_port[agent]);
-	bool leaving = json_is_true(json_object_get(root, "leaving"));
-
-	json_decref(root);
-	return leaving;
-}
-
 /* A planned stop of an agent cuts streams, or new work still goes there. */
 static void
 test_worker_stops(void **state)
@@ -183,6 +183,7 @@
 	unsigned int agent = w->engines;
 
 	proc_terminate(&w->agent[agent]);
+	await(is_leaving(w, agent));
 	check_held_payment(w, payment);
 	assert_int_equal(proc_join(&w->agent[agent]), 0);
 	proc_start(&w->agent[agent]);
