--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -5,12 +5,15 @@
 #include <glib.h>
 
 #include "bench.h"
+#include "place_bench.h"
 #include "spread.h"
 
 static const struct bench benches[] = {
     {"queue", "rank queue of one agent against FIFO and strict priority",
 	queue_bench_run},
     {"spread", "catalogue edits over the design-size fleet", spread_run},
+    {"place", "placement policies: hit rate, TTFT, decision cost",
+	place_bench_run},
     {0},
 };
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -102,10 +102,6 @@
 	if (cached != UINT64_MAX) {
 		a.has_cached = true;
 		a.cached_tokens = (uint32_t)cached;
-		jh_counters_add(
-		    j->entry->counters, ENTRY_CACHED_TOKENS, cached);
-		jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
-		    jh_prefix_tokens(&j->prefix));
 	}
 	entry_workers_learn(j->entry->workers, j->model, j->worker, &a);
 }
@@ -120,6 +116,10 @@
 		return;
 	learn(j, call, JH_PLACE_ACCEPTED);
 	cached = jh_http_call_header(call, "Jh-Cached");
+	jh_counters_add(j->entry->counters, ENTRY_CACHED_TOKENS,
+	    header_number(call, "Jh-Cached", 0));
+	jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
+	    jh_prefix_tokens(&j->prefix));
 	g_mutex_lock(&j->lock);
 	j->accepted = true;
 	if (cached != NULL)
@@ -194,6 +194,19 @@
 	entry_job_finish(j);
 }
 
+/* Remembers what a busy worker said, for the second decision. */
+static void
+hear(struct entry_job *j, struct jh_http_call *call)
+{
+	uint64_t wait = header_number(call, "Jh-Wait", UINT64_MAX);
+
+	if (wait == UINT64_MAX || j->n_heard == G_N_ELEMENTS(j->heard))
+		return;
+	j->heard[j->n_heard++] = (struct jh_place_heard){.worker = j->worker,
+	    .wait = wait * JH_USEC_PER_MSEC,
+	    .cached_tokens = (uint32_t)header_number(call, "Jh-Cached", 0)};
+}
+
 /* The agent refused: nothing ran, the next worker may. */
 static void
 next_worker(struct entry_job *j, struct jh_http_call *call)
@@ -207,11 +220,20 @@
 	learn(j, call,
 	    g_strcmp0(reason, "engine_down") == 0 ? JH_PLACE_FAILED
 						  : JH_PLACE_BUSY);
+	hear(j, call);
 	if (g_strcmp0(reason, "deadline") == 0)
 		j->unreachable = true;
 	entry_job_advance(j);
 }
 
+static void
+refuse_quarantined(struct entry_job *j, enum entry_ran ran)
+{
+	jh_event(JH_EV_REQUEST_QUARANTINED, G_LOG_LEVEL_WARNING,
+	    "request %s of %s is quarantined", j->rid, j->caller.org->name);
+	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran);
+}
+
 /* The attempt failed and may have run on the backend server. */
 static void
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
@@ -228,14 +250,15 @@
 		    told ? QUARANTINE_CRASHES : j->crashes);
 		/* A new decision: the failed worker is now held out. */
 		j->n_candidates = 0;
+		j->n_heard = 0;
 		j->next_candidate = 0;
-		j->again = false;
+		j->stage = STAGE_NONE;
 	}
 	g_mutex_lock(&e->lock);
 	allowed = not_sent || jh_retry_take(e->retry, jh_now());
 	g_mutex_unlock(&e->lock);
 	if (crash_log_state(e->crashes, j->print) == JH_SUSPECT_QUARANTINED) {
-		entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ENTRY_UNKNOWN);
+		refuse_quarantined(j, ENTRY_UNKNOWN);
 		return;
 	}
 	if (!allowed) {
@@ -264,7 +287,7 @@
 quarantined(struct entry_job *j)
 {
 	crash_log_hint(j->entry->crashes, j->print, QUARANTINE_CRASHES);
-	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran_so_far(j));
+	refuse_quarantined(j, ran_so_far(j));
 }
 
 /* An error of the engine about the request itself is passed on. */
@@ -442,7 +465,13 @@
 	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
 }
 
-/* Asks the placement policy for candidates. */
+uint64_t
+entry_job_cost(const struct entry_job *j)
+{
+	return (uint64_t)expected_uncached(&j->prefix) + j->max_tokens;
+}
+
+/* Asks the placement policy for candidates of the stage. */
 static bool
 choose(struct entry_job *j)
 {
@@ -450,16 +479,38 @@
 	    .region = entry_workers_region(j->entry->set.region),
 	    .prefill_tokens = expected_uncached(&j->prefix),
 	    .decode_tokens = j->max_tokens,
-	    .any_region = j->caller.rank == JH_RANK_URGENT,
-	    .again = j->next_candidate > 0};
-
-	j->again = r.again;
+	    .again = j->stage != STAGE_FIRST,
+	    .heard = j->heard,
+	    .n_heard = j->n_heard};
+
+	if (j->stage == STAGE_OTHER_REGION) {
+		r.region = entry_workers_other_region(
+		    j->entry->workers, j->model, j->print.low);
+		r.n_heard = 0;
+		if (r.region == 0)
+			return false;
+	}
 	j->next_candidate = 0;
 	j->n_candidates = entry_workers_choose(j->entry->workers, j->model, &r,
 	    j->candidates, JH_PLACE_MAX_CANDIDATES);
 	return j->n_candidates > 0;
 }
 
+/*
+ * The link between regions is slow and paid by volume, so that only urgent
+ * work that no worker of the region can take crosses it.
+ */
+static bool
+next_stage(struct entry_job *j)
+{
+	if (j->stage == STAGE_OTHER_REGION)
+		return false;
+	if (j->stage == STAGE_AGAIN && j->caller.rank != JH_RANK_URGENT)
+		return false;
+	j->stage++;
+	return true;
+}
+
 static bool
 next_candidate(struct entry_job *j, struct jh_candidate *out)
 {
@@ -467,8 +518,13 @@
 		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
 		return j->worker == 0;
 	}
-	if (j->next_candidate == j->n_candidates && (j->again || !choose(j)))
-		return false;
+	while (j->next_candidate == j->n_candidates) {
+		j->next_candidate = 0;
+		j->n_candidates = 0;
+		if (!next_stage(j))
+			return false;
+		choose(j);
+	}
 	*out = j->candidates[j->next_candidate++];
 	return true;
 }
--- a/src/place/affinity.c
+++ b/src/place/affinity.c
@@ -6,10 +6,28 @@
 #define TRIES JH_PLACE_MAX_CANDIDATES
 
 /*
- * Added to a bound on the wait: below it, a refusal and another attempt take
- * about as long as the wait.
+ * A first offer is accepted only if the first token comes within this time
+ * beside the prefill that every worker has to do; most holders of the prefix
+ * with a free slot are found so, at one round trip each.
  */
-#define WAIT_SLACK_USEC 20000ULL
+#define OFFER_USEC 60000ULL
+
+/*
+ * Weight of recomputing against waiting: it delays other requests too.
+ */
+#define RECOMPUTE_WEIGHT 0.7
+
+/* Keeps cold prefixes near the front of their order, where they are found. */
+#define RANK_USEC 20000ULL
+
+/* Workers outside the width that are offered a request. */
+#define SPILL 3
+
+/*
+ * Added for workers past the width that were not asked, which makes them the
+ * last resort: copies made there would not be looked for later.
+ */
+#define UNASKED_USEC (3600 * JH_USEC_PER_SEC)
 
 /* A wider width is not learned once this much demand was seen here. */
 #define CONFIDENT_COUNT 20.0
@@ -195,10 +213,51 @@
 	} while (true);
 	if (inside > 0)
 		add_inside(p, now, g, r, inside, o);
+	if (!r->again)
+		outside = MIN(outside, SPILL);
 	for (i = 0; i < outside; i++)
 		add_option(p, now, o, spill[i], all);
 }
 
+static const struct jh_place_heard *
+find_heard(const struct jh_place_request *r, uint64_t worker)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_heard; i++) {
+		if (r->heard[i].worker == worker)
+			return &r->heard[i];
+	}
+	return NULL;
+}
+
+/* Costs the options anew by what the workers told that refused. */
+static void
+weigh_heard(const struct jh_placer *p, const struct jh_place_region *g,
+    const struct jh_place_request *r, struct options *o)
+{
+	uint64_t all = jh_prefix_tokens(r->prefix), missing;
+	const struct jh_place_heard *h;
+	struct option *c;
+	uint32_t i;
+
+	for (i = 0; i < o->n; i++) {
+		c = &o->at[i];
+		h = find_heard(r, p->id[c->index]);
+		if (h != NULL) {
+			missing = all - MIN(all, h->cached_tokens);
+			c->base = prefill_usec(g, missing);
+			c->cost = h->wait;
+		} else {
+			c->cost -= c->base;
+			if (c->base > OFFER_USEC)
+				c->cost += UNASKED_USEC;
+		}
+		c->cost += i * RANK_USEC +
+			   (uint64_t)(RECOMPUTE_WEIGHT * (double)c->base);
+	}
+}
+
 /* Keeps the order of equal costs: it is what entry daemons agree on. */
 static void
 sort_options(struct options *o)
@@ -214,20 +273,17 @@
 	}
 }
 
-/* A worker is worth waiting for until the next candidate is faster. */
 static size_t
-emit(const struct jh_placer *p, const struct jh_place_request *r,
-    const struct options *o, struct jh_candidate *out, size_t max)
+emit(const struct jh_placer *p, const struct jh_place_region *g,
+    const struct jh_place_request *r, const struct options *o,
+    struct jh_candidate *out, size_t max)
 {
+	uint64_t bound = OFFER_USEC + prefill_usec(g, r->prefill_tokens);
 	size_t i, n = MIN(o->n, max);
 
 	for (i = 0; i < n; i++) {
-		const struct option *c = &o->at[i];
-
-		out[i].worker = p->id[c->index];
-		out[i].max_wait = JH_NEVER;
-		if (!r->again && i + 1 < n)
-			out[i].max_wait = c[1].cost - c->base + WAIT_SLACK_USEC;
+		out[i].worker = p->id[o->at[i].index];
+		out[i].max_wait = r->again ? JH_NEVER : bound;
 	}
 	return n;
 }
@@ -271,9 +327,11 @@
 
 	if (g != NULL && r->prefix->n > 0) {
 		add_region(p, now, g, r, &o);
+		if (r->again)
+			weigh_heard(p, g, r, &o);
 		sort_options(&o);
 		/* A quarter of the places is kept for other regions. */
-		n = emit(p, r, &o, out, r->any_region ? max - max / 4 : max);
+		n = emit(p, g, r, &o, out, r->any_region ? max - max / 4 : max);
 	}
 	if (n == 0 || r->any_region)
 		n = add_rest(p, now, r, out, n, max);
