--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -137,14 +137,14 @@
 start_all() {
 	: >"$DIR/pids"
 	rm -f "$DIR/list.json"
-	sh "$(dirname "$0")/manual.sh" >"$DIR/manual.txt"
+	sh demo/manual.sh >"$DIR/manual.txt"
 	spawn store "$BUILD/fake-store" --listen "$STORE"
 	wait_for "$STORE/control"
 	fill_catalogue
 	start_engines
 	start_services
 	start_entries
-	{ echo '['; cat "$DIR/list.json"; echo ']'; } >"$DIR/instances.json"
+	{ echo 'instances: ['; cat "$DIR/list.json"; echo ']'; } >"$DIR/instances.json"
 	spawn list "$BUILD/fake-list" --listen "$LIST" \
 	    --instances "$DIR/instances.json"
 	wait_for "$ENTRY1/health"
