--- a/bench/relay/relay.c
+++ b/bench/relay/relay.c
@@ -131,13 +131,15 @@
 	guint n = (guint)g_atomic_int_add((gint *)&r->next, 1);
 	struct pass *p = g_new0(struct pass, 1);
 	char **headers = copy_headers(req);
+	GBytes *bytes = jh_http_req_take_body(req);
+	struct jh_body *body = jh_body_create(NULL, bytes);
 	struct jh_http_call_spec spec = {
 	    .peer = g_array_index(
 		r->engines, struct sockaddr_in, n % r->engines->len),
 	    .method = "POST",
 	    .path = "/v1/chat/completions",
 	    .headers = (const char *const *)headers,
-	    .body = jh_http_req_body(req),
+	    .shared = body,
 	    .deadline = jh_now() + CALL_USEC,
 	    .ops = &call_ops,
 	    .arg = p};
@@ -150,6 +152,8 @@
 	p->call = jh_http_call_start(r->client, &spec);
 	g_mutex_unlock(&p->lock);
 	g_strfreev(headers);
+	g_bytes_unref(bytes);
+	jh_body_unref(body);
 	if (p->call == NULL) {
 		jh_http_req_reply(req, 503, "text/plain", "", 0);
 		jh_http_req_unref(req);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -210,7 +210,7 @@
 	    .method = "POST",
 	    .path = "/v1/chat/completions",
 	    .headers = (const char *const *)lines->pdata,
-	    .body = {j->body->str, j->body->len},
+	    .shared = j->body,
 	    .deadline = jh_now() + ENGINE_CALL_USEC,
 	    .ops = &engine_ops,
 	    .arg = agent_job_ref(j)};
--- a/src/agent/job.c
+++ b/src/agent/job.c
@@ -7,12 +7,13 @@
     uint64_t prompt_tokens)
 {
 	struct agent_job *j = g_new0(struct agent_job, 1);
-	struct jh_str body = jh_http_req_body(req);
+	GBytes *body = jh_http_req_take_body(req);
 
 	j->refs = 1;
 	j->agent = a;
 	j->work = w;
-	j->body = g_string_new_len(body.ptr, (gssize)body.len);
+	j->body = jh_body_create(NULL, body);
+	g_bytes_unref(body);
 	j->prompt_tokens = prompt_tokens;
 	j->req = req;
 	j->orphan_deadline = JH_NEVER;
@@ -49,7 +50,7 @@
 		return;
 	jh_http_call_unref(j->call);
 	jh_work_destroy(j->work);
-	g_string_free(j->body, TRUE);
+	jh_body_unref(j->body);
 	g_string_free(j->log, TRUE);
 	g_mutex_clear(&j->lock);
 	g_free(j);
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -19,7 +19,7 @@
 	struct agent *agent;
 	uint64_t id;
 	struct jh_work *work;
-	GString *body;
+	struct jh_body *body;
 	uint64_t prompt_tokens;
 
 	GMutex lock; /* guards all below; taken after agent->lock */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -370,21 +371,34 @@
 	    j->body, jh_relay_position(j->relay), jh_relay_text(j->relay));
 }
 
+/* Takes a text that malloc() returned. */
+static struct jh_body *
+wrap(char *text)
+{
+	GBytes *bytes =
+	    g_bytes_new_with_free_func(text, strlen(text), free, text);
+	struct jh_body *b = jh_body_create(NULL, bytes);
+
+	g_bytes_unref(bytes);
+	return b;
+}
+
 /* Returns false when the call could not be started. Holds j->lock. */
 static bool
 start(struct entry_job *j, const struct jh_candidate *c,
     const struct worker_address *to)
 {
 	char *resumed = prepare_attempt(j);
-	struct jh_str body = resumed == NULL ? j->body : jh_str_from(resumed);
+	struct jh_body *body =
+	    resumed == NULL ? jh_body_ref(j->body) : wrap(resumed);
 	struct jh_work *w = describe_work(j, c);
-	char **lines =
-	    jh_work_headers(w, &j->entry->set.secret, "POST", CHAT_PATH, body);
+	char **lines = jh_work_headers_shared(
+	    w, &j->entry->set.secret, "POST", CHAT_PATH, body);
 	struct jh_http_call_spec spec = {.peer = to->address,
 	    .method = "POST",
 	    .path = CHAT_PATH,
 	    .headers = (const char *const *)lines,
-	    .body = body,
+	    .shared = body,
 	    .deadline = jh_now() + ATTEMPT_USEC,
 	    .ops = &attempt_ops,
 	    .arg = entry_job_ref(j)};
@@ -395,7 +409,7 @@
 	j->call = jh_http_call_start(j->entry->client, &spec);
 	g_strfreev(lines);
 	jh_work_destroy(w);
-	free(resumed);
+	jh_body_unref(body);
 	return j->call != NULL;
 }
 
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -91,6 +91,15 @@
 	jh_cache_salt(&scope, 0, j->shared_salt);
 }
 
+static void
+take_body(struct entry_job *j, struct jh_http_req *req)
+{
+	GBytes *bytes = jh_http_req_take_body(req);
+
+	j->body = jh_body_create(NULL, bytes);
+	g_bytes_unref(bytes);
+}
+
 /* Fills the job from the body; replies and returns false on a fault. */
 static bool
 read_request(struct entry_job *j, struct jh_http_req *req)
@@ -124,6 +133,7 @@
 	j->stream = c.stream;
 	j->max_tokens = c.max_tokens;
 	set_prefix(j, &c, m);
+	take_body(j, req);
 	ok = true;
 out:
 	if (m != NULL)
--- a/src/entry/chat_request.c
+++ b/src/entry/chat_request.c
@@ -124,15 +124,18 @@
 }
 
 char *
-chat_request_resumed(struct jh_str body, uint64_t position, struct jh_str text)
+chat_request_resumed(
+    const struct jh_body *body, uint64_t position, struct jh_str text)
 {
-	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	GString *whole = jh_body_join(body);
+	json_t *root = json_loadb(whole->str, whole->len, 0, NULL);
 	char *out;
 
 	json_object_set_new(root, "resume",
 	    json_pack("{s:I, s:s%}", "position", (json_int_t)position, "text",
 		text.ptr, text.len));
 	out = json_dumps(root, JSON_COMPACT);
+	g_string_free(whole, TRUE);
 	json_decref(root);
 	return out;
 }
--- a/src/entry/chat_request.h
+++ b/src/entry/chat_request.h
@@ -6,6 +6,8 @@
 #include <jacinthhill/catalog.h>
 #include <jacinthhill/prefix.h>
 
+#include "http/body.h"
+
 /* What the router needs of a chat-completions body. */
 struct chat_request {
 	json_t *root;
@@ -31,6 +33,6 @@
  * with the position reached and the text so far. Free with free().
  */
 char *chat_request_resumed(
-    struct jh_str body, uint64_t position, struct jh_str text);
+    const struct jh_body *body, uint64_t position, struct jh_str text);
 
 #endif
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -17,7 +17,6 @@
 	j->refs = 1;
 	j->entry = e;
 	j->req = req;
-	j->body = jh_http_req_body(req);
 	j->arrived_at = jh_now();
 	j->leave_deadline = JH_NEVER;
 	j->rid = g_malloc(2 * REQUEST_ID_BYTES + 1);
@@ -46,6 +45,7 @@
 	if (j->answer != NULL)
 		g_string_free(j->answer, TRUE);
 	g_free(j->answer_type);
+	jh_body_unref(j->body);
 	g_free(j->model);
 	g_free(j->rid);
 	g_mutex_clear(&j->lock);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -26,7 +26,7 @@
 
 	GMutex lock; /* guards all below */
 	struct jh_http_req *req; /* NULL once the reply is settled */
-	struct jh_str body; /* in req */
+	struct jh_body *body;
 	struct jh_http_call *call;
 	struct jh_relay *relay;
 	GString *answer; /* whole answers */
--- a/src/feed/feed.c
+++ b/src/feed/feed.c
@@ -91,8 +91,7 @@
 		store_reader_list(f->reader, a->deadline);
 		break;
 	case JH_SYNC_WATCH:
-		store_reader_watch(
-		    f->reader, a->from, a->wait_ms, a->deadline);
+		store_reader_watch(f->reader, a->from, a->wait_ms, a->deadline);
 		break;
 	case JH_SYNC_PULL:
 		if (peer->sin_port == 0 ||
@@ -112,8 +111,8 @@
 	for (;;) {
 		memset(&peer, 0, sizeof(peer));
 		g_mutex_lock(&f->lock);
-		due = jh_sync_next(f->sync, jh_now(),
-		    jh_catalog_revision(f->catalog), &a);
+		due = jh_sync_next(
+		    f->sync, jh_now(), jh_catalog_revision(f->catalog), &a);
 		if (due && a.kind == JH_SYNC_PULL)
 			find_peer(f, a.peer, &peer);
 		g_mutex_unlock(&f->lock);
@@ -124,8 +123,7 @@
 }
 
 void
-jh_feed_set_peers(
-    struct jh_feed *f, const struct jh_feed_peer *peers, size_t n)
+jh_feed_set_peers(struct jh_feed *f, const struct jh_feed_peer *peers, size_t n)
 {
 	struct jh_sync_peer *list = g_new0(struct jh_sync_peer, n);
 	struct jh_feed_peer copy;
@@ -135,10 +133,10 @@
 	g_array_set_size(f->peers, 0);
 	for (i = 0; i < n; i++) {
 		copy = (struct jh_feed_peer){g_strdup(peers[i].instance),
-			g_strdup(peers[i].zone), peers[i].rpc_address};
+		    g_strdup(peers[i].zone), peers[i].rpc_address};
 		g_array_append_val(f->peers, copy);
-		list[i] = (struct jh_sync_peer){
-			peers[i].instance, peers[i].zone};
+		list[i] =
+		    (struct jh_sync_peer){peers[i].instance, peers[i].zone};
 	}
 	jh_sync_set_peers(f->sync, list, n);
 	g_mutex_unlock(&f->lock);
@@ -190,8 +188,8 @@
 		e = &reply->entries.entries_val[i];
 		e->key = g_strdup(d->items[i].key);
 		e->entry_version = d->items[i].version;
-		e->json = g_strdup(
-		    d->items[i].json == NULL ? "" : d->items[i].json);
+		e->json =
+		    g_strdup(d->items[i].json == NULL ? "" : d->items[i].json);
 	}
 }
 
@@ -211,8 +209,7 @@
 	reply->revision = d.revision;
 	if (age / JH_USEC_PER_MSEC < UINT32_MAX &&
 	    d.revision >= jh_catalog_revision(f->catalog))
-		reply->confirmed_age_ms =
-		    (u_int)(age / JH_USEC_PER_MSEC) + 1;
+		reply->confirmed_age_ms = (u_int)(age / JH_USEC_PER_MSEC) + 1;
 	fill_entries(reply, &d);
 	jh_catalog_delta_clear(&d);
 }
@@ -221,9 +218,8 @@
 jh_feed_create(const struct jh_feed_spec *spec)
 {
 	struct jh_feed *f = g_new0(struct jh_feed, 1);
-	struct jh_sync_spec sync = {.instance = spec->instance,
-		.zone = spec->zone,
-		.role = spec->role};
+	struct jh_sync_spec sync = {
+	    .instance = spec->instance, .zone = spec->zone, .role = spec->role};
 
 	f->catalog = spec->catalog;
 	f->instance = g_strdup(spec->instance);
--- a/src/feed/pull.c
+++ b/src/feed/pull.c
@@ -30,8 +30,7 @@
 static bool
 apply(struct feed_pull *p, uint64_t asked, const struct jh_sync_reply *r)
 {
-	struct jh_catalog_delta d = {
-		.revision = r->revision, .full = r->full};
+	struct jh_catalog_delta d = {.revision = r->revision, .full = r->full};
 	u_int i;
 
 	d.n = r->entries.entries_len;
@@ -54,8 +53,8 @@
 	struct feed_pull_result result = {false, JH_SYNC_AGE_UNKNOWN};
 	struct jh_sync_reply reply = {0};
 	struct jh_sync_args args = {.instance = p->instance,
-		.incarnation = p->spec.incarnation,
-		.revision = jh_catalog_revision(p->spec.catalog)};
+	    .incarnation = p->spec.incarnation,
+	    .revision = jh_catalog_revision(p->spec.catalog)};
 
 	if (p->spec.ops != NULL && p->spec.ops->ask != NULL)
 		p->spec.ops->ask(p->spec.arg, &args);
@@ -64,8 +63,7 @@
 		result.ok = true;
 		if (apply(p, args.revision, &reply) &&
 		    reply.confirmed_age_ms != UINT32_MAX)
-			result.age =
-			    reply.confirmed_age_ms * JH_USEC_PER_MSEC;
+			result.age = reply.confirmed_age_ms * JH_USEC_PER_MSEC;
 		if (p->spec.ops != NULL && p->spec.ops->told != NULL)
 			p->spec.ops->told(p->spec.arg, &reply);
 		jh_rpc_reply_clear(JH_SYNC, &reply);
@@ -104,8 +102,8 @@
 }
 
 struct feed_pull *
-feed_pull_create(const struct jh_feed_spec *spec,
-    const struct feed_pull_ops *ops, void *arg)
+feed_pull_create(
+    const struct jh_feed_spec *spec, const struct feed_pull_ops *ops, void *arg)
 {
 	struct feed_pull *p = g_new0(struct feed_pull, 1);
 
--- a/src/feed/store_reader.c
+++ b/src/feed/store_reader.c
@@ -122,8 +122,8 @@
 }
 
 struct store_reader *
-store_reader_create(const struct sockaddr_in *store,
-    struct jh_catalog *catalog, const struct store_reader_ops *ops, void *arg)
+store_reader_create(const struct sockaddr_in *store, struct jh_catalog *catalog,
+    const struct store_reader_ops *ops, void *arg)
 {
 	struct store_reader *r = g_new0(struct store_reader, 1);
 
--- /dev/null
+++ b/src/http/body.h
@@ -0,0 +1,28 @@
+#ifndef HTTP_BODY_H
+#define HTTP_BODY_H
+
+#include <glib.h>
+
+#include <jacinthhill/str.h>
+
+/*
+ * An immutable request body, reference counted. It consists of a head, which
+ * several bodies may share and which may be empty, and a tail.
+ */
+struct jh_body;
+
+/* Takes references of its own; head may be NULL. */
+struct jh_body *jh_body_create(GBytes *head, GBytes *tail);
+struct jh_body *jh_body_ref(struct jh_body *b);
+void jh_body_unref(struct jh_body *b);
+
+size_t jh_body_len(const struct jh_body *b);
+struct jh_str jh_body_head(const struct jh_body *b);
+struct jh_str jh_body_tail(const struct jh_body *b);
+/* Copies at most max bytes from a position; returns how many. */
+size_t jh_body_read(
+    const struct jh_body *b, size_t position, char *out, size_t max);
+/* Both parts in one copy; free with g_string_free(). */
+GString *jh_body_join(const struct jh_body *b);
+
+#endif
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -39,7 +39,8 @@
 	struct jh_http_client *client;
 	CURL *easy;
 	struct curl_slist *headers;
-	GString *body;
+	struct jh_body *body;
+	size_t body_sent; /* bytes that libcurl has read */
 	struct jh_http_call_ops ops;
 	void *arg;
 	uint64_t deadline;
@@ -64,7 +65,7 @@
 		return;
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
-	g_string_free(call->body, TRUE);
+	jh_body_unref(call->body);
 	g_free(call);
 }
 
@@ -314,6 +315,46 @@
 	curl_multi_wakeup(call->client->multi);
 }
 
+static size_t
+read_body(char *out, size_t size, size_t n, void *arg)
+{
+	struct jh_http_call *call = arg;
+	size_t len = jh_body_read(call->body, call->body_sent, out, size * n);
+
+	call->body_sent += len;
+	return len;
+}
+
+/* libcurl starts again when a kept connection turns out to be dead. */
+static int
+seek_body(void *arg, curl_off_t offset, int origin)
+{
+	struct jh_http_call *call = arg;
+
+	if (origin != SEEK_SET || offset < 0)
+		return CURL_SEEKFUNC_CANTSEEK;
+	call->body_sent = (size_t)offset;
+	return CURL_SEEKFUNC_OK;
+}
+
+static void
+set_body(struct jh_http_call *call)
+{
+	curl_off_t len = (curl_off_t)jh_body_len(call->body);
+
+	curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE, len);
+	if (jh_body_head(call->body).len == 0) {
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+		    jh_body_tail(call->body).ptr);
+		return;
+	}
+	curl_easy_setopt(call->easy, CURLOPT_READFUNCTION, read_body);
+	curl_easy_setopt(call->easy, CURLOPT_READDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_SEEKFUNCTION, seek_body);
+	curl_easy_setopt(call->easy, CURLOPT_SEEKDATA, call);
+}
+
 static void
 set_request(struct jh_http_call *call, const struct jh_http_call_spec *spec)
 {
@@ -323,12 +364,8 @@
 
 	curl_easy_setopt(call->easy, CURLOPT_URL, url);
 	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, spec->method);
-	if (spec->body.len > 0 || strcmp(spec->method, "GET") != 0) {
-		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)spec->body.len);
-		curl_easy_setopt(
-		    call->easy, CURLOPT_POSTFIELDS, call->body->str);
-	}
+	if (jh_body_len(call->body) > 0 || strcmp(spec->method, "GET") != 0)
+		set_body(call);
 	for (h = spec->headers; h != NULL && *h != NULL; h++)
 		call->headers = curl_slist_append(call->headers, *h);
 	/* Waiting for "100 Continue" would add a round trip to each body. */
@@ -355,6 +392,20 @@
 	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
 }
 
+static struct jh_body *
+body_of(const struct jh_http_call_spec *spec)
+{
+	struct jh_body *b;
+	GBytes *copy;
+
+	if (spec->shared != NULL)
+		return jh_body_ref(spec->shared);
+	copy = g_bytes_new(spec->body.ptr, spec->body.len);
+	b = jh_body_create(NULL, copy);
+	g_bytes_unref(copy);
+	return b;
+}
+
 struct jh_http_call *
 jh_http_call_start(
     struct jh_http_client *c, const struct jh_http_call_spec *spec)
@@ -369,7 +420,7 @@
 	call->refs = 2; /* the caller's and the running set's */
 	call->client = c;
 	call->easy = curl_easy_init();
-	call->body = g_string_new_len(spec->body.ptr, (gssize)spec->body.len);
+	call->body = body_of(spec);
 	call->ops = *spec->ops;
 	call->arg = spec->arg;
 	call->deadline = spec->deadline;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -10,6 +10,8 @@
 
 #include <jacinthhill/str.h>
 
+#include "http/body.h"
+
 /*
  * HTTP requests over libcurl's multi interface, all driven by one thread.
  * Callbacks run on that thread and must not block.
@@ -47,6 +49,7 @@
 	const char *const
 	    *headers; /* "Name: value" lines, NULL-ended; may be NULL */
 	struct jh_str body; /* copied */
+	struct jh_body *shared; /* in place of body; referenced, not copied */
 	uint64_t deadline; /* jh_now() time of the whole call, or JH_NEVER */
 	/*
 	 * Send at most once. libcurl silently resends a request whose kept
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -224,6 +224,20 @@
 	return req_create(cls, conn, uri);
 }
 
+/* Growing step by step would copy a large body several times. */
+static void
+reserve_body(struct jh_http_req *r)
+{
+	const char *text = jh_http_req_header(r, "Content-Length");
+	guint64 len;
+
+	if (text == NULL || !g_ascii_string_to_unsigned(text, 10, 0,
+				r->server->spec.body_limit, &len, NULL))
+		return;
+	g_string_free(r->body, TRUE);
+	r->body = g_string_sized_new(len);
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *upload,
@@ -238,6 +252,7 @@
 	if (r->method == NULL) {
 		r->method = g_strdup(method);
 		r->path = g_strdup(url);
+		reserve_body(r);
 		return MHD_YES;
 	}
 	if (*upload_len > 0) {
@@ -502,6 +517,15 @@
 	return (struct jh_str){r->body->str, r->body->len};
 }
 
+GBytes *
+jh_http_req_take_body(struct jh_http_req *r)
+{
+	GBytes *b = g_string_free_to_bytes(r->body);
+
+	r->body = g_string_new(NULL);
+	return b;
+}
+
 void
 jh_http_req_watch(
     struct jh_http_req *r, const struct jh_http_req_ops *ops, void *arg)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -77,6 +77,8 @@
 /* A query argument; NULL when absent. */
 const char *jh_http_req_query(const struct jh_http_req *r, const char *name);
 struct jh_str jh_http_req_body(const struct jh_http_req *r);
+/* Moves the body out of the request, which then has an empty one. */
+GBytes *jh_http_req_take_body(struct jh_http_req *r);
 
 /* Sets callbacks; call it from the request handler. */
 void jh_http_req_watch(
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -88,11 +88,12 @@
 
 static void
 compute_mac(const struct jh_work *w, const struct jh_auth_key *key,
-    const char *method, const char *path, struct jh_str body,
-    const struct stamp *st, uint8_t out[JH_AUTH_MAC_LEN])
+    const char *method, const char *path, struct jh_str head,
+    struct jh_str tail, const struct stamp *st, uint8_t out[JH_AUTH_MAC_LEN])
 {
 	struct jh_auth_mac *m = jh_auth_mac_create(key);
 	uint64_t sent = GUINT64_TO_BE(st->sent_usec);
+	uint64_t body_len = GUINT64_TO_BE(head.len + tail.len);
 	size_t i;
 
 	jh_auth_mac_add_str(m, jh_str_from(method));
@@ -101,7 +102,9 @@
 		jh_auth_mac_add_str(m, jh_str_from(w->field[i]));
 	jh_auth_mac_add(m, st->nonce, sizeof(st->nonce));
 	jh_auth_mac_add(m, &sent, sizeof(sent));
-	jh_auth_mac_add_str(m, body);
+	jh_auth_mac_add(m, &body_len, sizeof(body_len));
+	jh_auth_mac_add(m, head.ptr, head.len);
+	jh_auth_mac_add(m, tail.ptr, tail.len);
 	jh_auth_mac_finish(m, out);
 }
 
@@ -117,9 +120,10 @@
 	    "Jh-Auth: %" G_GUINT64_FORMAT ":%s:%s", st->sent_usec, nonce, hex);
 }
 
-char **
-jh_work_headers(const struct jh_work *w, const struct jh_auth_key *key,
-    const char *method, const char *path, struct jh_str body)
+static char **
+make_headers(const struct jh_work *w, const struct jh_auth_key *key,
+    const char *method, const char *path, struct jh_str head,
+    struct jh_str tail)
 {
 	GPtrArray *lines = g_ptr_array_new();
 	uint8_t mac[JH_AUTH_MAC_LEN];
@@ -128,7 +132,7 @@
 
 	jh_auth_random(st.nonce, sizeof(st.nonce));
 	st.sent_usec = jh_wall_now();
-	compute_mac(w, key, method, path, body, &st, mac);
+	compute_mac(w, key, method, path, head, tail, &st, mac);
 	for (i = 0; i < JH_WORK_FIELDS; i++) {
 		if (w->field[i] != NULL)
 			g_ptr_array_add(lines,
@@ -139,6 +143,21 @@
 	return (char **)g_ptr_array_free(lines, FALSE);
 }
 
+char **
+jh_work_headers(const struct jh_work *w, const struct jh_auth_key *key,
+    const char *method, const char *path, struct jh_str body)
+{
+	return make_headers(w, key, method, path, JH_STR(""), body);
+}
+
+char **
+jh_work_headers_shared(const struct jh_work *w, const struct jh_auth_key *key,
+    const char *method, const char *path, const struct jh_body *body)
+{
+	return make_headers(
+	    w, key, method, path, jh_body_head(body), jh_body_tail(body));
+}
+
 static bool
 parse_hex(const char *text, uint8_t *out, size_t len)
 {
@@ -193,7 +212,7 @@
 	for (i = 0; i < JH_WORK_FIELDS; i++)
 		w->field[i] = g_strdup(jh_http_req_header(req, names[i]));
 	compute_mac(w, key, jh_http_req_method(req), jh_http_req_target(req),
-	    jh_http_req_body(req), &st, mac);
+	    JH_STR(""), jh_http_req_body(req), &st, mac);
 	if (!jh_auth_mac_eq(mac, told)) {
 		jh_work_destroy(w);
 		return NULL;
--- a/src/work/work.h
+++ b/src/work/work.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "base/auth.h"
+#include "http/body.h"
 #include "http/server.h"
 
 /*
@@ -48,6 +49,10 @@
 /* Header lines with Jh-Auth, NULL-ended; free with g_strfreev(). */
 char **jh_work_headers(const struct jh_work *w, const struct jh_auth_key *key,
     const char *method, const char *path, struct jh_str body);
+/* The same for a body in two parts. */
+char **jh_work_headers_shared(const struct jh_work *w,
+    const struct jh_auth_key *key, const char *method, const char *path,
+    const struct jh_body *body);
 
 /* Returns NULL unless the request is authentic and recent. */
 struct jh_work *jh_work_from_request(
