--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -70,6 +70,13 @@
 	return true;
 }
 
+static bool
+is_shared(const struct entry_job *j, const struct chat_request *c)
+{
+	return jh_catalog_entry_shares_prompt(
+	    j->caller.rule, c->first_message_hash);
+}
+
 static void
 set_prefix(
     struct entry_job *j, const struct chat_request *c, const struct jh_model *m)
@@ -78,10 +85,7 @@
 	struct jh_prefix_scope scope = {.model = jh_str_from(m->name),
 	    .weights_version = jh_str_from(m->weights),
 	    .org = jh_str_from(who->org->name)};
-	size_t shared =
-	    jh_catalog_entry_shares_prompt(who->rule, c->first_message_hash)
-		? 1
-		: 0;
+	size_t shared = is_shared(j, c) ? 1 : 0;
 
 	chat_request_prefix(c, &scope, shared, &j->prefix);
 	jh_cache_salt(&scope, 0, j->salt);
@@ -91,26 +95,45 @@
 	jh_cache_salt(&scope, 0, j->shared_salt);
 }
 
+/* Keeps the body for its attempts, sharing a head that is known. */
 static void
-take_body(struct entry_job *j, struct jh_http_req *req)
+take_body(
+    struct entry_job *j, const struct chat_request *c, struct jh_http_req *req)
 {
-	GBytes *bytes = jh_http_req_take_body(req);
-
-	j->body = jh_body_create(NULL, bytes);
-	g_bytes_unref(bytes);
+	struct jh_str body = jh_http_req_body(req);
+	GBytes *head = NULL, *tail, *whole;
+	size_t head_len;
+
+	if (c->head != NULL) {
+		head = c->head->raw;
+		head_len = g_bytes_get_size(head);
+		tail = g_bytes_new(body.ptr + head_len, body.len - head_len);
+		whole = jh_http_req_take_body(req);
+		g_bytes_unref(whole);
+	} else {
+		entry_heads_learn(j->entry->heads,
+		    is_shared(j, c) ? NULL : j->caller.org->name, body, c->root,
+		    c->first_message_hash);
+		tail = jh_http_req_take_body(req);
+	}
+	j->body = jh_body_create(head, tail);
+	g_bytes_unref(tail);
 }
 
 /* Fills the job from the body; replies and returns false on a fault. */
 static bool
 read_request(struct entry_job *j, struct jh_http_req *req)
 {
+	struct entry_head *head;
 	struct chat_request c;
 	struct jh_model *m = NULL;
 	const char *detail;
 	enum chat_fault fault;
 	bool ok = false;
 
-	fault = chat_request_parse(&c, jh_http_req_body(req), &detail);
+	head = entry_heads_find(
+	    j->entry->heads, j->caller.org->name, jh_http_req_body(req));
+	fault = chat_request_parse(&c, head, jh_http_req_body(req), &detail);
 	if (fault != CHAT_OK) {
 		entry_reply_error(req,
 		    fault == CHAT_BAD_JSON ? ENTRY_ERR_BAD_JSON
@@ -133,7 +156,7 @@
 	j->stream = c.stream;
 	j->max_tokens = c.max_tokens;
 	set_prefix(j, &c, m);
-	take_body(j, req);
+	take_body(j, &c, req);
 	ok = true;
 out:
 	if (m != NULL)
--- a/src/entry/chat_request.c
+++ b/src/entry/chat_request.c
@@ -57,6 +57,10 @@
 	json_t *content =
 	    json_object_get(json_array_get(messages, 0), "content");
 
+	if (c->head != NULL) {
+		c->first_message_hash = g_strdup(c->head->hash);
+		return;
+	}
 	c->first_message_hash = g_malloc(JH_AUTH_HASH_HEX_LEN + 1);
 	jh_auth_hash_hex((struct jh_str){json_string_value(content),
 			     json_string_length(content)},
@@ -64,15 +68,18 @@
 }
 
 enum chat_fault
-chat_request_parse(
-    struct chat_request *c, struct jh_str body, const char **detail)
+chat_request_parse(struct chat_request *c, struct entry_head *head,
+    struct jh_str body, const char **detail)
 {
 	json_t *messages;
 	enum chat_fault fault;
 
 	memset(c, 0, sizeof(*c));
 	*detail = NULL;
-	c->root = json_loadb(body.ptr, body.len, JSON_REJECT_DUPLICATES, NULL);
+	c->head = head;
+	c->root = head != NULL ? entry_head_parse(head, body)
+			       : json_loadb(body.ptr, body.len,
+				     JSON_REJECT_DUPLICATES, NULL);
 	if (!json_is_object(c->root))
 		return CHAT_BAD_JSON;
 	c->model = json_string_value(json_object_get(c->root, "model"));
@@ -99,6 +106,7 @@
 {
 	json_decref(c->root);
 	g_free(c->first_message_hash);
+	entry_head_unref(c->head);
 	memset(c, 0, sizeof(*c));
 }
 
@@ -119,6 +127,8 @@
 		list[i].content = (struct jh_str){
 		    json_string_value(s), json_string_length(s)};
 	}
+	if (c->head != NULL)
+		list[0].content = entry_head_content(c->head);
 	jh_prefix_build(out, scope, list, n, shared);
 	g_free(list);
 }
--- a/src/entry/chat_request.h
+++ b/src/entry/chat_request.h
@@ -6,11 +6,13 @@
 #include <jacinthhill/catalog.h>
 #include <jacinthhill/prefix.h>
 
+#include "entry/heads.h"
 #include "http/body.h"
 
 /* What the router needs of a chat-completions body. */
 struct chat_request {
-	json_t *root;
+	json_t *root; /* with an empty first content if head is set */
+	struct entry_head *head; /* NULL: the body's head is not known */
 	const char *model; /* in root */
 	bool stream;
 	uint32_t max_tokens;
@@ -19,9 +21,12 @@
 
 enum chat_fault { CHAT_OK, CHAT_BAD_JSON, CHAT_BAD_REQUEST };
 
-/* On a fault *detail is a static sentence; clear the request in any case. */
-enum chat_fault chat_request_parse(
-    struct chat_request *c, struct jh_str body, const char **detail);
+/*
+ * Takes the reference to the known head of the body, if there is one. On a
+ * fault *detail is a static sentence; clear the request in any case.
+ */
+enum chat_fault chat_request_parse(struct chat_request *c,
+    struct entry_head *head, struct jh_str body, const char **detail);
 void chat_request_clear(struct chat_request *c);
 
 /* Level keys of the prompt; see jh_prefix_build(). */
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -5,6 +5,7 @@
 #include <jacinthhill/counters.h>
 #include <jacinthhill/retry.h>
 
+#include "entry/heads.h"
 #include "entry/settings.h"
 #include "entry/workers.h"
 #include "feed/feed.h"
@@ -37,6 +38,7 @@
 	struct jh_http_server *server;
 	struct jh_catalog *catalog;
 	struct entry_workers *workers;
+	struct entry_heads *heads;
 	struct jh_feed *feed;
 	struct entry_wait *wait;
 	int leaving; /* atomic */
--- /dev/null
+++ b/src/entry/heads.c
@@ -0,0 +1,269 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "entry/heads.h"
+
+/* A shorter content is parsed faster than its head is learned. */
+#define MIN_CONTENT_LEN 16384
+
+/* Bounds of what is kept. */
+#define MAX_HEADS 64
+#define MAX_BYTES (16 << 20)
+
+/* Contents seen once lately; a power of two. */
+#define SEEN_SLOTS 256
+
+struct entry_heads {
+	GMutex lock; /* guards all below */
+	GPtrArray *list; /* of struct entry_head, last used first */
+	size_t bytes;
+	uint64_t seen[SEEN_SLOTS];
+};
+
+void
+entry_head_unref(struct entry_head *head)
+{
+	if (head == NULL || !g_atomic_int_dec_and_test(&head->refs))
+		return;
+	g_bytes_unref(head->raw);
+	g_free(head->org);
+	g_free(head->content);
+	g_free(head->hash);
+	g_free(head);
+}
+
+static void
+unref_item(gpointer p)
+{
+	entry_head_unref(p);
+}
+
+struct entry_heads *
+entry_heads_create(void)
+{
+	struct entry_heads *h = g_new0(struct entry_heads, 1);
+
+	g_mutex_init(&h->lock);
+	h->list = g_ptr_array_new_with_free_func(unref_item);
+	return h;
+}
+
+void
+entry_heads_destroy(struct entry_heads *h)
+{
+	g_ptr_array_free(h->list, TRUE);
+	g_mutex_clear(&h->lock);
+	g_free(h);
+}
+
+static struct jh_str
+raw_of(const struct entry_head *head)
+{
+	struct jh_str s;
+	gsize len;
+
+	s.ptr = g_bytes_get_data(head->raw, &len);
+	s.len = len;
+	return s;
+}
+
+struct jh_str
+entry_head_content(const struct entry_head *head)
+{
+	if (head->content != NULL)
+		return (struct jh_str){head->content, head->content_len};
+	return (struct jh_str){raw_of(head).ptr + head->cut, head->content_len};
+}
+
+static size_t
+head_bytes(const struct entry_head *head)
+{
+	return g_bytes_get_size(head->raw) +
+	       (head->content == NULL ? 0 : head->content_len);
+}
+
+static bool
+starts_body(const struct entry_head *head, const char *org, struct jh_str body)
+{
+	struct jh_str raw = raw_of(head);
+
+	return (head->org == NULL || strcmp(head->org, org) == 0) &&
+	       raw.len <= body.len && memcmp(raw.ptr, body.ptr, raw.len) == 0;
+}
+
+/* Holds h->lock. */
+static struct entry_head *
+find(struct entry_heads *h, const char *org, struct jh_str body)
+{
+	struct entry_head *head;
+	guint i;
+
+	for (i = 0; i < h->list->len; i++) {
+		head = h->list->pdata[i];
+		if (!starts_body(head, org, body))
+			continue;
+		memmove(
+		    h->list->pdata + 1, h->list->pdata, i * sizeof(gpointer));
+		h->list->pdata[0] = head;
+		return head;
+	}
+	return NULL;
+}
+
+struct entry_head *
+entry_heads_find(struct entry_heads *h, const char *org, struct jh_str body)
+{
+	struct entry_head *head;
+
+	g_mutex_lock(&h->lock);
+	head = find(h, org, body);
+	if (head != NULL)
+		g_atomic_int_inc(&head->refs);
+	g_mutex_unlock(&h->lock);
+	return head;
+}
+
+json_t *
+entry_head_parse(const struct entry_head *head, struct jh_str body)
+{
+	struct jh_str raw = raw_of(head);
+	GString *s = g_string_sized_new(body.len - raw.len + head->cut + 1);
+	json_t *root;
+
+	g_string_append_len(s, raw.ptr, (gssize)head->cut);
+	g_string_append_c(s, '"');
+	g_string_append_len(
+	    s, body.ptr + raw.len, (gssize)(body.len - raw.len));
+	root = json_loadb(s->str, s->len, JSON_REJECT_DUPLICATES, NULL);
+	g_string_free(s, TRUE);
+	return root;
+}
+
+static json_t *
+first_message(const json_t *root)
+{
+	return json_array_get(json_object_get(root, "messages"), 0);
+}
+
+/*
+ * Finds the content in the body by writing it out as JSON again. Common
+ * writers differ only in how they write other than ASCII characters and '/'.
+ */
+static const char *
+locate(struct jh_str body, const json_t *content, size_t *len)
+{
+	static const size_t flags[] = {0, JSON_ENSURE_ASCII, JSON_ESCAPE_SLASH,
+	    JSON_ENSURE_ASCII | JSON_ESCAPE_SLASH};
+	const char *at = NULL;
+	char *text;
+	size_t i;
+
+	for (i = 0; at == NULL && i < G_N_ELEMENTS(flags); i++) {
+		text = json_dumps(content, JSON_ENCODE_ANY | flags[i]);
+		*len = strlen(text);
+		at = memmem(body.ptr, body.len, text, *len);
+		free(text);
+	}
+	return at;
+}
+
+/*
+ * Shows that the bytes cut out are the first message's content and nothing
+ * else: the rest must parse to the same request with an empty content.
+ */
+static bool
+verify(const struct entry_head *head, struct jh_str body, const json_t *root)
+{
+	json_t *rest = entry_head_parse(head, body), *msg, *content;
+	bool ok;
+
+	msg = first_message(rest);
+	content = json_object_get(msg, "content");
+	ok = json_is_string(content) && json_string_length(content) == 0;
+	if (ok)
+		json_object_set(msg, "content",
+		    json_object_get(first_message(root), "content"));
+	ok = ok && json_equal(rest, root);
+	json_decref(rest);
+	return ok;
+}
+
+static struct entry_head *
+make(const char *org, struct jh_str body, const json_t *root, const char *hash)
+{
+	const json_t *content = json_object_get(first_message(root), "content");
+	struct entry_head *head;
+	const char *at;
+	size_t len;
+
+	at = locate(body, content, &len);
+	if (at == NULL)
+		return NULL;
+	head = g_new0(struct entry_head, 1);
+	head->refs = 1;
+	head->org = g_strdup(org);
+	head->cut = (size_t)(at - body.ptr) + 1;
+	head->raw = g_bytes_new(body.ptr, head->cut - 1 + len);
+	head->content_len = json_string_length(content);
+	if (head->content_len != len - 2)
+		head->content =
+		    g_memdup2(json_string_value(content), head->content_len);
+	head->hash = g_strdup(hash);
+	if (!verify(head, body, root)) {
+		entry_head_unref(head);
+		return NULL;
+	}
+	return head;
+}
+
+/* Holds h->lock. */
+static void
+insert(struct entry_heads *h, struct entry_head *head)
+{
+	struct entry_head *last;
+
+	g_ptr_array_insert(h->list, 0, head);
+	h->bytes += head_bytes(head);
+	while (h->list->len > MAX_HEADS ||
+	       (h->bytes > MAX_BYTES && h->list->len > 1)) {
+		last = h->list->pdata[h->list->len - 1];
+		h->bytes -= head_bytes(last);
+		g_ptr_array_remove_index(h->list, h->list->len - 1);
+	}
+}
+
+/* Learning costs several parses, so the first sight is only noted. */
+static bool
+seen_before(struct entry_heads *h, const char *org, const char *hash)
+{
+	uint64_t key = XXH3_64bits(hash, strlen(hash));
+	bool seen;
+
+	if (org != NULL)
+		key = XXH3_64bits_withSeed(org, strlen(org), key);
+	g_mutex_lock(&h->lock);
+	seen = h->seen[key % SEEN_SLOTS] == key;
+	h->seen[key % SEEN_SLOTS] = key;
+	g_mutex_unlock(&h->lock);
+	return seen;
+}
+
+void
+entry_heads_learn(struct entry_heads *h, const char *org, struct jh_str body,
+    const json_t *root, const char *hash)
+{
+	const json_t *content = json_object_get(first_message(root), "content");
+	struct entry_head *head;
+
+	if (json_string_length(content) < MIN_CONTENT_LEN ||
+	    !seen_before(h, org, hash))
+		return;
+	head = make(org, body, root, hash);
+	if (head == NULL)
+		return;
+	g_mutex_lock(&h->lock);
+	insert(h, head);
+	g_mutex_unlock(&h->lock);
+}
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -48,6 +48,7 @@
 	e->catalog = jh_catalog_create();
 	e->workers = entry_workers_create(e);
 	e->retry = jh_retry_create();
+	e->heads = entry_heads_create();
 	e->wait = entry_wait_create();
 	e->jobs = g_hash_table_new(NULL, NULL);
 	g_mutex_init(&e->lock);
@@ -67,6 +68,7 @@
 	jh_feed_destroy(e->feed);
 	g_hash_table_destroy(e->jobs);
 	entry_wait_destroy(e->wait);
+	entry_heads_destroy(e->heads);
 	jh_retry_destroy(e->retry);
 	entry_workers_destroy(e->workers);
 	jh_catalog_destroy(e->catalog);
