--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -24,16 +24,11 @@
 on_token(void *arg, uint64_t position, struct jh_str payload)
 {
 	struct entry_job *j = arg;
-	char head[128];
-	int n;
 
-	n = snprintf(head, sizeof(head),
-	    "id: %.64s.%016llx:%llu\ndata: ", j->rid,
+	g_string_append_printf(j->out, "id: %.64s.%016llx:%llu\ndata: ", j->rid,
 	    (unsigned long long)j->worker, (unsigned long long)position);
-	jh_http_req_write(j->req, head, (size_t)n);
-	jh_http_req_write(j->req, payload.ptr, payload.len);
-	if (!jh_http_req_write(j->req, "\n\n", 2) && !j->left)
-		j->blocked = true;
+	g_string_append_len(j->out, payload.ptr, (gssize)payload.len);
+	g_string_append(j->out, "\n\n");
 	jh_counters_add(j->entry->counters, ENTRY_TOKENS, 1);
 }
 
@@ -42,8 +37,7 @@
 {
 	struct entry_job *j = arg;
 
-	jh_http_req_write(j->req, "data: [DONE]\n\n", 14);
-	jh_http_req_end(j->req);
+	g_string_append(j->out, "data: [DONE]\n\n");
 }
 
 static const struct jh_relay_ops relay_ops = {.token = on_token, .end = on_end};
@@ -131,6 +125,25 @@
 	g_mutex_unlock(&j->lock);
 }
 
+/*
+ * Relays the events of one read. They go out in one write, because each write
+ * wakes the server's thread. Holds j->lock.
+ */
+static void
+relay_events(struct entry_job *j, struct jh_http_call *call, struct jh_str data)
+{
+	g_string_truncate(j->out, 0);
+	if (jh_relay_feed(j->relay, data) != JH_RELAY_OK) {
+		j->violated = true;
+		jh_http_call_cancel(call);
+	}
+	if (j->out->len > 0 &&
+	    !jh_http_req_write(j->req, j->out->str, j->out->len) && !j->left)
+		j->blocked = true;
+	if (jh_relay_ended(j->relay))
+		jh_http_req_end(j->req);
+}
+
 /* Returns whether the bytes were taken. Holds j->lock. */
 static bool
 take_data(struct entry_job *j, struct jh_http_call *call, struct jh_str data)
@@ -140,10 +153,7 @@
 	if (j->blocked)
 		return false;
 	if (j->stream) {
-		if (jh_relay_feed(j->relay, data) != JH_RELAY_OK) {
-			j->violated = true;
-			jh_http_call_cancel(call);
-		}
+		relay_events(j, call, data);
 	} else if (j->answer->len + data.len > ANSWER_LIMIT) {
 		j->violated = true;
 		jh_http_call_cancel(call);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -23,6 +23,7 @@
 	jh_auth_random(id, sizeof(id));
 	for (i = 0; i < REQUEST_ID_BYTES; i++)
 		snprintf(j->rid + 2 * i, 3, "%02x", id[i]);
+	j->out = g_string_new(NULL);
 	g_mutex_init(&j->lock);
 	return j;
 }
@@ -42,6 +43,7 @@
 	jh_http_call_unref(j->call);
 	jh_relay_destroy(j->relay);
 	caller_clear(&j->caller);
+	g_string_free(j->out, TRUE);
 	if (j->answer != NULL)
 		g_string_free(j->answer, TRUE);
 	g_free(j->answer_type);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -29,6 +29,7 @@
 	struct jh_body *body;
 	struct jh_http_call *call;
 	struct jh_relay *relay;
+	GString *out; /* events of the read being relayed */
 	GString *answer; /* whole answers */
 	char *answer_type;
 	struct jh_candidate candidates[JH_PLACE_MAX_CANDIDATES];
