--- a/src/http/client.c
+++ b/src/http/client.c
@@ -7,13 +7,11 @@
 #include "base/ring.h"
 #include "config/settings.h"
 #include "http/client.h"
+#include "http/loop.h"
 
 /* Longest time to wait for a TCP connection to be accepted. */
 #define CONNECT_TIMEOUT_MS 1000L
 
-/* Longest sleep of the thread when no transfer needs attention. */
-#define POLL_INTERVAL_MS 1000
-
 /* Start, resume and cancel commands that may wait per call. */
 #define COMMANDS_PER_CALL 4
 
@@ -26,6 +24,7 @@
 
 struct jh_http_client {
 	CURLM *multi;
+	struct jh_http_loop *loop;
 	GThread *thread;
 	struct jh_ring *commands;
 	unsigned int max_calls;
@@ -262,13 +261,11 @@
 client_main(gpointer arg)
 {
 	struct jh_http_client *c = arg;
-	int running;
 
 	while (!g_atomic_int_get(&c->stopping)) {
 		run_commands(c);
-		curl_multi_perform(c->multi, &running);
+		jh_http_loop_run(c->loop);
 		reap(c);
-		curl_multi_poll(c->multi, NULL, 0, POLL_INTERVAL_MS, NULL);
 	}
 	cancel_all(c);
 	return NULL;
@@ -280,6 +277,7 @@
 	struct jh_http_client *c = g_new0(struct jh_http_client, 1);
 
 	c->multi = curl_multi_init();
+	c->loop = jh_http_loop_create(c->multi);
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, (long)max_calls);
 	c->commands = jh_ring_create(max_calls * COMMANDS_PER_CALL);
 	c->max_calls = max_calls;
@@ -294,9 +292,10 @@
 	if (c == NULL)
 		return;
 	g_atomic_int_set(&c->stopping, 1);
-	curl_multi_wakeup(c->multi);
+	jh_http_loop_wake(c->loop);
 	g_thread_join(c->thread);
 	curl_multi_cleanup(c->multi);
+	jh_http_loop_destroy(c->loop);
 	jh_ring_destroy(c->commands);
 	g_hash_table_destroy(c->running);
 	g_free(c);
@@ -312,7 +311,7 @@
 	/* Each call has at most one command of each kind waiting. */
 	if (!jh_ring_push(call->client->commands, cmd))
 		g_assert_not_reached();
-	curl_multi_wakeup(call->client->multi);
+	jh_http_loop_wake(call->client->loop);
 }
 
 static size_t
