--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -18,13 +18,13 @@
 	j->refs = 1;
 	j->entry = e;
 	j->req = req;
-	j->body = jh_http_req_body(req);
 	j->arrived_at = jh_now();
 	j->leave_deadline = JH_NEVER;
 	j->rid = g_malloc(2 * REQUEST_ID_BYTES + 1);
 	jh_auth_random(id, sizeof(id));
 	for (i = 0; i < REQUEST_ID_BYTES; i++)
 		snprintf(j->rid + 2 * i, 3, "%02x", id[i]);
+	j->out = g_string_new(NULL);
 	g_mutex_init(&j->lock);
 	return j;
 }
@@ -44,9 +44,11 @@
 	jh_http_call_unref(j->call);
 	jh_relay_destroy(j->relay);
 	caller_clear(&j->caller);
+	g_string_free(j->out, TRUE);
 	if (j->answer != NULL)
 		g_string_free(j->answer, TRUE);
 	g_free(j->answer_type);
+	jh_body_unref(j->body);
 	g_free(j->model);
 	g_free(j->rid);
 	g_mutex_clear(&j->lock);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -34,9 +34,10 @@
 
 	GMutex lock; /* guards all below */
 	struct jh_http_req *req; /* NULL once the reply is settled */
-	struct jh_str body; /* in req */
+	struct jh_body *body;
 	struct jh_http_call *call;
 	struct jh_relay *relay;
+	GString *out; /* events of the read being relayed */
 	GString *answer; /* whole answers */
 	char *answer_type;
 	struct jh_candidate candidates[JH_PLACE_MAX_CANDIDATES];
