--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -120,10 +121,10 @@
 
 	c->res.gaps = c->gaps;
 	report_add(ctx->report, &c->res);
-	g_mutex_lock(&ctx->lock);
+	pthread_mutex_lock(&ctx->lock);
 	ctx->in_progress--;
-	g_cond_signal(&ctx->ended);
-	g_mutex_unlock(&ctx->lock);
+	pthread_cond_signal(&ctx->ended);
+	pthread_mutex_unlock(&ctx->lock);
 	g_string_free(c->buffer, TRUE);
 	g_array_free(c->gaps, TRUE);
 	g_free(c);
@@ -249,9 +250,9 @@
 	    .arg = c};
 	struct jh_http_call *call;
 
-	g_mutex_lock(&ctx->lock);
+	pthread_mutex_lock(&ctx->lock);
 	ctx->in_progress++;
-	g_mutex_unlock(&ctx->lock);
+	pthread_mutex_unlock(&ctx->lock);
 	call = jh_http_call_start(ctx->client, &spec);
 	if (call == NULL) {
 		c->res.code = "not_sent";
--- a/bench/load/call.h
+++ b/bench/load/call.h
@@ -1,6 +1,8 @@
 #ifndef BENCH_LOAD_CALL_H
 #define BENCH_LOAD_CALL_H
 
+#include <pthread.h>
+
 #include "http/client.h"
 
 #include "report.h"
@@ -13,8 +15,8 @@
 	struct report *report;
 	uint64_t started_at;
 	uint64_t next_target;
-	GMutex lock; /* guards in_progress */
-	GCond ended;
+	pthread_mutex_t lock; /* guards in_progress */
+	pthread_cond_t ended;
 	unsigned int in_progress;
 };
 
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -6,6 +6,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/thread.h"
 #include "call.h"
 
 #define MAX_CALLS 16384
@@ -33,10 +34,10 @@
 static void
 wait_for_room(struct call_context *ctx, unsigned int limit)
 {
-	g_mutex_lock(&ctx->lock);
+	pthread_mutex_lock(&ctx->lock);
 	while (ctx->in_progress >= limit)
-		g_cond_wait(&ctx->ended, &ctx->lock);
-	g_mutex_unlock(&ctx->lock);
+		pthread_cond_wait(&ctx->ended, &ctx->lock);
+	pthread_mutex_unlock(&ctx->lock);
 }
 
 /* Sends until the time or the count is over; returns the time it took. */
@@ -90,8 +91,8 @@
 		shape_destroy(s);
 		return 0;
 	}
-	g_mutex_init(&ctx.lock);
-	g_cond_init(&ctx.ended);
+	pthread_mutex_init(&ctx.lock, NULL);
+	jh_cond_init(&ctx.ended);
 	ctx.report = report_create(o);
 	ctx.client = jh_http_client_create("load", MAX_CALLS);
 	ctx.started_at = jh_now();
@@ -103,8 +104,8 @@
 		status = EXIT_BROKEN;
 	report_destroy(ctx.report);
 	shape_destroy(s);
-	g_mutex_clear(&ctx.lock);
-	g_cond_clear(&ctx.ended);
+	pthread_mutex_destroy(&ctx.lock);
+	pthread_cond_destroy(&ctx.ended);
 	return status;
 }
 
--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,7 +42,7 @@
 
 struct report {
 	const struct load_options *opt;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct group group[GROUPS];
 	uint64_t broken;
 };
@@ -53,7 +54,7 @@
 	int i;
 
 	r->opt = o;
-	g_mutex_init(&r->lock);
+	pthread_mutex_init(&r->lock, NULL);
 	for (i = 0; i < GROUPS; i++) {
 		r->group[i].codes = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, NULL);
@@ -73,7 +74,7 @@
 		samples_clear(&r->group[i].ttft);
 		samples_clear(&r->group[i].gaps);
 	}
-	g_mutex_clear(&r->lock);
+	pthread_mutex_destroy(&r->lock);
 	g_free(r);
 }
 
@@ -118,7 +119,7 @@
 void
 report_add(struct report *r, const struct result *res)
 {
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (!res->complete && g_strcmp0(res->code, "broken") == 0)
 		r->broken++;
 	if (res->payment) {
@@ -135,7 +136,7 @@
 		if (res->marked)
 			add_to(r, &r->group[GROUP_MARKED], res);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 static double
--- a/bench/relay/relay.c
+++ b/bench/relay/relay.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -10,7 +11,7 @@
 struct pass {
 	int refs; /* atomic */
 	struct jh_http_req *req;
-	GMutex lock; /* guards call and blocked */
+	pthread_mutex_t lock; /* guards call and blocked */
 	struct jh_http_call *call;
 	bool blocked;
 };
@@ -21,7 +22,7 @@
 	if (!g_atomic_int_dec_and_test(&p->refs))
 		return;
 	jh_http_call_unref(p->call);
-	g_mutex_clear(&p->lock);
+	pthread_mutex_destroy(&p->lock);
 	g_free(p);
 }
 
@@ -46,14 +47,14 @@
 {
 	struct pass *p = arg;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	if (p->blocked) {
-		g_mutex_unlock(&p->lock);
+		pthread_mutex_unlock(&p->lock);
 		return false;
 	}
 	if (!jh_http_req_write(p->req, data.ptr, data.len))
 		p->blocked = true;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return true;
 }
 
@@ -78,11 +79,11 @@
 {
 	struct pass *p = arg;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->blocked = false;
 	if (p->call != NULL)
 		jh_http_call_resume(p->call);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 static void
@@ -90,10 +91,10 @@
 {
 	struct pass *p = arg;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	if (p->call != NULL)
 		jh_http_call_cancel(p->call);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 static void
@@ -146,11 +147,11 @@
 
 	p->refs = 2;
 	p->req = req;
-	g_mutex_init(&p->lock);
+	pthread_mutex_init(&p->lock, NULL);
 	jh_http_req_watch(req, &req_ops, p);
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->call = jh_http_call_start(r->client, &spec);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	g_strfreev(headers);
 	g_bytes_unref(bytes);
 	jh_body_unref(body);
--- a/fakes/engine/batch.c
+++ b/fakes/engine/batch.c
@@ -5,19 +5,20 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/thread.h"
 #include "batch.h"
 
 struct batch {
 	struct batch_config cfg;
 	struct cache *cache;
-	GMutex *cache_lock;
-	GMutex lock; /* guards the lists and flags */
-	GCond cond;
+	pthread_mutex_t *cache_lock;
+	pthread_mutex_t lock; /* guards the lists and flags */
+	pthread_cond_t cond;
 	GQueue waiting; /* of struct sequence, by priority then arrival */
 	GQueue running;
 	bool stopping;
 	bool stalled;
-	GThread *thread;
+	pthread_t thread;
 };
 
 static const char *const words[] = {"rinse", "dry", "the", "coat", "warm",
@@ -123,9 +124,9 @@
 
 	while (g_queue_get_length(&b->running) < (guint)b->cfg.max_batch &&
 	       (seq = g_queue_pop_head(&b->waiting)) != NULL) {
-		g_mutex_lock(b->cache_lock);
+		pthread_mutex_lock(b->cache_lock);
 		pieces = cache_match(b->cache, seq->chain, seq->chain_len);
-		g_mutex_unlock(b->cache_lock);
+		pthread_mutex_unlock(b->cache_lock);
 		seq->cached_tokens = pieces * (uint64_t)b->cfg.piece_tokens;
 		seq->prefill_left = seq->prompt_tokens - seq->cached_tokens;
 		g_queue_push_tail(&b->running, seq);
@@ -135,9 +136,9 @@
 static void
 end_prefill(struct batch *b, struct sequence *seq)
 {
-	g_mutex_lock(b->cache_lock);
+	pthread_mutex_lock(b->cache_lock);
 	cache_store(b->cache, seq->chain, seq->chain_len, jh_now());
-	g_mutex_unlock(b->cache_lock);
+	pthread_mutex_unlock(b->cache_lock);
 	seq->begun = true;
 	if (seq->stream)
 		send_headers(seq, "text/event-stream");
@@ -180,17 +181,17 @@
 	       decoding * (uint64_t)b->cfg.step_per_seq_usec;
 }
 
-static gpointer
-batch_main(gpointer arg)
+static void *
+batch_main(void *arg)
 {
 	struct batch *b = arg;
 	uint64_t usec, next = jh_now();
 
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	for (;;) {
 		while (b->stalled || (!b->stopping && b->running.length == 0 &&
 					 b->waiting.length == 0)) {
-			g_cond_wait(&b->cond, &b->lock);
+			pthread_cond_wait(&b->cond, &b->lock);
 			next = jh_now();
 		}
 		if (b->stopping && b->running.length == 0 &&
@@ -198,32 +199,32 @@
 			break;
 		admit(b);
 		usec = step(b);
-		g_mutex_unlock(&b->lock);
+		pthread_mutex_unlock(&b->lock);
 		next += usec * (uint64_t)b->cfg.time_scale_percent / 100;
 		if (next > jh_now())
 			g_usleep(next - jh_now());
 		else
 			next = jh_now();
-		g_mutex_lock(&b->lock);
+		pthread_mutex_lock(&b->lock);
 	}
-	g_mutex_unlock(&b->lock);
+	pthread_mutex_unlock(&b->lock);
 	return NULL;
 }
 
 struct batch *
-batch_create(
-    const struct batch_config *cfg, struct cache *cache, GMutex *cache_lock)
+batch_create(const struct batch_config *cfg, struct cache *cache,
+    pthread_mutex_t *cache_lock)
 {
 	struct batch *b = g_new0(struct batch, 1);
 
 	b->cfg = *cfg;
 	b->cache = cache;
 	b->cache_lock = cache_lock;
-	g_mutex_init(&b->lock);
-	g_cond_init(&b->cond);
+	pthread_mutex_init(&b->lock, NULL);
+	jh_cond_init(&b->cond);
 	g_queue_init(&b->waiting);
 	g_queue_init(&b->running);
-	b->thread = g_thread_new("batch", batch_main, b);
+	b->thread = jh_thread_create("batch", batch_main, b);
 	return b;
 }
 
@@ -239,10 +240,10 @@
 void
 batch_submit(struct batch *b, struct sequence *seq)
 {
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	g_queue_insert_sorted(&b->waiting, seq, by_priority, NULL);
-	g_cond_signal(&b->cond);
-	g_mutex_unlock(&b->lock);
+	pthread_cond_signal(&b->cond);
+	pthread_mutex_unlock(&b->lock);
 }
 
 static bool
@@ -266,40 +267,40 @@
 {
 	bool found;
 
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	found = mark_gone(&b->running, id) || mark_gone(&b->waiting, id);
-	g_mutex_unlock(&b->lock);
+	pthread_mutex_unlock(&b->lock);
 	return found;
 }
 
 void
 batch_counts(struct batch *b, unsigned int *running, unsigned int *waiting)
 {
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	*running = b->running.length;
 	*waiting = b->waiting.length;
-	g_mutex_unlock(&b->lock);
+	pthread_mutex_unlock(&b->lock);
 }
 
 void
 batch_stall(struct batch *b, bool stalled)
 {
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	b->stalled = stalled;
-	g_cond_signal(&b->cond);
-	g_mutex_unlock(&b->lock);
+	pthread_cond_signal(&b->cond);
+	pthread_mutex_unlock(&b->lock);
 }
 
 void
 batch_destroy(struct batch *b)
 {
-	g_mutex_lock(&b->lock);
+	pthread_mutex_lock(&b->lock);
 	b->stopping = true;
 	b->stalled = false;
-	g_cond_signal(&b->cond);
-	g_mutex_unlock(&b->lock);
-	g_thread_join(b->thread);
-	g_mutex_clear(&b->lock);
-	g_cond_clear(&b->cond);
+	pthread_cond_signal(&b->cond);
+	pthread_mutex_unlock(&b->lock);
+	pthread_join(b->thread, NULL);
+	pthread_mutex_destroy(&b->lock);
+	pthread_cond_destroy(&b->cond);
 	g_free(b);
 }
--- a/fakes/engine/batch.h
+++ b/fakes/engine/batch.h
@@ -1,6 +1,7 @@
 #ifndef FAKES_ENGINE_BATCH_H
 #define FAKES_ENGINE_BATCH_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -44,8 +45,8 @@
 /* The continuous-batching scheduler; one thread of its own. */
 struct batch;
 
-struct batch *batch_create(
-    const struct batch_config *cfg, struct cache *cache, GMutex *cache_lock);
+struct batch *batch_create(const struct batch_config *cfg, struct cache *cache,
+    pthread_mutex_t *cache_lock);
 void batch_submit(struct batch *b, struct sequence *seq);
 /* Marks the sequence of that id as cancelled; false when there is none. */
 bool batch_cancel(struct batch *b, const char *id);
--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,7 +19,7 @@
 struct engine {
 	struct batch *batch;
 	struct cache *cache;
-	GMutex cache_lock;
+	pthread_mutex_t cache_lock;
 	struct batch_config cfg;
 	char incarnation[17];
 	char *model;
@@ -145,13 +146,13 @@
 	struct cache_event *ev;
 	guint i, skip = 0;
 
-	g_mutex_lock(&e->cache_lock);
+	pthread_mutex_lock(&e->cache_lock);
 	cache_events(e->cache,
 	    from == NULL ? 0 : g_ascii_strtoull(from, NULL, 10), jh_now(),
 	    EVENTS_PER_REPLY, evs);
 	if (evs->len > 1 && g_rand_double(e->rand) < e->gap_rate)
 		skip = evs->len / 2;
-	g_mutex_unlock(&e->cache_lock);
+	pthread_mutex_unlock(&e->cache_lock);
 	for (i = skip; i < evs->len; i++) {
 		ev = &g_array_index(evs, struct cache_event, i);
 		json_array_append_new(
@@ -197,9 +198,9 @@
 		e->fencing = MAX(e->fencing, number);
 		g_free(e->weights);
 		e->weights = g_strdup(weights);
-		g_mutex_lock(&e->cache_lock);
+		pthread_mutex_lock(&e->cache_lock);
 		cache_clear(e->cache);
-		g_mutex_unlock(&e->cache_lock);
+		pthread_mutex_unlock(&e->cache_lock);
 		reply_json(req, 200, json_pack("{s:s}", "weights", weights));
 	}
 	json_decref(root);
@@ -298,7 +299,7 @@
 	    .time_scale_percent = scale};
 
 	e->cfg = cfg;
-	g_mutex_init(&e->cache_lock);
+	pthread_mutex_init(&e->cache_lock, NULL);
 	e->cache = cache_create(
 	    (size_t)capacity, (uint64_t)event_lag_ms * JH_USEC_PER_MSEC);
 	e->batch = batch_create(&cfg, e->cache, &e->cache_lock);
--- a/fakes/service/main.c
+++ b/fakes/service/main.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "base/thread.h"
 #include "config/settings.h"
 #include "http/server.h"
 
@@ -16,7 +17,7 @@
  * run, so that a test can see a call that ran twice.
  */
 struct service {
-	GMutex lock;
+	pthread_mutex_t lock;
 	GHashTable *runs; /* body -> count */
 	uint64_t total;
 	int64_t delay_ms;
@@ -80,8 +81,8 @@
 	g_free(d);
 }
 
-static gpointer
-answer_later(gpointer arg)
+static void *
+answer_later(void *arg)
 {
 	struct delayed *d = arg;
 
@@ -98,16 +99,16 @@
 
 	d->service = s;
 	d->req = req;
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	d->run = count_run(s, jh_http_req_body(req));
 	d->abort = s->break_next;
 	s->break_next = false;
 	held = s->hang;
 	if (held)
 		g_ptr_array_add(s->held, d);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	if (!held)
-		g_thread_unref(g_thread_new("call", answer_later, d));
+		pthread_detach(jh_thread_create("call", answer_later, d));
 }
 
 static void
@@ -126,7 +127,7 @@
 	struct jh_str body = jh_http_req_body(req);
 	json_t *root = json_loadb(body.ptr, body.len, 0, NULL), *v;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	s->break_next = json_is_true(json_object_get(root, "break_next"));
 	v = json_object_get(root, "hang");
 	s->hang = json_is_true(v);
@@ -135,7 +136,7 @@
 	v = json_object_get(root, "delay_ms");
 	if (json_is_integer(v))
 		s->delay_ms = json_integer_value(v);
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	json_decref(root);
 	reply_json(req, 200, json_pack("{s:b}", "ok", 1));
 }
@@ -147,7 +148,7 @@
 	GHashTableIter it;
 	gpointer key, count;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&it, s->runs);
 	while (g_hash_table_iter_next(&it, &key, &count)) {
 		if (GPOINTER_TO_UINT(count) > 1)
@@ -157,7 +158,7 @@
 	    json_pack("{s:I, s:i, s:o}", "total", (json_int_t)s->total,
 		"distinct", (int)g_hash_table_size(s->runs), "repeated",
 		twice));
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 }
 
 static void
@@ -209,7 +210,7 @@
 		return 2;
 	}
 	g_option_context_free(ctx);
-	g_mutex_init(&s.lock);
+	pthread_mutex_init(&s.lock, NULL);
 	s.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s.held = g_ptr_array_new();
 	s.delay_ms = delay_ms;
--- a/fakes/store/service.c
+++ b/fakes/store/service.c
@@ -4,6 +4,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/thread.h"
 #include "state.h"
 
 #define BODY_LIMIT FAKE_VALUE_LIMIT
@@ -235,8 +236,8 @@
 	return next;
 }
 
-static gpointer
-timer_main(gpointer arg)
+static void *
+timer_main(void *arg)
 {
 	struct fake_store *s = arg;
 	struct timespec until;
@@ -292,19 +293,20 @@
 		fake_store_destroy(s);
 		return NULL;
 	}
-	s->timer = g_thread_new("fake-store", timer_main, s);
+	s->timer = jh_thread_create("fake-store", timer_main, s);
 	return s;
 }
 
 void
 fake_store_destroy(struct fake_store *s)
 {
-	if (s->timer != NULL) {
+	/* The timer runs once the server listens. */
+	if (s->http != NULL) {
 		pthread_mutex_lock(&s->lock);
 		s->stopping = true;
 		pthread_cond_signal(&s->wake);
 		pthread_mutex_unlock(&s->lock);
-		g_thread_join(s->timer);
+		pthread_join(s->timer, NULL);
 	}
 	if (s->http != NULL)
 		jh_http_server_destroy(s->http);
--- a/fakes/store/state.h
+++ b/fakes/store/state.h
@@ -18,7 +18,7 @@
 
 struct fake_store {
 	struct jh_http_server *http;
-	GThread *timer;
+	pthread_t timer;
 	pthread_mutex_t lock; /* guards all below */
 	pthread_cond_t wake; /* the timer has something new to wait for */
 	bool stopping;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,6 +1,8 @@
 #ifndef AGENT_AGENT_H
 #define AGENT_AGENT_H
 
+#include <pthread.h>
+
 #include <jacinthhill/cacheview.h>
 #include <jacinthhill/counters.h>
 #include <jacinthhill/queue.h>
@@ -58,7 +60,7 @@
 	struct agent_orders *orders; /* guarded by lock */
 	struct agent_rollout *rollout; /* NULL beside a plain service */
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_queue *queue;
 	struct jh_cacheview *cache; /* NULL until the engine has answered */
 	struct agent_engine engine;
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -84,14 +85,14 @@
 static void
 refuse_job(struct agent_job *j, const char *reason)
 {
-	g_mutex_lock(&j->agent->lock);
+	pthread_mutex_lock(&j->agent->lock);
 	forget(j);
-	g_mutex_unlock(&j->agent->lock);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_unlock(&j->agent->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_ENDED;
 	if (j->req != NULL)
 		agent_refuse(j->agent, j->req, 503, reason);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	agent_job_drop_req(j);
 }
 
@@ -117,9 +118,9 @@
 {
 	GArray *outcomes;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	outcomes = pump(a);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	carry_out(outcomes);
 }
 
@@ -131,16 +132,16 @@
 	jh_counters_add(a->counters, AGENT_TOKENS, j->tokens);
 	jh_counters_add(
 	    a->counters, completed ? AGENT_COMPLETED : AGENT_CANCELLED, 1);
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_finished(a->queue, jh_now(), j->id,
 	    completed ? JH_QUEUE_END_DONE : JH_QUEUE_END_ABORTED, j->tokens);
 	/* An orphaned stream that is whole is kept for its reader. */
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_ENDED;
 	if (j->req != NULL || !completed)
 		forget(j);
-	g_mutex_unlock(&j->lock);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&a->lock);
 	agent_job_drop_req(j);
 	pump_now(a);
 }
@@ -151,12 +152,12 @@
 	struct agent *a = j->agent;
 	bool queued;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	queued = jh_queue_cancel(a->queue, j->id);
 	if (queued || j->state == JOB_ENDED)
 		forget(j);
-	g_mutex_unlock(&a->lock);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_unlock(&a->lock);
+	pthread_mutex_lock(&j->lock);
 	j->cancelled = true;
 	if (queued)
 		j->state = JOB_ENDED;
@@ -164,7 +165,7 @@
 		jh_http_call_cancel(j->call);
 	if (queued && j->req != NULL)
 		jh_http_req_abort(j->req);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (queued) {
 		agent_job_drop_req(j);
 		jh_counters_add(a->counters, AGENT_CANCELLED, 1);
@@ -176,11 +177,11 @@
 {
 	struct agent_job *j;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j = g_hash_table_lookup(a->by_request, request_id);
 	if (j != NULL)
 		agent_job_ref(j);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (j == NULL)
 		return false;
 	cancel_job(j);
@@ -199,7 +200,7 @@
 	struct agent_job *j = r->job;
 	bool own, keep;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	own = j->req == r->req;
 	keep = own && j->begun && !j->cancelled && j->state != JOB_ENDED;
 	if (keep) {
@@ -209,7 +210,7 @@
 		if (j->call != NULL && j->state == JOB_RUNNING)
 			jh_http_call_resume(j->call);
 	}
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (keep)
 		jh_http_req_unref(r->req);
 	else if (own)
@@ -222,13 +223,13 @@
 	struct agent_reader *r = arg;
 	struct agent_job *j = r->job;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (j->req == r->req) {
 		j->blocked = false;
 		if (j->call != NULL && j->state == JOB_RUNNING)
 			jh_http_call_resume(j->call);
 	}
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 static const struct jh_http_req_ops job_req_ops = {.writable = on_writable,
@@ -244,7 +245,7 @@
 
 	jh_counters_add(j->agent->counters, AGENT_REATTACHED, 1);
 	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	old = j->req;
 	j->req = req;
 	j->orphan_deadline = JH_NEVER;
@@ -256,15 +257,15 @@
 	ended = j->state == JOB_ENDED;
 	if (ended)
 		jh_http_req_end(req);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (old != NULL) {
 		jh_http_req_abort(old);
 		jh_http_req_unref(old);
 	}
 	if (ended) {
-		g_mutex_lock(&j->agent->lock);
+		pthread_mutex_lock(&j->agent->lock);
 		forget(j);
-		g_mutex_unlock(&j->agent->lock);
+		pthread_mutex_unlock(&j->agent->lock);
 		agent_job_drop_req(j);
 	}
 }
@@ -278,11 +279,11 @@
 
 	if (jh_work_get(w, JH_WORK_RESUME) == NULL)
 		return false;
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j = g_hash_table_lookup(a->by_request, rid);
 	if (j != NULL)
 		agent_job_ref(j);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (j == NULL)
 		return false;
 	same_org = g_strcmp0(jh_work_get(j->work, JH_WORK_ORG),
@@ -354,7 +355,7 @@
 	enum jh_suspect_verdict verdict;
 	const char *reason = NULL;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j->id = a->next_id++;
 	item = queue_item(a, j);
 	verdict = agent_may_run(j);
@@ -375,7 +376,7 @@
 		g_hash_table_replace(a->by_request,
 		    (char *)jh_work_get(j->work, JH_WORK_REQUEST_ID), j);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return reason;
 }
 
@@ -387,13 +388,13 @@
 	struct jh_queue_item item;
 	char text[32];
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	uncached = uncached_tokens(a, j);
 	item = queue_item(a, j);
 	item.prefill = 0;
 	now = jh_now();
 	wait = jh_queue_estimate(a->queue, now, &item);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	snprintf(text, sizeof(text), "%llu",
 	    (unsigned long long)(j->prompt_tokens - uncached));
 	jh_http_req_add_header(req, "Jh-Cached", text);
@@ -461,16 +462,16 @@
 	gpointer value;
 	guint i;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	g_hash_table_iter_init(&it, a->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		j = value;
-		g_mutex_lock(&j->lock);
+		pthread_mutex_lock(&j->lock);
 		if (jh_now() >= j->orphan_deadline)
 			g_ptr_array_add(late, agent_job_ref(j));
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	for (i = 0; i < late->len; i++) {
 		cancel_job(late->pdata[i]);
 		agent_job_unref(late->pdata[i]);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -59,9 +60,9 @@
 	const char *cached = jh_http_call_header(call, "X-Cached-Tokens");
 	struct agent *a = j->agent;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_first_token(a->queue, jh_now(), j->id);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	jh_counters_add(a->counters, AGENT_PROMPT_TOKENS, j->prompt_tokens);
 	if (cached != NULL)
 		jh_counters_add(a->counters, AGENT_CACHED_TOKENS,
@@ -88,10 +89,10 @@
 	j->engine_ok = jh_http_call_status(call) == 200;
 	if (j->engine_ok)
 		note_first_token(j, call);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->begun = true;
 	begin_reply(j, call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 static bool
@@ -99,16 +100,16 @@
 {
 	struct agent_job *j = arg;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (j->blocked) {
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 		return false;
 	}
 	keep_log(j, data);
 	j->tokens += count_events(data);
 	if (j->req != NULL && !jh_http_req_write(j->req, data.ptr, data.len))
 		j->blocked = true;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	return true;
 }
 
@@ -141,14 +142,14 @@
 
 	if (result == JH_HTTP_BROKEN)
 		agent_engine_crashed(j);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (whole && j->req != NULL)
 		jh_http_req_end(j->req);
 	else
 		break_reply(j, result);
 	/* A reader that comes back from here on gets the log and its end. */
 	j->state = JOB_ENDED;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (!whole && result != JH_HTTP_CANCELLED) {
 		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
 		jh_event(JH_EV_ENGINE_LOST, G_LOG_LEVEL_WARNING,
@@ -173,9 +174,9 @@
 
 	if (text == NULL)
 		return NULL;
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	agent_engine_salt(a, text, salt);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return g_strdup_printf("%s: %s", name, salt);
 }
 
@@ -222,14 +223,14 @@
 	    .arg = agent_job_ref(j)};
 
 	jh_counters_add(a->counters, AGENT_STARTED, 1);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_RUNNING;
 	j->call = jh_http_call_start(a->client, &spec);
 	if (j->call == NULL)
 		break_reply(j, JH_HTTP_NOT_SENT);
 	else if (j->cancelled)
 		jh_http_call_cancel(j->call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	g_ptr_array_free(lines, TRUE);
 	if (j->call == NULL) {
 		agent_job_ended(j, false);
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 
 #include <jansson.h>
@@ -86,7 +87,7 @@
 	json_int_t piece;
 
 	piece = json_integer_value(json_object_get(root, "piece_tokens"));
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	if (incarnation != a->engine.incarnation) {
 		a->engine.events_from = 0;
 		jh_event(JH_EV_ENGINE_RESTARTED, G_LOG_LEVEL_INFO,
@@ -105,7 +106,7 @@
 	set_text(&a->engine.weights, weights);
 	a->engine.piece_tokens = piece > 0 ? (uint64_t)piece : 0;
 	agent_order_reported(a, p->asked_at);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 }
 
 /* Applies one [sequence, "stored" or "removed", hash]. Holds a->lock. */
@@ -137,12 +138,12 @@
 	json_t *event;
 	size_t i;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	if (a->cache != NULL && incarnation == a->engine.incarnation) {
 		json_array_foreach(json_object_get(root, "events"), i, event)
 		    take_event(a, incarnation, event);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 }
 
 static void
@@ -177,9 +178,9 @@
 	uint64_t from;
 
 	start(a, "/v1/load", take_load);
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	from = a->engine.events_from;
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	snprintf(path, sizeof(path), "/v1/cache_events?from=%llu",
 	    (unsigned long long)from);
 	start(a, path, take_events);
--- a/src/agent/job.c
+++ b/src/agent/job.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+
 #include "agent/job.h"
 
 #include <jacinthhill/clock.h>
@@ -18,7 +20,7 @@
 	j->req = req;
 	j->orphan_deadline = JH_NEVER;
 	j->log = g_string_new(NULL);
-	g_mutex_init(&j->lock);
+	pthread_mutex_init(&j->lock, NULL);
 	return j;
 }
 
@@ -35,10 +37,10 @@
 {
 	struct jh_http_req *req;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	req = j->req;
 	j->req = NULL;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (req != NULL)
 		jh_http_req_unref(req);
 }
@@ -54,7 +56,7 @@
 	jh_work_destroy(j->work);
 	jh_body_unref(j->body);
 	g_string_free(j->log, TRUE);
-	g_mutex_clear(&j->lock);
+	pthread_mutex_destroy(&j->lock);
 	g_free(j);
 }
 
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -1,6 +1,8 @@
 #ifndef AGENT_JOB_H
 #define AGENT_JOB_H
 
+#include <pthread.h>
+
 #include "agent/agent.h"
 #include "work/work.h"
 
@@ -25,7 +27,7 @@
 	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
 	GArray *pieces; /* of uint64_t, cache blocks of the prompt; or NULL */
 
-	GMutex lock; /* guards all below; taken after agent->lock */
+	pthread_mutex_t lock; /* guards all below; taken after agent->lock */
 	enum job_state state;
 	struct jh_http_req *req; /* NULL while orphaned */
 	struct jh_http_call *call;
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -69,7 +70,7 @@
 	    g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)agent_job_unref);
 	a->by_request = g_hash_table_new(g_str_hash, g_str_equal);
 	a->next_id = 1;
-	g_mutex_init(&a->lock);
+	pthread_mutex_init(&a->lock, NULL);
 	a->client = jh_http_client_create("upstream", MAX_CALLS);
 	a->catalog = jh_catalog_create();
 	feed.instance = a->set.instance;
@@ -108,7 +109,7 @@
 	jh_counters_destroy(a->counters);
 	g_free(a->engine.model);
 	g_free(a->engine.weights);
-	g_mutex_clear(&a->lock);
+	pthread_mutex_destroy(&a->lock);
 }
 
 /* Entry daemons of the list are the peers of the feed. */
--- a/src/agent/once.c
+++ b/src/agent/once.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -25,7 +26,7 @@
 	struct agent *agent;
 	struct jh_store *store;
 	struct once_ask *ask;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_ledger *ledger;
 	GHashTable *attempts; /* &id -> struct attempt */
 	uint64_t next_attempt;
@@ -64,10 +65,10 @@
 	struct pending *p = arg;
 	struct agent_once *o = p->once;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	jh_ledger_store_result(o->ledger, jh_now(), p->op,
 	    convert_result(reply->result), reply->version, reply->value);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	g_free(p);
 	carry_out(o);
 }
@@ -91,10 +92,10 @@
 	if (started)
 		return;
 	g_free(p);
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	jh_ledger_store_result(o->ledger, jh_now(), act->op,
 	    JH_STORE_UNAVAILABLE, 0, (struct jh_str){NULL, 0});
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 }
 
 static void
@@ -103,9 +104,9 @@
 {
 	struct agent_once *o = arg;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	jh_ledger_peer_result(o->ledger, jh_now(), op, state, answer);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	carry_out(o);
 }
 
@@ -118,7 +119,7 @@
 	struct agent_once *o = p->once;
 	struct jh_call_answer *kept;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	if (answer->result == JH_HTTP_OK && !answer->too_long) {
 		kept = jh_call_answer_create(
 		    answer->status, jh_str_from(answer->type), answer->body);
@@ -128,7 +129,7 @@
 		jh_ledger_server_broke(o->ledger, jh_now(), p->op,
 		    answer->result != JH_HTTP_NOT_SENT);
 	}
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	g_free(p);
 	carry_out(o);
 }
@@ -142,13 +143,13 @@
 	struct jh_http_req *req = NULL;
 	struct attempt *t;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	t = g_hash_table_lookup(o->attempts, &id);
 	if (t != NULL) {
 		req = jh_http_req_ref(t->req);
 		*path = g_strdup(t->path);
 	}
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	return req;
 }
 
@@ -164,9 +165,9 @@
 			       jh_http_req_body(req), &service_ops, p)) {
 		p = NULL;
 	} else {
-		g_mutex_lock(&o->lock);
+		pthread_mutex_lock(&o->lock);
 		jh_ledger_server_broke(o->ledger, jh_now(), act->op, false);
-		g_mutex_unlock(&o->lock);
+		pthread_mutex_unlock(&o->lock);
 	}
 	if (req != NULL)
 		jh_http_req_unref(req);
@@ -248,13 +249,13 @@
 	struct jh_http_req *req = NULL;
 	struct attempt *t;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	t = g_hash_table_lookup(o->attempts, &act->attempt);
 	if (t != NULL) {
 		g_hash_table_remove(o->attempts, &act->attempt);
 		req = t->req;
 	}
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	if (req == NULL)
 		return;
 	write_reply(o, req, act);
@@ -266,10 +267,10 @@
 {
 	if (once_ask_start(o->ask, act->op, act->agent, act->nonce))
 		return;
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	jh_ledger_peer_result(
 	    o->ledger, jh_now(), act->op, JH_NONCE_NO_ANSWER, NULL);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 }
 
 static void
@@ -304,9 +305,9 @@
 	struct jh_ledger_action *act;
 
 	for (;;) {
-		g_mutex_lock(&o->lock);
+		pthread_mutex_lock(&o->lock);
 		act = jh_ledger_next(o->ledger);
-		g_mutex_unlock(&o->lock);
+		pthread_mutex_unlock(&o->lock);
 		if (act == NULL)
 			return;
 		carry_out_one(o, act);
@@ -321,11 +322,11 @@
 	struct agent_once *o = t->once;
 	bool waiting;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	waiting = g_hash_table_remove(o->attempts, &t->id);
 	if (waiting)
 		jh_ledger_attempt_left(o->ledger, jh_now(), t->id);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	if (waiting)
 		jh_http_req_unref(t->req);
 	carry_out(o);
@@ -375,13 +376,13 @@
 	t->once = o;
 	t->req = req;
 	t->path = g_strdup(path);
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	t->id = o->next_attempt++;
 	attempt.id = t->id;
 	jh_http_req_watch(req, &attempt_ops, t);
 	g_hash_table_insert(o->attempts, &t->id, t);
 	jh_ledger_attempt(o->ledger, jh_now(), &attempt);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	jh_work_destroy(w);
 	carry_out(o);
 }
@@ -389,10 +390,10 @@
 void
 agent_once_tick(struct agent_once *o)
 {
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	if (jh_now() >= jh_ledger_due(o->ledger))
 		jh_ledger_tick(o->ledger, jh_now());
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	carry_out(o);
 }
 
@@ -401,9 +402,9 @@
 {
 	size_t n;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	n = jh_ledger_calls(o->ledger);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	return n;
 }
 
@@ -415,9 +416,9 @@
 	struct jh_call_answer *answer = NULL;
 	struct jh_str body;
 
-	g_mutex_lock(&o->lock);
+	pthread_mutex_lock(&o->lock);
 	reply->state = jh_ledger_asked(o->ledger, nonce, &answer);
-	g_mutex_unlock(&o->lock);
+	pthread_mutex_unlock(&o->lock);
 	reply->type = g_strdup("");
 	if (answer == NULL)
 		return;
@@ -440,7 +441,7 @@
 	    .agent = jh_str_from(self), .incarnation = a->incarnation};
 
 	o->agent = a;
-	g_mutex_init(&o->lock);
+	pthread_mutex_init(&o->lock, NULL);
 	o->ledger = jh_ledger_create(&settings);
 	o->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	o->next_attempt = 1;
@@ -457,6 +458,6 @@
 	jh_store_destroy(o->store);
 	jh_ledger_destroy(o->ledger);
 	g_hash_table_destroy(o->attempts);
-	g_mutex_clear(&o->lock);
+	pthread_mutex_destroy(&o->lock);
 	g_free(o);
 }
--- a/src/agent/once_ask.c
+++ b/src/agent/once_ask.c
@@ -2,6 +2,7 @@
 
 #include "agent/once_ask.h"
 #include "base/ring.h"
+#include "base/thread.h"
 #include "config/settings.h"
 #include "rpc/server.h"
 
@@ -19,10 +20,10 @@
 	const struct once_ask_ops *ops;
 	void *arg;
 	struct jh_ring *questions;
-	GMutex lock; /* guards the condition */
-	GCond cond;
+	pthread_mutex_t lock; /* guards the condition */
+	pthread_cond_t cond;
 	bool stopping;
-	GThread *thread;
+	pthread_t thread;
 };
 
 static void
@@ -53,8 +54,8 @@
 		jh_call_answer_unref(answer);
 }
 
-static gpointer
-ask_main(gpointer arg)
+static void *
+ask_main(void *arg)
 {
 	struct once_ask *k = arg;
 	struct question *q;
@@ -64,16 +65,16 @@
 			ask(k, q);
 			g_free(q);
 		}
-		g_mutex_lock(&k->lock);
+		pthread_mutex_lock(&k->lock);
 		if (k->stopping) {
-			g_mutex_unlock(&k->lock);
+			pthread_mutex_unlock(&k->lock);
 			return NULL;
 		}
 		/* A question may have come since the ring was empty. */
 		q = jh_ring_pop(k->questions);
 		if (q == NULL)
-			g_cond_wait(&k->cond, &k->lock);
-		g_mutex_unlock(&k->lock);
+			pthread_cond_wait(&k->cond, &k->lock);
+		pthread_mutex_unlock(&k->lock);
 		if (q != NULL) {
 			ask(k, q);
 			g_free(q);
@@ -91,9 +92,9 @@
 	k->ops = ops;
 	k->arg = arg;
 	k->questions = jh_ring_create(MAX_QUESTIONS);
-	g_mutex_init(&k->lock);
-	g_cond_init(&k->cond);
-	k->thread = g_thread_new("ask", ask_main, k);
+	pthread_mutex_init(&k->lock, NULL);
+	jh_cond_init(&k->cond);
+	k->thread = jh_thread_create("ask", ask_main, k);
 	return k;
 }
 
@@ -102,16 +103,16 @@
 {
 	struct question *q;
 
-	g_mutex_lock(&k->lock);
+	pthread_mutex_lock(&k->lock);
 	k->stopping = true;
-	g_cond_signal(&k->cond);
-	g_mutex_unlock(&k->lock);
-	g_thread_join(k->thread);
+	pthread_cond_signal(&k->cond);
+	pthread_mutex_unlock(&k->lock);
+	pthread_join(k->thread, NULL);
 	while ((q = jh_ring_pop(k->questions)) != NULL)
 		g_free(q);
 	jh_ring_destroy(k->questions);
-	g_mutex_clear(&k->lock);
-	g_cond_clear(&k->cond);
+	pthread_mutex_destroy(&k->lock);
+	pthread_cond_destroy(&k->cond);
 	g_free(k);
 }
 
@@ -128,10 +129,10 @@
 		g_free(q);
 		return false;
 	}
-	g_mutex_lock(&k->lock);
+	pthread_mutex_lock(&k->lock);
 	queued = jh_ring_push(k->questions, q);
-	g_cond_signal(&k->cond);
-	g_mutex_unlock(&k->lock);
+	pthread_cond_signal(&k->cond);
+	pthread_mutex_unlock(&k->lock);
 	if (!queued)
 		g_free(q);
 	return queued;
--- a/src/agent/order.c
+++ b/src/agent/order.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -133,11 +134,11 @@
 {
 	const char *fault;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	fault = find_fault(a, order);
 	if (fault == NULL)
 		begin(a->orders, order);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return fault;
 }
 
@@ -155,7 +156,7 @@
 	struct agent *a = arg;
 	struct agent_orders *o = a->orders;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	if (result == JH_HTTP_OK) {
 		o->loaded = jh_http_call_status(call) == 200;
 		set_outcome(o, o->loaded ? "loaded" : "refused by the engine");
@@ -165,7 +166,7 @@
 	/* Whatever came of it, only a later report tells what is served. */
 	o->answered_at = jh_now();
 	o->state = ORDER_ASKING;
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 }
 
 static const struct jh_http_call_ops order_ops = {.done = on_done};
@@ -190,9 +191,9 @@
 	struct jh_http_call *call = jh_http_call_start(a->client, &spec);
 
 	if (call == NULL) {
-		g_mutex_lock(&a->lock);
+		pthread_mutex_lock(&a->lock);
 		give_up(a->orders, "no call to the engine could be made");
-		g_mutex_unlock(&a->lock);
+		pthread_mutex_unlock(&a->lock);
 	}
 	jh_http_call_unref(call);
 	free(text);
@@ -205,9 +206,9 @@
 {
 	bool running;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	running = j->started_at != 0 && j->state != JOB_ENDED;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	return running;
 }
 
@@ -234,7 +235,7 @@
 	uint64_t token = o->ops == NULL ? o->token : o->ops->token(o->arg);
 	char *weights = NULL;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	if (token == 0) {
 		give_up(o, "the lease ran out");
 	} else if (is_drained(a)) {
@@ -246,7 +247,7 @@
 			give_up(o, "a newer order came in between");
 		}
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (weights != NULL)
 		send_order(a, token, weights);
 	g_free(weights);
@@ -260,7 +261,7 @@
 	bool loaded;
 	void *arg;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	ops = o->ops;
 	arg = o->arg;
 	loaded = o->loaded;
@@ -268,7 +269,7 @@
 	    "order of %s to load %s of %s: %s", o->duty, o->weights, o->model,
 	    o->outcome);
 	o->state = ORDER_NONE;
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (ops != NULL)
 		ops->done(arg, loaded);
 }
@@ -278,9 +279,9 @@
 {
 	enum order_state state;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	state = a->orders->state;
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (state == ORDER_DRAINING)
 		try_send(a);
 	else if (state == ORDER_ENDED)
--- a/src/agent/pieces.c
+++ b/src/agent/pieces.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -88,12 +89,12 @@
 	const char *common = jh_work_get(w, JH_WORK_SHARED_SALT);
 	uint64_t tokens;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	tokens = a->engine.piece_tokens;
 	agent_engine_salt(a, own == NULL ? "" : own, salt);
 	if (common != NULL)
 		agent_engine_salt(a, common, shared);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return tokens;
 }
 
--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -20,7 +21,7 @@
 	struct agent *agent;
 	struct jh_store *store; /* NULL until first needed */
 	GRand *rand; /* guarded by lock */
-	GMutex lock; /* guards machine; taken without agent->lock */
+	pthread_mutex_t lock; /* guards machine; taken without agent->lock */
 	struct jh_rollout *machine;
 };
 
@@ -43,7 +44,7 @@
 	r->agent = a;
 	r->rand = g_rand_new_with_seed((guint32)a->incarnation);
 	spec.rand = r->rand;
-	g_mutex_init(&r->lock);
+	pthread_mutex_init(&r->lock, NULL);
 	r->machine = jh_rollout_create(&spec);
 	return r;
 }
@@ -55,7 +56,7 @@
 		jh_store_destroy(r->store);
 	jh_rollout_destroy(r->machine);
 	g_rand_free(r->rand);
-	g_mutex_clear(&r->lock);
+	pthread_mutex_destroy(&r->lock);
 	g_free(r);
 }
 
@@ -90,10 +91,10 @@
 {
 	struct agent_rollout *r = c->rollout;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	jh_rollout_on_result(
 	    r->machine, jh_wall_now(), c->action.call, result, version, value);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	run_free(c);
 }
 
@@ -129,9 +130,9 @@
 	struct agent_rollout *r = arg;
 	uint64_t n;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	n = jh_rollout_token(r->machine, jh_wall_now());
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return n;
 }
 
@@ -140,9 +141,9 @@
 {
 	struct agent_rollout *r = arg;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	jh_rollout_on_loaded(r->machine, jh_wall_now(), loaded);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 static const struct agent_order_ops order_ops = {
@@ -170,13 +171,13 @@
 	bool due;
 
 	c->rollout = r;
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	due = jh_rollout_next(r->machine, jh_wall_now(), &c->action);
 	if (due && c->action.kind != JH_ROLLOUT_LOAD) {
 		c->key = g_strdup(c->action.key);
 		c->value = jh_str_dup(c->action.value);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	if (!due)
 		g_clear_pointer(&c, run_free);
 	return c;
@@ -192,10 +193,10 @@
 	struct jh_model *m;
 	char *target = NULL, *serves;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	*model = g_strdup(a->engine.model);
 	serves = g_strdup(a->engine.weights);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	m = *model == NULL ? NULL : jh_catalog_find_model(a->catalog, *model);
 	if (m != NULL && serves != NULL && strcmp(m->weights, serves) != 0 &&
 	    !g_atomic_int_get(&a->leaving) &&
@@ -213,9 +214,9 @@
 	char *model, *weights = find_target(r->agent, &model);
 	struct run *c;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	jh_rollout_set_target(r->machine, jh_wall_now(), model, weights);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	g_free(model);
 	g_free(weights);
 	while ((c = next_action(r)) != NULL) {
@@ -247,18 +248,18 @@
 	size_t i, fleet = 0;
 	char *model;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	model = g_strdup(a->engine.model);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	for (i = 0; i < n; i++) {
 		fleet += list[i]->role == JH_ROLE_AGENT;
 		if (can_stand_in(a, list[i], model))
 			g_ptr_array_add(others, list[i]->id);
 	}
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	jh_rollout_set_workers(
 	    r->machine, (const char *const *)others->pdata, others->len, fleet);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	g_ptr_array_free(others, TRUE);
 	g_free(model);
 }
@@ -268,8 +269,8 @@
 {
 	const char *state;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	state = jh_rollout_state_name(r->machine);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return state;
 }
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -62,7 +63,7 @@
 
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 	    (unsigned long long)a->incarnation);
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_visit(a->queue, add_figure, queue);
 	snprintf(engine, sizeof(engine), "%016llx",
 	    (unsigned long long)a->engine.incarnation);
@@ -79,7 +80,7 @@
 	    "incarnation", engine, "model", a->engine.model, "weights",
 	    a->engine.weights, "order", agent_order_dump(a), "rollout", rollout,
 	    "counters", dump_counters(a->counters));
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return root;
 }
 
--- a/src/agent/suspect.c
+++ b/src/agent/suspect.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+
 #include <jacinthhill/clock.h>
 
 #include "agent/suspect.h"
@@ -27,13 +29,13 @@
 	GArray *batch = NULL;
 	uint64_t seq = 0;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	if (j->started_at > a->crashed_at) {
 		a->crashed_at = jh_now();
 		seq = ++a->crash_seq;
 		batch = collect_prints(a, NULL, true);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (batch == NULL)
 		return;
 	crash_log_crashed(a->crashes, a->incarnation, seq,
--- /dev/null
+++ b/src/base/thread.h
@@ -0,0 +1,18 @@
+#ifndef BASE_THREAD_H
+#define BASE_THREAD_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Initializes a condition whose deadlines are jh_now() times. */
+void jh_cond_init(pthread_cond_t *cond);
+
+/* Returns false once the deadline has passed. */
+bool jh_cond_wait_until(
+    pthread_cond_t *cond, pthread_mutex_t *lock, uint64_t deadline);
+
+/* Starts a thread with a name of at most 15 bytes; aborts if it cannot. */
+pthread_t jh_thread_create(const char *name, void *(*fn)(void *), void *arg);
+
+#endif
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -115,14 +116,14 @@
 	    header_number(call, "Jh-Cached", 0));
 	jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
 	    jh_prefix_tokens(&j->prefix));
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->accepted = true;
 	if (cached != NULL)
 		g_strlcpy(j->cached_text, cached, sizeof(j->cached_text));
 	g_free(j->answer_type);
 	j->answer_type = g_strdup(jh_http_call_header(call, "Content-Type"));
 	begin_reply(j);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 /*
@@ -169,9 +170,9 @@
 	struct entry_job *j = arg;
 	bool taken;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	taken = take_data(j, call, data);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	return taken;
 }
 
@@ -189,7 +190,7 @@
 {
 	struct entry *e = j->entry;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (!j->stream && j->req != NULL) {
 		add_trace_headers(j);
 		jh_http_req_reply(j->req, 200,
@@ -197,10 +198,10 @@
 					   : j->answer_type,
 		    j->answer->str, j->answer->len);
 	}
-	g_mutex_unlock(&j->lock);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_unlock(&j->lock);
+	pthread_mutex_lock(&e->lock);
 	jh_retry_success(e->retry, jh_now());
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	entry_job_finish(j);
 }
@@ -265,9 +266,9 @@
 		j->next_candidate = 0;
 		j->stage = STAGE_NONE;
 	}
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	allowed = not_sent || jh_retry_take(e->retry, jh_now());
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	if (crash_log_state(e->crashes, j->print) == JH_SUSPECT_QUARANTINED) {
 		refuse_quarantined(j, ENTRY_UNKNOWN);
 		return;
@@ -349,10 +350,10 @@
 	unsigned int status = jh_http_call_status(call);
 	bool whole, left;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	whole = is_whole(j, result);
 	left = j->left && result == JH_HTTP_CANCELLED;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (whole)
 		complete(j);
 	else if (left || j->left)
@@ -576,14 +577,14 @@
 	while (next_candidate(j, &c)) {
 		if (!entry_workers_find(j->entry->workers, c.worker, &to))
 			continue;
-		g_mutex_lock(&j->lock);
+		pthread_mutex_lock(&j->lock);
 		if (j->left && !j->resumable) {
-			g_mutex_unlock(&j->lock);
+			pthread_mutex_unlock(&j->lock);
 			entry_job_finish(j);
 			return;
 		}
 		started = start(j, &c, &to);
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 		if (started)
 			return;
 		entry_job_unref(j);
--- a/src/entry/cancel.c
+++ b/src/entry/cancel.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 
 #include <jacinthhill/clock.h>
@@ -55,7 +56,7 @@
 	struct jh_http_call *call = NULL;
 	uint64_t worker;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->left = true;
 	j->leave_deadline = JH_NEVER;
 	worker = j->worker;
@@ -63,7 +64,7 @@
 		call = j->call;
 	if (call != NULL)
 		jh_http_call_cancel(call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (call == NULL)
 		return;
 	jh_counters_add(j->entry->counters, ENTRY_CANCELLED, 1);
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -17,11 +18,11 @@
 {
 	struct entry_job *j = arg;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->blocked = false;
 	if (j->call != NULL && !j->finished)
 		jh_http_call_resume(j->call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 static void
@@ -30,7 +31,7 @@
 	struct entry_job *j = arg;
 	bool wait;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	wait = j->resumable && j->begun && !j->finished;
 	j->left = true;
 	if (wait)
@@ -40,7 +41,7 @@
 		j->blocked = false;
 		jh_http_call_resume(j->call);
 	}
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (!wait)
 		entry_job_cancel(j);
 }
@@ -157,6 +158,9 @@
 	j->stream = c.stream;
 	j->max_tokens = c.max_tokens;
 	set_prefix(j, &c, m);
+	/* Before the body leaves the request. */
+	j->print = jh_fingerprint_of(
+	    jh_str_from(j->caller.org->name), jh_http_req_body(req));
 	take_body(j, &c, req);
 	ok = true;
 out:
@@ -176,8 +180,6 @@
 		j->entry, req, DEFAULT_CLASS, JH_ENTRY_CHAT, &j->caller) ||
 	    !read_request(j, req))
 		return false;
-	j->print = jh_fingerprint_of(
-	    jh_str_from(j->caller.org->name), jh_http_req_body(req));
 	if (crash_log_state(j->entry->crashes, j->print) ==
 	    JH_SUSPECT_QUARANTINED) {
 		entry_reply_error(
@@ -221,9 +223,9 @@
 		}
 	}
 	jh_http_req_watch(req, &job_ops, entry_job_ref(j));
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	g_hash_table_add(e->jobs, entry_job_ref(j));
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	entry_job_advance(j);
 	entry_job_unref(j);
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,6 +1,8 @@
 #ifndef ENTRY_ENTRY_H
 #define ENTRY_ENTRY_H
 
+#include <pthread.h>
+
 #include <jacinthhill/catalog.h>
 #include <jacinthhill/counters.h>
 #include <jacinthhill/retry.h>
@@ -48,7 +50,7 @@
 	int leaving; /* atomic */
 	int listed; /* atomic: the instance list has been read */
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_retry *retry;
 	GHashTable *jobs; /* set of struct entry_job */
 };
--- a/src/entry/heads.c
+++ b/src/entry/heads.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -16,7 +17,7 @@
 #define SEEN_SLOTS 256
 
 struct entry_heads {
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	GPtrArray *list; /* of struct entry_head, last used first */
 	size_t bytes;
 	uint64_t seen[SEEN_SLOTS];
@@ -45,7 +46,7 @@
 {
 	struct entry_heads *h = g_new0(struct entry_heads, 1);
 
-	g_mutex_init(&h->lock);
+	pthread_mutex_init(&h->lock, NULL);
 	h->list = g_ptr_array_new_with_free_func(unref_item);
 	return h;
 }
@@ -54,7 +55,7 @@
 entry_heads_destroy(struct entry_heads *h)
 {
 	g_ptr_array_free(h->list, TRUE);
-	g_mutex_clear(&h->lock);
+	pthread_mutex_destroy(&h->lock);
 	g_free(h);
 }
 
@@ -117,11 +118,11 @@
 {
 	struct entry_head *head;
 
-	g_mutex_lock(&h->lock);
+	pthread_mutex_lock(&h->lock);
 	head = find(h, org, body);
 	if (head != NULL)
 		g_atomic_int_inc(&head->refs);
-	g_mutex_unlock(&h->lock);
+	pthread_mutex_unlock(&h->lock);
 	return head;
 }
 
@@ -243,10 +244,10 @@
 
 	if (org != NULL)
 		key = XXH3_64bits_withSeed(org, strlen(org), key);
-	g_mutex_lock(&h->lock);
+	pthread_mutex_lock(&h->lock);
 	seen = h->seen[key % SEEN_SLOTS] == key;
 	h->seen[key % SEEN_SLOTS] = key;
-	g_mutex_unlock(&h->lock);
+	pthread_mutex_unlock(&h->lock);
 	return seen;
 }
 
@@ -263,7 +264,7 @@
 	head = make(org, body, root, hash);
 	if (head == NULL)
 		return;
-	g_mutex_lock(&h->lock);
+	pthread_mutex_lock(&h->lock);
 	insert(h, head);
-	g_mutex_unlock(&h->lock);
+	pthread_mutex_unlock(&h->lock);
 }
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -25,7 +26,7 @@
 	for (i = 0; i < REQUEST_ID_BYTES; i++)
 		snprintf(j->rid + 2 * i, 3, "%02x", id[i]);
 	j->out = g_string_new(NULL);
-	g_mutex_init(&j->lock);
+	pthread_mutex_init(&j->lock, NULL);
 	return j;
 }
 
@@ -51,7 +52,7 @@
 	jh_body_unref(j->body);
 	g_free(j->model);
 	g_free(j->rid);
-	g_mutex_clear(&j->lock);
+	pthread_mutex_destroy(&j->lock);
 	g_free(j);
 }
 
@@ -79,17 +80,17 @@
 	struct jh_http_req *req;
 	bool known;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->finished = true;
 	req = j->req;
 	j->req = NULL;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (req != NULL)
 		jh_http_req_unref(req);
 	end_ticket(j);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	known = g_hash_table_remove(e->jobs, j);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	if (known)
 		entry_job_unref(j);
 }
@@ -99,12 +100,12 @@
 {
 	struct entry *e = j->entry;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (j->req != NULL && !j->begun)
 		entry_reply_error(j->req, code, ran, NULL);
 	else if (j->req != NULL)
 		jh_http_req_abort(j->req);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	jh_counters_add(e->counters, ENTRY_REFUSED, 1);
 	if (code == ENTRY_ERR_NO_CAPACITY || code == ENTRY_ERR_DEADLINE ||
 	    code == ENTRY_ERR_LIMIT_EXCEEDED)
@@ -122,16 +123,16 @@
 	gpointer key;
 	guint i;
 
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	g_hash_table_iter_init(&it, e->jobs);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		j = key;
-		g_mutex_lock(&j->lock);
+		pthread_mutex_lock(&j->lock);
 		if (jh_now() >= j->leave_deadline)
 			g_ptr_array_add(late, entry_job_ref(j));
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 	}
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	for (i = 0; i < late->len; i++) {
 		entry_job_cancel(late->pdata[i]);
 		entry_job_unref(late->pdata[i]);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -1,6 +1,8 @@
 #ifndef ENTRY_JOB_H
 #define ENTRY_JOB_H
 
+#include <pthread.h>
+
 #include <jacinthhill/relay.h>
 
 #include "entry/caller.h"
@@ -32,7 +34,7 @@
 	uint64_t reconnect_worker; /* 0: a new request */
 	uint64_t reconnect_position;
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_http_req *req; /* NULL once the reply is settled */
 	struct jh_body *body;
 	struct jh_http_call *call;
--- a/src/entry/limits.c
+++ b/src/entry/limits.c
@@ -2,6 +2,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/thread.h"
 #include "entry/limits_state.h"
 
 /* An unused limit is forgotten after this long. */
@@ -122,7 +123,7 @@
 	uint64_t now = jh_now();
 	struct limit *t;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	t = find_limit(l, rule, &amount);
 	limit_set_amount(t, now, &amount);
 	t->idle_deadline = now + IDLE_USEC;
@@ -132,7 +133,7 @@
 		ticket->limit = t;
 		ticket->cost = cost;
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return ticket;
 }
 
@@ -141,11 +142,11 @@
 {
 	if (t == NULL)
 		return;
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	t->limit->running--;
 	jh_quota_holder_done(
 	    t->limit->holder, jh_now(), (int64_t)cost - (int64_t)t->cost);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	g_free(t);
 }
 
@@ -156,9 +157,9 @@
 	uint64_t *copy = g_new(uint64_t, 1);
 
 	*copy = incarnation;
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	g_hash_table_replace(l->heard, g_strdup(instance), copy);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 /* Answers one report as granter; false if there is no grant. Holds l->lock. */
@@ -210,33 +211,33 @@
 	reply->grants.grants_val = g_new0(struct jh_wire_grant, n);
 	if (args->granter != l->entry->incarnation)
 		return;
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	for (i = 0; i < n; i++) {
 		if (answer_report(l, &args->reports.reports_val[i],
 			args->incarnation,
 			&reply->grants.grants_val[reply->grants.grants_len]))
 			reply->grants.grants_len++;
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
-static gpointer
-limits_main(gpointer arg)
+static void *
+limits_main(void *arg)
 {
 	struct entry_limits *l = arg;
-	gint64 next;
+	uint64_t next;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	while (!l->stopping) {
-		next = g_get_monotonic_time() + (gint64)JH_QUOTA_REPORT_USEC;
-		g_mutex_unlock(&l->lock);
+		next = jh_now() + JH_QUOTA_REPORT_USEC;
+		pthread_mutex_unlock(&l->lock);
 		limits_run_round(l);
-		g_mutex_lock(&l->lock);
+		pthread_mutex_lock(&l->lock);
 		while (!l->stopping &&
-		       g_cond_wait_until(&l->stop_cond, &l->lock, next))
+		       jh_cond_wait_until(&l->stop_cond, &l->lock, next))
 			;
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return NULL;
 }
 
@@ -245,9 +246,9 @@
 {
 	size_t n;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	n = g_hash_table_size(l->limits);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return n;
 }
 
@@ -257,30 +258,30 @@
 	struct entry_limits *l = g_new0(struct entry_limits, 1);
 
 	l->entry = e;
-	g_mutex_init(&l->lock);
-	g_cond_init(&l->stop_cond);
+	pthread_mutex_init(&l->lock, NULL);
+	jh_cond_init(&l->stop_cond);
 	l->limits =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, limit_free);
 	l->heard =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->peers = g_array_new(FALSE, FALSE, sizeof(struct peer));
 	g_array_set_clear_func(l->peers, clear_peer);
-	l->thread = g_thread_new("limits", limits_main, l);
+	l->thread = jh_thread_create("limits", limits_main, l);
 	return l;
 }
 
 void
 entry_limits_destroy(struct entry_limits *l)
 {
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	l->stopping = true;
-	g_cond_signal(&l->stop_cond);
-	g_mutex_unlock(&l->lock);
-	g_thread_join(l->thread);
+	pthread_cond_signal(&l->stop_cond);
+	pthread_mutex_unlock(&l->lock);
+	pthread_join(l->thread, NULL);
 	g_hash_table_destroy(l->limits);
 	g_hash_table_destroy(l->heard);
 	g_array_free(l->peers, TRUE);
-	g_mutex_clear(&l->lock);
-	g_cond_clear(&l->stop_cond);
+	pthread_mutex_destroy(&l->lock);
+	pthread_cond_destroy(&l->stop_cond);
 	g_free(l);
 }
--- a/src/entry/limits_round.c
+++ b/src/entry/limits_round.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -120,7 +121,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	refresh_peers(l);
 	g_hash_table_iter_init(&it, l->limits);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -132,7 +133,7 @@
 		limits_update_view(l, t);
 		add_report(l, batches, t);
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return batches;
 }
 
@@ -170,10 +171,10 @@
 		&b->args, &reply, jh_now() + REPORT_TIMEOUT_USEC, NULL))
 		return;
 	entry_limits_heard(l, b->peer.instance, reply.incarnation);
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	for (i = 0; i < reply.grants.grants_len; i++)
 		take_grant(l, &reply.grants.grants_val[i], reply.incarnation);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	jh_rpc_reply_clear(JH_QUOTA, &reply);
 }
 
--- a/src/entry/limits_state.h
+++ b/src/entry/limits_state.h
@@ -1,6 +1,8 @@
 #ifndef ENTRY_LIMITS_STATE_H
 #define ENTRY_LIMITS_STATE_H
 
+#include <pthread.h>
+
 #include "entry/limit.h"
 #include "entry/limits.h"
 
@@ -14,13 +16,13 @@
 
 struct entry_limits {
 	struct entry *entry;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	GHashTable *limits; /* key -> struct limit */
 	GHashTable *heard; /* instance -> &incarnation; both owned */
 	GArray *peers; /* of struct peer: entry daemons of the region */
 	bool stopping;
-	GCond stop_cond;
-	GThread *thread;
+	pthread_cond_t stop_cond;
+	pthread_t thread;
 };
 
 /* Finds out who grants the limit now. Holds l->lock. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
@@ -84,7 +85,7 @@
 	e->heads = entry_heads_create();
 	e->wait = entry_wait_create();
 	e->jobs = g_hash_table_new(NULL, NULL);
-	g_mutex_init(&e->lock);
+	pthread_mutex_init(&e->lock, NULL);
 	e->client = jh_http_client_create("upstream", MAX_CALLS);
 	feed.instance = e->set.instance;
 	feed.zone = e->set.zone;
@@ -114,7 +115,7 @@
 	entry_workers_destroy(e->workers);
 	jh_catalog_destroy(e->catalog);
 	jh_counters_destroy(e->counters);
-	g_mutex_clear(&e->lock);
+	pthread_mutex_destroy(&e->lock);
 }
 
 /* Waits for a stop signal for one tick; returns true when it has come. */
--- a/src/entry/refusal_log.c
+++ b/src/entry/refusal_log.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+
 #include <jacinthhill/clock.h>
 #include <jacinthhill/refusals.h>
 
@@ -10,7 +12,7 @@
 
 struct refusal_log {
 	struct jh_store *store;
-	GMutex lock; /* guards the recorder */
+	pthread_mutex_t lock; /* guards the recorder */
 	struct jh_refusals *recorder;
 	uint64_t dropped; /* ticking thread only */
 };
@@ -24,9 +26,9 @@
 settle(struct refusal_log *g, uint64_t op, enum jh_store_result result,
     uint64_t version)
 {
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	jh_refusals_result(g->recorder, jh_wall_now(), op, result, version);
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 }
 
 static void
@@ -80,9 +82,9 @@
 	report_dropped(g);
 
 	for (;;) {
-		g_mutex_lock(&g->lock);
+		pthread_mutex_lock(&g->lock);
 		due = jh_refusals_next(g->recorder, jh_wall_now());
-		g_mutex_unlock(&g->lock);
+		pthread_mutex_unlock(&g->lock);
 		if (due == NULL)
 			return;
 		start_write(g, due);
@@ -94,28 +96,28 @@
 refusal_log_count(
     struct refusal_log *g, const char *owner, const char *class_name)
 {
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	jh_refusals_count(g->recorder, jh_wall_now(), jh_str_from(owner),
 	    jh_str_from(class_name));
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 }
 
 void
 refusal_log_seen(
     struct refusal_log *g, const char *instance, uint64_t incarnation)
 {
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	jh_refusals_seen(
 	    g->recorder, jh_wall_now(), jh_str_from(instance), incarnation);
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 }
 
 void
 refusal_log_close(struct refusal_log *g)
 {
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	jh_refusals_close(g->recorder, jh_wall_now());
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 }
 
 bool
@@ -123,9 +125,9 @@
 {
 	bool idle;
 
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	idle = jh_refusals_idle(g->recorder);
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 	return idle;
 }
 
@@ -134,9 +136,9 @@
 {
 	uint64_t n;
 
-	g_mutex_lock(&g->lock);
+	pthread_mutex_lock(&g->lock);
 	n = jh_refusals_dropped(g->recorder);
-	g_mutex_unlock(&g->lock);
+	pthread_mutex_unlock(&g->lock);
 	return n;
 }
 
@@ -148,7 +150,7 @@
 	    .incarnation = e->incarnation};
 	struct refusal_log *g = g_new0(struct refusal_log, 1);
 
-	g_mutex_init(&g->lock);
+	pthread_mutex_init(&g->lock, NULL);
 	g->recorder = jh_refusals_create(&s, jh_wall_now());
 	g->store = jh_store_create(&e->set.store, MAX_STORE_CALLS);
 	return g;
@@ -159,6 +161,6 @@
 {
 	jh_store_destroy(g->store);
 	jh_refusals_destroy(g->recorder);
-	g_mutex_clear(&g->lock);
+	pthread_mutex_destroy(&g->lock);
 	g_free(g);
 }
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -91,9 +92,9 @@
 	jh_catalog_stats(e->catalog, &st);
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 	    (unsigned long long)e->incarnation);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	jobs = g_hash_table_size(e->jobs);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, "
 			 "s:{s:I, s:I, s:b, s:i, s:i, s:i, s:i}, s:o, s:o}",
 	    "instance", e->set.instance, "role", "entry", "incarnation",
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -145,9 +146,9 @@
 	jh_http_req_reply(j->req, jh_http_call_status(call),
 	    type == NULL ? "application/octet-stream" : type, j->answer->str,
 	    j->answer->len);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	jh_retry_success(e->retry, jh_now());
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	destroy(j);
 }
@@ -160,9 +161,9 @@
 
 	if (!not_sent) {
 		j->may_have_run = true;
-		g_mutex_lock(&e->lock);
+		pthread_mutex_lock(&e->lock);
 		allowed = jh_retry_take(e->retry, jh_now());
-		g_mutex_unlock(&e->lock);
+		pthread_mutex_unlock(&e->lock);
 	}
 	if (!allowed) {
 		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
--- a/src/entry/wait.c
+++ b/src/entry/wait.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+
 #include <jacinthhill/clock.h>
 
 #include "entry/wait.h"
@@ -12,7 +14,7 @@
 };
 
 struct entry_wait {
-	GMutex lock; /* guards the list */
+	pthread_mutex_t lock; /* guards the list */
 	GArray *list; /* of struct waiter */
 };
 
@@ -21,7 +23,7 @@
 {
 	struct entry_wait *w = g_new0(struct entry_wait, 1);
 
-	g_mutex_init(&w->lock);
+	pthread_mutex_init(&w->lock, NULL);
 	w->list = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	return w;
 }
@@ -30,7 +32,7 @@
 entry_wait_destroy(struct entry_wait *w)
 {
 	g_array_free(w->list, TRUE);
-	g_mutex_clear(&w->lock);
+	pthread_mutex_destroy(&w->lock);
 	g_free(w);
 }
 
@@ -40,9 +42,9 @@
 {
 	struct waiter item = {revision, jh_now() + WAIT_USEC, fn, arg};
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	g_array_append_val(w->list, item);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 void
@@ -53,7 +55,7 @@
 	uint64_t now = jh_now();
 	guint i = 0;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	while (i < w->list->len) {
 		item = g_array_index(w->list, struct waiter, i);
 		if (item.revision <= revision || now >= item.deadline) {
@@ -63,7 +65,7 @@
 			i++;
 		}
 	}
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	for (i = 0; i < due->len; i++) {
 		item = g_array_index(due, struct waiter, i);
 		item.fn(item.arg, item.revision <= revision);
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -8,7 +9,7 @@
 
 struct entry_workers {
 	struct entry *entry;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_members *members;
 	uint64_t generation; /* of members, that the placers have seen */
 	GHashTable *names; /* &id -> instance name; both owned */
@@ -34,7 +35,7 @@
 	struct entry_workers *w = g_new0(struct entry_workers, 1);
 
 	w->entry = e;
-	g_mutex_init(&w->lock);
+	pthread_mutex_init(&w->lock, NULL);
 	w->members = jh_members_create();
 	w->entry_regions = 1;
 	w->names =
@@ -50,7 +51,7 @@
 	g_hash_table_destroy(w->placers);
 	g_hash_table_destroy(w->names);
 	jh_members_destroy(w->members);
-	g_mutex_clear(&w->lock);
+	pthread_mutex_destroy(&w->lock);
 	g_free(w);
 }
 
@@ -165,7 +166,7 @@
 	uint64_t *id;
 	size_t i;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_set_list(w->members, list, n);
 	g_hash_table_remove_all(w->names);
 	for (i = 0; i < n; i++) {
@@ -175,7 +176,7 @@
 	}
 	count_regions(w);
 	refresh_placers(w);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 size_t
@@ -184,9 +185,9 @@
 {
 	size_t n;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	n = jh_placer_choose(find_placer(w, model), jh_now(), r, out, max);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return n;
 }
 
@@ -194,9 +195,9 @@
 entry_workers_learn(struct entry_workers *w, const char *model, uint64_t worker,
     const struct jh_place_answer *a)
 {
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_placer_learn(find_placer(w, model), jh_now(), worker, a);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 uint32_t
@@ -205,9 +206,9 @@
 {
 	uint32_t width;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	width = jh_placer_width(find_placer(w, model), jh_now(), p);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return width;
 }
 
@@ -216,21 +217,21 @@
 {
 	const struct jh_member *m;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	m = jh_members_find(w->members, instance);
 	if (m != NULL)
 		jh_members_heard(
 		    w->members, instance, m->instance.incarnation, leaving);
 	refresh_placers(w);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 void
 entry_workers_failed(struct entry_workers *w, const char *instance)
 {
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_failed(w->members, instance, 0, jh_now());
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 /* Holds w->lock. */
@@ -256,9 +257,9 @@
 	    w->entry->set.region, g_array_new(FALSE, FALSE, sizeof(uint32_t))};
 	uint32_t region = 0;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_each(w->members, &filter, add_region, &l);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	if (l.regions->len > 0)
 		region = g_array_index(
 		    l.regions, uint32_t, (guint)(draw % l.regions->len));
@@ -271,9 +272,9 @@
 {
 	unsigned int n;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	n = w->entry_regions;
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return n;
 }
 
@@ -283,10 +284,10 @@
 	const struct jh_member *m;
 	bool entry;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	m = jh_members_find(w->members, instance);
 	entry = m != NULL && m->instance.role == JH_ROLE_ENTRY;
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return entry;
 }
 
@@ -297,13 +298,13 @@
 	const struct jh_member *m = NULL;
 	const char *name;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	name = g_hash_table_lookup(w->names, &id);
 	if (name != NULL)
 		m = jh_members_find(w->members, name);
 	if (m != NULL)
 		*out = address_of(w, &m->instance);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return m != NULL;
 }
 
@@ -357,9 +358,9 @@
 	    w, key, g_array_new(FALSE, FALSE, sizeof(struct ranked))};
 	guint i;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_each(w->members, &filter, add_ranked, &r);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	g_array_sort(r.list, by_rank);
 	for (i = 0; i < r.list->len; i++)
 		g_array_append_val(
@@ -374,7 +375,7 @@
 {
 	struct jh_member_filter filter = {.role = role};
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_each(w->members, &filter, fn, arg);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -1,3 +1,5 @@
+#include <pthread.h>
+
 #include <glib.h>
 
 #include <jacinthhill/clock.h>
@@ -5,7 +7,7 @@
 #include "feed/crash_log.h"
 
 struct crash_log {
-	GMutex lock; /* guards the table */
+	pthread_mutex_t lock; /* guards the table */
 	struct jh_suspects *table;
 };
 
@@ -15,7 +17,7 @@
 	struct jh_suspects_settings s = {JH_SUSPECTS_DEFAULTS};
 	struct crash_log *l = g_new0(struct crash_log, 1);
 
-	g_mutex_init(&l->lock);
+	pthread_mutex_init(&l->lock, NULL);
 	l->table = jh_suspects_create(&s);
 	return l;
 }
@@ -24,7 +26,7 @@
 crash_log_destroy(struct crash_log *l)
 {
 	jh_suspects_destroy(l->table);
-	g_mutex_clear(&l->lock);
+	pthread_mutex_destroy(&l->lock);
 	g_free(l);
 }
 
@@ -32,26 +34,26 @@
 crash_log_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
     const struct jh_fingerprint *batch, size_t n)
 {
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	jh_suspects_crashed(l->table, jh_now(), reporter, seq, batch, n);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 void
 crash_log_hint(
     struct crash_log *l, struct jh_fingerprint print, unsigned int crashes)
 {
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	jh_suspects_hint(l->table, jh_now(), print, crashes);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 void
 crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print)
 {
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	jh_suspects_succeeded(l->table, jh_now(), print);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 enum jh_suspect_state
@@ -59,9 +61,9 @@
 {
 	enum jh_suspect_state state;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	state = jh_suspects_state(l->table, jh_now(), print, NULL);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return state;
 }
 
@@ -71,9 +73,9 @@
 {
 	enum jh_suspect_verdict verdict;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	verdict = jh_suspects_may_run(l->table, jh_now(), print, running, n);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return verdict;
 }
 
@@ -84,10 +86,10 @@
 	uint64_t next;
 	size_t i, len;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	len = jh_suspects_export(
 	    l->table, jh_now(), 0, all, G_N_ELEMENTS(all), &next);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	*n = (u_int)len;
 	*list = g_new0(struct jh_wire_crash, len);
 	for (i = 0; i < len; i++) {
@@ -108,7 +110,7 @@
 	struct jh_crash c;
 	u_int i;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	for (i = 0; i < n; i++) {
 		c = (struct jh_crash){
 		    .print = {list[i].print_high, list[i].print_low},
@@ -119,15 +121,15 @@
 		    .cleared = list[i].cleared != 0};
 		jh_suspects_merge(l->table, jh_now(), &c, 1);
 	}
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 void
 crash_log_expire(struct crash_log *l)
 {
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	jh_suspects_expire(l->table, jh_now());
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 }
 
 size_t
@@ -135,8 +137,8 @@
 {
 	size_t n;
 
-	g_mutex_lock(&l->lock);
+	pthread_mutex_lock(&l->lock);
 	n = jh_suspects_len(l->table);
-	g_mutex_unlock(&l->lock);
+	pthread_mutex_unlock(&l->lock);
 	return n;
 }
--- a/src/feed/feed.c
+++ b/src/feed/feed.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -20,7 +21,7 @@
 	uint64_t incarnation;
 	GRand *rand;
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_sync *sync;
 	GArray *peers; /* of struct jh_feed_peer, owned texts */
 	int hinting; /* atomic: a pull out of turn runs */
@@ -40,9 +41,9 @@
 {
 	struct jh_feed *f = arg;
 
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	jh_sync_on_store(f->sync, jh_now(), result);
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 }
 
 static void
@@ -54,9 +55,9 @@
 		g_atomic_int_set(&f->hinting, 0);
 		return;
 	}
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	jh_sync_on_pull(f->sync, jh_now(), result.ok, result.age);
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 }
 
 static const struct store_reader_ops reader_ops = {.done = on_store_done};
@@ -110,12 +111,12 @@
 
 	for (;;) {
 		memset(&peer, 0, sizeof(peer));
-		g_mutex_lock(&f->lock);
+		pthread_mutex_lock(&f->lock);
 		due = jh_sync_next(
 		    f->sync, jh_now(), jh_catalog_revision(f->catalog), &a);
 		if (due && a.kind == JH_SYNC_PULL)
 			find_peer(f, a.peer, &peer);
-		g_mutex_unlock(&f->lock);
+		pthread_mutex_unlock(&f->lock);
 		if (!due)
 			return;
 		carry_out(f, &a, &peer);
@@ -129,7 +130,7 @@
 	struct jh_feed_peer copy;
 	size_t i;
 
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	g_array_set_size(f->peers, 0);
 	for (i = 0; i < n; i++) {
 		copy = (struct jh_feed_peer){g_strdup(peers[i].instance),
@@ -139,7 +140,7 @@
 		    (struct jh_sync_peer){peers[i].instance, peers[i].zone};
 	}
 	jh_sync_set_peers(f->sync, list, n);
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 	g_free(list);
 }
 
@@ -160,7 +161,7 @@
 	struct jh_feed_peer *p;
 	guint i;
 
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	if (f->peers->len > 0) {
 		i = (guint)g_rand_int_range(f->rand, 0, (gint32)f->peers->len);
 		p = &g_array_index(f->peers, struct jh_feed_peer, i);
@@ -169,7 +170,7 @@
 			    (i + 1) % f->peers->len);
 		peer = p->rpc_address;
 	}
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 	if (peer.sin_port != 0)
 		jh_feed_hint(f, &peer);
 }
@@ -179,9 +180,9 @@
 {
 	uint64_t at;
 
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	at = jh_sync_confirmed(f->sync);
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 	return at == 0 ? JH_SYNC_AGE_UNKNOWN : jh_now() - at;
 }
 
@@ -190,9 +191,9 @@
 {
 	bool watcher;
 
-	g_mutex_lock(&f->lock);
+	pthread_mutex_lock(&f->lock);
 	watcher = jh_sync_is_watcher(f->sync, jh_now());
-	g_mutex_unlock(&f->lock);
+	pthread_mutex_unlock(&f->lock);
 	return watcher;
 }
 
@@ -249,7 +250,7 @@
 	f->rand = g_rand_new_with_seed((guint32)spec->incarnation);
 	f->peers = g_array_new(FALSE, FALSE, sizeof(struct jh_feed_peer));
 	g_array_set_clear_func(f->peers, clear_peer);
-	g_mutex_init(&f->lock);
+	pthread_mutex_init(&f->lock, NULL);
 	sync.rand = f->rand;
 	f->sync = jh_sync_create(&sync, jh_now());
 	f->pull = feed_pull_create(spec, &pull_ops, f);
@@ -266,7 +267,7 @@
 	jh_sync_destroy(f->sync);
 	g_array_free(f->peers, TRUE);
 	g_rand_free(f->rand);
-	g_mutex_clear(&f->lock);
+	pthread_mutex_destroy(&f->lock);
 	g_free(f->instance);
 	g_free(f);
 }
--- a/src/feed/pull.c
+++ b/src/feed/pull.c
@@ -3,6 +3,7 @@
 #include <jacinthhill/clock.h>
 
 #include "base/ring.h"
+#include "base/thread.h"
 #include "feed/pull.h"
 #include "rpc/server.h"
 
@@ -20,10 +21,10 @@
 	const struct feed_pull_ops *ops;
 	void *arg;
 	struct jh_ring *pulls;
-	GMutex lock; /* guards stopping and the condition */
-	GCond cond;
+	pthread_mutex_t lock; /* guards stopping and the condition */
+	pthread_cond_t cond;
 	bool stopping;
-	GThread *thread;
+	pthread_t thread;
 };
 
 /* Takes the peer's part of the catalogue over. */
@@ -80,15 +81,15 @@
 {
 	struct pull *pull = NULL;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	while (!p->stopping && (pull = jh_ring_pop(p->pulls)) == NULL)
-		g_cond_wait(&p->cond, &p->lock);
-	g_mutex_unlock(&p->lock);
+		pthread_cond_wait(&p->cond, &p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return pull;
 }
 
-static gpointer
-pull_main(gpointer arg)
+static void *
+pull_main(void *arg)
 {
 	struct feed_pull *p = arg;
 	struct feed_pull_result result;
@@ -113,9 +114,9 @@
 	p->ops = ops;
 	p->arg = arg;
 	p->pulls = jh_ring_create(MAX_PULLS);
-	g_mutex_init(&p->lock);
-	g_cond_init(&p->cond);
-	p->thread = g_thread_new("pull", pull_main, p);
+	pthread_mutex_init(&p->lock, NULL);
+	jh_cond_init(&p->cond);
+	p->thread = jh_thread_create("pull", pull_main, p);
 	return p;
 }
 
@@ -124,16 +125,16 @@
 {
 	struct pull *pull;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->stopping = true;
-	g_cond_signal(&p->cond);
-	g_mutex_unlock(&p->lock);
-	g_thread_join(p->thread);
+	pthread_cond_signal(&p->cond);
+	pthread_mutex_unlock(&p->lock);
+	pthread_join(p->thread, NULL);
 	while ((pull = jh_ring_pop(p->pulls)) != NULL)
 		g_free(pull);
 	jh_ring_destroy(p->pulls);
-	g_mutex_clear(&p->lock);
-	g_cond_clear(&p->cond);
+	pthread_mutex_destroy(&p->lock);
+	pthread_cond_destroy(&p->cond);
 	g_free(p->instance);
 	g_free(p);
 }
@@ -148,10 +149,10 @@
 	pull->peer = *peer;
 	pull->deadline = deadline;
 	pull->hinted = hinted;
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	queued = jh_ring_push(p->pulls, pull);
-	g_cond_signal(&p->cond);
-	g_mutex_unlock(&p->lock);
+	pthread_cond_signal(&p->cond);
+	pthread_mutex_unlock(&p->lock);
 	if (!queued)
 		g_free(pull);
 	return queued;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -5,6 +5,7 @@
 #include <jacinthhill/clock.h>
 
 #include "base/ring.h"
+#include "base/thread.h"
 #include "config/settings.h"
 #include "http/client.h"
 #include "http/loop.h"
@@ -25,7 +26,7 @@
 struct jh_http_client {
 	CURLM *multi;
 	struct jh_http_loop *loop;
-	GThread *thread;
+	pthread_t thread;
 	struct jh_ring *commands;
 	unsigned int max_calls;
 	int live; /* atomic: calls whose done() has not run */
@@ -257,8 +258,8 @@
 	}
 }
 
-static gpointer
-client_main(gpointer arg)
+static void *
+client_main(void *arg)
 {
 	struct jh_http_client *c = arg;
 
@@ -282,7 +283,7 @@
 	c->commands = jh_ring_create(max_calls * COMMANDS_PER_CALL);
 	c->max_calls = max_calls;
 	c->running = g_hash_table_new(NULL, NULL);
-	c->thread = g_thread_new(thread_name, client_main, c);
+	c->thread = jh_thread_create(thread_name, client_main, c);
 	return c;
 }
 
@@ -293,7 +294,7 @@
 		return;
 	g_atomic_int_set(&c->stopping, 1);
 	jh_http_loop_wake(c->loop);
-	g_thread_join(c->thread);
+	pthread_join(c->thread, NULL);
 	curl_multi_cleanup(c->multi);
 	jh_http_loop_destroy(c->loop);
 	jh_ring_destroy(c->commands);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -3,7 +3,10 @@
 
 #include <microhttpd.h>
 
+#include <jacinthhill/clock.h>
+
 #include "base/event.h"
+#include "base/thread.h"
 #include "http/server.h"
 
 /* How often waiting connections are checked for a peer that has left. */
@@ -12,10 +15,10 @@
 struct jh_http_server {
 	struct MHD_Daemon *daemon;
 	struct jh_http_server_spec spec;
-	GMutex lock; /* guards waiting and stopping */
+	pthread_mutex_t lock; /* guards waiting and stopping */
 	GHashTable *waiting; /* set of struct jh_http_req with a live peer */
-	GCond stop_cond;
-	GThread *sweeper;
+	pthread_cond_t stop_cond;
+	pthread_t sweeper;
 	bool stopping;
 	int active; /* atomic */
 };
@@ -36,7 +39,7 @@
 	bool too_large;
 	bool handled; /* the request callback has run */
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	bool attached; /* libmicrohttpd still holds the connection */
 	bool suspended;
 	bool begun;
@@ -79,7 +82,7 @@
 	r->headers = g_array_new(FALSE, FALSE, sizeof(struct reply_header));
 	g_array_set_clear_func(r->headers, clear_header);
 	r->attached = true;
-	g_mutex_init(&r->lock);
+	pthread_mutex_init(&r->lock, NULL);
 	g_atomic_int_inc(&s->active);
 	return r;
 }
@@ -104,7 +107,7 @@
 	g_string_free(r->body, TRUE);
 	g_string_free(r->out, TRUE);
 	g_array_free(r->headers, TRUE);
-	g_mutex_clear(&r->lock);
+	pthread_mutex_destroy(&r->lock);
 	g_free(r);
 }
 
@@ -134,16 +137,16 @@
 	bool drained = false;
 	size_t n;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	n = r->out->len - r->out_pos;
 	if (n == 0) {
 		if (r->aborted || r->ended) {
-			g_mutex_unlock(&r->lock);
+			pthread_mutex_unlock(&r->lock);
 			return r->aborted ? MHD_CONTENT_READER_END_WITH_ERROR
 					  : MHD_CONTENT_READER_END_OF_STREAM;
 		}
 		sleep_until_woken(r);
-		g_mutex_unlock(&r->lock);
+		pthread_mutex_unlock(&r->lock);
 		return 0;
 	}
 	n = MIN(n, max);
@@ -161,7 +164,7 @@
 		r->full = false;
 		drained = true;
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	if (drained && r->ops != NULL && r->ops->writable != NULL)
 		r->ops->writable(r->arg);
 	return (ssize_t)n;
@@ -205,7 +208,7 @@
 {
 	enum MHD_Result result = MHD_YES;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (r->queued) {
 		/* Nothing to do: libmicrohttpd drives the reply. */
 	} else if (r->begun || r->aborted) {
@@ -213,7 +216,7 @@
 	} else {
 		sleep_until_woken(r);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return result;
 }
 
@@ -266,9 +269,9 @@
 	}
 	if (!r->handled) {
 		r->handled = true;
-		g_mutex_lock(&s->lock);
+		pthread_mutex_lock(&s->lock);
 		g_hash_table_add(s->waiting, r);
-		g_mutex_unlock(&s->lock);
+		pthread_mutex_unlock(&s->lock);
 		if (r->too_large)
 			jh_http_req_reply(r, 413, "application/json", too_large,
 			    sizeof(too_large) - 1);
@@ -283,11 +286,11 @@
 {
 	bool tell;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	tell = r->handled && !r->closed_told &&
 	       !(r->ended && r->out_pos == r->out->len);
 	r->closed_told = true;
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	if (tell && r->ops != NULL && r->ops->closed != NULL)
 		r->ops->closed(r->arg);
 }
@@ -301,12 +304,12 @@
 
 	if (r == NULL)
 		return;
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	g_hash_table_remove(s->waiting, r);
-	g_mutex_unlock(&s->lock);
-	g_mutex_lock(&r->lock);
+	pthread_mutex_unlock(&s->lock);
+	pthread_mutex_lock(&r->lock);
 	r->attached = false;
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		tell_closed(r);
 	g_atomic_int_add(&s->active, -1);
@@ -342,16 +345,16 @@
 	gpointer key;
 	guint i;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&it, s->waiting);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		r = key;
-		g_mutex_lock(&r->lock);
+		pthread_mutex_lock(&r->lock);
 		if (r->attached && r->suspended && peer_left(r))
 			g_ptr_array_add(left, jh_http_req_ref(r));
-		g_mutex_unlock(&r->lock);
+		pthread_mutex_unlock(&r->lock);
 	}
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	for (i = 0; i < left->len; i++) {
 		r = left->pdata[i];
 		tell_closed(r);
@@ -361,25 +364,25 @@
 	g_ptr_array_free(left, TRUE);
 }
 
-static gpointer
-sweep_main(gpointer arg)
+static void *
+sweep_main(void *arg)
 {
 	struct jh_http_server *s = arg;
-	gint64 next;
+	uint64_t next;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	while (!s->stopping) {
-		next = g_get_monotonic_time() + SWEEP_INTERVAL_MS * 1000;
+		next = jh_now() + SWEEP_INTERVAL_MS * JH_USEC_PER_MSEC;
 		while (!s->stopping &&
-		       g_cond_wait_until(&s->stop_cond, &s->lock, next))
+		       jh_cond_wait_until(&s->stop_cond, &s->lock, next))
 			;
 		if (s->stopping)
 			break;
-		g_mutex_unlock(&s->lock);
+		pthread_mutex_unlock(&s->lock);
 		sweep(s);
-		g_mutex_lock(&s->lock);
+		pthread_mutex_lock(&s->lock);
 	}
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	return NULL;
 }
 
@@ -392,8 +395,8 @@
 	char *text;
 
 	s->spec = *spec;
-	g_mutex_init(&s->lock);
-	g_cond_init(&s->stop_cond);
+	pthread_mutex_init(&s->lock, NULL);
+	jh_cond_init(&s->stop_cond);
 	s->waiting = g_hash_table_new(NULL, NULL);
 	s->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, s,
 	    MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&s->spec.listen,
@@ -408,12 +411,12 @@
 		    err, JH_HTTP_ERROR, JH_HTTP_ERROR_LISTEN, text);
 		g_free(text);
 		g_hash_table_destroy(s->waiting);
-		g_mutex_clear(&s->lock);
-		g_cond_clear(&s->stop_cond);
+		pthread_mutex_destroy(&s->lock);
+		pthread_cond_destroy(&s->stop_cond);
 		g_free(s);
 		return NULL;
 	}
-	s->sweeper = g_thread_new("sweep", sweep_main, s);
+	s->sweeper = jh_thread_create("sweep", sweep_main, s);
 	return s;
 }
 
@@ -434,11 +437,11 @@
 	GPtrArray *all = g_ptr_array_new();
 	guint i;
 
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	g_hash_table_iter_init(&it, s->waiting);
 	while (g_hash_table_iter_next(&it, &key, NULL))
 		g_ptr_array_add(all, jh_http_req_ref(key));
-	g_mutex_unlock(&s->lock);
+	pthread_mutex_unlock(&s->lock);
 	for (i = 0; i < all->len; i++) {
 		tell_closed(all->pdata[i]);
 		jh_http_req_abort(all->pdata[i]);
@@ -452,16 +455,16 @@
 {
 	if (s == NULL)
 		return;
-	g_mutex_lock(&s->lock);
+	pthread_mutex_lock(&s->lock);
 	s->stopping = true;
-	g_cond_signal(&s->stop_cond);
-	g_mutex_unlock(&s->lock);
-	g_thread_join(s->sweeper);
+	pthread_cond_signal(&s->stop_cond);
+	pthread_mutex_unlock(&s->lock);
+	pthread_join(s->sweeper, NULL);
 	abort_all(s);
 	MHD_stop_daemon(s->daemon);
 	g_hash_table_destroy(s->waiting);
-	g_mutex_clear(&s->lock);
-	g_cond_clear(&s->stop_cond);
+	pthread_mutex_destroy(&s->lock);
+	pthread_cond_destroy(&s->stop_cond);
 	g_free(s);
 }
 
@@ -540,24 +543,24 @@
 {
 	struct reply_header h = {g_strdup(name), g_strdup(value)};
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (r->begun)
 		clear_header(&h);
 	else
 		g_array_append_val(r->headers, h);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 void
 jh_http_req_begin(struct jh_http_req *r, unsigned int status)
 {
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (!r->begun) {
 		r->begun = true;
 		r->status = status;
 		wake(r);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 bool
@@ -565,7 +568,7 @@
 {
 	bool room;
 
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (r->attached && !r->aborted && !r->ended) {
 		g_string_append_len(r->out, data, (gssize)len);
 		if (r->out->len - r->out_pos >= r->server->spec.buffer_limit)
@@ -573,28 +576,28 @@
 		wake(r);
 	}
 	room = !r->full;
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 	return room;
 }
 
 void
 jh_http_req_end(struct jh_http_req *r)
 {
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	r->ended = true;
 	wake(r);
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 void
 jh_http_req_abort(struct jh_http_req *r)
 {
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (!r->ended) {
 		r->aborted = true;
 		wake(r);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
 
 void
@@ -602,7 +605,7 @@
     const char *content_type, const void *data, size_t len)
 {
 	jh_http_req_add_header(r, "Content-Type", content_type);
-	g_mutex_lock(&r->lock);
+	pthread_mutex_lock(&r->lock);
 	if (!r->begun) {
 		r->begun = true;
 		r->status = status;
@@ -610,5 +613,5 @@
 		r->ended = true;
 		wake(r);
 	}
-	g_mutex_unlock(&r->lock);
+	pthread_mutex_unlock(&r->lock);
 }
--- a/src/rpc/server.c
+++ b/src/rpc/server.c
@@ -8,6 +8,7 @@
 #include <rpc/rpc.h>
 #include <rpc/rpc_com.h>
 
+#include "base/thread.h"
 #include "rpc/proc.h"
 #include "rpc/seal.h"
 #include "rpc/server.h"
@@ -22,7 +23,7 @@
 	SVCXPRT *listener;
 	unsigned int port;
 	int stop_fd;
-	GThread *thread;
+	pthread_t thread;
 };
 
 /* libtirpc passes no argument to its dispatch function. */
@@ -94,8 +95,8 @@
 	svc_freeargs(xprt, (xdrproc_t)xdr_jh_sealed, (char *)&in);
 }
 
-static gpointer
-server_main(gpointer arg)
+static void *
+server_main(void *arg)
 {
 	struct jh_rpc_server *s = arg;
 	struct pollfd fds[MAX_POLL_FDS + 1];
@@ -171,7 +172,7 @@
 		g_free(s);
 		return NULL;
 	}
-	s->thread = g_thread_new("rpc", server_main, s);
+	s->thread = jh_thread_create("rpc", server_main, s);
 	return s;
 }
 
@@ -183,7 +184,7 @@
 	if (s == NULL)
 		return;
 	if (write(s->stop_fd, &one, sizeof(one)) == sizeof(one))
-		g_thread_join(s->thread);
+		pthread_join(s->thread, NULL);
 	svc_unreg(JH_CONTROL, JH_CONTROL_V1);
 	svc_destroy(s->listener);
 	close(s->stop_fd);
--- a/test/harness_call.c
+++ b/test/harness_call.c
@@ -6,13 +6,15 @@
 #include <cmocka.h>
 #include <curl/curl.h>
 
+#include "base/thread.h"
 #include "harness.h"
 
 /* Longer than any request of a test takes. */
 #define CALL_TIMEOUT_MS 60000L
 
 struct call {
-	GThread *thread;
+	pthread_t thread;
+	bool joined;
 	CURL *easy;
 	struct curl_slist *headers;
 	char *url;
@@ -20,8 +22,8 @@
 	int leave; /* atomic */
 	int ended; /* atomic */
 
-	GMutex lock; /* guards all below */
-	GCond cond;
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t cond;
 	bool held;
 	GString *answer;
 	size_t parsed; /* bytes of the answer split into events */
@@ -78,12 +80,12 @@
 {
 	struct call *c = arg;
 
-	g_mutex_lock(&c->lock);
+	pthread_mutex_lock(&c->lock);
 	while (c->held && !g_atomic_int_get(&c->leave))
-		g_cond_wait(&c->cond, &c->lock);
+		pthread_cond_wait(&c->cond, &c->lock);
 	g_string_append_len(c->answer, data, (gssize)(size * n));
 	split_events(c);
-	g_mutex_unlock(&c->lock);
+	pthread_mutex_unlock(&c->lock);
 	return g_atomic_int_get(&c->leave) ? 0 : size * n;
 }
 
@@ -95,15 +97,15 @@
 	return g_atomic_int_get(&c->leave);
 }
 
-static gpointer
-call_main(gpointer arg)
+static void *
+call_main(void *arg)
 {
 	struct call *c = arg;
 	CURLcode result = curl_easy_perform(c->easy);
 
-	g_mutex_lock(&c->lock);
+	pthread_mutex_lock(&c->lock);
 	c->result = result;
-	g_mutex_unlock(&c->lock);
+	pthread_mutex_unlock(&c->lock);
 	g_atomic_int_set(&c->ended, 1);
 	return NULL;
 }
@@ -140,8 +142,8 @@
 	c->held = spec->held;
 	c->answer = g_string_new(NULL);
 	c->events = g_ptr_array_new_with_free_func(event_free);
-	g_mutex_init(&c->lock);
-	g_cond_init(&c->cond);
+	pthread_mutex_init(&c->lock, NULL);
+	jh_cond_init(&c->cond);
 	curl_easy_setopt(c->easy, CURLOPT_URL, c->url);
 	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
@@ -156,16 +158,16 @@
 	curl_easy_setopt(c->easy, CURLOPT_XFERINFODATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_NOPROGRESS, 0L);
 	set_headers(c, spec);
-	c->thread = g_thread_new("call", call_main, c);
+	c->thread = jh_thread_create("call", call_main, c);
 	return c;
 }
 
 void
 call_join(struct call *c)
 {
-	if (c->thread != NULL)
-		g_thread_join(c->thread);
-	c->thread = NULL;
+	if (!c->joined)
+		pthread_join(c->thread, NULL);
+	c->joined = true;
 }
 
 struct call *
@@ -188,8 +190,8 @@
 	curl_slist_free_all(c->headers);
 	g_ptr_array_free(c->events, TRUE);
 	g_string_free(c->answer, TRUE);
-	g_mutex_clear(&c->lock);
-	g_cond_clear(&c->cond);
+	pthread_mutex_destroy(&c->lock);
+	pthread_cond_destroy(&c->cond);
 	g_free(c->url);
 	g_free(c->body);
 	g_free(c);
@@ -204,10 +206,10 @@
 static void
 set_held(struct call *c, bool held)
 {
-	g_mutex_lock(&c->lock);
+	pthread_mutex_lock(&c->lock);
 	c->held = held;
-	g_cond_signal(&c->cond);
-	g_mutex_unlock(&c->lock);
+	pthread_cond_signal(&c->cond);
+	pthread_mutex_unlock(&c->lock);
 }
 
 void
@@ -238,9 +240,9 @@
 {
 	guint n;
 
-	g_mutex_lock(&c->lock);
+	pthread_mutex_lock(&c->lock);
 	n = c->events->len;
-	g_mutex_unlock(&c->lock);
+	pthread_mutex_unlock(&c->lock);
 	return n;
 }
 
@@ -289,11 +291,11 @@
 	char *id = NULL;
 	guint i;
 
-	g_mutex_lock(&c->lock);
+	pthread_mutex_lock(&c->lock);
 	for (i = c->events->len; i > 0 && id == NULL; i--) {
 		ev = c->events->pdata[i - 1];
 		id = g_strdup(ev->id);
 	}
-	g_mutex_unlock(&c->lock);
+	pthread_mutex_unlock(&c->lock);
 	return id;
 }
