model: refuse two more rules for saying not run

NOT_RUN_UNLESS_ASKED and NOT_RUN_BY_OWN_RECORD say not run to a later attempt from what one agent knows. Spin refutes both: an earlier attempt that is still in flight at another agent takes the record over and runs.

--- a/model/once.pml
+++ b/model/once.pml
@@ -77,6 +77,7 @@
 #define here(j, i) (j < i && agent_of[j] == agent_of[i])
 #define abandoned_here(j, i) (here(j, i) && mem[j] == abandoned)
 #define kept_here(j, i) (here(j, i) && mem[j] != abandoned)
+#define asked_here(j, i) (here(j, i) && asked[j])
 
 /* Refuses an attempt whose call was not sent and never will be. */
 inline refuse(i)
@@ -84,14 +85,22 @@
 #ifdef MUTANT_NOT_RUN_WITHOUT_FIRST
 	answer(i, not_run)
 #else
-#ifdef MUTANT_NOT_RUN_BY_MEMORY
-	/* Ignores earlier attempts at the other agent. */
+#if defined(MUTANT_NOT_RUN_BY_MEMORY) || defined(MUTANT_NOT_RUN_UNLESS_ASKED)
+	/* Ignores earlier attempts at the other agent, or only unless it asked. */
 	if
 	:: first[i] || ((abandoned_here(0, i) || abandoned_here(1, i)) &&
-	    !kept_here(0, i) && !kept_here(1, i)) ->
+	    !kept_here(0, i) && !kept_here(1, i) &&
+	    !asked_here(0, i) && !asked_here(1, i)) ->
 		answer(i, not_run)
 	:: else -> answer(i, other)
 	fi
+#else
+#ifdef MUTANT_NOT_RUN_BY_OWN_RECORD
+	/* The record held nonce i; an earlier attempt may take it over. */
+	if
+	:: first[i] || calls[i] == refused -> answer(i, not_run)
+	:: else -> answer(i, other)
+	fi
 #else
 	if
 	:: first[i] -> answer(i, not_run)
@@ -99,6 +108,7 @@
 	fi
 #endif
 #endif
+#endif
 }
 
 proctype attempt(byte i)
@@ -206,7 +216,11 @@
 		:: mem[n] == creating || mem[n] == running
 		:: mem[n] == lost -> goto outcome_unknown
 		:: mem[n] == finished -> answer_body(i, body[n]); goto out
-		:: mem[n] == abandoned -> goto take_over
+		:: mem[n] == abandoned ->
+#ifdef MUTANT_NOT_RUN_UNLESS_ASKED
+			asked[n] = true;
+#endif
+			goto take_over
 		:: mem[n] == none -> /* only another incarnation knew it */
 #ifdef MUTANT_NO_INCARNATION
 			goto take_over
--- a/model/once_world.pml
+++ b/model/once_world.pml
@@ -21,6 +21,7 @@
 byte agent_of[ATTEMPTS];
 byte body[ATTEMPTS];
 bool begun[ATTEMPTS], first[ATTEMPTS];
+bool asked[ATTEMPTS]; /* written by a mutant only */
 
 mtype:call calls[ATTEMPTS] = idle;
 mtype:answer said[ATTEMPTS] = no_answer;
