--- a/test/test_place.c
+++ b/test/test_place.c
@@ -9,103 +9,7 @@
 #include <jacinthhill/clock.h>
 #include <jacinthhill/place.h>
 
-#define FLEET 60
-#define REGIONS 2
-#define PER_REGION (FLEET / REGIONS)
-
-static struct jh_place_worker fleet[FLEET];
-
-static struct jh_placer *
-placer(const struct jh_place_policy *policy, size_t n)
-{
-	struct jh_placer *p = jh_placer_create(policy, 7);
-	size_t i;
-
-	for (i = 0; i < FLEET; i++)
-		fleet[i] = (struct jh_place_worker){.id = 1000 + i,
-		    .region = (uint32_t)(i % REGIONS),
-		    .prefill_rate = 40000,
-		    .decode_rate = 200};
-	jh_placer_set_workers(p, 0, fleet, n);
-	return p;
-}
-
-static struct jh_prefix
-prefix(uint64_t manual, uint64_t tenant, uint64_t question)
-{
-	return (struct jh_prefix){.n = 3,
-	    .level = {{manual * 0x9e3779b97f4a7c15ULL, 100000},
-		{manual * 31 + tenant * 0xbf58476d1ce4e5b9ULL, 1000},
-		{manual * 37 + tenant * 41 + question * 0x94d049bb133111ebULL,
-		    200}}};
-}
-
-static size_t
-choose(struct jh_placer *p, uint64_t now, const struct jh_prefix *x,
-    struct jh_candidate *out)
-{
-	const struct jh_place_request r = {
-	    .prefix = x, .prefill_tokens = 200, .decode_tokens = 150};
-
-	return jh_placer_choose(p, now, &r, out, JH_PLACE_MAX_CANDIDATES);
-}
-
-static uint64_t
-first(struct jh_placer *p, uint64_t now, const struct jh_prefix *x)
-{
-	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
-
-	return choose(p, now, x, c) > 0 ? c[0].worker : 0;
-}
-
-/* Looks without counting as demand. */
-static size_t
-peek(struct jh_placer *p, uint64_t now, const struct jh_prefix *x,
-    struct jh_candidate *out)
-{
-	const struct jh_place_request r = {.prefix = x, .again = true};
-
-	return jh_placer_choose(p, now, &r, out, JH_PLACE_MAX_CANDIDATES);
-}
-
-static bool
-offers(struct jh_placer *p, uint64_t now, const struct jh_prefix *x,
-    uint64_t worker)
-{
-	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
-	size_t i, n = peek(p, now, x, c);
-
-	for (i = 0; i < n; i++) {
-		if (c[i].worker == worker)
-			return true;
-	}
-	return false;
-}
-
-static void
-learn(struct jh_placer *p, uint64_t now, uint64_t worker,
-    enum jh_place_outcome outcome, uint64_t wait)
-{
-	const struct jh_place_answer a = {
-	    .outcome = outcome, .has_wait = wait > 0, .wait = wait};
-
-	jh_placer_learn(p, now, worker, &a);
-}
-
-/* Runs requests for one prefix at a steady rate and returns the time. */
-static uint64_t
-drive(struct jh_placer *p, uint64_t now, uint64_t manual, uint64_t gap,
-    size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++, now += gap) {
-		struct jh_prefix x = prefix(manual, i % 5, i);
-
-		first(p, now, &x);
-	}
-	return now;
-}
+#include "place_fixture.h"
 
 /* Guards against two cold entry daemons that choose differently. */
 static void
@@ -340,65 +244,6 @@
 	}
 }
 
-/* Guards against a hot prefix that stays on one worker, and against a width
- * that never comes back. */
-static void
-hot_prefixes_widen_and_narrow(void **state)
-{
-	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
-	struct jh_prefix x = prefix(3, 0, 0);
-	uint64_t now;
-	uint32_t hot;
-
-	/* 10 requests/s of 0.755 s work each fill 7.5 workers. */
-	now = drive(p, 1, 3, 100 * JH_USEC_PER_MSEC, 200);
-	hot = jh_placer_width(p, now, &x);
-	assert_in_range(hot, 7, 16);
-	now = drive(p, now, 3, 10 * JH_USEC_PER_SEC, 30);
-	assert_in_range(jh_placer_width(p, now, &x), 1, 2);
-	jh_placer_destroy(p);
-}
-
-/* Guards against one request of many entry daemons that widens a prefix. */
-static void
-single_requests_do_not_widen(void **state)
-{
-	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
-	struct jh_prefix x = prefix(3, 0, 0);
-
-	jh_placer_set_entries(p, 57);
-	first(p, 1, &x);
-	first(p, 60 * JH_USEC_PER_SEC, &x);
-	assert_int_equal(jh_placer_width(p, 60 * JH_USEC_PER_SEC, &x), 1);
-	jh_placer_destroy(p);
-}
-
-/* Guards against a restarted entry daemon that crowds one worker until its own
- * estimate is ready, and against learned widths that echo. */
-static void
-widths_are_learned_and_forgotten(void **state)
-{
-	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
-	struct jh_prefix x = prefix(3, 1, 1);
-	struct jh_place_answer a = {.prefix = &x, .width = 12};
-	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
-	uint64_t home = first(p, 1, &x);
-	uint64_t late = 60 * JH_USEC_PER_SEC;
-	size_t i, moved = 0;
-
-	jh_placer_learn(p, 2, home, &a);
-	for (i = 0; i < 50; i++) {
-		struct jh_prefix y = prefix(3, i, i);
-
-		peek(p, 3, &y, c);
-		moved += c[0].worker != home;
-	}
-	assert_true(moved > 30);
-	assert_int_equal(jh_placer_width(p, 3, &x), 1);
-	assert_int_equal(first(p, late, &x), home);
-	jh_placer_destroy(p);
-}
-
 /* Guards against state that grows with the number of prefixes seen. */
 static void
 state_is_bounded(void **state)
@@ -449,9 +294,6 @@
 	    cmocka_unit_test(refusals_decide_the_second_choice),
 	    cmocka_unit_test(failure_deadlines_grow),
 	    cmocka_unit_test(all_failed_still_offers),
-	    cmocka_unit_test(hot_prefixes_widen_and_narrow),
-	    cmocka_unit_test(single_requests_do_not_widen),
-	    cmocka_unit_test(widths_are_learned_and_forgotten),
 	    cmocka_unit_test(state_is_bounded),
 	    cmocka_unit_test(changed_lists_are_followed),
 	};
--- /dev/null
+++ b/test/test_place_width.c
@@ -0,0 +1,121 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/place.h>
+
+#include "place_fixture.h"
+
+/* Runs requests for one prefix at a steady rate and returns the time. */
+static uint64_t
+drive(struct jh_placer *p, uint64_t now, uint64_t manual, uint64_t gap,
+    size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++, now += gap) {
+		struct jh_prefix x = prefix(manual, i % 5, i);
+
+		first(p, now, &x);
+	}
+	return now;
+}
+
+/* Guards against a hot prefix that stays on one worker, and against a width
+ * that never comes back. */
+static void
+hot_prefixes_widen_and_narrow(void **state)
+{
+	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
+	struct jh_prefix x = prefix(3, 0, 0);
+	uint64_t now;
+	uint32_t hot;
+
+	/* 10 requests/s of 0.755 s work each fill 7.5 workers. */
+	now = drive(p, 1, 3, 100 * JH_USEC_PER_MSEC, 200);
+	hot = jh_placer_width(p, now, &x);
+	assert_in_range(hot, 7, 16);
+	now = drive(p, now, 3, 10 * JH_USEC_PER_SEC, 30);
+	assert_in_range(jh_placer_width(p, now, &x), 1, 2);
+	jh_placer_destroy(p);
+}
+
+/* Guards against one request of many entry daemons that widens a prefix. */
+static void
+single_requests_do_not_widen(void **state)
+{
+	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
+	struct jh_prefix x = prefix(3, 0, 0);
+
+	jh_placer_set_entries(p, 57);
+	first(p, 1, &x);
+	first(p, 60 * JH_USEC_PER_SEC, &x);
+	assert_int_equal(jh_placer_width(p, 60 * JH_USEC_PER_SEC, &x), 1);
+	jh_placer_destroy(p);
+}
+
+/* Guards against a restarted entry daemon that crowds one worker until its own
+ * estimate is ready, and against learned widths that echo. */
+static void
+widths_are_learned_and_forgotten(void **state)
+{
+	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
+	struct jh_prefix x = prefix(3, 1, 1);
+	struct jh_place_answer a = {.prefix = &x, .width = 12};
+	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
+	uint64_t home = first(p, 1, &x);
+	uint64_t late = 60 * JH_USEC_PER_SEC;
+	size_t i, moved = 0;
+
+	jh_placer_learn(p, 2, home, &a);
+	for (i = 0; i < 50; i++) {
+		struct jh_prefix y = prefix(3, i, i);
+
+		peek(p, 3, &y, c);
+		moved += c[0].worker != home;
+	}
+	assert_true(moved > 30);
+	assert_int_equal(jh_placer_width(p, 3, &x), 1);
+	assert_int_equal(first(p, late, &x), home);
+	jh_placer_destroy(p);
+}
+
+/* Guards against one organisation's instructions being computed on every
+ * worker within the width. */
+static void
+instructions_stay_together(void **state)
+{
+	struct jh_placer *p = placer(&jh_place_affinity, FLEET);
+	struct jh_prefix x = prefix(3, 1, 1);
+	struct jh_place_answer a = {.prefix = &x, .width = 12};
+	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
+	uint64_t home;
+	size_t i;
+
+	jh_placer_learn(p, 1, first(p, 1, &x), &a);
+	peek(p, 2, &x, c);
+	home = c[0].worker;
+	for (i = 0; i < 20; i++) {
+		x = prefix(3, 1, 100 + i);
+		peek(p, 2, &x, c);
+		assert_int_equal(c[0].worker, home);
+	}
+	jh_placer_destroy(p);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(hot_prefixes_widen_and_narrow),
+	    cmocka_unit_test(single_requests_do_not_widen),
+	    cmocka_unit_test(widths_are_learned_and_forgotten),
+	    cmocka_unit_test(instructions_stay_together),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
