admit: size the background reserve to the slots, limit prompts in wait

Cause: the reserve was fitted to 16 slots. The estimate compared levels without their rounding.

Change: background leaves 43% of what urgent work does not hold, at most 3 deviations and one; while an urgent prompt is in the engine only organisations that hold few add another; the reserve between organisations is 0.35 of the slots; credit up to 8 items.

Ruled out: without the bound by deviations background alone used 4 of 8 slots (test_queue, background_leaves_slots_free).

--- a/src/admit/queue_flow.c
+++ b/src/admit/queue_flow.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "admit/queue_flow.h"
@@ -51,5 +52,7 @@
 double
 jh_queue_flow_left(const struct jh_queue_flow *f, double bound)
 {
-	return (bound - jh_queue_flow_level(f)) * f->weight / PRESENT_PART;
+	/* Levels are rounded down before they are compared. */
+	return (ceil(bound) - jh_queue_flow_level(f)) * f->weight /
+	       PRESENT_PART;
 }
--- a/src/admit/queue_run.c
+++ b/src/admit/queue_run.c
@@ -5,21 +5,24 @@
 #include "admit/queue_state.h"
 
 /*
- * Slots kept free of background for urgent work: those it holds on average,
- * so many standard deviations of a Poisson variable of that mean, and one for
- * the next arrival.
+ * Slots kept free of background beyond those that urgent work holds on
+ * average: this part of the rest, for more makes the urgent p99 of a flood
+ * differ from that of steady load, and less refuses background that could
+ * have run; but no more than one and so many standard deviations of a Poisson
+ * variable, for without urgent work there is nothing to keep them for.
  */
-#define BACKGROUND_DEVIATIONS 1.4
+#define RESERVED_PART 0.43
+#define RESERVED_DEVIATIONS 3.0
 /*
  * The last free slots, this part of all but no more than there are other
  * organisations, are for those who hold less than the light part of their
  * fair share; free slots beyond are worth another share each so many.
  */
-#define RESERVE_PART 0.25
+#define RESERVE_PART 0.35
 #define LIGHT_PART 0.5
 #define SLOTS_PER_SHARE 3.0
 /* Credit is bounded to this many times the cost of the next item. */
-#define CREDIT_ITEMS 4
+#define CREDIT_ITEMS 8
 /*
  * Background that is owed its floor leaves so many slots free, until it is
  * owed twice as much.
@@ -41,11 +44,11 @@
 unsigned int
 jh_queue_background_slots(const struct jh_queue *q)
 {
+	double mean = q->urgent.mean, rest = q->config.slots - mean;
 	double reserve =
-	    q->urgent.mean + BACKGROUND_DEVIATIONS * sqrt(q->urgent.mean) + 1;
-	double left = q->config.slots - ceil(reserve);
+	    MIN(RESERVED_PART * rest, RESERVED_DEVIATIONS * sqrt(mean) + 1);
 
-	return left < 1 ? 1 : (unsigned int)left;
+	return (unsigned int)MAX(rest - reserve, 1);
 }
 
 double
@@ -59,6 +62,9 @@
 	/* With half of the slots free there is nothing to hold back for. */
 	if (2 * q->engine.running < q->config.slots)
 		return INFINITY;
+	/* While a prompt is in the engine only those who hold few add one. */
+	if (q->ranks[JH_RANK_URGENT].in_prefill > 0)
+		return fair * LIGHT_PART;
 	return fair * (LIGHT_PART + MAX(over, 0) / SLOTS_PER_SHARE);
 }
 
