admit: keep wrong prefill estimates from refusing everything

Cause (found by review): an estimate above every deadline refuses all work, so nothing runs that could correct it; one stall of a minute was enough.

Change: an idle engine takes an item whatever the estimate, and a sample counts as at most 4 times the estimate.

--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -138,20 +138,36 @@
 	return true;
 }
 
+/*
+ * Whether the item meets an idle engine. It is then taken although the
+ * estimate says that it will be late: an estimate that has become too high
+ * could not be corrected if nothing ran.
+ */
+static bool
+is_probe(
+    const struct jh_queue *q, uint64_t now, const struct jh_queue_item *item)
+{
+	return q->engine.running == 0 && item->deadline > now &&
+	       q->ranks[JH_RANK_URGENT].queued.count == 0 &&
+	       q->ranks[JH_RANK_BACKGROUND].queued.count == 0;
+}
+
 static enum jh_queue_reason
-admit(struct jh_queue *q, const struct jh_queue_item *item, uint64_t estimate)
+admit(struct jh_queue *q, uint64_t now, const struct jh_queue_item *item,
+    uint64_t estimate)
 {
 	struct jh_queue_entry *e;
 
 	if (g_hash_table_contains(q->entries, &item->id))
 		return JH_QUEUE_DUPLICATE;
-	if (estimate > item->deadline)
+	if (estimate > item->deadline && !is_probe(q, now, item))
 		return JH_QUEUE_DEADLINE;
 	if (!make_room(q, item, jh_queue_cost(q, item->prefill, item->decode)))
 		return JH_QUEUE_FULL;
 	e = entry_create(q, item);
 	jh_queue_rank_push(&q->ranks[item->rank], e);
-	jh_queue_heap_insert(&q->expiry, &e->expiry, latest_start(q, item));
+	jh_queue_heap_insert(
+	    &q->expiry, &e->expiry, MAX(latest_start(q, item), now));
 	g_hash_table_insert(q->entries, &e->item.id, e);
 	return JH_QUEUE_ACCEPTED;
 }
@@ -165,7 +181,7 @@
 	jh_queue_observe(q, now);
 	estimate = jh_queue_estimate(q, now, item);
 	*decision = (struct jh_queue_decision){
-	    .reason = admit(q, item, estimate), .first_token = estimate};
+	    .reason = admit(q, now, item, estimate), .first_token = estimate};
 	q->counts[item->rank][decision->reason]++;
 	return decision->reason == JH_QUEUE_ACCEPTED;
 }
--- a/src/admit/queue_engine.c
+++ b/src/admit/queue_engine.c
@@ -8,6 +8,11 @@
 #define ASSUMED_PREFILL_BASE_USEC 20000.0
 /* Prompt size at which the assumed prefill line is anchored. */
 #define ASSUMED_PREFILL_TOKENS 1000.0
+/*
+ * A sample counts as no more than this many times the estimate: one stall of
+ * the engine must not make the queue refuse what it can serve.
+ */
+#define OUTLIER_FACTOR 4
 /* Assumed answer length, for the assumed time in a slot. */
 #define ASSUMED_DECODE_TOKENS 200.0
 
@@ -67,8 +72,11 @@
 jh_queue_engine_first_token(
     struct jh_queue_engine *e, uint64_t now, const struct jh_queue_item *item)
 {
-	jh_queue_fit_add(
-	    &e->prefill, item->prefill, (double)(now - e->prefill_since));
+	double most =
+	    OUTLIER_FACTOR * jh_queue_engine_prefill_time(e, 1, item->prefill);
+	double took = (double)(now - e->prefill_since);
+
+	jh_queue_fit_add(&e->prefill, item->prefill, MIN(took, most));
 	jh_queue_engine_lost_prefill(e, now, item);
 }
 
--- a/test/test_queue.c
+++ b/test/test_queue.c
@@ -247,6 +247,32 @@
 	jh_queue_destroy(q);
 }
 
+/* Guards against an estimate that refuses all and so is never corrected. */
+static void
+estimate_recovers_from_a_stall(void **state)
+{
+	struct jh_queue *q = queue_with(4, 100);
+	uint64_t i, now = 1, accepted = 0;
+	struct jh_queue_item it;
+
+	for (i = 1; i <= 200; i++) {
+		it = item(i, "a", JH_RANK_URGENT, now + JH_USEC_PER_SEC);
+		if (offer(q, now, it) == JH_QUEUE_ACCEPTED) {
+			accepted++;
+			assert_int_equal(next(q, now), i);
+			/* The first 100 take a minute each. */
+			now += i <= 100 ? 60 * JH_USEC_PER_SEC : 50 * MSEC;
+			run_to_end(q, now, i);
+		}
+		now += JH_USEC_PER_SEC;
+	}
+	assert_int_equal(accepted, 200);
+	it = item(i, "a", JH_RANK_URGENT, JH_NEVER);
+	assert_true(
+	    jh_queue_estimate(q, now, &it) - now < 10 * JH_USEC_PER_SEC);
+	jh_queue_destroy(q);
+}
+
 /* Guards against running work whose answer nobody waits for any more. */
 static void
 expired_items_are_handed_back(void **state)
@@ -340,6 +366,7 @@
 	    cmocka_unit_test(earliest_deadline_first),
 	    cmocka_unit_test(refuses_early_what_cannot_be_on_time),
 	    cmocka_unit_test(estimate_follows_measured_rates),
+	    cmocka_unit_test(estimate_recovers_from_a_stall),
 	    cmocka_unit_test(expired_items_are_handed_back),
 	    cmocka_unit_test(urgent_displaces_background),
 	    cmocka_unit_test(cancel_reaches_queued_items_only),
