--- a/test/test_queue.c
+++ b/test/test_queue.c
@@ -133,10 +133,14 @@
 static void
 idle_organisation_gains_nothing(void **state)
 {
-	struct jh_queue *q = queue_with(1, 1000);
+	struct jh_queue *q = queue_with(2, 1000);
 	uint64_t i, id;
 	int late = 0;
 
+	/* One item runs on, so that its organisation is not forgotten. */
+	offer(q, 1, item(300, "late", JH_RANK_URGENT, JH_NEVER));
+	assert_int_equal(next(q, 1), 300);
+	jh_queue_first_token(q, 1, 300);
 	for (i = 1; i <= 100; i++)
 		offer(q, 1, item(i, "early", JH_RANK_URGENT, JH_NEVER));
 	for (i = 0; i < 50; i++)
