entry: let a begun stream wait for a worker; count only engine crashes

Two faults that the new test_engines_restart (test_proc_streams) showed. It kills a stream's engine, then the agent that took over, and restarts the engine.

A stream that has begun now waits for about a second, at most 10 times between two answers, and tries all workers anew. Requests that have not begun are still refused at once, because their caller can repeat them.

A kept connection to the agent killed last broke without an answer and counted as a third engine crash.

Ruled out: the retry budget (10 in hand), an engine that was not yet up (the agent logged one crash only).

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -19,6 +19,9 @@
 /* Crashes that quarantine a request; see docs/poison.md. */
 #define QUARANTINE_CRASHES 3
 
+/* Waits of one stream for a worker, each of about a second. */
+#define MAX_STALLS 10
+
 static void
 on_token(void *arg, uint64_t position, struct jh_str payload)
 {
@@ -122,6 +125,7 @@
 	    jh_prefix_tokens(&j->prefix));
 	g_mutex_lock(&j->lock);
 	j->accepted = true;
+	j->stalls = 0;
 	if (cached != NULL)
 		g_strlcpy(j->cached_text, cached, sizeof(j->cached_text));
 	g_free(j->answer_type);
@@ -244,7 +248,9 @@
 	learn(j, call, JH_PLACE_FAILED);
 	if (!not_sent) {
 		j->may_have_run = true;
-		j->crashes++;
+		/* Without any answer the agent went, not its engine. */
+		if (jh_http_call_status(call) != 0)
+			j->crashes++;
 		told = jh_http_call_header(call, "Jh-Quarantined") != NULL;
 		crash_log_hint(e->crashes, j->print,
 		    told ? QUARANTINE_CRASHES : j->crashes);
@@ -529,9 +535,45 @@
 	return true;
 }
 
+/* Tries all workers anew, unless the caller has left for good. */
+static void
+on_stall_over(void *arg, bool reached)
+{
+	struct entry_job *j = arg;
+	bool gone;
+
+	g_mutex_lock(&j->lock);
+	gone = j->left && j->leave_deadline == JH_NEVER;
+	g_mutex_unlock(&j->lock);
+	j->stage = STAGE_NONE;
+	j->n_heard = 0;
+	if (gone)
+		entry_job_finish(j);
+	else
+		entry_job_advance(j);
+	entry_job_unref(j);
+}
+
+/*
+ * A stream that has begun waits for a worker to come back: failed ones are held
+ * out for a moment, and breaking off would lose it.
+ */
+static bool
+stall(struct entry_job *j)
+{
+	if (!j->begun || j->reconnect_worker != 0 || j->stalls == MAX_STALLS)
+		return false;
+	j->stalls++;
+	entry_wait_add(
+	    j->entry->wait, UINT64_MAX, on_stall_over, entry_job_ref(j));
+	return true;
+}
+
 static void
 refuse_all(struct entry_job *j)
 {
+	if (stall(j))
+		return;
 	if (j->reconnect_worker != 0)
 		entry_job_refuse(j, ENTRY_ERR_STREAM_LOST, ENTRY_RAN);
 	else if (j->may_have_run)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -57,6 +57,7 @@
 	bool violated; /* the running attempt broke the stream's order */
 	bool unreachable; /* an attempt was refused for its deadline */
 	uint32_t crashes;
+	unsigned int stalls; /* waits since the last attempt that answered */
 	struct jh_fingerprint print;
 	struct limit_ticket *ticket; /* NULL until admitted */
 	uint64_t leave_deadline; /* JH_NEVER unless a reconnect is awaited */
--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -142,6 +142,29 @@
 	g_free(text);
 }
 
+/* A stream is broken off because all workers are held out for a moment. */
+static void
+test_engines_restart(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	struct call *c = start_stream(w, 0, TOKENS);
+	unsigned int first = worker_of(w, c), second, i;
+
+	for (i = 0; i < w->engines; i++) {
+		if (i != first && i != (first + 1) % w->engines)
+			proc_kill(&w->agent[i]);
+	}
+	proc_kill(&w->backend[first]);
+	await((second = running_agent(w)) != WORLD_MAX);
+	proc_kill(&w->agent[second]);
+	proc_start(&w->backend[first]);
+	call_join(c);
+	check_stream(&c, 1, TOKENS, text);
+	call_free(c);
+	g_free(text);
+}
+
 /* One failure breaks more streams than one, or mixes them up. */
 static void
 test_two_at_once(void **state)
@@ -172,6 +195,7 @@
     cmocka_unit_test_setup_teardown(test_entry_killed, setup, teardown),
     cmocka_unit_test_setup_teardown(
 	test_engine_and_agent_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_engines_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_two_at_once, setup, teardown),
 };
 
