--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -19,7 +19,7 @@
 	struct agent *agent;
 	uint64_t id;
 	struct jh_work *work;
-	GString *body;
+	struct jh_body *body;
 	uint64_t prompt_tokens;
 	struct jh_fingerprint print;
 	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -26,16 +27,11 @@
 on_token(void *arg, uint64_t position, struct jh_str payload)
 {
 	struct entry_job *j = arg;
-	char head[128];
-	int n;
 
-	n = snprintf(head, sizeof(head),
-	    "id: %.64s.%016llx:%llu\ndata: ", j->rid,
+	g_string_append_printf(j->out, "id: %.64s.%016llx:%llu\ndata: ", j->rid,
 	    (unsigned long long)j->worker, (unsigned long long)position);
-	jh_http_req_write(j->req, head, (size_t)n);
-	jh_http_req_write(j->req, payload.ptr, payload.len);
-	if (!jh_http_req_write(j->req, "\n\n", 2) && !j->left)
-		j->blocked = true;
+	g_string_append_len(j->out, payload.ptr, (gssize)payload.len);
+	g_string_append(j->out, "\n\n");
 	jh_counters_add(j->entry->counters, ENTRY_TOKENS, 1);
 }
 
@@ -44,8 +40,7 @@
 {
 	struct entry_job *j = arg;
 
-	jh_http_req_write(j->req, "data: [DONE]\n\n", 14);
-	jh_http_req_end(j->req);
+	g_string_append(j->out, "data: [DONE]\n\n");
 }
 
 static const struct jh_relay_ops relay_ops = {.token = on_token, .end = on_end};
@@ -134,6 +129,25 @@
 	g_mutex_unlock(&j->lock);
 }
 
+/*
+ * Relays the events of one read. They go out in one write, because each write
+ * wakes the server's thread. Holds j->lock.
+ */
+static void
+relay_events(struct entry_job *j, struct jh_http_call *call, struct jh_str data)
+{
+	g_string_truncate(j->out, 0);
+	if (jh_relay_feed(j->relay, data) != JH_RELAY_OK) {
+		j->violated = true;
+		jh_http_call_cancel(call);
+	}
+	if (j->out->len > 0 &&
+	    !jh_http_req_write(j->req, j->out->str, j->out->len) && !j->left)
+		j->blocked = true;
+	if (jh_relay_ended(j->relay))
+		jh_http_req_end(j->req);
+}
+
 /* Returns whether the bytes were taken. Holds j->lock. */
 static bool
 take_data(struct entry_job *j, struct jh_http_call *call, struct jh_str data)
@@ -143,10 +157,7 @@
 	if (j->blocked)
 		return false;
 	if (j->stream) {
-		if (jh_relay_feed(j->relay, data) != JH_RELAY_OK) {
-			j->violated = true;
-			jh_http_call_cancel(call);
-		}
+		relay_events(j, call, data);
 	} else if (j->answer->len + data.len > ANSWER_LIMIT) {
 		j->violated = true;
 		jh_http_call_cancel(call);
@@ -435,21 +446,34 @@
 	    j->body, jh_relay_position(j->relay), jh_relay_text(j->relay));
 }
 
+/* Takes a text that malloc() returned. */
+static struct jh_body *
+wrap(char *text)
+{
+	GBytes *bytes =
+	    g_bytes_new_with_free_func(text, strlen(text), free, text);
+	struct jh_body *b = jh_body_create(NULL, bytes);
+
+	g_bytes_unref(bytes);
+	return b;
+}
+
 /* Returns false when the call could not be started. Holds j->lock. */
 static bool
 start(struct entry_job *j, const struct jh_candidate *c,
     const struct worker_address *to)
 {
 	char *resumed = prepare_attempt(j);
-	struct jh_str body = resumed == NULL ? j->body : jh_str_from(resumed);
+	struct jh_body *body =
+	    resumed == NULL ? jh_body_ref(j->body) : wrap(resumed);
 	struct jh_work *w = describe_work(j, c);
-	char **lines =
-	    jh_work_headers(w, &j->entry->set.secret, "POST", CHAT_PATH, body);
+	char **lines = jh_work_headers_shared(
+	    w, &j->entry->set.secret, "POST", CHAT_PATH, body);
 	struct jh_http_call_spec spec = {.peer = to->address,
 	    .method = "POST",
 	    .path = CHAT_PATH,
 	    .headers = (const char *const *)lines,
-	    .body = body,
+	    .shared = body,
 	    .deadline = jh_now() + ATTEMPT_USEC,
 	    .ops = &attempt_ops,
 	    .arg = entry_job_ref(j)};
@@ -460,7 +484,7 @@
 	j->call = jh_http_call_start(j->entry->client, &spec);
 	g_strfreev(lines);
 	jh_work_destroy(w);
-	free(resumed);
+	jh_body_unref(body);
 	return j->call != NULL;
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -7,13 +7,11 @@
 #include "base/ring.h"
 #include "config/settings.h"
 #include "http/client.h"
+#include "http/loop.h"
 
 /* Longest time to wait for a TCP connection to be accepted. */
 #define CONNECT_TIMEOUT_MS 1000L
 
-/* Longest sleep of the thread when no transfer needs attention. */
-#define POLL_INTERVAL_MS 1000
-
 /* Start, resume and cancel commands that may wait per call. */
 #define COMMANDS_PER_CALL 4
 
@@ -26,6 +24,7 @@
 
 struct jh_http_client {
 	CURLM *multi;
+	struct jh_http_loop *loop;
 	GThread *thread;
 	struct jh_ring *commands;
 	unsigned int max_calls;
@@ -39,7 +38,8 @@
 	struct jh_http_client *client;
 	CURL *easy;
 	struct curl_slist *headers;
-	GString *body;
+	struct jh_body *body;
+	size_t body_sent; /* bytes that libcurl has read */
 	struct jh_http_call_ops ops;
 	void *arg;
 	uint64_t deadline;
@@ -64,7 +64,7 @@
 		return;
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
-	g_string_free(call->body, TRUE);
+	jh_body_unref(call->body);
 	g_free(call);
 }
 
@@ -261,13 +261,11 @@
 client_main(gpointer arg)
 {
 	struct jh_http_client *c = arg;
-	int running;
 
 	while (!g_atomic_int_get(&c->stopping)) {
 		run_commands(c);
-		curl_multi_perform(c->multi, &running);
+		jh_http_loop_run(c->loop);
 		reap(c);
-		curl_multi_poll(c->multi, NULL, 0, POLL_INTERVAL_MS, NULL);
 	}
 	cancel_all(c);
 	return NULL;
@@ -279,6 +277,7 @@
 	struct jh_http_client *c = g_new0(struct jh_http_client, 1);
 
 	c->multi = curl_multi_init();
+	c->loop = jh_http_loop_create(c->multi);
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, (long)max_calls);
 	c->commands = jh_ring_create(max_calls * COMMANDS_PER_CALL);
 	c->max_calls = max_calls;
@@ -293,9 +292,10 @@
 	if (c == NULL)
 		return;
 	g_atomic_int_set(&c->stopping, 1);
-	curl_multi_wakeup(c->multi);
+	jh_http_loop_wake(c->loop);
 	g_thread_join(c->thread);
 	curl_multi_cleanup(c->multi);
+	jh_http_loop_destroy(c->loop);
 	jh_ring_destroy(c->commands);
 	g_hash_table_destroy(c->running);
 	g_free(c);
@@ -311,7 +311,47 @@
 	/* Each call has at most one command of each kind waiting. */
 	if (!jh_ring_push(call->client->commands, cmd))
 		g_assert_not_reached();
-	curl_multi_wakeup(call->client->multi);
+	jh_http_loop_wake(call->client->loop);
+}
+
+static size_t
+read_body(char *out, size_t size, size_t n, void *arg)
+{
+	struct jh_http_call *call = arg;
+	size_t len = jh_body_read(call->body, call->body_sent, out, size * n);
+
+	call->body_sent += len;
+	return len;
+}
+
+/* libcurl starts again when a kept connection turns out to be dead. */
+static int
+seek_body(void *arg, curl_off_t offset, int origin)
+{
+	struct jh_http_call *call = arg;
+
+	if (origin != SEEK_SET || offset < 0)
+		return CURL_SEEKFUNC_CANTSEEK;
+	call->body_sent = (size_t)offset;
+	return CURL_SEEKFUNC_OK;
+}
+
+static void
+set_body(struct jh_http_call *call)
+{
+	curl_off_t len = (curl_off_t)jh_body_len(call->body);
+
+	curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE, len);
+	if (jh_body_head(call->body).len == 0) {
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+		    jh_body_tail(call->body).ptr);
+		return;
+	}
+	curl_easy_setopt(call->easy, CURLOPT_READFUNCTION, read_body);
+	curl_easy_setopt(call->easy, CURLOPT_READDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_SEEKFUNCTION, seek_body);
+	curl_easy_setopt(call->easy, CURLOPT_SEEKDATA, call);
 }
 
 static void
@@ -323,12 +363,8 @@
 
 	curl_easy_setopt(call->easy, CURLOPT_URL, url);
 	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, spec->method);
-	if (spec->body.len > 0 || strcmp(spec->method, "GET") != 0) {
-		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)spec->body.len);
-		curl_easy_setopt(
-		    call->easy, CURLOPT_POSTFIELDS, call->body->str);
-	}
+	if (jh_body_len(call->body) > 0 || strcmp(spec->method, "GET") != 0)
+		set_body(call);
 	for (h = spec->headers; h != NULL && *h != NULL; h++)
 		call->headers = curl_slist_append(call->headers, *h);
 	/* Waiting for "100 Continue" would add a round trip to each body. */
@@ -355,6 +391,20 @@
 	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
 }
 
+static struct jh_body *
+body_of(const struct jh_http_call_spec *spec)
+{
+	struct jh_body *b;
+	GBytes *copy;
+
+	if (spec->shared != NULL)
+		return jh_body_ref(spec->shared);
+	copy = g_bytes_new(spec->body.ptr, spec->body.len);
+	b = jh_body_create(NULL, copy);
+	g_bytes_unref(copy);
+	return b;
+}
+
 struct jh_http_call *
 jh_http_call_start(
     struct jh_http_client *c, const struct jh_http_call_spec *spec)
@@ -369,7 +419,7 @@
 	call->refs = 2; /* the caller's and the running set's */
 	call->client = c;
 	call->easy = curl_easy_init();
-	call->body = g_string_new_len(spec->body.ptr, (gssize)spec->body.len);
+	call->body = body_of(spec);
 	call->ops = *spec->ops;
 	call->arg = spec->arg;
 	call->deadline = spec->deadline;
