--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -567,9 +567,9 @@
 	struct entry_job *j = arg;
 	bool gone;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	gone = j->left && j->leave_deadline == JH_NEVER;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	j->stage = STAGE_NONE;
 	j->n_heard = 0;
 	if (gone)
