--- a/src/agent/order.c
+++ b/src/agent/order.c
@@ -149,6 +149,13 @@
 	o->state = ORDER_ENDED;
 }
 
+/* The status says enough. */
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	return true;
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -168,7 +175,8 @@
 	g_mutex_unlock(&a->lock);
 }
 
-static const struct jh_http_call_ops order_ops = {.done = on_done};
+static const struct jh_http_call_ops order_ops = {
+    .data = on_data, .done = on_done};
 
 static void
 send_order(struct agent *a, uint64_t token, const char *weights)
--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -20,8 +20,9 @@
 	struct agent *agent;
 	struct jh_store *store; /* NULL until first needed */
 	GRand *rand; /* guarded by lock */
-	GMutex lock; /* guards machine; taken without agent->lock */
+	GMutex lock; /* guards what follows; taken without agent->lock */
 	struct jh_rollout *machine;
+	size_t stand_ins; /* in the last instance list */
 };
 
 /* A store call and what it needs. */
@@ -258,18 +259,20 @@
 	g_mutex_lock(&r->lock);
 	jh_rollout_set_workers(
 	    r->machine, (const char *const *)others->pdata, others->len, fleet);
+	r->stand_ins = others->len;
 	g_mutex_unlock(&r->lock);
 	g_ptr_array_free(others, TRUE);
 	g_free(model);
 }
 
-const char *
-agent_rollout_state(struct agent_rollout *r)
+json_t *
+agent_rollout_dump(struct agent_rollout *r)
 {
-	const char *state;
+	json_t *o;
 
 	g_mutex_lock(&r->lock);
-	state = jh_rollout_state_name(r->machine);
+	o = json_pack("{s:s, s:i}", "state", jh_rollout_state_name(r->machine),
+	    "stand_ins", (int)r->stand_ins);
 	g_mutex_unlock(&r->lock);
-	return state;
+	return o;
 }
--- a/src/agent/rollout_run.h
+++ b/src/agent/rollout_run.h
@@ -1,6 +1,8 @@
 #ifndef AGENT_ROLLOUT_RUN_H
 #define AGENT_ROLLOUT_RUN_H
 
+#include <jansson.h>
+
 #include <jacinthhill/members.h>
 
 #include "agent/agent.h"
@@ -19,7 +21,6 @@
 void agent_rollout_set_list(
     struct agent_rollout *r, const struct jh_instance *const *list, size_t n);
 
-/* A word for the state dump. */
-const char *agent_rollout_state(struct agent_rollout *r);
+json_t *agent_rollout_dump(struct agent_rollout *r);
 
 #endif
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -52,8 +52,8 @@
 	char incarnation[17], engine[17];
 	json_t *queue = json_object();
 	/* Taken before a->lock, which the rollout's own lock never follows. */
-	const char *rollout =
-	    a->rollout == NULL ? NULL : agent_rollout_state(a->rollout);
+	json_t *rollout =
+	    a->rollout == NULL ? NULL : agent_rollout_dump(a->rollout);
 	uint64_t age = jh_feed_age(a->feed);
 	json_t *root;
 
@@ -65,7 +65,7 @@
 	    (unsigned long long)a->engine.incarnation);
 	root = json_pack(
 	    "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:i, s:o, s:{s:s, s:s*, "
-	    "s:s*}, s:o, s:s*, s:o}",
+	    "s:s*}, s:o, s:o*, s:o}",
 	    "instance", a->set.instance, "role", "agent", "incarnation",
 	    incarnation, "availability_zone", a->set.zone, "leaving",
 	    g_atomic_int_get(&a->leaving), "catalogue_revision",
