jhctl: name its key secret, know the daemons' settings and the instance list

The same key was called secret in the daemons' settings and control_key in jhctl's, so a copied line did not work.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,9 @@
 NET_SRC = $(call srcs,$(NET_DIRS))
 ENTRY_SRC = $(filter-out src/entry/main.c,$(wildcard src/entry/*.c))
 AGENT_SRC = $(filter-out src/agent/main.c,$(wildcard src/agent/*.c))
-CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c))
+# jhctl checks the daemons' settings files.
+CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c)) \
+    src/entry/settings.c src/agent/settings.c
 FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list,\
     $(wildcard fakes/$(d)/*.c)))
 TEST_SRC = $(wildcard test/test_*.c)
--- a/src/ctl/control.c
+++ b/src/ctl/control.c
@@ -34,7 +34,7 @@
 		*status = CTL_USAGE;
 		return false;
 	}
-	if (jh_rpc_call(&peer, &c->settings.control_key, proc, args, reply,
+	if (jh_rpc_call(&peer, &c->settings.secret, proc, args, reply,
 		ctl_deadline(c), &err))
 		return true;
 	fprintf(c->err, "%s: %s\n", address, err->message);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -25,7 +25,8 @@
 
 struct ctl_settings {
 	struct sockaddr_in store;
-	struct jh_auth_key control_key;
+	struct jh_auth_key secret;
+	struct sockaddr_in instance_list; /* port 0: not given */
 };
 
 /* One run of the tool. */
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -55,7 +55,7 @@
 	f->dir = g_dir_make_tmp("jhctl-XXXXXX", NULL);
 	f->settings = g_build_filename(f->dir, "jhctl.yaml", NULL);
 	f->file = g_build_filename(f->dir, "entry.yaml", NULL);
-	text = g_strdup_printf("store: 127.0.0.1:%u\ncontrol_key: \"%s\"\n",
+	text = g_strdup_printf("store: 127.0.0.1:%u\nsecret: \"%s\"\n",
 	    fake_store_port(f->fake), KEY_HEX);
 	assert_true(g_file_set_contents(f->settings, text, -1, NULL));
 	g_free(text);
@@ -215,6 +215,12 @@
 	assert_int_equal(run(f, "check", f->settings), CTL_OK);
 	assert_int_equal(
 	    run(f, "check --program other", f->settings), CTL_USAGE);
+	assert_int_equal(
+	    run(f, "check --program jhentry", f->settings), CTL_FAILED);
+	assert_non_null(strstr(f->err, "missing key \"listen\""));
+	assert_int_equal(
+	    run(f, "check --program jhagent", f->settings), CTL_FAILED);
+	assert_non_null(strstr(f->err, "missing key \"backend\""));
 	assert_int_equal(run(f, "catalog", NULL), CTL_USAGE);
 	assert_int_equal(run(f, "catalog show", NULL), CTL_USAGE);
 	assert_int_equal(run(f, "catalog delete", "orgs/a"), CTL_USAGE);
