--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -63,13 +63,15 @@
 	jh_queue_visit(a->queue, add_figure, queue);
 	snprintf(engine, sizeof(engine), "%016llx",
 	    (unsigned long long)a->engine.incarnation);
-	root = json_pack(
-	    "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:i, s:o, s:{s:s, s:s*, "
-	    "s:s*}, s:o, s:o*, s:o}",
+	root = json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:{s:I, s:I}, s:i, "
+			 "s:o, s:{s:s, s:s*, "
+			 "s:s*}, s:o, s:o*, s:o}",
 	    "instance", a->set.instance, "role", "agent", "incarnation",
 	    incarnation, "availability_zone", a->set.zone, "leaving",
 	    g_atomic_int_get(&a->leaving), "catalogue_revision",
-	    (json_int_t)jh_catalog_revision(a->catalog), "confirmed_age_ms",
+	    (json_int_t)jh_catalog_revision(a->catalog), "catalogue",
+	    "revision", (json_int_t)jh_catalog_revision(a->catalog),
+	    "confirmed_age_ms",
 	    age == JH_SYNC_AGE_UNKNOWN ? (json_int_t)-1
 				       : (json_int_t)(age / JH_USEC_PER_MSEC),
 	    "jobs", (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
@@ -83,9 +85,17 @@
 static void
 handle_dump(void *arg, const void *args, void *reply)
 {
+	const struct jh_dump_args *d = args;
 	struct jh_text_reply *r = reply;
 	json_t *root = dump_state(arg);
+	json_t *section = json_object_get(root, d->section);
 
+	/* An unknown section gives everything. */
+	if (section != NULL) {
+		section = json_pack("{s:O}", d->section, section);
+		json_decref(root);
+		root = section;
+	}
 	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
 	if (r->text == NULL)
 		r->text = strdup("{}");
--- a/src/ctl/catalog.c
+++ b/src/ctl/catalog.c
@@ -5,6 +5,7 @@
 
 #include "ctl/ctl.h"
 #include "ctl/edit.h"
+#include "ctl/in_force.h"
 #include "ctl/record_file.h"
 
 #define PAGE_ITEMS 1000
@@ -204,8 +205,9 @@
 	json_decref(current);
 }
 
+/* Leaves the version in *version, which may be NULL. */
 static int
-make_edit(struct ctl *c, const struct edit *e)
+make_edit(struct ctl *c, const struct edit *e, uint64_t *version)
 {
 	struct edit_outcome o;
 	int status = CTL_OK;
@@ -230,14 +232,17 @@
 		    e->key, e->text == NULL ? "deleted" : "applied", o.version);
 	}
 	g_free(o.current);
+	if (version != NULL)
+		*version = o.version;
 	return status;
 }
 
 static int
-apply(struct ctl *c, const char *path, gint64 version)
+apply(struct ctl *c, const char *path, gint64 version, bool wait)
 {
 	struct record_file r;
 	GError *err = NULL;
+	uint64_t made = 0;
 	struct edit e;
 	int status;
 
@@ -249,8 +254,10 @@
 	e.key = r.key;
 	e.text = r.text;
 	e.if_version = version == NO_VERSION ? r.version : (uint64_t)version;
-	status = make_edit(c, &e);
+	status = make_edit(c, &e, &made);
 	record_file_clear(&r);
+	if (status == CTL_OK && wait)
+		status = ctl_in_force(c, made, CTL_IN_FORCE_MS);
 	return status;
 }
 
@@ -258,7 +265,10 @@
 run_apply(struct ctl *c, const struct ctl_command *self, char **args)
 {
 	gint64 version = NO_VERSION;
+	gboolean wait = FALSE;
 	const GOptionEntry extra[] = {
+	    {"wait", 'w', 0, G_OPTION_ARG_NONE, &wait,
+		"Wait until it is in force everywhere; see in-force", NULL},
 	    {"version", 'v', 0, G_OPTION_ARG_INT64, &version,
 		"Version that you read (default: the file's, or 0, which "
 		"means that the object must not exist)",
@@ -271,7 +281,7 @@
 	if (status == CTL_GO_ON)
 		status = ctl_open_store(c);
 	if (status == CTL_GO_ON)
-		status = apply(c, args[0], version);
+		status = apply(c, args[0], version, wait);
 	g_strfreev(args);
 	return status;
 }
@@ -285,7 +295,7 @@
 		fprintf(c->err, "\"%s\" is no key of the catalogue\n", key);
 		return CTL_USAGE;
 	}
-	return make_edit(c, &e);
+	return make_edit(c, &e, NULL);
 }
 
 static int
--- a/src/ctl/control.c
+++ b/src/ctl/control.c
@@ -10,6 +10,10 @@
 /* The dump section that names the process's incarnation. */
 #define PROCESS_SECTION "process"
 
+/* Operators' orders compete with each other, and not with the leases' holders.
+ */
+#define OPERATOR_DUTY "operator"
+
 static int
 exit_of(const GError *err)
 {
@@ -159,7 +163,100 @@
 	return status;
 }
 
+struct order_options {
+	char *model;
+	char *weights;
+	char *duty;
+	gint64 fencing; /* 0: none given */
+};
+
+/*
+ * The store's present revision is a token that no lease or operator has had
+ * before it was last changed.
+ */
+static int
+find_token(struct ctl *c, struct order_options *o)
+{
+	uint64_t revision = 0;
+	int status;
+
+	if (o->fencing > 0)
+		return CTL_GO_ON;
+	status = ctl_store_revision(c, &revision);
+	o->fencing = (gint64)revision;
+	return status;
+}
+
+static int
+send_order(struct ctl *c, const char *address, const struct order_options *o)
+{
+	struct jh_order_args args = {.duty = o->duty,
+	    .fencing = (uint64_t)o->fencing,
+	    .kind = JH_ORDER_LOAD_WEIGHTS,
+	    .model = o->model,
+	    .weights = o->weights,
+	    .role = (char *)""};
+	struct jh_status_reply reply = {0};
+	int status = CTL_OK;
+
+	if (!call(c, address, JH_ORDER, &args, &reply, &status))
+		return status;
+	fprintf(reply.code == 0 ? c->out : c->err,
+	    "%s: %s (fencing %" G_GINT64_FORMAT ")\n", address, reply.message,
+	    o->fencing);
+	status = reply.code == 0 ? CTL_OK : CTL_FAILED;
+	jh_rpc_reply_clear(JH_ORDER, &reply);
+	return status;
+}
+
+static int
+check_order(struct ctl *c, char **args, const struct order_options *o)
+{
+	if (strcmp(args[1], "load-weights") == 0 && o->model != NULL &&
+	    o->weights != NULL && o->fencing >= 0)
+		return CTL_GO_ON;
+	fprintf(c->err,
+	    "usage: jhctl order ADDRESS load-weights --model NAME --weights "
+	    "VERSION [--fencing N]\n");
+	return CTL_USAGE;
+}
+
+static int
+run_order(struct ctl *c, const struct ctl_command *self, char **args)
+{
+	struct order_options o = {0};
+	const GOptionEntry extra[] = {
+	    {"model", 'm', 0, G_OPTION_ARG_STRING, &o.model,
+		"Model that the engine serves", "NAME"},
+	    {"weights", 'w', 0, G_OPTION_ARG_STRING, &o.weights,
+		"Version of the weights", "VERSION"},
+	    {"duty", 'd', 0, G_OPTION_ARG_STRING, &o.duty,
+		"Duty whose token it is (default " OPERATOR_DUTY ")", "NAME"},
+	    {"fencing", 'f', 0, G_OPTION_ARG_INT64, &o.fencing,
+		"Fencing token (default: the store's present revision)", "N"},
+	    G_OPTION_ENTRY_NULL};
+	int status = ctl_parse(c, self, extra, &args, 2, 2);
+
+	if (status == CTL_GO_ON)
+		status = check_order(c, args, &o);
+	if (o.duty == NULL)
+		o.duty = g_strdup(OPERATOR_DUTY);
+	if (status == CTL_GO_ON)
+		status = ctl_open_store(c);
+	if (status == CTL_GO_ON)
+		status = find_token(c, &o);
+	if (status == CTL_GO_ON)
+		status = send_order(c, args[0], &o);
+	g_strfreev(args);
+	g_free(o.model);
+	g_free(o.weights);
+	g_free(o.duty);
+	return status;
+}
+
 const struct ctl_command ctl_control_commands[] = {
+    {"order", "ADDRESS load-weights", "Order a worker to load weights",
+	run_order},
     {"dump", "ADDRESS [SECTION]", "Show the state of a daemon", run_dump},
     {"drain", "ADDRESS", "Make a daemon finish its work and stop", run_drain},
     {0}};
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -55,6 +55,9 @@
 extern const struct ctl_command ctl_check_commands[];
 extern const struct ctl_command ctl_catalog_commands[];
 extern const struct ctl_command ctl_control_commands[];
+extern const struct ctl_command ctl_in_force_commands[];
+extern const struct ctl_command ctl_instances_commands[];
+extern const struct ctl_command ctl_refusals_commands[];
 
 /*
  * Parses the options of a command, which extra (may be NULL) adds to the
@@ -68,6 +71,8 @@
 int ctl_load_settings(struct ctl *c);
 /* Loads the settings and opens the store client. */
 int ctl_open_store(struct ctl *c);
+/* Leaves the store's present revision; returns CTL_GO_ON or an exit code. */
+int ctl_store_revision(struct ctl *c, uint64_t *revision);
 /* The jh_now() time until which the present call may take. */
 uint64_t ctl_deadline(const struct ctl *c);
 /* Prints why a store call failed and returns the exit code. */
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include <jacinthhill/clock.h>
+#include <jacinthhill/record.h>
 
 #include "ctl/ctl.h"
 #include "ctl/settings.h"
@@ -132,3 +133,25 @@
 		   ? CTL_UNAVAILABLE
 		   : CTL_FAILED;
 }
+
+int
+ctl_store_revision(struct ctl *c, uint64_t *revision)
+{
+	struct jh_store_waiter *w = jh_store_waiter_create();
+	const struct jh_store_reply *reply;
+	int status = CTL_GO_ON;
+
+	/* Any read tells it. */
+	if (!jh_store_list(c->store, JH_RECORD_PREFIX_MODEL, "", 1,
+		ctl_deadline(c), jh_store_waiter_done(w))) {
+		jh_store_waiter_destroy(w);
+		return ctl_store_failed(c, "revision", JH_STORE_UNAVAILABLE);
+	}
+	reply = jh_store_waiter_wait(w);
+	if (reply->result == JH_STORE_OK)
+		*revision = reply->revision;
+	else
+		status = ctl_store_failed(c, "revision", reply->result);
+	jh_store_waiter_destroy(w);
+	return status;
+}
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -98,9 +98,17 @@
 static void
 handle_dump(void *arg, const void *args, void *reply)
 {
+	const struct jh_dump_args *d = args;
 	struct jh_text_reply *r = reply;
 	json_t *root = dump_state(arg);
+	json_t *section = json_object_get(root, d->section);
 
+	/* An unknown section gives everything. */
+	if (section != NULL) {
+		section = json_pack("{s:O}", d->section, section);
+		json_decref(root);
+		root = section;
+	}
 	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
 	if (r->text == NULL)
 		r->text = strdup("{}");
