--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -35,6 +35,7 @@
 static gint64 max_batch = 16, prefill_rate = 40000, chunk = 8000;
 static gint64 step_usec = 15000, per_seq_usec = 300, piece_tokens = 2000;
 static gint64 capacity = 2000, scale = 100, event_lag_ms = 200, seed = 1;
+static gint64 load_ms;
 static gdouble gap_rate;
 static gboolean ignore_fencing;
 
@@ -55,6 +56,8 @@
     {"event-gap-rate", 0, 0, G_OPTION_ARG_DOUBLE, &gap_rate, "0 to 1", "R"},
     {"crash-on", 0, 0, G_OPTION_ARG_STRING, &crash_text,
 	"die when a body contains this", "TEXT"},
+    {"load-ms", 0, 0, G_OPTION_ARG_INT64, &load_ms,
+	"time of a load, in which nothing is answered", "N"},
     {"ignore-fencing", 0, 0, G_OPTION_ARG_NONE, &ignore_fencing,
 	"accept orders with old fencing numbers", NULL},
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "of the event gaps", "N"},
@@ -194,6 +197,7 @@
 	} else if (weights == NULL) {
 		reply_fault(req, 400, "weights is missing");
 	} else {
+		g_usleep((gulong)load_ms * JH_USEC_PER_MSEC);
 		e->fencing = MAX(e->fencing, number);
 		g_free(e->weights);
 		e->weights = g_strdup(weights);
--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -178,9 +178,10 @@
 		c->value = jh_str_dup(c->action.value);
 	}
 	g_mutex_unlock(&r->lock);
-	if (!due)
-		g_clear_pointer(&c, run_free);
-	return c;
+	if (due)
+		return c;
+	run_free(c);
+	return NULL;
 }
 
 /*
--- a/test/test_proc_orders.c
+++ b/test/test_proc_orders.c
@@ -18,7 +18,8 @@
 	/* These engines take any order: only the agents refuse old ones. */
 	static const struct world_spec spec = {.entries = 1,
 	    .engines = 3,
-	    .engine_args = {"--step-usec", "5000", "--ignore-fencing"}};
+	    .engine_args = {
+		"--step-usec", "5000", "--ignore-fencing", "--load-ms", "400"}};
 
 	*state = world_create(&spec);
 	return 0;
