--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -21,8 +21,10 @@
 	struct agent *agent;
 	struct jh_store *store; /* NULL until first needed */
 	GRand *rand; /* guarded by lock */
-	pthread_mutex_t lock; /* guards machine; taken without agent->lock */
+	pthread_mutex_t
+	    lock; /* guards what follows; taken without agent->lock */
 	struct jh_rollout *machine;
+	size_t stand_ins; /* in the last instance list */
 };
 
 /* A store call and what it needs. */
@@ -178,9 +180,10 @@
 		c->value = jh_str_dup(c->action.value);
 	}
 	pthread_mutex_unlock(&r->lock);
-	if (!due)
-		g_clear_pointer(&c, run_free);
-	return c;
+	if (due)
+		return c;
+	run_free(c);
+	return NULL;
 }
 
 /*
@@ -259,18 +262,20 @@
 	pthread_mutex_lock(&r->lock);
 	jh_rollout_set_workers(
 	    r->machine, (const char *const *)others->pdata, others->len, fleet);
+	r->stand_ins = others->len;
 	pthread_mutex_unlock(&r->lock);
 	g_ptr_array_free(others, TRUE);
 	g_free(model);
 }
 
-const char *
-agent_rollout_state(struct agent_rollout *r)
+json_t *
+agent_rollout_dump(struct agent_rollout *r)
 {
-	const char *state;
+	json_t *o;
 
 	pthread_mutex_lock(&r->lock);
-	state = jh_rollout_state_name(r->machine);
+	o = json_pack("{s:s, s:i}", "state", jh_rollout_state_name(r->machine),
+	    "stand_ins", (int)r->stand_ins);
 	pthread_mutex_unlock(&r->lock);
-	return state;
+	return o;
 }
--- a/test/tsan/glib.c
+++ b/test/tsan/glib.c
@@ -9,13 +9,16 @@
 #include <glib.h>
 #include <sanitizer/tsan_interface.h>
 
+#include "base/thread.h"
+
 static struct {
-	void (*mutex_lock)(GMutex *);
-	gboolean (*mutex_trylock)(GMutex *);
-	void (*mutex_unlock)(GMutex *);
-	void (*mutex_clear)(GMutex *);
-	void (*cond_wait)(GCond *, GMutex *);
-	gboolean (*cond_wait_until)(GCond *, GMutex *, gint64);
+	void (*mutex_lock)(pthread_mutex_t *);
+	gboolean (*mutex_trylock)(pthread_mutex_t *);
+	void (*mutex_unlock)(pthread_mutex_t *);
+	void (*mutex_clear)(pthread_mutex_t *);
+	void (*cond_wait)(pthread_cond_t *, pthread_mutex_t *);
+	gboolean (*cond_wait_until)(
+	    pthread_cond_t *, pthread_mutex_t *, gint64);
 } real;
 
 static void
@@ -37,14 +40,14 @@
 }
 
 static void
-released(GMutex *m)
+released(pthread_mutex_t *m)
 {
 	__tsan_mutex_pre_unlock(m, 0);
 	__tsan_mutex_post_unlock(m, 0);
 }
 
 void
-g_mutex_lock(GMutex *m)
+pthread_mutex_lock(pthread_mutex_t *m)
 {
 	__tsan_mutex_pre_lock(m, 0);
 	real.mutex_lock(m);
@@ -52,7 +55,7 @@
 }
 
 gboolean
-g_mutex_trylock(GMutex *m)
+g_mutex_trylock(pthread_mutex_t *m)
 {
 	unsigned int flags = __tsan_mutex_try_lock;
 	gboolean ok;
@@ -66,7 +69,7 @@
 }
 
 void
-g_mutex_unlock(GMutex *m)
+pthread_mutex_unlock(pthread_mutex_t *m)
 {
 	__tsan_mutex_pre_unlock(m, 0);
 	real.mutex_unlock(m);
@@ -74,14 +77,14 @@
 }
 
 void
-g_mutex_clear(GMutex *m)
+pthread_mutex_destroy(pthread_mutex_t *m)
 {
 	__tsan_mutex_destroy(m, 0);
 	real.mutex_clear(m);
 }
 
 void
-g_cond_wait(GCond *c, GMutex *m)
+pthread_cond_wait(pthread_cond_t *c, pthread_mutex_t *m)
 {
 	released(m);
 	__tsan_mutex_pre_lock(m, 0);
@@ -90,7 +93,7 @@
 }
 
 gboolean
-g_cond_wait_until(GCond *c, GMutex *m, gint64 end)
+jh_cond_wait_until(pthread_cond_t *c, pthread_mutex_t *m, gint64 end)
 {
 	gboolean signalled;
 
