--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Benchmarks of the daemons on loopback.
 #   bench/run.sh                  both parts
-#   bench/run.sh part1            router overhead
+#   bench/run.sh part1 [GROUP...] router overhead: latency saturate per_token memory
 #   bench/run.sh part2 [CASE...]  placement policies at today's sizes
 # Environment: ROUNDS (part 1), POLICIES, DEPLOYMENTS, RATE, SEED (part 2).
 set -u
@@ -17,13 +17,16 @@
 
 case ${1:-all} in
 all) (part1) && part2 ;;
-part1) part1 ;;
+part1)
+	shift
+	part1 "$@"
+	;;
 part2)
 	shift
 	part2 "$@"
 	;;
 *)
-	echo "usage: bench/run.sh [part1 | part2 [CASE...]]" >&2
+	echo "usage: bench/run.sh [part1 [GROUP...] | part2 [CASE...]]" >&2
 	exit 2
 	;;
 esac
