--- a/src/admit/queue_flow.h
+++ b/src/admit/queue_flow.h
@@ -7,6 +7,7 @@
 
 #include <jacinthhill/queue.h>
 
+#include "admit/queue_fit.h"
 #include "admit/queue_heap.h"
 #include "admit/queue_tree.h"
 
@@ -36,9 +37,13 @@
 	unsigned int weight;
 	struct jh_queue_tree tree;
 	unsigned int running;
+	/* Slots held, over time. */
+	struct jh_queue_level held;
+	/* Index of the heap that holds the flow while it waits. */
+	unsigned int level;
 	/* Virtual time at which the flow's next item starts. */
 	uint64_t tag;
-	/* In the heap of waiting flows, or of idle ones, by tag. */
+	/* In the heap of its level or of the idle flows, by tag. */
 	struct jh_queue_heap_node order;
 	/* In the heap of waiting flows by queued cost, largest first. */
 	struct jh_queue_heap_node size;
@@ -49,5 +54,12 @@
 
 struct jh_queue_sum jh_queue_flow_sum(const struct jh_queue_flow *f);
 uint64_t jh_queue_flow_span(const struct jh_queue_flow *f, uint64_t cost);
+/*
+ * Slots that the flow holds for each unit of weight, a mean of now and of the
+ * recent past: a flow that holds few on average may have a wave of requests.
+ */
+double jh_queue_flow_level(const struct jh_queue_flow *f);
+/* How many more slots it may take before its level reaches the bound. */
+double jh_queue_flow_left(const struct jh_queue_flow *f, double bound);
 
 #endif
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,11 +1,14 @@
 #ifndef AGENT_AGENT_H
 #define AGENT_AGENT_H
 
+#include <pthread.h>
+
 #include <jacinthhill/cacheview.h>
 #include <jacinthhill/counters.h>
 #include <jacinthhill/queue.h>
 
 #include "agent/settings.h"
+#include "feed/crash_log.h"
 #include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -28,6 +31,7 @@
 	AGENT_TOKENS,
 	AGENT_PROMPT_TOKENS,
 	AGENT_CACHED_TOKENS,
+	AGENT_EVENT_GAPS,
 	AGENT_COUNTERS
 };
 
@@ -51,15 +55,20 @@
 	struct jh_http_server *server;
 	struct jh_catalog *catalog;
 	struct jh_feed *feed;
+	struct crash_log *crashes;
 	struct agent_once *once; /* NULL beside an engine */
+	struct agent_orders *orders; /* guarded by lock */
+	struct agent_rollout *rollout; /* NULL beside a plain service */
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_queue *queue;
-	struct jh_cacheview *cache;
+	struct jh_cacheview *cache; /* NULL until the engine has answered */
 	struct agent_engine engine;
 	GHashTable *jobs; /* &id -> struct agent_job */
 	GHashTable *by_request; /* request id -> struct agent_job */
 	uint64_t next_id;
+	uint64_t crash_seq;
+	uint64_t crashed_at; /* 0: no crash yet */
 
 	int leaving; /* atomic */
 	int wait_ms; /* atomic: estimated wait of new urgent work */
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -1,9 +1,14 @@
+#include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
 #include <jacinthhill/prefix.h>
 
 #include "agent/chat.h"
+#include "agent/order.h"
+#include "agent/pieces.h"
+#include "agent/suspect.h"
 
 /* Answer length assumed when the entry daemon does not estimate one. */
 #define DEFAULT_DECODE_TOKENS 64
@@ -17,6 +22,24 @@
 	const char *refusal; /* NULL: start it */
 };
 
+/* Hands queued work back while the engine is to get none. Holds agent->lock. */
+static void
+hand_back(struct agent *a, GArray *out)
+{
+	struct outcome o = {.refusal = "loading"};
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		o.job = value;
+		if (!jh_queue_cancel(a->queue, o.job->id))
+			continue;
+		agent_job_ref(o.job);
+		g_array_append_val(out, o);
+	}
+}
+
 /* Collects what may start or is refused now. Holds agent->lock. */
 static GArray *
 pump(struct agent *a)
@@ -28,7 +51,10 @@
 	uint64_t now = jh_now();
 
 	jh_queue_expire(a->queue, jh_now());
+	if (agent_order_holds(a))
+		hand_back(a, out);
 	while (jh_queue_next(a->queue, jh_now(), &item)) {
+		((struct agent_job *)item.data)->started_at = now;
 		o = (struct outcome){agent_job_ref(item.data), NULL};
 		g_array_append_val(out, o);
 	}
@@ -59,14 +85,14 @@
 static void
 refuse_job(struct agent_job *j, const char *reason)
 {
-	g_mutex_lock(&j->agent->lock);
+	pthread_mutex_lock(&j->agent->lock);
 	forget(j);
-	g_mutex_unlock(&j->agent->lock);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_unlock(&j->agent->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_ENDED;
 	if (j->req != NULL)
 		agent_refuse(j->agent, j->req, 503, reason);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	agent_job_drop_req(j);
 }
 
@@ -92,9 +118,9 @@
 {
 	GArray *outcomes;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	outcomes = pump(a);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	carry_out(outcomes);
 }
 
@@ -106,16 +132,16 @@
 	jh_counters_add(a->counters, AGENT_TOKENS, j->tokens);
 	jh_counters_add(
 	    a->counters, completed ? AGENT_COMPLETED : AGENT_CANCELLED, 1);
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_finished(a->queue, jh_now(), j->id,
 	    completed ? JH_QUEUE_END_DONE : JH_QUEUE_END_ABORTED, j->tokens);
 	/* An orphaned stream that is whole is kept for its reader. */
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_ENDED;
 	if (j->req != NULL || !completed)
 		forget(j);
-	g_mutex_unlock(&j->lock);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&a->lock);
 	agent_job_drop_req(j);
 	pump_now(a);
 }
@@ -126,12 +152,12 @@
 	struct agent *a = j->agent;
 	bool queued;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	queued = jh_queue_cancel(a->queue, j->id);
 	if (queued || j->state == JOB_ENDED)
 		forget(j);
-	g_mutex_unlock(&a->lock);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_unlock(&a->lock);
+	pthread_mutex_lock(&j->lock);
 	j->cancelled = true;
 	if (queued)
 		j->state = JOB_ENDED;
@@ -139,7 +165,7 @@
 		jh_http_call_cancel(j->call);
 	if (queued && j->req != NULL)
 		jh_http_req_abort(j->req);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (queued) {
 		agent_job_drop_req(j);
 		jh_counters_add(a->counters, AGENT_CANCELLED, 1);
@@ -151,11 +177,11 @@
 {
 	struct agent_job *j;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j = g_hash_table_lookup(a->by_request, request_id);
 	if (j != NULL)
 		agent_job_ref(j);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (j == NULL)
 		return false;
 	cancel_job(j);
@@ -170,44 +196,45 @@
 static void
 on_closed(void *arg)
 {
-	struct agent_job *j = arg;
-	bool keep;
+	struct agent_reader *r = arg;
+	struct agent_job *j = r->job;
+	bool own, keep;
 
-	g_mutex_lock(&j->lock);
-	keep = j->begun && !j->cancelled && j->state != JOB_ENDED;
+	pthread_mutex_lock(&j->lock);
+	own = j->req == r->req;
+	keep = own && j->begun && !j->cancelled && j->state != JOB_ENDED;
 	if (keep) {
+		j->req = NULL;
 		j->orphan_deadline = jh_now() + AGENT_ORPHAN_USEC;
 		j->blocked = false;
 		if (j->call != NULL && j->state == JOB_RUNNING)
 			jh_http_call_resume(j->call);
 	}
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (keep)
-		agent_job_drop_req(j);
-	else
+		jh_http_req_unref(r->req);
+	else if (own)
 		cancel_job(j);
 }
 
 static void
 on_writable(void *arg)
 {
-	struct agent_job *j = arg;
-
-	g_mutex_lock(&j->lock);
-	j->blocked = false;
-	if (j->call != NULL && j->state == JOB_RUNNING)
-		jh_http_call_resume(j->call);
-	g_mutex_unlock(&j->lock);
-}
+	struct agent_reader *r = arg;
+	struct agent_job *j = r->job;
 
-static void
-on_released(void *arg)
-{
-	agent_job_unref(arg);
+	pthread_mutex_lock(&j->lock);
+	if (j->req == r->req) {
+		j->blocked = false;
+		if (j->call != NULL && j->state == JOB_RUNNING)
+			jh_http_call_resume(j->call);
+	}
+	pthread_mutex_unlock(&j->lock);
 }
 
-static const struct jh_http_req_ops job_req_ops = {
-    .writable = on_writable, .closed = on_closed, .released = on_released};
+static const struct jh_http_req_ops job_req_ops = {.writable = on_writable,
+    .closed = on_closed,
+    .released = agent_reader_free};
 
 /* Replays the kept stream; the entry daemon's relay drops repeats. */
 void
@@ -217,8 +244,8 @@
 	bool ended;
 
 	jh_counters_add(j->agent->counters, AGENT_REATTACHED, 1);
-	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
-	g_mutex_lock(&j->lock);
+	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
+	pthread_mutex_lock(&j->lock);
 	old = j->req;
 	j->req = req;
 	j->orphan_deadline = JH_NEVER;
@@ -230,15 +257,15 @@
 	ended = j->state == JOB_ENDED;
 	if (ended)
 		jh_http_req_end(req);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (old != NULL) {
 		jh_http_req_abort(old);
 		jh_http_req_unref(old);
 	}
 	if (ended) {
-		g_mutex_lock(&j->agent->lock);
+		pthread_mutex_lock(&j->agent->lock);
 		forget(j);
-		g_mutex_unlock(&j->agent->lock);
+		pthread_mutex_unlock(&j->agent->lock);
 		agent_job_drop_req(j);
 	}
 }
@@ -252,11 +279,11 @@
 
 	if (jh_work_get(w, JH_WORK_RESUME) == NULL)
 		return false;
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j = g_hash_table_lookup(a->by_request, rid);
 	if (j != NULL)
 		agent_job_ref(j);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	if (j == NULL)
 		return false;
 	same_org = g_strcmp0(jh_work_get(j->work, JH_WORK_ORG),
@@ -269,11 +296,20 @@
 	return same_org && j->begun;
 }
 
-/* Prompt tokens that the engine's cache is not known to hold. */
+/*
+ * Prompt tokens that the engine's cache is not known to hold. Holds a->lock.
+ */
 static uint32_t
 uncached_tokens(struct agent *a, struct agent_job *j)
 {
-	return (uint32_t)MIN(j->prompt_tokens, UINT32_MAX);
+	uint64_t cached = 0;
+
+	if (a->cache != NULL && j->pieces != NULL)
+		cached = jh_cacheview_cached(a->cache,
+		    (const uint64_t *)(const void *)j->pieces->data,
+		    j->pieces->len);
+	return (uint32_t)MIN(
+	    j->prompt_tokens - MIN(cached, j->prompt_tokens), UINT32_MAX);
 }
 
 static struct jh_queue_item
@@ -296,19 +332,18 @@
 	    .data = j};
 }
 
-/* A wait over the entry daemon's bound: another worker would be faster. */
+/* A first token later than the entry daemon's bound: ask another worker. */
 static bool
 over_max_wait(struct agent *a, const struct jh_queue_item *item)
 {
 	const struct agent_job *j = item->data;
-	uint64_t now = jh_now(), max_ms, own, first;
+	uint64_t now = jh_now(), max_ms;
 
 	max_ms = jh_work_get_uint(j->work, JH_WORK_MAX_WAIT_MS, UINT64_MAX);
 	if (max_ms == UINT64_MAX)
 		return false;
-	first = jh_queue_estimate(a->queue, now, item);
-	own = item->prefill * JH_USEC_PER_SEC / (uint64_t)a->set.prefill_rate;
-	return first > now + own + max_ms * JH_USEC_PER_MSEC;
+	return jh_queue_estimate(a->queue, now, item) >
+	       now + max_ms * JH_USEC_PER_MSEC;
 }
 
 /* Returns the reason of a refusal, or NULL when queued. */
@@ -317,13 +352,21 @@
 {
 	struct jh_queue_decision d = {0};
 	struct jh_queue_item item;
+	enum jh_suspect_verdict verdict;
 	const char *reason = NULL;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	j->id = a->next_id++;
 	item = queue_item(a, j);
+	verdict = agent_may_run(j);
 	if (g_atomic_int_get(&a->leaving))
 		reason = "leaving";
+	else if (agent_order_holds(a))
+		reason = "loading";
+	else if (verdict == JH_SUSPECT_REFUSE)
+		reason = "quarantined";
+	else if (verdict == JH_SUSPECT_WAIT)
+		reason = "suspect_beside";
 	else if (over_max_wait(a, &item))
 		reason = "busy";
 	else if (!jh_queue_offer(a->queue, jh_now(), &item, &d))
@@ -333,10 +376,49 @@
 		g_hash_table_replace(a->by_request,
 		    (char *)jh_work_get(j->work, JH_WORK_REQUEST_ID), j);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	return reason;
 }
 
+/* What a refused entry daemon needs to choose among those that refused. */
+static void
+add_offer_headers(struct agent *a, struct agent_job *j, struct jh_http_req *req)
+{
+	uint64_t uncached, wait, now;
+	struct jh_queue_item item;
+	char text[32];
+
+	pthread_mutex_lock(&a->lock);
+	uncached = uncached_tokens(a, j);
+	item = queue_item(a, j);
+	item.prefill = 0;
+	now = jh_now();
+	wait = jh_queue_estimate(a->queue, now, &item);
+	pthread_mutex_unlock(&a->lock);
+	snprintf(text, sizeof(text), "%llu",
+	    (unsigned long long)(j->prompt_tokens - uncached));
+	jh_http_req_add_header(req, "Jh-Cached", text);
+	snprintf(text, sizeof(text), "%llu",
+	    (unsigned long long)((wait - MIN(now, wait)) / JH_USEC_PER_MSEC));
+	jh_http_req_add_header(req, "Jh-Wait", text);
+}
+
+/* "HIGH:LOW" in hexadecimal; zero when absent. */
+static struct jh_fingerprint
+read_fingerprint(const struct jh_work *w)
+{
+	const char *text = jh_work_get(w, JH_WORK_FINGERPRINT);
+	struct jh_fingerprint print = {0, 0};
+	char *end;
+
+	if (text == NULL)
+		return print;
+	print.high = g_ascii_strtoull(text, &end, 16);
+	if (*end == ':')
+		print.low = g_ascii_strtoull(end + 1, NULL, 16);
+	return print;
+}
+
 void
 agent_chat(struct agent *a, struct jh_work *w, struct jh_http_req *req)
 {
@@ -355,9 +437,15 @@
 		return;
 	}
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
-	jh_http_req_watch(req, &job_req_ops, agent_job_ref(j));
+	j->print = read_fingerprint(w);
+	if (jh_work_get_uint(w, JH_WORK_CRASHES, 0) > 0)
+		crash_log_hint(a->crashes, j->print,
+		    (unsigned int)jh_work_get_uint(w, JH_WORK_CRASHES, 0));
+	j->pieces = agent_pieces(a, w, jh_http_req_body(req));
+	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	reason = offer(a, j);
 	if (reason != NULL) {
+		add_offer_headers(a, j, req);
 		agent_refuse(a, req, 503, reason);
 		agent_job_drop_req(j);
 	}
@@ -374,16 +462,16 @@
 	gpointer value;
 	guint i;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	g_hash_table_iter_init(&it, a->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		j = value;
-		g_mutex_lock(&j->lock);
+		pthread_mutex_lock(&j->lock);
 		if (jh_now() >= j->orphan_deadline)
 			g_ptr_array_add(late, agent_job_ref(j));
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 	}
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	for (i = 0; i < late->len; i++) {
 		cancel_job(late->pdata[i]);
 		agent_job_unref(late->pdata[i]);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -5,6 +6,8 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/job.h"
+#include "agent/suspect.h"
+#include "agent/pieces.h"
 #include "base/event.h"
 
 /* Longest time one request may take on an engine. */
@@ -57,9 +60,9 @@
 	const char *cached = jh_http_call_header(call, "X-Cached-Tokens");
 	struct agent *a = j->agent;
 
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_first_token(a->queue, jh_now(), j->id);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_unlock(&a->lock);
 	jh_counters_add(a->counters, AGENT_PROMPT_TOKENS, j->prompt_tokens);
 	if (cached != NULL)
 		jh_counters_add(a->counters, AGENT_CACHED_TOKENS,
@@ -86,10 +89,10 @@
 	j->engine_ok = jh_http_call_status(call) == 200;
 	if (j->engine_ok)
 		note_first_token(j, call);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->begun = true;
 	begin_reply(j, call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 static bool
@@ -97,16 +100,16 @@
 {
 	struct agent_job *j = arg;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (j->blocked) {
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 		return false;
 	}
 	keep_log(j, data);
 	j->tokens += count_events(data);
 	if (j->req != NULL && !jh_http_req_write(j->req, data.ptr, data.len))
 		j->blocked = true;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	return true;
 }
 
@@ -122,6 +125,9 @@
 		jh_http_req_abort(req);
 		return;
 	}
+	if (crash_log_state(j->agent->crashes, j->print) ==
+	    JH_SUSPECT_QUARANTINED)
+		jh_http_req_add_header(req, "Jh-Quarantined", "1");
 	jh_http_req_add_header(req, "Jh-Reason", "engine_lost");
 	agent_add_headers(
 	    j->agent, req, result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
@@ -134,18 +140,24 @@
 	struct agent_job *j = arg;
 	bool whole = result == JH_HTTP_OK;
 
-	g_mutex_lock(&j->lock);
+	if (result == JH_HTTP_BROKEN)
+		agent_engine_crashed(j);
+	pthread_mutex_lock(&j->lock);
 	if (whole && j->req != NULL)
 		jh_http_req_end(j->req);
 	else
 		break_reply(j, result);
-	g_mutex_unlock(&j->lock);
+	/* A reader that comes back from here on gets the log and its end. */
+	j->state = JOB_ENDED;
+	pthread_mutex_unlock(&j->lock);
 	if (!whole && result != JH_HTTP_CANCELLED) {
 		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
 		jh_event(JH_EV_ENGINE_LOST, G_LOG_LEVEL_WARNING,
 		    "engine broke off request %s",
 		    jh_work_get(j->work, JH_WORK_REQUEST_ID));
 	}
+	if (whole && j->engine_ok)
+		crash_log_succeeded(j->agent->crashes, j->print);
 	agent_job_ended(j, whole && j->engine_ok);
 	agent_job_unref(j);
 }
@@ -153,23 +165,18 @@
 static const struct jh_http_call_ops engine_ops = {
     .begun = on_begun, .data = on_data, .done = on_done};
 
-/* Adds the engine's incarnation and weights to an entry daemon's salt. */
 static char *
 salt_line(struct agent_job *j, const char *name, enum jh_work_field field)
 {
 	const char *text = jh_work_get(j->work, field);
 	char salt[JH_CACHE_SALT_LEN + 1];
-	struct jh_prefix_scope scope;
 	struct agent *a = j->agent;
 
 	if (text == NULL)
 		return NULL;
-	g_mutex_lock(&a->lock);
-	scope.model = jh_str_from(a->engine.model);
-	scope.weights_version = jh_str_from(a->engine.weights);
-	scope.org = jh_str_from(text);
-	jh_cache_salt(&scope, a->engine.incarnation, salt);
-	g_mutex_unlock(&a->lock);
+	pthread_mutex_lock(&a->lock);
+	agent_engine_salt(a, text, salt);
+	pthread_mutex_unlock(&a->lock);
 	return g_strdup_printf("%s: %s", name, salt);
 }
 
@@ -216,14 +223,14 @@
 	    .arg = agent_job_ref(j)};
 
 	jh_counters_add(a->counters, AGENT_STARTED, 1);
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	j->state = JOB_RUNNING;
 	j->call = jh_http_call_start(a->client, &spec);
 	if (j->call == NULL)
 		break_reply(j, JH_HTTP_NOT_SENT);
 	else if (j->cancelled)
 		jh_http_call_cancel(j->call);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	g_ptr_array_free(lines, TRUE);
 	if (j->call == NULL) {
 		agent_job_ended(j, false);
--- a/src/agent/engine_poll.c
+++ b/src/agent/engine_poll.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 
 #include <jansson.h>
@@ -5,6 +6,11 @@
 #include <jacinthhill/clock.h>
 
 #include "agent/engine_poll.h"
+#include "base/event.h"
+#include "agent/order.h"
+
+/* Blocks of the engine's cache that the agent remembers. */
+#define CACHE_VIEW_BLOCKS 65536
 
 /* An engine that does not answer in this time is asked again later. */
 #define POLL_TIMEOUT_USEC (500 * JH_USEC_PER_MSEC)
@@ -12,7 +18,8 @@
 struct poll {
 	struct agent *agent;
 	GString *body;
-	void (*take)(struct agent *a, const json_t *root);
+	uint64_t asked_at;
+	void (*take)(struct poll *p, const json_t *root);
 };
 
 static bool
@@ -33,7 +40,7 @@
 	if (result == JH_HTTP_OK && jh_http_call_status(call) == 200) {
 		root = json_loadb(p->body->str, p->body->len, 0, NULL);
 		if (root != NULL)
-			p->take(p->agent, root);
+			p->take(p, root);
 		json_decref(root);
 	}
 	g_string_free(p->body, TRUE);
@@ -61,26 +68,87 @@
 	*field = g_strdup(json_string_value(value));
 }
 
+/* Blocks of former weights are never asked for again. Holds a->lock. */
+static void
+empty_cache_view(struct agent *a)
+{
+	if (a->cache == NULL)
+		return;
+	jh_cacheview_set_incarnation(a->cache, ~a->engine.incarnation);
+	jh_cacheview_set_incarnation(a->cache, a->engine.incarnation);
+}
+
 static void
-take_load(struct agent *a, const json_t *root)
+take_load(struct poll *p, const json_t *root)
 {
+	json_t *weights = json_object_get(root, "weights");
+	struct agent *a = p->agent;
 	uint64_t incarnation = incarnation_of(root);
 	json_int_t piece;
 
 	piece = json_integer_value(json_object_get(root, "piece_tokens"));
-	g_mutex_lock(&a->lock);
-	if (incarnation != a->engine.incarnation)
+	pthread_mutex_lock(&a->lock);
+	if (incarnation != a->engine.incarnation) {
 		a->engine.events_from = 0;
+		jh_event(JH_EV_ENGINE_RESTARTED, G_LOG_LEVEL_INFO,
+		    "the engine runs as incarnation %016llx",
+		    (unsigned long long)incarnation);
+	}
 	a->engine.incarnation = incarnation;
+	if (a->cache == NULL && piece > 0)
+		a->cache =
+		    jh_cacheview_create(CACHE_VIEW_BLOCKS, (uint32_t)piece);
+	if (a->cache != NULL)
+		jh_cacheview_set_incarnation(a->cache, incarnation);
 	set_text(&a->engine.model, json_object_get(root, "model"));
-	set_text(&a->engine.weights, json_object_get(root, "weights"));
+	if (g_strcmp0(a->engine.weights, json_string_value(weights)) != 0)
+		empty_cache_view(a);
+	set_text(&a->engine.weights, weights);
 	a->engine.piece_tokens = piece > 0 ? (uint64_t)piece : 0;
-	g_mutex_unlock(&a->lock);
+	agent_order_reported(a, p->asked_at);
+	pthread_mutex_unlock(&a->lock);
+}
+
+/* Applies one [sequence, "stored" or "removed", hash]. Holds a->lock. */
+static void
+take_event(struct agent *a, uint64_t incarnation, const json_t *event)
+{
+	json_int_t seq = json_integer_value(json_array_get(event, 0));
+	const char *kind = json_string_value(json_array_get(event, 1));
+	uint64_t hash = (uint64_t)json_integer_value(json_array_get(event, 2));
+	struct jh_cache_event ev = {.incarnation = incarnation,
+	    .seq = (uint64_t)seq,
+	    .change = g_strcmp0(kind, "stored") == 0 ? JH_CACHE_STORED
+						     : JH_CACHE_REMOVED,
+	    .blocks = &hash,
+	    .n = 1};
+
+	if (seq <= 0 || kind == NULL)
+		return;
+	if (jh_cacheview_apply(a->cache, &ev) == JH_CACHEVIEW_GAP)
+		jh_counters_add(a->counters, AGENT_EVENT_GAPS, 1);
+	a->engine.events_from = ev.seq;
+}
+
+static void
+take_events(struct poll *p, const json_t *root)
+{
+	struct agent *a = p->agent;
+	uint64_t incarnation = incarnation_of(root);
+	json_t *event;
+	size_t i;
+
+	pthread_mutex_lock(&a->lock);
+	if (a->cache != NULL && incarnation == a->engine.incarnation) {
+		json_array_foreach(json_object_get(root, "events"), i, event)
+		    take_event(a, incarnation, event);
+	}
+	pthread_mutex_unlock(&a->lock);
 }
 
 static void
 start(struct agent *a, const char *path,
-    void (*take)(struct agent *a, const json_t *root))
+    void (*take)(struct poll *p, const json_t *root))
 {
 	struct poll *p = g_new0(struct poll, 1);
 	struct jh_http_call_spec spec = {.peer = a->set.backend,
@@ -93,6 +161,7 @@
 
 	p->agent = a;
 	p->take = take;
+	p->asked_at = jh_now();
 	p->body = g_string_new(NULL);
 	call = jh_http_call_start(a->client, &spec);
 	if (call == NULL) {
@@ -105,5 +174,14 @@
 void
 agent_poll_engine(struct agent *a)
 {
+	char path[64];
+	uint64_t from;
+
 	start(a, "/v1/load", take_load);
+	pthread_mutex_lock(&a->lock);
+	from = a->engine.events_from;
+	pthread_mutex_unlock(&a->lock);
+	snprintf(path, sizeof(path), "/v1/cache_events?from=%llu",
+	    (unsigned long long)from);
+	start(a, path, take_events);
 }
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -1,6 +1,8 @@
 #ifndef AGENT_JOB_H
 #define AGENT_JOB_H
 
+#include <pthread.h>
+
 #include "agent/agent.h"
 #include "work/work.h"
 
@@ -21,8 +23,11 @@
 	struct jh_work *work;
 	struct jh_body *body;
 	uint64_t prompt_tokens;
+	struct jh_fingerprint print;
+	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
+	GArray *pieces; /* of uint64_t, cache blocks of the prompt; or NULL */
 
-	GMutex lock; /* guards all below; taken after agent->lock */
+	pthread_mutex_t lock; /* guards all below; taken after agent->lock */
 	enum job_state state;
 	struct jh_http_req *req; /* NULL while orphaned */
 	struct jh_http_call *call;
@@ -36,6 +41,19 @@
 	uint32_t tokens;
 };
 
+/*
+ * The argument of an HTTP request's callbacks. A job that is reattached changes
+ * its request, and callbacks of the former one may still come.
+ */
+struct agent_reader {
+	struct agent_job *job;
+	struct jh_http_req *req; /* compared, not used */
+};
+
+struct agent_reader *agent_reader_create(
+    struct agent_job *j, struct jh_http_req *req);
+void agent_reader_free(void *reader);
+
 struct agent_job *agent_job_create(struct agent *a, struct jh_work *w,
     struct jh_http_req *req, uint64_t prompt_tokens);
 struct agent_job *agent_job_ref(struct agent_job *j);
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -11,6 +12,8 @@
 #include "agent/engine_poll.h"
 #include "agent/job.h"
 #include "agent/once.h"
+#include "agent/order.h"
+#include "agent/rollout_run.h"
 #include "agent/rpc.h"
 #include "base/event.h"
 #include "feed/instances.h"
@@ -28,6 +31,26 @@
 /* Streams get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
+static void
+on_ask(void *arg, struct jh_sync_args *args)
+{
+	struct agent *a = arg;
+
+	crash_log_export(
+	    a->crashes, &args->crashes.crashes_len, &args->crashes.crashes_val);
+}
+
+static void
+on_told(void *arg, const struct jh_sync_reply *reply)
+{
+	struct agent *a = arg;
+
+	crash_log_merge(
+	    a->crashes, reply->crashes.crashes_val, reply->crashes.crashes_len);
+}
+
+static const struct jh_feed_ops feed_ops = {.ask = on_ask, .told = on_told};
+
 static void
 init_state(struct agent *a)
 {
@@ -47,7 +70,7 @@
 	    g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)agent_job_unref);
 	a->by_request = g_hash_table_new(g_str_hash, g_str_equal);
 	a->next_id = 1;
-	g_mutex_init(&a->lock);
+	pthread_mutex_init(&a->lock, NULL);
 	a->client = jh_http_client_create("upstream", MAX_CALLS);
 	a->catalog = jh_catalog_create();
 	feed.instance = a->set.instance;
@@ -55,9 +78,16 @@
 	feed.incarnation = a->incarnation;
 	feed.catalog = a->catalog;
 	feed.key = a->set.secret;
+	feed.store = a->set.store;
+	feed.ops = &feed_ops;
+	feed.arg = a;
+	a->crashes = crash_log_create();
+	a->orders = agent_orders_create();
 	a->feed = jh_feed_create(&feed);
 	if (g_strcmp0(a->set.kind, "service") == 0)
 		a->once = agent_once_create(a);
+	else
+		a->rollout = agent_rollout_create(a);
 }
 
 static void
@@ -65,15 +95,21 @@
 {
 	if (a->once != NULL)
 		agent_once_destroy(a->once);
+	if (a->rollout != NULL)
+		agent_rollout_destroy(a->rollout);
 	jh_feed_destroy(a->feed);
+	agent_orders_destroy(a->orders);
+	crash_log_destroy(a->crashes);
 	jh_catalog_destroy(a->catalog);
 	g_hash_table_destroy(a->by_request);
 	g_hash_table_destroy(a->jobs);
+	if (a->cache != NULL)
+		jh_cacheview_destroy(a->cache);
 	jh_queue_destroy(a->queue);
 	jh_counters_destroy(a->counters);
 	g_free(a->engine.model);
 	g_free(a->engine.weights);
-	g_mutex_clear(&a->lock);
+	pthread_mutex_destroy(&a->lock);
 }
 
 /* Entry daemons of the list are the peers of the feed. */
@@ -95,6 +131,8 @@
 	jh_feed_set_peers(a->feed,
 	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
 	g_array_free(peers, TRUE);
+	if (a->rollout != NULL)
+		agent_rollout_set_list(a->rollout, list, n);
 }
 
 static const struct jh_instances_ops instances_ops = {.list = on_list};
@@ -117,10 +155,14 @@
 	do {
 		jh_instances_tick(list);
 		jh_feed_tick(a->feed);
+		crash_log_expire(a->crashes);
 		if (a->once != NULL)
 			agent_once_tick(a->once);
 		else if (ticks++ % TICKS_PER_POLL == 0)
 			agent_poll_engine(a);
+		agent_order_tick(a);
+		if (a->rollout != NULL)
+			agent_rollout_tick(a->rollout);
 		agent_tick(a);
 	} while (!wait_signal(set));
 }
--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -1,13 +1,18 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
 
+#include <jacinthhill/clock.h>
 #include <jacinthhill/ledger.h>
 
 #include "agent/agent.h"
+#include "base/event.h"
 #include "agent/once.h"
+#include "agent/order.h"
+#include "agent/rollout_run.h"
 #include "agent/rpc.h"
 
 static void
@@ -23,6 +28,8 @@
 		return;
 	}
 	g_atomic_int_set(&a->leaving, 1);
+	jh_event(JH_EV_DRAINING, G_LOG_LEVEL_INFO, "%s drains by order",
+	    a->set.instance);
 	r->message = g_strdup("draining");
 }
 
@@ -48,25 +55,32 @@
 {
 	char incarnation[17], engine[17];
 	json_t *queue = json_object();
+	/* Taken before a->lock, which the rollout's own lock never follows. */
+	const char *rollout =
+	    a->rollout == NULL ? NULL : agent_rollout_state(a->rollout);
+	uint64_t age = jh_feed_age(a->feed);
 	json_t *root;
 
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 	    (unsigned long long)a->incarnation);
-	g_mutex_lock(&a->lock);
+	pthread_mutex_lock(&a->lock);
 	jh_queue_visit(a->queue, add_figure, queue);
 	snprintf(engine, sizeof(engine), "%016llx",
 	    (unsigned long long)a->engine.incarnation);
-	root =
-	    json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:i, s:o, s:{s:s, s:s*, "
-		      "s:s*}, s:o}",
-		"instance", a->set.instance, "role", "agent", "incarnation",
-		incarnation, "availability_zone", a->set.zone, "leaving",
-		g_atomic_int_get(&a->leaving), "catalogue_revision",
-		(json_int_t)jh_catalog_revision(a->catalog), "jobs",
-		(int)g_hash_table_size(a->jobs), "queue", queue, "engine",
-		"incarnation", engine, "model", a->engine.model, "weights",
-		a->engine.weights, "counters", dump_counters(a->counters));
-	g_mutex_unlock(&a->lock);
+	root = json_pack(
+	    "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:i, s:o, s:{s:s, s:s*, "
+	    "s:s*}, s:o, s:s*, s:o}",
+	    "instance", a->set.instance, "role", "agent", "incarnation",
+	    incarnation, "availability_zone", a->set.zone, "leaving",
+	    g_atomic_int_get(&a->leaving), "catalogue_revision",
+	    (json_int_t)jh_catalog_revision(a->catalog), "confirmed_age_ms",
+	    age == JH_SYNC_AGE_UNKNOWN ? (json_int_t)-1
+				       : (json_int_t)(age / JH_USEC_PER_MSEC),
+	    "jobs", (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
+	    "incarnation", engine, "model", a->engine.model, "weights",
+	    a->engine.weights, "order", agent_order_dump(a), "rollout", rollout,
+	    "counters", dump_counters(a->counters));
+	pthread_mutex_unlock(&a->lock);
 	return root;
 }
 
@@ -85,9 +99,15 @@
 static void
 handle_sync(void *arg, const void *args, void *reply)
 {
+	const struct jh_sync_args *s = args;
+	struct jh_sync_reply *r = reply;
 	struct agent *a = arg;
 
+	crash_log_merge(
+	    a->crashes, s->crashes.crashes_val, s->crashes.crashes_len);
 	jh_feed_serve(a->feed, args, reply);
+	crash_log_export(
+	    a->crashes, &r->crashes.crashes_len, &r->crashes.crashes_val);
 }
 
 static void
@@ -105,5 +125,5 @@
 }
 
 const struct jh_rpc_handler agent_rpc_handlers[] = {{JH_SYNC, handle_sync},
-    {JH_NONCE, handle_nonce}, {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump},
-    {0, NULL}};
+    {JH_NONCE, handle_nonce}, {JH_ORDER, agent_order_handle},
+    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,8 +18,8 @@
 /* Longest whole answer passed on. */
 #define ANSWER_LIMIT (16 << 20)
 
-/* Requests whose attempts crashed this often are not sent again. */
-#define MAX_CRASHES 3
+/* Crashes that quarantine a request; see docs/poison.md. */
+#define QUARANTINE_CRASHES 3
 
 static void
 on_token(void *arg, uint64_t position, struct jh_str payload)
@@ -97,10 +98,6 @@
 	if (cached != UINT64_MAX) {
 		a.has_cached = true;
 		a.cached_tokens = (uint32_t)cached;
-		jh_counters_add(
-		    j->entry->counters, ENTRY_CACHED_TOKENS, cached);
-		jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
-		    jh_prefix_tokens(&j->prefix));
 	}
 	entry_workers_learn(j->entry->workers, j->model, j->worker, &a);
 }
@@ -115,14 +112,18 @@
 		return;
 	learn(j, call, JH_PLACE_ACCEPTED);
 	cached = jh_http_call_header(call, "Jh-Cached");
-	g_mutex_lock(&j->lock);
+	jh_counters_add(j->entry->counters, ENTRY_CACHED_TOKENS,
+	    header_number(call, "Jh-Cached", 0));
+	jh_counters_add(j->entry->counters, ENTRY_PROMPT_TOKENS,
+	    jh_prefix_tokens(&j->prefix));
+	pthread_mutex_lock(&j->lock);
 	j->accepted = true;
 	if (cached != NULL)
 		g_strlcpy(j->cached_text, cached, sizeof(j->cached_text));
 	g_free(j->answer_type);
 	j->answer_type = g_strdup(jh_http_call_header(call, "Content-Type"));
 	begin_reply(j);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 }
 
 /*
@@ -169,9 +170,9 @@
 	struct entry_job *j = arg;
 	bool taken;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	taken = take_data(j, call, data);
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	return taken;
 }
 
@@ -189,7 +190,7 @@
 {
 	struct entry *e = j->entry;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	if (!j->stream && j->req != NULL) {
 		add_trace_headers(j);
 		jh_http_req_reply(j->req, 200,
@@ -197,14 +198,27 @@
 					   : j->answer_type,
 		    j->answer->str, j->answer->len);
 	}
-	g_mutex_unlock(&j->lock);
-	g_mutex_lock(&e->lock);
-	jh_retry_success(e->retry);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&j->lock);
+	pthread_mutex_lock(&e->lock);
+	jh_retry_success(e->retry, jh_now());
+	pthread_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	entry_job_finish(j);
 }
 
+/* Remembers what a busy worker said, for the second decision. */
+static void
+hear(struct entry_job *j, struct jh_http_call *call)
+{
+	uint64_t wait = header_number(call, "Jh-Wait", UINT64_MAX);
+
+	if (wait == UINT64_MAX || j->n_heard == G_N_ELEMENTS(j->heard))
+		return;
+	j->heard[j->n_heard++] = (struct jh_place_heard){.worker = j->worker,
+	    .wait = wait * JH_USEC_PER_MSEC,
+	    .cached_tokens = (uint32_t)header_number(call, "Jh-Cached", 0)};
+}
+
 /* The agent refused: nothing ran, the next worker may. */
 static void
 next_worker(struct entry_job *j, struct jh_http_call *call)
@@ -218,27 +232,48 @@
 	learn(j, call,
 	    g_strcmp0(reason, "engine_down") == 0 ? JH_PLACE_FAILED
 						  : JH_PLACE_BUSY);
+	hear(j, call);
 	if (g_strcmp0(reason, "deadline") == 0)
 		j->unreachable = true;
 	entry_job_advance(j);
 }
 
+static void
+refuse_quarantined(struct entry_job *j, enum entry_ran ran)
+{
+	jh_event(JH_EV_REQUEST_QUARANTINED, G_LOG_LEVEL_WARNING,
+	    "request %s of %s is quarantined", j->rid, j->caller.org->name);
+	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, ran);
+}
+
 /* The attempt failed and may have run on the backend server. */
 static void
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
 {
 	struct entry *e = j->entry;
-	bool allowed;
+	bool allowed, told;
 
 	learn(j, call, JH_PLACE_FAILED);
 	if (!not_sent) {
 		j->may_have_run = true;
 		j->crashes++;
+		told = jh_http_call_header(call, "Jh-Quarantined") != NULL;
+		crash_log_hint(e->crashes, j->print,
+		    told ? QUARANTINE_CRASHES : j->crashes);
+		/* A new decision: the failed worker is now held out. */
+		j->n_candidates = 0;
+		j->n_heard = 0;
+		j->next_candidate = 0;
+		j->stage = STAGE_NONE;
+	}
+	pthread_mutex_lock(&e->lock);
+	allowed = not_sent || jh_retry_take(e->retry, jh_now());
+	pthread_mutex_unlock(&e->lock);
+	if (crash_log_state(e->crashes, j->print) == JH_SUSPECT_QUARANTINED) {
+		refuse_quarantined(j, ENTRY_UNKNOWN);
+		return;
 	}
-	g_mutex_lock(&e->lock);
-	allowed = not_sent || jh_retry_take(e->retry);
-	g_mutex_unlock(&e->lock);
-	if (!allowed || j->crashes >= MAX_CRASHES) {
+	if (!allowed) {
 		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 		return;
 	}
@@ -252,13 +287,28 @@
 	entry_job_advance(j);
 }
 
+/* An earlier attempt that failed may have run. */
+static enum entry_ran
+ran_so_far(const struct entry_job *j)
+{
+	return j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN;
+}
+
+/* The agent knows the request to crash engines. */
+static void
+quarantined(struct entry_job *j)
+{
+	crash_log_hint(j->entry->crashes, j->print, QUARANTINE_CRASHES);
+	refuse_quarantined(j, ran_so_far(j));
+}
+
 /* An error of the engine about the request itself is passed on. */
 static void
 pass_error(struct entry_job *j, unsigned int status)
 {
 	entry_job_refuse(j,
 	    status == 404 ? ENTRY_ERR_UNKNOWN_MODEL : ENTRY_ERR_BAD_REQUEST,
-	    ENTRY_NOT_RUN);
+	    ran_so_far(j));
 }
 
 /* The catalogue copy has caught up, or has not in time. */
@@ -266,12 +316,14 @@
 on_catalogue(void *arg, bool reached)
 {
 	struct entry_job *j = arg;
+	enum entry_error why;
 
 	if (!reached)
-		entry_job_refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
-	else if (!caller_refresh(j->entry, &j->caller) ||
-		 !jh_catalog_entry_allows_model(j->caller.rule, j->model))
-		entry_job_refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED, ENTRY_NOT_RUN);
+		entry_job_refuse(j, ENTRY_ERR_NO_CAPACITY, ran_so_far(j));
+	else if (!caller_refresh(j->entry, &j->caller, &why))
+		entry_job_refuse(j, why, ran_so_far(j));
+	else if (!jh_catalog_entry_allows_model(j->caller.rule, j->model))
+		entry_job_refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED, ran_so_far(j));
 	else
 		entry_job_advance(j);
 	entry_job_unref(j);
@@ -298,16 +350,19 @@
 	unsigned int status = jh_http_call_status(call);
 	bool whole, left;
 
-	g_mutex_lock(&j->lock);
+	pthread_mutex_lock(&j->lock);
 	whole = is_whole(j, result);
 	left = j->left && result == JH_HTTP_CANCELLED;
-	g_mutex_unlock(&j->lock);
+	pthread_mutex_unlock(&j->lock);
 	if (whole)
 		complete(j);
 	else if (left || j->left)
 		entry_job_finish(j);
 	else if (result == JH_HTTP_NOT_SENT)
 		retry(j, call, true);
+	else if (g_strcmp0(jh_http_call_header(call, "Jh-Reason"),
+		     "quarantined") == 0)
+		quarantined(j);
 	else if (result == JH_HTTP_OK && status == 409)
 		await_catalogue(j, call);
 	else if (result == JH_HTTP_OK && status != 200 &&
@@ -327,7 +382,7 @@
 static struct jh_work *
 describe_work(struct entry_job *j, const struct jh_candidate *c)
 {
-	char levels[JH_PREFIX_HEADER_SIZE];
+	char levels[JH_PREFIX_HEADER_SIZE], print[34];
 	struct jh_work *w = jh_work_create();
 	uint64_t now = jh_now();
 	uint64_t left =
@@ -352,6 +407,11 @@
 	jh_work_set_uint(w, JH_WORK_WIDTH,
 	    entry_workers_width(j->entry->workers, j->model, &j->prefix));
 	jh_work_set_uint(w, JH_WORK_CRASHES, j->crashes);
+	/* A resumed request has another body but is the same request. */
+	snprintf(print, sizeof(print), "%016llx:%016llx",
+	    (unsigned long long)j->print.high,
+	    (unsigned long long)j->print.low);
+	jh_work_set(w, JH_WORK_FINGERPRINT, print);
 	jh_work_set_uint(
 	    w, JH_WORK_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
 	if (j->reconnect_worker != 0)
@@ -430,7 +490,13 @@
 	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
 }
 
-/* Asks the placement policy for candidates. */
+uint64_t
+entry_job_cost(const struct entry_job *j)
+{
+	return (uint64_t)expected_uncached(&j->prefix) + j->max_tokens;
+}
+
+/* Asks the placement policy for candidates of the stage. */
 static bool
 choose(struct entry_job *j)
 {
@@ -438,16 +504,38 @@
 	    .region = entry_workers_region(j->entry->set.region),
 	    .prefill_tokens = expected_uncached(&j->prefix),
 	    .decode_tokens = j->max_tokens,
-	    .any_region = j->caller.rank == JH_RANK_URGENT,
-	    .again = j->next_candidate > 0};
-
-	j->again = r.again;
+	    .again = j->stage != STAGE_FIRST,
+	    .heard = j->heard,
+	    .n_heard = j->n_heard};
+
+	if (j->stage == STAGE_OTHER_REGION) {
+		r.region = entry_workers_other_region(
+		    j->entry->workers, j->model, j->print.low);
+		r.n_heard = 0;
+		if (r.region == 0)
+			return false;
+	}
 	j->next_candidate = 0;
 	j->n_candidates = entry_workers_choose(j->entry->workers, j->model, &r,
 	    j->candidates, JH_PLACE_MAX_CANDIDATES);
 	return j->n_candidates > 0;
 }
 
+/*
+ * The link between regions is slow and paid by volume, so that only urgent
+ * work that no worker of the region can take crosses it.
+ */
+static bool
+next_stage(struct entry_job *j)
+{
+	if (j->stage == STAGE_OTHER_REGION)
+		return false;
+	if (j->stage == STAGE_AGAIN && j->caller.rank != JH_RANK_URGENT)
+		return false;
+	j->stage++;
+	return true;
+}
+
 static bool
 next_candidate(struct entry_job *j, struct jh_candidate *out)
 {
@@ -455,8 +543,13 @@
 		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
 		return j->worker == 0;
 	}
-	if (j->next_candidate == j->n_candidates && (j->again || !choose(j)))
-		return false;
+	while (j->next_candidate == j->n_candidates) {
+		j->next_candidate = 0;
+		j->n_candidates = 0;
+		if (!next_stage(j))
+			return false;
+		choose(j);
+	}
 	*out = j->candidates[j->next_candidate++];
 	return true;
 }
@@ -484,14 +577,14 @@
 	while (next_candidate(j, &c)) {
 		if (!entry_workers_find(j->entry->workers, c.worker, &to))
 			continue;
-		g_mutex_lock(&j->lock);
+		pthread_mutex_lock(&j->lock);
 		if (j->left && !j->resumable) {
-			g_mutex_unlock(&j->lock);
+			pthread_mutex_unlock(&j->lock);
 			entry_job_finish(j);
 			return;
 		}
 		started = start(j, &c, &to);
-		g_mutex_unlock(&j->lock);
+		pthread_mutex_unlock(&j->lock);
 		if (started)
 			return;
 		entry_job_unref(j);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,6 +1,8 @@
 #ifndef ENTRY_ENTRY_H
 #define ENTRY_ENTRY_H
 
+#include <pthread.h>
+
 #include <jacinthhill/catalog.h>
 #include <jacinthhill/counters.h>
 #include <jacinthhill/retry.h>
@@ -8,6 +10,7 @@
 #include "entry/heads.h"
 #include "entry/settings.h"
 #include "entry/workers.h"
+#include "feed/crash_log.h"
 #include "feed/feed.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -41,9 +44,13 @@
 	struct entry_heads *heads;
 	struct jh_feed *feed;
 	struct entry_wait *wait;
+	struct refusal_log *refusals;
+	struct crash_log *crashes;
+	struct entry_limits *limits;
 	int leaving; /* atomic */
+	int listed; /* atomic: the instance list has been read */
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_retry *retry;
 	GHashTable *jobs; /* set of struct entry_job */
 };
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -1,11 +1,21 @@
 #ifndef ENTRY_JOB_H
 #define ENTRY_JOB_H
 
+#include <pthread.h>
+
 #include <jacinthhill/relay.h>
 
 #include "entry/caller.h"
 #include "entry/chat_request.h"
 
+/* Decisions about one request, in their order. */
+enum job_stage {
+	STAGE_NONE,
+	STAGE_FIRST, /* own region, with a bound on the first token */
+	STAGE_AGAIN, /* own region, by what the busy workers said */
+	STAGE_OTHER_REGION
+};
+
 /* One chat request, over all its attempts. Reference counted. */
 struct entry_job {
 	int refs; /* atomic */
@@ -24,7 +34,7 @@
 	uint64_t reconnect_worker; /* 0: a new request */
 	uint64_t reconnect_position;
 
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_http_req *req; /* NULL once the reply is settled */
 	struct jh_body *body;
 	struct jh_http_call *call;
@@ -34,8 +44,10 @@
 	char *answer_type;
 	struct jh_candidate candidates[JH_PLACE_MAX_CANDIDATES];
 	size_t n_candidates;
+	struct jh_place_heard heard[JH_PLACE_MAX_CANDIDATES];
+	size_t n_heard;
 	size_t next_candidate;
-	bool again; /* the candidates are of a second decision */
+	enum job_stage stage; /* that the candidates are of */
 	uint64_t worker; /* of the running attempt */
 	char worker_name[64];
 	char cached_text[24]; /* tokens found in cache, as the agent said */
@@ -48,6 +60,8 @@
 	bool violated; /* the running attempt broke the stream's order */
 	bool unreachable; /* an attempt was refused for its deadline */
 	uint32_t crashes;
+	struct jh_fingerprint print;
+	struct limit_ticket *ticket; /* NULL until admitted */
 	uint64_t leave_deadline; /* JH_NEVER unless a reconnect is awaited */
 };
 
@@ -55,6 +69,9 @@
 struct entry_job *entry_job_ref(struct entry_job *j);
 void entry_job_unref(struct entry_job *j);
 
+/* Expected cost in tokens, if the request is placed well. */
+uint64_t entry_job_cost(const struct entry_job *j);
+
 /* Offers the request to the next worker, or refuses it (attempt.c). */
 void entry_job_advance(struct entry_job *j);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
@@ -11,6 +12,8 @@
 #include "entry/entry.h"
 
 #include "entry/job.h"
+#include "entry/limits.h"
+#include "entry/refusal_log.h"
 #include "entry/rpc.h"
 #include "entry/wait.h"
 #include "feed/instances.h"
@@ -23,9 +26,16 @@
 #define REPLY_BUFFER_LEN (64 * 1024)
 #define TICK_MSEC 20
 
+/* An accepted edit is in force everywhere within this time. */
+#define IN_FORCE_USEC (8 * JH_USEC_PER_SEC)
+#define EXCHANGE_INTERVAL_USEC (500 * JH_USEC_PER_MSEC)
+
 /* Requests get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
+/* The last refusal record gets this long; a later reader shows a gap. */
+#define LAST_WRITE_USEC (5 * JH_USEC_PER_SEC)
+
 /*
  * After SIGTERM the entry daemon goes on serving for this long, so that the
  * balancer sees the failing health check before the port closes.
@@ -35,10 +45,34 @@
 void
 entry_count_refusal(struct entry *e, const char *owner, const char *class_name)
 {
-	jh_event(JH_EV_REQUEST_REFUSED, G_LOG_LEVEL_INFO,
+	refusal_log_count(e->refusals, owner, class_name);
+	jh_event(JH_EV_REQUEST_REFUSED, G_LOG_LEVEL_DEBUG,
 	    "refused a request of %s/%s", owner, class_name);
 }
 
+/* A peer's reply to a pull. */
+static void
+on_told(void *arg, const struct jh_sync_reply *reply)
+{
+	struct entry *e = arg;
+
+	refusal_log_seen(e->refusals, reply->instance, reply->incarnation);
+	entry_limits_heard(e->limits, reply->instance, reply->incarnation);
+	crash_log_merge(
+	    e->crashes, reply->crashes.crashes_val, reply->crashes.crashes_len);
+}
+
+static void
+on_ask(void *arg, struct jh_sync_args *args)
+{
+	struct entry *e = arg;
+
+	crash_log_export(
+	    e->crashes, &args->crashes.crashes_len, &args->crashes.crashes_val);
+}
+
+static const struct jh_feed_ops feed_ops = {.ask = on_ask, .told = on_told};
+
 static void
 init_state(struct entry *e)
 {
@@ -47,11 +81,11 @@
 	e->counters = jh_counters_create(entry_counter_names, ENTRY_COUNTERS);
 	e->catalog = jh_catalog_create();
 	e->workers = entry_workers_create(e);
-	e->retry = jh_retry_create();
+	e->retry = jh_retry_create(jh_now());
 	e->heads = entry_heads_create();
 	e->wait = entry_wait_create();
 	e->jobs = g_hash_table_new(NULL, NULL);
-	g_mutex_init(&e->lock);
+	pthread_mutex_init(&e->lock, NULL);
 	e->client = jh_http_client_create("upstream", MAX_CALLS);
 	feed.instance = e->set.instance;
 	feed.zone = e->set.zone;
@@ -59,6 +93,11 @@
 	feed.catalog = e->catalog;
 	feed.key = e->set.secret;
 	feed.store = e->set.store;
+	feed.ops = &feed_ops;
+	feed.arg = e;
+	e->refusals = refusal_log_create(e);
+	e->crashes = crash_log_create();
+	e->limits = entry_limits_create(e);
 	e->feed = jh_feed_create(&feed);
 }
 
@@ -66,6 +105,9 @@
 clear_state(struct entry *e)
 {
 	jh_feed_destroy(e->feed);
+	refusal_log_destroy(e->refusals);
+	crash_log_destroy(e->crashes);
+	entry_limits_destroy(e->limits);
 	g_hash_table_destroy(e->jobs);
 	entry_wait_destroy(e->wait);
 	entry_heads_destroy(e->heads);
@@ -73,7 +115,7 @@
 	entry_workers_destroy(e->workers);
 	jh_catalog_destroy(e->catalog);
 	jh_counters_destroy(e->counters);
-	g_mutex_clear(&e->lock);
+	pthread_mutex_destroy(&e->lock);
 }
 
 /* Waits for a stop signal for one tick; returns true when it has come. */
@@ -85,11 +127,45 @@
 	return sigtimedwait(set, NULL, &tick) > 0;
 }
 
+/* Tells the log when an accepted edit may not be in force here in time. */
+static void
+watch_age(struct entry *e)
+{
+	static bool stale;
+	uint64_t age = jh_feed_age(e->feed);
+
+	if (age == JH_SYNC_AGE_UNKNOWN || (age > IN_FORCE_USEC) == stale)
+		return;
+	stale = age > IN_FORCE_USEC;
+	if (stale)
+		jh_event(JH_EV_CATALOGUE_STALE, G_LOG_LEVEL_WARNING,
+		    "the catalogue has not been confirmed for 8 s");
+	else
+		jh_event(JH_EV_CATALOGUE_CURRENT, G_LOG_LEVEL_INFO,
+		    "the catalogue is confirmed again");
+}
+
+/* While there are suspects, their reports spread from daemon to daemon. */
+static void
+exchange_crashes(struct entry *e)
+{
+	static uint64_t next;
+
+	crash_log_expire(e->crashes);
+	if (jh_now() < next || crash_log_len(e->crashes) == 0)
+		return;
+	next = jh_now() + EXCHANGE_INTERVAL_USEC;
+	jh_feed_exchange(e->feed);
+}
+
 static void
 tick(struct entry *e, struct jh_instances *d)
 {
 	jh_instances_tick(d);
 	jh_feed_tick(e->feed);
+	refusal_log_tick(e->refusals);
+	exchange_crashes(e);
+	watch_age(e);
 	entry_wait_tick(e->wait, jh_catalog_revision(e->catalog));
 	entry_jobs_tick(e);
 }
@@ -110,6 +186,12 @@
 		tick(e, d);
 		wait_signal(set);
 	}
+	refusal_log_close(e->refusals);
+	deadline = jh_now() + LAST_WRITE_USEC;
+	while (!refusal_log_idle(e->refusals) && jh_now() < deadline) {
+		tick(e, d);
+		wait_signal(set);
+	}
 }
 
 static void
@@ -133,6 +215,7 @@
 	jh_feed_set_peers(e->feed,
 	    (const struct jh_feed_peer *)(const void *)peers->data, peers->len);
 	g_array_free(peers, TRUE);
+	g_atomic_int_set(&e->listed, 1);
 }
 
 static const struct jh_instances_ops instances_ops = {.list = on_list};
@@ -145,8 +228,32 @@
 	return EXIT_START;
 }
 
+/*
+ * A daemon that listened without catalogue or instance list would refuse its
+ * first requests as unauthorized or for want of workers.
+ */
+static bool
+is_ready(struct entry *e)
+{
+	return g_atomic_int_get(&e->listed) &&
+	       jh_feed_age(e->feed) != JH_SYNC_AGE_UNKNOWN;
+}
+
+/* Returns false when a stop signal came first. */
+static bool
+get_ready(struct entry *e, struct jh_instances *d, const sigset_t *set)
+{
+	while (!is_ready(e)) {
+		tick(e, d);
+		if (wait_signal(set))
+			return false;
+	}
+	return true;
+}
+
+/* Serves until a stop signal. */
 static int
-run(struct entry *e, const sigset_t *set)
+serve(struct entry *e, struct jh_instances *d, const sigset_t *set)
 {
 	struct jh_http_server_spec spec = {.listen = e->set.listen,
 	    .body_limit = (size_t)e->set.body_limit,
@@ -155,21 +262,13 @@
 	    .threads = (unsigned int)e->set.http_threads,
 	    .ops = &entry_server_ops,
 	    .arg = e};
-	struct jh_rpc_server *rpc;
-	struct jh_instances *d;
 	GError *err = NULL;
 
-	rpc = jh_rpc_server_create(
-	    &e->set.rpc_listen, &e->set.secret, entry_rpc_handlers, e, &err);
-	if (rpc == NULL)
-		return start_failed(err);
+	if (!get_ready(e, d, set))
+		return 0;
 	e->server = jh_http_server_create(&spec, &err);
-	if (e->server == NULL) {
-		jh_rpc_server_destroy(rpc);
+	if (e->server == NULL)
 		return start_failed(err);
-	}
-	d = jh_instances_create(
-	    e->client, &e->set.instance_list, &instances_ops, e);
 	jh_event(
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", e->set.instance);
 	do {
@@ -178,13 +277,31 @@
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its requests",
 	    e->set.instance);
 	finish_work(e, d, set);
+	return 0;
+}
+
+static int
+run(struct entry *e, const sigset_t *set)
+{
+	struct jh_rpc_server *rpc;
+	struct jh_instances *d;
+	GError *err = NULL;
+	int status;
+
+	rpc = jh_rpc_server_create(
+	    &e->set.rpc_listen, &e->set.secret, entry_rpc_handlers, e, &err);
+	if (rpc == NULL)
+		return start_failed(err);
+	d = jh_instances_create(
+	    e->client, &e->set.instance_list, &instances_ops, e);
+	status = serve(e, d, set);
 	jh_rpc_server_destroy(rpc);
 	jh_http_client_destroy(e->client);
 	jh_instances_destroy(d);
 	jh_http_server_destroy(e->server);
 	jh_event(
 	    JH_EV_STOPPED, G_LOG_LEVEL_INFO, "%s stopped", e->set.instance);
-	return 0;
+	return status;
 }
 
 static gchar *
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -5,7 +6,10 @@
 
 #include <jacinthhill/clock.h>
 
+#include "base/event.h"
 #include "entry/entry.h"
+#include "entry/limits.h"
+#include "entry/refusal_log.h"
 #include "entry/rpc.h"
 
 static void
@@ -21,6 +25,8 @@
 		return;
 	}
 	g_atomic_int_set(&e->leaving, 1);
+	jh_event(JH_EV_DRAINING, G_LOG_LEVEL_INFO, "%s drains by order",
+	    e->set.instance);
 	r->message = g_strdup("draining");
 }
 
@@ -46,12 +52,30 @@
 		"failures", (int)m->failures));
 }
 
+static void
+handle_quota(void *arg, const void *args, void *reply)
+{
+	struct entry *e = arg;
+
+	entry_limits_serve(e->limits, args, reply);
+}
+
 static void
 handle_sync(void *arg, const void *args, void *reply)
 {
+	const struct jh_sync_args *s = args;
+	struct jh_sync_reply *r = reply;
 	struct entry *e = arg;
 
+	if (entry_workers_is_entry(e->workers, s->instance)) {
+		refusal_log_seen(e->refusals, s->instance, s->incarnation);
+		entry_limits_heard(e->limits, s->instance, s->incarnation);
+	}
+	crash_log_merge(
+	    e->crashes, s->crashes.crashes_val, s->crashes.crashes_len);
 	jh_feed_serve(e->feed, args, reply);
+	crash_log_export(
+	    e->crashes, &r->crashes.crashes_len, &r->crashes.crashes_val);
 }
 
 static json_t *
@@ -68,9 +92,9 @@
 	jh_catalog_stats(e->catalog, &st);
 	snprintf(incarnation, sizeof(incarnation), "%016llx",
 	    (unsigned long long)e->incarnation);
-	g_mutex_lock(&e->lock);
+	pthread_mutex_lock(&e->lock);
 	jobs = g_hash_table_size(e->jobs);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_unlock(&e->lock);
 	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, "
 			 "s:{s:I, s:I, s:b, s:i, s:i, s:i, s:i}, s:o, s:o}",
 	    "instance", e->set.instance, "role", "entry", "incarnation",
@@ -99,4 +123,5 @@
 }
 
 const struct jh_rpc_handler entry_rpc_handlers[] = {{JH_SYNC, handle_sync},
-    {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump}, {0, NULL}};
+    {JH_QUOTA, handle_quota}, {JH_DRAIN, handle_drain}, {JH_DUMP, handle_dump},
+    {0, NULL}};
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -1,9 +1,11 @@
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
 
 #include "entry/caller.h"
+#include "entry/limits.h"
 #include "entry/service.h"
 #include "entry/wait.h"
 #include "work/work.h"
@@ -17,6 +19,9 @@
 /* Longest answer passed on. */
 #define ANSWER_LIMIT (16 << 20)
 
+/* What one call counts against the limit of cost tokens. */
+#define SERVICE_COST 1
+
 /* Longest Idempotency-Key, in bytes. */
 #define KEY_LIMIT 255
 
@@ -32,9 +37,11 @@
 	GArray *agents; /* of struct worker_address */
 	guint next;
 	const char *agent; /* of the running attempt; in agents */
+	struct limit_ticket *ticket;
 	GString *answer;
 	bool too_long;
 	bool may_have_run;
+	bool vouched; /* an agent's record shows that the key has not run */
 	bool store_down; /* an agent refused because of the store */
 };
 
@@ -44,6 +51,7 @@
 destroy(struct service_job *j)
 {
 	jh_http_req_unref(j->req);
+	entry_limits_done(j->entry->limits, j->ticket, SERVICE_COST);
 	caller_clear(&j->caller);
 	if (j->agents != NULL)
 		g_array_free(j->agents, TRUE);
@@ -90,6 +98,19 @@
 	return ENTRY_UNKNOWN;
 }
 
+/*
+ * What a refusal without an agent's word may claim: an earlier request of the
+ * key can have run unless the caller says that there was none.
+ */
+static enum entry_ran
+ran_unasked(const struct service_job *j)
+{
+	if (j->may_have_run ||
+	    (j->key != NULL && !j->first_attempt && !j->vouched))
+		return ENTRY_UNKNOWN;
+	return ENTRY_NOT_RUN;
+}
+
 /* Tells the caller of a refusal that no other agent can better. */
 static void
 refuse_final(struct service_job *j, const char *reason, enum entry_ran ran)
@@ -125,9 +146,9 @@
 	jh_http_req_reply(j->req, jh_http_call_status(call),
 	    type == NULL ? "application/octet-stream" : type, j->answer->str,
 	    j->answer->len);
-	g_mutex_lock(&e->lock);
-	jh_retry_success(e->retry);
-	g_mutex_unlock(&e->lock);
+	pthread_mutex_lock(&e->lock);
+	jh_retry_success(e->retry, jh_now());
+	pthread_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
 	destroy(j);
 }
@@ -140,9 +161,9 @@
 
 	if (!not_sent) {
 		j->may_have_run = true;
-		g_mutex_lock(&e->lock);
-		allowed = jh_retry_take(e->retry);
-		g_mutex_unlock(&e->lock);
+		pthread_mutex_lock(&e->lock);
+		allowed = jh_retry_take(e->retry, jh_now());
+		pthread_mutex_unlock(&e->lock);
 	}
 	if (!allowed) {
 		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
@@ -156,13 +177,12 @@
 on_catalogue(void *arg, bool reached)
 {
 	struct service_job *j = arg;
+	enum entry_error why;
 
 	if (!reached) {
-		refuse(j, ENTRY_ERR_NO_CAPACITY,
-		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
-	} else if (!caller_refresh(j->entry, &j->caller)) {
-		refuse(j, ENTRY_ERR_CLASS_NOT_ALLOWED,
-		    j->may_have_run ? ENTRY_UNKNOWN : ENTRY_NOT_RUN);
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ran_unasked(j));
+	} else if (!caller_refresh(j->entry, &j->caller, &why)) {
+		refuse(j, why, ran_unasked(j));
 	} else {
 		j->next = 0;
 		advance(j);
@@ -196,6 +216,14 @@
 		entry_workers_failed(w, j->agent);
 }
 
+/* An agent that leaves refuses without reading the record. */
+static void
+refused_by_agent(struct service_job *j, const char *reason)
+{
+	j->vouched = j->vouched || g_strcmp0(reason, "leaving") != 0;
+	advance(j);
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -213,7 +241,7 @@
 	else if (is_final(reason))
 		refuse_final(j, reason, ran_of(j, outcome));
 	else if (strcmp(outcome, "not_run") == 0)
-		advance(j);
+		refused_by_agent(j, reason);
 	else
 		attempt_failed(j, false);
 }
@@ -295,7 +323,7 @@
 	if (j->may_have_run)
 		refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
 	else
-		refuse(j, ENTRY_ERR_NO_CAPACITY, ENTRY_NOT_RUN);
+		refuse(j, ENTRY_ERR_NO_CAPACITY, ran_unasked(j));
 }
 
 /* Splits "/v1/services/NAME/REST"; free the name with g_free(). */
@@ -371,7 +399,12 @@
 	j->req = req;
 	j->answer = g_string_new(NULL);
 	if (prepare(j)) {
-		advance(j);
+		j->ticket =
+		    entry_limits_take(e->limits, j->caller.rule, SERVICE_COST);
+		if (j->ticket == NULL)
+			refuse(j, ENTRY_ERR_LIMIT_EXCEEDED, ran_unasked(j));
+		else
+			advance(j);
 		return;
 	}
 	jh_counters_add(e->counters, ENTRY_REJECTED, 1);
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -8,11 +9,12 @@
 
 struct entry_workers {
 	struct entry *entry;
-	GMutex lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all below */
 	struct jh_members *members;
 	uint64_t generation; /* of members, that the placers have seen */
 	GHashTable *names; /* &id -> instance name; both owned */
 	GHashTable *placers; /* model -> struct jh_placer */
+	unsigned int entry_regions; /* that have entry daemons */
 };
 
 uint64_t
@@ -33,8 +35,9 @@
 	struct entry_workers *w = g_new0(struct entry_workers, 1);
 
 	w->entry = e;
-	g_mutex_init(&w->lock);
+	pthread_mutex_init(&w->lock, NULL);
 	w->members = jh_members_create();
+	w->entry_regions = 1;
 	w->names =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	w->placers = g_hash_table_new_full(
@@ -48,7 +51,7 @@
 	g_hash_table_destroy(w->placers);
 	g_hash_table_destroy(w->names);
 	jh_members_destroy(w->members);
-	g_mutex_clear(&w->lock);
+	pthread_mutex_destroy(&w->lock);
 	g_free(w);
 }
 
@@ -122,6 +125,40 @@
 		fill_placer(w, model, placer);
 }
 
+struct region_list {
+	const char *own;
+	GArray *regions; /* of uint32_t, each once */
+};
+
+static void
+add_region(void *arg, const struct jh_member *m)
+{
+	struct region_list *l = arg;
+	uint32_t region = entry_workers_region(m->instance.region);
+	guint i;
+
+	if (m->instance.leaving || strcmp(m->instance.region, l->own) == 0)
+		return;
+	for (i = 0; i < l->regions->len; i++) {
+		if (g_array_index(l->regions, uint32_t, i) == region)
+			return;
+	}
+	g_array_append_val(l->regions, region);
+}
+
+/* Holds w->lock. */
+static void
+count_regions(struct entry_workers *w)
+{
+	struct jh_member_filter filter = {.role = JH_ROLE_ENTRY};
+	struct region_list l = {
+	    "", g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+
+	jh_members_each(w->members, &filter, add_region, &l);
+	w->entry_regions = MAX(l.regions->len, 1);
+	g_array_free(l.regions, TRUE);
+}
+
 void
 entry_workers_set(
     struct entry_workers *w, const struct jh_instance *const *list, size_t n)
@@ -129,7 +166,7 @@
 	uint64_t *id;
 	size_t i;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_set_list(w->members, list, n);
 	g_hash_table_remove_all(w->names);
 	for (i = 0; i < n; i++) {
@@ -137,8 +174,9 @@
 		*id = entry_worker_id(list[i]->id);
 		g_hash_table_replace(w->names, id, g_strdup(list[i]->id));
 	}
+	count_regions(w);
 	refresh_placers(w);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 size_t
@@ -147,9 +185,9 @@
 {
 	size_t n;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	n = jh_placer_choose(find_placer(w, model), jh_now(), r, out, max);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return n;
 }
 
@@ -157,9 +195,9 @@
 entry_workers_learn(struct entry_workers *w, const char *model, uint64_t worker,
     const struct jh_place_answer *a)
 {
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_placer_learn(find_placer(w, model), jh_now(), worker, a);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 uint32_t
@@ -168,9 +206,9 @@
 {
 	uint32_t width;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	width = jh_placer_width(find_placer(w, model), jh_now(), p);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return width;
 }
 
@@ -179,21 +217,21 @@
 {
 	const struct jh_member *m;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	m = jh_members_find(w->members, instance);
 	if (m != NULL)
 		jh_members_heard(
 		    w->members, instance, m->instance.incarnation, leaving);
 	refresh_placers(w);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 void
 entry_workers_failed(struct entry_workers *w, const char *instance)
 {
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_failed(w->members, instance, 0, jh_now());
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
 
 /* Holds w->lock. */
@@ -209,6 +247,50 @@
 	return a;
 }
 
+uint32_t
+entry_workers_other_region(
+    struct entry_workers *w, const char *model, uint64_t draw)
+{
+	struct jh_member_filter filter = {
+	    .role = JH_ROLE_AGENT, .model = model};
+	struct region_list l = {
+	    w->entry->set.region, g_array_new(FALSE, FALSE, sizeof(uint32_t))};
+	uint32_t region = 0;
+
+	pthread_mutex_lock(&w->lock);
+	jh_members_each(w->members, &filter, add_region, &l);
+	pthread_mutex_unlock(&w->lock);
+	if (l.regions->len > 0)
+		region = g_array_index(
+		    l.regions, uint32_t, (guint)(draw % l.regions->len));
+	g_array_free(l.regions, TRUE);
+	return region;
+}
+
+unsigned int
+entry_workers_regions(struct entry_workers *w)
+{
+	unsigned int n;
+
+	pthread_mutex_lock(&w->lock);
+	n = w->entry_regions;
+	pthread_mutex_unlock(&w->lock);
+	return n;
+}
+
+bool
+entry_workers_is_entry(struct entry_workers *w, const char *instance)
+{
+	const struct jh_member *m;
+	bool entry;
+
+	pthread_mutex_lock(&w->lock);
+	m = jh_members_find(w->members, instance);
+	entry = m != NULL && m->instance.role == JH_ROLE_ENTRY;
+	pthread_mutex_unlock(&w->lock);
+	return entry;
+}
+
 bool
 entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out)
@@ -216,13 +298,13 @@
 	const struct jh_member *m = NULL;
 	const char *name;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	name = g_hash_table_lookup(w->names, &id);
 	if (name != NULL)
 		m = jh_members_find(w->members, name);
 	if (m != NULL)
 		*out = address_of(w, &m->instance);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	return m != NULL;
 }
 
@@ -276,9 +358,9 @@
 	    w, key, g_array_new(FALSE, FALSE, sizeof(struct ranked))};
 	guint i;
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_each(w->members, &filter, add_ranked, &r);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 	g_array_sort(r.list, by_rank);
 	for (i = 0; i < r.list->len; i++)
 		g_array_append_val(
@@ -293,7 +375,7 @@
 {
 	struct jh_member_filter filter = {.role = role};
 
-	g_mutex_lock(&w->lock);
+	pthread_mutex_lock(&w->lock);
 	jh_members_each(w->members, &filter, fn, arg);
-	g_mutex_unlock(&w->lock);
+	pthread_mutex_unlock(&w->lock);
 }
--- a/src/entry/workers.h
+++ b/src/entry/workers.h
@@ -44,6 +44,9 @@
     struct entry_workers *w, const char *instance, bool leaving);
 void entry_workers_failed(struct entry_workers *w, const char *instance);
 
+/* Whether the instance list names this as an entry daemon. */
+bool entry_workers_is_entry(struct entry_workers *w, const char *instance);
+
 bool entry_workers_find(
     struct entry_workers *w, uint64_t id, struct worker_address *out);
 
@@ -57,6 +60,13 @@
 /* The number a region has in placement requests. */
 uint32_t entry_workers_region(const char *region);
 
+/* Regions that have entry daemons; at least 1. */
+unsigned int entry_workers_regions(struct entry_workers *w);
+
+/* A region other than the own with workers of the model; 0 if there is none. */
+uint32_t entry_workers_other_region(
+    struct entry_workers *w, const char *model, uint64_t draw);
+
 uint64_t entry_worker_id(const char *instance);
 
 /* Calls fn for every listed instance of a role, under the lock. */
--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -17,6 +17,7 @@
 #define JH_MAX_TEXT 1048576
 #define JH_MAX_NAME 256
 #define JH_MAX_ITEMS 65536
+#define JH_MAX_CRASHES 64
 #define JH_NONCE_LEN 16
 #define JH_MAC_LEN 32
 
@@ -39,13 +40,13 @@
 typedef struct jh_wire_entry jh_wire_entry;
 
 struct jh_wire_crash {
+	u_quad_t print_high;
+	u_quad_t print_low;
 	u_quad_t reporter;
 	u_quad_t sequence;
-	u_int age_ms;
-	struct {
-		u_int fingerprints_len;
-		char *fingerprints_val;
-	} fingerprints;
+	u_int remaining_ms;
+	bool_t sole;
+	bool_t cleared;
 };
 typedef struct jh_wire_crash jh_wire_crash;
 
@@ -53,7 +54,6 @@
 	char *instance;
 	u_quad_t incarnation;
 	u_quad_t revision;
-	u_quad_t suspects_seen;
 	struct {
 		u_int crashes_len;
 		jh_wire_crash *crashes_val;
@@ -70,12 +70,12 @@
 		u_int entries_len;
 		jh_wire_entry *entries_val;
 	} entries;
-	u_quad_t suspects_position;
 	struct {
 		u_int crashes_len;
 		jh_wire_crash *crashes_val;
 	} crashes;
 	bool_t full;
+	u_quad_t floor;
 };
 typedef struct jh_sync_reply jh_sync_reply;
 
@@ -97,38 +97,46 @@
 };
 typedef struct jh_nonce_reply jh_nonce_reply;
 
-struct jh_quota_demand {
+struct jh_wire_report {
 	char *key;
-	u_quad_t demand;
-	u_quad_t held;
-	u_int held_left_ms;
+	u_quad_t seq;
+	u_quad_t rate_demand;
+	u_quad_t concurrent_demand;
+	u_quad_t running;
+	u_int members;
+	u_quad_t held_granter;
+	u_quad_t held_seq;
+	u_quad_t held_rate;
+	u_quad_t held_concurrent;
+	u_quad_t held_left_usec;
 };
-typedef struct jh_quota_demand jh_quota_demand;
+typedef struct jh_wire_report jh_wire_report;
 
 struct jh_quota_args {
 	char *instance;
 	u_quad_t incarnation;
-	u_quad_t round;
+	u_quad_t granter;
 	struct {
-		u_int demands_len;
-		jh_quota_demand *demands_val;
-	} demands;
+		u_int reports_len;
+		jh_wire_report *reports_val;
+	} reports;
 };
 typedef struct jh_quota_args jh_quota_args;
 
-struct jh_quota_grant {
+struct jh_wire_grant {
 	char *key;
+	u_quad_t report;
+	u_quad_t seq;
 	u_quad_t rate;
-	u_int left_ms;
+	u_quad_t concurrent;
 };
-typedef struct jh_quota_grant jh_quota_grant;
+typedef struct jh_wire_grant jh_wire_grant;
 
 struct jh_quota_reply {
 	u_quad_t incarnation;
-	u_quad_t round;
 	struct {
 		u_int grants_len;
-		jh_quota_grant *grants_val;
+		jh_wire_grant *grants_val;
 	} grants;
 };
 typedef struct jh_quota_reply jh_quota_reply;
@@ -227,9 +235,9 @@
 extern  bool_t xdr_jh_sync_reply (XDR *, jh_sync_reply*);
 extern  bool_t xdr_jh_nonce_args (XDR *, jh_nonce_args*);
 extern  bool_t xdr_jh_nonce_reply (XDR *, jh_nonce_reply*);
-extern  bool_t xdr_jh_quota_demand (XDR *, jh_quota_demand*);
+extern  bool_t xdr_jh_wire_report (XDR *, jh_wire_report*);
 extern  bool_t xdr_jh_quota_args (XDR *, jh_quota_args*);
-extern  bool_t xdr_jh_quota_grant (XDR *, jh_quota_grant*);
+extern  bool_t xdr_jh_wire_grant (XDR *, jh_wire_grant*);
 extern  bool_t xdr_jh_quota_reply (XDR *, jh_quota_reply*);
 extern  bool_t xdr_jh_order_kind (XDR *, jh_order_kind*);
 extern  bool_t xdr_jh_order_args (XDR *, jh_order_args*);
@@ -246,9 +254,9 @@
 extern bool_t xdr_jh_sync_reply ();
 extern bool_t xdr_jh_nonce_args ();
 extern bool_t xdr_jh_nonce_reply ();
-extern bool_t xdr_jh_quota_demand ();
+extern bool_t xdr_jh_wire_report ();
 extern bool_t xdr_jh_quota_args ();
-extern bool_t xdr_jh_quota_grant ();
+extern bool_t xdr_jh_wire_grant ();
 extern bool_t xdr_jh_quota_reply ();
 extern bool_t xdr_jh_order_kind ();
 extern bool_t xdr_jh_order_args ();
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -9,6 +9,7 @@
 const JH_MAX_TEXT = 1048576;
 const JH_MAX_NAME = 256;
 const JH_MAX_ITEMS = 65536;
+const JH_MAX_CRASHES = 64;
 const JH_NONCE_LEN = 16;
 const JH_MAC_LEN = 32;
 
@@ -26,20 +27,22 @@
 	string json<JH_MAX_TEXT>;
 };
 
-/* One crash report: which requests ran when an engine died. */
+/* One fingerprint in one crash; see struct jh_crash. */
 struct jh_wire_crash {
+	unsigned hyper print_high;
+	unsigned hyper print_low;
 	unsigned hyper reporter;	/* incarnation of the reporting agent */
 	unsigned hyper sequence;	/* of that reporter's crashes */
-	unsigned int age_ms;
-	opaque fingerprints<JH_MAX_TEXT>; /* 16 bytes each */
+	unsigned int remaining_ms;
+	bool sole;
+	bool cleared;
 };
 
 struct jh_sync_args {
 	string instance<JH_MAX_NAME>;
 	unsigned hyper incarnation;
 	unsigned hyper revision;	/* what the asker has in full */
-	unsigned hyper suspects_seen;	/* the peer's crash log position */
-	jh_wire_crash crashes<JH_MAX_ITEMS>; /* new at the asker */
+	jh_wire_crash crashes<JH_MAX_CRASHES>;
 };
 
 struct jh_sync_reply {
@@ -48,9 +51,9 @@
 	unsigned hyper revision;
 	unsigned int confirmed_age_ms;	/* since the store confirmed it */
 	jh_wire_entry entries<JH_MAX_ITEMS>; /* changed after the asker's */
-	unsigned hyper suspects_position;
-	jh_wire_crash crashes<JH_MAX_ITEMS>;
+	jh_wire_crash crashes<JH_MAX_CRASHES>;
 	bool full;			/* entries is all there is */
+	unsigned hyper floor;		/* full: deletions known from here */
 };
 
 /* Values of enum jh_nonce_state. */
@@ -67,30 +70,40 @@
 	opaque answer<JH_MAX_TEXT>;
 };
 
-struct jh_quota_demand {
+/* struct jh_quota_report of one (organisation, class). */
+struct jh_wire_report {
 	string key<JH_MAX_NAME>;	/* organisation/class */
-	unsigned hyper demand;		/* cost tokens per second */
-	unsigned hyper held;		/* allocation held */
-	unsigned int held_left_ms;	/* until that allocation's deadline */
+	unsigned hyper seq;
+	unsigned hyper rate_demand;
+	unsigned hyper concurrent_demand;
+	unsigned hyper running;
+	unsigned int members;
+	unsigned hyper held_granter;
+	unsigned hyper held_seq;
+	unsigned hyper held_rate;
+	unsigned hyper held_concurrent;
+	unsigned hyper held_left_usec;
 };
 
 struct jh_quota_args {
 	string instance<JH_MAX_NAME>;
-	unsigned hyper incarnation;
-	unsigned hyper round;
-	jh_quota_demand demands<JH_MAX_ITEMS>;
+	unsigned hyper incarnation;	/* of the holder */
+	unsigned hyper granter;		/* incarnation meant; 0: any */
+	jh_wire_report reports<JH_MAX_ITEMS>;
 };
 
-struct jh_quota_grant {
+/* struct jh_quota_grant of one (organisation, class). */
+struct jh_wire_grant {
 	string key<JH_MAX_NAME>;
+	unsigned hyper report;
+	unsigned hyper seq;
 	unsigned hyper rate;
-	unsigned int left_ms;
+	unsigned hyper concurrent;
 };
 
 struct jh_quota_reply {
-	unsigned hyper incarnation;
-	unsigned hyper round;
-	jh_quota_grant grants<JH_MAX_ITEMS>;
+	unsigned hyper incarnation;	/* of the granter */
+	jh_wire_grant grants<JH_MAX_ITEMS>;
 };
 
 enum jh_order_kind {
--- a/src/rpc/control_xdr.c
+++ b/src/rpc/control_xdr.c
@@ -41,13 +41,19 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->print_high))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->print_low))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reporter))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->sole))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->fingerprints.fingerprints_val, (u_int *) &objp->fingerprints.fingerprints_len, JH_MAX_TEXT))
+	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	return TRUE;
 }
@@ -63,9 +69,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->suspects_seen))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_CRASHES,
 		sizeof (jh_wire_crash), (xdrproc_t) xdr_jh_wire_crash))
 		 return FALSE;
 	return TRUE;
@@ -87,13 +91,13 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, JH_MAX_ITEMS,
 		sizeof (jh_wire_entry), (xdrproc_t) xdr_jh_wire_entry))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->suspects_position))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, JH_MAX_CRASHES,
 		sizeof (jh_wire_crash), (xdrproc_t) xdr_jh_wire_crash))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->floor))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -171,17 +175,31 @@
 }
 
 bool_t
-xdr_jh_quota_demand (XDR *xdrs, jh_quota_demand *objp)
+xdr_jh_wire_report (XDR *xdrs, jh_wire_report *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->key, JH_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->demand))
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rate_demand))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->concurrent_demand))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->held))
+	 if (!xdr_u_quad_t (xdrs, &objp->running))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->held_left_ms))
+	 if (!xdr_u_int (xdrs, &objp->members))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_granter))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_rate))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_concurrent))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_left_usec))
 		 return FALSE;
 	return TRUE;
 }
@@ -195,24 +213,28 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->round))
+	 if (!xdr_u_quad_t (xdrs, &objp->granter))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, JH_MAX_ITEMS,
-		sizeof (jh_quota_demand), (xdrproc_t) xdr_jh_quota_demand))
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, JH_MAX_ITEMS,
+		sizeof (jh_wire_report), (xdrproc_t) xdr_jh_wire_report))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_jh_quota_grant (XDR *xdrs, jh_quota_grant *objp)
+xdr_jh_wire_grant (XDR *xdrs, jh_wire_grant *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_string (xdrs, &objp->key, JH_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->report))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rate))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->left_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->concurrent))
 		 return FALSE;
 	return TRUE;
 }
@@ -224,10 +246,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->round))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, JH_MAX_ITEMS,
-		sizeof (jh_quota_grant), (xdrproc_t) xdr_jh_quota_grant))
+		sizeof (jh_wire_grant), (xdrproc_t) xdr_jh_wire_grant))
 		 return FALSE;
 	return TRUE;
 }
