--- a/bench/parts/bench.h
+++ b/bench/parts/bench.h
@@ -11,5 +11,6 @@
 };
 
 int queue_bench_run(uint64_t seed);
+int cost_run(uint64_t seed);
 
 #endif
--- /dev/null
+++ b/bench/parts/cost_place.c
@@ -0,0 +1,134 @@
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+#include <jacinthhill/place.h>
+
+#include "cost.h"
+
+#define REGIONS 6
+#define STEP_USEC (JH_USEC_PER_SEC / 19) /* one entry daemon's requests */
+#define BUILD_SAMPLES 300 /* prefixes decided anew after a change */
+
+struct fleet {
+	struct jh_placer *placer;
+	struct jh_place_worker *workers;
+	uint32_t n;
+	uint32_t prefixes;
+	uint64_t now;
+};
+
+static uint64_t
+mix(uint64_t x)
+{
+	x = (x ^ (x >> 31)) * 0x9e3779b97f4a7c15ULL;
+	return x ^ (x >> 29);
+}
+
+static void
+decide(struct fleet *f, uint64_t manual)
+{
+	struct jh_prefix x = {.n = 3,
+	    .level = {{mix(manual + 1), 8000}, {mix(manual + 2) ^ 5, 400},
+		{mix(f->now), 60}}};
+	struct jh_place_request r = {
+	    .prefix = &x, .prefill_tokens = 460, .decode_tokens = 256};
+	struct jh_candidate out[JH_PLACE_MAX_CANDIDATES];
+
+	f->now += STEP_USEC;
+	jh_placer_choose(f->placer, f->now, &r, out, JH_PLACE_MAX_CANDIDATES);
+}
+
+static void
+decide_known(void *arg, uint64_t i)
+{
+	struct fleet *f = arg;
+
+	decide(f, mix(i) % f->prefixes);
+}
+
+/* One worker goes, then the next decision of one prefix builds its order. */
+static void
+decide_after_change(void *arg, uint64_t i)
+{
+	struct fleet *f = arg;
+
+	decide(f, i % BUILD_SAMPLES);
+}
+
+static void
+change(void *arg, uint64_t i)
+{
+	struct fleet *f = arg;
+
+	f->workers[i % f->n].id += 1000003;
+	jh_placer_set_workers(f->placer, f->now, f->workers, f->n);
+}
+
+static void
+set_same(void *arg, uint64_t i)
+{
+	struct fleet *f = arg;
+
+	jh_placer_set_workers(f->placer, f->now, f->workers, f->n);
+}
+
+/* Decisions on prefixes whose order is not built: each is new. */
+static void
+decide_new(void *arg, uint64_t i)
+{
+	struct fleet *f = arg;
+
+	decide(f, f->prefixes + i);
+}
+
+static void
+measure(uint32_t n, uint32_t prefixes, uint64_t seed)
+{
+	size_t before = cost_heap();
+	struct fleet f = {.placer = jh_placer_create(&jh_place_affinity, seed),
+	    .workers = g_new0(struct jh_place_worker, n),
+	    .n = n,
+	    .prefixes = prefixes,
+	    .now = JH_USEC_PER_SEC};
+	char label[40];
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		f.workers[i] = (struct jh_place_worker){.id = mix(i + 77),
+		    .region = i % REGIONS,
+		    .prefill_rate = 40000,
+		    .decode_rate = 800};
+	jh_placer_set_workers(f.placer, f.now, f.workers, n);
+	jh_placer_set_entries(f.placer, 57);
+	for (i = 0; i < prefixes; i++)
+		decide(&f, i);
+	g_snprintf(label, sizeof(label), "decide, %u prefixes", prefixes);
+	cost_print("place", n, label,
+	    cost_measure(COST_THREAD, decide_known, &f, 20000),
+	    (double)(cost_heap() - before));
+	cost_print("place", n, "  own figure of bytes", (struct cost){0},
+	    (double)jh_placer_bytes(f.placer));
+	cost_print("place", n, "set workers, unchanged",
+	    cost_measure(COST_THREAD, set_same, &f, 20), -1);
+	cost_print("place", n, "set workers, one changed",
+	    cost_measure(COST_THREAD, change, &f, 20), -1);
+	cost_print("place", n, "decide, order not built",
+	    cost_measure(COST_THREAD, decide_new, &f, BUILD_SAMPLES), -1);
+	change(&f, 1);
+	cost_print("place", n, "decide, after a change",
+	    cost_measure(COST_THREAD, decide_after_change, &f, 1), -1);
+	jh_placer_destroy(f.placer);
+	g_free(f.workers);
+}
+
+void
+cost_place(uint64_t seed)
+{
+	static const uint32_t workers[] = {120, 1067, 6400};
+	static const uint32_t prefixes[] = {1000, 10000};
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(workers); i++)
+		for (j = 0; j < G_N_ELEMENTS(prefixes); j++)
+			measure(workers[i], prefixes[j], seed);
+}
--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -10,6 +10,7 @@
 static const struct bench benches[] = {
     {"queue", "rank queue of one agent against FIFO and strict priority",
 	queue_bench_run},
+    {"cost", "CPU and memory of the parts at growing sizes", cost_run},
     {"spread", "catalogue edits over the design-size fleet", spread_run},
     {0},
 };
