feed: read the instance list conditionally, and rarely beside backend servers

Cause: every daemon read and parsed the whole list every 500 ms.

Change: reads send If-None-Match and skip an unchanged list (304). An agent's interval grows from 0.5 s to 120 s, jittered by a quarter; it begins again at 0.5 s when its copy of the catalogue becomes stale, since then the entry daemons that it knows do not answer. The stand-in list answers 304.

Ruled out: asking for the zone's entry daemons only; the platform's list is not known to filter.

--- a/fakes/list/lister.c
+++ b/fakes/list/lister.c
@@ -25,6 +25,7 @@
 	pthread_mutex_t lock; /* guards all below */
 	json_t *instances; /* object: id to instance */
 	GQueue *changes; /* of struct change, oldest first */
+	uint64_t revision; /* rises with each change that shows */
 };
 
 static void
@@ -74,6 +75,7 @@
 	while (
 	    (c = g_queue_peek_head(l->changes)) != NULL && c->due <= jh_now()) {
 		apply(l, c->request);
+		l->revision++;
 		free_change(g_queue_pop_head(l->changes));
 	}
 }
@@ -125,8 +127,9 @@
 	return true;
 }
 
+/* Also gives the entity tag of what is shown. */
 static char *
-show(struct fake_list *l)
+show(struct fake_list *l, char **etag)
 {
 	json_t *list = json_array(), *v;
 	const char *id;
@@ -134,6 +137,7 @@
 
 	pthread_mutex_lock(&l->lock);
 	apply_due(l);
+	*etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "\"", l->revision);
 	json_object_foreach(l->instances, id, v)
 	{
 		json_array_append(list, v);
@@ -154,19 +158,32 @@
 	return ok ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST;
 }
 
+/* Answers 304 without a body to a reader that has this version. */
+static void
+reply_list(struct fake_list *l, struct jh_http_req *req)
+{
+	const char *held = jh_http_req_header(req, "If-None-Match");
+	char *etag, *text = show(l, &etag);
+
+	jh_http_req_add_header(req, "ETag", etag);
+	if (g_strcmp0(held, etag) == 0)
+		jh_http_req_reply(req, MHD_HTTP_NOT_MODIFIED, NULL, "", 0);
+	else
+		jh_http_req_reply(
+		    req, MHD_HTTP_OK, "application/json", text, strlen(text));
+	g_free(etag);
+	free(text);
+}
+
 static void
 on_request(void *arg, struct jh_http_req *req)
 {
 	const char *path = jh_http_req_path(req);
 	struct fake_list *l = arg;
 	unsigned int status = MHD_HTTP_NOT_FOUND;
-	char *text;
 
 	if (strcmp(path, "/v1/instances") == 0) {
-		text = show(l);
-		jh_http_req_reply(
-		    req, MHD_HTTP_OK, "application/json", text, strlen(text));
-		free(text);
+		reply_list(l, req);
 	} else {
 		if (strcmp(path, "/control") == 0 &&
 		    strcmp(jh_http_req_method(req), "POST") == 0)
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -25,6 +25,16 @@
 #define TICK_MSEC 20
 #define TICKS_PER_POLL 10
 
+/*
+ * An agent needs the list only to find entry daemons to pull from. At the
+ * design size the list is 1.4 MB and changes every 41 s, so that this keeps
+ * its reading below 15 KB/s (docs/CAPACITY.md).
+ */
+#define LIST_LONGEST_USEC (120 * JH_USEC_PER_SEC)
+
+/* A copy that old shows that the known entry daemons do not answer. */
+#define COPY_STALE_USEC (10 * JH_USEC_PER_SEC)
+
 /* Streams get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
@@ -135,14 +145,27 @@
 	return sigtimedwait(set, NULL, &tick) > 0;
 }
 
+/* Reads the list again when the copy has just become stale. */
+static void
+tick_list(struct agent *a, struct jh_instances *list, bool *was_stale)
+{
+	bool stale = jh_feed_age(a->feed) > COPY_STALE_USEC;
+
+	if (stale && !*was_stale)
+		jh_instances_hurry(list);
+	*was_stale = stale;
+	jh_instances_tick(list);
+}
+
 static void
 run_until_stopped(
     struct agent *a, struct jh_instances *list, const sigset_t *set)
 {
 	unsigned int ticks = 0;
+	bool stale = true;
 
 	do {
-		jh_instances_tick(list);
+		tick_list(a, list, &stale);
 		jh_feed_tick(a->feed);
 		crash_log_expire(a->crashes);
 		if (a->once != NULL)
@@ -208,6 +231,8 @@
 	}
 	list = jh_instances_create(
 	    a->client, &a->set.instance_list, &instances_ops, a);
+	jh_instances_set_longest(
+	    list, LIST_LONGEST_USEC, (guint32)a->incarnation);
 	jh_event(
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", a->set.instance);
 	run_until_stopped(a, list, set);
--- a/src/feed/instances.c
+++ b/src/feed/instances.c
@@ -1,32 +1,52 @@
+#include <string.h>
+
 #include <jacinthhill/clock.h>
 
 #include "feed/instances.h"
+#include "feed/read_pace.h"
 
 #define READ_INTERVAL_USEC (500 * JH_USEC_PER_MSEC)
 #define READ_TIMEOUT_USEC (2 * JH_USEC_PER_SEC)
 #define BODY_LIMIT (16 << 20)
+#define ETAG_LIMIT 200 /* bytes; a longer one is not sent back */
 
 struct jh_instances {
 	struct jh_http_client *client;
 	struct sockaddr_in list;
 	const struct jh_instances_ops *ops;
 	void *arg;
-	uint64_t next_read; /* ticking thread only */
+	struct read_pace *pace; /* ticking thread only */
 	int reading; /* atomic */
+	int succeeded; /* atomic: a read has, since the last tick */
 	GString *body; /* client thread while reading */
+	char *etag; /* the same; of the list taken last, or NULL */
 };
 
+/* Remembers the version of a list that was taken over. */
+static void
+keep_etag(struct jh_instances *n, struct jh_http_call *call)
+{
+	const char *etag = jh_http_call_header(call, "ETag");
+
+	g_free(n->etag);
+	n->etag =
+	    etag != NULL && strlen(etag) <= ETAG_LIMIT ? g_strdup(etag) : NULL;
+}
+
 static void
-take_list(struct jh_instances *n)
+take_list(struct jh_instances *n, struct jh_http_call *call)
 {
 	unsigned int faults;
 	GPtrArray *list = jh_instances_parse(
 	    (struct jh_str){n->body->str, n->body->len}, &faults);
 
 	/* An empty or broken list would take away every backend server. */
-	if (list != NULL && list->len > 0)
+	if (list != NULL && list->len > 0) {
+		keep_etag(n, call);
+		g_atomic_int_set(&n->succeeded, 1);
 		n->ops->list(n->arg,
 		    (const struct jh_instance *const *)list->pdata, list->len);
+	}
 	if (list != NULL)
 		g_ptr_array_free(list, TRUE);
 }
@@ -47,7 +67,12 @@
 	struct jh_instances *n = arg;
 
 	if (result == JH_HTTP_OK && jh_http_call_status(call) == 200)
-		take_list(n);
+		take_list(n, call);
+	if (result == JH_HTTP_OK && jh_http_call_status(call) == 304) {
+		g_atomic_int_set(&n->succeeded, 1);
+		if (n->ops->unchanged != NULL)
+			n->ops->unchanged(n->arg);
+	}
 	g_atomic_int_set(&n->reading, 0);
 }
 
@@ -66,33 +91,66 @@
 	n->ops = ops;
 	n->arg = arg;
 	n->body = g_string_new(NULL);
+	n->pace = read_pace_create(READ_INTERVAL_USEC, READ_INTERVAL_USEC, 0);
 	return n;
 }
 
 void
 jh_instances_destroy(struct jh_instances *n)
 {
+	read_pace_destroy(n->pace);
 	g_string_free(n->body, TRUE);
+	g_free(n->etag);
 	g_free(n);
 }
 
 void
-jh_instances_tick(struct jh_instances *n)
+jh_instances_set_longest(struct jh_instances *n, uint64_t longest, guint32 seed)
+{
+	read_pace_destroy(n->pace);
+	n->pace = read_pace_create(READ_INTERVAL_USEC, longest, seed);
+}
+
+void
+jh_instances_hurry(struct jh_instances *n)
 {
+	read_pace_hurry(n->pace);
+}
+
+static struct jh_http_call *
+start_read(struct jh_instances *n)
+{
+	char *line = n->etag == NULL
+			 ? NULL
+			 : g_strdup_printf("If-None-Match: %s", n->etag);
+	const char *const headers[] = {line, NULL};
 	struct jh_http_call_spec spec = {.peer = n->list,
 	    .method = "GET",
 	    .path = "/v1/instances",
+	    .headers = headers,
 	    .deadline = jh_now() + READ_TIMEOUT_USEC,
 	    .ops = &read_ops,
 	    .arg = n};
+	struct jh_http_call *call = jh_http_call_start(n->client, &spec);
+
+	g_free(line);
+	return call;
+}
+
+void
+jh_instances_tick(struct jh_instances *n)
+{
 	struct jh_http_call *call;
 
-	if (jh_now() < n->next_read ||
-	    !g_atomic_int_compare_and_exchange(&n->reading, 0, 1))
+	if (g_atomic_int_get(&n->reading))
+		return;
+	if (g_atomic_int_compare_and_exchange(&n->succeeded, 1, 0))
+		read_pace_succeeded(n->pace);
+	if (!read_pace_due(n->pace, jh_now()))
 		return;
-	n->next_read = jh_now() + READ_INTERVAL_USEC;
+	g_atomic_int_set(&n->reading, 1);
 	g_string_truncate(n->body, 0);
-	call = jh_http_call_start(n->client, &spec);
+	call = start_read(n);
 	if (call == NULL)
 		g_atomic_int_set(&n->reading, 0);
 	jh_http_call_unref(call);
--- a/src/feed/instances.h
+++ b/src/feed/instances.h
@@ -7,7 +7,10 @@
 
 #include "http/client.h"
 
-/* Reads the platform's instance list; one read runs at a time. */
+/*
+ * Reads the platform's instance list; one read runs at a time. A list that
+ * sends an ETag is asked only for what differs from it (RFC 9110, 304).
+ */
 struct jh_instances;
 
 struct jh_instances_ops {
@@ -17,6 +20,8 @@
 	 */
 	void (*list)(
 	    void *arg, const struct jh_instance *const *list, size_t n);
+	/* A read found the list as it was. May be NULL. */
+	void (*unchanged)(void *arg);
 };
 
 struct jh_instances *jh_instances_create(struct jh_http_client *client,
@@ -25,6 +30,15 @@
 /* Call it after the HTTP client is destroyed. */
 void jh_instances_destroy(struct jh_instances *n);
 
+/*
+ * Lets the time between reads grow from the default of 0.5 s to this many
+ * microseconds. The seed spreads daemons that start together.
+ */
+void jh_instances_set_longest(
+    struct jh_instances *n, uint64_t longest, guint32 seed);
+/* Reads at once, and often for a while; from the ticking thread. */
+void jh_instances_hurry(struct jh_instances *n);
+
 /* Starts a read if one is due; call it from one thread. */
 void jh_instances_tick(struct jh_instances *n);
 
--- /dev/null
+++ b/test/test_instances.c
@@ -0,0 +1,188 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+
+#include "../fakes/list/lister.h"
+#include "feed/instances.h"
+#include "feed/read_pace.h"
+
+struct reader {
+	struct fake_list *fake;
+	struct jh_http_client *client;
+	struct jh_instances *instances;
+	GMutex lock; /* guards the counts */
+	GCond cond;
+	unsigned int lists;
+	unsigned int unchanged;
+	size_t rows; /* of the last list */
+};
+
+static void
+on_list(void *arg, const struct jh_instance *const *list, size_t n)
+{
+	struct reader *r = arg;
+
+	g_mutex_lock(&r->lock);
+	r->lists++;
+	r->rows = n;
+	g_cond_signal(&r->cond);
+	g_mutex_unlock(&r->lock);
+}
+
+static void
+on_unchanged(void *arg)
+{
+	struct reader *r = arg;
+
+	g_mutex_lock(&r->lock);
+	r->unchanged++;
+	g_cond_signal(&r->cond);
+	g_mutex_unlock(&r->lock);
+}
+
+static const struct jh_instances_ops ops = {on_list, on_unchanged};
+
+static void
+add(struct reader *r, const char *id)
+{
+	json_t *o = json_pack("{s:[{s:s, s:s, s:s, s:s, s:s, s:s}]}", "add",
+	    "id", id, "role", "entry", "address", "127.0.0.1:1", "rpc_address",
+	    "127.0.0.1:2", "zone", "z", "region", "r");
+
+	assert_true(fake_list_control(r->fake, o, false));
+	json_decref(o);
+}
+
+/* Reads once and waits for what comes of it. */
+static void
+read_list(struct reader *r)
+{
+	unsigned int before;
+
+	g_mutex_lock(&r->lock);
+	before = r->lists + r->unchanged;
+	while (r->lists + r->unchanged == before) {
+		/* The former read may still be ending. */
+		jh_instances_hurry(r->instances);
+		jh_instances_tick(r->instances);
+		g_cond_wait_until(&r->cond, &r->lock,
+		    g_get_monotonic_time() + 10 * G_TIME_SPAN_MILLISECOND);
+	}
+	g_mutex_unlock(&r->lock);
+}
+
+/* Guards against reading and parsing a list anew that has not changed. */
+static void
+unchanged_list_is_not_sent_again(void **state)
+{
+	struct sockaddr_in at = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct fake_list_options o = {.listen = at};
+	struct reader r = {.fake = fake_list_create(&o, NULL)};
+
+	assert_non_null(r.fake);
+	at.sin_port = htons((uint16_t)fake_list_port(r.fake));
+	r.client = jh_http_client_create("test", 4);
+	r.instances = jh_instances_create(r.client, &at, &ops, &r);
+	add(&r, "entry-0");
+	read_list(&r);
+	assert_int_equal(r.lists, 1);
+	assert_int_equal(r.rows, 1);
+	read_list(&r);
+	assert_int_equal(r.lists, 1);
+	assert_int_equal(r.unchanged, 1);
+	add(&r, "entry-1");
+	read_list(&r);
+	assert_int_equal(r.lists, 2);
+	assert_int_equal(r.rows, 2);
+	read_list(&r);
+	assert_int_equal(r.lists, 2);
+	jh_http_client_destroy(r.client);
+	jh_instances_destroy(r.instances);
+	fake_list_destroy(r.fake);
+}
+
+#define SECOND JH_USEC_PER_SEC
+
+/* Reads in an hour, each of which succeeds. */
+static unsigned int
+reads_of_an_hour(struct read_pace *p)
+{
+	unsigned int reads = 0;
+	uint64_t now;
+
+	for (now = SECOND; now < 3601 * SECOND; now += SECOND / 50)
+		if (read_pace_due(p, now)) {
+			reads++;
+			read_pace_succeeded(p);
+		}
+	return reads;
+}
+
+/* Guards against agents that go on reading the whole list often. */
+static void
+reads_become_rare(void **state)
+{
+	struct read_pace *p = read_pace_create(SECOND / 2, 120 * SECOND, 1);
+	unsigned int reads = reads_of_an_hour(p);
+
+	/* 3,600 / (120 x 5/4) to 3,600 / (120 x 3/4), and 8 while growing. */
+	assert_in_range(reads, 24, 48);
+	read_pace_hurry(p);
+	assert_true(read_pace_due(p, 3601 * SECOND));
+	assert_true(read_pace_due(p, 3602 * SECOND));
+	read_pace_destroy(p);
+}
+
+/* Guards against a failed read that makes the next one wait for longer. */
+static void
+failed_reads_keep_the_interval(void **state)
+{
+	struct read_pace *p = read_pace_create(SECOND, 120 * SECOND, 1);
+	uint64_t now;
+
+	for (now = 2 * SECOND; now < 100 * SECOND; now += 2 * SECOND)
+		assert_true(read_pace_due(p, now));
+	read_pace_destroy(p);
+}
+
+/* Guards against agents that restart in a herd and read in step for ever. */
+static void
+reads_spread(void **state)
+{
+	unsigned int at[60] = {0}, seed;
+	struct read_pace *p;
+	uint64_t now;
+
+	for (seed = 0; seed < 600; seed++) {
+		p = read_pace_create(120 * SECOND, 120 * SECOND, seed);
+		read_pace_due(p, 0);
+		for (now = 0; !read_pace_due(p, now); now += SECOND)
+			continue;
+		assert_in_range(now, 90 * SECOND, 150 * SECOND);
+		at[(now / SECOND - 90) % 60]++;
+		read_pace_destroy(p);
+	}
+	/* Evenly: 10 a second. */
+	for (seed = 0; seed < 60; seed++)
+		assert_in_range(at[seed], 0, 30);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(unchanged_list_is_not_sent_again),
+	    cmocka_unit_test(reads_become_rare),
+	    cmocka_unit_test(failed_reads_keep_the_interval),
+	    cmocka_unit_test(reads_spread),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
