--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,11 +1,12 @@
 #!/bin/sh
 # Measures what docs/CAPACITY.md stands on: the parts (jhbench), one idle entry
 # daemon and one idle agent beside growing instance lists, and both under
-# growing load. CPU time, so that other work on the machine matters less.
+# growing load, then herds of entry daemons. CPU time, so that other work on the machine matters less.
 set -eu
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
 . bench/capacity_lib.sh
+. bench/capacity_herd.sh
 DIR=$(mktemp -d)
 PIDS=
 trap 'down; rm -rf "$DIR"' EXIT
@@ -60,6 +61,25 @@
 	down
 }
 
-for part in ${*:-parts idle traffic}; do
+# Memory while N streams run at once; each lasts about 8 s.
+streams() {
+	head_row "streams at once"
+	up 50
+	reading "0" sleep 1
+	for n in 50 100 200; do
+		"$BUILD/jhload" --target $ENTRY --concurrency $n --tokens 4000 \
+		    --background 0 --only-org 0 --records 1 --record-kb 32 \
+		    --seconds 1 --max-requests $n >"$DIR/streams" 2>&1 &
+		load_pid=$!
+		sleep 5
+		reading "$n" sleep 1
+		wait $load_pid || true
+		awk '/^urgent/ {printf "%26s %s sent, %s whole\n", "", $2, $3}' \
+		    "$DIR/streams"
+	done
+	down
+}
+
+for part in ${*:-parts idle traffic streams herds}; do
 	"$part"
 done
--- a/bench/capacity_lib.sh
+++ b/bench/capacity_lib.sh
@@ -1,7 +1,8 @@
 # Starts one entry daemon and one agent on loopback beside an instance list of
 # any length, and reads their CPU time. Sourced by capacity.sh; needs BUILD, DIR.
 
-STORE=127.0.0.1:17000 LIST=127.0.0.1:17002 ENTRY=127.0.0.1:17010
+BASE=${JH_BASE:-17000}
+STORE=127.0.0.1:$BASE LIST=127.0.0.1:$((BASE + 2)) ENTRY=127.0.0.1:$((BASE + 10))
 SECRET=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 WINDOW=${WINDOW:-15} # seconds of one reading
 
@@ -16,7 +17,7 @@
 
 # rows N: the two daemons and N - 2 that do not exist, none in their zone.
 rows() {
-	awk -v n="$1" 'BEGIN {
+	awk -v n="$1" -v b="$BASE" 'BEGIN {
 		form = "{\"id\":\"%s\",\"role\":\"%s\",\"address\":\"%s\"," \
 		    "\"rpc_address\":\"%s\",\"zone\":\"%s\"," \
 		    "\"region\":\"%s\",\"models\":[%s]," \
@@ -31,10 +32,10 @@
 			    e ? "" : "\"model-1\"", i + 1
 		}
 		printf "{\"id\":\"entry-0\",\"role\":\"entry\",\"address\":" \
-		    "\"127.0.0.1:17010\",\"rpc_address\":\"127.0.0.1:17011\"," \
+		    "\"127.0.0.1:" b + 10 "\",\"rpc_address\":\"127.0.0.1:" b + 11 "\"," \
 		    "\"zone\":\"z\",\"region\":\"r\",\"models\":[]},\n"
 		printf "{\"id\":\"worker-0\",\"role\":\"agent\",\"address\":" \
-		    "\"127.0.0.1:17020\",\"rpc_address\":\"127.0.0.1:17021\"," \
+		    "\"127.0.0.1:" b + 20 "\",\"rpc_address\":\"127.0.0.1:" b + 21 "\"," \
 		    "\"zone\":\"z\",\"region\":\"r\",\"models\":[\"small\"]}]}\n"
 	}'
 }
@@ -80,14 +81,15 @@
 up() {
 	PIDS=
 	rows "$1" >"$DIR/rows.json"
-	settings entry-0 17010 >"$DIR/entry.yaml"
+	settings entry-0 $((BASE + 10)) >"$DIR/entry.yaml"
 	{
-		settings worker-0 17020
-		printf 'backend: 127.0.0.1:17030\nkind: engine\nslots: 256\n'
+		settings worker-0 $((BASE + 20))
+		printf 'backend: 127.0.0.1:%s\nkind: engine\nslots: 256\n' \
+		    $((BASE + 30))
 	} >"$DIR/agent.yaml"
 	run store "$BUILD/fake-store" --listen $STORE
 	run list "$BUILD/fake-list" --listen $LIST --instances "$DIR/rows.json"
-	run engine "$BUILD/fake-engine" --listen 127.0.0.1:17030 --model small \
+	run engine "$BUILD/fake-engine" --listen 127.0.0.1:$((BASE + 30)) --model small \
 	    --weights v1 --prefill-rate 10000000 --step-usec 2000 \
 	    --per-seq-usec 0 --max-batch 256
 	sleep 2
--- a/bench/parts/cost_place.c
+++ b/bench/parts/cost_place.c
@@ -81,6 +81,55 @@
 	decide(f, f->prefixes + i);
 }
 
+/* The workers that are offered the prefixes' requests first. */
+static void
+first_choices(struct fleet *f, uint64_t *out)
+{
+	struct jh_candidate c[JH_PLACE_MAX_CANDIDATES];
+	struct jh_prefix x = {.n = 1, .level = {{0, 8000}}};
+	struct jh_place_request r = {
+	    .prefix = &x, .prefill_tokens = 460, .decode_tokens = 256};
+	uint32_t i;
+
+	for (i = 0; i < f->prefixes; i++) {
+		x.level[0].hash = mix(i + 1);
+		jh_placer_choose(
+		    f->placer, f->now, &r, c, JH_PLACE_MAX_CANDIDATES);
+		out[i] = c[0].worker;
+	}
+}
+
+/* Loses the first lost workers of a region of n; prints what moves. */
+static void
+lose_zone(uint32_t n, uint32_t lost, uint64_t seed)
+{
+	struct fleet f = {.placer = jh_placer_create(&jh_place_affinity, seed),
+	    .workers = g_new0(struct jh_place_worker, n),
+	    .n = n,
+	    .prefixes = 5000,
+	    .now = JH_USEC_PER_SEC};
+	uint64_t *before = g_new(uint64_t, f.prefixes);
+	uint64_t *after = g_new(uint64_t, f.prefixes);
+	uint32_t i, moved = 0;
+
+	for (i = 0; i < n; i++)
+		f.workers[i] = (struct jh_place_worker){.id = mix(i + 77),
+		    .prefill_rate = 40000,
+		    .decode_rate = 800};
+	jh_placer_set_workers(f.placer, f.now, f.workers, n);
+	first_choices(&f, before);
+	jh_placer_set_workers(f.placer, f.now, f.workers + lost, n - lost);
+	first_choices(&f, after);
+	for (i = 0; i < f.prefixes; i++)
+		moved += before[i] != after[i];
+	printf("place: losing %u of %u workers moves %u of %u prefixes\n", lost,
+	    n, moved, f.prefixes);
+	jh_placer_destroy(f.placer);
+	g_free(f.workers);
+	g_free(before);
+	g_free(after);
+}
+
 static void
 measure(uint32_t n, uint32_t prefixes, uint64_t seed)
 {
@@ -131,4 +180,6 @@
 	for (i = 0; i < G_N_ELEMENTS(workers); i++)
 		for (j = 0; j < G_N_ELEMENTS(prefixes); j++)
 			measure(workers[i], prefixes[j], seed);
+	for (i = 0; i < G_N_ELEMENTS(workers); i++)
+		lose_zone(workers[i], workers[i] * 2 / 5, seed);
 }
