--- a/bench/parts/bench.h
+++ b/bench/parts/bench.h
@@ -14,5 +14,6 @@
 int once_bench_run(uint64_t seed);
 int refuse_bench_run(uint64_t seed);
 int poison_bench_run(uint64_t seed);
+int cost_run(uint64_t seed);
 
 #endif
