--- a/bench/parts/main.c
+++ b/bench/parts/main.c
@@ -38,6 +38,7 @@
 	g_option_context_add_main_entries(ctx, options, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
 		fprintf(stderr, "jhbench: %s\n", err->message);
+		g_option_context_free(ctx);
 		return 2;
 	}
 	g_option_context_free(ctx);
