--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -8,6 +8,7 @@
 #include <jacinthhill/queue.h>
 
 #include "agent/settings.h"
+#include "agent/widths.h"
 #include "feed/crash_log.h"
 #include "feed/feed.h"
 #include "http/client.h"
@@ -62,6 +63,7 @@
 
 	pthread_mutex_t lock; /* guards all below */
 	struct jh_queue *queue;
+	struct agent_widths *widths;
 	struct jh_cacheview *cache; /* NULL until the engine has answered */
 	struct agent_engine engine;
 	GHashTable *jobs; /* &id -> struct agent_job */
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -401,6 +401,7 @@
 	snprintf(text, sizeof(text), "%llu",
 	    (unsigned long long)((wait - MIN(now, wait)) / JH_USEC_PER_MSEC));
 	jh_http_req_add_header(req, "Jh-Wait", text);
+	agent_job_add_width(j, req);
 }
 
 /* "HIGH:LOW" in hexadecimal; zero when absent. */
@@ -419,6 +420,20 @@
 	return print;
 }
 
+static uint32_t
+note_width(
+    struct agent *a, const struct jh_work *w, const struct jh_prefix *prefix)
+{
+	uint64_t width = jh_work_get_uint(w, JH_WORK_WIDTH, 1);
+	uint32_t widest;
+
+	pthread_mutex_lock(&a->lock);
+	widest = agent_widths_note(a->widths, jh_now(),
+	    jh_prefix_key(prefix, 0), (uint32_t)MIN(width, UINT32_MAX));
+	pthread_mutex_unlock(&a->lock);
+	return widest;
+}
+
 void
 agent_chat(struct agent *a, struct jh_work *w, struct jh_http_req *req)
 {
@@ -438,6 +453,7 @@
 	}
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
 	j->print = read_fingerprint(w);
+	j->width = note_width(a, w, &prefix);
 	if (jh_work_get_uint(w, JH_WORK_CRASHES, 0) > 0)
 		crash_log_hint(a->crashes, j->print,
 		    (unsigned int)jh_work_get_uint(w, JH_WORK_CRASHES, 0));
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -77,6 +77,7 @@
 		return;
 	copy_header(call, j->req, "X-Cached-Tokens", "Jh-Cached");
 	copy_header(call, j->req, "Content-Type", "Content-Type");
+	agent_job_add_width(j, j->req);
 	agent_add_headers(j->agent, j->req, j->engine_ok ? "ran" : "not_run");
 	jh_http_req_begin(j->req, jh_http_call_status(call));
 }
--- a/src/agent/job.c
+++ b/src/agent/job.c
@@ -1,5 +1,7 @@
 #include <pthread.h>
 
+#include <stdio.h>
+
 #include "agent/job.h"
 
 #include <jacinthhill/clock.h>
@@ -24,6 +26,15 @@
 	return j;
 }
 
+void
+agent_job_add_width(struct agent_job *j, struct jh_http_req *req)
+{
+	char text[16];
+
+	snprintf(text, sizeof(text), "%u", j->width);
+	jh_http_req_add_header(req, "Jh-Width", text);
+}
+
 struct agent_job *
 agent_job_ref(struct agent_job *j)
 {
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -24,6 +24,7 @@
 	struct jh_body *body;
 	uint64_t prompt_tokens;
 	struct jh_fingerprint print;
+	uint32_t width; /* widest of late for the prefix; to be told */
 	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
 	GArray *pieces; /* of uint64_t, cache blocks of the prompt; or NULL */
 
@@ -59,6 +60,9 @@
 struct agent_job *agent_job_ref(struct agent_job *j);
 void agent_job_unref(struct agent_job *j);
 
+/* Tells the entry daemon the prefix's width. */
+void agent_job_add_width(struct agent_job *j, struct jh_http_req *req);
+
 /* Starts the call to the engine; agent->lock is not held (engine_call.c). */
 void agent_job_start(struct agent_job *j);
 
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -76,6 +76,7 @@
 	jh_auth_random(&a->incarnation, sizeof(a->incarnation));
 	a->counters = jh_counters_create(agent_counter_names, AGENT_COUNTERS);
 	a->queue = jh_queue_create(&cfg);
+	a->widths = agent_widths_create();
 	a->jobs = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)agent_job_unref);
 	a->by_request = g_hash_table_new(g_str_hash, g_str_equal);
@@ -116,6 +117,7 @@
 	if (a->cache != NULL)
 		jh_cacheview_destroy(a->cache);
 	jh_queue_destroy(a->queue);
+	agent_widths_destroy(a->widths);
 	jh_counters_destroy(a->counters);
 	g_free(a->engine.model);
 	g_free(a->engine.weights);
--- /dev/null
+++ b/test/test_widths.c
@@ -0,0 +1,54 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+
+#include "agent/widths.h"
+
+/* Guards against a restarted entry daemon that learns too small a width. */
+static void
+tells_the_widest_of_late(void **state)
+{
+	struct agent_widths *w = agent_widths_create();
+	uint64_t now = JH_USEC_PER_SEC;
+
+	assert_int_equal(agent_widths_note(w, now, 7, 4), 4);
+	assert_int_equal(agent_widths_note(w, now, 7, 1), 4);
+	assert_int_equal(agent_widths_note(w, now, 8, 1), 1);
+	/* A prefix that cooled down narrows again. */
+	now += 6 * JH_USEC_PER_SEC;
+	assert_int_equal(agent_widths_note(w, now, 7, 2), 2);
+	agent_widths_destroy(w);
+}
+
+/* Guards against a table that grows with the number of prefixes. */
+static void
+stays_bounded(void **state)
+{
+	struct agent_widths *w = agent_widths_create();
+	uint64_t now = JH_USEC_PER_SEC, p;
+
+	for (p = 1; p <= 5000; p++)
+		assert_int_equal(agent_widths_note(w, now, p, 3), 3);
+	/* Past the bound nothing is remembered. */
+	assert_int_equal(agent_widths_note(w, now, 5000, 1), 1);
+	now += 6 * JH_USEC_PER_SEC;
+	assert_int_equal(agent_widths_note(w, now, 5000, 3), 3);
+	assert_int_equal(agent_widths_note(w, now, 5000, 1), 3);
+	agent_widths_destroy(w);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(tells_the_widest_of_late),
+	    cmocka_unit_test(stays_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
