--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -110,17 +110,37 @@
 	g_free(text);
 }
 
-/* The agent whose engine runs a request; WORLD_MAX: none. */
+/* Whether the last event came from another worker than the one with that id. */
+static bool
+goes_on_elsewhere(struct call *c, const char *first)
+{
+	char *last = call_last_id(c);
+	size_t n = (size_t)(strrchr(first, ':') - first);
+	bool elsewhere = strncmp(last, first, n) != 0;
+
+	g_free(last);
+	return elsewhere;
+}
+
+/*
+ * Kills the engine of a stream. Returns the agent at whose engine the stream
+ * goes on, once it does.
+ */
 static unsigned int
-running_agent(struct world *w)
+kill_first_engine(struct world *w, struct call *c)
 {
-	unsigned int i;
+	char *first = call_last_id(c);
+	unsigned int i, found = WORLD_MAX;
 
+	proc_kill(&w->backend[worker_of(w, c)]);
+	await(goes_on_elsewhere(c, first));
+	g_free(first);
 	for (i = 0; i < w->engines; i++) {
 		if (w->backend[i].pid != 0 && engine_load(w, i) > 0)
-			return i;
+			found = i;
 	}
-	return WORLD_MAX;
+	assert_int_not_equal(found, WORLD_MAX);
+	return found;
 }
 
 /* A second failure in one stream loses what the first one did not. */
@@ -130,11 +150,8 @@
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
 	struct call *c = start_stream(w, 0, TOKENS);
-	unsigned int first = worker_of(w, c), second;
 
-	proc_kill(&w->backend[first]);
-	await((second = running_agent(w)) != WORLD_MAX);
-	proc_kill(&w->agent[second]);
+	proc_kill(&w->agent[kill_first_engine(w, c)]);
 	call_join(c);
 	check_stream(&c, 1, TOKENS, text);
 	assert_int_equal(stream_workers(c), 3);
@@ -149,15 +166,13 @@
 	struct world *w = *state;
 	char *text = chat_reference(w, QUESTION, TOKENS);
 	struct call *c = start_stream(w, 0, TOKENS);
-	unsigned int first = worker_of(w, c), second, i;
+	unsigned int first = worker_of(w, c), i;
 
 	for (i = 0; i < w->engines; i++) {
 		if (i != first && i != (first + 1) % w->engines)
 			proc_kill(&w->agent[i]);
 	}
-	proc_kill(&w->backend[first]);
-	await((second = running_agent(w)) != WORLD_MAX);
-	proc_kill(&w->agent[second]);
+	proc_kill(&w->agent[kill_first_engine(w, c)]);
 	proc_start(&w->backend[first]);
 	call_join(c);
 	check_stream(&c, 1, TOKENS, text);
