http: smaller buffers for each call and reply

Cause: with 1,000 concurrent streams the entry daemon peaked at 118,308 KB (manual of 4 KB) and 176,164 KB (400 KB). The difference of 58 KB a stream is libcurl's upload buffer of 64 KB, which a call with a two-part body keeps until its reply ends; 16 KB more each are libcurl's read buffer and libmicrohttpd's reply block.

Change: 16 KB to upload, 4 KB to read and 4 KB a reply block.

--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -137,7 +137,7 @@
 start_all() {
 	: >"$DIR/pids"
 	rm -f "$DIR/list.json"
-	sh "$(dirname "$0")/manual.sh" >"$DIR/manual.txt"
+	sh demo/manual.sh >"$DIR/manual.txt"
 	spawn store "$BUILD/fake-store" --listen "$STORE"
 	wait_for "$STORE/control"
 	fill_catalogue
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -13,6 +13,13 @@
 /* Longest time to wait for a TCP connection to be accepted. */
 #define CONNECT_TIMEOUT_MS 1000L
 
+/*
+ * Each call holds these buffers until its reply ends; libcurl's defaults of
+ * 16 and 64 KB made up half of the memory of a stream.
+ */
+#define READ_BUFFER_LEN 4096L
+#define UPLOAD_BUFFER_LEN 16384L
+
 /* Start, resume and cancel commands that may wait per call. */
 #define COMMANDS_PER_CALL 4
 
@@ -382,6 +389,9 @@
 	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_BUFFERSIZE, READ_BUFFER_LEN);
+	curl_easy_setopt(
+	    call->easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_LEN);
 	curl_easy_setopt(
 	    call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -12,6 +12,9 @@
 /* How often waiting connections are checked for a peer that has left. */
 #define SWEEP_INTERVAL_MS 250
 
+/* Bytes of a reply handed over at once; each reply holds such a block. */
+#define REPLY_BLOCK_LEN 4096
+
 struct jh_http_server {
 	struct MHD_Daemon *daemon;
 	struct jh_http_server_spec spec;
@@ -192,7 +195,7 @@
 		size = r->out->len - r->out_pos;
 	jh_http_req_ref(r);
 	resp = MHD_create_response_from_callback(
-	    size, 16384, read_reply, r, release_reply);
+	    size, REPLY_BLOCK_LEN, read_reply, r, release_reply);
 	for (i = 0; i < r->headers->len; i++) {
 		h = &g_array_index(r->headers, struct reply_header, i);
 		MHD_add_response_header(resp, h->name, h->value);
