agent: give slot and reservation back when stopping

An agent that was stopped while its engine drained for new weights left its reservation in the store for up to 15 min, which blocks a region of two workers. It now goes on with the duty's end for up to 3 s after its work is finished. An order that still drains is given up.

--- a/include/jacinthhill/rollout.h
+++ b/include/jacinthhill/rollout.h
@@ -84,6 +84,8 @@
  */
 uint64_t jh_rollout_token(const struct jh_rollout *r, uint64_t now);
 
+/* Whether nothing is held, reserved or in progress. */
+bool jh_rollout_is_idle(const struct jh_rollout *r);
 /* A word for the state dump. */
 const char *jh_rollout_state_name(const struct jh_rollout *r);
 
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -30,6 +30,9 @@
 /* Streams get this long to finish after SIGTERM. */
 #define STOP_TIMEOUT_USEC (600 * JH_USEC_PER_SEC)
 
+/* The store may be down; what is left there ends by itself. */
+#define GIVE_BACK_TIMEOUT_USEC (3 * JH_USEC_PER_SEC)
+
 static void
 on_ask(void *arg, struct jh_sync_args *args)
 {
@@ -145,6 +148,18 @@
 	return sigtimedwait(set, NULL, &tick) > 0;
 }
 
+/* Follows the engine and what is ordered of it. */
+static void
+tick_engine(struct agent *a, unsigned int ticks)
+{
+	if (a->rollout == NULL)
+		return;
+	if (ticks % TICKS_PER_POLL == 0)
+		agent_poll_engine(a);
+	agent_order_tick(a);
+	agent_rollout_tick(a->rollout);
+}
+
 static void
 run_until_stopped(
     struct agent *a, struct jh_instances *list, const sigset_t *set)
@@ -157,11 +172,7 @@
 		crash_log_expire(a->crashes);
 		if (a->once != NULL)
 			agent_once_tick(a->once);
-		else if (ticks++ % TICKS_PER_POLL == 0)
-			agent_poll_engine(a);
-		agent_order_tick(a);
-		if (a->rollout != NULL)
-			agent_rollout_tick(a->rollout);
+		tick_engine(a, ticks++);
 		agent_tick(a);
 	} while (!wait_signal(set));
 }
@@ -173,17 +184,34 @@
 	       (a->once != NULL && agent_once_calls(a->once) > 0);
 }
 
+/* Gives a slot and a reservation back, if the store takes them. */
+static void
+finish_rollout(struct agent *a, const sigset_t *set)
+{
+	uint64_t deadline = jh_now() + GIVE_BACK_TIMEOUT_USEC;
+	unsigned int ticks = 0;
+
+	while (a->rollout != NULL && !agent_rollout_is_idle(a->rollout) &&
+	       jh_now() < deadline) {
+		tick_engine(a, ticks++);
+		if (wait_signal(set))
+			break;
+	}
+}
+
 /* Takes nothing new and lets what runs finish. */
 static void
 finish_work(struct agent *a, const sigset_t *set)
 {
 	uint64_t deadline = jh_now() + STOP_TIMEOUT_USEC;
+	unsigned int ticks = 0;
 
 	g_atomic_int_set(&a->leaving, 1);
 	while (has_work(a) && jh_now() < deadline) {
 		agent_tick(a);
 		if (a->once != NULL)
 			agent_once_tick(a->once);
+		tick_engine(a, ticks++);
 		if (wait_signal(set))
 			break;
 	}
@@ -227,6 +255,7 @@
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its work",
 	    a->set.instance);
 	finish_work(a, set);
+	finish_rollout(a, set);
 	jh_rpc_server_destroy(rpc);
 	jh_http_client_destroy(a->client);
 	jh_instances_destroy(list);
--- a/src/agent/order.c
+++ b/src/agent/order.c
@@ -243,7 +243,9 @@
 	char *weights = NULL;
 
 	g_mutex_lock(&a->lock);
-	if (token == 0) {
+	if (g_atomic_int_get(&a->leaving)) {
+		give_up(o, "the agent is leaving");
+	} else if (token == 0) {
 		give_up(o, "the lease ran out");
 	} else if (is_drained(a)) {
 		o->token = token;
--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -266,6 +266,17 @@
 	g_free(model);
 }
 
+bool
+agent_rollout_is_idle(struct agent_rollout *r)
+{
+	bool idle;
+
+	g_mutex_lock(&r->lock);
+	idle = jh_rollout_is_idle(r->machine);
+	g_mutex_unlock(&r->lock);
+	return idle;
+}
+
 json_t *
 agent_rollout_dump(struct agent_rollout *r)
 {
--- a/src/agent/rollout_run.h
+++ b/src/agent/rollout_run.h
@@ -21,6 +21,9 @@
 void agent_rollout_set_list(
     struct agent_rollout *r, const struct jh_instance *const *list, size_t n);
 
+/* Whether the store holds nothing that has to be given back. */
+bool agent_rollout_is_idle(struct agent_rollout *r);
+
 json_t *agent_rollout_dump(struct agent_rollout *r);
 
 #endif
--- a/src/member/rollout.c
+++ b/src/member/rollout.c
@@ -278,6 +278,18 @@
 	return true;
 }
 
+bool
+jh_rollout_is_idle(const struct jh_rollout *r)
+{
+	unsigned int i;
+
+	for (i = 0; i < JH_ROLLOUT_SLOTS; i++) {
+		if (!jh_lease_is_idle(r->slots[i]))
+			return false;
+	}
+	return r->state == ROLLOUT_IDLE || r->state == ROLLOUT_WAITING;
+}
+
 const char *
 jh_rollout_state_name(const struct jh_rollout *r)
 {
--- a/test/test_proc_orders.c
+++ b/test/test_proc_orders.c
@@ -188,24 +188,60 @@
 	g_free(text);
 }
 
+static bool
+nothing_reserved(struct world *w)
+{
+	char *value = NULL;
+	bool none;
+
+	none = store_get(w, "rollout/montreal/small", &value) == 200 &&
+	       strcmp(value, "{\"out\":[]}") == 0;
+	g_free(value);
+	return none;
+}
+
 /* A rollout refuses callers, stops halfway or leaves a reservation behind. */
 static void
 test_rollout(void **state)
 {
 	struct world *w = *state;
-	char *value = NULL;
 
 	chat_ok(w, 0, QUESTION);
 	store_put(w, "models/small", "{\"name\":\"small\",\"weights\":\"v2\"}");
 	while (!all_serve(w, "v2"))
 		chat_ok(w, 0, QUESTION);
-	await((g_free(value), value = NULL,
-	    store_get(w, "rollout/montreal/small", &value) == 200 &&
-		strcmp(value, "{\"out\":[]}") == 0));
-	g_free(value);
+	await(nothing_reserved(w));
 	chat_ok(w, 0, QUESTION);
 }
 
+/* An agent that stops in a rollout blocks the others, or cuts its streams. */
+static void
+test_stop_while_draining(void **state)
+{
+	struct world *w = *state;
+	char *text = chat_reference(w, QUESTION, TOKENS);
+	char *body = chat_body(QUESTION, TOKENS, true);
+	struct call *c = chat_start(w, 0, body, NULL);
+	unsigned int agent;
+
+	await(call_event_count(c) > 1);
+	agent = world_agent(w, call_header(c, "X-Worker"));
+	/* A reader that is held up keeps the stream running. */
+	call_hold(c);
+	store_put(w, "models/small", "{\"name\":\"small\",\"weights\":\"v2\"}");
+	await(agent_shows(w, agent, "order", "state", "draining"));
+	assert_false(nothing_reserved(w));
+	proc_terminate(&w->agent[agent]);
+	call_release(c);
+	call_join(c);
+	check_stream(&c, 1, TOKENS, text);
+	assert_int_equal(proc_join(&w->agent[agent]), 0);
+	await(nothing_reserved(w));
+	call_free(c);
+	g_free(body);
+	g_free(text);
+}
+
 /* The only worker left is taken out of service. */
 static void
 test_last_worker_stays(void **state)
@@ -238,6 +274,7 @@
     cmocka_unit_test_setup_teardown(
 	test_load_waits_for_streams, setup, teardown),
     cmocka_unit_test_setup_teardown(test_rollout, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_stop_while_draining, setup, teardown),
     cmocka_unit_test_setup_teardown(test_last_worker_stays, setup, teardown),
 };
 
