fake-list: drop rows under the lock

jansson's reference counts are not atomic; two readers at once freed a row twice, and the stand-in crashed when 6 entry daemons started together.

--- a/bench/capacity_herd.sh
+++ b/bench/capacity_herd.sh
@@ -36,6 +36,8 @@
 # herd N: prints the store's reads and the time until all serve.
 herd() {
 	n=$1 i=0
+	# The former list's port may still be held by closed connections.
+	LIST=127.0.0.1:$((BASE + 50 + lists)) lists=$((lists + 1))
 	printf '{"instances":[' >"$DIR/herd.json"
 	while [ $i -lt "$n" ]; do
 		port=$((BASE + 100 + 2 * i)) zone=z$((i % 3))
@@ -59,7 +61,10 @@
 	done
 	i=0
 	while [ $i -lt "$n" ]; do
+		tries=0
 		until curl -s -o /dev/null -m 1 "http://127.0.0.1:$((BASE + 100 + 2 * i))/health"; do
+			tries=$((tries + 1))
+			[ $tries -lt 1000 ] || { echo "entry-$i does not serve" >&2; return 1; }
 			sleep 0.02
 		done
 		i=$((i + 1))
@@ -78,11 +83,11 @@
 }
 
 herds() {
-	PIDS=
+	PIDS= lists=0
 	run store "$BUILD/fake-store" --listen $STORE
 	sleep 1
 	herd_catalogue 1300
-	for n in 3 6 12 24; do
+	for n in ${HERDS:-3 6 12 24}; do
 		herd $n
 		herd $n
 	done
--- a/fakes/list/lister.c
+++ b/fakes/list/lister.c
@@ -143,8 +143,9 @@
 		json_array_append(list, v);
 	}
 	text = json_dumps(list, JSON_COMPACT);
-	pthread_mutex_unlock(&l->lock);
+	/* Drops references that jansson does not count atomically. */
 	json_decref(list);
+	pthread_mutex_unlock(&l->lock);
 	return text;
 }
 
