--- a/bench/parts/cost_place.c
+++ b/bench/parts/cost_place.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include <glib.h>
 
 #include <jacinthhill/clock.h>
