agent: count the stand-ins of a rollout again when the engine's model is known

Cause: agents read the instance list rarely and conditionally now, and the stand-ins were counted only when a list arrived. If the engine had not yet said its model by then, there were none for good, and no weights were ever loaded. Seen: test_proc_orders, test_rollout ran into its limit of 180 s. Change: the list's neighbours are kept and counted again; a rollout in progress makes the agent read the list at once.

--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -167,6 +167,9 @@
 {
 	bool stale = jh_feed_age(a->feed) > COPY_STALE_USEC;
 
+	/* A worker is taken out only by a fresh list of its neighbours. */
+	if (a->rollout != NULL && !agent_rollout_is_idle(a->rollout))
+		stale = true;
 	if (stale && !*was_stale)
 		jh_instances_hurry(list);
 	*was_stale = stale;
--- a/src/agent/rollout_run.c
+++ b/src/agent/rollout_run.c
@@ -21,10 +21,14 @@
 	struct agent *agent;
 	struct jh_store *store; /* NULL until first needed */
 	GRand *rand; /* guarded by lock */
-	pthread_mutex_t
-	    lock; /* guards what follows; taken without agent->lock */
+	/* Guards what follows; taken without agent->lock. */
+	pthread_mutex_t lock;
 	struct jh_rollout *machine;
-	size_t stand_ins; /* in the last instance list */
+	GPtrArray *neighbours; /* other agents of the region, last listed */
+	size_t fleet; /* agents in the last list */
+	bool list_changed; /* since the stand-ins were counted */
+	char *model; /* that they were counted for */
+	size_t stand_ins; /* neighbours with the engine's model */
 };
 
 /* A store call and what it needs. */
@@ -35,6 +39,20 @@
 	char *value;
 };
 
+static void
+free_instance(gpointer p)
+{
+	jh_instance_free(p);
+}
+
+static bool
+is_neighbour(const struct agent *a, const struct jh_instance *i)
+{
+	return i->role == JH_ROLE_AGENT && !i->leaving &&
+	       strcmp(i->id, a->set.instance) != 0 &&
+	       g_strcmp0(i->region, a->set.region) == 0;
+}
+
 struct agent_rollout *
 agent_rollout_create(struct agent *a)
 {
@@ -47,6 +65,7 @@
 	r->rand = g_rand_new_with_seed((guint32)a->incarnation);
 	spec.rand = r->rand;
 	pthread_mutex_init(&r->lock, NULL);
+	r->neighbours = g_ptr_array_new_with_free_func(free_instance);
 	r->machine = jh_rollout_create(&spec);
 	return r;
 }
@@ -57,6 +76,8 @@
 	if (r->store != NULL)
 		jh_store_destroy(r->store);
 	jh_rollout_destroy(r->machine);
+	g_ptr_array_free(r->neighbours, TRUE);
+	g_free(r->model);
 	g_rand_free(r->rand);
 	pthread_mutex_destroy(&r->lock);
 	g_free(r);
@@ -211,6 +232,36 @@
 	return target;
 }
 
+/*
+ * Tells the machine who could take this worker's place. The engine's model may
+ * become known long after the list was read. Holds r->lock.
+ */
+static void
+set_stand_ins(struct agent_rollout *r, const char *model)
+{
+	GPtrArray *others = g_ptr_array_new();
+	const struct jh_instance *i;
+	guint n;
+
+	if (!r->list_changed && g_strcmp0(model, r->model) == 0) {
+		g_ptr_array_free(others, TRUE);
+		return;
+	}
+	r->list_changed = false;
+	g_free(r->model);
+	r->model = g_strdup(model);
+	for (n = 0; n < r->neighbours->len && model != NULL; n++) {
+		i = r->neighbours->pdata[n];
+		if (i->models != NULL &&
+		    g_strv_contains((const char *const *)i->models, model))
+			g_ptr_array_add(others, i->id);
+	}
+	jh_rollout_set_workers(r->machine, (const char *const *)others->pdata,
+	    others->len, r->fleet);
+	r->stand_ins = others->len;
+	g_ptr_array_free(others, TRUE);
+}
+
 void
 agent_rollout_tick(struct agent_rollout *r)
 {
@@ -218,6 +269,7 @@
 	struct run *c;
 
 	pthread_mutex_lock(&r->lock);
+	set_stand_ins(r, model);
 	jh_rollout_set_target(r->machine, jh_wall_now(), model, weights);
 	pthread_mutex_unlock(&r->lock);
 	g_free(model);
@@ -232,40 +284,24 @@
 	}
 }
 
-static bool
-can_stand_in(
-    const struct agent *a, const struct jh_instance *i, const char *model)
-{
-	return i->role == JH_ROLE_AGENT && !i->leaving && model != NULL &&
-	       strcmp(i->id, a->set.instance) != 0 &&
-	       g_strcmp0(i->region, a->set.region) == 0 && i->models != NULL &&
-	       g_strv_contains((const char *const *)i->models, model);
-}
-
 void
 agent_rollout_set_list(
     struct agent_rollout *r, const struct jh_instance *const *list, size_t n)
 {
-	GPtrArray *others = g_ptr_array_new();
-	struct agent *a = r->agent;
+	GPtrArray *agents = g_ptr_array_new_with_free_func(free_instance);
 	size_t i, fleet = 0;
-	char *model;
 
-	pthread_mutex_lock(&a->lock);
-	model = g_strdup(a->engine.model);
-	pthread_mutex_unlock(&a->lock);
 	for (i = 0; i < n; i++) {
 		fleet += list[i]->role == JH_ROLE_AGENT;
-		if (can_stand_in(a, list[i], model))
-			g_ptr_array_add(others, list[i]->id);
+		if (is_neighbour(r->agent, list[i]))
+			g_ptr_array_add(agents, jh_instance_copy(list[i]));
 	}
 	pthread_mutex_lock(&r->lock);
-	jh_rollout_set_workers(
-	    r->machine, (const char *const *)others->pdata, others->len, fleet);
-	r->stand_ins = others->len;
+	g_ptr_array_free(r->neighbours, TRUE);
+	r->neighbours = agents;
+	r->fleet = fleet;
+	r->list_changed = true;
 	pthread_mutex_unlock(&r->lock);
-	g_ptr_array_free(others, TRUE);
-	g_free(model);
 }
 
 bool
