--- a/Makefile.d/capacity.mk
+++ b/Makefile.d/capacity.mk
@@ -1,4 +1,4 @@
-# Reruns what docs/CAPACITY.md stands on; takes about five minutes.
+# Reruns what docs/CAPACITY.md stands on; takes six to eight minutes.
 capacity: all
 	BUILD=$(BUILD) sh bench/capacity.sh
 
