agent: refuse orders from before its own start

Cause: the highest token seen is lost with the agent, so an order of a former holder could reach an engine that ignores the number; model/lease.pml refutes this (mutant NO_TOKEN_READ).

--- a/src/agent/order.c
+++ b/src/agent/order.c
@@ -26,6 +26,8 @@
 /* Guarded by a->lock. */
 struct agent_orders {
 	struct jh_fence *fence;
+	uint64_t created_at;
+	uint64_t floor; /* 0: not known yet; see find_floor() */
 	enum order_state state;
 	char *duty;
 	char *model;
@@ -44,6 +46,7 @@
 	struct agent_orders *o = g_new0(struct agent_orders, 1);
 
 	o->fence = jh_fence_create(MAX_DUTIES);
+	o->created_at = jh_now();
 	o->outcome = g_strdup("");
 	return o;
 }
@@ -105,6 +108,10 @@
 		return "the agent is leaving";
 	if (a->orders->state != ORDER_NONE)
 		return "another order is in progress";
+	if (a->orders->floor == 0)
+		return "the store's revision is not known yet";
+	if (order->token < a->orders->floor)
+		return "the fencing token is old";
 	/* Last, because an admitted token is remembered. */
 	if (!jh_fence_admit(a->orders->fence, order->duty, order->token))
 		return "the fencing token is old";
@@ -284,12 +291,28 @@
 		ops->done(arg, loaded);
 }
 
+/*
+ * A restarted agent has forgotten the tokens it saw. Tokens are versions in the
+ * store, and a catalogue copy confirmed since the start holds a revision that
+ * is above all of them. Holds a->lock.
+ */
+static void
+find_floor(struct agent *a)
+{
+	uint64_t age = jh_feed_age(a->feed);
+
+	if (a->orders->floor == 0 && age != JH_SYNC_AGE_UNKNOWN &&
+	    jh_now() - age > a->orders->created_at)
+		a->orders->floor = jh_catalog_revision(a->catalog);
+}
+
 void
 agent_order_tick(struct agent *a)
 {
 	enum order_state state;
 
 	pthread_mutex_lock(&a->lock);
+	find_floor(a);
 	state = a->orders->state;
 	pthread_mutex_unlock(&a->lock);
 	if (state == ORDER_DRAINING)
