http: split requests off the server; keep header fields after the peer left

Cause: headers and query arguments were read from libmicrohttpd's connection, which is gone once the peer has left, so a retry of a service call or a waiting watch could read freed memory (seen as a crash of fake-store when watching clients were killed). Change: fields are copied when the request is complete.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -7,7 +7,7 @@
 
 #include "base/event.h"
 #include "base/thread.h"
-#include "http/server.h"
+#include "http/req.h"
 
 /* How often waiting connections are checked for a peer that has left. */
 #define SWEEP_INTERVAL_MS 250
@@ -15,115 +15,8 @@
 /* Bytes of a reply handed over at once; each reply holds such a block. */
 #define REPLY_BLOCK_LEN 4096
 
-struct jh_http_server {
-	struct MHD_Daemon *daemon;
-	struct jh_http_server_spec spec;
-	pthread_mutex_t lock; /* guards waiting and stopping */
-	GHashTable *waiting; /* set of struct jh_http_req with a live peer */
-	pthread_cond_t stop_cond;
-	pthread_t sweeper;
-	bool stopping;
-	int active; /* atomic */
-};
-
-struct reply_header {
-	char *name;
-	char *value;
-};
-
-struct jh_http_req {
-	int refs; /* atomic */
-	struct jh_http_server *server;
-	struct MHD_Connection *conn; /* valid while attached */
-	char *method; /* NULL until the headers are read */
-	char *path;
-	char *target;
-	GString *body;
-	bool too_large;
-	bool handled; /* the request callback has run */
-
-	pthread_mutex_t lock; /* guards all below */
-	bool attached; /* libmicrohttpd still holds the connection */
-	bool suspended;
-	bool begun;
-	bool queued;
-	bool ended;
-	bool aborted;
-	bool full;
-	bool closed_told;
-	unsigned int status;
-	GArray *headers; /* of struct reply_header */
-	GString *out;
-	size_t out_pos;
-	const struct jh_http_req_ops *ops;
-	void *arg;
-};
-
 G_DEFINE_QUARK(jh_http_error_quark, jh_http_error)
 
-static void
-clear_header(gpointer p)
-{
-	struct reply_header *h = p;
-
-	g_free(h->name);
-	g_free(h->value);
-}
-
-static struct jh_http_req *
-req_create(
-    struct jh_http_server *s, struct MHD_Connection *conn, const char *target)
-{
-	struct jh_http_req *r = g_new0(struct jh_http_req, 1);
-
-	r->refs = 1;
-	r->server = s;
-	r->conn = conn;
-	r->target = g_strdup(target);
-	r->body = g_string_new(NULL);
-	r->out = g_string_new(NULL);
-	r->headers = g_array_new(FALSE, FALSE, sizeof(struct reply_header));
-	g_array_set_clear_func(r->headers, clear_header);
-	r->attached = true;
-	pthread_mutex_init(&r->lock, NULL);
-	g_atomic_int_inc(&s->active);
-	return r;
-}
-
-struct jh_http_req *
-jh_http_req_ref(struct jh_http_req *r)
-{
-	g_atomic_int_inc(&r->refs);
-	return r;
-}
-
-void
-jh_http_req_unref(struct jh_http_req *r)
-{
-	if (!g_atomic_int_dec_and_test(&r->refs))
-		return;
-	if (r->ops != NULL && r->ops->released != NULL)
-		r->ops->released(r->arg);
-	g_free(r->method);
-	g_free(r->path);
-	g_free(r->target);
-	g_string_free(r->body, TRUE);
-	g_string_free(r->out, TRUE);
-	g_array_free(r->headers, TRUE);
-	pthread_mutex_destroy(&r->lock);
-	g_free(r);
-}
-
-/* Caller holds r->lock. */
-static void
-wake(struct jh_http_req *r)
-{
-	if (!r->suspended || !r->attached)
-		return;
-	r->suspended = false;
-	MHD_resume_connection(r->conn);
-}
-
 /* Caller holds r->lock. */
 static void
 sleep_until_woken(struct jh_http_req *r)
@@ -184,7 +77,7 @@
 queue_reply(struct jh_http_req *r)
 {
 	struct MHD_Response *resp;
-	struct reply_header *h;
+	struct http_field *h;
 	enum MHD_Result result;
 	uint64_t size = MHD_SIZE_UNKNOWN;
 	guint i;
@@ -197,7 +90,7 @@
 	resp = MHD_create_response_from_callback(
 	    size, REPLY_BLOCK_LEN, read_reply, r, release_reply);
 	for (i = 0; i < r->headers->len; i++) {
-		h = &g_array_index(r->headers, struct reply_header, i);
+		h = &g_array_index(r->headers, struct http_field, i);
 		MHD_add_response_header(resp, h->name, h->value);
 	}
 	r->queued = true;
@@ -227,7 +120,7 @@
 static void *
 on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
 {
-	return req_create(cls, conn, uri);
+	return http_req_create(cls, conn, uri);
 }
 
 /* Growing step by step would copy a large body several times. */
@@ -272,6 +165,7 @@
 	}
 	if (!r->handled) {
 		r->handled = true;
+		http_req_copy_fields(r);
 		pthread_mutex_lock(&s->lock);
 		g_hash_table_add(s->waiting, r);
 		pthread_mutex_unlock(&s->lock);
@@ -284,20 +178,6 @@
 	return continue_request(r);
 }
 
-static void
-tell_closed(struct jh_http_req *r)
-{
-	bool tell;
-
-	pthread_mutex_lock(&r->lock);
-	tell = r->handled && !r->closed_told &&
-	       !(r->ended && r->out_pos == r->out->len);
-	r->closed_told = true;
-	pthread_mutex_unlock(&r->lock);
-	if (tell && r->ops != NULL && r->ops->closed != NULL)
-		r->ops->closed(r->arg);
-}
-
 static void
 on_completed(void *cls, struct MHD_Connection *conn, void **con_cls,
     enum MHD_RequestTerminationCode code)
@@ -314,7 +194,7 @@
 	r->attached = false;
 	pthread_mutex_unlock(&r->lock);
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		tell_closed(r);
+		http_req_tell_closed(r);
 	g_atomic_int_add(&s->active, -1);
 	*con_cls = NULL;
 	jh_http_req_unref(r);
@@ -360,7 +240,7 @@
 	pthread_mutex_unlock(&s->lock);
 	for (i = 0; i < left->len; i++) {
 		r = left->pdata[i];
-		tell_closed(r);
+		http_req_tell_closed(r);
 		jh_http_req_abort(r);
 		jh_http_req_unref(r);
 	}
@@ -446,7 +326,7 @@
 		g_ptr_array_add(all, jh_http_req_ref(key));
 	pthread_mutex_unlock(&s->lock);
 	for (i = 0; i < all->len; i++) {
-		tell_closed(all->pdata[i]);
+		http_req_tell_closed(all->pdata[i]);
 		jh_http_req_abort(all->pdata[i]);
 		jh_http_req_unref(all->pdata[i]);
 	}
@@ -485,136 +365,3 @@
 {
 	return (unsigned int)g_atomic_int_get(&s->active);
 }
-
-const char *
-jh_http_req_method(const struct jh_http_req *r)
-{
-	return r->method;
-}
-
-const char *
-jh_http_req_path(const struct jh_http_req *r)
-{
-	return r->path;
-}
-
-const char *
-jh_http_req_header(const struct jh_http_req *r, const char *name)
-{
-	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
-}
-
-const char *
-jh_http_req_query(const struct jh_http_req *r, const char *name)
-{
-	return MHD_lookup_connection_value(
-	    r->conn, MHD_GET_ARGUMENT_KIND, name);
-}
-
-const char *
-jh_http_req_target(const struct jh_http_req *r)
-{
-	return r->target;
-}
-
-struct jh_str
-jh_http_req_body(const struct jh_http_req *r)
-{
-	return (struct jh_str){r->body->str, r->body->len};
-}
-
-GBytes *
-jh_http_req_take_body(struct jh_http_req *r)
-{
-	GBytes *b = g_string_free_to_bytes(r->body);
-
-	r->body = g_string_new(NULL);
-	return b;
-}
-
-void
-jh_http_req_watch(
-    struct jh_http_req *r, const struct jh_http_req_ops *ops, void *arg)
-{
-	r->ops = ops;
-	r->arg = arg;
-}
-
-void
-jh_http_req_add_header(
-    struct jh_http_req *r, const char *name, const char *value)
-{
-	struct reply_header h = {g_strdup(name), g_strdup(value)};
-
-	pthread_mutex_lock(&r->lock);
-	if (r->begun)
-		clear_header(&h);
-	else
-		g_array_append_val(r->headers, h);
-	pthread_mutex_unlock(&r->lock);
-}
-
-void
-jh_http_req_begin(struct jh_http_req *r, unsigned int status)
-{
-	pthread_mutex_lock(&r->lock);
-	if (!r->begun) {
-		r->begun = true;
-		r->status = status;
-		wake(r);
-	}
-	pthread_mutex_unlock(&r->lock);
-}
-
-bool
-jh_http_req_write(struct jh_http_req *r, const void *data, size_t len)
-{
-	bool room;
-
-	pthread_mutex_lock(&r->lock);
-	if (r->attached && !r->aborted && !r->ended) {
-		g_string_append_len(r->out, data, (gssize)len);
-		if (r->out->len - r->out_pos >= r->server->spec.buffer_limit)
-			r->full = true;
-		wake(r);
-	}
-	room = !r->full;
-	pthread_mutex_unlock(&r->lock);
-	return room;
-}
-
-void
-jh_http_req_end(struct jh_http_req *r)
-{
-	pthread_mutex_lock(&r->lock);
-	r->ended = true;
-	wake(r);
-	pthread_mutex_unlock(&r->lock);
-}
-
-void
-jh_http_req_abort(struct jh_http_req *r)
-{
-	pthread_mutex_lock(&r->lock);
-	if (!r->ended) {
-		r->aborted = true;
-		wake(r);
-	}
-	pthread_mutex_unlock(&r->lock);
-}
-
-void
-jh_http_req_reply(struct jh_http_req *r, unsigned int status,
-    const char *content_type, const void *data, size_t len)
-{
-	jh_http_req_add_header(r, "Content-Type", content_type);
-	pthread_mutex_lock(&r->lock);
-	if (!r->begun) {
-		r->begun = true;
-		r->status = status;
-		g_string_append_len(r->out, data, (gssize)len);
-		r->ended = true;
-		wake(r);
-	}
-	pthread_mutex_unlock(&r->lock);
-}
