--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -73,7 +73,15 @@
 /* Expected cost in tokens, if the request is placed well. */
 uint64_t entry_job_cost(const struct entry_job *j);
 
-/* Offers the request to the next worker, or refuses it (attempt.c). */
+/* What comes of one offer (attempt.c); the argument is the job. */
+extern const struct jh_http_call_ops entry_attempt_ops;
+
+/* The caller's side of a stream (stream_out.c). They hold j->lock. */
+struct jh_relay *entry_job_new_relay(struct entry_job *j);
+void entry_job_begin_reply(struct entry_job *j);
+void entry_job_add_trace(struct entry_job *j);
+
+/* Offers the request to the next worker, or refuses it (offer.c). */
 void entry_job_advance(struct entry_job *j);
 
 /* Cancels the work on the agent (cancel.c). */
--- /dev/null
+++ b/src/entry/offer.c
@@ -0,0 +1,268 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/event.h"
+#include "entry/job.h"
+#include "entry/wait.h"
+#include "work/work.h"
+
+#define CHAT_PATH "/v1/work/chat"
+
+/* Longest time of one attempt. */
+#define ATTEMPT_USEC (600 * JH_USEC_PER_SEC)
+
+/* Waits of one stream for a worker, each of about a second. */
+#define MAX_STALLS 10
+
+static struct jh_work *
+describe_work(struct entry_job *j, const struct jh_candidate *c)
+{
+	char levels[JH_PREFIX_HEADER_SIZE], print[34];
+	struct jh_work *w = jh_work_create();
+	uint64_t now = jh_now();
+	uint64_t left =
+	    j->first_token_deadline > now ? j->first_token_deadline - now : 0;
+
+	jh_prefix_format(&j->prefix, levels);
+	jh_work_set(w, JH_WORK_REQUEST_ID, j->rid);
+	jh_work_set(w, JH_WORK_ORG, j->caller.org->name);
+	jh_work_set(w, JH_WORK_CLASS, j->caller.rule->class_name);
+	jh_work_set(w, JH_WORK_RANK, caller_rank_name(j->caller.rank));
+	/* Streams that have begun must go on, however late they are. */
+	if (!j->begun)
+		jh_work_set_uint(w, JH_WORK_BUDGET_MS, left / JH_USEC_PER_MSEC);
+	if (c->max_wait != JH_NEVER)
+		jh_work_set_uint(
+		    w, JH_WORK_MAX_WAIT_MS, c->max_wait / JH_USEC_PER_MSEC);
+	jh_work_set(w, JH_WORK_PREFIX, levels);
+	jh_work_set(w, JH_WORK_SALT, j->salt);
+	if (j->shared_salt[0] != '\0')
+		jh_work_set(w, JH_WORK_SHARED_SALT, j->shared_salt);
+	jh_work_set_uint(w, JH_WORK_DECODE, j->max_tokens);
+	jh_work_set_uint(w, JH_WORK_WIDTH,
+	    entry_workers_width(j->entry->workers, j->model, &j->prefix));
+	jh_work_set_uint(w, JH_WORK_CRASHES, j->crashes);
+	/* A resumed request has another body but is the same request. */
+	snprintf(print, sizeof(print), "%016llx:%016llx",
+	    (unsigned long long)j->print.high,
+	    (unsigned long long)j->print.low);
+	jh_work_set(w, JH_WORK_FINGERPRINT, print);
+	jh_work_set_uint(
+	    w, JH_WORK_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
+	if (j->reconnect_worker != 0)
+		jh_work_set_uint(w, JH_WORK_RESUME, j->reconnect_position);
+	return w;
+}
+
+/* Prepares a stream for its next upstream. Holds j->lock. */
+static char *
+prepare_attempt(struct entry_job *j)
+{
+	j->accepted = false;
+	j->violated = false;
+	if (!j->stream) {
+		if (j->answer == NULL)
+			j->answer = g_string_new(NULL);
+		g_string_truncate(j->answer, 0);
+		return NULL;
+	}
+	if (j->relay == NULL)
+		j->relay = entry_job_new_relay(j);
+	jh_relay_restart(j->relay);
+	if (!j->begun || j->reconnect_worker != 0)
+		return NULL;
+	return chat_request_resumed(
+	    j->body, jh_relay_position(j->relay), jh_relay_text(j->relay));
+}
+
+/* Takes a text that malloc() returned. */
+static struct jh_body *
+wrap(char *text)
+{
+	GBytes *bytes =
+	    g_bytes_new_with_free_func(text, strlen(text), free, text);
+	struct jh_body *b = jh_body_create(NULL, bytes);
+
+	g_bytes_unref(bytes);
+	return b;
+}
+
+/* Returns false when the call could not be started. Holds j->lock. */
+static bool
+start(struct entry_job *j, const struct jh_candidate *c,
+    const struct worker_address *to)
+{
+	char *resumed = prepare_attempt(j);
+	struct jh_body *body =
+	    resumed == NULL ? jh_body_ref(j->body) : wrap(resumed);
+	struct jh_work *w = describe_work(j, c);
+	char **lines = jh_work_headers_shared(
+	    w, &j->entry->set.secret, "POST", CHAT_PATH, body);
+	struct jh_http_call_spec spec = {.peer = to->address,
+	    .method = "POST",
+	    .path = CHAT_PATH,
+	    .headers = (const char *const *)lines,
+	    .shared = body,
+	    .deadline = jh_now() + ATTEMPT_USEC,
+	    .ops = &entry_attempt_ops,
+	    .arg = entry_job_ref(j)};
+
+	jh_http_call_unref(j->call);
+	j->worker = c->worker;
+	g_strlcpy(j->worker_name, to->instance, sizeof(j->worker_name));
+	j->call = jh_http_call_start(j->entry->client, &spec);
+	g_strfreev(lines);
+	jh_work_destroy(w);
+	jh_body_unref(body);
+	return j->call != NULL;
+}
+
+/* A well placed request finds all levels in cache but the last. */
+static uint32_t
+expected_uncached(const struct jh_prefix *p)
+{
+	return p->n < 2 ? 0 : p->level[p->n - 1].tokens;
+}
+
+uint64_t
+entry_job_cost(const struct entry_job *j)
+{
+	return (uint64_t)expected_uncached(&j->prefix) + j->max_tokens;
+}
+
+/* Asks the placement policy for candidates of the stage. */
+static bool
+choose(struct entry_job *j)
+{
+	struct jh_place_request r = {.prefix = &j->prefix,
+	    .region = entry_workers_region(j->entry->set.region),
+	    .prefill_tokens = expected_uncached(&j->prefix),
+	    .decode_tokens = j->max_tokens,
+	    .again = j->stage != STAGE_FIRST,
+	    .heard = j->heard,
+	    .n_heard = j->n_heard};
+
+	if (j->stage == STAGE_OTHER_REGION) {
+		r.region = entry_workers_other_region(
+		    j->entry->workers, j->model, j->print.low);
+		r.n_heard = 0;
+		if (r.region == 0)
+			return false;
+	}
+	j->next_candidate = 0;
+	j->n_candidates = entry_workers_choose(j->entry->workers, j->model, &r,
+	    j->candidates, JH_PLACE_MAX_CANDIDATES);
+	return j->n_candidates > 0;
+}
+
+/*
+ * The link between regions is slow and paid by volume, so that only urgent
+ * work that no worker of the region can take crosses it.
+ */
+static bool
+next_stage(struct entry_job *j)
+{
+	if (j->stage == STAGE_OTHER_REGION)
+		return false;
+	if (j->stage == STAGE_AGAIN && j->caller.rank != JH_RANK_URGENT)
+		return false;
+	j->stage++;
+	return true;
+}
+
+static bool
+next_candidate(struct entry_job *j, struct jh_candidate *out)
+{
+	if (j->reconnect_worker != 0) {
+		*out = (struct jh_candidate){j->reconnect_worker, JH_NEVER};
+		return j->worker == 0;
+	}
+	while (j->next_candidate == j->n_candidates) {
+		j->next_candidate = 0;
+		j->n_candidates = 0;
+		if (!next_stage(j))
+			return false;
+		choose(j);
+	}
+	*out = j->candidates[j->next_candidate++];
+	return true;
+}
+
+/* Tries all workers anew, unless the caller has left for good. */
+static void
+on_stall_over(void *arg, bool reached)
+{
+	struct entry_job *j = arg;
+	bool gone;
+
+	pthread_mutex_lock(&j->lock);
+	gone = j->left && j->leave_deadline == JH_NEVER;
+	pthread_mutex_unlock(&j->lock);
+	j->stage = STAGE_NONE;
+	j->n_heard = 0;
+	if (gone)
+		entry_job_finish(j);
+	else
+		entry_job_advance(j);
+	entry_job_unref(j);
+}
+
+/*
+ * A stream that has begun waits for a worker to come back: failed ones are held
+ * out for a moment, and breaking off would lose it.
+ */
+static bool
+stall(struct entry_job *j)
+{
+	if (!j->begun || j->reconnect_worker != 0 || j->stalls == MAX_STALLS)
+		return false;
+	j->stalls++;
+	entry_wait_add(
+	    j->entry->wait, UINT64_MAX, on_stall_over, entry_job_ref(j));
+	return true;
+}
+
+static void
+refuse_all(struct entry_job *j)
+{
+	if (stall(j))
+		return;
+	if (j->reconnect_worker != 0)
+		entry_job_refuse(j, ENTRY_ERR_STREAM_LOST, ENTRY_RAN);
+	else if (j->may_have_run)
+		entry_job_refuse(j, ENTRY_ERR_OUTCOME_UNKNOWN, ENTRY_UNKNOWN);
+	else
+		entry_job_refuse(j,
+		    j->unreachable ? ENTRY_ERR_DEADLINE : ENTRY_ERR_NO_CAPACITY,
+		    ENTRY_NOT_RUN);
+}
+
+void
+entry_job_advance(struct entry_job *j)
+{
+	struct worker_address to;
+	struct jh_candidate c;
+	bool started = false;
+
+	while (next_candidate(j, &c)) {
+		if (!entry_workers_find(j->entry->workers, c.worker, &to))
+			continue;
+		pthread_mutex_lock(&j->lock);
+		if (j->left && !j->resumable) {
+			pthread_mutex_unlock(&j->lock);
+			entry_job_finish(j);
+			return;
+		}
+		started = start(j, &c, &to);
+		pthread_mutex_unlock(&j->lock);
+		if (started)
+			return;
+		entry_job_unref(j);
+		break;
+	}
+	refuse_all(j);
+}
