--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all check test lint format demo demo-up demo-down bench install clean,
+# Targets: all setup check test lint format demo demo-up demo-down bench install clean,
 # and those of Makefile.d/*.mk (model, fuzz, sanitize and others).  BUILD selects
 # the output directory; SAN=address,undefined or SAN=thread builds with
 # sanitizers.
@@ -106,7 +106,7 @@
 test: all $(TESTS)
 	BUILD=$(BUILD) sh test/run.sh $(TESTS)
 
-check: test check-install lint model fuzz-corpus generated check-clang sanitize
+check-here: test check-install lint model fuzz-corpus generated check-clang sanitize
 	@echo "check passed"
 
 C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '^src/rpc/control')
@@ -132,10 +132,15 @@
 setup:
 	sh packages.sh
 
-demo: all
+# demo, demo-up and check set the machine up first. They call make again,
+# because pkg-config must be there when the Makefile is read.
+demo demo-up check: setup
+	$(MAKE) $@-here
+
+demo-here: all
 	BUILD=$(BUILD) sh demo/run.sh
 
-demo-up: all
+demo-up-here: all
 	BUILD=$(BUILD) sh demo/up.sh
 
 demo-down:
@@ -150,5 +155,5 @@
 -include $(wildcard Makefile.d/*.mk)
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all setup test check lint format demo demo-up demo-down bench clean
+.PHONY: all setup test check check-here demo-here demo-up-here lint format demo demo-up demo-down bench clean
 .SECONDARY:
