--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -6,16 +6,11 @@
 #include <jacinthhill/prefix.h>
 
 #include "agent/chat.h"
+#include "agent/estimate.h"
 #include "agent/order.h"
 #include "agent/pieces.h"
 #include "agent/suspect.h"
 
-/* Answer length assumed when the entry daemon does not estimate one. */
-#define DEFAULT_DECODE_TOKENS 64
-
-/* Time to first token when the entry daemon gives no budget. */
-#define DEFAULT_BUDGET_MS 600000
-
 /* What the queue decided, to be carried out without agent->lock. */
 struct outcome {
 	struct agent_job *job;
@@ -296,56 +291,6 @@
 	return same_org && j->begun;
 }
 
-/*
- * Prompt tokens that the engine's cache is not known to hold. Holds a->lock.
- */
-static uint32_t
-uncached_tokens(struct agent *a, struct agent_job *j)
-{
-	uint64_t cached = 0;
-
-	if (a->cache != NULL && j->pieces != NULL)
-		cached = jh_cacheview_cached(a->cache,
-		    (const uint64_t *)(const void *)j->pieces->data,
-		    j->pieces->len);
-	return (uint32_t)MIN(
-	    j->prompt_tokens - MIN(cached, j->prompt_tokens), UINT32_MAX);
-}
-
-static struct jh_queue_item
-queue_item(struct agent *a, struct agent_job *j)
-{
-	const struct jh_work *w = j->work;
-	uint64_t budget =
-	    jh_work_get_uint(w, JH_WORK_BUDGET_MS, DEFAULT_BUDGET_MS);
-
-	return (struct jh_queue_item){.id = j->id,
-	    .org = jh_str_from(jh_work_get(w, JH_WORK_ORG)),
-	    .weight = (unsigned int)jh_work_get_uint(w, JH_WORK_WEIGHT, 1),
-	    .rank = g_strcmp0(jh_work_get(w, JH_WORK_RANK), "urgent") == 0
-			? JH_RANK_URGENT
-			: JH_RANK_BACKGROUND,
-	    .deadline = jh_now() + budget * JH_USEC_PER_MSEC,
-	    .prefill = uncached_tokens(a, j),
-	    .decode = (uint32_t)jh_work_get_uint(
-		w, JH_WORK_DECODE, DEFAULT_DECODE_TOKENS),
-	    .data = j};
-}
-
-/* A first token later than the entry daemon's bound: ask another worker. */
-static bool
-over_max_wait(struct agent *a, const struct jh_queue_item *item)
-{
-	const struct agent_job *j = item->data;
-	uint64_t now = jh_now(), max_ms;
-
-	max_ms = jh_work_get_uint(j->work, JH_WORK_MAX_WAIT_MS, UINT64_MAX);
-	if (max_ms == UINT64_MAX)
-		return false;
-	return jh_queue_estimate(a->queue, now, item) >
-	       now + max_ms * JH_USEC_PER_MSEC;
-}
-
 /* Returns the reason of a refusal, or NULL when queued. */
 static const char *
 offer(struct agent *a, struct agent_job *j)
@@ -357,7 +302,7 @@
 
 	pthread_mutex_lock(&a->lock);
 	j->id = a->next_id++;
-	item = queue_item(a, j);
+	item = agent_job_item(a, j);
 	verdict = agent_may_run(j);
 	if (g_atomic_int_get(&a->leaving))
 		reason = "leaving";
@@ -367,7 +312,7 @@
 		reason = "quarantined";
 	else if (verdict == JH_SUSPECT_WAIT)
 		reason = "suspect_beside";
-	else if (over_max_wait(a, &item))
+	else if (agent_over_max_wait(a, &item))
 		reason = "busy";
 	else if (!jh_queue_offer(a->queue, jh_now(), &item, &d))
 		reason = jh_queue_reason_name(d.reason);
@@ -382,60 +327,6 @@
 	return reason;
 }
 
-/* What a refused entry daemon needs to choose among those that refused. */
-static void
-add_offer_headers(struct agent *a, struct agent_job *j, struct jh_http_req *req)
-{
-	uint64_t uncached, wait, now;
-	struct jh_queue_item item;
-	char text[32];
-
-	pthread_mutex_lock(&a->lock);
-	uncached = uncached_tokens(a, j);
-	item = queue_item(a, j);
-	item.prefill = 0;
-	now = jh_now();
-	wait = jh_queue_estimate(a->queue, now, &item);
-	pthread_mutex_unlock(&a->lock);
-	snprintf(text, sizeof(text), "%llu",
-	    (unsigned long long)(j->prompt_tokens - uncached));
-	jh_http_req_add_header(req, "Jh-Cached", text);
-	snprintf(text, sizeof(text), "%llu",
-	    (unsigned long long)((wait - MIN(now, wait)) / JH_USEC_PER_MSEC));
-	jh_http_req_add_header(req, "Jh-Wait", text);
-	agent_job_add_width(j, req);
-}
-
-/* "HIGH:LOW" in hexadecimal; zero when absent. */
-static struct jh_fingerprint
-read_fingerprint(const struct jh_work *w)
-{
-	const char *text = jh_work_get(w, JH_WORK_FINGERPRINT);
-	struct jh_fingerprint print = {0, 0};
-	char *end;
-
-	if (text == NULL)
-		return print;
-	print.high = g_ascii_strtoull(text, &end, 16);
-	if (*end == ':')
-		print.low = g_ascii_strtoull(end + 1, NULL, 16);
-	return print;
-}
-
-static uint32_t
-note_width(
-    struct agent *a, const struct jh_work *w, const struct jh_prefix *prefix)
-{
-	uint64_t width = jh_work_get_uint(w, JH_WORK_WIDTH, 1);
-	uint32_t widest;
-
-	pthread_mutex_lock(&a->lock);
-	widest = agent_widths_note(a->widths, jh_now(),
-	    jh_prefix_key(prefix, 0), (uint32_t)MIN(width, UINT32_MAX));
-	pthread_mutex_unlock(&a->lock);
-	return widest;
-}
-
 void
 agent_chat(struct agent *a, struct jh_work *w, struct jh_http_req *req)
 {
@@ -458,15 +349,15 @@
 	pieces = agent_pieces(a, w, jh_http_req_body(req));
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
 	j->pieces = pieces;
-	j->print = read_fingerprint(w);
-	j->width = note_width(a, w, &prefix);
+	j->print = agent_fingerprint(w);
+	j->width = agent_note_width(a, w, &prefix);
 	if (jh_work_get_uint(w, JH_WORK_CRASHES, 0) > 0)
 		crash_log_hint(a->crashes, j->print,
 		    (unsigned int)jh_work_get_uint(w, JH_WORK_CRASHES, 0));
 	jh_http_req_watch(req, &job_req_ops, agent_reader_create(j, req));
 	reason = offer(a, j);
 	if (reason != NULL) {
-		add_offer_headers(a, j, req);
+		agent_job_add_offer(a, j, req);
 		agent_refuse(a, req, 503, reason);
 		agent_job_drop_req(j);
 	}
