--- a/src/agent/estimate.c
+++ b/src/agent/estimate.c
@@ -60,7 +60,8 @@
 }
 
 void
-agent_job_add_offer(struct agent *a, struct agent_job *j, struct jh_http_req *req)
+agent_job_add_offer(
+    struct agent *a, struct agent_job *j, struct jh_http_req *req)
 {
 	uint64_t uncached, wait, now;
 	struct jh_queue_item item;
--- a/src/agent/estimate.h
+++ b/src/agent/estimate.h
@@ -22,7 +22,7 @@
 struct jh_fingerprint agent_fingerprint(const struct jh_work *w);
 
 /* Notes the entry daemon's width; returns the widest of late. */
-uint32_t agent_note_width(struct agent *a, const struct jh_work *w,
-    const struct jh_prefix *prefix);
+uint32_t agent_note_width(
+    struct agent *a, const struct jh_work *w, const struct jh_prefix *prefix);
 
 #endif
--- a/src/agent/settings.c
+++ b/src/agent/settings.c
@@ -1,41 +1,12 @@
 #include "agent/settings.h"
+#include "config/daemon.h"
 
 #define AT(f) offsetof(struct agent_settings, f)
 
 static const char *const kinds[] = {"engine", "service", NULL};
 
-const struct jh_setting agent_settings_table[] = {{.key = "instance",
-						      .type = JH_SET_STRING,
-						      .required = true,
-						      .offset = AT(instance)},
-    {.key = "availability_zone",
-	.type = JH_SET_STRING,
-	.required = true,
-	.offset = AT(zone)},
-    {.key = "region",
-	.type = JH_SET_STRING,
-	.required = true,
-	.offset = AT(region)},
-    {.key = "listen",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(listen)},
-    {.key = "rpc_listen",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(rpc_listen)},
-    {.key = "secret",
-	.type = JH_SET_HEX32,
-	.required = true,
-	.offset = AT(secret)},
-    {.key = "store",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(store)},
-    {.key = "instance_list",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(instance_list)},
+const struct jh_setting agent_settings_table[] = {
+    DAEMON_SETTINGS(struct agent_settings),
     {.key = "backend",
 	.type = JH_SET_ADDRESS,
 	.required = true,
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -1,3 +1,4 @@
+#include "config/daemon.h"
 #include "entry/settings.h"
 
 #define AT(f) offsetof(struct entry_settings, f)
@@ -5,38 +6,8 @@
 static const char *const policies[] = {"affinity", "rendezvous",
     "rendezvous_whole", "least_load", "round_robin", NULL};
 
-const struct jh_setting entry_settings_table[] = {{.key = "instance",
-						      .type = JH_SET_STRING,
-						      .required = true,
-						      .offset = AT(instance)},
-    {.key = "availability_zone",
-	.type = JH_SET_STRING,
-	.required = true,
-	.offset = AT(zone)},
-    {.key = "region",
-	.type = JH_SET_STRING,
-	.required = true,
-	.offset = AT(region)},
-    {.key = "listen",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(listen)},
-    {.key = "rpc_listen",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(rpc_listen)},
-    {.key = "secret",
-	.type = JH_SET_HEX32,
-	.required = true,
-	.offset = AT(secret)},
-    {.key = "store",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(store)},
-    {.key = "instance_list",
-	.type = JH_SET_ADDRESS,
-	.required = true,
-	.offset = AT(instance_list)},
+const struct jh_setting entry_settings_table[] = {
+    DAEMON_SETTINGS(struct entry_settings),
     {.key = "policy",
 	.type = JH_SET_STRING,
 	.fallback = "affinity",
