--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -171,7 +171,7 @@
 	if (a->rollout != NULL && !agent_rollout_is_idle(a->rollout))
 		stale = true;
 	if (stale && !*was_stale)
-		jh_instances_hurry(list);
+		jh_instances_read_now(list);
 	*was_stale = stale;
 	jh_instances_tick(list);
 }
--- a/src/agent/server.c
+++ b/src/agent/server.c
@@ -5,9 +5,9 @@
 #include "agent/service.h"
 #include "base/event.h"
 
-#define CHAT_PATH "/v1/work/chat"
-#define SERVICE_PREFIX "/v1/work/service/"
-#define WORK_PREFIX "/v1/work/"
+#define CHAT_PATH "/v1/jobs/chat"
+#define SERVICE_PREFIX "/v1/jobs/service/"
+#define WORK_PREFIX "/v1/jobs/"
 
 const char *const agent_counter_names[AGENT_COUNTERS] = {
     [AGENT_REQUESTS] = "requests",
--- a/src/entry/cancel.c
+++ b/src/entry/cancel.c
@@ -27,7 +27,7 @@
 send_cancel(struct entry_job *j, uint64_t worker)
 {
 	struct entry *e = j->entry;
-	char *path = g_strdup_printf("/v1/work/%s", j->rid);
+	char *path = g_strdup_printf("/v1/jobs/%s", j->rid);
 	struct jh_http_call_spec spec = {.method = "DELETE",
 	    .path = path,
 	    .deadline = jh_now() + CANCEL_TIMEOUT_USEC,
--- a/src/entry/offer.c
+++ b/src/entry/offer.c
@@ -10,7 +10,7 @@
 #include "entry/wait.h"
 #include "work/work.h"
 
-#define CHAT_PATH "/v1/work/chat"
+#define CHAT_PATH "/v1/jobs/chat"
 
 /* Longest time of one attempt. */
 #define ATTEMPT_USEC (600 * JH_USEC_PER_SEC)
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -11,7 +11,7 @@
 #include "work/work.h"
 
 #define SERVICES_PREFIX "/v1/services/"
-#define WORK_PREFIX "/v1/work/service"
+#define WORK_PREFIX "/v1/jobs/service"
 
 /* Longest time of one attempt. */
 #define ATTEMPT_USEC (60 * JH_USEC_PER_SEC)
--- a/src/feed/instances.c
+++ b/src/feed/instances.c
@@ -112,9 +112,9 @@
 }
 
 void
-jh_instances_hurry(struct jh_instances *n)
+jh_instances_read_now(struct jh_instances *n)
 {
-	read_pace_hurry(n->pace);
+	read_pace_reset(n->pace);
 }
 
 static struct jh_http_call *
--- a/src/feed/instances.h
+++ b/src/feed/instances.h
@@ -37,7 +37,7 @@
 void jh_instances_set_longest(
     struct jh_instances *n, uint64_t longest, guint32 seed);
 /* Reads at once, and often for a while; from the ticking thread. */
-void jh_instances_hurry(struct jh_instances *n);
+void jh_instances_read_now(struct jh_instances *n);
 
 /* Starts a read if one is due; call it from one thread. */
 void jh_instances_tick(struct jh_instances *n);
--- a/src/feed/read_pace.c
+++ b/src/feed/read_pace.c
@@ -44,7 +44,7 @@
 }
 
 void
-read_pace_hurry(struct read_pace *p)
+read_pace_reset(struct read_pace *p)
 {
 	p->interval = p->first;
 	p->next = 0;
--- a/src/feed/read_pace.h
+++ b/src/feed/read_pace.h
@@ -23,6 +23,6 @@
 bool read_pace_due(struct read_pace *p, uint64_t now);
 void read_pace_succeeded(struct read_pace *p);
 /* Begins again with the first interval: what the list said does not hold. */
-void read_pace_hurry(struct read_pace *p);
+void read_pace_reset(struct read_pace *p);
 
 #endif
--- a/test/test_instances.c
+++ b/test/test_instances.c
@@ -70,7 +70,7 @@
 	before = r->lists + r->unchanged;
 	while (r->lists + r->unchanged == before) {
 		/* The former read may still be ending. */
-		jh_instances_hurry(r->instances);
+		jh_instances_read_now(r->instances);
 		jh_instances_tick(r->instances);
 		jh_cond_wait_until(&r->cond, &r->lock,
 		    g_get_monotonic_time() + 10 * G_TIME_SPAN_MILLISECOND);
@@ -135,7 +135,7 @@
 
 	/* 3,600 / (120 x 5/4) to 3,600 / (120 x 3/4), and 8 while growing. */
 	assert_in_range(reads, 24, 48);
-	read_pace_hurry(p);
+	read_pace_reset(p);
 	assert_true(read_pace_due(p, 3601 * SECOND));
 	assert_true(read_pace_due(p, 3602 * SECOND));
 	read_pace_destroy(p);
--- a/test/test_proc_security.c
+++ b/test/test_proc_security.c
@@ -13,8 +13,8 @@
 #include "rpc/server.h"
 #include "work/work.h"
 
-#define CHAT "/v1/work/chat"
-#define CHARGE "/v1/work/service/charge"
+#define CHAT "/v1/jobs/chat"
+#define CHARGE "/v1/jobs/service/charge"
 #define WRONG_SECRET                       \
 	"ff112233445566778899aabbccddeeff" \
 	"00112233445566778899aabbccddeeff"
@@ -172,7 +172,7 @@
 	char **lines, *path;
 
 	await(call_event_count(c) > 10);
-	path = g_strdup_printf("/v1/work/%s", call_header(c, "X-Request-Id"));
+	path = g_strdup_printf("/v1/jobs/%s", call_header(c, "X-Request-Id"));
 	assert_int_equal(
 	    send_work(&w->agent[0], "DELETE", path, NULL, NULL), 401);
 	lines = sealed_headers(WRONG_SECRET, "DELETE", path, "");
