--- a/include/jacinthhill/cacheview.h
+++ b/include/jacinthhill/cacheview.h
@@ -29,7 +29,7 @@
 	JH_CACHEVIEW_APPLIED,
 	JH_CACHEVIEW_REPEATED, /* seq was seen or passed over; ignored */
 	JH_CACHEVIEW_GAP, /* events were lost: emptied, then applied */
-	JH_CACHEVIEW_STRANGER /* of another incarnation; ignored */
+	JH_CACHEVIEW_FOREIGN /* of another incarnation; ignored */
 };
 
 /* Holds at most capacity blocks of block_tokens tokens each. */
@@ -39,7 +39,7 @@
 
 /*
  * Sets the incarnation the engine reports now; the view is emptied if it
- * differs. Until the first call every event is a stranger's.
+ * differs. Until the first call every event is foreign.
  */
 void jh_cacheview_set_incarnation(struct jh_cacheview *v, uint64_t incarnation);
 
--- a/include/jacinthhill/refusals.h
+++ b/include/jacinthhill/refusals.h
@@ -53,7 +53,7 @@
 void jh_refusals_count(struct jh_refusals *r, uint64_t now, struct jh_str owner,
     struct jh_str class);
 
-/* A peer has itself answered us; hearsay does not count. */
+/* A peer answered this process itself; second-hand reports do not count. */
 void jh_refusals_seen(struct jh_refusals *r, uint64_t now,
     struct jh_str instance, uint64_t incarnation);
 
--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -304,8 +304,8 @@
 	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 		"settings file (YAML)", "FILE"},
 	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
-	GOptionContext *ctx =
-	    g_option_context_new("- the gate beside one backend server");
+	GOptionContext *ctx = g_option_context_new(
+	    "- guards one backend server: queue, records, orders");
 	static struct agent agent;
 	GError *err = NULL;
 	sigset_t set;
--- a/src/cache/cacheview.c
+++ b/src/cache/cacheview.c
@@ -77,7 +77,7 @@
 	bool gap;
 
 	if (!v->known || e->incarnation != v->incarnation)
-		return JH_CACHEVIEW_STRANGER;
+		return JH_CACHEVIEW_FOREIGN;
 	if (v->started && e->seq <= v->seq)
 		return JH_CACHEVIEW_REPEATED;
 	/* A lost event may have removed any block held. */
--- a/src/once/finish.c
+++ b/src/once/finish.c
@@ -121,7 +121,7 @@
 
 /*
  * An earlier attempt of the key may still wait at another agent, which runs it
- * as soon as it hears that this agent's nonce is abandoned. So only the
+ * as soon as it is told that this agent's nonce is abandoned. So only the
  * caller's word that there was none makes "not run" true, whatever the record
  * says; model/once.pml refutes the weaker rules.
  */
--- a/test/test_cacheview.c
+++ b/test/test_cacheview.c
@@ -84,7 +84,7 @@
 	jh_cacheview_set_incarnation(v, 2);
 	assert_int_equal(jh_cacheview_cached(v, chain, 4), 0);
 	assert_int_equal(
-	    apply(v, 1, 8, JH_CACHE_STORED, chain, 4), JH_CACHEVIEW_STRANGER);
+	    apply(v, 1, 8, JH_CACHE_STORED, chain, 4), JH_CACHEVIEW_FOREIGN);
 	assert_int_equal(
 	    apply(v, 2, 1, JH_CACHE_STORED, chain, 1), JH_CACHEVIEW_APPLIED);
 	assert_int_equal(jh_cacheview_len(v), 1);
