--- a/src/agent/rpc.c
+++ b/src/agent/rpc.c
@@ -14,6 +14,7 @@
 #include "agent/order.h"
 #include "agent/rollout_run.h"
 #include "agent/rpc.h"
+#include "rpc/dump.h"
 
 static void
 handle_drain(void *arg, const void *args, void *reply)
@@ -39,17 +40,6 @@
 	json_object_set_new(arg, name, json_integer((json_int_t)value));
 }
 
-static json_t *
-dump_counters(const struct jh_counters *c)
-{
-	json_t *out = json_object();
-	size_t i;
-
-	for (i = 0; i < jh_counters_len(c); i++)
-		add_figure(out, jh_counters_name(c, i), jh_counters_get(c, i));
-	return out;
-}
-
 static json_t *
 dump_state(struct agent *a)
 {
@@ -81,7 +71,7 @@
 	    "jobs", (int)g_hash_table_size(a->jobs), "queue", queue, "engine",
 	    "incarnation", engine, "model", a->engine.model, "weights",
 	    a->engine.weights, "order", agent_order_dump(a), "rollout", rollout,
-	    "counters", dump_counters(a->counters));
+	    "counters", jh_dump_counters(a->counters));
 	pthread_mutex_unlock(&a->lock);
 	return root;
 }
@@ -89,21 +79,7 @@
 static void
 handle_dump(void *arg, const void *args, void *reply)
 {
-	const struct jh_dump_args *d = args;
-	struct jh_text_reply *r = reply;
-	json_t *root = dump_state(arg);
-	json_t *section = json_object_get(root, d->section);
-
-	/* An unknown section gives everything. */
-	if (section != NULL) {
-		section = json_pack("{s:O}", d->section, section);
-		json_decref(root);
-		root = section;
-	}
-	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
-	if (r->text == NULL)
-		r->text = strdup("{}");
-	json_decref(root);
+	jh_dump_reply(dump_state(arg), args, reply);
 }
 
 static void
--- a/src/entry/rpc.c
+++ b/src/entry/rpc.c
@@ -11,6 +11,7 @@
 #include "entry/limits.h"
 #include "entry/refusal_log.h"
 #include "entry/rpc.h"
+#include "rpc/dump.h"
 
 static void
 handle_drain(void *arg, const void *args, void *reply)
@@ -30,18 +31,6 @@
 	r->message = g_strdup("draining");
 }
 
-static json_t *
-dump_counters(const struct jh_counters *c)
-{
-	json_t *out = json_object();
-	size_t i;
-
-	for (i = 0; i < jh_counters_len(c); i++)
-		json_object_set_new(out, jh_counters_name(c, i),
-		    json_integer((json_int_t)jh_counters_get(c, i)));
-	return out;
-}
-
 static void
 add_member(void *arg, const struct jh_member *m)
 {
@@ -107,27 +96,13 @@
 	    "watcher", jh_feed_is_watcher(e->feed), "entries", (int)st.entries,
 	    "organisations", (int)st.orgs, "models", (int)st.models, "invalid",
 	    (int)st.invalid, "members", workers, "counters",
-	    dump_counters(e->counters));
+	    jh_dump_counters(e->counters));
 }
 
 static void
 handle_dump(void *arg, const void *args, void *reply)
 {
-	const struct jh_dump_args *d = args;
-	struct jh_text_reply *r = reply;
-	json_t *root = dump_state(arg);
-	json_t *section = json_object_get(root, d->section);
-
-	/* An unknown section gives everything. */
-	if (section != NULL) {
-		section = json_pack("{s:O}", d->section, section);
-		json_decref(root);
-		root = section;
-	}
-	r->text = json_dumps(root, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
-	if (r->text == NULL)
-		r->text = strdup("{}");
-	json_decref(root);
+	jh_dump_reply(dump_state(arg), args, reply);
 }
 
 const struct jh_rpc_handler entry_rpc_handlers[] = {{JH_SYNC, handle_sync},
