Start both daemons by one function; one check of a sender's clock

Found by reading the whole change: option parsing, signals, settings and the wait for a stop signal stood in both daemons' main.c, the check of the send time in seal.c and work.c, and the ledger's mark of a written nonce was set but no longer read. Behaviour is the same.

--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -4,8 +4,6 @@
 #include <stdio.h>
 #include <time.h>
 
-#include <sodium.h>
-
 #include <jacinthhill/clock.h>
 
 #include "agent/agent.h"
@@ -16,12 +14,9 @@
 #include "agent/rollout_run.h"
 #include "agent/rpc.h"
 #include "base/event.h"
+#include "config/start.h"
 #include "feed/instances.h"
 
-/* Exit statuses, also in docs/operators.md. */
-#define EXIT_SETTINGS 2
-#define EXIT_START 3
-
 #define MAX_CALLS 8192
 #define MAX_CONNS 8192
 #define REPLY_BUFFER_LEN (64 * 1024)
@@ -152,15 +147,6 @@
 
 static const struct jh_instances_ops instances_ops = {.list = on_list};
 
-/* Waits for a stop signal for one tick; returns true when it has come. */
-static bool
-wait_signal(const sigset_t *set)
-{
-	struct timespec tick = {0, TICK_MSEC * 1000000L};
-
-	return sigtimedwait(set, NULL, &tick) > 0;
-}
-
 /* Reads the list again when the copy has just become stale. */
 static void
 tick_list(struct agent *a, struct jh_instances *list, bool *was_stale)
@@ -203,7 +189,7 @@
 			agent_once_tick(a->once);
 		tick_engine(a, ticks++);
 		agent_tick(a);
-	} while (!wait_signal(set));
+	} while (!jh_daemon_stopped(set, TICK_MSEC));
 }
 
 static bool
@@ -223,7 +209,7 @@
 	while (a->rollout != NULL && !agent_rollout_is_idle(a->rollout) &&
 	       jh_now() < deadline) {
 		tick_engine(a, ticks++);
-		if (wait_signal(set))
+		if (jh_daemon_stopped(set, TICK_MSEC))
 			break;
 	}
 }
@@ -241,7 +227,7 @@
 		if (a->once != NULL)
 			agent_once_tick(a->once);
 		tick_engine(a, ticks++);
-		if (wait_signal(set))
+		if (jh_daemon_stopped(set, TICK_MSEC))
 			break;
 	}
 }
@@ -265,7 +251,7 @@
 		jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s",
 		    err->message);
 		g_error_free(err);
-		return EXIT_START;
+		return JH_EXIT_START;
 	}
 	rpc = jh_rpc_server_create(
 	    &a->set.rpc_listen, &a->set.secret, agent_rpc_handlers, a, &err);
@@ -274,7 +260,7 @@
 		    err->message);
 		g_error_free(err);
 		jh_http_server_destroy(a->server);
-		return EXIT_START;
+		return JH_EXIT_START;
 	}
 	list = jh_instances_create(
 	    a->client, &a->set.instance_list, &instances_ops, a);
@@ -299,41 +285,15 @@
 int
 main(int argc, char **argv)
 {
-	static gchar *path;
-	static const GOptionEntry options[] = {
-	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-		"settings file (YAML)", "FILE"},
-	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
-	GOptionContext *ctx = g_option_context_new(
-	    "- guards one backend server: queue, records, orders");
 	static struct agent agent;
-	GError *err = NULL;
 	sigset_t set;
 	int status;
 
-	jh_event_init("jhagent");
-	g_option_context_add_main_entries(ctx, options, NULL);
-	if (!g_option_context_parse(ctx, &argc, &argv, &err) || path == NULL) {
-		fprintf(stderr, "jhagent: %s\n",
-		    err == NULL ? "--settings FILE is missing" : err->message);
-		g_option_context_free(ctx);
-		g_clear_error(&err);
-		return EXIT_SETTINGS;
-	}
-	g_option_context_free(ctx);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
-	if (sodium_init() < 0)
-		return EXIT_START;
-	if (!jh_settings_load(path, agent_settings_table, &agent.set, &err)) {
-		fprintf(stderr, "%s\n", err->message);
-		g_error_free(err);
-		jh_settings_clear(agent_settings_table, &agent.set);
-		return EXIT_SETTINGS;
-	}
+	status = jh_daemon_start(argc, argv, "jhagent",
+	    "- guards one backend server: queue, records, orders",
+	    agent_settings_table, &agent.set, &set);
+	if (status != 0)
+		return status;
 	init_state(&agent);
 	status = run(&agent, &set);
 	clear_state(&agent);
--- a/src/base/auth.c
+++ b/src/base/auth.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <sodium.h>
 
+#include <jacinthhill/clock.h>
+
 #include "base/auth.h"
 
 struct jh_auth_mac {
@@ -65,6 +67,15 @@
 	return sodium_memcmp(a, b, JH_AUTH_MAC_LEN) == 0;
 }
 
+bool
+jh_auth_is_recent(uint64_t sent_usec)
+{
+	uint64_t now = jh_wall_now();
+
+	return (now > sent_usec ? now - sent_usec : sent_usec - now) <=
+	       JH_AUTH_SKEW_USEC;
+}
+
 void
 jh_auth_random(void *out, size_t len)
 {
--- a/src/base/auth.h
+++ b/src/base/auth.h
@@ -36,6 +36,9 @@
 /* Compares in constant time. */
 bool jh_auth_mac_eq(const uint8_t *a, const uint8_t *b);
 
+/* Whether a sender's wall clock time is within JH_AUTH_SKEW_USEC of ours. */
+bool jh_auth_is_recent(uint64_t sent_usec);
+
 /* Fills with unpredictable bytes. */
 void jh_auth_random(void *out, size_t len);
 
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -3,11 +3,10 @@
 #include <stdio.h>
 #include <time.h>
 
-#include <sodium.h>
-
 #include <jacinthhill/clock.h>
 
 #include "base/event.h"
+#include "config/start.h"
 
 #include "entry/entry.h"
 
@@ -18,10 +17,6 @@
 #include "entry/wait.h"
 #include "feed/instances.h"
 
-/* Exit statuses, also in docs/operators.md. */
-#define EXIT_SETTINGS 2
-#define EXIT_START 3
-
 #define MAX_CALLS 16384
 #define REPLY_BUFFER_LEN (64 * 1024)
 #define TICK_MSEC 20
@@ -118,15 +113,6 @@
 	pthread_mutex_destroy(&e->lock);
 }
 
-/* Waits for a stop signal for one tick; returns true when it has come. */
-static bool
-wait_signal(const sigset_t *set)
-{
-	struct timespec tick = {0, TICK_MSEC * 1000000L};
-
-	return sigtimedwait(set, NULL, &tick) > 0;
-}
-
 /* Tells the log when an accepted edit may not be in force here in time. */
 static void
 watch_age(struct entry *e)
@@ -179,18 +165,18 @@
 	g_atomic_int_set(&e->leaving, 1);
 	while (jh_now() < quiet) {
 		tick(e, d);
-		wait_signal(set);
+		jh_daemon_stopped(set, TICK_MSEC);
 	}
 	jh_http_server_quiesce(e->server);
 	while (jh_http_server_active(e->server) > 0 && jh_now() < deadline) {
 		tick(e, d);
-		wait_signal(set);
+		jh_daemon_stopped(set, TICK_MSEC);
 	}
 	refusal_log_close(e->refusals);
 	deadline = jh_now() + LAST_WRITE_USEC;
 	while (!refusal_log_idle(e->refusals) && jh_now() < deadline) {
 		tick(e, d);
-		wait_signal(set);
+		jh_daemon_stopped(set, TICK_MSEC);
 	}
 }
 
@@ -225,7 +211,7 @@
 {
 	jh_event(JH_EV_START_FAILED, G_LOG_LEVEL_CRITICAL, "%s", err->message);
 	g_error_free(err);
-	return EXIT_START;
+	return JH_EXIT_START;
 }
 
 /*
@@ -245,7 +231,7 @@
 {
 	while (!is_ready(e)) {
 		tick(e, d);
-		if (wait_signal(set))
+		if (jh_daemon_stopped(set, TICK_MSEC))
 			return false;
 	}
 	return true;
@@ -273,7 +259,7 @@
 	    JH_EV_STARTED, G_LOG_LEVEL_INFO, "%s started", e->set.instance);
 	do {
 		tick(e, d);
-	} while (!wait_signal(set));
+	} while (!jh_daemon_stopped(set, TICK_MSEC));
 	jh_event(JH_EV_STOPPING, G_LOG_LEVEL_INFO, "%s finishes its requests",
 	    e->set.instance);
 	finish_work(e, d, set);
@@ -304,61 +290,22 @@
 	return status;
 }
 
-static gchar *
-parse_options(int argc, char **argv)
-{
-	static gchar *path;
-	static const GOptionEntry options[] = {
-	    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-		"settings file (YAML)", "FILE"},
-	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
-	GOptionContext *ctx =
-	    g_option_context_new("- serves callers of the router");
-	GError *err = NULL;
-
-	g_option_context_add_main_entries(ctx, options, NULL);
-	if (!g_option_context_parse(ctx, &argc, &argv, &err) || path == NULL)
-		fprintf(stderr, "jhentry: %s\n",
-		    err == NULL ? "--settings FILE is missing" : err->message);
-	g_option_context_free(ctx);
-	if (err != NULL) {
-		g_error_free(err);
-		return NULL;
-	}
-	return path;
-}
-
 int
 main(int argc, char **argv)
 {
 	static struct entry entry;
-	GError *err = NULL;
-	gchar *path;
 	sigset_t set;
 	int status;
 
-	jh_event_init("jhentry");
-	path = parse_options(argc, argv);
-	if (path == NULL)
-		return EXIT_SETTINGS;
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
-	if (sodium_init() < 0)
-		return EXIT_START;
-	if (!jh_settings_load(path, entry_settings_table, &entry.set, &err)) {
-		fprintf(stderr, "%s\n", err->message);
-		g_error_free(err);
-		jh_settings_clear(entry_settings_table, &entry.set);
-		return EXIT_SETTINGS;
-	}
+	status = jh_daemon_start(argc, argv, "jhentry",
+	    "- serves callers of the router", entry_settings_table, &entry.set,
+	    &set);
+	if (status != 0)
+		return status;
 	init_state(&entry);
 	status = run(&entry, &set);
 	if (status == 0)
 		clear_state(&entry);
 	jh_settings_clear(entry_settings_table, &entry.set);
-	g_free(path);
 	return status;
 }
--- a/src/once/call.h
+++ b/src/once/call.h
@@ -34,7 +34,6 @@
 	struct jh_nonce holder; /* nonce in the record last seen */
 	char *holder_agent;
 	bool foreign; /* a record of another agent was seen */
-	bool wrote; /* our nonce may be in the record, now or later */
 	bool holder_gone; /* the holder is gone; the record is read again */
 	GArray *waiters; /* of struct jh_waiter */
 	struct jh_call_answer *answer;
--- a/src/once/step.c
+++ b/src/once/step.c
@@ -90,8 +90,6 @@
 	struct jh_ledger_action *a = g_new0(struct jh_ledger_action, 1);
 
 	c->step = step;
-	if (step == JH_STEP_CREATE || step == JH_STEP_REPLACE)
-		c->wrote = true;
 	c->due = JH_NEVER;
 	c->op = ++l->last_op;
 	g_hash_table_insert(l->by_op, &c->op, c);
--- a/src/rpc/seal.c
+++ b/src/rpc/seal.c
@@ -53,15 +53,6 @@
 	return true;
 }
 
-static bool
-is_recent(uint64_t sent)
-{
-	uint64_t now = jh_wall_now();
-	uint64_t diff = now > sent ? now - sent : sent - now;
-
-	return diff <= JH_AUTH_SKEW_USEC;
-}
-
 bool
 jh_unseal(const struct jh_auth_key *key, uint32_t proc,
     enum jh_seal_direction dir, const struct jh_sealed *s, xdrproc_t xdr,
@@ -73,7 +64,7 @@
 
 	compute_mac(key, proc, dir, s, mac);
 	if (!jh_auth_mac_eq(mac, (const uint8_t *)s->mac) ||
-	    !is_recent(s->sent_usec))
+	    !jh_auth_is_recent(s->sent_usec))
 		return false;
 	xdrmem_create(
 	    &x, s->payload.payload_val, s->payload.payload_len, XDR_DECODE);
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -189,14 +189,6 @@
 	return ok;
 }
 
-static bool
-is_recent(uint64_t sent)
-{
-	uint64_t now = jh_wall_now();
-
-	return (now > sent ? now - sent : sent - now) <= JH_AUTH_SKEW_USEC;
-}
-
 struct jh_work *
 jh_work_from_request(
     const struct jh_http_req *req, const struct jh_auth_key *key)
@@ -207,7 +199,7 @@
 	size_t i;
 
 	if (!parse_auth(jh_http_req_header(req, "Jh-Auth"), &st, told) ||
-	    !is_recent(st.sent_usec))
+	    !jh_auth_is_recent(st.sent_usec))
 		return NULL;
 	w = jh_work_create();
 	for (i = 0; i < JH_WORK_FIELDS; i++)
