--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,11 @@
 BUILD = build
 CC = gcc
 PKGS = glib-2.0 libtirpc libmicrohttpd libcurl jansson yaml-0.1 libxxhash \
-    libsodium ck
+    libsodium ck libuv gsl
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS := $(shell pkg-config --libs $(PKGS))
+# http-parser has no pkg-config file.
+PKG_LIBS += -lhttp_parser
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wno-unused-parameter
 OPT = -O2 -g
@@ -22,8 +24,8 @@
 LDFLAGS += -fsanitize=$(SAN)
 endif
 
-LIB_DIRS = base place admit once stream member catalog refuse poison cache
-NET_DIRS = config http rpc store work feed
+LIB_DIRS = base place admit once stream member catalog refuse poison cache route
+NET_DIRS = config http rpc store work feed net gateway
 FAKES = engine store service list
 BENCHES = load parts relay
 
@@ -39,6 +41,7 @@
     src/entry/settings.c src/agent/settings.c
 FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list,\
     $(wildcard fakes/$(d)/*.c)))
+PLATFORM_SRC = $(filter-out platform/main.c,$(wildcard platform/*.c))
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_LIB_SRC = $(filter-out $(TEST_SRC),$(wildcard test/*.c))
 
@@ -49,9 +52,10 @@
 CTL_LIB = $(BUILD)/libjhctl.a
 FAKE_LIB = $(BUILD)/libjhfakes.a
 TEST_LIB = $(BUILD)/libjhtest.a
+PLATFORM_LIB = $(BUILD)/libjhplatform.a
 
 DAEMONS = $(foreach d,entry agent ctl,$(if $(wildcard src/$(d)/main.c),\
-    $(BUILD)/jh$(d)))
+    $(BUILD)/jh$(d))) $(BUILD)/jhplatform
 FAKE_BINS = $(foreach d,$(FAKES),$(if $(wildcard fakes/$(d)/*.c),\
     $(BUILD)/fake-$(d)))
 BENCH_BINS = $(if $(wildcard bench/load/*.c),$(BUILD)/jhload) \
@@ -78,13 +82,16 @@
 $(CTL_LIB): $(call objs,$(CTL_SRC))
 $(FAKE_LIB): $(call objs,$(FAKE_LIB_SRC))
 $(TEST_LIB): $(call objs,$(TEST_LIB_SRC))
-$(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(FAKE_LIB) $(TEST_LIB):
+$(PLATFORM_LIB): $(call objs,$(PLATFORM_SRC))
+$(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(FAKE_LIB) $(TEST_LIB) \
+    $(PLATFORM_LIB):
 	@rm -f $@
 	@ar rcs $@ $(filter %.o,$^)
 
 $(BUILD)/jhentry: $(BUILD)/src/entry/main.o $(ENTRY_LIB) $(NET) $(LIB)
 $(BUILD)/jhagent: $(BUILD)/src/agent/main.o $(AGENT_LIB) $(NET) $(LIB)
 $(BUILD)/jhctl: $(BUILD)/src/ctl/main.o $(CTL_LIB) $(NET) $(LIB)
+$(BUILD)/jhplatform: $(BUILD)/platform/main.o $(PLATFORM_LIB) $(NET) $(LIB)
 $(BUILD)/jhload: $(call objs,$(wildcard bench/load/*.c)) $(NET) $(LIB)
 $(BUILD)/jhrelay: $(call objs,$(wildcard bench/relay/*.c)) $(NET) $(LIB)
 $(BUILD)/jhbench: $(call objs,$(wildcard bench/parts/*.c)) $(NET) $(LIB)
@@ -98,7 +105,7 @@
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
 
 $(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(ENTRY_LIB) $(AGENT_LIB) \
-    $(CTL_LIB) $(FAKE_LIB) $(NET) $(LIB)
+    $(CTL_LIB) $(FAKE_LIB) $(PLATFORM_LIB) $(NET) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
--- a/include/jacinthhill/clock.h
+++ b/include/jacinthhill/clock.h
@@ -13,6 +13,12 @@
 /* Microseconds of the monotonic clock; comparable in one process only. */
 uint64_t jh_now(void);
 
+/*
+ * The same, and runs while the machine is suspended: for tenures that others
+ * may have taken over in the meantime.
+ */
+uint64_t jh_boot_now(void);
+
 /* Microseconds since the Unix epoch; used in records others read. */
 uint64_t jh_wall_now(void);
 
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -18,6 +18,12 @@
 	return read_clock(CLOCK_MONOTONIC);
 }
 
+uint64_t
+jh_boot_now(void)
+{
+	return read_clock(CLOCK_BOOTTIME);
+}
+
 uint64_t
 jh_wall_now(void)
 {
--- /dev/null
+++ b/src/base/trace.c
@@ -0,0 +1,129 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include <jacinthhill/clock.h>
+
+#include "base/trace.h"
+
+struct jh_trace {
+	int fd;
+	char *process;
+	GString *waiting;
+	uint64_t second; /* that the rate counts in */
+	unsigned int lines; /* of that second */
+	uint64_t dropped;
+	uint64_t reported;
+};
+
+struct jh_trace *
+jh_trace_create(int fd, const char *process)
+{
+	struct jh_trace *t = g_new0(struct jh_trace, 1);
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	t->fd = fd;
+	t->process = g_strdup(process);
+	t->waiting = g_string_sized_new(4096);
+	return t;
+}
+
+void
+jh_trace_destroy(struct jh_trace *t)
+{
+	if (t == NULL)
+		return;
+	jh_trace_flush(t);
+	g_string_free(t->waiting, TRUE);
+	g_free(t->process);
+	g_free(t);
+}
+
+static void
+add_line(struct jh_trace *t, const char *event, json_t *root)
+{
+	uint64_t now = jh_wall_now();
+	char *text;
+
+	json_object_set_new(root, "event", json_string(event));
+	json_object_set_new(root, "at_ms", json_integer((json_int_t)(now / 1000)));
+	json_object_set_new(root, "process", json_string(t->process));
+	text = json_dumps(root, JSON_COMPACT);
+	if (text == NULL)
+		return;
+	g_string_append(t->waiting, text);
+	g_string_append_c(t->waiting, '\n');
+	free(text);
+}
+
+/* Whether the rate and the buffer have room for a line. */
+static int
+has_room(struct jh_trace *t)
+{
+	uint64_t second = jh_now() / JH_USEC_PER_SEC;
+
+	if (second != t->second) {
+		t->second = second;
+		t->lines = 0;
+		if (t->dropped > t->reported) {
+			json_t *root = json_pack("{s:I}", "lines",
+			    (json_int_t)(t->dropped - t->reported));
+			t->reported = t->dropped;
+			add_line(t, "log_lines_dropped", root);
+			json_decref(root);
+		}
+	}
+	return t->lines < JH_TRACE_RATE &&
+	    t->waiting->len < JH_TRACE_BUFFER_LEN;
+}
+
+void
+jh_trace(struct jh_trace *t, const char *event, const char *fmt, ...)
+{
+	json_error_t error;
+	char *braced;
+	json_t *root;
+	va_list ap;
+
+	if (!has_room(t)) {
+		t->dropped++;
+		return;
+	}
+	t->lines++;
+	braced = g_strconcat("{", fmt, "}", NULL);
+	va_start(ap, fmt);
+	root = json_vpack_ex(&error, 0, braced, ap);
+	va_end(ap);
+	g_free(braced);
+	if (root == NULL)
+		root = json_pack("{s:s}", "unprintable", error.text);
+	add_line(t, event, root);
+	json_decref(root);
+	if (t->waiting->len > JH_TRACE_BUFFER_LEN / 8)
+		jh_trace_flush(t);
+}
+
+void
+jh_trace_flush(struct jh_trace *t)
+{
+	while (t->waiting->len > 0) {
+		ssize_t n = write(t->fd, t->waiting->str, t->waiting->len);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return; /* the reader is slow or gone; keep the lines */
+		g_string_erase(t->waiting, 0, n);
+	}
+}
+
+uint64_t
+jh_trace_dropped(const struct jh_trace *t)
+{
+	return t->dropped;
+}
--- /dev/null
+++ b/src/gateway/attempt.c
@@ -0,0 +1,264 @@
+#include <jansson.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "gateway/exchange.h"
+
+/* A connection that is not open by then is given up as not sent. */
+#define CONNECT_USEC (400 * JH_USEC_PER_MSEC)
+
+/*
+ * A kept connection may be closed by its peer while a request is on its way to
+ * it, and a request that may run only once is then lost. Those use connections
+ * that served a moment ago.
+ */
+#define REUSE_USEC (10 * JH_USEC_PER_SEC)
+#define REUSE_ONCE_USEC (1 * JH_USEC_PER_SEC)
+
+/*
+ * A request that may be repeated is taken from a worker that stays silent
+ * for this long beyond what was expected.
+ */
+#define SILENCE_USEC (1000 * JH_USEC_PER_MSEC)
+
+/* Clients come back after this long when no worker can take a request. */
+#define NO_WORKER_SECONDS 0.3
+
+struct jh_worker *
+exchange_worker(struct exchange *x)
+{
+	return x->worker != NULL ? jh_fleet_find(x->gw->fleet, x->worker)
+				 : NULL;
+}
+
+static void
+take_off(uint64_t *from, uint64_t n)
+{
+	*from -= MIN(*from, n);
+}
+
+void
+exchange_unbook_prefill(struct exchange *x)
+{
+	struct jh_worker *w = exchange_worker(x);
+
+	if (w != NULL)
+		take_off(&w->prefill_tokens, x->booked_prefill);
+	x->booked_prefill = 0;
+}
+
+void
+exchange_unbook(struct exchange *x)
+{
+	struct jh_worker *w = exchange_worker(x);
+
+	exchange_unbook_prefill(x);
+	if (w != NULL) {
+		take_off(&w->held_tokens, x->booked_held);
+		if (w->running > 0)
+			w->running--;
+	}
+	x->booked_held = 0;
+	g_free(x->worker);
+	x->worker = NULL;
+}
+
+static void
+book(struct exchange *x, struct jh_worker *w, const struct jh_choice *choice)
+{
+	x->worker = g_strdup(w->id);
+	x->peer = w->address;
+	x->booked_prefill =
+	    x->own_tokens + (choice->source != NULL ? x->shared_tokens : 0);
+	x->booked_held =
+	    (uint64_t)x->own_tokens + x->ask.answer_tokens;
+	w->prefill_tokens += x->booked_prefill;
+	w->held_tokens += x->booked_held;
+	w->running++;
+}
+
+void
+exchange_cancel_attempt(struct exchange *x)
+{
+	if (x->call != NULL) {
+		jh_call_cancel(x->call);
+		x->call = NULL;
+	}
+	uv_timer_stop(&x->patience);
+	exchange_unbook(x);
+}
+
+static void
+on_silence(uv_timer_t *t)
+{
+	struct exchange *x = t->data;
+	struct jh_worker *w = exchange_worker(x);
+
+	jh_trace(x->gw->trace, "worker_silent", "s:s#, s:s?, s:I, s:I",
+	    "request", x->ask.id.ptr, (int)x->ask.id.len, "worker", x->worker,
+	    "waited_us", (json_int_t)(jh_now() - x->sent_at), "expected_us",
+	    (json_int_t)x->expected);
+	if (w != NULL)
+		jh_fleet_failed(w, jh_now());
+	x->silent = true;
+	if (x->call != NULL) {
+		jh_call_cancel(x->call);
+		x->call = NULL;
+	}
+	exchange_call_ops.end(x, JH_CALL_TIMED_OUT);
+}
+
+static void
+choose(struct exchange *x, uint64_t now, struct jh_choice *out)
+{
+	struct jh_choose_request r = {
+	    .service = x->service_name,
+	    .is_engine = x->service != NULL && x->service->is_engine,
+	    .shared_key = x->shared_key,
+	    .shared_tokens = x->shared_tokens,
+	    .own_tokens = x->own_tokens,
+	    .answer_tokens = x->ask.answer_tokens,
+	    .peers = x->gw->processes,
+	    .n_excluded = x->n_excluded,
+	};
+	char *model = jh_str_dup(x->ask.model);
+
+	memcpy(r.excluded, x->excluded, sizeof(r.excluded));
+	if (r.is_engine) {
+		r.model = model;
+		r.newest_weights = jh_weights_newest(
+		    x->gw->weights, model, &r.newest_since);
+		r.cache_tokens = x->service->cache_tokens;
+	}
+	jh_choose(x->gw->chooser, x->gw->fleet, now, &r, out);
+	g_free(model);
+}
+
+/* Cached parts are found only by requests of the same weights and wall. */
+static char *
+make_salt(const struct exchange *x, const struct jh_worker *w)
+{
+	bool isolated = x->tenant != NULL && x->tenant->isolated;
+
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%s", w->model,
+	    w->weights, isolated ? x->tenant->name : "");
+}
+
+static GString *
+make_message(struct exchange *x, const struct jh_worker *w,
+    const struct jh_choice *choice, uint64_t now)
+{
+	struct jh_str body = jh_visit_body(x->visit);
+	GString *message = g_string_sized_new(1024 + body.len);
+	struct jh_offer offer = {
+	    .worker = w->id,
+	    .wait = x->attempts.deadline - now,
+	    .tenant = x->tenant != NULL ? x->tenant->name : NULL,
+	    .resumes = x->has_last_event,
+	    .resume_after = x->last_event,
+	};
+	char *salt = NULL;
+
+	if (x->service != NULL && x->service->is_engine) {
+		unsigned int rank = x->tenant != NULL && x->tenant->has_rank
+		    ? x->tenant->rank
+		    : x->route->rank;
+		salt = make_salt(x, w);
+		offer.salt = salt;
+		offer.weights = w->weights;
+		offer.has_urgency = true;
+		offer.urgency = MIN(rank, 9);
+		if (choice->source != NULL)
+			offer.source = &choice->source->address;
+	}
+	x->gw->dialect->write_offer(
+	    message, jh_visit_head(x->visit), &offer, body.len);
+	g_string_append_len(message, body.ptr, (gssize)body.len);
+	g_free(salt);
+	return message;
+}
+
+void
+exchange_give_up(struct exchange *x, const char *reason)
+{
+	if (x->begun)
+		exchange_break_stream(x, reason);
+	else if (jh_attempts_give_up(&x->attempts) == JH_NEXT_FAIL)
+		exchange_fail(x, 502, reason);
+	else
+		exchange_refuse(x, reason, NO_WORKER_SECONDS);
+}
+
+static void
+wait_for_answer(struct exchange *x, uint64_t now)
+{
+	uint64_t patience = x->expected + SILENCE_USEC;
+
+	if (!x->attempts.repeatable ||
+	    x->attempts.sent - x->attempts.declined >= x->attempts.most)
+		return;
+	if (x->attempts.deadline < now + patience + SILENCE_USEC / 2)
+		return;
+	uv_update_time(x->gw->loop);
+	uv_timer_start(&x->patience, on_silence, patience / JH_USEC_PER_MSEC, 0);
+}
+
+static void
+send_offer(struct exchange *x, const struct jh_choice *choice, uint64_t now)
+{
+	struct jh_worker *w = choice->worker;
+	struct jh_call_spec spec = {
+	    .peer = w->address,
+	    .connect_deadline =
+		MIN(now + CONNECT_USEC, x->attempts.deadline),
+	    .deadline = JH_NEVER,
+	    .most_idle_usec =
+		x->attempts.repeatable ? REUSE_USEC : REUSE_ONCE_USEC,
+	    .ops = &exchange_call_ops,
+	    .arg = x,
+	};
+
+	spec.message = make_message(x, w, choice, now);
+	book(x, w, choice);
+	x->sent_at = now;
+	x->expected = choice->expected;
+	x->base = choice->base;
+	x->weights = w->weights;
+	x->silent = x->spoilt = x->streaming = false;
+	x->status = 0;
+	memset(&x->answer, 0, sizeof(x->answer));
+	g_string_truncate(x->fields, 0);
+	g_byte_array_set_size(x->body, 0);
+	if (x->events != NULL)
+		jh_events_restart(x->events);
+	jh_attempts_sent(&x->attempts);
+	jh_chooser_placed(x->gw->chooser, now, x->shared_key, w);
+	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I",
+	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
+	    x->route->name, "worker", w->id, "weights",
+	    (json_int_t)w->weights, "weights_age_us",
+	    (json_int_t)(now - w->weights_known), "expected_us",
+	    (json_int_t)choice->expected, "attempt", (int)x->attempts.sent,
+	    "source", choice->source != NULL ? choice->source->id : NULL,
+	    "config", (json_int_t)jh_table_version(x->table), "waited_us",
+	    (json_int_t)(now - x->arrived));
+	x->call = jh_call_start(x->gw->caller, &spec);
+	wait_for_answer(x, now);
+}
+
+void
+exchange_try(struct exchange *x)
+{
+	uint64_t now = jh_now();
+	struct jh_choice choice;
+
+	choose(x, now, &choice);
+	if (choice.worker == NULL) {
+		exchange_give_up(x,
+		    choice.any_alive ? "no worker can take it now"
+				     : "no worker is known");
+		return;
+	}
+	send_offer(x, &choice, now);
+}
--- /dev/null
+++ b/src/gateway/finish.c
@@ -0,0 +1,122 @@
+#include <jansson.h>
+
+#include <jacinthhill/clock.h>
+
+#include "gateway/exchange.h"
+
+static void
+on_closed(uv_handle_t *h)
+{
+	struct exchange *x = h->data;
+
+	if (--x->handles > 0)
+		return;
+	jh_table_unref(x->table);
+	jh_events_destroy(x->events);
+	g_string_free(x->fields, TRUE);
+	g_byte_array_free(x->body, TRUE);
+	g_free(x->worker);
+	g_free(x);
+}
+
+void
+exchange_free(struct exchange *x)
+{
+	uv_close((uv_handle_t *)&x->timer, on_closed);
+	uv_close((uv_handle_t *)&x->patience, on_closed);
+}
+
+/* One line and the counts of a request's end. */
+static void
+report(struct exchange *x, unsigned int status, const char *reason)
+{
+	struct jh_metrics *m = x->gw->metrics;
+	uint64_t took = jh_now() - x->arrived;
+	char name[64];
+
+	g_snprintf(name, sizeof(name), "jh_answers{status=\"%u\"}", status);
+	jh_metrics_add(m, name, 1);
+	jh_metrics_time(m, "jh_request_ms", took);
+	jh_trace(x->gw->trace, "ended",
+	    "s:s#, s:s, s:i, s:s, s:i, s:b, s:I, s:i", "request",
+	    x->ask.id.ptr, (int)x->ask.id.len, "route", x->route->name,
+	    "status", (int)status, "reason", reason, "attempts",
+	    (int)x->attempts.sent, "may_have_run",
+	    (int)x->attempts.may_have_run, "took_us", (json_int_t)took,
+	    "events", (int)x->n_events);
+}
+
+static const char *
+status_text(unsigned int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Answer";
+	}
+}
+
+void
+exchange_pass(struct exchange *x)
+{
+	struct jh_visit *v = x->visit;
+
+	report(x, x->status, "answered");
+	jh_visit_watch(v, NULL, NULL);
+	jh_visit_answer(v, x->status, status_text(x->status),
+	    (struct jh_str){x->fields->str, x->fields->len},
+	    (struct jh_str){(const char *)x->body->data, x->body->len});
+	exchange_free(x);
+}
+
+static void
+answer_self(struct exchange *x, unsigned int status, double seconds)
+{
+	GString *fields = g_string_new(NULL);
+
+	x->gw->dialect->write_refusal(fields, &x->ask);
+	if (seconds > 0)
+		g_string_append_printf(
+		    fields, "Retry-After: %.2f\r\n", seconds);
+	jh_visit_answer(x->visit, status, status_text(status),
+	    (struct jh_str){fields->str, fields->len}, JH_STR(""));
+	g_string_free(fields, TRUE);
+	exchange_free(x);
+}
+
+void
+exchange_refuse(struct exchange *x, const char *reason, double seconds)
+{
+	report(x, 503, reason);
+	answer_self(x, 503, seconds);
+}
+
+void
+exchange_fail(struct exchange *x, unsigned int status, const char *reason)
+{
+	report(x, status, reason);
+	answer_self(x, status, 0);
+}
+
+void
+exchange_end_stream(struct exchange *x)
+{
+	report(x, x->status, "answered");
+	jh_visit_end(x->visit);
+	exchange_free(x);
+}
+
+void
+exchange_break_stream(struct exchange *x, const char *reason)
+{
+	report(x, 0, reason);
+	jh_visit_abort(x->visit);
+	exchange_free(x);
+}
--- /dev/null
+++ b/src/gateway/relay.c
@@ -0,0 +1,318 @@
+#include <jansson.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+
+#include "gateway/exchange.h"
+
+/* Longest answer that is passed on whole; streams have no such bound. */
+#define BODY_LIMIT (16 * 1024 * 1024)
+
+/* A client that reads slowly stops its worker beyond this many bytes. */
+#define QUEUE_LIMIT (256 * 1024)
+
+/* A worker that is to load weights refuses work for about this long. */
+#define CHANGING_USEC (300 * JH_USEC_PER_MSEC)
+
+/* A worker that is full is spared for this long. */
+#define FULL_USEC (100 * JH_USEC_PER_MSEC)
+
+/* A stream that may be resumed is taken from a worker silent this long. */
+#define GAPS_OF_PATIENCE 3
+
+/* Weight of one first-token time in a worker's learned delay. */
+#define DELAY_WEIGHT 0.4
+
+static bool
+on_head(void *arg, const struct jh_head *head)
+{
+	struct exchange *x = arg;
+
+	memset(&x->answer, 0, sizeof(x->answer));
+	x->gw->dialect->read_answer(head, &x->ask, &x->answer);
+	if (x->answer.other) {
+		jh_metrics_add(x->gw->metrics, "jh_stray_answers", 1);
+		jh_trace(x->gw->trace, "stray_answer", "s:s#, s:s?", "request",
+		    x->ask.id.ptr, (int)x->ask.id.len, "worker", x->worker);
+		return false;
+	}
+	x->status = head->status;
+	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
+	    head->status == 200 && x->answer.sealed && !x->answer.encoded &&
+	    !x->answer.declined;
+	if (x->streaming && x->events == NULL)
+		x->events = jh_events_create();
+	/* A stream that goes on keeps the head of its first worker. */
+	if (!x->begun) {
+		g_string_truncate(x->fields, 0);
+		x->gw->dialect->write_answer(x->fields, head);
+	}
+	return true;
+}
+
+/* What the first event tells of the worker's load. */
+static void
+learn_delay(struct exchange *x, uint64_t now)
+{
+	struct jh_worker *w = exchange_worker(x);
+	uint64_t took = now - x->sent_at;
+	double beyond = took > x->base ? (double)(took - x->base) : 0;
+
+	jh_metrics_time(x->gw->metrics, "jh_first_event_ms", now - x->arrived);
+	if (w == NULL)
+		return;
+	w->delay += DELAY_WEIGHT * (beyond - w->delay);
+	w->delay_known = now;
+	jh_fleet_answered(w, false);
+}
+
+static void
+begin_stream(struct exchange *x)
+{
+	x->begun = true;
+	jh_visit_begin(x->visit, x->status, "OK",
+	    (struct jh_str){x->fields->str, x->fields->len});
+}
+
+static void
+restart_patience(struct exchange *x)
+{
+	uint64_t gap = x->route->gap * GAPS_OF_PATIENCE;
+
+	if (!uv_is_active((uv_handle_t *)&x->patience) || gap == 0)
+		return;
+	uv_update_time(x->gw->loop);
+	uv_timer_start(&x->patience, x->patience.timer_cb,
+	    gap / JH_USEC_PER_MSEC, 0);
+}
+
+static void
+on_event(void *arg, const struct jh_event_block *block)
+{
+	struct exchange *x = arg;
+	uint64_t weights;
+
+	if (x->spoilt)
+		return;
+	if (x->n_events++ == 0) {
+		exchange_unbook_prefill(x);
+		learn_delay(x, jh_now());
+	}
+	restart_patience(x);
+	if (block->has_id) {
+		if (x->has_last_event && block->id <= x->last_event)
+			return; /* repeated after a resumption */
+		x->has_last_event = true;
+		x->last_event = block->id;
+	}
+	if (x->gw->dialect->read_event_weights(block->bytes, &weights)) {
+		struct jh_worker *w = exchange_worker(x);
+		if (w != NULL)
+			jh_fleet_saw_weights(w, jh_now(), weights);
+	}
+	if (!x->begun)
+		begin_stream(x);
+	jh_visit_write(x->visit, block->bytes);
+}
+
+static void
+on_body(void *arg, const char *p, size_t n)
+{
+	struct exchange *x = arg;
+
+	if (x->spoilt)
+		return;
+	if (!x->streaming) {
+		if (x->body->len + n > BODY_LIMIT)
+			x->spoilt = true;
+		else
+			g_byte_array_append(
+			    x->body, (const guint8 *)p, (guint)n);
+		return;
+	}
+	if (!jh_events_feed(x->events, (struct jh_str){p, n}, on_event, x)) {
+		x->spoilt = true;
+		return;
+	}
+	if (!x->paused && jh_visit_queued(x->visit) > QUEUE_LIMIT) {
+		x->paused = true;
+		jh_call_pause(x->call);
+	}
+}
+
+void
+exchange_drained(struct exchange *x)
+{
+	if (!x->paused)
+		return;
+	x->paused = false;
+	if (x->call != NULL)
+		jh_call_resume(x->call);
+}
+
+/* The worker stated that it has not run the request. */
+static void
+learn_declined(struct exchange *x, struct jh_worker *w, uint64_t now)
+{
+	uint64_t newest;
+
+	if (w == NULL)
+		return;
+	if (x->answer.has_weights && x->answer.weights != w->weights) {
+		jh_fleet_saw_weights(w, now, x->answer.weights);
+		if (x->gw->saw_weights != NULL)
+			x->gw->saw_weights(x->gw->arg, w);
+	}
+	if (x->status == 421)
+		return;
+	newest = jh_weights_newest(x->gw->weights, w->model, NULL);
+	if (w->model != NULL && newest > w->weights)
+		w->changing_until = now + CHANGING_USEC;
+	else
+		w->hold_until = MAX(w->hold_until, now + FULL_USEC);
+}
+
+static void
+exclude(struct exchange *x, const struct jh_worker *w)
+{
+	/* A worker with other weights than believed may be asked again. */
+	if (w == NULL || (x->status == 421 && w->weights != x->weights))
+		return;
+	if (x->n_excluded < JH_CHOOSE_MAX_EXCLUDED)
+		x->excluded[x->n_excluded++] = w->hash;
+}
+
+static bool
+is_promise(unsigned int status)
+{
+	return status == 408 || status == 421 || status == 429 ||
+	    status == 503;
+}
+
+static enum jh_attempt_result
+judge(struct exchange *x, enum jh_call_result result, const char **why)
+{
+	if (result == JH_CALL_NOT_SENT) {
+		*why = "no connection to the worker";
+		return JH_ATTEMPT_NOT_SENT;
+	}
+	if (result != JH_CALL_COMPLETE || x->spoilt) {
+		*why = x->silent ? "the worker stayed silent"
+				 : "the worker's answer broke off";
+		return JH_ATTEMPT_BROKEN;
+	}
+	if (x->answer.declined || x->status == 421) {
+		*why = "the worker declined";
+		return JH_ATTEMPT_DECLINED;
+	}
+	if (x->streaming && (jh_events_partial(x->events) || !x->begun)) {
+		*why = "the stream ended inside an event";
+		return JH_ATTEMPT_BROKEN;
+	}
+	if (x->answer.encoded ||
+	    (x->status >= 200 && x->status < 300 && !x->answer.sealed)) {
+		*why = "the answer is not the worker's own";
+		return JH_ATTEMPT_BROKEN;
+	}
+	/* Passed on, such a status would promise that nothing ran. */
+	if (is_promise(x->status)) {
+		*why = "the worker failed";
+		return JH_ATTEMPT_BROKEN;
+	}
+	*why = x->status >= 500 ? "the worker failed" : "answered";
+	return x->status >= 500 ? JH_ATTEMPT_FAILED : JH_ATTEMPT_ANSWERED;
+}
+
+static void
+learn(struct exchange *x, struct jh_worker *w, enum jh_attempt_result result)
+{
+	uint64_t now = jh_now();
+
+	if (w == NULL)
+		return;
+	switch (result) {
+	case JH_ATTEMPT_NOT_SENT:
+		jh_fleet_failed(w, now);
+		break;
+	case JH_ATTEMPT_BROKEN:
+		/* One spoilt answer says little of the worker. */
+		if (x->status == 0 && !x->silent)
+			jh_fleet_failed(w, now);
+		else if (!x->silent)
+			jh_fleet_answered(w, true);
+		break;
+	case JH_ATTEMPT_DECLINED:
+		learn_declined(x, w, now);
+		break;
+	case JH_ATTEMPT_FAILED:
+	case JH_ATTEMPT_ANSWERED:
+		if (!x->streaming)
+			jh_fleet_answered(w, result == JH_ATTEMPT_FAILED);
+		break;
+	}
+	if (x->answer.has_weights && x->answer.weights > w->weights)
+		jh_fleet_saw_weights(w, now, x->answer.weights);
+}
+
+static void
+go_on(struct exchange *x, enum jh_attempt_result result, const char *why)
+{
+	uint64_t now = jh_now();
+	enum jh_attempt_next next =
+	    jh_attempts_ended(&x->attempts, now, result);
+
+	if (next == JH_NEXT_RETRY &&
+	    !jh_budget_take(x->gw->budget, now, x->service_name,
+		x->gw->processes)) {
+		jh_metrics_add(x->gw->metrics, "jh_repeats_denied", 1);
+		next = result == JH_ATTEMPT_FAILED
+		    ? JH_NEXT_PASS
+		    : jh_attempts_give_up(&x->attempts);
+		why = "the budget for repeats is used up";
+	}
+	switch (next) {
+	case JH_NEXT_RETRY:
+		jh_metrics_add(x->gw->metrics, "jh_repeats", 1);
+		exchange_try(x);
+		return;
+	case JH_NEXT_PASS:
+		if (x->streaming && x->begun)
+			exchange_end_stream(x);
+		else
+			exchange_pass(x);
+		return;
+	case JH_NEXT_REFUSE:
+	case JH_NEXT_FAIL:
+		exchange_give_up(x, why);
+		return;
+	}
+}
+
+static void
+on_end(void *arg, enum jh_call_result call_result)
+{
+	struct exchange *x = arg;
+	struct jh_worker *w = exchange_worker(x);
+	enum jh_attempt_result result;
+	const char *why;
+
+	x->call = NULL;
+	x->paused = false;
+	uv_timer_stop(&x->patience);
+	result = judge(x, call_result, &why);
+	if (result != JH_ATTEMPT_ANSWERED)
+		jh_trace(x->gw->trace, "attempt_ended",
+		    "s:s#, s:s?, s:s, s:i, s:I, s:I, s:I", "request",
+		    x->ask.id.ptr, (int)x->ask.id.len, "worker", x->worker,
+		    "why", why, "status", (int)x->status, "took_us",
+		    (json_int_t)(jh_now() - x->sent_at), "asked_weights",
+		    (json_int_t)x->weights, "answer_weights",
+		    (json_int_t)(x->answer.has_weights ? x->answer.weights
+						       : 0));
+	learn(x, w, result);
+	exclude(x, w);
+	exchange_unbook(x);
+	go_on(x, result, why);
+}
+
+const struct jh_call_ops exchange_call_ops = {on_head, on_body, on_end};
--- /dev/null
+++ b/src/gateway/steward.h
@@ -0,0 +1,53 @@
+#ifndef GATEWAY_STEWARD_H
+#define GATEWAY_STEWARD_H
+
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "base/trace.h"
+#include "member/duty.h"
+#include "member/weights.h"
+
+/*
+ * Competes for the duty of changing the workers' weights and performs it while
+ * it is held. Runs on the loop.
+ */
+struct jh_steward;
+
+struct jh_steward_ops {
+	/* Reads or writes the duty's object, then jh_steward_duty_reply(). */
+	void (*duty)(void *arg, const struct jh_duty_action *action);
+	/* Orders new weights, then jh_steward_ordered(). */
+	void (*order)(void *arg, const struct jh_weights_action *action,
+	    uint64_t token);
+	/* Asks for a report, then jh_steward_looked(). */
+	void (*look)(void *arg, const struct jh_weights_action *action);
+};
+
+struct jh_steward_spec {
+	uv_loop_t *loop;
+	struct jh_trace *trace;
+	struct jh_metrics *metrics;
+	struct jh_fleet *fleet;
+	struct jh_weights *weights;
+	const char *holder; /* unique to this start of the process */
+	/* Acts of two holders lie at least this far apart, microseconds. */
+	uint64_t apart;
+	const struct jh_steward_ops *ops;
+	void *arg;
+};
+
+struct jh_steward *jh_steward_create(const struct jh_steward_spec *spec);
+void jh_steward_destroy(struct jh_steward *s);
+
+void jh_steward_duty_reply(
+    struct jh_steward *s, const struct jh_duty_reply *reply);
+void jh_steward_ordered(struct jh_steward *s, const char *worker,
+    enum jh_weights_result result);
+void jh_steward_looked(
+    struct jh_steward *s, const char *worker, bool answered, bool busy);
+/* Gives the duty up, for a stop of the process. */
+void jh_steward_resign(struct jh_steward *s);
+bool jh_steward_holds(const struct jh_steward *s);
+
+#endif
--- /dev/null
+++ b/src/member/duty.c
@@ -0,0 +1,166 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "member/duty.h"
+
+/* A call to the store that takes longer is given up. */
+#define CALL_USEC 800000ULL
+
+struct jh_duty {
+	struct jh_duty_spec spec;
+	char *holder;
+	bool resigned;
+	bool in_call;
+	bool writing;
+	uint64_t call_sent;
+	uint64_t next; /* no call before */
+	/* The object as it was last seen. */
+	bool seen;
+	uint64_t version; /* 0: absent */
+	uint64_t term;
+	bool own; /* written by this process, perhaps without an answer */
+	uint64_t unchanged_since;
+	/* The present tenure. */
+	uint64_t token; /* 0: not the holder */
+	uint64_t held_until;
+};
+
+struct jh_duty *
+jh_duty_create(const struct jh_duty_spec *spec)
+{
+	struct jh_duty *d = g_new0(struct jh_duty, 1);
+
+	d->spec = *spec;
+	d->holder = g_strdup(spec->holder);
+	d->spec.holder = d->holder;
+	return d;
+}
+
+void
+jh_duty_destroy(struct jh_duty *d)
+{
+	if (d == NULL)
+		return;
+	g_free(d->holder);
+	g_free(d);
+}
+
+static bool
+may_take_over(const struct jh_duty *d, uint64_t now)
+{
+	if (!d->seen || d->resigned)
+		return false;
+	return d->version == 0 || d->own ||
+	    now - d->unchanged_since >= d->spec.takeover;
+}
+
+bool
+jh_duty_next(struct jh_duty *d, uint64_t now, struct jh_duty_action *out)
+{
+	bool renew = d->token != 0 && !d->resigned;
+
+	if (d->in_call || now < d->next)
+		return false;
+	memset(out, 0, sizeof(*out));
+	out->kind = JH_DUTY_READ;
+	if (renew || may_take_over(d, now)) {
+		out->kind = d->version == 0 ? JH_DUTY_CREATE : JH_DUTY_WRITE;
+		out->if_version = d->version;
+		out->holder = d->holder;
+		out->term = d->term + 1;
+	}
+	out->deadline = now + CALL_USEC;
+	d->in_call = true;
+	d->writing = out->kind != JH_DUTY_READ;
+	d->call_sent = now;
+	return true;
+}
+
+static bool
+is_own(const struct jh_duty *d, const struct jh_duty_reply *reply)
+{
+	return reply->version != 0 &&
+	    jh_str_eq(reply->holder, jh_str_from(d->holder));
+}
+
+/* Takes over what the store says of the object. */
+static void
+see(struct jh_duty *d, uint64_t now, const struct jh_duty_reply *reply)
+{
+	if (d->seen && reply->version == d->version)
+		return;
+	/* A stale read may show an older object than the one known. */
+	if (d->seen && reply->version != 0 && reply->version < d->version)
+		return;
+	d->seen = true;
+	d->version = reply->version;
+	d->term = reply->term;
+	d->own = is_own(d, reply);
+	d->unchanged_since = now;
+}
+
+static void
+written(struct jh_duty *d, const struct jh_duty_reply *reply)
+{
+	/* The tenure's token must not rise while its orders are on the way. */
+	if (d->token == 0)
+		d->token = reply->version;
+	d->held_until = d->call_sent + d->spec.hold;
+}
+
+void
+jh_duty_on_reply(
+    struct jh_duty *d, uint64_t now, const struct jh_duty_reply *reply)
+{
+	bool wrote = d->writing;
+
+	d->in_call = false;
+	d->writing = false;
+	d->next = now + (d->token != 0 ? d->spec.renew : d->spec.look);
+	switch (reply->result) {
+	case JH_STORE_OK:
+		see(d, now, reply);
+		if (wrote)
+			written(d, reply);
+		d->next = d->call_sent +
+		    (d->token != 0 ? d->spec.renew : d->spec.look);
+		break;
+	case JH_STORE_NOT_FOUND:
+		if (d->token != 0 || wrote || !d->seen)
+			d->seen = false;
+		see(d, now, &(struct jh_duty_reply){.version = 0});
+		d->token = 0;
+		break;
+	case JH_STORE_CONFLICT:
+		see(d, now, reply);
+		/*
+		 * An own write whose answer was lost is found here; it still
+		 * counts from when it was sent, which is not known any more, so
+		 * the tenure goes on only with the next renewal.
+		 */
+		if (!is_own(d, reply))
+			d->token = 0;
+		d->next = now;
+		if (d->token == 0)
+			d->next = now + d->spec.look;
+		break;
+	default:
+		/* Down, refused or without an answer. */
+		break;
+	}
+	if (d->token != 0 && now >= d->held_until + d->spec.takeover)
+		d->token = 0;
+}
+
+uint64_t
+jh_duty_token(const struct jh_duty *d, uint64_t now)
+{
+	return d->token != 0 && now < d->held_until ? d->token : 0;
+}
+
+void
+jh_duty_resign(struct jh_duty *d)
+{
+	d->resigned = true;
+}
--- /dev/null
+++ b/src/member/weights.c
@@ -0,0 +1,282 @@
+#include <math.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "member/weights.h"
+
+/* An accepted order is looked after this often. */
+#define LOOK_USEC (250 * JH_USEC_PER_MSEC)
+
+/* Pause after an order that was not accepted. */
+#define RETRY_USEC (300 * JH_USEC_PER_MSEC)
+
+/* An accepted order that shows no effect for this long is given again. */
+#define EFFECT_USEC (4 * JH_USEC_PER_SEC)
+
+enum task_state {
+	TASK_CALLING, /* an order or a look has no answer yet */
+	TASK_LOADING, /* the order was accepted */
+	TASK_WAITING /* try again later */
+};
+
+struct task {
+	enum task_state state;
+	enum task_state before; /* CALLING: the state under a look */
+	uint64_t version;
+	uint64_t since; /* of the accepted order */
+	uint64_t next; /* no action before */
+	bool look_first; /* the count of orders is in doubt */
+};
+
+struct newest {
+	uint64_t version;
+	uint64_t since;
+};
+
+struct jh_weights {
+	GHashTable *newest; /* model to struct newest */
+	GHashTable *tasks; /* worker id to struct task */
+};
+
+struct jh_weights *
+jh_weights_create(void)
+{
+	struct jh_weights *w = g_new0(struct jh_weights, 1);
+
+	w->newest =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->tasks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return w;
+}
+
+void
+jh_weights_destroy(struct jh_weights *w)
+{
+	if (w == NULL)
+		return;
+	g_hash_table_destroy(w->newest);
+	g_hash_table_destroy(w->tasks);
+	g_free(w);
+}
+
+bool
+jh_weights_set(struct jh_weights *w, uint64_t now, const char *model,
+    uint64_t version)
+{
+	struct newest *n = g_hash_table_lookup(w->newest, model);
+
+	if (n == NULL) {
+		n = g_new0(struct newest, 1);
+		g_hash_table_insert(w->newest, g_strdup(model), n);
+	}
+	if (version <= n->version)
+		return false;
+	n->version = version;
+	n->since = now;
+	return true;
+}
+
+uint64_t
+jh_weights_newest(
+    const struct jh_weights *w, const char *model, uint64_t *since)
+{
+	const struct newest *n =
+	    model != NULL ? g_hash_table_lookup(w->newest, model) : NULL;
+
+	if (since != NULL)
+		*since = n != NULL ? n->since : 0;
+	return n != NULL ? n->version : 0;
+}
+
+static bool
+is_old(const struct jh_weights *w, const struct jh_worker *worker)
+{
+	return !worker->leaving && worker->missing_since == 0 &&
+	    worker->weights != 0 &&
+	    worker->weights < jh_weights_newest(w, worker->model, NULL);
+}
+
+/* Tasks of workers that have arrived or gone are done. */
+static void
+prune(struct jh_weights *w, struct jh_fleet *f)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, w->tasks);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct task *t = value;
+		const struct jh_worker *worker = jh_fleet_find(f, key);
+		if (t->state == TASK_CALLING)
+			continue;
+		if (worker == NULL || !is_old(w, worker))
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static size_t
+count_workers(struct jh_fleet *f, const char *model)
+{
+	size_t n = 0, i;
+
+	for (i = 0; i < jh_fleet_count(f); i++)
+		if (g_strcmp0(jh_fleet_at(f, i)->model, model) == 0)
+			n++;
+	return n;
+}
+
+static size_t
+count_loading(struct jh_weights *w)
+{
+	GHashTableIter it;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, w->tasks);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct task *t = value;
+		if (t->state != TASK_WAITING)
+			n++;
+	}
+	return n;
+}
+
+static void
+act(struct task *t, struct jh_worker *worker, enum jh_weights_action_kind kind,
+    uint64_t version, struct jh_weights_action *out)
+{
+	t->before = t->state;
+	t->state = TASK_CALLING;
+	t->version = version;
+	out->kind = kind;
+	out->worker = worker;
+	out->version = version;
+	out->expected = worker->orders;
+}
+
+/* The next step of a task that exists. */
+static bool
+step(struct task *t, struct jh_worker *worker, uint64_t now, uint64_t version,
+    struct jh_weights_action *out)
+{
+	if (t->state == TASK_CALLING || now < t->next)
+		return false;
+	if (t->state == TASK_LOADING) {
+		if (now - t->since > EFFECT_USEC) {
+			t->state = TASK_WAITING;
+			t->look_first = true;
+		}
+		act(t, worker, JH_WEIGHTS_LOOK, t->version, out);
+		return true;
+	}
+	act(t, worker, t->look_first ? JH_WEIGHTS_LOOK : JH_WEIGHTS_ORDER,
+	    version, out);
+	return true;
+}
+
+bool
+jh_weights_next(struct jh_weights *w, struct jh_fleet *f, uint64_t now,
+    struct jh_weights_action *out)
+{
+	struct jh_worker *idlest = NULL;
+	struct task *t;
+	size_t i, most;
+
+	prune(w, f);
+	for (i = 0; i < jh_fleet_count(f); i++) {
+		struct jh_worker *worker = jh_fleet_at(f, i);
+		if (!is_old(w, worker))
+			continue;
+		t = g_hash_table_lookup(w->tasks, worker->id);
+		if (t != NULL) {
+			if (step(t, worker, now,
+				jh_weights_newest(w, worker->model, NULL), out))
+				return true;
+			continue;
+		}
+		if (now < worker->hold_until)
+			continue;
+		if (idlest == NULL || worker->running < idlest->running)
+			idlest = worker;
+	}
+	if (idlest == NULL)
+		return false;
+	most = (size_t)ceil(
+	    JH_WEIGHTS_SHARE * (double)count_workers(f, idlest->model));
+	if (count_loading(w) >= MAX(most, JH_WEIGHTS_LEAST))
+		return false;
+	t = g_new0(struct task, 1);
+	t->state = TASK_WAITING;
+	g_hash_table_insert(w->tasks, g_strdup(idlest->id), t);
+	act(t, idlest, JH_WEIGHTS_ORDER,
+	    jh_weights_newest(w, idlest->model, NULL), out);
+	return true;
+}
+
+void
+jh_weights_ordered(struct jh_weights *w, uint64_t now, const char *worker,
+    enum jh_weights_result result)
+{
+	struct task *t = g_hash_table_lookup(w->tasks, worker);
+
+	if (t == NULL)
+		return;
+	t->look_first = false;
+	t->state = TASK_WAITING;
+	t->next = now + RETRY_USEC;
+	switch (result) {
+	case JH_WEIGHTS_ACCEPTED:
+		t->state = TASK_LOADING;
+		t->since = now;
+		t->next = now + LOOK_USEC;
+		break;
+	case JH_WEIGHTS_HOLDS:
+		break;
+	case JH_WEIGHTS_BUSY:
+	case JH_WEIGHTS_REFUSED:
+	case JH_WEIGHTS_NO_ANSWER:
+		t->look_first = true;
+		break;
+	}
+}
+
+void
+jh_weights_looked(struct jh_weights *w, uint64_t now, const char *worker,
+    bool answered, bool busy)
+{
+	struct task *t = g_hash_table_lookup(w->tasks, worker);
+
+	if (t == NULL)
+		return;
+	t->state = t->before;
+	t->next = now + LOOK_USEC;
+	if (!answered)
+		return;
+	if (busy) {
+		/* An order whose answer was lost, or a former holder's. */
+		if (t->state != TASK_LOADING) {
+			t->state = TASK_LOADING;
+			t->since = now;
+		}
+		return;
+	}
+	t->look_first = false;
+	if (t->state == TASK_WAITING)
+		t->next = now;
+}
+
+void
+jh_weights_reset(struct jh_weights *w)
+{
+	g_hash_table_remove_all(w->tasks);
+}
+
+bool
+jh_weights_under_way(const struct jh_weights *w, const char *worker)
+{
+	return g_hash_table_contains(w->tasks, worker);
+}
--- /dev/null
+++ b/src/net/conn.c
@@ -0,0 +1,267 @@
+#include <string.h>
+
+#include <glib.h>
+#include <netinet/tcp.h>
+
+#include "net/conn.h"
+
+/* Enough for most messages in one read. */
+#define READ_BUFFER_LEN 65536
+
+/* How long a closing connection waits for its peer to close. */
+#define LINGER_MSEC 1000
+
+struct jh_conn {
+	uv_tcp_t tcp;
+	uv_timer_t linger;
+	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	const struct jh_conn_ops *ops; /* NULL once the owner let go */
+	void *arg;
+	unsigned int unacked_msec;
+	unsigned int handles; /* not yet closed */
+	bool reading;
+	bool closing;
+	bool lingering;
+};
+
+struct write {
+	uv_write_t req;
+	struct jh_conn *conn;
+	char data[];
+};
+
+/* All connections of a process run on one loop and read one after another. */
+static char read_buffer[READ_BUFFER_LEN];
+
+static void
+on_closed(uv_handle_t *h)
+{
+	struct jh_conn *c = h->data;
+
+	if (--c->handles == 0)
+		g_free(c);
+}
+
+static void
+close_handles(struct jh_conn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	uv_close((uv_handle_t *)&c->tcp, on_closed);
+	uv_close((uv_handle_t *)&c->linger, on_closed);
+}
+
+static void
+give_buffer(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+	struct jh_conn *c = s->data;
+
+	if (n == 0)
+		return;
+	if (c->lingering) {
+		if (n < 0)
+			close_handles(c);
+		return;
+	}
+	if (c->ops == NULL)
+		return;
+	if (n > 0) {
+		c->ops->data(c->arg, buf->base, (size_t)n);
+		return;
+	}
+	jh_conn_pause(c);
+	c->ops->ended(c->arg, n == UV_EOF ? 0 : (int)n);
+}
+
+void
+jh_conn_pause(struct jh_conn *c)
+{
+	if (c->reading && !c->closing)
+		uv_read_stop((uv_stream_t *)&c->tcp);
+	c->reading = false;
+}
+
+void
+jh_conn_resume(struct jh_conn *c)
+{
+	if (c->reading || c->closing)
+		return;
+	c->reading =
+	    uv_read_start((uv_stream_t *)&c->tcp, give_buffer, on_read) == 0;
+}
+
+static struct jh_conn *
+create(uv_loop_t *loop, unsigned int unacked_msec,
+    const struct jh_conn_ops *ops, void *arg)
+{
+	struct jh_conn *c = g_new0(struct jh_conn, 1);
+
+	uv_tcp_init(loop, &c->tcp);
+	uv_timer_init(loop, &c->linger);
+	c->tcp.data = c;
+	c->linger.data = c;
+	c->unacked_msec = unacked_msec;
+	c->handles = 2;
+	c->ops = ops;
+	c->arg = arg;
+	return c;
+}
+
+static void
+set_options(struct jh_conn *c)
+{
+	unsigned int timeout = c->unacked_msec;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&c->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+		    sizeof(timeout));
+}
+
+static void
+on_connect(uv_connect_t *req, int status)
+{
+	struct jh_conn *c = req->data;
+
+	if (c->ops == NULL || c->closing)
+		return;
+	if (status != 0) {
+		c->ops->ended(c->arg, status);
+		return;
+	}
+	set_options(c);
+	jh_conn_resume(c);
+	c->ops->opened(c->arg);
+}
+
+struct jh_conn *
+jh_conn_connect(uv_loop_t *loop, const struct sockaddr_in *peer,
+    unsigned int unacked_msec, const struct jh_conn_ops *ops, void *arg)
+{
+	struct jh_conn *c = create(loop, unacked_msec, ops, arg);
+
+	c->connect.data = c;
+	if (uv_tcp_connect(&c->connect, &c->tcp, (const struct sockaddr *)peer,
+		on_connect) != 0) {
+		close_handles(c);
+		return NULL;
+	}
+	return c;
+}
+
+struct jh_conn *
+jh_conn_accept(uv_stream_t *listener, unsigned int unacked_msec,
+    const struct jh_conn_ops *ops, void *arg)
+{
+	struct jh_conn *c = create(listener->loop, unacked_msec, ops, arg);
+
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+		close_handles(c);
+		return NULL;
+	}
+	set_options(c);
+	jh_conn_resume(c);
+	return c;
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+	struct write *w = (struct write *)req;
+	struct jh_conn *c = w->conn;
+
+	g_free(w);
+	if (status != 0 || c->ops == NULL || c->closing)
+		return; /* the read side reports the end */
+	if (jh_conn_queued(c) == 0)
+		c->ops->drained(c->arg);
+}
+
+void
+jh_conn_write(struct jh_conn *c, const void *data, size_t n)
+{
+	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)data, (unsigned int)n);
+	struct write *w;
+	int done = 0;
+
+	if (c->closing || n == 0)
+		return;
+	if (jh_conn_queued(c) == 0) {
+		done = uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
+		if (done < 0)
+			done = 0; /* an error shows on the read side */
+		if ((size_t)done == n)
+			return;
+	}
+	n -= (size_t)done;
+	w = g_malloc(sizeof(*w) + n);
+	w->conn = c;
+	memcpy(w->data, (const char *)data + done, n);
+	buf = uv_buf_init(w->data, (unsigned int)n);
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written) != 0)
+		g_free(w);
+}
+
+size_t
+jh_conn_queued(const struct jh_conn *c)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+}
+
+void
+jh_conn_close(struct jh_conn *c)
+{
+	c->ops = NULL;
+	close_handles(c);
+}
+
+static void
+on_linger_timeout(uv_timer_t *t)
+{
+	close_handles(t->data);
+}
+
+static void
+on_shutdown(uv_shutdown_t *req, int status)
+{
+	if (status != 0)
+		close_handles(req->data);
+}
+
+void
+jh_conn_linger(struct jh_conn *c)
+{
+	c->ops = NULL;
+	if (c->closing)
+		return;
+	c->lingering = true;
+	c->shutdown.data = c;
+	uv_timer_start(&c->linger, on_linger_timeout, LINGER_MSEC, 0);
+	if (uv_shutdown(
+		&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
+		close_handles(c);
+		return;
+	}
+	jh_conn_resume(c);
+}
+
+void
+jh_conn_reset(struct jh_conn *c)
+{
+	c->ops = NULL;
+	if (c->closing)
+		return;
+	c->closing = true;
+	if (uv_tcp_close_reset(&c->tcp, on_closed) != 0)
+		uv_close((uv_handle_t *)&c->tcp, on_closed);
+	uv_close((uv_handle_t *)&c->linger, on_closed);
+}
--- /dev/null
+++ b/src/net/parse.c
@@ -0,0 +1,210 @@
+#include <glib.h>
+#include <http_parser.h>
+
+#include "net/parse.h"
+
+struct jh_parse {
+	http_parser parser;
+	http_parser_settings settings;
+	const struct jh_parse_ops *ops;
+	void *arg;
+	struct jh_head *head;
+	GString *kept;
+	size_t head_limit;
+	bool in_value; /* the last header piece was of a value */
+	bool head_done; /* what follows are body and trailers */
+	bool in_message;
+	bool paused;
+	bool too_large;
+};
+
+static int
+check_size(struct jh_parse *p)
+{
+	if (jh_head_size(p->head) <= p->head_limit)
+		return 0;
+	p->too_large = true;
+	return -1;
+}
+
+static int
+on_begin(http_parser *hp)
+{
+	struct jh_parse *p = hp->data;
+
+	jh_head_clear(p->head);
+	p->in_value = true;
+	p->head_done = false;
+	p->in_message = true;
+	return 0;
+}
+
+static int
+on_url(http_parser *hp, const char *at, size_t n)
+{
+	struct jh_parse *p = hp->data;
+
+	jh_head_add_target(p->head, at, n);
+	return check_size(p);
+}
+
+static int
+on_name(http_parser *hp, const char *at, size_t n)
+{
+	struct jh_parse *p = hp->data;
+
+	if (p->head_done)
+		return 0; /* trailers are not passed on */
+	if (p->in_value)
+		jh_head_begin_field(p->head);
+	p->in_value = false;
+	jh_head_add_name(p->head, at, n);
+	return check_size(p);
+}
+
+static int
+on_value(http_parser *hp, const char *at, size_t n)
+{
+	struct jh_parse *p = hp->data;
+
+	if (p->head_done)
+		return 0;
+	p->in_value = true;
+	jh_head_add_value(p->head, at, n);
+	return check_size(p);
+}
+
+static int
+on_head(http_parser *hp)
+{
+	struct jh_parse *p = hp->data;
+
+	p->head_done = true;
+	hp->upgrade = 0; /* no protocol but HTTP is served */
+	if (hp->type == HTTP_REQUEST)
+		p->head->method = http_method_str((enum http_method)hp->method);
+	else
+		p->head->status = hp->status_code;
+	p->head->keep_alive = http_should_keep_alive(hp) != 0;
+	p->ops->head(p->arg, p->head);
+	return 0;
+}
+
+static int
+on_body(http_parser *hp, const char *at, size_t n)
+{
+	struct jh_parse *p = hp->data;
+
+	p->ops->body(p->arg, at, n);
+	return 0;
+}
+
+static int
+on_complete(http_parser *hp)
+{
+	struct jh_parse *p = hp->data;
+
+	p->in_message = false;
+	p->paused = true;
+	http_parser_pause(hp, 1);
+	p->ops->complete(p->arg);
+	return 0;
+}
+
+struct jh_parse *
+jh_parse_create(enum jh_parse_side side, size_t head_limit,
+    const struct jh_parse_ops *ops, void *arg)
+{
+	struct jh_parse *p = g_new0(struct jh_parse, 1);
+
+	http_parser_init(&p->parser,
+	    side == JH_PARSE_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
+	p->parser.data = p;
+	http_parser_settings_init(&p->settings);
+	p->settings.on_message_begin = on_begin;
+	p->settings.on_url = on_url;
+	p->settings.on_header_field = on_name;
+	p->settings.on_header_value = on_value;
+	p->settings.on_headers_complete = on_head;
+	p->settings.on_body = on_body;
+	p->settings.on_message_complete = on_complete;
+	p->ops = ops;
+	p->arg = arg;
+	p->head = jh_head_create();
+	p->kept = g_string_new(NULL);
+	p->head_limit = head_limit;
+	return p;
+}
+
+void
+jh_parse_destroy(struct jh_parse *p)
+{
+	if (p == NULL)
+		return;
+	jh_head_destroy(p->head);
+	g_string_free(p->kept, TRUE);
+	g_free(p);
+}
+
+enum jh_parse_result
+jh_parse_feed(struct jh_parse *p, const char *data, size_t n)
+{
+	size_t used;
+
+	if (p->paused) {
+		g_string_append_len(p->kept, data, (gssize)n);
+		return JH_PARSE_PAUSED;
+	}
+	used = http_parser_execute(&p->parser, &p->settings, data, n);
+	if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED) {
+		/* The byte that ended the message is not counted as used
+		 * when the callback pauses on it. */
+		http_parser_pause(&p->parser, 0);
+		if (used < n)
+			g_string_append_len(
+			    p->kept, data + used, (gssize)(n - used));
+		return JH_PARSE_PAUSED;
+	}
+	if (p->too_large)
+		return JH_PARSE_TOO_LARGE;
+	if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK || used != n)
+		return JH_PARSE_BAD;
+	return JH_PARSE_OK;
+}
+
+enum jh_parse_result
+jh_parse_resume(struct jh_parse *p)
+{
+	enum jh_parse_result r;
+	GString *kept;
+
+	if (!p->paused)
+		return JH_PARSE_OK;
+	p->paused = false;
+	if (p->kept->len == 0)
+		return JH_PARSE_OK;
+	kept = p->kept;
+	p->kept = g_string_new(NULL);
+	r = jh_parse_feed(p, kept->str, kept->len);
+	g_string_free(kept, TRUE);
+	return r;
+}
+
+void
+jh_parse_eof(struct jh_parse *p)
+{
+	if (!p->paused)
+		http_parser_execute(&p->parser, &p->settings, NULL, 0);
+}
+
+bool
+jh_parse_in_message(const struct jh_parse *p)
+{
+	return p->in_message;
+}
+
+size_t
+jh_parse_kept(const struct jh_parse *p)
+{
+	return p->kept->len;
+}
--- /dev/null
+++ b/src/route/attempt.c
@@ -0,0 +1,51 @@
+#include <string.h>
+
+#include "route/attempt.h"
+
+void
+jh_attempts_init(struct jh_attempts *a, bool repeatable, unsigned int most,
+    uint64_t deadline)
+{
+	memset(a, 0, sizeof(*a));
+	a->repeatable = repeatable;
+	a->most = most > 0 ? most : 1;
+	a->deadline = deadline;
+}
+
+void
+jh_attempts_sent(struct jh_attempts *a)
+{
+	a->sent++;
+}
+
+enum jh_attempt_next
+jh_attempts_give_up(const struct jh_attempts *a)
+{
+	return a->may_have_run ? JH_NEXT_FAIL : JH_NEXT_REFUSE;
+}
+
+enum jh_attempt_next
+jh_attempts_ended(
+    struct jh_attempts *a, uint64_t now, enum jh_attempt_result result)
+{
+	bool in_time = now + JH_ATTEMPT_LEAST_USEC < a->deadline;
+
+	switch (result) {
+	case JH_ATTEMPT_ANSWERED:
+		a->may_have_run = true;
+		return JH_NEXT_PASS;
+	case JH_ATTEMPT_NOT_SENT:
+	case JH_ATTEMPT_DECLINED:
+		a->declined++;
+		if (in_time && a->declined <= JH_ATTEMPTS_MOST_DECLINED)
+			return JH_NEXT_RETRY;
+		return jh_attempts_give_up(a);
+	case JH_ATTEMPT_BROKEN:
+	case JH_ATTEMPT_FAILED:
+		a->may_have_run = true;
+		if (a->repeatable && in_time && a->sent - a->declined < a->most)
+			return JH_NEXT_RETRY;
+		break;
+	}
+	return result == JH_ATTEMPT_FAILED ? JH_NEXT_PASS : JH_NEXT_FAIL;
+}
--- /dev/null
+++ b/src/route/fleet.c
@@ -0,0 +1,196 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "route/fleet.h"
+
+/* The list trails what workers say themselves by up to this time. */
+#define LIST_LAG_USEC 2500000ULL
+
+/* Weight of one outcome in the moving failure rate. */
+#define FAIL_RATE_WEIGHT 0.08
+
+struct jh_fleet {
+	GHashTable *by_id;
+	GPtrArray *sorted; /* by id */
+};
+
+static void
+free_worker(void *p)
+{
+	struct jh_worker *w = p;
+
+	g_free(w->id);
+	g_free(w->service);
+	g_free(w->zone);
+	g_free(w->model);
+	g_free(w);
+}
+
+struct jh_fleet *
+jh_fleet_create(void)
+{
+	struct jh_fleet *f = g_new0(struct jh_fleet, 1);
+
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	f->sorted = g_ptr_array_new_with_free_func(free_worker);
+	return f;
+}
+
+void
+jh_fleet_destroy(struct jh_fleet *f)
+{
+	if (f == NULL)
+		return;
+	g_hash_table_destroy(f->by_id);
+	g_ptr_array_free(f->sorted, TRUE);
+	g_free(f);
+}
+
+static int
+compare(const void *a, const void *b)
+{
+	const struct jh_worker *x = *(struct jh_worker *const *)a;
+	const struct jh_worker *y = *(struct jh_worker *const *)b;
+
+	return strcmp(x->id, y->id);
+}
+
+static void
+set_text(char **at, const char *value)
+{
+	if (g_strcmp0(*at, value) == 0)
+		return;
+	g_free(*at);
+	*at = g_strdup(value);
+}
+
+/* A new start of the process behind the same id: nothing of before holds. */
+static void
+restart(struct jh_worker *w)
+{
+	w->weights = 0;
+	w->weights_known = 0;
+	w->orders = 0;
+	w->hold_until = 0;
+	w->changing_until = 0;
+	w->failures = 0;
+	w->fail_rate = 0;
+	w->delay = 0;
+	w->leaving = false;
+}
+
+struct jh_worker *
+jh_fleet_list(struct jh_fleet *f, uint64_t now, const struct jh_listing *l)
+{
+	struct jh_worker *w = g_hash_table_lookup(f->by_id, l->id);
+
+	if (w == NULL) {
+		w = g_new0(struct jh_worker, 1);
+		w->id = g_strdup(l->id);
+		w->hash = XXH3_64bits(l->id, strlen(l->id));
+		g_hash_table_insert(f->by_id, w->id, w);
+		g_ptr_array_add(f->sorted, w);
+		g_ptr_array_sort(f->sorted, compare);
+	} else if (l->born != w->born && w->born != 0) {
+		restart(w);
+	}
+	w->born = l->born;
+	w->missing_since = 0;
+	w->address = l->address;
+	w->slots = l->slots;
+	w->leaving = l->leaving;
+	set_text(&w->service, l->service);
+	set_text(&w->zone, l->zone);
+	set_text(&w->model, l->model);
+	if (l->weights >= w->weights ||
+	    now - w->weights_known > LIST_LAG_USEC) {
+		if (l->weights != w->weights)
+			w->changing_until = 0;
+		w->weights = l->weights;
+		w->weights_known = now;
+	}
+	if (l->orders > w->orders)
+		w->orders = l->orders;
+	return w;
+}
+
+void
+jh_fleet_drop(struct jh_fleet *f, const char *id)
+{
+	struct jh_worker *w = g_hash_table_lookup(f->by_id, id);
+
+	if (w == NULL)
+		return;
+	g_hash_table_remove(f->by_id, id);
+	g_ptr_array_remove(f->sorted, w);
+	g_ptr_array_sort(f->sorted, compare);
+}
+
+void
+jh_fleet_miss(struct jh_fleet *f, uint64_t now, const char *id)
+{
+	struct jh_worker *w = g_hash_table_lookup(f->by_id, id);
+
+	if (w != NULL && w->missing_since == 0)
+		w->missing_since = now;
+}
+
+void
+jh_fleet_expire(struct jh_fleet *f, uint64_t now, uint64_t grace)
+{
+	guint i;
+
+	for (i = f->sorted->len; i > 0; i--) {
+		struct jh_worker *w = g_ptr_array_index(f->sorted, i - 1);
+		if (w->missing_since != 0 && now - w->missing_since >= grace)
+			jh_fleet_drop(f, w->id);
+	}
+}
+
+struct jh_worker *
+jh_fleet_find(struct jh_fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->by_id, id);
+}
+
+size_t
+jh_fleet_count(const struct jh_fleet *f)
+{
+	return f->sorted->len;
+}
+
+struct jh_worker *
+jh_fleet_at(struct jh_fleet *f, size_t i)
+{
+	return g_ptr_array_index(f->sorted, i);
+}
+
+void
+jh_fleet_saw_weights(struct jh_worker *w, uint64_t now, uint64_t weights)
+{
+	if (weights != w->weights)
+		w->changing_until = 0;
+	w->weights = weights;
+	w->weights_known = now;
+}
+
+void
+jh_fleet_failed(struct jh_worker *w, uint64_t now)
+{
+	uint64_t hold = JH_FLEET_HOLD_USEC;
+	unsigned int i;
+
+	for (i = 0; i < w->failures && hold < JH_FLEET_HOLD_MAX_USEC; i++)
+		hold *= 2;
+	w->failures++;
+	w->hold_until = now + MIN(hold, JH_FLEET_HOLD_MAX_USEC);
+	w->fail_rate += FAIL_RATE_WEIGHT * (1 - w->fail_rate);
+}
+
+void
+jh_fleet_answered(struct jh_worker *w, bool failed)
+{
+	w->failures = 0;
+	w->fail_rate += FAIL_RATE_WEIGHT * ((failed ? 1 : 0) - w->fail_rate);
+}
--- /dev/null
+++ b/src/route/table.c
@@ -0,0 +1,257 @@
+#include <string.h>
+
+#include "route/table.h"
+
+struct jh_table {
+	unsigned int refs;
+	uint64_t version;
+	GPtrArray *routes; /* struct jh_route */
+	GHashTable *services; /* by name */
+	GPtrArray *tenants;
+	GHashTable *keys; /* to struct jh_tenant */
+	struct jh_table_limits limits;
+};
+
+static void
+free_route(void *p)
+{
+	struct jh_route *r = p;
+	guint i;
+
+	for (i = 0; i < r->shares->len; i++)
+		g_free(g_array_index(r->shares, struct jh_route_share, i).service);
+	g_array_free(r->shares, TRUE);
+	g_free(r->name);
+	g_free(r->host);
+	g_free(r->prefix);
+	g_free(r);
+}
+
+static void
+free_service(void *p)
+{
+	struct jh_service *s = p;
+
+	g_free(s->name);
+	g_free(s->zone);
+	g_free(s);
+}
+
+static void
+free_tenant(void *p)
+{
+	struct jh_tenant *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+struct jh_table *
+jh_table_create(uint64_t version)
+{
+	struct jh_table *t = g_new0(struct jh_table, 1);
+
+	t->refs = 1;
+	t->version = version;
+	t->routes = g_ptr_array_new_with_free_func(free_route);
+	t->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, free_service);
+	t->tenants = g_ptr_array_new_with_free_func(free_tenant);
+	t->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return t;
+}
+
+struct jh_table *
+jh_table_ref(struct jh_table *t)
+{
+	t->refs++;
+	return t;
+}
+
+void
+jh_table_unref(struct jh_table *t)
+{
+	if (t == NULL || --t->refs > 0)
+		return;
+	g_ptr_array_free(t->routes, TRUE);
+	g_hash_table_destroy(t->services);
+	g_hash_table_destroy(t->keys);
+	g_ptr_array_free(t->tenants, TRUE);
+	g_free(t);
+}
+
+uint64_t
+jh_table_version(const struct jh_table *t)
+{
+	return t->version;
+}
+
+struct jh_table_limits *
+jh_table_limits(struct jh_table *t)
+{
+	return &t->limits;
+}
+
+struct jh_route *
+jh_table_add_route(struct jh_table *t)
+{
+	struct jh_route *r = g_new0(struct jh_route, 1);
+
+	r->shares = g_array_new(FALSE, TRUE, sizeof(struct jh_route_share));
+	g_ptr_array_add(t->routes, r);
+	return r;
+}
+
+struct jh_service *
+jh_table_add_service(struct jh_table *t, const char *name)
+{
+	struct jh_service *s = g_new0(struct jh_service, 1);
+
+	s->name = g_strdup(name);
+	g_hash_table_replace(t->services, s->name, s);
+	return s;
+}
+
+struct jh_tenant *
+jh_table_add_tenant(struct jh_table *t, const char *name)
+{
+	struct jh_tenant *n = g_new0(struct jh_tenant, 1);
+
+	n->name = g_strdup(name);
+	g_ptr_array_add(t->tenants, n);
+	return n;
+}
+
+void
+jh_table_add_key(struct jh_table *t, const char *key, struct jh_tenant *tenant)
+{
+	g_hash_table_replace(t->keys, g_strdup(key), tenant);
+}
+
+void
+jh_route_add_share(
+    struct jh_route *r, const char *service, unsigned int weight)
+{
+	struct jh_route_share s = {g_strdup(service), weight};
+
+	g_array_append_val(r->shares, s);
+}
+
+size_t
+jh_table_routes(const struct jh_table *t)
+{
+	return t->routes->len;
+}
+
+bool
+jh_table_has_tenants(const struct jh_table *t)
+{
+	return t->tenants->len > 0;
+}
+
+static struct jh_str
+without_port(struct jh_str host)
+{
+	const char *colon = memchr(host.ptr, ':', host.len);
+
+	if (colon != NULL)
+		host.len = (size_t)(colon - host.ptr);
+	return host;
+}
+
+const struct jh_route *
+jh_table_find_route(
+    const struct jh_table *t, struct jh_str host, struct jh_str path)
+{
+	const struct jh_route *best = NULL;
+	size_t best_len = 0;
+	guint i;
+
+	if (host.ptr == NULL)
+		return NULL;
+	host = without_port(host);
+	for (i = 0; i < t->routes->len; i++) {
+		const struct jh_route *r = g_ptr_array_index(t->routes, i);
+		size_t n = strlen(r->prefix);
+		if (n <= best_len || n > path.len)
+			continue;
+		if (memcmp(r->prefix, path.ptr, n) != 0)
+			continue;
+		if (strlen(r->host) != host.len ||
+		    g_ascii_strncasecmp(r->host, host.ptr, host.len) != 0)
+			continue;
+		best = r;
+		best_len = n;
+	}
+	return best;
+}
+
+const struct jh_tenant *
+jh_table_find_key(const struct jh_table *t, struct jh_str key)
+{
+	const struct jh_tenant *n;
+	char *copy;
+
+	if (key.ptr == NULL)
+		return NULL;
+	copy = jh_str_dup(key);
+	n = g_hash_table_lookup(t->keys, copy);
+	g_free(copy);
+	return n;
+}
+
+const struct jh_service *
+jh_table_find_service(const struct jh_table *t, const char *name)
+{
+	return g_hash_table_lookup(t->services, name);
+}
+
+const struct jh_service *
+jh_table_cache_store(const struct jh_table *t)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, t->services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct jh_service *s = value;
+		if (s->is_cache_store)
+			return s;
+	}
+	return NULL;
+}
+
+const char *
+jh_route_pick_service(const struct jh_route *r, uint64_t hash)
+{
+	uint64_t total = 0, at;
+	guint i;
+
+	for (i = 0; i < r->shares->len; i++)
+		total += g_array_index(r->shares, struct jh_route_share, i).weight;
+	if (total == 0)
+		return NULL;
+	at = hash % total;
+	for (i = 0; i < r->shares->len; i++) {
+		const struct jh_route_share *s =
+		    &g_array_index(r->shares, struct jh_route_share, i);
+		if (at < s->weight)
+			return s->service;
+		at -= s->weight;
+	}
+	return NULL;
+}
+
+bool
+jh_route_repeatable(const struct jh_route *r)
+{
+	switch (r->kind) {
+	case JH_ROUTE_IDEMPOTENT:
+		return true;
+	case JH_ROUTE_NON_IDEMPOTENT:
+		return false;
+	case JH_ROUTE_STREAM:
+		return r->resumable;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/route/table.h
@@ -0,0 +1,105 @@
+#ifndef ROUTE_TABLE_H
+#define ROUTE_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <netinet/in.h>
+
+#include <jacinthhill/str.h>
+
+/*
+ * One version of the routing configuration. Read only once it is in force;
+ * reference counted, because requests outlive the version they began under.
+ */
+struct jh_table;
+
+enum jh_route_kind {
+	JH_ROUTE_IDEMPOTENT, /* may run more than once */
+	JH_ROUTE_NON_IDEMPOTENT, /* runs once at most */
+	JH_ROUTE_STREAM /* events; runs once at most unless resumable */
+};
+
+struct jh_route_share {
+	char *service;
+	unsigned int weight;
+};
+
+struct jh_route {
+	char *name;
+	char *host;
+	char *prefix; /* of the path; begins and ends with a slash */
+	enum jh_route_kind kind;
+	uint64_t timeout; /* microseconds from arrival to the last byte */
+	uint64_t target; /* microseconds to the answer or the first event */
+	uint64_t gap; /* longest pause between events, microseconds */
+	unsigned int rank; /* 0 is the most urgent */
+	unsigned int attempts; /* workers that one request may be sent to */
+	bool anonymous; /* needs no key */
+	bool cached; /* requests share parts of prompts */
+	bool resumable; /* a stream may go on at another worker */
+	GArray *shares; /* struct jh_route_share */
+};
+
+struct jh_service {
+	char *name;
+	unsigned int connection_limit; /* of one worker, from all callers */
+	bool is_engine;
+	unsigned int slots; /* engines: requests in one batch */
+	uint64_t cache_tokens; /* engines: memory of one worker */
+	bool is_cache_store;
+	struct sockaddr_in cache_store; /* where is_cache_store */
+	char *zone; /* of the cache store */
+};
+
+struct jh_tenant {
+	char *name;
+	bool has_rank;
+	unsigned int rank; /* replaces the route's */
+	bool isolated; /* shares no cached part with other tenants */
+};
+
+struct jh_table_limits {
+	uint64_t head_bytes;
+	uint64_t body_bytes;
+	uint64_t head_usec;
+	uint64_t idle_usec;
+};
+
+struct jh_table *jh_table_create(uint64_t version);
+struct jh_table *jh_table_ref(struct jh_table *t);
+void jh_table_unref(struct jh_table *t);
+
+uint64_t jh_table_version(const struct jh_table *t);
+struct jh_table_limits *jh_table_limits(struct jh_table *t);
+
+/* Each takes a new, zeroed element that the caller fills in. */
+struct jh_route *jh_table_add_route(struct jh_table *t);
+struct jh_service *jh_table_add_service(struct jh_table *t, const char *name);
+struct jh_tenant *jh_table_add_tenant(struct jh_table *t, const char *name);
+void jh_table_add_key(
+    struct jh_table *t, const char *key, struct jh_tenant *tenant);
+void jh_route_add_share(
+    struct jh_route *r, const char *service, unsigned int weight);
+
+size_t jh_table_routes(const struct jh_table *t);
+/* Whether requests need a key unless their route is anonymous. */
+bool jh_table_has_tenants(const struct jh_table *t);
+/* The route of the longest prefix that begins the path, or NULL. */
+const struct jh_route *jh_table_find_route(
+    const struct jh_table *t, struct jh_str host, struct jh_str path);
+const struct jh_tenant *jh_table_find_key(
+    const struct jh_table *t, struct jh_str key);
+const struct jh_service *jh_table_find_service(
+    const struct jh_table *t, const char *name);
+/* The first service that stores cached parts, or NULL. */
+const struct jh_service *jh_table_cache_store(const struct jh_table *t);
+
+/* The service that a request with this hash goes to, or NULL. */
+const char *jh_route_pick_service(const struct jh_route *r, uint64_t hash);
+/* Whether a request of the route may run more than once. */
+bool jh_route_repeatable(const struct jh_route *r);
+
+#endif
--- /dev/null
+++ b/src/stream/events.c
@@ -0,0 +1,122 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "stream/events.h"
+
+struct jh_events {
+	GString *partial;
+};
+
+struct jh_events *
+jh_events_create(void)
+{
+	struct jh_events *e = g_new0(struct jh_events, 1);
+
+	e->partial = g_string_new(NULL);
+	return e;
+}
+
+void
+jh_events_destroy(struct jh_events *e)
+{
+	if (e == NULL)
+		return;
+	g_string_free(e->partial, TRUE);
+	g_free(e);
+}
+
+struct jh_str
+jh_event_field(const struct jh_event_block *block, const char *name)
+{
+	struct jh_str rest = block->bytes;
+	size_t len = strlen(name);
+
+	while (rest.len > 0) {
+		const char *nl = memchr(rest.ptr, '\n', rest.len);
+		size_t n = nl != NULL ? (size_t)(nl - rest.ptr) : rest.len;
+		struct jh_str line = {rest.ptr, n};
+		rest.ptr += MIN(n + 1, rest.len);
+		rest.len -= MIN(n + 1, rest.len);
+		if (line.len > 0 && line.ptr[line.len - 1] == '\r')
+			line.len--;
+		if (line.len <= len || line.ptr[len] != ':' ||
+		    memcmp(line.ptr, name, len) != 0)
+			continue;
+		line.ptr += len + 1;
+		line.len -= len + 1;
+		while (line.len > 0 && line.ptr[0] == ' ') {
+			line.ptr++;
+			line.len--;
+		}
+		return line;
+	}
+	return (struct jh_str){NULL, 0};
+}
+
+/* Length of the first whole event in the text, or 0. */
+static size_t
+event_len(const GString *text, size_t at)
+{
+	const char *p = text->str + at, *end = text->str + text->len;
+	const char *nl;
+
+	for (nl = memchr(p, '\n', (size_t)(end - p)); nl != NULL;
+	     nl = memchr(nl + 1, '\n', (size_t)(end - nl - 1))) {
+		const char *next = nl + 1;
+		if (next < end && *next == '\r')
+			next++;
+		if (next < end && *next == '\n')
+			return (size_t)(next + 1 - p);
+	}
+	return 0;
+}
+
+static bool
+read_id(struct jh_event_block *b)
+{
+	struct jh_str id = jh_event_field(b, "id");
+	char digits[20];
+	char *end;
+
+	b->has_id = id.ptr != NULL;
+	if (!b->has_id)
+		return true;
+	if (id.len == 0 || id.len >= sizeof(digits))
+		return false;
+	memcpy(digits, id.ptr, id.len);
+	digits[id.len] = '\0';
+	b->id = g_ascii_strtoull(digits, &end, 10);
+	return *end == '\0';
+}
+
+bool
+jh_events_feed(struct jh_events *e, struct jh_str bytes,
+    void (*fn)(void *arg, const struct jh_event_block *block), void *arg)
+{
+	size_t at = 0, n;
+	bool ok = true;
+
+	g_string_append_len(e->partial, bytes.ptr, (gssize)bytes.len);
+	while (ok && (n = event_len(e->partial, at)) > 0) {
+		struct jh_event_block b = {{e->partial->str + at, n}, false, 0};
+		ok = read_id(&b);
+		if (ok)
+			fn(arg, &b);
+		at += n;
+	}
+	g_string_erase(e->partial, 0, (gssize)at);
+	return ok && e->partial->len <= JH_EVENTS_MAX_LEN;
+}
+
+void
+jh_events_restart(struct jh_events *e)
+{
+	g_string_truncate(e->partial, 0);
+}
+
+bool
+jh_events_partial(const struct jh_events *e)
+{
+	return e->partial->len > 0;
+}
