--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -119,7 +119,6 @@
 	    .shared_tokens = x->shared_tokens,
 	    .own_tokens = x->own_tokens,
 	    .answer_tokens = x->ask.answer_tokens,
-	    .peers = x->gw->processes,
 	    .n_excluded = x->n_excluded,
 	};
 	char *model = jh_str_dup(x->ask.model);
--- /dev/null
+++ b/src/gateway/gossip.c
@@ -0,0 +1,303 @@
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include <jacinthhill/clock.h>
+
+#include "gateway/gossip.h"
+
+/* A round of messages; a worker's queue turns over in about this time. */
+#define ROUND_MSEC 200
+
+/* Layout: magic, sender's key id, number, count, rows, MAC; little-endian. */
+#define MAGIC 0x4a484731U /* "JHG1" */
+#define HEAD_LEN 22
+#define ROW_LEN 22
+#define MAC_LEN 16
+
+/* Rows in one datagram: it stays below a usual path MTU of 1,500 bytes. */
+#define MAX_ROWS 64
+#define MAX_LEN (HEAD_LEN + MAX_ROWS * ROW_LEN + MAC_LEN)
+
+/* Token counts are sent in units of this many. */
+#define TOKEN_UNIT 16
+
+struct peer {
+	struct sockaddr_in address;
+	unsigned char key[JH_GOSSIP_KEY_LEN];
+	uint64_t id; /* of the key */
+};
+
+struct jh_gossip {
+	struct jh_gossip_spec spec;
+	uv_udp_t udp;
+	uv_timer_t round;
+	unsigned char key[JH_GOSSIP_KEY_LEN];
+	uint64_t id;
+	uint64_t number;
+	GHashTable *peers; /* name to struct peer */
+	struct jh_peers *heard;
+	unsigned int handles;
+	char buffer[2048];
+};
+
+static uint64_t
+key_id(const unsigned char key[JH_GOSSIP_KEY_LEN])
+{
+	uint64_t id;
+
+	crypto_generichash((unsigned char *)&id, sizeof(id), key,
+	    JH_GOSSIP_KEY_LEN, NULL, 0);
+	return id;
+}
+
+static void
+put(unsigned char **at, uint64_t value, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		*(*at)++ = (unsigned char)(value >> (8 * i));
+}
+
+static uint64_t
+take(const unsigned char **at, size_t n)
+{
+	uint64_t value = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		value |= (uint64_t)*(*at)++ << (8 * i);
+	return value;
+}
+
+static uint64_t
+units(uint64_t tokens)
+{
+	return MIN((tokens + TOKEN_UNIT - 1) / TOKEN_UNIT, UINT16_MAX);
+}
+
+static void
+put_row(unsigned char **at, const struct jh_worker *w, bool changing)
+{
+	put(at, w->hash, 8);
+	put(at, MIN(w->running, UINT16_MAX), 2);
+	put(at, units(w->prefill_tokens), 2);
+	put(at, units(w->held_tokens), 2);
+	put(at, w->weights, 7);
+	put(at, changing ? 1 : 0, 1);
+}
+
+/* Returns the length of the message. */
+static size_t
+write_message(struct jh_gossip *g, unsigned char out[MAX_LEN])
+{
+	unsigned char *at = out, *count;
+	uint16_t rows = 0;
+	size_t i;
+
+	put(&at, MAGIC, 4);
+	put(&at, g->id, 8);
+	put(&at, ++g->number, 8);
+	count = at;
+	at += 2;
+	for (i = 0; i < jh_fleet_count(g->spec.fleet); i++) {
+		const struct jh_worker *w = jh_fleet_at(g->spec.fleet, i);
+		bool changing = jh_weights_under_way(g->spec.weights, w->id);
+		if (w->running == 0 && !changing && w->model == NULL)
+			continue;
+		if (rows == MAX_ROWS)
+			break;
+		put_row(&at, w, changing);
+		rows++;
+	}
+	put(&count, rows, 2);
+	crypto_generichash(at, MAC_LEN, out, (size_t)(at - out), g->key,
+	    JH_GOSSIP_KEY_LEN);
+	return (size_t)(at - out) + MAC_LEN;
+}
+
+void
+jh_gossip_send(struct jh_gossip *g)
+{
+	unsigned char message[MAX_LEN];
+	uv_buf_t buf =
+	    uv_buf_init((char *)message, (unsigned int)write_message(g, message));
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+		/* A full socket loses the message; the next round repeats it. */
+		if (uv_udp_try_send(&g->udp, &buf, 1,
+			(const struct sockaddr *)&p->address) < 0)
+			jh_metrics_add(
+			    g->spec.metrics, "jh_gossip_not_sent", 1);
+	}
+}
+
+static const struct peer *
+find_sender(const struct jh_gossip *g, uint64_t id)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+		if (p->id == id)
+			return p;
+	}
+	return NULL;
+}
+
+static bool
+is_genuine(const struct peer *p, const unsigned char *message, size_t len)
+{
+	unsigned char mac[MAC_LEN];
+
+	crypto_generichash(mac, MAC_LEN, message, len - MAC_LEN, p->key,
+	    JH_GOSSIP_KEY_LEN);
+	return sodium_memcmp(mac, message + len - MAC_LEN, MAC_LEN) == 0;
+}
+
+static void
+read_message(struct jh_gossip *g, const unsigned char *message, size_t len)
+{
+	struct jh_peer_row rows[MAX_ROWS];
+	const unsigned char *at = message;
+	const struct peer *p;
+	uint64_t id, number, count, i;
+
+	if (len < HEAD_LEN + MAC_LEN || take(&at, 4) != MAGIC)
+		return;
+	id = take(&at, 8);
+	number = take(&at, 8);
+	count = take(&at, 2);
+	p = find_sender(g, id);
+	if (p == NULL || count > MAX_ROWS ||
+	    len != HEAD_LEN + count * ROW_LEN + MAC_LEN ||
+	    !is_genuine(p, message, len)) {
+		jh_metrics_add(g->spec.metrics, "jh_gossip_ignored", 1);
+		return;
+	}
+	for (i = 0; i < count; i++) {
+		rows[i].worker = take(&at, 8);
+		rows[i].running = (uint32_t)take(&at, 2);
+		rows[i].prefill_tokens = (uint32_t)take(&at, 2) * TOKEN_UNIT;
+		rows[i].held_tokens = (uint32_t)take(&at, 2) * TOKEN_UNIT;
+		rows[i].weights = take(&at, 7);
+		rows[i].changing = take(&at, 1) != 0;
+	}
+	if (jh_peers_heard(g->heard, g->spec.fleet, jh_now(), id, number, rows,
+		count))
+		jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+}
+
+static void
+give_buffer(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	struct jh_gossip *g = h->data;
+
+	*buf = uv_buf_init(g->buffer, sizeof(g->buffer));
+}
+
+static void
+on_receive(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+    const struct sockaddr *from, unsigned int flags)
+{
+	if (n > 0 && (flags & UV_UDP_PARTIAL) == 0)
+		read_message(udp->data, (const unsigned char *)buf->base,
+		    (size_t)n);
+}
+
+static void
+on_round(uv_timer_t *t)
+{
+	struct jh_gossip *g = t->data;
+
+	jh_peers_expire(g->heard, g->spec.fleet, jh_now());
+	jh_gossip_send(g);
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+	struct jh_gossip *g = h->data;
+
+	if (--g->handles > 0)
+		return;
+	g_hash_table_destroy(g->peers);
+	jh_peers_destroy(g->heard);
+	g_free(g);
+}
+
+struct jh_gossip *
+jh_gossip_create(const struct jh_gossip_spec *spec, int *error)
+{
+	struct jh_gossip *g = g_new0(struct jh_gossip, 1);
+
+	g->spec = *spec;
+	g->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->heard = jh_peers_create();
+	randombytes_buf(g->key, sizeof(g->key));
+	g->id = key_id(g->key);
+	uv_udp_init(spec->loop, &g->udp);
+	uv_timer_init(spec->loop, &g->round);
+	g->udp.data = g;
+	g->round.data = g;
+	g->handles = 2;
+	*error = uv_udp_bind(
+	    &g->udp, (const struct sockaddr *)&spec->address, 0);
+	if (*error == 0)
+		*error = uv_udp_recv_start(&g->udp, give_buffer, on_receive);
+	if (*error != 0) {
+		jh_gossip_destroy(g);
+		return NULL;
+	}
+	uv_timer_start(&g->round, on_round, ROUND_MSEC, ROUND_MSEC);
+	return g;
+}
+
+void
+jh_gossip_destroy(struct jh_gossip *g)
+{
+	if (g == NULL)
+		return;
+	uv_close((uv_handle_t *)&g->udp, on_closed);
+	uv_close((uv_handle_t *)&g->round, on_closed);
+}
+
+const unsigned char *
+jh_gossip_key(const struct jh_gossip *g)
+{
+	return g->key;
+}
+
+void
+jh_gossip_set_peer(struct jh_gossip *g, const char *name,
+    const struct sockaddr_in *address,
+    const unsigned char key[JH_GOSSIP_KEY_LEN])
+{
+	struct peer *p = g_new0(struct peer, 1);
+
+	p->address = *address;
+	memcpy(p->key, key, JH_GOSSIP_KEY_LEN);
+	p->id = key_id(key);
+	g_hash_table_replace(g->peers, g_strdup(name), p);
+}
+
+void
+jh_gossip_drop_peer(struct jh_gossip *g, const char *name)
+{
+	g_hash_table_remove(g->peers, name);
+}
+
+size_t
+jh_gossip_heard(const struct jh_gossip *g)
+{
+	return jh_peers_count(g->heard);
+}
--- /dev/null
+++ b/src/gateway/gossip.h
@@ -0,0 +1,51 @@
+#ifndef GATEWAY_GOSSIP_H
+#define GATEWAY_GOSSIP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <netinet/in.h>
+#include <uv.h>
+
+#include "base/metrics.h"
+#include "member/weights.h"
+#include "route/fleet.h"
+#include "route/peers.h"
+
+/*
+ * Exchanges between processes, in datagrams, what each has sent to the workers
+ * and which of them change their weights. Each message carries a MAC under its
+ * sender's key, which stands in the store; one without is ignored. A message
+ * that is lost is made good by the next.
+ */
+struct jh_gossip;
+
+#define JH_GOSSIP_KEY_LEN 32
+
+struct jh_gossip_spec {
+	uv_loop_t *loop;
+	struct jh_metrics *metrics;
+	struct jh_fleet *fleet;
+	struct jh_weights *weights;
+	struct sockaddr_in address;
+};
+
+/* Returns NULL and sets *error to a libuv error if it cannot be bound. */
+struct jh_gossip *jh_gossip_create(
+    const struct jh_gossip_spec *spec, int *error);
+void jh_gossip_destroy(struct jh_gossip *g);
+
+/* This process's key, new at each start. */
+const unsigned char *jh_gossip_key(const struct jh_gossip *g);
+/* Adds or replaces a peer; the name identifies it. */
+void jh_gossip_set_peer(struct jh_gossip *g, const char *name,
+    const struct sockaddr_in *address,
+    const unsigned char key[JH_GOSSIP_KEY_LEN]);
+void jh_gossip_drop_peer(struct jh_gossip *g, const char *name);
+
+/* Sends now rather than at the next turn. */
+void jh_gossip_send(struct jh_gossip *g);
+/* Peers that were heard lately. */
+size_t jh_gossip_heard(const struct jh_gossip *g);
+
+#endif
--- a/src/gateway/steward.c
+++ b/src/gateway/steward.c
@@ -5,7 +5,7 @@
 
 #include "gateway/steward.h"
 
-#define TICK_MSEC 50
+#define TICK_MSEC 20
 
 /*
  * A renewal lets the holder act for this long, and it renews three times in
@@ -41,12 +41,46 @@
 		jh_weights_reset(s->spec.weights);
 }
 
+static void
+act(struct jh_steward *s, const struct jh_weights_action *a, uint64_t token)
+{
+	switch (a->kind) {
+	case JH_WEIGHTS_ANNOUNCE:
+		break;
+	case JH_WEIGHTS_LOOK:
+		s->spec.ops->look(s->spec.arg, a);
+		break;
+	case JH_WEIGHTS_ORDER:
+		jh_trace(s->spec.trace, "order_sent", "s:s, s:I, s:I, s:I",
+		    "worker", a->worker->id, "version",
+		    (json_int_t)a->version, "expected_orders",
+		    (json_int_t)a->expected, "token", (json_int_t)token);
+		jh_metrics_add(s->spec.metrics, "jh_orders", 1);
+		s->spec.ops->order(s->spec.arg, a, token);
+		break;
+	}
+}
+
+/* What is under way here is spared by this process as by the others. */
+static void
+mark_changing(struct jh_steward *s, uint64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < jh_fleet_count(s->spec.fleet); i++) {
+		struct jh_worker *w = jh_fleet_at(s->spec.fleet, i);
+		if (jh_weights_under_way(s->spec.weights, w->id))
+			w->changing_until = now + JH_FLEET_CHANGING_USEC;
+	}
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
 	struct jh_steward *s = t->data;
 	struct jh_weights_action action;
 	struct jh_duty_action call;
+	bool announce = false;
 	uint64_t token;
 
 	if (jh_duty_next(s->duty, jh_boot_now(), &call))
@@ -55,20 +89,16 @@
 		token = jh_duty_token(s->duty, jh_boot_now());
 		note_tenure(s, token);
 		if (token == 0 ||
-		    !jh_weights_next(s->spec.weights, s->spec.fleet, jh_now(),
-			&action))
-			return;
-		if (action.kind == JH_WEIGHTS_LOOK) {
-			s->spec.ops->look(s->spec.arg, &action);
-			continue;
-		}
-		jh_trace(s->spec.trace, "order_sent", "s:s, s:I, s:I, s:I",
-		    "worker", action.worker->id, "version",
-		    (json_int_t)action.version, "expected_orders",
-		    (json_int_t)action.expected, "token", (json_int_t)token);
-		jh_metrics_add(s->spec.metrics, "jh_orders", 1);
-		s->spec.ops->order(s->spec.arg, &action, token);
+		    !jh_weights_next(
+			s->spec.weights, s->spec.fleet, jh_now(), &action))
+			break;
+		if (action.kind == JH_WEIGHTS_ANNOUNCE)
+			announce = true;
+		act(s, &action, token);
 	}
+	mark_changing(s, jh_now());
+	if (announce)
+		s->spec.ops->announce(s->spec.arg);
 }
 
 struct jh_steward *
@@ -127,9 +157,11 @@
 
 void
 jh_steward_looked(
-    struct jh_steward *s, const char *worker, bool answered, bool busy)
+    struct jh_steward *s, const char *worker, bool answered, bool busy,
+    uint64_t weights)
 {
-	jh_weights_looked(s->spec.weights, jh_now(), worker, answered, busy);
+	jh_weights_looked(
+	    s->spec.weights, jh_now(), worker, answered, busy, weights);
 }
 
 void
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -20,6 +20,8 @@
 	/* Orders new weights, then jh_steward_ordered(). */
 	void (*order)(void *arg, const struct jh_weights_action *action,
 	    uint64_t token);
+	/* Tells the other processes at once what is under way. */
+	void (*announce)(void *arg);
 	/* Asks for a report, then jh_steward_looked(). */
 	void (*look)(void *arg, const struct jh_weights_action *action);
 };
@@ -45,7 +47,8 @@
 void jh_steward_ordered(struct jh_steward *s, const char *worker,
     enum jh_weights_result result);
 void jh_steward_looked(
-    struct jh_steward *s, const char *worker, bool answered, bool busy);
+    struct jh_steward *s, const char *worker, bool answered, bool busy,
+    uint64_t weights);
 /* Gives the duty up, for a stop of the process. */
 void jh_steward_resign(struct jh_steward *s);
 bool jh_steward_holds(const struct jh_steward *s);
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -13,9 +13,15 @@
 /* Pause after an order that was not accepted. */
 #define RETRY_USEC (300 * JH_USEC_PER_MSEC)
 
+/* A report is some hundred milliseconds old: an order may not show yet. */
+#define IDLE_USEC (700 * JH_USEC_PER_MSEC)
+
 /* An accepted order that shows no effect for this long is given again. */
 #define EFFECT_USEC (4 * JH_USEC_PER_SEC)
 
+/* Workers that do not answer keep no others waiting. */
+#define MOST_FAILURES 2
+
 enum task_state {
 	TASK_CALLING, /* an order or a look has no answer yet */
 	TASK_LOADING, /* the order was accepted */
@@ -28,7 +34,8 @@
 	uint64_t version;
 	uint64_t since; /* of the accepted order */
 	uint64_t next; /* no action before */
-	bool look_first; /* the count of orders is in doubt */
+	unsigned int failures; /* in a row */
+	bool ahead; /* only a look, to learn the count of orders */
 };
 
 struct newest {
@@ -113,7 +120,7 @@
 		const struct jh_worker *worker = jh_fleet_find(f, key);
 		if (t->state == TASK_CALLING)
 			continue;
-		if (worker == NULL || !is_old(w, worker))
+		if (worker == NULL || !is_old(w, worker) || t->ahead)
 			g_hash_table_iter_remove(&it);
 	}
 }
@@ -139,7 +146,9 @@
 	g_hash_table_iter_init(&it, w->tasks);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct task *t = value;
-		if (t->state != TASK_WAITING)
+		if (t->ahead)
+			continue;
+		if (t->state == TASK_LOADING || t->failures <= MOST_FAILURES)
 			n++;
 	}
 	return n;
@@ -168,13 +177,32 @@
 	if (t->state == TASK_LOADING) {
 		if (now - t->since > EFFECT_USEC) {
 			t->state = TASK_WAITING;
-			t->look_first = true;
+			worker->orders_known = false;
 		}
 		act(t, worker, JH_WEIGHTS_LOOK, t->version, out);
 		return true;
 	}
-	act(t, worker, t->look_first ? JH_WEIGHTS_LOOK : JH_WEIGHTS_ORDER,
-	    version, out);
+	act(t, worker,
+	    worker->orders_known ? JH_WEIGHTS_ORDER : JH_WEIGHTS_LOOK, version,
+	    out);
+	return true;
+}
+
+/* A worker whose count of orders is not known is asked before it is needed. */
+static bool
+look_ahead(struct jh_weights *w, struct jh_worker *worker, uint64_t now,
+    struct jh_weights_action *out)
+{
+	struct task *t = g_hash_table_lookup(w->tasks, worker->id);
+
+	if (worker->model == NULL || worker->leaving || worker->orders_known ||
+	    t != NULL || now < worker->hold_until)
+		return false;
+	t = g_new0(struct task, 1);
+	t->state = TASK_WAITING;
+	t->ahead = true;
+	g_hash_table_insert(w->tasks, g_strdup(worker->id), t);
+	act(t, worker, JH_WEIGHTS_LOOK, worker->weights, out);
 	return true;
 }
 
@@ -189,6 +217,8 @@
 	prune(w, f);
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *worker = jh_fleet_at(f, i);
+		if (look_ahead(w, worker, now, out))
+			return true;
 		if (!is_old(w, worker))
 			continue;
 		t = g_hash_table_lookup(w->tasks, worker->id);
@@ -212,8 +242,10 @@
 	t = g_new0(struct task, 1);
 	t->state = TASK_WAITING;
 	g_hash_table_insert(w->tasks, g_strdup(idlest->id), t);
-	act(t, idlest, JH_WEIGHTS_ORDER,
-	    jh_weights_newest(w, idlest->model, NULL), out);
+	t->next = now + JH_WEIGHTS_NOTICE_USEC;
+	out->kind = JH_WEIGHTS_ANNOUNCE;
+	out->worker = idlest;
+	out->version = jh_weights_newest(w, idlest->model, NULL);
 	return true;
 }
 
@@ -225,28 +257,27 @@
 
 	if (t == NULL)
 		return;
-	t->look_first = false;
 	t->state = TASK_WAITING;
 	t->next = now + RETRY_USEC;
+	t->failures++;
 	switch (result) {
 	case JH_WEIGHTS_ACCEPTED:
+		t->failures = 0;
 		t->state = TASK_LOADING;
 		t->since = now;
 		t->next = now + LOOK_USEC;
 		break;
 	case JH_WEIGHTS_HOLDS:
-		break;
 	case JH_WEIGHTS_BUSY:
 	case JH_WEIGHTS_REFUSED:
 	case JH_WEIGHTS_NO_ANSWER:
-		t->look_first = true;
 		break;
 	}
 }
 
 void
 jh_weights_looked(struct jh_weights *w, uint64_t now, const char *worker,
-    bool answered, bool busy)
+    bool answered, bool busy, uint64_t weights)
 {
 	struct task *t = g_hash_table_lookup(w->tasks, worker);
 
@@ -254,8 +285,10 @@
 		return;
 	t->state = t->before;
 	t->next = now + LOOK_USEC;
-	if (!answered)
+	if (!answered) {
+		t->failures++;
 		return;
+	}
 	if (busy) {
 		/* An order whose answer was lost, or a former holder's. */
 		if (t->state != TASK_LOADING) {
@@ -264,9 +297,13 @@
 		}
 		return;
 	}
-	t->look_first = false;
 	if (t->state == TASK_WAITING)
 		t->next = now;
+	else if (weights >= t->version || now - t->since > IDLE_USEC) {
+		/* Done, or the order had no effect; a newer one may be due. */
+		t->state = TASK_WAITING;
+		t->next = now;
+	}
 }
 
 void
@@ -278,5 +315,7 @@
 bool
 jh_weights_under_way(const struct jh_weights *w, const char *worker)
 {
-	return g_hash_table_contains(w->tasks, worker);
+	const struct task *t = g_hash_table_lookup(w->tasks, worker);
+
+	return t != NULL && !t->ahead && t->failures <= MOST_FAILURES;
 }
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -14,11 +14,19 @@
  */
 struct jh_weights;
 
-/* Part of a model's workers that load at the same time, and the least. */
-#define JH_WEIGHTS_SHARE 0.34
+/*
+ * Part of a model's workers that load at the same time, and the least. While
+ * one half loads, the other serves; then all requests go to the first half and
+ * the second drains, so that old weights serve for the shortest time.
+ */
+#define JH_WEIGHTS_SHARE 0.5
 #define JH_WEIGHTS_LEAST 2
 
+/* Other processes are told of an order this long before it is sent. */
+#define JH_WEIGHTS_NOTICE_USEC 40000ULL
+
 enum jh_weights_action_kind {
+	JH_WEIGHTS_ANNOUNCE, /* tell others to spare the worker; no reply */
 	JH_WEIGHTS_LOOK, /* ask the worker for its report */
 	JH_WEIGHTS_ORDER /* order it to load the version */
 };
@@ -57,12 +65,12 @@
 /* An order to the worker has ended. */
 void jh_weights_ordered(struct jh_weights *w, uint64_t now, const char *worker,
     enum jh_weights_result result);
-/* A report arrived, or NULL values when it did not. */
+/* A look has ended; what was not reported is false and 0. */
 void jh_weights_looked(struct jh_weights *w, uint64_t now, const char *worker,
-    bool answered, bool busy);
+    bool answered, bool busy, uint64_t weights);
 /* The duty was lost: forgets what is under way. */
 void jh_weights_reset(struct jh_weights *w);
-/* Whether an order of this process is under way at the worker. */
+/* Whether this process has announced an order to the worker or given one. */
 bool jh_weights_under_way(const struct jh_weights *w, const char *worker);
 
 #endif
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -213,19 +213,17 @@
 wait_usec(const struct jh_choose_request *r, const struct jh_worker *w,
     uint64_t now)
 {
-	/* Others send about as much; their share is not known exactly. */
-	uint64_t scale = r->peers > 1 ? 2 : 1;
+	uint64_t held = w->held_tokens + w->others_held + r->own_tokens;
 	uint64_t wait, age;
 
 	if (!r->is_engine) {
 		uint64_t slots = MAX(w->slots, 1);
-		return w->running * scale * SERVICE_WORK_USEC / slots;
+		return (w->running + w->others_running) * SERVICE_WORK_USEC /
+		    slots;
 	}
-	wait = prefill_usec(w->prefill_tokens * scale);
-	if (r->cache_tokens != 0 &&
-	    w->held_tokens * scale + r->own_tokens > r->cache_tokens)
-		wait += prefill_usec(w->held_tokens * scale + r->own_tokens -
-		    r->cache_tokens);
+	wait = prefill_usec(w->prefill_tokens + w->others_prefill);
+	if (r->cache_tokens != 0 && held > r->cache_tokens)
+		wait += prefill_usec(held - r->cache_tokens);
 	age = now - w->delay_known;
 	if (w->delay > 0 && age < DELAY_USEC)
 		wait += (uint64_t)(w->delay * (double)(DELAY_USEC - age) /
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -37,8 +37,6 @@
 	uint64_t newest_weights; /* 0: not known */
 	uint64_t newest_since; /* when this process learned of them */
 	uint64_t cache_tokens; /* memory of one worker; 0: not known */
-	/* Processes that share the workers, this one included. */
-	unsigned int peers;
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
 };
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -12,6 +12,7 @@
 
 struct jh_fleet {
 	GHashTable *by_id;
+	GHashTable *by_hash;
 	GPtrArray *sorted; /* by id */
 };
 
@@ -33,6 +34,7 @@
 	struct jh_fleet *f = g_new0(struct jh_fleet, 1);
 
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->sorted = g_ptr_array_new_with_free_func(free_worker);
 	return f;
 }
@@ -43,6 +45,7 @@
 	if (f == NULL)
 		return;
 	g_hash_table_destroy(f->by_id);
+	g_hash_table_destroy(f->by_hash);
 	g_ptr_array_free(f->sorted, TRUE);
 	g_free(f);
 }
@@ -71,7 +74,7 @@
 {
 	w->weights = 0;
 	w->weights_known = 0;
-	w->orders = 0;
+	w->orders_known = false;
 	w->hold_until = 0;
 	w->changing_until = 0;
 	w->failures = 0;
@@ -90,6 +93,7 @@
 		w->id = g_strdup(l->id);
 		w->hash = XXH3_64bits(l->id, strlen(l->id));
 		g_hash_table_insert(f->by_id, w->id, w);
+		g_hash_table_insert(f->by_hash, &w->hash, w);
 		g_ptr_array_add(f->sorted, w);
 		g_ptr_array_sort(f->sorted, compare);
 	} else if (l->born != w->born && w->born != 0) {
@@ -110,8 +114,6 @@
 		w->weights = l->weights;
 		w->weights_known = now;
 	}
-	if (l->orders > w->orders)
-		w->orders = l->orders;
 	return w;
 }
 
@@ -123,6 +125,7 @@
 	if (w == NULL)
 		return;
 	g_hash_table_remove(f->by_id, id);
+	g_hash_table_remove(f->by_hash, &w->hash);
 	g_ptr_array_remove(f->sorted, w);
 	g_ptr_array_sort(f->sorted, compare);
 }
@@ -154,6 +157,12 @@
 	return g_hash_table_lookup(f->by_id, id);
 }
 
+struct jh_worker *
+jh_fleet_find_hash(struct jh_fleet *f, uint64_t hash)
+{
+	return g_hash_table_lookup(f->by_hash, &hash);
+}
+
 size_t
 jh_fleet_count(const struct jh_fleet *f)
 {
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -25,7 +25,6 @@
 	bool leaving;
 	const char *model; /* NULL: no engine */
 	uint64_t weights; /* version of the model's weights */
-	uint64_t orders; /* accepted since the worker's start */
 	uint64_t born; /* Unix milliseconds of the worker's start; 0: not told */
 };
 
@@ -40,7 +39,8 @@
 	char *model;
 	uint64_t weights;
 	uint64_t weights_known; /* when weights was last confirmed */
-	uint64_t orders;
+	bool orders_known;
+	uint64_t orders; /* accepted since the worker's start */
 	uint64_t born;
 	uint64_t missing_since; /* gone from the list while it was unreliable */
 	/* From own experience. */
@@ -52,11 +52,21 @@
 	unsigned int running;
 	uint64_t prefill_tokens; /* prompt tokens not read yet */
 	uint64_t held_tokens; /* memory of what runs */
+	/* The same of the other processes, as they told last. */
+	unsigned int others_running;
+	uint64_t others_prefill;
+	uint64_t others_held;
 	/* Last first-token time beyond the expected, microseconds. */
 	double delay;
 	uint64_t delay_known;
 };
 
+/*
+ * A worker that changes its weights is spared this long after the last word of
+ * it; the word is repeated several times in that.
+ */
+#define JH_FLEET_CHANGING_USEC 800000ULL
+
 /* Hold after a connection failure; doubled with each further one in a row. */
 #define JH_FLEET_HOLD_USEC 250000ULL
 #define JH_FLEET_HOLD_MAX_USEC 2000000ULL
@@ -80,6 +90,7 @@
 void jh_fleet_expire(struct jh_fleet *f, uint64_t now, uint64_t grace);
 
 struct jh_worker *jh_fleet_find(struct jh_fleet *f, const char *id);
+struct jh_worker *jh_fleet_find_hash(struct jh_fleet *f, uint64_t hash);
 /* In order of id; i below jh_fleet_count(). */
 size_t jh_fleet_count(const struct jh_fleet *f);
 struct jh_worker *jh_fleet_at(struct jh_fleet *f, size_t i);
--- /dev/null
+++ b/src/route/peers.c
@@ -0,0 +1,140 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "route/peers.h"
+
+struct peer {
+	uint64_t id;
+	uint64_t number;
+	uint64_t heard;
+	GArray *rows; /* struct jh_peer_row */
+};
+
+struct jh_peers {
+	GHashTable *peers; /* by id */
+};
+
+static void
+free_peer(void *p)
+{
+	struct peer *peer = p;
+
+	g_array_free(peer->rows, TRUE);
+	g_free(peer);
+}
+
+struct jh_peers *
+jh_peers_create(void)
+{
+	struct jh_peers *p = g_new0(struct jh_peers, 1);
+
+	p->peers = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_peer);
+	return p;
+}
+
+void
+jh_peers_destroy(struct jh_peers *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->peers);
+	g_free(p);
+}
+
+/* Sums what all peers said; workers come and go between messages. */
+static void
+sum_up(struct jh_peers *p, struct jh_fleet *f)
+{
+	GHashTableIter it;
+	gpointer value;
+	size_t i;
+
+	for (i = 0; i < jh_fleet_count(f); i++) {
+		struct jh_worker *w = jh_fleet_at(f, i);
+		w->others_running = 0;
+		w->others_prefill = 0;
+		w->others_held = 0;
+	}
+	g_hash_table_iter_init(&it, p->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *peer = value;
+		for (i = 0; i < peer->rows->len; i++) {
+			const struct jh_peer_row *r = &g_array_index(
+			    peer->rows, struct jh_peer_row, i);
+			struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
+			if (w == NULL)
+				continue;
+			w->others_running += r->running;
+			w->others_prefill += r->prefill_tokens;
+			w->others_held += r->held_tokens;
+		}
+	}
+}
+
+static void
+learn(struct jh_fleet *f, uint64_t now, const struct jh_peer_row *r)
+{
+	struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
+
+	if (w == NULL)
+		return;
+	/* Versions only rise, so the higher of two is the later. */
+	if (r->weights > w->weights && w->weights != 0)
+		jh_fleet_saw_weights(w, now, r->weights);
+	if (r->changing && r->weights <= w->weights)
+		w->changing_until = now + JH_FLEET_CHANGING_USEC;
+}
+
+bool
+jh_peers_heard(struct jh_peers *p, struct jh_fleet *f, uint64_t now,
+    uint64_t peer, uint64_t number, const struct jh_peer_row *rows, size_t n)
+{
+	struct peer *from = g_hash_table_lookup(p->peers, &peer);
+	size_t i;
+
+	if (from == NULL) {
+		from = g_new0(struct peer, 1);
+		from->id = peer;
+		from->rows =
+		    g_array_new(FALSE, FALSE, sizeof(struct jh_peer_row));
+		g_hash_table_insert(p->peers, &from->id, from);
+	} else if (number <= from->number) {
+		return false;
+	}
+	from->number = number;
+	from->heard = now;
+	g_array_set_size(from->rows, 0);
+	if (n > 0)
+		g_array_append_vals(from->rows, rows, (guint)n);
+	for (i = 0; i < n; i++)
+		learn(f, now, &rows[i]);
+	sum_up(p, f);
+	return true;
+}
+
+void
+jh_peers_expire(struct jh_peers *p, struct jh_fleet *f, uint64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+	bool any = false;
+
+	g_hash_table_iter_init(&it, p->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *peer = value;
+		if (now - peer->heard <= JH_PEERS_SILENT_USEC)
+			continue;
+		g_hash_table_iter_remove(&it);
+		any = true;
+	}
+	if (any)
+		sum_up(p, f);
+}
+
+size_t
+jh_peers_count(const struct jh_peers *p)
+{
+	return g_hash_table_size(p->peers);
+}
