--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -70,7 +70,7 @@
 	x->worker = g_strdup(w->id);
 	x->peer = w->address;
 	x->booked_prefill =
-	    x->own_tokens + (choice->source != NULL ? x->shared_tokens : 0);
+	    x->own_tokens + (choice->uncached ? x->shared_tokens : 0);
 	x->booked_held =
 	    (uint64_t)x->own_tokens + x->ask.answer_tokens;
 	w->prefill_tokens += x->booked_prefill;
--- a/src/gateway/steward.c
+++ b/src/gateway/steward.c
@@ -29,13 +29,13 @@
 
 /* One line when the duty is gained or lost. */
 static void
-note_tenure(struct jh_steward *s, uint64_t token)
+note_tenure(struct jh_steward *s, bool held)
 {
-	if ((token != 0) == s->held)
+	if (held == s->held)
 		return;
-	s->held = token != 0;
-	jh_trace(s->spec.trace, s->held ? "duty_gained" : "duty_lost", "s:I",
-	    "token", (json_int_t)token);
+	s->held = held;
+	jh_trace(s->spec.trace, held ? "duty_gained" : "duty_lost", "s:s",
+	    "holder", s->spec.holder);
 	jh_metrics_set(s->spec.metrics, "jh_duty_held", s->held ? 1 : 0);
 	if (!s->held)
 		jh_weights_reset(s->spec.weights);
@@ -56,6 +56,7 @@
 		    (json_int_t)a->version, "expected_orders",
 		    (json_int_t)a->expected, "token", (json_int_t)token);
 		jh_metrics_add(s->spec.metrics, "jh_orders", 1);
+		jh_duty_acted(s->duty, jh_boot_now());
 		s->spec.ops->order(s->spec.arg, a, token);
 		break;
 	}
@@ -81,13 +82,15 @@
 	struct jh_weights_action action;
 	struct jh_duty_action call;
 	bool announce = false;
-	uint64_t token;
+	uint64_t now = jh_boot_now(), token;
 
-	if (jh_duty_next(s->duty, jh_boot_now(), &call))
+	if (jh_duty_next(s->duty, now, &call))
 		s->spec.ops->duty(s->spec.arg, &call);
+	note_tenure(s, jh_duty_held(s->duty, now));
+	if (s->held && jh_weights_pending(s->spec.weights, s->spec.fleet))
+		jh_duty_want_to_act(s->duty, now);
 	for (;;) {
 		token = jh_duty_token(s->duty, jh_boot_now());
-		note_tenure(s, token);
 		if (token == 0 ||
 		    !jh_weights_next(
 			s->spec.weights, s->spec.fleet, jh_now(), &action))
@@ -110,7 +113,8 @@
 	    .hold = HOLD_USEC,
 	    .renew = RENEW_USEC,
 	    .look = LOOK_USEC,
-	    .takeover = HOLD_USEC + spec->apart + TRANSIT_USEC,
+	    .apart = spec->apart,
+	    .transit = TRANSIT_USEC,
 	};
 
 	s->spec = *spec;
@@ -171,7 +175,7 @@
 }
 
 bool
-jh_steward_holds(const struct jh_steward *s)
+jh_steward_done(const struct jh_steward *s)
 {
-	return s->held;
+	return !jh_duty_bound(s->duty);
 }
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -51,6 +51,7 @@
     uint64_t weights);
 /* Gives the duty up, for a stop of the process. */
 void jh_steward_resign(struct jh_steward *s);
-bool jh_steward_holds(const struct jh_steward *s);
+/* After it: whether the duty was left so that others may take it at once. */
+bool jh_steward_done(const struct jh_steward *s);
 
 #endif
--- a/src/member/duty.c
+++ b/src/member/duty.c
@@ -19,13 +19,21 @@
 	bool seen;
 	uint64_t version; /* 0: absent */
 	uint64_t term;
+	bool acting;
 	bool own; /* written by this process, perhaps without an answer */
 	uint64_t unchanged_since;
 	/* The present tenure. */
 	uint64_t token; /* 0: not the holder */
 	uint64_t held_until;
+	uint64_t last_act; /* 0: none in this tenure */
+	uint64_t wanted; /* when an act was last wanted; 0: never */
+	bool write_acting; /* the write in progress allows acts */
+	bool may_act; /* the object allows acts until held_until */
 };
 
+/* A holder that had nothing to do for this long becomes idle. */
+#define IDLE_USEC 1000000ULL
+
 struct jh_duty *
 jh_duty_create(const struct jh_duty_spec *spec)
 {
@@ -49,18 +57,51 @@
 static bool
 may_take_over(const struct jh_duty *d, uint64_t now)
 {
+	uint64_t wait = d->spec.hold;
+
 	if (!d->seen || d->resigned)
 		return false;
-	return d->version == 0 || d->own ||
-	    now - d->unchanged_since >= d->spec.takeover;
+	if (d->version == 0 || d->own)
+		return true;
+	if (d->acting)
+		wait += d->spec.apart + d->spec.transit;
+	return now - d->unchanged_since >= wait;
+}
+
+/* Whether the acts of this tenure are long enough past for another holder. */
+static bool
+is_past(const struct jh_duty *d, uint64_t now)
+{
+	return d->last_act == 0 ||
+	    now - d->last_act >= d->spec.apart + d->spec.transit;
+}
+
+static bool
+wants_to_act(const struct jh_duty *d, uint64_t now)
+{
+	return !d->resigned && d->wanted != 0 && now - d->wanted < IDLE_USEC;
+}
+
+/* Whether a renewal is due before its turn. */
+static bool
+is_urgent(const struct jh_duty *d, uint64_t now)
+{
+	return d->token != 0 && wants_to_act(d, now) && !d->may_act;
+}
+
+/* Whether a holder that resigned still has to leave an idle object. */
+static bool
+must_stay(const struct jh_duty *d)
+{
+	return d->token != 0 && d->acting;
 }
 
 bool
 jh_duty_next(struct jh_duty *d, uint64_t now, struct jh_duty_action *out)
 {
-	bool renew = d->token != 0 && !d->resigned;
+	bool renew = d->token != 0 && (!d->resigned || must_stay(d));
 
-	if (d->in_call || now < d->next)
+	if (d->in_call || (now < d->next && !is_urgent(d, now)))
 		return false;
 	memset(out, 0, sizeof(*out));
 	out->kind = JH_DUTY_READ;
@@ -69,7 +110,10 @@
 		out->if_version = d->version;
 		out->holder = d->holder;
 		out->term = d->term + 1;
+		out->acting =
+		    renew && (wants_to_act(d, now) || !is_past(d, now));
 	}
+	d->write_acting = out->acting;
 	out->deadline = now + CALL_USEC;
 	d->in_call = true;
 	d->writing = out->kind != JH_DUTY_READ;
@@ -96,6 +140,7 @@
 	d->seen = true;
 	d->version = reply->version;
 	d->term = reply->term;
+	d->acting = reply->acting;
 	d->own = is_own(d, reply);
 	d->unchanged_since = now;
 }
@@ -104,9 +149,12 @@
 written(struct jh_duty *d, const struct jh_duty_reply *reply)
 {
 	/* The tenure's token must not rise while its orders are on the way. */
-	if (d->token == 0)
+	if (d->token == 0) {
 		d->token = reply->version;
+		d->last_act = 0;
+	}
 	d->held_until = d->call_sent + d->spec.hold;
+	d->may_act = d->write_acting;
 }
 
 void
@@ -149,14 +197,37 @@
 		/* Down, refused or without an answer. */
 		break;
 	}
-	if (d->token != 0 && now >= d->held_until + d->spec.takeover)
-		d->token = 0;
+}
+
+bool
+jh_duty_held(const struct jh_duty *d, uint64_t now)
+{
+	return d->token != 0 && now < d->held_until;
+}
+
+void
+jh_duty_want_to_act(struct jh_duty *d, uint64_t now)
+{
+	d->wanted = now;
 }
 
 uint64_t
 jh_duty_token(const struct jh_duty *d, uint64_t now)
 {
-	return d->token != 0 && now < d->held_until ? d->token : 0;
+	return jh_duty_held(d, now) && d->may_act && !d->resigned ? d->token
+								  : 0;
+}
+
+void
+jh_duty_acted(struct jh_duty *d, uint64_t now)
+{
+	d->last_act = now;
+}
+
+bool
+jh_duty_bound(const struct jh_duty *d)
+{
+	return must_stay(d) || (d->in_call && d->writing);
 }
 
 void
--- a/src/member/duty.h
+++ b/src/member/duty.h
@@ -15,6 +15,11 @@
  * changed for a term of their own clock. The clock must also run while the
  * machine is suspended.
  *
+ * The acts of two holders must lie some time apart. The object therefore says
+ * whether its holder may act: an idle holder writes that before its first act,
+ * and an idle object is taken over sooner. A holder that stops leaves the
+ * object idle once that time has passed since its last act.
+ *
  * Pure; the caller carries out the actions and reports each result once. Times
  * are microseconds of that clock.
  */
@@ -25,11 +30,8 @@
 	uint64_t hold; /* a renewal lets the holder act for this long */
 	uint64_t renew; /* the holder renews this often */
 	uint64_t look; /* others read this often */
-	/*
-	 * Others take over when the object has not changed for this long: hold,
-	 * and the time that must lie between the acts of two holders.
-	 */
-	uint64_t takeover;
+	uint64_t apart; /* least time between the acts of two holders */
+	uint64_t transit; /* an act takes effect within this time */
 };
 
 enum jh_duty_action_kind { JH_DUTY_READ, JH_DUTY_CREATE, JH_DUTY_WRITE };
@@ -39,6 +41,7 @@
 	uint64_t if_version; /* WRITE */
 	const char *holder; /* CREATE and WRITE: what the object states */
 	uint64_t term; /* CREATE and WRITE: rises with each write */
+	bool acting; /* CREATE and WRITE: the holder may act */
 	uint64_t deadline; /* of the call */
 };
 
@@ -48,6 +51,7 @@
 	uint64_t version; /* of the object; 0: absent */
 	struct jh_str holder;
 	uint64_t term;
+	bool acting;
 };
 
 struct jh_duty *jh_duty_create(const struct jh_duty_spec *spec);
@@ -58,12 +62,23 @@
 void jh_duty_on_reply(
     struct jh_duty *d, uint64_t now, const struct jh_duty_reply *reply);
 
+/* Whether the duty is held, though perhaps not for acts yet. */
+bool jh_duty_held(const struct jh_duty *d, uint64_t now);
+/* There is something to do; the holder asks again with jh_duty_token(). */
+void jh_duty_want_to_act(struct jh_duty *d, uint64_t now);
 /*
- * The fencing token if the duty is held at this moment, or 0. It is the same
+ * The fencing token if the holder may act at this moment, or 0. It is the same
  * during one tenure and higher in each later one. Ask before each act.
  */
 uint64_t jh_duty_token(const struct jh_duty *d, uint64_t now);
-/* Stops renewing; the tenure ends by itself. */
+/* An act was sent. */
+void jh_duty_acted(struct jh_duty *d, uint64_t now);
+/*
+ * Takes no further tenure and acts no more; the present one ends once the
+ * object is idle.
+ */
 void jh_duty_resign(struct jh_duty *d);
+/* After it: whether the object is not idle yet. */
+bool jh_duty_bound(const struct jh_duty *d);
 
 #endif
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -206,6 +206,20 @@
 	return true;
 }
 
+bool
+jh_weights_pending(struct jh_weights *w, struct jh_fleet *f)
+{
+	size_t i;
+
+	for (i = 0; i < jh_fleet_count(f); i++) {
+		const struct jh_worker *worker = jh_fleet_at(f, i);
+		if (is_old(w, worker) ||
+		    (worker->model != NULL && !worker->orders_known))
+			return true;
+	}
+	return g_hash_table_size(w->tasks) > 0;
+}
+
 bool
 jh_weights_next(struct jh_weights *w, struct jh_fleet *f, uint64_t now,
     struct jh_weights_action *out)
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -59,6 +59,8 @@
 uint64_t jh_weights_newest(
     const struct jh_weights *w, const char *model, uint64_t *since);
 
+/* Whether there is an order to give or one under way. */
+bool jh_weights_pending(struct jh_weights *w, struct jh_fleet *f);
 /* Gives the next action that is due, for the holder of the duty. */
 bool jh_weights_next(struct jh_weights *w, struct jh_fleet *f, uint64_t now,
     struct jh_weights_action *out);
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 
 #include <glib.h>
@@ -59,6 +60,28 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/*
+ * libuv reports the end of the stream when a reset follows data, because both
+ * raise POLLHUP. Only the socket tells the two apart.
+ */
+static int
+end_of(struct jh_conn *c)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0)
+		return 0;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
+	    error != 0)
+		return -error;
+	if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+		return errno == EAGAIN ? 0 : -errno;
+	return 0;
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -78,7 +101,7 @@
 		return;
 	}
 	jh_conn_pause(c);
-	c->ops->ended(c->arg, n == UV_EOF ? 0 : (int)n);
+	c->ops->ended(c->arg, n == UV_EOF ? end_of(c) : (int)n);
 }
 
 void
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -27,7 +27,7 @@
  */
 #define OLD_WEIGHTS_FREE_USEC (1200 * JH_USEC_PER_MSEC)
 #define OLD_WEIGHTS_USEC (250 * JH_USEC_PER_MSEC)
-#define OLD_WEIGHTS_LAST_USEC (6500 * JH_USEC_PER_MSEC)
+#define OLD_WEIGHTS_LAST_USEC (5000 * JH_USEC_PER_MSEC)
 
 /* Parts that were used this recently are taken to be in a worker's memory. */
 #define PLACED_USEC (4 * JH_USEC_PER_SEC)
@@ -59,6 +59,9 @@
 	uint64_t weights;
 	uint64_t score;
 	struct jh_worker *worker;
+	/* The next one: the best before the list of workers last changed. */
+	uint64_t second_score;
+	struct jh_worker *second;
 };
 
 enum scope { SCOPE_ZONE, SCOPE_REGION, SCOPE_ALL };
@@ -190,7 +193,7 @@
 			return &homes[i];
 	if (*n == MAX_VERSIONS)
 		return NULL;
-	homes[*n] = (struct home){weights, 0, NULL};
+	homes[*n] = (struct home){.weights = weights};
 	return &homes[(*n)++];
 }
 
@@ -249,6 +252,20 @@
 	return cost + prefill_usec(r->own_tokens);
 }
 
+static void
+rank(struct home *home, uint64_t score, struct jh_worker *w)
+{
+	if (home->worker == NULL || score >= home->score) {
+		home->second = home->worker;
+		home->second_score = home->score;
+		home->worker = w;
+		home->score = score;
+	} else if (home->second == NULL || score >= home->second_score) {
+		home->second = w;
+		home->second_score = score;
+	}
+}
+
 /* The worker of these weights that has the shared parts most likely. */
 static struct jh_worker *
 find_source(const struct jh_chooser *c, const struct jh_choose_request *r,
@@ -260,6 +277,8 @@
 
 	if (home != NULL && home->worker != NULL && home->worker != to)
 		return home->worker;
+	if (home != NULL && home->second != NULL)
+		return home->second;
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
 		if (w != to && serves(r, w) && w->weights == to->weights &&
@@ -292,10 +311,8 @@
 			continue;
 		home = find_home(homes, &n_homes, w->weights);
 		score = mix(part_key(r, w), w->hash);
-		if (home != NULL && score >= home->score) {
-			home->score = score;
-			home->worker = w;
-		}
+		if (home != NULL)
+			rank(home, score, w);
 	}
 again:
 	for (i = 0; i < jh_fleet_count(f); i++) {
@@ -324,8 +341,9 @@
 	if (!r->is_engine || r->shared_key == 0)
 		return;
 	home = find_home(homes, &n_homes, out->worker->weights);
-	if ((home == NULL || home->worker != out->worker) &&
-	    !was_placed(c, part_key(r, out->worker), now, out->worker))
+	out->uncached = (home == NULL || home->worker != out->worker) &&
+	    !was_placed(c, part_key(r, out->worker), now, out->worker);
+	if (!was_placed(c, part_key(r, out->worker), now, out->worker))
 		out->source = find_source(c, r, f, out->worker, home, now);
 }
 
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -47,6 +47,7 @@
 	struct jh_worker *source;
 	uint64_t expected; /* time to the first token, microseconds */
 	uint64_t base; /* the same without the work that waits there */
+	bool uncached; /* it probably has not read the shared parts */
 	bool any_alive; /* a worker exists, though it is held or changing */
 };
 
