Tell other entries where parts of prompts were read, and fetch from there

Cause of the largest price: each worker read the first shared part of a prompt again, and homes moved while weights changed.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -70,9 +70,9 @@
 	x->worker = g_strdup(w->id);
 	x->peer = w->address;
 	x->booked_prefill =
-	    x->own_tokens + (choice->uncached ? x->shared_tokens : 0);
+	    (uint64_t)x->choose.own_tokens + choice->uncached;
 	x->booked_held =
-	    (uint64_t)x->own_tokens + x->ask.answer_tokens;
+	    (uint64_t)x->choose.own_tokens + x->ask.answer_tokens;
 	w->prefill_tokens += x->booked_prefill;
 	w->held_tokens += x->booked_held;
 	w->running++;
@@ -112,26 +112,14 @@
 static void
 choose(struct exchange *x, uint64_t now, struct jh_choice *out)
 {
-	struct jh_choose_request r = {
-	    .service = x->service_name,
-	    .is_engine = x->service != NULL && x->service->is_engine,
-	    .shared_key = x->shared_key,
-	    .shared_tokens = x->shared_tokens,
-	    .own_tokens = x->own_tokens,
-	    .answer_tokens = x->ask.answer_tokens,
-	    .n_excluded = x->n_excluded,
-	};
-	char *model = jh_str_dup(x->ask.model);
-
-	memcpy(r.excluded, x->excluded, sizeof(r.excluded));
-	if (r.is_engine) {
-		r.model = model;
-		r.newest_weights = jh_weights_newest(
-		    x->gw->weights, model, &r.newest_since);
-		r.cache_tokens = x->service->cache_tokens;
-	}
-	jh_choose(x->gw->chooser, x->gw->fleet, now, &r, out);
-	g_free(model);
+	struct jh_choose_request *r = &x->choose;
+
+	r->n_excluded = x->n_excluded;
+	memcpy(r->excluded, x->excluded, sizeof(r->excluded));
+	if (r->is_engine)
+		r->newest_weights = jh_weights_newest(
+		    x->gw->weights, x->model, &r->newest_since);
+	jh_choose(x->gw->chooser, x->gw->fleet, now, r, out);
 }
 
 /* Cached parts are found only by requests of the same weights and wall. */
@@ -232,8 +220,8 @@
 	if (x->events != NULL)
 		jh_events_restart(x->events);
 	jh_attempts_sent(&x->attempts);
-	jh_chooser_placed(x->gw->chooser, now, x->shared_key, w);
-	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I",
+	jh_chooser_placed(x->gw->chooser, now, &x->choose, w);
+	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i",
 	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
 	    x->route->name, "worker", w->id, "weights",
 	    (json_int_t)w->weights, "weights_age_us",
@@ -241,7 +229,11 @@
 	    (json_int_t)choice->expected, "attempt", (int)x->attempts.sent,
 	    "source", choice->source != NULL ? choice->source->id : NULL,
 	    "config", (json_int_t)jh_table_version(x->table), "waited_us",
-	    (json_int_t)(now - x->arrived));
+	    (json_int_t)(now - x->arrived), "shared",
+	    (json_int_t)(x->choose.n_levels > 0
+		    ? x->choose.level[x->choose.n_levels - 1].key >> 1
+		    : 0),
+	    "uncached", (int)choice->uncached);
 	x->call = jh_call_start(x->gw->caller, &spec);
 	wait_for_answer(x, now);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,9 +16,8 @@
 	const struct jh_service *service; /* NULL: not described */
 	const char *service_name;
 	uint64_t arrived;
-	uint64_t shared_key; /* for placement; 0: nothing is shared */
-	uint32_t shared_tokens;
-	uint32_t own_tokens;
+	struct jh_choose_request choose; /* what does not change */
+	char *model;
 	struct jh_attempts attempts;
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED];
 	size_t n_excluded;
--- a/src/gateway/finish.c
+++ b/src/gateway/finish.c
@@ -16,6 +16,7 @@
 	g_string_free(x->fields, TRUE);
 	g_byte_array_free(x->body, TRUE);
 	g_free(x->worker);
+	g_free(x->model);
 	g_free(x);
 }
 
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -10,15 +10,20 @@
 /* A round of messages; a worker's queue turns over in about this time. */
 #define ROUND_MSEC 200
 
-/* Layout: magic, sender's key id, number, count, rows, MAC; little-endian. */
+/*
+ * Layout: magic, sender's key id, number, counts, rows of workers, placements,
+ * MAC; little-endian.
+ */
 #define MAGIC 0x4a484731U /* "JHG1" */
-#define HEAD_LEN 22
+#define HEAD_LEN 24
 #define ROW_LEN 22
+#define PLACEMENT_LEN 16
 #define MAC_LEN 16
 
-/* Rows in one datagram: it stays below a usual path MTU of 1,500 bytes. */
-#define MAX_ROWS 64
-#define MAX_LEN (HEAD_LEN + MAX_ROWS * ROW_LEN + MAC_LEN)
+/* A datagram stays below the usual path MTU of 1,500 bytes. */
+#define MAX_LEN 1440
+#define MAX_ROWS 48
+#define MAX_PLACEMENTS 80
 
 /* Token counts are sent in units of this many. */
 #define TOKEN_UNIT 16
@@ -93,15 +98,16 @@
 static size_t
 write_message(struct jh_gossip *g, unsigned char out[MAX_LEN])
 {
+	struct jh_placement news[MAX_PLACEMENTS];
 	unsigned char *at = out, *count;
 	uint16_t rows = 0;
-	size_t i;
+	size_t i, n;
 
 	put(&at, MAGIC, 4);
 	put(&at, g->id, 8);
 	put(&at, ++g->number, 8);
 	count = at;
-	at += 2;
+	at += 4;
 	for (i = 0; i < jh_fleet_count(g->spec.fleet); i++) {
 		const struct jh_worker *w = jh_fleet_at(g->spec.fleet, i);
 		bool changing = jh_weights_under_way(g->spec.weights, w->id);
@@ -112,7 +118,15 @@
 		put_row(&at, w, changing);
 		rows++;
 	}
+	n = jh_chooser_take_news(g->spec.chooser, news,
+	    MIN((size_t)(out + MAX_LEN - MAC_LEN - at) / PLACEMENT_LEN,
+		MAX_PLACEMENTS));
+	for (i = 0; i < n; i++) {
+		put(&at, news[i].key, 8);
+		put(&at, news[i].worker, 8);
+	}
 	put(&count, rows, 2);
+	put(&count, n, 2);
 	crypto_generichash(at, MAC_LEN, out, (size_t)(at - out), g->key,
 	    JH_GOSSIP_KEY_LEN);
 	return (size_t)(at - out) + MAC_LEN;
@@ -169,16 +183,18 @@
 	struct jh_peer_row rows[MAX_ROWS];
 	const unsigned char *at = message;
 	const struct peer *p;
-	uint64_t id, number, count, i;
+	uint64_t id, number, count, n_placed, i;
 
 	if (len < HEAD_LEN + MAC_LEN || take(&at, 4) != MAGIC)
 		return;
 	id = take(&at, 8);
 	number = take(&at, 8);
 	count = take(&at, 2);
+	n_placed = take(&at, 2);
 	p = find_sender(g, id);
-	if (p == NULL || count > MAX_ROWS ||
-	    len != HEAD_LEN + count * ROW_LEN + MAC_LEN ||
+	if (p == NULL || count > MAX_ROWS || n_placed > MAX_PLACEMENTS ||
+	    len != HEAD_LEN + count * ROW_LEN + n_placed * PLACEMENT_LEN +
+		    MAC_LEN ||
 	    !is_genuine(p, message, len)) {
 		jh_metrics_add(g->spec.metrics, "jh_gossip_ignored", 1);
 		return;
@@ -191,9 +207,16 @@
 		rows[i].weights = take(&at, 7);
 		rows[i].changing = take(&at, 1) != 0;
 	}
-	if (jh_peers_heard(g->heard, g->spec.fleet, jh_now(), id, number, rows,
-		count))
-		jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+	if (!jh_peers_heard(
+		g->heard, g->spec.fleet, jh_now(), id, number, rows, count))
+		return;
+	jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+	for (i = 0; i < n_placed; i++) {
+		struct jh_placement placed;
+		placed.key = take(&at, 8);
+		placed.worker = take(&at, 8);
+		jh_chooser_told(g->spec.chooser, jh_now(), &placed);
+	}
 }
 
 static void
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -9,12 +9,13 @@
 
 #include "base/metrics.h"
 #include "member/weights.h"
+#include "route/choose.h"
 #include "route/fleet.h"
 #include "route/peers.h"
 
 /*
- * Exchanges between processes, in datagrams, what each has sent to the workers
- * and which of them change their weights. Each message carries a MAC under its
+ * Exchanges between processes, in datagrams, what each has sent to the workers,
+ * which of them hold which parts and which change their weights. Each message carries a MAC under its
  * sender's key, which stands in the store; one without is ignored. A message
  * that is lost is made good by the next.
  */
@@ -27,6 +28,7 @@
 	struct jh_metrics *metrics;
 	struct jh_fleet *fleet;
 	struct jh_weights *weights;
+	struct jh_chooser *chooser;
 	struct sockaddr_in address;
 };
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -76,18 +76,28 @@
 read_parts(struct exchange *x)
 {
 	const struct jh_ask *ask = &x->ask;
+	bool isolated = x->tenant != NULL && x->tenant->isolated;
+	uint64_t wall = isolated
+	    ? XXH3_64bits(x->tenant->name, strlen(x->tenant->name))
+	    : 0;
 	size_t i;
 
-	x->own_tokens = ask->prompt_tokens;
-	if (ask->n_parts < 2)
+	x->choose.service = x->service_name;
+	x->choose.is_engine = x->service != NULL && x->service->is_engine;
+	x->choose.own_tokens = ask->prompt_tokens;
+	x->choose.answer_tokens = ask->answer_tokens;
+	if (!x->choose.is_engine)
 		return;
-	for (i = 0; i + 1 < ask->n_parts; i++)
-		x->shared_tokens += ask->part[i].tokens;
-	x->own_tokens = ask->part[ask->n_parts - 1].tokens;
-	x->shared_key = ask->part[ask->n_parts - 2].hash;
-	if (x->tenant != NULL && x->tenant->isolated)
-		x->shared_key ^=
-		    XXH3_64bits(x->tenant->name, strlen(x->tenant->name));
+	x->choose.model = x->model;
+	x->choose.cache_tokens = x->service->cache_tokens;
+	if (ask->n_parts == 0)
+		return;
+	for (i = 0; i + 1 < ask->n_parts; i++) {
+		x->choose.level[i].key = ask->part[i].hash ^ wall;
+		x->choose.level[i].tokens = ask->part[i].tokens;
+	}
+	x->choose.n_levels = ask->n_parts - 1;
+	x->choose.own_tokens = ask->part[ask->n_parts - 1].tokens;
 }
 
 static void
@@ -107,6 +117,7 @@
 	x->tenant = tenant;
 	x->service_name = service;
 	x->service = jh_table_find_service(gw->table, service);
+	x->model = jh_str_dup(ask->model);
 	x->arrived = jh_visit_begun(v);
 	x->fields = g_string_new(NULL);
 	x->body = g_byte_array_new();
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -71,7 +71,7 @@
 }
 
 bool
-jh_weights_set(struct jh_weights *w, uint64_t now, const char *model,
+jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
     uint64_t version)
 {
 	struct newest *n = g_hash_table_lookup(w->newest, model);
@@ -83,7 +83,7 @@
 	if (version <= n->version)
 		return false;
 	n->version = version;
-	n->since = now;
+	n->since = since;
 	return true;
 }
 
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -50,10 +50,10 @@
 void jh_weights_destroy(struct jh_weights *w);
 
 /*
- * Names the newest version of a model; lower ones are ignored. Returns whether
- * it is newer than the one known.
+ * Names the newest version of a model, and since when it is; lower ones are
+ * ignored. Returns whether it is newer than the one known.
  */
-bool jh_weights_set(struct jh_weights *w, uint64_t now, const char *model,
+bool jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
     uint64_t version);
 /* 0: none was named. since: when it became known here; may be NULL. */
 uint64_t jh_weights_newest(
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -23,18 +23,27 @@
 
 /*
  * Old weights: no cost at first, because new ones are on their way; later an
- * answer on them is worth less, and in the end nothing.
+ * answer on them is worth less.
  */
 #define OLD_WEIGHTS_FREE_USEC (1200 * JH_USEC_PER_MSEC)
 #define OLD_WEIGHTS_USEC (250 * JH_USEC_PER_MSEC)
-#define OLD_WEIGHTS_LAST_USEC (5000 * JH_USEC_PER_MSEC)
 
-/* Parts that were used this recently are taken to be in a worker's memory. */
+/*
+ * A part that was used this recently is taken to be in its worker's memory;
+ * until the second bound it may be there still and is worth asking for.
+ */
 #define PLACED_USEC (4 * JH_USEC_PER_SEC)
+#define PLACED_ONCE_USEC (10 * JH_USEC_PER_SEC)
 
 /* Workers remembered for one part, and parts remembered at all. */
 #define PLACED_WORKERS 4
-#define PLACED_PARTS 4096
+#define PLACED_PARTS 8192
+
+/* Placements that wait to be told; older ones are forgotten. */
+#define MAX_NEWS 256
+
+/* Smaller parts are not worth telling others of. */
+#define NEWS_TOKENS 1000
 
 /* A worker's learned delay fades over this time. */
 #define DELAY_USEC (2 * JH_USEC_PER_SEC)
@@ -52,16 +61,16 @@
 	const char *region;
 	GHashTable *regions;
 	GHashTable *placed; /* part key to struct placed */
+	struct jh_placement news[MAX_NEWS];
+	size_t n_news;
 };
 
-/* The best-ranked worker of one version of weights. */
-struct home {
+/* What is known of one version of weights among the eligible workers. */
+struct version {
 	uint64_t weights;
 	uint64_t score;
-	struct jh_worker *worker;
-	/* The next one: the best before the list of workers last changed. */
-	uint64_t second_score;
-	struct jh_worker *second;
+	struct jh_worker *home; /* ranked first for parts that nobody has */
+	bool held; /* a worker has the deepest shared part */
 };
 
 enum scope { SCOPE_ZONE, SCOPE_REGION, SCOPE_ALL };
@@ -150,11 +159,22 @@
 	if (w->leaving || now < w->changing_until || is_excluded(r, w))
 		return false;
 	if (r->is_engine && r->newest_weights > w->weights &&
-	    now - r->newest_since > OLD_WEIGHTS_LAST_USEC)
+	    now - r->newest_since > JH_CHOOSE_OLD_WEIGHTS_USEC)
 		return false;
 	return true;
 }
 
+static uint64_t
+shared_tokens(const struct jh_choose_request *r)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < r->n_levels; i++)
+		sum += r->level[i].tokens;
+	return sum;
+}
+
 /*
  * Parts that take longer to read again than any worker is away are kept once
  * in the whole deployment, smaller ones once in each region or zone.
@@ -162,7 +182,7 @@
 static enum scope
 home_scope(const struct jh_choose_request *r)
 {
-	uint64_t reading = prefill_usec(r->shared_tokens);
+	uint64_t reading = prefill_usec(shared_tokens(r));
 
 	if (reading > OTHER_REGION_USEC)
 		return SCOPE_ALL;
@@ -178,38 +198,64 @@
 }
 
 static uint64_t
-part_key(const struct jh_choose_request *r, const struct jh_worker *w)
+part_key(const struct jh_choose_request *r, size_t level, uint64_t weights)
 {
-	return mix(r->shared_key, w->weights);
+	return mix(r->level[level].key, weights);
 }
 
-static struct home *
-find_home(struct home *homes, size_t *n, uint64_t weights)
+static struct version *
+find_version(struct version *versions, size_t *n, uint64_t weights)
 {
 	size_t i;
 
 	for (i = 0; i < *n; i++)
-		if (homes[i].weights == weights)
-			return &homes[i];
+		if (versions[i].weights == weights)
+			return &versions[i];
 	if (*n == MAX_VERSIONS)
 		return NULL;
-	homes[*n] = (struct home){.weights = weights};
-	return &homes[(*n)++];
+	versions[*n] = (struct version){.weights = weights};
+	return &versions[(*n)++];
 }
 
-static bool
-was_placed(const struct jh_chooser *c, uint64_t key, uint64_t now,
-    const struct jh_worker *w)
+/* When the part was last placed at the worker; 0: not that is known. */
+static uint64_t
+placed_at(const struct jh_chooser *c, uint64_t key, const struct jh_worker *w)
 {
 	const struct placed *p = g_hash_table_lookup(c->placed, &key);
 	size_t i;
 
 	if (p == NULL)
-		return false;
+		return 0;
 	for (i = 0; i < PLACED_WORKERS; i++)
-		if (p->worker[i] == w->hash && now - p->at[i] < PLACED_USEC)
-			return true;
-	return false;
+		if (p->worker[i] == w->hash)
+			return p->at[i];
+	return 0;
+}
+
+static bool
+holds(const struct jh_chooser *c, uint64_t key, uint64_t now,
+    const struct jh_worker *w, uint64_t within)
+{
+	uint64_t at = placed_at(c, key, w);
+
+	return at != 0 && now - at < within;
+}
+
+/* Tokens of shared parts, from the first on, that the worker has not read. */
+static uint32_t
+uncached(const struct jh_chooser *c, const struct jh_choose_request *r,
+    const struct jh_worker *w, uint64_t now)
+{
+	uint32_t tokens = 0;
+	size_t i;
+
+	for (i = r->n_levels; i > 0; i--) {
+		if (holds(c, part_key(r, i - 1, w->weights), now, w,
+			PLACED_USEC))
+			break;
+		tokens += r->level[i - 1].tokens;
+	}
+	return tokens;
 }
 
 static uint64_t
@@ -236,128 +282,142 @@
 
 static uint64_t
 cost_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
-    const struct jh_worker *w, const struct home *home, uint64_t now)
+    const struct jh_worker *w, const struct version *v, uint64_t now)
 {
 	uint64_t cost = wait_usec(r, w, now) +
 	    distance_usec(distance(c, w)) + (uint64_t)(w->fail_rate * FAIL_USEC);
+	uint64_t reading;
 
 	if (!r->is_engine)
 		return cost;
 	if (r->newest_weights > w->weights &&
 	    now - r->newest_since > OLD_WEIGHTS_FREE_USEC)
 		cost += OLD_WEIGHTS_USEC;
-	if (r->shared_key != 0 && (home == NULL || home->worker != w) &&
-	    !was_placed(c, part_key(r, w), now, w))
-		cost += prefill_usec(r->shared_tokens);
-	return cost + prefill_usec(r->own_tokens);
+	reading = prefill_usec(uncached(c, r, w, now));
+	/* What nobody has must be read by some worker: by its home. */
+	if (v != NULL && !v->held && v->home == w)
+		reading = 0;
+	return cost + reading + prefill_usec(r->own_tokens);
 }
 
-static void
-rank(struct home *home, uint64_t score, struct jh_worker *w)
+/*
+ * A worker that has more of the shared parts than the chosen one: the one that
+ * was given the deepest of them last.
+ */
+static struct jh_worker *
+find_source(const struct jh_chooser *c, const struct jh_choose_request *r,
+    struct jh_fleet *f, const struct jh_worker *to, uint64_t now)
 {
-	if (home->worker == NULL || score >= home->score) {
-		home->second = home->worker;
-		home->second_score = home->score;
-		home->worker = w;
-		home->score = score;
-	} else if (home->second == NULL || score >= home->second_score) {
-		home->second = w;
-		home->second_score = score;
+	struct jh_worker *best = NULL;
+	uint64_t best_at = 0;
+	size_t level, i;
+
+	for (level = r->n_levels; level > 0 && best == NULL; level--) {
+		uint64_t key = part_key(r, level - 1, to->weights);
+		if (holds(c, key, now, to, PLACED_USEC))
+			return NULL;
+		for (i = 0; i < jh_fleet_count(f); i++) {
+			struct jh_worker *w = jh_fleet_at(f, i);
+			uint64_t at = placed_at(c, key, w);
+			if (w == to || at <= best_at || !serves(r, w) ||
+			    now < w->hold_until || w->missing_since != 0 ||
+			    w->weights != to->weights ||
+			    now - at >= PLACED_ONCE_USEC)
+				continue;
+			best = w;
+			best_at = at;
+		}
 	}
+	return best;
 }
 
-/* The worker of these weights that has the shared parts most likely. */
-static struct jh_worker *
-find_source(const struct jh_chooser *c, const struct jh_choose_request *r,
-    struct jh_fleet *f, const struct jh_worker *to, const struct home *home,
-    uint64_t now)
+/* Ranks the eligible workers of each version for the shared parts. */
+static size_t
+rank_versions(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
+    const struct jh_choose_request *r, struct version *versions)
 {
-	uint64_t key = part_key(r, to);
-	size_t i;
+	enum scope scope = home_scope(r);
+	size_t n = 0, i;
 
-	if (home != NULL && home->worker != NULL && home->worker != to)
-		return home->worker;
-	if (home != NULL && home->second != NULL)
-		return home->second;
+	if (r->n_levels == 0)
+		return 0;
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
-		if (w != to && serves(r, w) && w->weights == to->weights &&
-		    was_placed(c, key, now, w))
-			return w;
+		uint64_t score, key;
+		struct version *v;
+		if (!serves(r, w) || !may_take(r, w, now) ||
+		    now < w->hold_until)
+			continue;
+		v = find_version(versions, &n, w->weights);
+		if (v == NULL)
+			continue;
+		key = part_key(r, r->n_levels - 1, w->weights);
+		if (holds(c, key, now, w, PLACED_USEC))
+			v->held = true;
+		score = mix(key, w->hash);
+		if (distance(c, w) <= scope &&
+		    (v->home == NULL || score > v->score)) {
+			v->score = score;
+			v->home = w;
+		}
 	}
-	return NULL;
+	return n;
 }
 
-void
-jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
-    const struct jh_choose_request *r, struct jh_choice *out)
+static void
+choose_cheapest(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
+    const struct jh_choose_request *r, struct version *versions,
+    size_t n_versions, bool take_held, struct jh_choice *out)
 {
-	struct home homes[MAX_VERSIONS];
-	struct home *home;
-	enum scope scope = home_scope(r);
 	uint64_t best = UINT64_MAX;
-	bool take_held = false;
-	size_t n_homes = 0, i;
+	size_t i;
 
-	memset(out, 0, sizeof(*out));
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
-		uint64_t score;
+		uint64_t cost;
 		if (!serves(r, w))
 			continue;
 		out->any_alive = true;
-		if (r->shared_key == 0 || !may_take(r, w, now) ||
-		    now < w->hold_until || distance(c, w) > scope)
-			continue;
-		home = find_home(homes, &n_homes, w->weights);
-		score = mix(part_key(r, w), w->hash);
-		if (home != NULL)
-			rank(home, score, w);
-	}
-again:
-	for (i = 0; i < jh_fleet_count(f); i++) {
-		struct jh_worker *w = jh_fleet_at(f, i);
-		uint64_t cost;
-		if (!serves(r, w) || !may_take(r, w, now))
-			continue;
-		if (now < w->hold_until && !take_held)
+		if (!may_take(r, w, now) || (now < w->hold_until && !take_held))
 			continue;
-		home = find_home(homes, &n_homes, w->weights);
-		cost = cost_usec(c, r, w, home, now);
+		cost = cost_usec(c, r, w,
+		    find_version(versions, &n_versions, w->weights), now);
 		if (cost < best) {
 			best = cost;
 			out->worker = w;
 		}
 	}
-	if (out->worker == NULL && !take_held) {
-		/* A held worker may be back; better than refusing. */
-		take_held = true;
-		goto again;
-	}
+	out->expected = best;
+}
+
+void
+jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
+    const struct jh_choose_request *r, struct jh_choice *out)
+{
+	struct version versions[MAX_VERSIONS];
+	size_t n = rank_versions(c, f, now, r, versions);
+
+	memset(out, 0, sizeof(*out));
+	choose_cheapest(c, f, now, r, versions, n, false, out);
+	/* A held worker may be back, and trying it beats refusing. */
+	if (out->worker == NULL)
+		choose_cheapest(c, f, now, r, versions, n, true, out);
 	if (out->worker == NULL)
 		return;
-	out->expected = best;
-	out->base = best - MIN(best, wait_usec(r, out->worker, now));
-	if (!r->is_engine || r->shared_key == 0)
+	out->base =
+	    out->expected - MIN(out->expected, wait_usec(r, out->worker, now));
+	if (!r->is_engine || r->n_levels == 0)
 		return;
-	home = find_home(homes, &n_homes, out->worker->weights);
-	out->uncached = (home == NULL || home->worker != out->worker) &&
-	    !was_placed(c, part_key(r, out->worker), now, out->worker);
-	if (!was_placed(c, part_key(r, out->worker), now, out->worker))
-		out->source = find_source(c, r, f, out->worker, home, now);
+	out->uncached = uncached(c, r, out->worker, now);
+	out->source = find_source(c, r, f, out->worker, now);
 }
 
-void
-jh_chooser_placed(struct jh_chooser *c, uint64_t now, uint64_t shared_key,
-    const struct jh_worker *w)
+static void
+remember(struct jh_chooser *c, uint64_t now, uint64_t key, uint64_t worker)
 {
-	uint64_t key = mix(shared_key, w->weights);
-	struct placed *p;
+	struct placed *p = g_hash_table_lookup(c->placed, &key);
 	size_t i, oldest = 0;
 
-	if (shared_key == 0)
-		return;
-	p = g_hash_table_lookup(c->placed, &key);
 	if (p == NULL) {
 		if (g_hash_table_size(c->placed) >= PLACED_PARTS)
 			g_hash_table_remove_all(c->placed);
@@ -366,13 +426,55 @@
 		    c->placed, g_memdup2(&key, sizeof(key)), p);
 	}
 	for (i = 0; i < PLACED_WORKERS; i++) {
-		if (p->worker[i] == w->hash) {
+		if (p->worker[i] == worker) {
 			oldest = i;
 			break;
 		}
 		if (p->at[i] < p->at[oldest])
 			oldest = i;
 	}
-	p->worker[oldest] = w->hash;
+	p->worker[oldest] = worker;
 	p->at[oldest] = now;
 }
+
+static void
+add_news(struct jh_chooser *c, uint64_t key, uint64_t worker)
+{
+	if (c->n_news == MAX_NEWS)
+		memmove(c->news, c->news + 1,
+		    --c->n_news * sizeof(c->news[0]));
+	c->news[c->n_news++] = (struct jh_placement){key, worker};
+}
+
+void
+jh_chooser_placed(struct jh_chooser *c, uint64_t now,
+    const struct jh_choose_request *r, const struct jh_worker *w)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_levels; i++) {
+		uint64_t key = part_key(r, i, w->weights);
+		remember(c, now, key, w->hash);
+		if (r->level[i].tokens >= NEWS_TOKENS)
+			add_news(c, key, w->hash);
+	}
+}
+
+void
+jh_chooser_told(
+    struct jh_chooser *c, uint64_t now, const struct jh_placement *p)
+{
+	remember(c, now, p->key, p->worker);
+}
+
+size_t
+jh_chooser_take_news(
+    struct jh_chooser *c, struct jh_placement *out, size_t max)
+{
+	size_t n = MIN(max, c->n_news);
+
+	memcpy(out, c->news, n * sizeof(c->news[0]));
+	c->n_news -= n;
+	memmove(c->news, c->news + n, c->n_news * sizeof(c->news[0]));
+	return n;
+}
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -12,11 +12,19 @@
 /*
  * Chooses the worker that a request is sent to: the one with the lowest
  * expected time to the first token, where reading a shared part of a prompt
- * again counts as time. Requests that share a part of their prompt rank the
- * workers alike at every process, so that the part is read once. Pure.
+ * again counts as time. It knows which workers have read a part lately, from
+ * this process's requests and from what the others tell; a part that nobody
+ * has read is ranked alike at every process, so that it is read once. Pure.
  */
 struct jh_chooser;
 
+/*
+ * Old weights get no further requests this long after newer ones were named: a
+ * request that is sent later may wait at its worker until they are not allowed
+ * any more.
+ */
+#define JH_CHOOSE_OLD_WEIGHTS_USEC 5000000ULL
+
 /* Most workers that one request excludes. */
 #define JH_CHOOSE_MAX_EXCLUDED 8
 
@@ -25,13 +33,20 @@
 	GHashTable *regions; /* availability zone to region */
 };
 
+#define JH_CHOOSE_MAX_LEVELS 16
+
+struct jh_choose_level {
+	uint64_t key; /* of the parts up to this one, and who may share them */
+	uint32_t tokens; /* of this part alone */
+};
+
 struct jh_choose_request {
 	const char *service;
 	bool is_engine;
 	const char *model; /* engines only */
-	/* Hash of the last part that other requests share; 0: none. */
-	uint64_t shared_key;
-	uint32_t shared_tokens;
+	/* The parts that other requests share, each with all before it. */
+	struct jh_choose_level level[JH_CHOOSE_MAX_LEVELS];
+	size_t n_levels;
 	uint32_t own_tokens;
 	uint32_t answer_tokens;
 	uint64_t newest_weights; /* 0: not known */
@@ -47,7 +62,7 @@
 	struct jh_worker *source;
 	uint64_t expected; /* time to the first token, microseconds */
 	uint64_t base; /* the same without the work that waits there */
-	bool uncached; /* it probably has not read the shared parts */
+	uint32_t uncached; /* tokens of shared parts that it has to read */
 	bool any_alive; /* a worker exists, though it is held or changing */
 };
 
@@ -56,8 +71,21 @@
 
 void jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct jh_choice *out);
-/* A request with this shared part was sent to the worker. */
-void jh_chooser_placed(struct jh_chooser *c, uint64_t now, uint64_t shared_key,
-    const struct jh_worker *w);
+/* The request was sent to the worker, which then holds its shared parts. */
+void jh_chooser_placed(struct jh_chooser *c, uint64_t now,
+    const struct jh_choose_request *r, const struct jh_worker *w);
+
+/* A placement as processes tell each other. */
+struct jh_placement {
+	uint64_t key; /* of a part and the weights that read it */
+	uint64_t worker; /* hash of its id */
+};
+
+/* Another process has placed a part. */
+void jh_chooser_told(
+    struct jh_chooser *c, uint64_t now, const struct jh_placement *p);
+/* Takes up to max placements that others have not been told. */
+size_t jh_chooser_take_news(
+    struct jh_chooser *c, struct jh_placement *out, size_t max);
 
 #endif
