--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -117,8 +117,8 @@
 	r->n_excluded = x->n_excluded;
 	memcpy(r->excluded, x->excluded, sizeof(r->excluded));
 	if (r->is_engine)
-		r->newest_weights = jh_weights_newest(
-		    x->gw->weights, x->model, &r->newest_since);
+		r->n_named = jh_weights_history(
+		    x->gw->weights, x->model, r->named);
 	jh_choose(x->gw->chooser, x->gw->fleet, now, r, out);
 }
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -165,7 +165,7 @@
 	}
 	if (x->status == 421)
 		return;
-	newest = jh_weights_newest(x->gw->weights, w->model, NULL);
+	newest = jh_weights_newest(x->gw->weights, w->model);
 	if (w->model != NULL && newest > w->weights)
 		w->changing_until = now + CHANGING_USEC;
 	else
--- a/src/gateway/steward.c
+++ b/src/gateway/steward.c
@@ -25,6 +25,7 @@
 	struct jh_duty *duty;
 	uv_timer_t tick;
 	bool held;
+	uint64_t resign_deadline; /* 0: no stop is under way */
 };
 
 /* One line when the duty is gained or lost. */
@@ -81,14 +82,19 @@
 	struct jh_steward *s = t->data;
 	struct jh_weights_action action;
 	struct jh_duty_action call;
-	bool announce = false;
+	bool announce = false, pending;
 	uint64_t now = jh_boot_now(), token;
 
 	if (jh_duty_next(s->duty, now, &call))
 		s->spec.ops->duty(s->spec.arg, &call);
 	note_tenure(s, jh_duty_held(s->duty, now));
-	if (s->held && jh_weights_pending(s->spec.weights, s->spec.fleet))
+	pending = s->held &&
+	    jh_weights_pending(s->spec.weights, s->spec.fleet);
+	if (pending)
 		jh_duty_want_to_act(s->duty, now);
+	if (s->resign_deadline != 0 &&
+	    (!pending || jh_now() >= s->resign_deadline))
+		jh_duty_resign(s->duty);
 	for (;;) {
 		token = jh_duty_token(s->duty, jh_boot_now());
 		if (token == 0 ||
@@ -169,13 +175,15 @@
 }
 
 void
-jh_steward_resign(struct jh_steward *s)
+jh_steward_resign(struct jh_steward *s, uint64_t deadline)
 {
-	jh_duty_resign(s->duty);
+	s->resign_deadline = deadline;
+	if (!s->held)
+		jh_duty_resign(s->duty);
 }
 
 bool
 jh_steward_done(const struct jh_steward *s)
 {
-	return !jh_duty_bound(s->duty);
+	return !s->held || !jh_duty_bound(s->duty);
 }
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -49,8 +49,11 @@
 void jh_steward_looked(
     struct jh_steward *s, const char *worker, bool answered, bool busy,
     uint64_t weights);
-/* Gives the duty up, for a stop of the process. */
-void jh_steward_resign(struct jh_steward *s);
+/*
+ * Gives the duty up for a stop of the process: when the changes under way are
+ * done, or at the deadline (a jh_now() time).
+ */
+void jh_steward_resign(struct jh_steward *s, uint64_t deadline);
 /* After it: whether the duty was left so that others may take it at once. */
 bool jh_steward_done(const struct jh_steward *s);
 
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -38,13 +38,14 @@
 	bool ahead; /* only a look, to learn the count of orders */
 };
 
-struct newest {
-	uint64_t version;
-	uint64_t since;
+/* The versions of one model, oldest first. */
+struct history {
+	struct jh_named_weights named[JH_WEIGHTS_HISTORY];
+	size_t n;
 };
 
 struct jh_weights {
-	GHashTable *newest; /* model to struct newest */
+	GHashTable *models; /* name to struct history */
 	GHashTable *tasks; /* worker id to struct task */
 };
 
@@ -53,7 +54,7 @@
 {
 	struct jh_weights *w = g_new0(struct jh_weights, 1);
 
-	w->newest =
+	w->models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	w->tasks =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -65,7 +66,7 @@
 {
 	if (w == NULL)
 		return;
-	g_hash_table_destroy(w->newest);
+	g_hash_table_destroy(w->models);
 	g_hash_table_destroy(w->tasks);
 	g_free(w);
 }
@@ -74,29 +75,41 @@
 jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
     uint64_t version)
 {
-	struct newest *n = g_hash_table_lookup(w->newest, model);
+	struct history *h = g_hash_table_lookup(w->models, model);
 
-	if (n == NULL) {
-		n = g_new0(struct newest, 1);
-		g_hash_table_insert(w->newest, g_strdup(model), n);
+	if (h == NULL) {
+		h = g_new0(struct history, 1);
+		g_hash_table_insert(w->models, g_strdup(model), h);
 	}
-	if (version <= n->version)
+	if (h->n > 0 && version <= h->named[h->n - 1].version)
 		return false;
-	n->version = version;
-	n->since = since;
+	if (h->n == JH_WEIGHTS_HISTORY)
+		memmove(h->named, h->named + 1,
+		    --h->n * sizeof(h->named[0]));
+	h->named[h->n++] = (struct jh_named_weights){version, since};
 	return true;
 }
 
 uint64_t
-jh_weights_newest(
-    const struct jh_weights *w, const char *model, uint64_t *since)
+jh_weights_newest(const struct jh_weights *w, const char *model)
+{
+	const struct history *h =
+	    model != NULL ? g_hash_table_lookup(w->models, model) : NULL;
+
+	return h != NULL ? h->named[h->n - 1].version : 0;
+}
+
+size_t
+jh_weights_history(const struct jh_weights *w, const char *model,
+    struct jh_named_weights out[JH_WEIGHTS_HISTORY])
 {
-	const struct newest *n =
-	    model != NULL ? g_hash_table_lookup(w->newest, model) : NULL;
+	const struct history *h =
+	    model != NULL ? g_hash_table_lookup(w->models, model) : NULL;
 
-	if (since != NULL)
-		*since = n != NULL ? n->since : 0;
-	return n != NULL ? n->version : 0;
+	if (h == NULL)
+		return 0;
+	memcpy(out, h->named, h->n * sizeof(out[0]));
+	return h->n;
 }
 
 static bool
@@ -104,7 +117,7 @@
 {
 	return !worker->leaving && worker->missing_since == 0 &&
 	    worker->weights != 0 &&
-	    worker->weights < jh_weights_newest(w, worker->model, NULL);
+	    worker->weights < jh_weights_newest(w, worker->model);
 }
 
 /* Tasks of workers that have arrived or gone are done. */
@@ -238,7 +251,7 @@
 		t = g_hash_table_lookup(w->tasks, worker->id);
 		if (t != NULL) {
 			if (step(t, worker, now,
-				jh_weights_newest(w, worker->model, NULL), out))
+				jh_weights_newest(w, worker->model), out))
 				return true;
 			continue;
 		}
@@ -259,7 +272,7 @@
 	t->next = now + JH_WEIGHTS_NOTICE_USEC;
 	out->kind = JH_WEIGHTS_ANNOUNCE;
 	out->worker = idlest;
-	out->version = jh_weights_newest(w, idlest->model, NULL);
+	out->version = jh_weights_newest(w, idlest->model);
 	return true;
 }
 
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -55,9 +55,23 @@
  */
 bool jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
     uint64_t version);
-/* 0: none was named. since: when it became known here; may be NULL. */
-uint64_t jh_weights_newest(
-    const struct jh_weights *w, const char *model, uint64_t *since);
+/* 0: none was named. */
+uint64_t jh_weights_newest(const struct jh_weights *w, const char *model);
+
+/* Versions that are remembered with their times. */
+#define JH_WEIGHTS_HISTORY 8
+
+struct jh_named_weights {
+	uint64_t version;
+	uint64_t since;
+};
+
+/*
+ * Copies the versions named last, oldest first, and returns their number: a
+ * worker is outdated since the first one above its own.
+ */
+size_t jh_weights_history(const struct jh_weights *w, const char *model,
+    struct jh_named_weights out[JH_WEIGHTS_HISTORY]);
 
 /* Whether there is an order to give or one under way. */
 bool jh_weights_pending(struct jh_weights *w, struct jh_fleet *f);
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -152,16 +152,26 @@
 	return w->weights != 0 && g_strcmp0(w->model, r->model) == 0;
 }
 
+/* For how long newer weights than the worker's have been named. */
+static uint64_t
+outdated_usec(const struct jh_choose_request *r, const struct jh_worker *w,
+    uint64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_named; i++)
+		if (r->named[i].version > w->weights)
+			return now - MIN(now, r->named[i].since);
+	return 0;
+}
+
 static bool
 may_take(const struct jh_choose_request *r, const struct jh_worker *w,
     uint64_t now)
 {
 	if (w->leaving || now < w->changing_until || is_excluded(r, w))
 		return false;
-	if (r->is_engine && r->newest_weights > w->weights &&
-	    now - r->newest_since > JH_CHOOSE_OLD_WEIGHTS_USEC)
-		return false;
-	return true;
+	return outdated_usec(r, w, now) <= JH_CHOOSE_OLD_WEIGHTS_USEC;
 }
 
 static uint64_t
@@ -290,8 +300,7 @@
 
 	if (!r->is_engine)
 		return cost;
-	if (r->newest_weights > w->weights &&
-	    now - r->newest_since > OLD_WEIGHTS_FREE_USEC)
+	if (outdated_usec(r, w, now) > OLD_WEIGHTS_FREE_USEC)
 		cost += OLD_WEIGHTS_USEC;
 	reading = prefill_usec(uncached(c, r, w, now));
 	/* What nobody has must be read by some worker: by its home. */
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "member/weights.h"
 #include "route/fleet.h"
 
 /*
@@ -49,8 +50,8 @@
 	size_t n_levels;
 	uint32_t own_tokens;
 	uint32_t answer_tokens;
-	uint64_t newest_weights; /* 0: not known */
-	uint64_t newest_since; /* when this process learned of them */
+	struct jh_named_weights named[JH_WEIGHTS_HISTORY]; /* oldest first */
+	size_t n_named;
 	uint64_t cache_tokens; /* memory of one worker; 0: not known */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
