--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,6 +34,12 @@
 	struct jh_budget *budget;
 	struct jh_weights *weights;
 	unsigned int processes; /* that share the workers and the budget */
+	/*
+	 * jh_now() time at which the process ends; 0: no stop is under way.
+	 * From refuse_from on, what would not be done by then is refused.
+	 */
+	uint64_t ends_at;
+	uint64_t refuse_from;
 	/* May be NULL: a worker's answers show other weights than listed. */
 	void (*saw_weights)(void *arg, struct jh_worker *worker);
 	void *arg;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -6,6 +6,16 @@
 
 #include "gateway/exchange.h"
 
+/*
+ * Time for one token of an answer at a worker that reads prompts beside it,
+ * and for an answer that is no stream.
+ */
+#define TOKEN_USEC (45 * JH_USEC_PER_MSEC)
+#define PLAIN_USEC (400 * JH_USEC_PER_MSEC)
+
+/* A client that is refused by a stopping process finds another at once. */
+#define STOPPING_SECONDS 0.05
+
 /* Clients come back after this long when no configuration is known yet. */
 #define NOT_READY_SECONDS 0.5
 
@@ -100,6 +110,19 @@
 	x->choose.own_tokens = ask->part[ask->n_parts - 1].tokens;
 }
 
+/* Whether the process is about to stop and could not finish the request. */
+static bool
+is_too_late(const struct exchange *x, uint64_t now)
+{
+	uint64_t time = PLAIN_USEC;
+
+	if (x->gw->ends_at == 0 || now < x->gw->refuse_from)
+		return false;
+	if (x->route->kind == JH_ROUTE_STREAM)
+		time += x->ask.answer_tokens * TOKEN_USEC;
+	return now + time > x->gw->ends_at;
+}
+
 static void
 start(struct jh_gateway *gw, struct jh_visit *v, const struct jh_ask *ask,
     const struct jh_route *route, const struct jh_tenant *tenant,
@@ -140,6 +163,10 @@
 		: (x->attempts.deadline - now) / JH_USEC_PER_MSEC,
 	    0);
 	jh_visit_watch(v, &visit_ops, x);
+	if (is_too_late(x, now)) {
+		exchange_refuse(x, "the process stops", STOPPING_SECONDS);
+		return;
+	}
 	jh_budget_request(gw->budget, now, service);
 	exchange_try(x);
 }
--- a/src/member/duty.c
+++ b/src/member/duty.c
@@ -19,7 +19,8 @@
 	bool seen;
 	uint64_t version; /* 0: absent */
 	uint64_t term;
-	bool acting;
+	uint64_t rest;
+	bool released;
 	bool own; /* written by this process, perhaps without an answer */
 	uint64_t unchanged_since;
 	/* The present tenure. */
@@ -57,25 +58,17 @@
 static bool
 may_take_over(const struct jh_duty *d, uint64_t now)
 {
-	uint64_t wait = d->spec.hold;
+	uint64_t wait = d->rest;
 
 	if (!d->seen || d->resigned)
 		return false;
 	if (d->version == 0 || d->own)
 		return true;
-	if (d->acting)
-		wait += d->spec.apart + d->spec.transit;
+	if (!d->released)
+		wait += d->spec.hold;
 	return now - d->unchanged_since >= wait;
 }
 
-/* Whether the acts of this tenure are long enough past for another holder. */
-static bool
-is_past(const struct jh_duty *d, uint64_t now)
-{
-	return d->last_act == 0 ||
-	    now - d->last_act >= d->spec.apart + d->spec.transit;
-}
-
 static bool
 wants_to_act(const struct jh_duty *d, uint64_t now)
 {
@@ -86,20 +79,29 @@
 static bool
 is_urgent(const struct jh_duty *d, uint64_t now)
 {
-	return d->token != 0 && wants_to_act(d, now) && !d->may_act;
+	if (d->token == 0)
+		return false;
+	return d->resigned || (wants_to_act(d, now) && !d->may_act);
 }
 
-/* Whether a holder that resigned still has to leave an idle object. */
-static bool
-must_stay(const struct jh_duty *d)
+/* How long others must rest after a write of this holder. */
+static uint64_t
+rest_after(const struct jh_duty *d, uint64_t now, bool acting)
 {
-	return d->token != 0 && d->acting;
+	uint64_t whole = d->spec.apart + d->spec.transit;
+	uint64_t past = now - d->last_act;
+
+	if (acting)
+		return whole;
+	if (d->last_act == 0 || past >= whole)
+		return 0;
+	return whole - past;
 }
 
 bool
 jh_duty_next(struct jh_duty *d, uint64_t now, struct jh_duty_action *out)
 {
-	bool renew = d->token != 0 && (!d->resigned || must_stay(d));
+	bool renew = d->token != 0;
 
 	if (d->in_call || (now < d->next && !is_urgent(d, now)))
 		return false;
@@ -110,10 +112,10 @@
 		out->if_version = d->version;
 		out->holder = d->holder;
 		out->term = d->term + 1;
-		out->acting =
-		    renew && (wants_to_act(d, now) || !is_past(d, now));
+		d->write_acting = renew && wants_to_act(d, now);
+		out->rest = rest_after(d, now, d->write_acting);
+		out->released = d->resigned;
 	}
-	d->write_acting = out->acting;
 	out->deadline = now + CALL_USEC;
 	d->in_call = true;
 	d->writing = out->kind != JH_DUTY_READ;
@@ -140,7 +142,8 @@
 	d->seen = true;
 	d->version = reply->version;
 	d->term = reply->term;
-	d->acting = reply->acting;
+	d->rest = reply->rest;
+	d->released = reply->released;
 	d->own = is_own(d, reply);
 	d->unchanged_since = now;
 }
@@ -149,6 +152,10 @@
 written(struct jh_duty *d, const struct jh_duty_reply *reply)
 {
 	/* The tenure's token must not rise while its orders are on the way. */
+	if (d->resigned) {
+		d->token = 0;
+		return;
+	}
 	if (d->token == 0) {
 		d->token = reply->version;
 		d->last_act = 0;
@@ -227,7 +234,7 @@
 bool
 jh_duty_bound(const struct jh_duty *d)
 {
-	return must_stay(d) || (d->in_call && d->writing);
+	return d->token != 0 || (d->in_call && d->writing);
 }
 
 void
--- a/src/member/duty.h
+++ b/src/member/duty.h
@@ -16,9 +16,10 @@
  * machine is suspended.
  *
  * The acts of two holders must lie some time apart. The object therefore says
- * whether its holder may act: an idle holder writes that before its first act,
- * and an idle object is taken over sooner. A holder that stops leaves the
- * object idle once that time has passed since its last act.
+ * how long others must rest before they act: a holder that may act writes the
+ * whole time, and one that does not act what is left of it since its last act.
+ * A holder that stops releases the object, so that nothing but that rest is
+ * waited for.
  *
  * Pure; the caller carries out the actions and reports each result once. Times
  * are microseconds of that clock.
@@ -41,7 +42,8 @@
 	uint64_t if_version; /* WRITE */
 	const char *holder; /* CREATE and WRITE: what the object states */
 	uint64_t term; /* CREATE and WRITE: rises with each write */
-	bool acting; /* CREATE and WRITE: the holder may act */
+	uint64_t rest; /* CREATE and WRITE: others wait this long, at least */
+	bool released; /* CREATE and WRITE: the holder acts no more */
 	uint64_t deadline; /* of the call */
 };
 
@@ -51,7 +53,8 @@
 	uint64_t version; /* of the object; 0: absent */
 	struct jh_str holder;
 	uint64_t term;
-	bool acting;
+	uint64_t rest;
+	bool released;
 };
 
 struct jh_duty *jh_duty_create(const struct jh_duty_spec *spec);
@@ -73,12 +76,9 @@
 uint64_t jh_duty_token(const struct jh_duty *d, uint64_t now);
 /* An act was sent. */
 void jh_duty_acted(struct jh_duty *d, uint64_t now);
-/*
- * Takes no further tenure and acts no more; the present one ends once the
- * object is idle.
- */
+/* Acts no more, releases the object and takes no further tenure. */
 void jh_duty_resign(struct jh_duty *d);
-/* After it: whether the object is not idle yet. */
+/* After it: whether the object is still to be released. */
 bool jh_duty_bound(const struct jh_duty *d);
 
 #endif
