--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -2,8 +2,10 @@
 #include <string.h>
 
 #include <jacinthhill/clock.h>
+#include <xxhash.h>
 
 #include "gateway/exchange.h"
+#include "route/admit.h"
 
 /* A connection that is not open by then is given up as not sent. */
 #define CONNECT_USEC (400 * JH_USEC_PER_MSEC)
@@ -221,7 +223,7 @@
 		jh_events_restart(x->events);
 	jh_attempts_sent(&x->attempts);
 	jh_chooser_placed(x->gw->chooser, now, &x->choose, w);
-	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i",
+	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, s:I, s:I, s:i",
 	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
 	    x->route->name, "worker", w->id, "weights",
 	    (json_int_t)w->weights, "weights_age_us",
@@ -233,11 +235,40 @@
 	    (json_int_t)(x->choose.n_levels > 0
 		    ? x->choose.level[x->choose.n_levels - 1].key >> 1
 		    : 0),
-	    "uncached", (int)choice->uncached);
+	    "uncached", (int)choice->uncached, "backlog",
+	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held",
+	    (json_int_t)(w->held_tokens + w->others_held), "running",
+	    (int)(w->running + w->others_running));
 	x->call = jh_call_start(x->gw->caller, &spec);
 	wait_for_answer(x, now);
 }
 
+/* Turns the request away if it would wait too long; it is gone then. */
+static bool
+is_admitted(struct exchange *x, const struct jh_choice *choice, uint64_t now)
+{
+	struct jh_admit_request r = {
+	    .expected = choice->expected,
+	    .wait = choice->expected - choice->base,
+	    .target = x->route->target,
+	    .left = x->attempts.deadline - now,
+	    .hash = XXH3_64bits(x->ask.id.ptr, x->ask.id.len),
+	};
+	struct jh_admit_answer answer;
+
+	jh_admit(&r, &answer);
+	if (answer.admitted)
+		return true;
+	jh_metrics_add(x->gw->metrics, "jh_turned_away", 1);
+	jh_trace(x->gw->trace, "turned_away", "s:s#, s:s, s:s, s:I, s:I, s:f",
+	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
+	    x->route->name, "worker", choice->worker->id, "expected_us",
+	    (json_int_t)r.expected, "wait_us", (json_int_t)r.wait,
+	    "retry_after_s", answer.retry_seconds);
+	exchange_refuse(x, "the workers are busy", answer.retry_seconds);
+	return false;
+}
+
 void
 exchange_try(struct exchange *x)
 {
@@ -251,5 +282,8 @@
 				     : "no worker is known");
 		return;
 	}
+	if (x->attempts.sent == 0 && x->choose.is_engine &&
+	    !is_admitted(x, &choice, now))
+		return;
 	send_offer(x, &choice, now);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,7 @@
 	uint64_t last_event;
 	bool has_last_event;
 	unsigned int n_events;
+	uint64_t first_at; /* first event; 0: none yet */
 	unsigned int handles; /* timers that are not closed */
 };
 
--- a/src/gateway/finish.c
+++ b/src/gateway/finish.c
@@ -39,12 +39,13 @@
 	jh_metrics_add(m, name, 1);
 	jh_metrics_time(m, "jh_request_ms", took);
 	jh_trace(x->gw->trace, "ended",
-	    "s:s#, s:s, s:i, s:s, s:i, s:b, s:I, s:i", "request",
+	    "s:s#, s:s, s:i, s:s, s:i, s:b, s:I, s:i, s:I", "request",
 	    x->ask.id.ptr, (int)x->ask.id.len, "route", x->route->name,
 	    "status", (int)status, "reason", reason, "attempts",
 	    (int)x->attempts.sent, "may_have_run",
 	    (int)x->attempts.may_have_run, "took_us", (json_int_t)took,
-	    "events", (int)x->n_events);
+	    "events", (int)x->n_events, "first_us",
+	    (json_int_t)(x->first_at != 0 ? x->first_at - x->arrived : 0));
 }
 
 static const char *
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -95,6 +95,7 @@
 	if (x->spoilt)
 		return;
 	if (x->n_events++ == 0) {
+		x->first_at = jh_now();
 		exchange_unbook_prefill(x);
 		learn_delay(x, jh_now());
 	}
