Change a third of the workers at a time, with half a second of notice

Cause: while half of the workers changed, the other half could not read the cold parts of the prompts, and urgent requests were turned away.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -34,6 +34,14 @@
 				 : NULL;
 }
 
+unsigned int
+exchange_rank(const struct exchange *x)
+{
+	if (x->tenant != NULL && x->tenant->has_rank)
+		return x->tenant->rank;
+	return x->route->rank;
+}
+
 static void
 take_off(uint64_t *from, uint64_t n)
 {
@@ -150,14 +158,11 @@
 	char *salt = NULL;
 
 	if (x->service != NULL && x->service->is_engine) {
-		unsigned int rank = x->tenant != NULL && x->tenant->has_rank
-		    ? x->tenant->rank
-		    : x->route->rank;
 		salt = make_salt(x, w);
 		offer.salt = salt;
 		offer.weights = w->weights;
 		offer.has_urgency = true;
-		offer.urgency = MIN(rank, 9);
+		offer.urgency = MIN(exchange_rank(x), 9);
 		if (choice->source != NULL)
 			offer.source = &choice->source->address;
 	}
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -72,6 +72,8 @@
 
 /* The worker of the attempt, or NULL when it has gone. */
 struct jh_worker *exchange_worker(struct exchange *x);
+/* The tenant's rank goes before the route's. */
+unsigned int exchange_rank(const struct exchange *x);
 /* Takes the attempt's load off the books. */
 void exchange_unbook(struct exchange *x);
 void exchange_unbook_prefill(struct exchange *x);
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -19,11 +19,11 @@
  * one half loads, the other serves; then all requests go to the first half and
  * the second drains, so that old weights serve for the shortest time.
  */
-#define JH_WEIGHTS_SHARE 0.5
+#define JH_WEIGHTS_SHARE 0.34
 #define JH_WEIGHTS_LEAST 2
 
 /* Other processes are told of an order this long before it is sent. */
-#define JH_WEIGHTS_NOTICE_USEC 900000ULL
+#define JH_WEIGHTS_NOTICE_USEC 500000ULL
 
 enum jh_weights_action_kind {
 	JH_WEIGHTS_ANNOUNCE, /* tell others to spare the worker; no reply */
