--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -23,7 +23,7 @@
 #define JH_WEIGHTS_LEAST 2
 
 /* Other processes are told of an order this long before it is sent. */
-#define JH_WEIGHTS_NOTICE_USEC 500000ULL
+#define JH_WEIGHTS_NOTICE_USEC 250000ULL
 
 enum jh_weights_action_kind {
 	JH_WEIGHTS_ANNOUNCE, /* tell others to spare the worker; no reply */
--- a/src/route/admit.c
+++ b/src/route/admit.c
@@ -6,7 +6,7 @@
 #define AIM_SHARE 0.5
 
 /* Waiting less than this is never a reason to turn a request away. */
-#define LEAST_WAIT_USEC 250000ULL
+#define LEAST_WAIT_USEC 500000ULL
 
 /* Clients honour up to a third of the time that they have left. */
 #define MOST_LEFT_SHARE 0.33
