--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -165,6 +165,10 @@
 		offer.urgency = MIN(exchange_rank(x), 9);
 		if (choice->source != NULL)
 			offer.source = &choice->source->address;
+		else if (choice->from_store)
+			offer.source = &x->store->cache_store;
+		if (choice->save)
+			offer.save = &x->store->cache_store;
 	}
 	x->gw->dialect->write_offer(
 	    message, jh_visit_head(x->visit), &offer, body.len);
@@ -227,7 +231,7 @@
 	if (x->events != NULL)
 		jh_events_restart(x->events);
 	jh_attempts_sent(&x->attempts);
-	jh_chooser_placed(x->gw->chooser, now, &x->choose, w);
+	jh_chooser_placed(x->gw->chooser, now, &x->choose, choice);
 	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, s:I, s:I, s:i",
 	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
 	    x->route->name, "worker", w->id, "weights",
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,6 +14,7 @@
 	const struct jh_route *route;
 	const struct jh_tenant *tenant; /* NULL: none */
 	const struct jh_service *service; /* NULL: not described */
+	const struct jh_service *store; /* of cached parts; NULL: none */
 	const char *service_name;
 	uint64_t arrived;
 	struct jh_choose_request choose; /* what does not change */
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -100,6 +100,10 @@
 		return;
 	x->choose.model = x->model;
 	x->choose.cache_tokens = x->service->cache_tokens;
+	x->store = jh_table_cache_store(x->table);
+	if (x->store != NULL)
+		x->choose.store =
+		    XXH3_64bits(x->store->name, strlen(x->store->name));
 	if (ask->n_parts == 0)
 		return;
 	for (i = 0; i + 1 < ask->n_parts; i++) {
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -35,6 +35,9 @@
 #define PLACED_USEC (4 * JH_USEC_PER_SEC)
 #define PLACED_ONCE_USEC (10 * JH_USEC_PER_SEC)
 
+/* The store drops what was used least recently; it is larger than workers. */
+#define STORED_USEC (20 * JH_USEC_PER_SEC)
+
 /* Workers remembered for one part, and parts remembered at all. */
 #define PLACED_WORKERS 4
 #define PLACED_PARTS 8192
@@ -229,7 +232,7 @@
 
 /* When the part was last placed at the worker; 0: not that is known. */
 static uint64_t
-placed_at(const struct jh_chooser *c, uint64_t key, const struct jh_worker *w)
+placed_at_hash(const struct jh_chooser *c, uint64_t key, uint64_t worker)
 {
 	const struct placed *p = g_hash_table_lookup(c->placed, &key);
 	size_t i;
@@ -237,11 +240,17 @@
 	if (p == NULL)
 		return 0;
 	for (i = 0; i < PLACED_WORKERS; i++)
-		if (p->worker[i] == w->hash)
+		if (p->worker[i] == worker)
 			return p->at[i];
 	return 0;
 }
 
+static uint64_t
+placed_at(const struct jh_chooser *c, uint64_t key, const struct jh_worker *w)
+{
+	return placed_at_hash(c, key, w->hash);
+}
+
 static bool
 holds(const struct jh_chooser *c, uint64_t key, uint64_t now,
     const struct jh_worker *w, uint64_t within)
@@ -340,6 +349,25 @@
 	return best;
 }
 
+/* Whether parts are fetched from the store, or are to be saved there. */
+static void
+use_store(const struct jh_chooser *c, const struct jh_choose_request *r,
+    uint64_t now, struct jh_choice *out)
+{
+	const struct jh_choose_level *last = &r->level[r->n_levels - 1];
+	uint64_t key, at;
+
+	if (r->store == 0 || last->tokens < NEWS_TOKENS ||
+	    out->uncached < last->tokens)
+		return;
+	key = part_key(r, r->n_levels - 1, out->worker->weights);
+	at = placed_at_hash(c, key, r->store);
+	if (at == 0 || now - at >= STORED_USEC)
+		out->save = true;
+	else if (out->source == NULL)
+		out->from_store = true;
+}
+
 /* Ranks the eligible workers of each version for the shared parts. */
 static size_t
 rank_versions(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
@@ -419,6 +447,7 @@
 		return;
 	out->uncached = uncached(c, r, out->worker, now);
 	out->source = find_source(c, r, f, out->worker, now);
+	use_store(c, r, now, out);
 }
 
 static void
@@ -457,8 +486,9 @@
 
 void
 jh_chooser_placed(struct jh_chooser *c, uint64_t now,
-    const struct jh_choose_request *r, const struct jh_worker *w)
+    const struct jh_choose_request *r, const struct jh_choice *choice)
 {
+	const struct jh_worker *w = choice->worker;
 	size_t i;
 
 	for (i = 0; i < r->n_levels; i++) {
@@ -466,6 +496,11 @@
 		remember(c, now, key, w->hash);
 		if (r->level[i].tokens >= NEWS_TOKENS)
 			add_news(c, key, w->hash);
+		if ((choice->save || choice->from_store) &&
+		    i + 1 == r->n_levels) {
+			remember(c, now, key, r->store);
+			add_news(c, key, r->store);
+		}
 	}
 }
 
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -53,6 +53,7 @@
 	struct jh_named_weights named[JH_WEIGHTS_HISTORY]; /* oldest first */
 	size_t n_named;
 	uint64_t cache_tokens; /* memory of one worker; 0: not known */
+	uint64_t store; /* hash of the store of cached parts; 0: there is none */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
 };
@@ -63,6 +64,8 @@
 	struct jh_worker *source;
 	uint64_t expected; /* time to the first token, microseconds */
 	uint64_t base; /* the same without the work that waits there */
+	bool from_store; /* the store has them, and no worker that is known */
+	bool save; /* the worker reads what the store should have */
 	uint32_t uncached; /* tokens of shared parts that it has to read */
 	bool any_alive; /* a worker exists, though it is held or changing */
 };
@@ -72,9 +75,12 @@
 
 void jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct jh_choice *out);
-/* The request was sent to the worker, which then holds its shared parts. */
+/*
+ * The request was sent as chosen; the worker then holds its shared parts, and
+ * the store what it was to save.
+ */
 void jh_chooser_placed(struct jh_chooser *c, uint64_t now,
-    const struct jh_choose_request *r, const struct jh_worker *w);
+    const struct jh_choose_request *r, const struct jh_choice *choice);
 
 /* A placement as processes tell each other. */
 struct jh_placement {
