Weigh reading a part again above its time

Cause: small differences of waiting moved requests away from the worker that had read their prompt; the copies took the memory of other parts (without any disruption 293 of 1,000 long prompts moved).

--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -38,6 +38,12 @@
 /* The store drops what was used least recently; it is larger than workers. */
 #define STORED_USEC (20 * JH_USEC_PER_SEC)
 
+/*
+ * Reading a part again costs more than its time: it takes the memory of other
+ * parts, which are then read again as well.
+ */
+#define AGAIN_WEIGHT 8
+
 /* Workers remembered for one part, and parts remembered at all. */
 #define PLACED_WORKERS 4
 #define PLACED_PARTS 8192
@@ -315,7 +321,19 @@
 	/* What nobody has must be read by some worker: by its home. */
 	if (v != NULL && !v->held && v->home == w)
 		reading = 0;
-	return cost + reading + prefill_usec(r->own_tokens);
+	return cost + AGAIN_WEIGHT * reading + prefill_usec(r->own_tokens);
+}
+
+/* The time to the first token. */
+static uint64_t
+expected_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
+    const struct jh_worker *w, uint64_t now)
+{
+	uint64_t time = wait_usec(r, w, now) + distance_usec(distance(c, w));
+
+	if (!r->is_engine)
+		return time;
+	return time + prefill_usec(uncached(c, r, w, now) + r->own_tokens);
 }
 
 /*
@@ -424,7 +442,6 @@
 			out->worker = w;
 		}
 	}
-	out->expected = best;
 }
 
 void
@@ -441,6 +458,7 @@
 		choose_cheapest(c, f, now, r, versions, n, true, out);
 	if (out->worker == NULL)
 		return;
+	out->expected = expected_usec(c, r, out->worker, now);
 	out->base =
 	    out->expected - MIN(out->expected, wait_usec(r, out->worker, now));
 	if (!r->is_engine || r->n_levels == 0)
