--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -24,6 +24,12 @@
  */
 #define SILENCE_USEC (1000 * JH_USEC_PER_MSEC)
 
+/*
+ * A worker with less work waiting is free. To read parts again at one that is
+ * not would only move the queue there.
+ */
+#define FREE_USEC (60 * JH_USEC_PER_MSEC)
+
 /* Clients come back after this long when no worker can take a request. */
 #define NO_WORKER_SECONDS 0.3
 
@@ -252,9 +258,9 @@
 	wait_for_answer(x, now);
 }
 
-/* Turns the request away if it would wait too long; it is gone then. */
 static bool
-is_admitted(struct exchange *x, const struct jh_choice *choice, uint64_t now)
+admit(const struct exchange *x, const struct jh_choice *choice, uint64_t now,
+    struct jh_admit_answer *answer)
 {
 	struct jh_admit_request r = {
 	    .expected = choice->expected,
@@ -263,25 +269,29 @@
 	    .left = x->attempts.deadline - now,
 	    .hash = XXH3_64bits(x->ask.id.ptr, x->ask.id.len),
 	};
-	struct jh_admit_answer answer;
 
-	jh_admit(&r, &answer);
-	if (answer.admitted)
-		return true;
+	jh_admit(&r, answer);
+	return answer->admitted;
+}
+
+static void
+turn_away(struct exchange *x, const struct jh_choice *choice, double seconds)
+{
 	jh_metrics_add(x->gw->metrics, "jh_turned_away", 1);
 	jh_trace(x->gw->trace, "turned_away", "s:s#, s:s, s:s, s:I, s:I, s:f",
 	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
 	    x->route->name, "worker", choice->worker->id, "expected_us",
-	    (json_int_t)r.expected, "wait_us", (json_int_t)r.wait,
-	    "retry_after_s", answer.retry_seconds);
-	exchange_refuse(x, "the workers are busy", answer.retry_seconds);
-	return false;
+	    (json_int_t)choice->expected, "wait_us",
+	    (json_int_t)(choice->expected - choice->base), "retry_after_s",
+	    seconds);
+	exchange_refuse(x, "the workers are busy", seconds);
 }
 
 void
 exchange_try(struct exchange *x)
 {
 	uint64_t now = jh_now();
+	struct jh_admit_answer answer;
 	struct jh_choice choice;
 
 	choose(x, now, &choice);
@@ -292,7 +302,14 @@
 		return;
 	}
 	if (x->attempts.sent == 0 && x->choose.is_engine &&
-	    !is_admitted(x, &choice, now))
-		return;
+	    !admit(x, &choice, now, &answer)) {
+		/* Another worker may be free, though it has to read more. */
+		x->choose.fastest = true;
+		choose(x, now, &choice);
+		if (choice.expected - choice.base > FREE_USEC) {
+			turn_away(x, &choice, answer.retry_seconds);
+			return;
+		}
+	}
 	send_offer(x, &choice, now);
 }
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -42,7 +42,7 @@
  * Reading a part again costs more than its time: it takes the memory of other
  * parts, which are then read again as well.
  */
-#define AGAIN_WEIGHT 8
+#define AGAIN_WEIGHT 16
 
 /* Workers remembered for one part, and parts remembered at all. */
 #define PLACED_WORKERS 4
@@ -321,7 +321,9 @@
 	/* What nobody has must be read by some worker: by its home. */
 	if (v != NULL && !v->held && v->home == w)
 		reading = 0;
-	return cost + AGAIN_WEIGHT * reading + prefill_usec(r->own_tokens);
+	if (!r->fastest)
+		reading *= AGAIN_WEIGHT;
+	return cost + reading + prefill_usec(r->own_tokens);
 }
 
 /* The time to the first token. */
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -45,6 +45,8 @@
 	const char *service;
 	bool is_engine;
 	const char *model; /* engines only */
+	/* Only time counts: the worker that holds the parts has no room. */
+	bool fastest;
 	/* The parts that other requests share, each with all before it. */
 	struct jh_choose_level level[JH_CHOOSE_MAX_LEVELS];
 	size_t n_levels;
