--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -11,11 +11,12 @@
 #define ROUND_MSEC 200
 
 /*
- * Layout: magic, sender's key id, number, counts, rows of workers, placements,
- * MAC; little-endian.
+ * Layout: magic, sender's key id, number, marks, counts, rows of workers,
+ * placements, MAC; little-endian.
  */
 #define MAGIC 0x4a484731U /* "JHG1" */
-#define HEAD_LEN 24
+#define MARK_LEN 6
+#define HEAD_LEN (24 + MARK_LEN * JH_GOSSIP_MARKS)
 #define ROW_LEN 22
 #define PLACEMENT_LEN 16
 #define MAC_LEN 16
@@ -41,6 +42,7 @@
 	unsigned char key[JH_GOSSIP_KEY_LEN];
 	uint64_t id;
 	uint64_t number;
+	uint64_t marks[JH_GOSSIP_MARKS];
 	GHashTable *peers; /* name to struct peer */
 	struct jh_peers *heard;
 	unsigned int handles;
@@ -106,6 +108,8 @@
 	put(&at, MAGIC, 4);
 	put(&at, g->id, 8);
 	put(&at, ++g->number, 8);
+	for (i = 0; i < JH_GOSSIP_MARKS; i++)
+		put(&at, g->marks[i], MARK_LEN);
 	count = at;
 	at += 4;
 	for (i = 0; i < jh_fleet_count(g->spec.fleet); i++) {
@@ -183,12 +187,14 @@
 	struct jh_peer_row rows[MAX_ROWS];
 	const unsigned char *at = message;
 	const struct peer *p;
-	uint64_t id, number, count, n_placed, i;
+	uint64_t marks[JH_GOSSIP_MARKS], id, number, count, n_placed, i;
 
 	if (len < HEAD_LEN + MAC_LEN || take(&at, 4) != MAGIC)
 		return;
 	id = take(&at, 8);
 	number = take(&at, 8);
+	for (i = 0; i < JH_GOSSIP_MARKS; i++)
+		marks[i] = take(&at, MARK_LEN);
 	count = take(&at, 2);
 	n_placed = take(&at, 2);
 	p = find_sender(g, id);
@@ -211,6 +217,8 @@
 		g->heard, g->spec.fleet, jh_now(), id, number, rows, count))
 		return;
 	jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+	if (g->spec.heard_marks != NULL)
+		g->spec.heard_marks(g->spec.arg, marks);
 	for (i = 0; i < n_placed; i++) {
 		struct jh_placement placed;
 		placed.key = take(&at, 8);
@@ -313,6 +321,12 @@
 	g_hash_table_replace(g->peers, g_strdup(name), p);
 }
 
+void
+jh_gossip_set_mark(struct jh_gossip *g, size_t i, uint64_t revision)
+{
+	g->marks[i] = MAX(g->marks[i], revision);
+}
+
 void
 jh_gossip_drop_peer(struct jh_gossip *g, const char *name)
 {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -23,6 +23,13 @@
 
 #define JH_GOSSIP_KEY_LEN 32
 
+/*
+ * How far a process has followed each kind of object in the store, as the
+ * store's revision after the last change. A peer that is ahead shows that this
+ * process's own connection to the store has gone silent.
+ */
+#define JH_GOSSIP_MARKS 4
+
 struct jh_gossip_spec {
 	uv_loop_t *loop;
 	struct jh_metrics *metrics;
@@ -30,6 +37,9 @@
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
 	struct sockaddr_in address;
+	/* May be NULL: a peer has told its marks. */
+	void (*heard_marks)(void *arg, const uint64_t marks[JH_GOSSIP_MARKS]);
+	void *arg;
 };
 
 /* Returns NULL and sets *error to a libuv error if it cannot be bound. */
@@ -45,6 +55,9 @@
     const unsigned char key[JH_GOSSIP_KEY_LEN]);
 void jh_gossip_drop_peer(struct jh_gossip *g, const char *name);
 
+/* Marks rise; index and meaning are the owner's. */
+void jh_gossip_set_mark(struct jh_gossip *g, size_t i, uint64_t revision);
+
 /* Sends now rather than at the next turn. */
 void jh_gossip_send(struct jh_gossip *g);
 /* Peers that were heard lately. */
