--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -13,6 +13,9 @@
 /* Pause after an order that was not accepted. */
 #define RETRY_USEC (300 * JH_USEC_PER_MSEC)
 
+/* Pause before a worker that did not answer is asked ahead again. */
+#define AHEAD_USEC (2 * JH_USEC_PER_SEC)
+
 /* A report is some hundred milliseconds old: an order may not show yet. */
 #define IDLE_USEC (700 * JH_USEC_PER_MSEC)
 
@@ -122,7 +125,7 @@
 
 /* Tasks of workers that have arrived or gone are done. */
 static void
-prune(struct jh_weights *w, struct jh_fleet *f)
+prune(struct jh_weights *w, struct jh_fleet *f, uint64_t now)
 {
 	GHashTableIter it;
 	gpointer key, value;
@@ -133,7 +136,8 @@
 		const struct jh_worker *worker = jh_fleet_find(f, key);
 		if (t->state == TASK_CALLING)
 			continue;
-		if (worker == NULL || !is_old(w, worker) || t->ahead)
+		if (worker == NULL || (t->ahead && now >= t->next) ||
+		    (!t->ahead && !is_old(w, worker)))
 			g_hash_table_iter_remove(&it);
 	}
 }
@@ -241,7 +245,7 @@
 	struct task *t;
 	size_t i, most;
 
-	prune(w, f);
+	prune(w, f, now);
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *worker = jh_fleet_at(f, i);
 		if (look_ahead(w, worker, now, out))
@@ -249,6 +253,10 @@
 		if (!is_old(w, worker))
 			continue;
 		t = g_hash_table_lookup(w->tasks, worker->id);
+		if (t != NULL && t->ahead && t->state == TASK_WAITING) {
+			g_hash_table_remove(w->tasks, worker->id);
+			t = NULL;
+		}
 		if (t != NULL) {
 			if (step(t, worker, now,
 				jh_weights_newest(w, worker->model), out))
@@ -314,6 +322,8 @@
 	t->next = now + LOOK_USEC;
 	if (!answered) {
 		t->failures++;
+		if (t->ahead)
+			t->next = now + AHEAD_USEC;
 		return;
 	}
 	if (busy) {
