--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wno-unused-parameter
 OPT = -O2 -g
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc $(PKG_CFLAGS)
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -I. $(PKG_CFLAGS)
 CFLAGS = -std=c11 $(OPT) $(WARN)
 LDFLAGS =
 LDLIBS = $(PKG_LIBS) -lpthread -lm
--- /dev/null
+++ b/test/test_peers.c
@@ -0,0 +1,286 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sodium.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <jacinthhill/clock.h>
+
+#include "gateway/gossip.h"
+#include "route/peers.h"
+#include "stream/events.h"
+
+#define SEC JH_USEC_PER_SEC
+
+static struct jh_worker *
+list_worker(struct jh_fleet *f, uint64_t now, const char *id, uint64_t born,
+    bool leaving)
+{
+	struct jh_listing l = {.id = id,
+	    .service = "llm",
+	    .zone = "z",
+	    .model = "m",
+	    .weights = 1,
+	    .born = born,
+	    .leaving = leaving};
+
+	return jh_fleet_list(f, now, &l);
+}
+
+/* Guards against load that is counted twice, or for ever. */
+static void
+load_of_peers_is_replaced_and_expires(void **state)
+{
+	struct jh_fleet *f = jh_fleet_create();
+	struct jh_peers *p = jh_peers_create();
+	struct jh_worker *w = list_worker(f, SEC, "a", 1, false);
+	struct jh_peer_row row = {.worker = w->hash,
+	    .running = 3,
+	    .prefill_tokens = 100,
+	    .held_tokens = 200};
+
+	assert_true(jh_peers_heard(p, f, SEC, 1, 5, &row, 1));
+	assert_true(jh_peers_heard(p, f, SEC, 2, 1, &row, 1));
+	assert_int_equal(w->others_running, 6);
+	row.running = 1;
+	assert_true(jh_peers_heard(p, f, SEC, 1, 6, &row, 1));
+	assert_int_equal(w->others_running, 4);
+	/* Datagrams may arrive late. */
+	assert_false(jh_peers_heard(p, f, SEC, 1, 5, &row, 0));
+	assert_int_equal(w->others_running, 4);
+	jh_peers_expire(p, f, SEC + JH_PEERS_SILENT_USEC + 1);
+	assert_int_equal(w->others_running, 0);
+	assert_int_equal(jh_peers_count(p), 0);
+	jh_peers_destroy(p);
+	jh_fleet_destroy(f);
+}
+
+/* Guards against requests to a worker that another process changes. */
+static void
+changes_and_weights_are_learnt(void **state)
+{
+	struct jh_fleet *f = jh_fleet_create();
+	struct jh_peers *p = jh_peers_create();
+	struct jh_worker *w = list_worker(f, SEC, "a", 1, false);
+	struct jh_peer_row row = {
+	    .worker = w->hash, .weights = 1, .changing = true};
+
+	jh_peers_heard(p, f, SEC, 1, 1, &row, 1);
+	assert_true(w->changing_until > SEC);
+	row.changing = false;
+	row.weights = 2;
+	jh_peers_heard(p, f, SEC, 1, 2, &row, 1);
+	assert_int_equal(w->weights, 2);
+	assert_int_equal(w->changing_until, 0);
+	/* The list lags behind. */
+	list_worker(f, SEC + 100, "a", 1, false);
+	assert_int_equal(w->weights, 2);
+	row.weights = 1;
+	jh_peers_heard(p, f, SEC, 1, 3, &row, 1);
+	assert_int_equal(w->weights, 2);
+	jh_peers_destroy(p);
+	jh_fleet_destroy(f);
+}
+
+/* Guards against knowledge of before a worker's restart. */
+static void
+restarted_worker_is_new(void **state)
+{
+	struct jh_fleet *f = jh_fleet_create();
+	struct jh_worker *w = list_worker(f, SEC, "a", 1, true);
+
+	w->orders_known = true;
+	jh_fleet_failed(w, SEC);
+	assert_true(w->hold_until > SEC);
+	list_worker(f, 2 * SEC, "a", 2, false);
+	assert_false(w->leaving);
+	assert_false(w->orders_known);
+	assert_int_equal(w->hold_until, 0);
+	jh_fleet_destroy(f);
+}
+
+/* Guards against workers that are forgotten while the store was away. */
+static void
+missing_worker_has_some_time(void **state)
+{
+	struct jh_fleet *f = jh_fleet_create();
+
+	list_worker(f, SEC, "a", 1, false);
+	list_worker(f, SEC, "b", 1, false);
+	jh_fleet_miss(f, SEC, "a");
+	jh_fleet_miss(f, SEC, "b");
+	jh_fleet_expire(f, 2 * SEC, 2 * SEC);
+	assert_int_equal(jh_fleet_count(f), 2);
+	list_worker(f, 2 * SEC, "b", 1, false);
+	jh_fleet_expire(f, 3 * SEC, 2 * SEC);
+	assert_int_equal(jh_fleet_count(f), 1);
+	assert_non_null(jh_fleet_find(f, "b"));
+	jh_fleet_destroy(f);
+}
+
+static void
+collect(void *arg, const struct jh_event_block *b)
+{
+	g_string_append_printf(arg, "%d:%u;", b->has_id, (unsigned int)b->id);
+}
+
+/* Guards against half an event that is joined with one of another worker. */
+static void
+events_are_cut_whole(void **state)
+{
+	struct jh_events *e = jh_events_create();
+	GString *seen = g_string_new(NULL);
+
+	assert_true(jh_events_feed(
+	    e, JH_STR("id: 1\ndata: a\n\nid: 2\nda"), collect, seen));
+	assert_true(jh_events_partial(e));
+	assert_string_equal(seen->str, "1:1;");
+	jh_events_restart(e);
+	assert_true(jh_events_feed(
+	    e, JH_STR("id: 2\r\ndata: b\r\n\r\n: note\n\n"), collect, seen));
+	assert_string_equal(seen->str, "1:1;1:2;0:0;");
+	assert_false(jh_events_partial(e));
+	assert_false(
+	    jh_events_feed(e, JH_STR("id: x\ndata: c\n\n"), collect, seen));
+	g_string_free(seen, TRUE);
+	jh_events_destroy(e);
+}
+
+/* One end of an exchange over loopback. */
+struct end {
+	uv_loop_t *loop;
+	struct jh_fleet *fleet;
+	struct jh_weights *weights;
+	struct jh_chooser *chooser;
+	struct jh_metrics *metrics;
+	struct jh_gossip *gossip;
+	struct sockaddr_in address;
+	uint64_t mark;
+};
+
+static void
+on_marks(void *arg, const uint64_t marks[JH_GOSSIP_MARKS])
+{
+	struct end *e = arg;
+
+	e->mark = marks[1];
+}
+
+static struct sockaddr_in
+free_address(void)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return sin;
+}
+
+static void
+end_init(struct end *e, uv_loop_t *loop)
+{
+	GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+	struct jh_choose_site site = {"z", regions};
+	struct jh_gossip_spec spec = {0};
+	int error;
+
+	memset(e, 0, sizeof(*e));
+	e->loop = loop;
+	e->fleet = jh_fleet_create();
+	e->weights = jh_weights_create();
+	e->chooser = jh_chooser_create(&site);
+	e->metrics = jh_metrics_create();
+	e->address = free_address();
+	spec = (struct jh_gossip_spec){.loop = loop,
+	    .metrics = e->metrics,
+	    .fleet = e->fleet,
+	    .weights = e->weights,
+	    .chooser = e->chooser,
+	    .address = e->address,
+	    .heard_marks = on_marks,
+	    .arg = e};
+	e->gossip = jh_gossip_create(&spec, &error);
+	assert_non_null(e->gossip);
+	list_worker(e->fleet, 1, "a", 1, false);
+	g_hash_table_unref(regions);
+}
+
+static void
+run_for(uv_loop_t *loop, uint64_t usec)
+{
+	uint64_t until = jh_now() + usec;
+
+	while (jh_now() < until) {
+		uv_run(loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+/* Guards against messages of strangers, and load that is not told. */
+static void
+only_known_peers_are_heard(void **state)
+{
+	unsigned char stranger[JH_GOSSIP_KEY_LEN] = {1};
+	struct jh_worker *seen;
+	struct end a, b;
+	uv_loop_t loop;
+
+	assert_true(sodium_init() >= 0);
+	uv_loop_init(&loop);
+	end_init(&a, &loop);
+	end_init(&b, &loop);
+	jh_fleet_find(a.fleet, "a")->running = 4;
+	jh_gossip_set_mark(a.gossip, 1, 77);
+	seen = jh_fleet_find(b.fleet, "a");
+	jh_gossip_set_peer(
+	    a.gossip, "b", &b.address, jh_gossip_key(b.gossip));
+	jh_gossip_set_peer(b.gossip, "a", &a.address, stranger);
+	run_for(&loop, 600000);
+	assert_int_equal(seen->others_running, 0);
+	assert_true(jh_metrics_get(b.metrics, "jh_gossip_ignored") > 0);
+	jh_gossip_set_peer(
+	    b.gossip, "a", &a.address, jh_gossip_key(a.gossip));
+	run_for(&loop, 600000);
+	assert_int_equal(seen->others_running, 4);
+	assert_int_equal(b.mark, 77);
+	assert_int_equal(jh_gossip_heard(b.gossip), 1);
+	jh_gossip_destroy(a.gossip);
+	jh_gossip_destroy(b.gossip);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	jh_chooser_destroy(a.chooser);
+	jh_chooser_destroy(b.chooser);
+	jh_weights_destroy(a.weights);
+	jh_weights_destroy(b.weights);
+	jh_fleet_destroy(a.fleet);
+	jh_fleet_destroy(b.fleet);
+	jh_metrics_destroy(a.metrics);
+	jh_metrics_destroy(b.metrics);
+	assert_int_equal(uv_loop_close(&loop), 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(load_of_peers_is_replaced_and_expires),
+	    cmocka_unit_test(changes_and_weights_are_learnt),
+	    cmocka_unit_test(restarted_worker_is_new),
+	    cmocka_unit_test(missing_worker_has_some_time),
+	    cmocka_unit_test(events_are_cut_whole),
+	    cmocka_unit_test(only_known_peers_are_heard),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_platform_codec.c
@@ -0,0 +1,403 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+
+#include "net/parse.h"
+#include "platform/headers.h"
+#include "platform/objects.h"
+#include "platform/settings.h"
+
+/* Parses one head and keeps it. */
+struct head {
+	struct jh_parse *parse;
+	const struct jh_head *head;
+};
+
+static void
+on_head(void *arg, const struct jh_head *head)
+{
+	struct head *h = arg;
+
+	h->head = head;
+}
+
+static void
+on_body(void *arg, const char *p, size_t n)
+{
+}
+
+static void
+on_complete(void *arg)
+{
+}
+
+static const struct jh_parse_ops parse_ops = {on_head, on_body, on_complete};
+
+static void
+head_init(struct head *h, enum jh_parse_side side, const char *text)
+{
+	h->parse = jh_parse_create(side, 8192, &parse_ops, h);
+	h->head = NULL;
+	jh_parse_feed(h->parse, text, strlen(text));
+	assert_non_null(h->head);
+}
+
+static const char model_request[] =
+    "POST /a/b?c=d HTTP/1.1\r\n"
+    "Host: h.example:80\r\n"
+    "X-Jacinthhill-Attempt-Id: 9c41d07be2a35f68\r\n"
+    "X-Jacinthhill-Model: m1\r\n"
+    "X-Jacinthhill-Token-Counts: 1460,80\r\n"
+    "X-Jacinthhill-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+    "X-Jacinthhill-Deadline-Milliseconds: 5000\r\n"
+    "X-Jacinthhill-Cache-Salt: forged\r\n"
+    "X-Jacinthhill-Tenant: forged\r\n"
+    "x-jacinthhill-kv-backup: 10.0.0.1:1\r\n"
+    "Kv-From: 10.0.0.1:1/2\r\n"
+    "X-Jacinthhill-Hold: forged\r\n"
+    "X-Jacinthhill-Pin-Milliseconds: 9\r\n"
+    "X-Other: kept\r\n"
+    "Connection: keep-alive, X-Hop\r\n"
+    "X-Hop: dropped\r\n"
+    "Api-Key: secret\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+/* Guards against a request whose meaning is lost on the way. */
+static void
+request_is_read_once(void **state)
+{
+	const char *reason = NULL;
+	struct jh_ask ask;
+	struct head h;
+
+	head_init(&h, JH_PARSE_REQUESTS, model_request);
+	assert_true(plat_dialect.read_ask(h.head, &ask, &reason));
+	assert_true(jh_str_eq(ask.id, JH_STR("9c41d07be2a35f68")));
+	assert_true(jh_str_eq(ask.path, JH_STR("/a/b")));
+	assert_true(jh_str_eq(ask.key, JH_STR("secret")));
+	assert_int_equal(ask.wait, 5 * JH_USEC_PER_SEC);
+	assert_int_equal(ask.prompt_tokens, 1460);
+	assert_int_equal(ask.answer_tokens, 80);
+	assert_int_equal(ask.n_parts, 3);
+	assert_int_equal(ask.part[1].tokens, 410);
+	assert_true(ask.part[0].hash != ask.part[1].hash);
+	jh_parse_destroy(h.parse);
+}
+
+/* Guards against a client's word in the place of the gateway's own. */
+static void
+forwarded_request_is_the_gateways(void **state)
+{
+	static const char *const absent[] = {"forged", "secret", "Api-Key",
+	    "Kv-From", "X-Hop", "kv-backup", "Pin-Milliseconds", "X-Hop"};
+	struct jh_offer offer = {.worker = "i-1",
+	    .wait = 1500 * JH_USEC_PER_MSEC,
+	    .tenant = "t1",
+	    .has_urgency = true,
+	    .urgency = 2,
+	    .salt = "m1/3/",
+	    .weights = 3};
+	GString *out = g_string_new(NULL);
+	struct head h;
+	size_t i;
+
+	head_init(&h, JH_PARSE_REQUESTS, model_request);
+	plat_dialect.write_offer(out, h.head, &offer, 0);
+	assert_non_null(strstr(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
+	assert_non_null(strstr(out->str, "Expected-Instance: i-1\r\n"));
+	assert_non_null(
+	    strstr(out->str, "Deadline-Milliseconds: 1500\r\n"));
+	assert_null(strstr(out->str, "Deadline-Milliseconds: 5000"));
+	assert_non_null(strstr(out->str, "Jacinthhill-Tenant: t1\r\n"));
+	assert_non_null(strstr(out->str, "Expected-Version: 3\r\n"));
+	assert_non_null(strstr(out->str, "Cache-Salt: m1/3/\r\n"));
+	assert_non_null(strstr(out->str, "X-Other: kept\r\n"));
+	assert_non_null(
+	    strstr(out->str, "Attempt-Id: 9c41d07be2a35f68\r\n"));
+	for (i = 0; i < G_N_ELEMENTS(absent); i++)
+		if (strstr(out->str, absent[i]) != NULL)
+			fail_msg("\"%s\" was passed on", absent[i]);
+	g_string_free(out, TRUE);
+	jh_parse_destroy(h.parse);
+}
+
+/* Guards against values that cannot be read and are guessed. */
+static void
+bad_values_are_refused(void **state)
+{
+	static const char *const heads[] = {
+	    "GET / HTTP/1.1\r\nX-Jacinthhill-Deadline-Milliseconds: soon\r\n"
+	    "\r\n",
+	    "GET / HTTP/1.1\r\nX-Jacinthhill-Token-Counts: 12\r\n\r\n",
+	    "GET / HTTP/1.1\r\nX-Jacinthhill-Prompt-Prefix: ab:x\r\n\r\n",
+	    "GET / HTTP/1.1\r\nX-Jacinthhill-Prompt-Prefix: :5\r\n\r\n",
+	};
+	const char *reason;
+	struct jh_ask ask;
+	struct head h;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		reason = NULL;
+		head_init(&h, JH_PARSE_REQUESTS, heads[i]);
+		assert_false(plat_dialect.read_ask(h.head, &ask, &reason));
+		assert_non_null(reason);
+		jh_parse_destroy(h.parse);
+	}
+}
+
+/* Guards against answers of other requests, and refusals that are runs. */
+static void
+answers_are_told_apart(void **state)
+{
+	struct jh_ask ask = {.id = JH_STR("a1")};
+	struct jh_answer a;
+	struct head h;
+
+	head_init(&h, JH_PARSE_ANSWERS,
+	    "HTTP/1.1 200 OK\r\nX-Jacinthhill-Attempt-Id: a0\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	memset(&a, 0, sizeof(a));
+	plat_dialect.read_answer(h.head, &ask, &a);
+	assert_true(a.other);
+	jh_parse_destroy(h.parse);
+	head_init(&h, JH_PARSE_ANSWERS,
+	    "HTTP/1.1 503 Busy\r\nX-Jacinthhill-Not-Executed: 1\r\n"
+	    "X-Jacinthhill-Weight-Versions: 7\r\nContent-Length: 0\r\n\r\n");
+	memset(&a, 0, sizeof(a));
+	plat_dialect.read_answer(h.head, &ask, &a);
+	assert_false(a.other);
+	assert_true(a.declined);
+	assert_false(a.sealed);
+	assert_true(a.has_weights);
+	assert_int_equal(a.weights, 7);
+	jh_parse_destroy(h.parse);
+	head_init(&h, JH_PARSE_ANSWERS,
+	    "HTTP/1.1 200 OK\r\nX-Jacinthhill-Attempt-Id: a1\r\n"
+	    "X-Jacinthhill-Response-Seal: s\r\nContent-Encoding: gzip\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	memset(&a, 0, sizeof(a));
+	plat_dialect.read_answer(h.head, &ask, &a);
+	assert_true(a.sealed);
+	assert_true(a.encoded);
+	assert_false(a.declined);
+	jh_parse_destroy(h.parse);
+}
+
+static void
+event_tells_of_weights(void **state)
+{
+	uint64_t weights = 0;
+
+	assert_true(plat_dialect.read_event_weights(
+	    JH_STR("x-jacinthhill-weight-versions: 4\nid: 3\ndata: x\n\n"),
+	    &weights));
+	assert_int_equal(weights, 4);
+	assert_false(plat_dialect.read_event_weights(
+	    JH_STR("id: 3\ndata: x-jacinthhill-weight-versions: 5\n\n"),
+	    &weights));
+	assert_int_equal(weights, 4);
+}
+
+static const char config[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r1\",\"host\":\"h.example\",\"pathPrefix\":\"/a/\","
+    "\"kind\":\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":1500,"
+    "\"priority\":2,\"split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}],\"attempts\":1,\"public\":false,"
+    "\"sticky\":true,\"resumable\":false,\"targetGapMs\":400},"
+    "{\"name\":\"r2\",\"host\":\"h.example\",\"pathPrefix\":\"/a/b/\","
+    "\"kind\":\"idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
+    "\"priority\":0,\"service\":\"s2\",\"attempts\":2,\"public\":true}],"
+    "\"services\":[{\"name\":\"s1\",\"connectionLimit\":500,"
+    "\"engine\":{\"slots\":96,\"kvCapacityTokens\":83645}},"
+    "{\"name\":\"s3\",\"kvStoreAddress\":\"172.20.0.2:8781\",\"zone\":\"z\"}],"
+    "\"limits\":{\"headerBytes\":16384,\"idleTimeoutMs\":15000},"
+    "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],"
+    "\"priority\":1,\"isolated\":true}]}";
+
+static struct jh_table *
+read_config(const char *text, const char **reason)
+{
+	json_t *root = json_loads(text, 0, NULL);
+	struct jh_table *t;
+
+	assert_non_null(root);
+	t = plat_read_config(root, reason);
+	json_decref(root);
+	return t;
+}
+
+/* Guards against routes, keys and services that are read wrongly. */
+static void
+config_is_read(void **state)
+{
+	const struct jh_tenant *tenant;
+	const struct jh_route *r;
+	const char *reason;
+	struct jh_table *t = read_config(config, &reason);
+
+	assert_non_null(t);
+	assert_int_equal(jh_table_version(t), 7);
+	r = jh_table_find_route(
+	    t, JH_STR("H.example:8080"), JH_STR("/a/x/2f"));
+	assert_string_equal(r->name, "r1");
+	assert_int_equal(r->kind, JH_ROUTE_STREAM);
+	assert_false(jh_route_repeatable(r));
+	assert_string_equal(jh_route_pick_service(r, 89), "s1");
+	assert_string_equal(jh_route_pick_service(r, 90), "s2");
+	r = jh_table_find_route(t, JH_STR("h.example"), JH_STR("/a/b/c"));
+	assert_string_equal(r->name, "r2");
+	assert_true(r->anonymous);
+	assert_null(
+	    jh_table_find_route(t, JH_STR("other"), JH_STR("/a/b/c")));
+	assert_null(
+	    jh_table_find_route(t, JH_STR("h.example"), JH_STR("/ab/")));
+	tenant = jh_table_find_key(t, JH_STR("k2"));
+	assert_string_equal(tenant->name, "t1");
+	assert_true(tenant->isolated);
+	assert_null(jh_table_find_key(t, JH_STR("k3")));
+	assert_true(jh_table_find_service(t, "s1")->is_engine);
+	assert_string_equal(jh_table_cache_store(t)->name, "s3");
+	assert_int_equal(jh_table_limits(t)->idle_usec, 15000000);
+	jh_table_unref(t);
+}
+
+/* Guards against a configuration of which half is taken over. */
+static void
+faulty_config_is_refused_whole(void **state)
+{
+	const char *reason = NULL;
+	char *text = g_strdup(config);
+	char *at = strstr(text, "\"idempotent\"");
+
+	memcpy(at, "\"idempotemp\"", strlen("\"idempotemp\""));
+	assert_null(read_config(text, &reason));
+	assert_non_null(strstr(reason, "kind"));
+	g_free(text);
+	assert_null(read_config("{\"version\":\"7\",\"routes\":[]}", &reason));
+	assert_string_equal(reason, "version");
+}
+
+static bool
+read_worker(const char *text, struct jh_listing *out, const char **reason)
+{
+	json_t *root = json_loads(text, JSON_DECODE_ANY, NULL);
+	bool ok;
+
+	assert_non_null(root);
+	ok = plat_read_worker(root, out, reason);
+	json_decref(root);
+	return ok;
+}
+
+/* Guards against entries of other writers that name a worker. */
+static void
+forged_workers_are_refused(void **state)
+{
+	static const char *const bad[] = {"\"text\"", "{}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"asleep\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":\"1\",\"state\":\"ready\"}",
+	    "{\"service\":7,\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"ready\",\"born\":1.5}",
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":1,\"state\":\"ready\",\"models\":[{\"name\":\"m\"}]}"};
+	struct jh_listing l;
+	const char *reason;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		reason = NULL;
+		assert_false(read_worker(bad[i], &l, &reason));
+		assert_non_null(reason);
+	}
+	assert_true(read_worker(
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	    "\"slots\":96,\"state\":\"draining\",\"born\":1700000000000,"
+	    "\"models\":[{\"name\":\"m\",\"version\":3}],\"sequence\":4}",
+	    &l, &reason));
+	assert_true(l.leaving);
+	assert_int_equal(l.weights, 3);
+}
+
+static const char settings[] =
+    "name: \"e1\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
+    "    region: \"r0\"\ngossip: \"127.0.0.1:7000\"\n"
+    "clients: \"127.0.0.1:7001\"\nreadiness: \"127.0.0.1:7002\"\n"
+    "store: \"127.0.0.1:7003\"\nmemory_mb: 110\ndescriptors: 4100\n"
+    "grace_s: \"8\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
+    "repeat_window_s: \"10\"\nholders_apart_ms: 3000\ndrain_ms: 2500\n";
+
+/* Loads a settings text; frees the message into *message on a fault. */
+static bool
+load(const char *text, struct plat_settings *out, char **message)
+{
+	char *path = g_strdup_printf("/tmp/jh-codec-%d.yaml", (int)getpid());
+	GError *err = NULL;
+	bool ok;
+
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	memset(out, 0, sizeof(*out));
+	ok = plat_settings_load(path, out, &err);
+	*message = err != NULL ? g_strdup(err->message) : NULL;
+	g_clear_error(&err);
+	unlink(path);
+	g_free(path);
+	return ok;
+}
+
+/* Guards against a start with settings that are missing or wrong. */
+static void
+faulty_settings_are_named(void **state)
+{
+	struct plat_settings s;
+	char *message, *text;
+
+	assert_true(load(settings, &s, &message));
+	assert_int_equal(s.descriptors, 4100);
+	assert_true(s.repeat_ratio > 0.19 && s.repeat_ratio < 0.21);
+	plat_settings_clear(&s);
+	text = g_strdup(settings);
+	memcpy(strstr(text, "\"0.2\""), "\"x.2\"", 5);
+	assert_false(load(text, &s, &message));
+	assert_non_null(strstr(message, "repeat_ratio"));
+	plat_settings_clear(&s);
+	g_free(message);
+	memcpy(strstr(text, "store:"), "stare:", 6);
+	assert_false(load(text, &s, &message));
+	assert_non_null(strstr(message, "store"));
+	plat_settings_clear(&s);
+	g_free(message);
+	g_free(text);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(request_is_read_once),
+	    cmocka_unit_test(forwarded_request_is_the_gateways),
+	    cmocka_unit_test(bad_values_are_refused),
+	    cmocka_unit_test(answers_are_told_apart),
+	    cmocka_unit_test(event_tells_of_weights),
+	    cmocka_unit_test(config_is_read),
+	    cmocka_unit_test(faulty_config_is_refused_whole),
+	    cmocka_unit_test(forged_workers_are_refused),
+	    cmocka_unit_test(faulty_settings_are_named),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
