--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -336,6 +336,7 @@
 static const char settings[] =
     "name: \"e1\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
     "    region: \"r0\"\ngossip: \"127.0.0.1:7000\"\n"
+    "metrics: \"127.0.0.1:7004\"\n"
     "clients: \"127.0.0.1:7001\"\nreadiness: \"127.0.0.1:7002\"\n"
     "store: \"127.0.0.1:7003\"\nmemory_mb: 110\ndescriptors: 4100\n"
     "grace_s: \"8\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
