--- a/Makefile
+++ b/Makefile
@@ -113,7 +113,19 @@
 test: all $(TESTS)
 	BUILD=$(BUILD) sh test/run.sh $(TESTS)
 
-check-here: test check-install lint model fuzz-corpus generated check-clang sanitize
+# The builds use all processors, one after another; what is built then runs side
+# by side. Each part is as strict as by itself.
+CHECK_JOBS = 8
+CHECK_PARTS = test check-install lint model fuzz-corpus generated \
+    sanitize-address sanitize-thread
+
+check-here:
+	$(MAKE) -j$(CHECK_JOBS) all $(TESTS)
+	$(MAKE) -j$(CHECK_JOBS) check-clang
+	$(MAKE) -j$(CHECK_JOBS) build-address
+	$(MAKE) -j$(CHECK_JOBS) build-thread
+	$(MAKE) -j$(CHECK_JOBS) $(FUZZ_BINS)
+	$(MAKE) -j$(words $(CHECK_PARTS)) -O $(CHECK_PARTS)
 	@echo "check passed"
 
 C_FILES = $(shell git ls-files '*.c' '*.h' | grep -v '^src/rpc/control')
--- a/Makefile.d/proof.mk
+++ b/Makefile.d/proof.mk
@@ -12,7 +12,8 @@
 FUZZ_NAMES = $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
 FUZZ_BINS = $(patsubst %,$(FUZZ_BUILD)/fuzz_%,$(FUZZ_NAMES))
 FUZZ_LIB = $(FUZZ_BUILD)/libjhfuzz.a
-FUZZ_LIB_SRC = $(LIB_SRC) $(NET_SRC) $(ENTRY_SRC) $(AGENT_SRC) $(CTL_SRC)
+FUZZ_LIB_SRC = $(LIB_SRC) $(NET_SRC) $(ENTRY_SRC) $(AGENT_SRC) $(CTL_SRC) \
+    $(PLATFORM_SRC)
 
 model:
 	BUILD=$(BUILD) JOBS=$(MODEL_JOBS) sh model/run.sh
@@ -27,6 +28,11 @@
 	@$(FUZZ_CC) $(CPPFLAGS) $(CFLAGS) \
 	    $(subst fuzzer,fuzzer-no-link,$(FUZZ_SAN)) -MMD -MP -c -o $@ $<
 
+$(FUZZ_BUILD)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	@$(FUZZ_CC) $(CPPFLAGS) $(CFLAGS) \
+	    $(subst fuzzer,fuzzer-no-link,$(FUZZ_SAN)) -MMD -MP -c -o $@ $<
+
 $(FUZZ_LIB): $(patsubst %.c,$(FUZZ_BUILD)/%.o,$(FUZZ_LIB_SRC))
 	@rm -f $@
 	@ar rcs $@ $^
@@ -54,10 +60,23 @@
 # daemons' memory at 8 MB.
 TSAN_SETTINGS = exitcode=66:suppressions=$(CURDIR)/test/tsan.supp
 
-sanitize:
+sanitize: sanitize-address sanitize-thread
+
+build-address build-thread: build-%:
+	$(MAKE) BUILD=$(SAN_BUILD_$*) SAN=$(SAN_$*) all \
+	    $(patsubst $(BUILD)/%,$(SAN_BUILD_$*)/%,$(TESTS))
+
+SAN_address = address,undefined
+SAN_thread = thread
+SAN_BUILD_address = build-asan
+SAN_BUILD_thread = build-tsan
+
+sanitize-address:
 	ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64 \
 	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
 	    $(MAKE) BUILD=build-asan SAN=address,undefined test
+
+sanitize-thread:
 	TSAN_OPTIONS=$(TSAN_SETTINGS) G_SLICE=always-malloc \
 	    $(MAKE) BUILD=build-tsan SAN=thread test
 
@@ -73,4 +92,5 @@
 	diff src/rpc/control.h $(BUILD)/generated/control.h
 	diff src/rpc/control_xdr.c $(BUILD)/generated/control_xdr.c
 
-.PHONY: model fuzz-corpus fuzz sanitize check-clang generated
+.PHONY: model fuzz-corpus fuzz sanitize sanitize-address sanitize-thread \
+    build-address build-thread check-clang generated
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -4,7 +4,8 @@
 
 #include "base/metrics.h"
 
-/* Bounds of a latency histogram, in milliseconds, evenly spaced in logarithm. */
+/* Bounds of a latency histogram, in milliseconds, evenly spaced in logarithm.
+ */
 #define LEAST_MSEC 1.0
 #define MOST_MSEC 60000.0
 #define BUCKETS 24
@@ -87,7 +88,7 @@
 
 	for (i = 0; i <= BUCKETS; i++)
 		bounds[i] = LEAST_MSEC *
-		    pow(MOST_MSEC / LEAST_MSEC, (double)i / BUCKETS);
+			    pow(MOST_MSEC / LEAST_MSEC, (double)i / BUCKETS);
 	gsl_histogram_set_ranges(h, bounds, BUCKETS + 1);
 	return h;
 }
@@ -133,8 +134,8 @@
 		g_string_append_printf(out, "%s_bucket{le=\"%.3f\"} %.0f\n",
 		    (char *)key, high, sum);
 	}
-	g_string_append_printf(out, "%s_sum %.3f\n%s_count %.0f\n",
-	    (char *)key, x->sum_msec, (char *)key, x->count);
+	g_string_append_printf(out, "%s_sum %.3f\n%s_count %.0f\n", (char *)key,
+	    x->sum_msec, (char *)key, x->count);
 	return FALSE;
 }
 
--- a/src/base/trace.c
+++ b/src/base/trace.c
@@ -52,7 +52,8 @@
 	char *text;
 
 	json_object_set_new(root, "event", json_string(event));
-	json_object_set_new(root, "at_ms", json_integer((json_int_t)(now / 1000)));
+	json_object_set_new(
+	    root, "at_ms", json_integer((json_int_t)(now / 1000)));
 	json_object_set_new(root, "process", json_string(t->process));
 	text = json_dumps(root, JSON_COMPACT);
 	if (text == NULL)
@@ -80,7 +81,7 @@
 		}
 	}
 	return t->lines < JH_TRACE_RATE &&
-	    t->waiting->len < JH_TRACE_BUFFER_LEN;
+	       t->waiting->len < JH_TRACE_BUFFER_LEN;
 }
 
 void
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -85,10 +85,8 @@
 {
 	x->worker = g_strdup(w->id);
 	x->peer = w->address;
-	x->booked_prefill =
-	    (uint64_t)x->choose.own_tokens + choice->uncached;
-	x->booked_held =
-	    (uint64_t)x->choose.own_tokens + x->ask.answer_tokens;
+	x->booked_prefill = (uint64_t)x->choose.own_tokens + choice->uncached;
+	x->booked_held = (uint64_t)x->choose.own_tokens + x->ask.answer_tokens;
 	w->prefill_tokens += x->booked_prefill;
 	w->held_tokens += x->booked_held;
 	w->running++;
@@ -133,8 +131,8 @@
 	r->n_excluded = x->n_excluded;
 	memcpy(r->excluded, x->excluded, sizeof(r->excluded));
 	if (r->is_engine)
-		r->n_named = jh_weights_history(
-		    x->gw->weights, x->model, r->named);
+		r->n_named =
+		    jh_weights_history(x->gw->weights, x->model, r->named);
 	jh_choose(x->gw->chooser, x->gw->fleet, now, r, out);
 }
 
@@ -205,7 +203,8 @@
 	if (x->attempts.deadline < now + patience + SILENCE_USEC / 2)
 		return;
 	uv_update_time(x->gw->loop);
-	uv_timer_start(&x->patience, on_silence, patience / JH_USEC_PER_MSEC, 0);
+	uv_timer_start(
+	    &x->patience, on_silence, patience / JH_USEC_PER_MSEC, 0);
 }
 
 static void
@@ -214,8 +213,7 @@
 	struct jh_worker *w = choice->worker;
 	struct jh_call_spec spec = {
 	    .peer = w->address,
-	    .connect_deadline =
-		MIN(now + CONNECT_USEC, x->attempts.deadline),
+	    .connect_deadline = MIN(now + CONNECT_USEC, x->attempts.deadline),
 	    .deadline = JH_NEVER,
 	    .most_idle_usec =
 		x->attempts.repeatable ? REUSE_USEC : REUSE_ONCE_USEC,
@@ -238,18 +236,20 @@
 		jh_events_restart(x->events);
 	jh_attempts_sent(&x->attempts);
 	jh_chooser_placed(x->gw->chooser, now, &x->choose, choice);
-	jh_trace(x->gw->trace, "sent", "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, s:I, s:I, s:i",
+	jh_trace(x->gw->trace, "sent",
+	    "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, "
+	    "s:I, s:I, s:i",
 	    "request", x->ask.id.ptr, (int)x->ask.id.len, "route",
-	    x->route->name, "worker", w->id, "weights",
-	    (json_int_t)w->weights, "weights_age_us",
-	    (json_int_t)(now - w->weights_known), "expected_us",
-	    (json_int_t)choice->expected, "attempt", (int)x->attempts.sent,
-	    "source", choice->source != NULL ? choice->source->id : NULL,
-	    "config", (json_int_t)jh_table_version(x->table), "waited_us",
+	    x->route->name, "worker", w->id, "weights", (json_int_t)w->weights,
+	    "weights_age_us", (json_int_t)(now - w->weights_known),
+	    "expected_us", (json_int_t)choice->expected, "attempt",
+	    (int)x->attempts.sent, "source",
+	    choice->source != NULL ? choice->source->id : NULL, "config",
+	    (json_int_t)jh_table_version(x->table), "waited_us",
 	    (json_int_t)(now - x->arrived), "shared",
 	    (json_int_t)(x->choose.n_levels > 0
-		    ? x->choose.level[x->choose.n_levels - 1].key >> 1
-		    : 0),
+			     ? x->choose.level[x->choose.n_levels - 1].key >> 1
+			     : 0),
 	    "uncached", (int)choice->uncached, "backlog",
 	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held",
 	    (json_int_t)(w->held_tokens + w->others_held), "running",
@@ -296,9 +296,9 @@
 
 	choose(x, now, &choice);
 	if (choice.worker == NULL) {
-		exchange_give_up(x,
-		    choice.any_alive ? "no worker can take it now"
-				     : "no worker is known");
+		exchange_give_up(x, choice.any_alive
+					? "no worker can take it now"
+					: "no worker is known");
 		return;
 	}
 	if (x->attempts.sent == 0 && x->choose.is_engine &&
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -54,8 +54,8 @@
 {
 	uint64_t id;
 
-	crypto_generichash((unsigned char *)&id, sizeof(id), key,
-	    JH_GOSSIP_KEY_LEN, NULL, 0);
+	crypto_generichash(
+	    (unsigned char *)&id, sizeof(id), key, JH_GOSSIP_KEY_LEN, NULL, 0);
 	return id;
 }
 
@@ -75,7 +75,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		value |= (uint64_t)*(*at)++ << (8 * i);
+		value |= (uint64_t) * (*at)++ << (8 * i);
 	return value;
 }
 
@@ -131,8 +131,8 @@
 	}
 	put(&count, rows, 2);
 	put(&count, n, 2);
-	crypto_generichash(at, MAC_LEN, out, (size_t)(at - out), g->key,
-	    JH_GOSSIP_KEY_LEN);
+	crypto_generichash(
+	    at, MAC_LEN, out, (size_t)(at - out), g->key, JH_GOSSIP_KEY_LEN);
 	return (size_t)(at - out) + MAC_LEN;
 }
 
@@ -140,15 +140,16 @@
 jh_gossip_send(struct jh_gossip *g)
 {
 	unsigned char message[MAX_LEN];
-	uv_buf_t buf =
-	    uv_buf_init((char *)message, (unsigned int)write_message(g, message));
+	uv_buf_t buf = uv_buf_init(
+	    (char *)message, (unsigned int)write_message(g, message));
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, g->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct peer *p = value;
-		/* A full socket loses the message; the next round repeats it. */
+		/* A full socket loses the message; the next round repeats it.
+		 */
 		if (uv_udp_try_send(&g->udp, &buf, 1,
 			(const struct sockaddr *)&p->address) < 0)
 			jh_metrics_add(
@@ -176,8 +177,8 @@
 {
 	unsigned char mac[MAC_LEN];
 
-	crypto_generichash(mac, MAC_LEN, message, len - MAC_LEN, p->key,
-	    JH_GOSSIP_KEY_LEN);
+	crypto_generichash(
+	    mac, MAC_LEN, message, len - MAC_LEN, p->key, JH_GOSSIP_KEY_LEN);
 	return sodium_memcmp(mac, message + len - MAC_LEN, MAC_LEN) == 0;
 }
 
@@ -200,7 +201,7 @@
 	p = find_sender(g, id);
 	if (p == NULL || count > MAX_ROWS || n_placed > MAX_PLACEMENTS ||
 	    len != HEAD_LEN + count * ROW_LEN + n_placed * PLACEMENT_LEN +
-		    MAC_LEN ||
+		       MAC_LEN ||
 	    !is_genuine(p, message, len)) {
 		jh_metrics_add(g->spec.metrics, "jh_gossip_ignored", 1);
 		return;
@@ -240,8 +241,8 @@
     const struct sockaddr *from, unsigned int flags)
 {
 	if (n > 0 && (flags & UV_UDP_PARTIAL) == 0)
-		read_message(udp->data, (const unsigned char *)buf->base,
-		    (size_t)n);
+		read_message(
+		    udp->data, (const unsigned char *)buf->base, (size_t)n);
 }
 
 static void
@@ -281,8 +282,8 @@
 	g->udp.data = g;
 	g->round.data = g;
 	g->handles = 2;
-	*error = uv_udp_bind(
-	    &g->udp, (const struct sockaddr *)&spec->address, 0);
+	*error =
+	    uv_udp_bind(&g->udp, (const struct sockaddr *)&spec->address, 0);
 	if (*error == 0)
 		*error = uv_udp_recv_start(&g->udp, give_buffer, on_receive);
 	if (*error != 0) {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -15,9 +15,9 @@
 
 /*
  * Exchanges between processes, in datagrams, what each has sent to the workers,
- * which of them hold which parts and which change their weights. Each message carries a MAC under its
- * sender's key, which stands in the store; one without is ignored. A message
- * that is lost is made good by the next.
+ * which of them hold which parts and which change their weights. Each message
+ * carries a MAC under its sender's key, which stands in the store; one without
+ * is ignored. A message that is lost is made good by the next.
  */
 struct jh_gossip;
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -38,8 +38,8 @@
 	}
 	x->status = head->status;
 	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
-	    head->status == 200 && x->answer.sealed && !x->answer.encoded &&
-	    !x->answer.declined;
+		       head->status == 200 && x->answer.sealed &&
+		       !x->answer.encoded && !x->answer.declined;
 	if (x->streaming && x->events == NULL)
 		x->events = jh_events_create();
 	/* A stream that goes on keeps the head of its first worker. */
@@ -82,8 +82,8 @@
 	if (!uv_is_active((uv_handle_t *)&x->patience) || gap == 0)
 		return;
 	uv_update_time(x->gw->loop);
-	uv_timer_start(&x->patience, x->patience.timer_cb,
-	    gap / JH_USEC_PER_MSEC, 0);
+	uv_timer_start(
+	    &x->patience, x->patience.timer_cb, gap / JH_USEC_PER_MSEC, 0);
 }
 
 static void
@@ -186,8 +186,7 @@
 static bool
 is_promise(unsigned int status)
 {
-	return status == 408 || status == 421 || status == 429 ||
-	    status == 503;
+	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 static enum jh_attempt_result
@@ -262,13 +261,12 @@
 	enum jh_attempt_next next =
 	    jh_attempts_ended(&x->attempts, now, result);
 
-	if (next == JH_NEXT_RETRY &&
-	    !jh_budget_take(x->gw->budget, now, x->service_name,
-		x->gw->processes)) {
+	if (next == JH_NEXT_RETRY && !jh_budget_take(x->gw->budget, now,
+					 x->service_name, x->gw->processes)) {
 		jh_metrics_add(x->gw->metrics, "jh_repeats_denied", 1);
 		next = result == JH_ATTEMPT_FAILED
-		    ? JH_NEXT_PASS
-		    : jh_attempts_give_up(&x->attempts);
+			   ? JH_NEXT_PASS
+			   : jh_attempts_give_up(&x->attempts);
 		why = "the budget for repeats is used up";
 	}
 	switch (next) {
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -70,7 +70,7 @@
 {
 	struct exchange *x = t->data;
 	bool ran = x->attempts.may_have_run ||
-	    (x->call != NULL && jh_call_was_sent(x->call));
+		   (x->call != NULL && jh_call_was_sent(x->call));
 
 	exchange_cancel_attempt(x);
 	if (x->begun)
@@ -87,9 +87,9 @@
 {
 	const struct jh_ask *ask = &x->ask;
 	bool isolated = x->tenant != NULL && x->tenant->isolated;
-	uint64_t wall = isolated
-	    ? XXH3_64bits(x->tenant->name, strlen(x->tenant->name))
-	    : 0;
+	uint64_t wall =
+	    isolated ? XXH3_64bits(x->tenant->name, strlen(x->tenant->name))
+		     : 0;
 	size_t i;
 
 	x->choose.service = x->service_name;
@@ -208,8 +208,8 @@
 			return;
 		}
 	}
-	service = jh_route_pick_service(
-	    route, XXH3_64bits(ask.id.ptr, ask.id.len));
+	service =
+	    jh_route_pick_service(route, XXH3_64bits(ask.id.ptr, ask.id.len));
 	if (service == NULL) {
 		answer(gw, v, &ask, 503, "Service Unavailable",
 		    "the route has no service");
--- a/src/gateway/steward.c
+++ b/src/gateway/steward.c
@@ -53,9 +53,9 @@
 		break;
 	case JH_WEIGHTS_ORDER:
 		jh_trace(s->spec.trace, "order_sent", "s:s, s:I, s:I, s:I",
-		    "worker", a->worker->id, "version",
-		    (json_int_t)a->version, "expected_orders",
-		    (json_int_t)a->expected, "token", (json_int_t)token);
+		    "worker", a->worker->id, "version", (json_int_t)a->version,
+		    "expected_orders", (json_int_t)a->expected, "token",
+		    (json_int_t)token);
 		jh_metrics_add(s->spec.metrics, "jh_orders", 1);
 		jh_duty_acted(s->duty, jh_boot_now());
 		s->spec.ops->order(s->spec.arg, a, token);
@@ -88,8 +88,7 @@
 	if (jh_duty_next(s->duty, now, &call))
 		s->spec.ops->duty(s->spec.arg, &call);
 	note_tenure(s, jh_duty_held(s->duty, now));
-	pending = s->held &&
-	    jh_weights_pending(s->spec.weights, s->spec.fleet);
+	pending = s->held && jh_weights_pending(s->spec.weights, s->spec.fleet);
 	if (pending)
 		jh_duty_want_to_act(s->duty, now);
 	if (s->resign_deadline != 0 &&
@@ -97,9 +96,8 @@
 		jh_duty_resign(s->duty);
 	for (;;) {
 		token = jh_duty_token(s->duty, jh_boot_now());
-		if (token == 0 ||
-		    !jh_weights_next(
-			s->spec.weights, s->spec.fleet, jh_now(), &action))
+		if (token == 0 || !jh_weights_next(s->spec.weights,
+				      s->spec.fleet, jh_now(), &action))
 			break;
 		if (action.kind == JH_WEIGHTS_ANNOUNCE)
 			announce = true;
@@ -166,9 +164,8 @@
 }
 
 void
-jh_steward_looked(
-    struct jh_steward *s, const char *worker, bool answered, bool busy,
-    uint64_t weights)
+jh_steward_looked(struct jh_steward *s, const char *worker, bool answered,
+    bool busy, uint64_t weights)
 {
 	jh_weights_looked(
 	    s->spec.weights, jh_now(), worker, answered, busy, weights);
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -18,8 +18,8 @@
 	/* Reads or writes the duty's object, then jh_steward_duty_reply(). */
 	void (*duty)(void *arg, const struct jh_duty_action *action);
 	/* Orders new weights, then jh_steward_ordered(). */
-	void (*order)(void *arg, const struct jh_weights_action *action,
-	    uint64_t token);
+	void (*order)(
+	    void *arg, const struct jh_weights_action *action, uint64_t token);
 	/* Tells the other processes at once what is under way. */
 	void (*announce)(void *arg);
 	/* Asks for a report, then jh_steward_looked(). */
@@ -44,11 +44,10 @@
 
 void jh_steward_duty_reply(
     struct jh_steward *s, const struct jh_duty_reply *reply);
-void jh_steward_ordered(struct jh_steward *s, const char *worker,
-    enum jh_weights_result result);
-void jh_steward_looked(
-    struct jh_steward *s, const char *worker, bool answered, bool busy,
-    uint64_t weights);
+void jh_steward_ordered(
+    struct jh_steward *s, const char *worker, enum jh_weights_result result);
+void jh_steward_looked(struct jh_steward *s, const char *worker, bool answered,
+    bool busy, uint64_t weights);
 /*
  * Gives the duty up for a stop of the process: when the changes under way are
  * done, or at the deadline (a jh_now() time).
--- a/src/member/duty.c
+++ b/src/member/duty.c
@@ -127,7 +127,7 @@
 is_own(const struct jh_duty *d, const struct jh_duty_reply *reply)
 {
 	return reply->version != 0 &&
-	    jh_str_eq(reply->holder, jh_str_from(d->holder));
+	       jh_str_eq(reply->holder, jh_str_from(d->holder));
 }
 
 /* Takes over what the store says of the object. */
@@ -179,7 +179,7 @@
 		if (wrote)
 			written(d, reply);
 		d->next = d->call_sent +
-		    (d->token != 0 ? d->spec.renew : d->spec.look);
+			  (d->token != 0 ? d->spec.renew : d->spec.look);
 		break;
 	case JH_STORE_NOT_FOUND:
 		if (d->token != 0 || wrote || !d->seen)
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -75,8 +75,8 @@
 }
 
 bool
-jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
-    uint64_t version)
+jh_weights_set(
+    struct jh_weights *w, uint64_t since, const char *model, uint64_t version)
 {
 	struct history *h = g_hash_table_lookup(w->models, model);
 
@@ -87,8 +87,7 @@
 	if (h->n > 0 && version <= h->named[h->n - 1].version)
 		return false;
 	if (h->n == JH_WEIGHTS_HISTORY)
-		memmove(h->named, h->named + 1,
-		    --h->n * sizeof(h->named[0]));
+		memmove(h->named, h->named + 1, --h->n * sizeof(h->named[0]));
 	h->named[h->n++] = (struct jh_named_weights){version, since};
 	return true;
 }
@@ -119,8 +118,8 @@
 is_old(const struct jh_weights *w, const struct jh_worker *worker)
 {
 	return !worker->leaving && worker->missing_since == 0 &&
-	    worker->weights != 0 &&
-	    worker->weights < jh_weights_newest(w, worker->model);
+	       worker->weights != 0 &&
+	       worker->weights < jh_weights_newest(w, worker->model);
 }
 
 /* Tasks of workers that have arrived or gone are done. */
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -53,8 +53,8 @@
  * Names the newest version of a model, and since when it is; lower ones are
  * ignored. Returns whether it is newer than the one known.
  */
-bool jh_weights_set(struct jh_weights *w, uint64_t since, const char *model,
-    uint64_t version);
+bool jh_weights_set(
+    struct jh_weights *w, uint64_t since, const char *model, uint64_t version);
 /* 0: none was named. */
 uint64_t jh_weights_newest(const struct jh_weights *w, const char *model);
 
--- a/src/net/caller.c
+++ b/src/net/caller.c
@@ -105,7 +105,8 @@
 {
 	struct jh_call *call = t->data;
 
-	end_call(call, call->sent ? JH_CALL_TIMED_OUT : JH_CALL_NOT_SENT, false);
+	end_call(
+	    call, call->sent ? JH_CALL_TIMED_OUT : JH_CALL_NOT_SENT, false);
 }
 
 static void
@@ -181,7 +182,8 @@
 	    jh_parse_kept(l->parse) > 0)
 		return false;
 	for (i = 0; i < l->caller->idle->len; i++) {
-		const struct link *other = g_ptr_array_index(l->caller->idle, i);
+		const struct link *other =
+		    g_ptr_array_index(l->caller->idle, i);
 		if (memcmp(&other->peer, &l->peer, sizeof(l->peer)) == 0)
 			same++;
 	}
@@ -333,8 +335,7 @@
 	l->peer = *peer;
 	l->parse = jh_parse_create(JH_PARSE_ANSWERS, HEAD_LIMIT, &parse_ops, l);
 	g_hash_table_add(c->links, l);
-	l->conn = jh_conn_connect(
-	    c->loop, peer, UNACKED_MSEC, &conn_ops, l);
+	l->conn = jh_conn_connect(c->loop, peer, UNACKED_MSEC, &conn_ops, l);
 	c->opened++;
 	return l;
 }
--- a/src/net/caller.h
+++ b/src/net/caller.h
@@ -39,7 +39,8 @@
 struct jh_call_spec {
 	struct sockaddr_in peer;
 	GString *message; /* the request as sent; owned by the call */
-	uint64_t connect_deadline; /* jh_now() time; the call is not sent later */
+	uint64_t
+	    connect_deadline; /* jh_now() time; the call is not sent later */
 	uint64_t deadline; /* jh_now() time of the whole answer, or JH_NEVER */
 	/* A kept connection must have served within this time; 0: a new one. */
 	uint64_t most_idle_usec;
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -269,8 +269,8 @@
 	c->lingering = true;
 	c->shutdown.data = c;
 	uv_timer_start(&c->linger, on_linger_timeout, LINGER_MSEC, 0);
-	if (uv_shutdown(
-		&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
+	if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) !=
+	    0) {
 		close_handles(c);
 		return;
 	}
--- a/src/net/front.c
+++ b/src/net/front.c
@@ -293,11 +293,11 @@
 			continue;
 		if (v->begun == 0) {
 			bool over = f->limits.idle_usec != 0 &&
-			    now - v->idle_since > f->limits.idle_usec;
+				    now - v->idle_since > f->limits.idle_usec;
 			if (over || f->closing)
 				g_ptr_array_add(late, key);
 		} else if (f->limits.head_usec != 0 &&
-		    now - v->begun > f->limits.head_usec) {
+			   now - v->begun > f->limits.head_usec) {
 			g_ptr_array_add(late, key);
 		}
 	}
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -77,8 +77,8 @@
 void jh_visit_answer(struct jh_visit *v, unsigned int status,
     const char *reason, struct jh_str fields, struct jh_str body);
 /* Starts an answer that goes on with jh_visit_write(). */
-void jh_visit_begin(struct jh_visit *v, unsigned int status,
-    const char *reason, struct jh_str fields);
+void jh_visit_begin(struct jh_visit *v, unsigned int status, const char *reason,
+    struct jh_str fields);
 void jh_visit_write(struct jh_visit *v, struct jh_str data);
 void jh_visit_end(struct jh_visit *v);
 /* Breaks the connection, so that the client sees an incomplete answer. */
--- a/src/route/admit.c
+++ b/src/route/admit.c
@@ -23,13 +23,11 @@
 	double beyond, most, jitter;
 
 	out->retry_seconds = 0;
-	out->admitted =
-	    r->wait <= LEAST_WAIT_USEC || r->expected <= limit;
+	out->admitted = r->wait <= LEAST_WAIT_USEC || r->expected <= limit;
 	if (out->admitted)
 		return;
 	beyond = (double)(r->expected - limit) / 1e6;
 	most = MOST_LEFT_SHARE * (double)r->left / 1e6;
 	jitter = 1 + SPREAD * (double)(r->hash % 1024) / 1024;
-	out->retry_seconds = MIN(
-	    (LEAST_RETRY_SECONDS + beyond) * jitter, most);
+	out->retry_seconds = MIN((LEAST_RETRY_SECONDS + beyond) * jitter, most);
 }
--- a/src/route/attempt.h
+++ b/src/route/attempt.h
@@ -14,7 +14,8 @@
 	uint64_t deadline; /* of the final answer */
 	unsigned int sent; /* attempts so far */
 	unsigned int declined; /* of these, those that certainly did not run */
-	bool may_have_run; /* some attempt's fate is not known to be "not run" */
+	bool
+	    may_have_run; /* some attempt's fate is not known to be "not run" */
 };
 
 enum jh_attempt_result {
@@ -38,8 +39,8 @@
 /* An attempt is not started with less time left than this. */
 #define JH_ATTEMPT_LEAST_USEC 30000ULL
 
-void jh_attempts_init(struct jh_attempts *a, bool repeatable,
-    unsigned int most, uint64_t deadline);
+void jh_attempts_init(struct jh_attempts *a, bool repeatable, unsigned int most,
+    uint64_t deadline);
 /* An attempt is about to be sent. */
 void jh_attempts_sent(struct jh_attempts *a);
 /* The last attempt has ended. */
--- a/src/route/budget.c
+++ b/src/route/budget.c
@@ -92,8 +92,8 @@
 		requests += c->requests[i];
 		repeats += c->repeats[i];
 	}
-	allowed = USED_SHARE *
-	    (b->spec.ratio * requests + b->spec.slack / MAX(processes, 1));
+	allowed = USED_SHARE * (b->spec.ratio * requests +
+				   b->spec.slack / MAX(processes, 1));
 	if (repeats + 1 > allowed)
 		return false;
 	c->repeats[at]++;
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -163,8 +163,8 @@
 
 /* For how long newer weights than the worker's have been named. */
 static uint64_t
-outdated_usec(const struct jh_choose_request *r, const struct jh_worker *w,
-    uint64_t now)
+outdated_usec(
+    const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
 {
 	size_t i;
 
@@ -175,8 +175,8 @@
 }
 
 static bool
-may_take(const struct jh_choose_request *r, const struct jh_worker *w,
-    uint64_t now)
+may_take(
+    const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
 {
 	if (w->leaving || now < w->changing_until || is_excluded(r, w))
 		return false;
@@ -275,8 +275,8 @@
 	size_t i;
 
 	for (i = r->n_levels; i > 0; i--) {
-		if (holds(c, part_key(r, i - 1, w->weights), now, w,
-			PLACED_USEC))
+		if (holds(
+			c, part_key(r, i - 1, w->weights), now, w, PLACED_USEC))
 			break;
 		tokens += r->level[i - 1].tokens;
 	}
@@ -284,8 +284,8 @@
 }
 
 static uint64_t
-wait_usec(const struct jh_choose_request *r, const struct jh_worker *w,
-    uint64_t now)
+wait_usec(
+    const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
 {
 	uint64_t held = w->held_tokens + w->others_held + r->own_tokens;
 	uint64_t wait, age;
@@ -293,7 +293,7 @@
 	if (!r->is_engine) {
 		uint64_t slots = MAX(w->slots, 1);
 		return (w->running + w->others_running) * SERVICE_WORK_USEC /
-		    slots;
+		       slots;
 	}
 	wait = prefill_usec(w->prefill_tokens + w->others_prefill);
 	if (r->cache_tokens != 0 && held > r->cache_tokens)
@@ -301,7 +301,7 @@
 	age = now - w->delay_known;
 	if (w->delay > 0 && age < DELAY_USEC)
 		wait += (uint64_t)(w->delay * (double)(DELAY_USEC - age) /
-		    (double)DELAY_USEC);
+				   (double)DELAY_USEC);
 	return wait;
 }
 
@@ -309,8 +309,8 @@
 cost_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
     const struct jh_worker *w, const struct version *v, uint64_t now)
 {
-	uint64_t cost = wait_usec(r, w, now) +
-	    distance_usec(distance(c, w)) + (uint64_t)(w->fail_rate * FAIL_USEC);
+	uint64_t cost = wait_usec(r, w, now) + distance_usec(distance(c, w)) +
+			(uint64_t)(w->fail_rate * FAIL_USEC);
 	uint64_t reading;
 
 	if (!r->is_engine)
@@ -480,8 +480,7 @@
 		if (g_hash_table_size(c->placed) >= PLACED_PARTS)
 			g_hash_table_remove_all(c->placed);
 		p = g_new0(struct placed, 1);
-		g_hash_table_insert(
-		    c->placed, g_memdup2(&key, sizeof(key)), p);
+		g_hash_table_insert(c->placed, g_memdup2(&key, sizeof(key)), p);
 	}
 	for (i = 0; i < PLACED_WORKERS; i++) {
 		if (p->worker[i] == worker) {
@@ -499,8 +498,7 @@
 add_news(struct jh_chooser *c, uint64_t key, uint64_t worker)
 {
 	if (c->n_news == MAX_NEWS)
-		memmove(c->news, c->news + 1,
-		    --c->n_news * sizeof(c->news[0]));
+		memmove(c->news, c->news + 1, --c->n_news * sizeof(c->news[0]));
 	c->news[c->n_news++] = (struct jh_placement){key, worker};
 }
 
@@ -532,8 +530,7 @@
 }
 
 size_t
-jh_chooser_take_news(
-    struct jh_chooser *c, struct jh_placement *out, size_t max)
+jh_chooser_take_news(struct jh_chooser *c, struct jh_placement *out, size_t max)
 {
 	size_t n = MIN(max, c->n_news);
 
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -55,7 +55,8 @@
 	struct jh_named_weights named[JH_WEIGHTS_HISTORY]; /* oldest first */
 	size_t n_named;
 	uint64_t cache_tokens; /* memory of one worker; 0: not known */
-	uint64_t store; /* hash of the store of cached parts; 0: there is none */
+	uint64_t
+	    store; /* hash of the store of cached parts; 0: there is none */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
 };
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -25,7 +25,8 @@
 	bool leaving;
 	const char *model; /* NULL: no engine */
 	uint64_t weights; /* version of the model's weights */
-	uint64_t born; /* Unix milliseconds of the worker's start; 0: not told */
+	uint64_t
+	    born; /* Unix milliseconds of the worker's start; 0: not told */
 };
 
 struct jh_worker {
@@ -96,8 +97,7 @@
 struct jh_worker *jh_fleet_at(struct jh_fleet *f, size_t i);
 
 /* An answer told the version of the weights. */
-void jh_fleet_saw_weights(
-    struct jh_worker *w, uint64_t now, uint64_t weights);
+void jh_fleet_saw_weights(struct jh_worker *w, uint64_t now, uint64_t weights);
 /* No connection, or one that broke. */
 void jh_fleet_failed(struct jh_worker *w, uint64_t now);
 /* The worker answered; failed: with an error of its own. */
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -29,8 +29,8 @@
 {
 	struct jh_peers *p = g_new0(struct jh_peers, 1);
 
-	p->peers = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_peer);
+	p->peers =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_peer);
 	return p;
 }
 
@@ -61,8 +61,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct peer *peer = value;
 		for (i = 0; i < peer->rows->len; i++) {
-			const struct jh_peer_row *r = &g_array_index(
-			    peer->rows, struct jh_peer_row, i);
+			const struct jh_peer_row *r =
+			    &g_array_index(peer->rows, struct jh_peer_row, i);
 			struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
 			if (w == NULL)
 				continue;
--- a/src/route/table.c
+++ b/src/route/table.c
@@ -19,7 +19,8 @@
 	guint i;
 
 	for (i = 0; i < r->shares->len; i++)
-		g_free(g_array_index(r->shares, struct jh_route_share, i).service);
+		g_free(
+		    g_array_index(r->shares, struct jh_route_share, i).service);
 	g_array_free(r->shares, TRUE);
 	g_free(r->name);
 	g_free(r->host);
@@ -54,8 +55,8 @@
 	t->refs = 1;
 	t->version = version;
 	t->routes = g_ptr_array_new_with_free_func(free_route);
-	t->services = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, free_service);
+	t->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
 	t->tenants = g_ptr_array_new_with_free_func(free_tenant);
 	t->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return t;
@@ -129,8 +130,7 @@
 }
 
 void
-jh_route_add_share(
-    struct jh_route *r, const char *service, unsigned int weight)
+jh_route_add_share(struct jh_route *r, const char *service, unsigned int weight)
 {
 	struct jh_route_share s = {g_strdup(service), weight};
 
@@ -228,7 +228,8 @@
 	guint i;
 
 	for (i = 0; i < r->shares->len; i++)
-		total += g_array_index(r->shares, struct jh_route_share, i).weight;
+		total +=
+		    g_array_index(r->shares, struct jh_route_share, i).weight;
 	if (total == 0)
 		return NULL;
 	at = hash % total;
--- a/test/platform_world.c
+++ b/test/platform_world.c
@@ -79,8 +79,7 @@
 	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
 
 	jh_visit_answer(v, status, "Answer",
-	    JH_STR("Content-Type: application/json\r\n"),
-	    jh_str_from(text));
+	    JH_STR("Content-Type: application/json\r\n"), jh_str_from(text));
 	free(text);
 	json_decref(body);
 }
@@ -107,8 +106,8 @@
 			    strcmp(c->kind, w->kind) != 0)
 				continue;
 			json_array_append_new(events,
-			    json_pack("{s:b, s:o}", "deleted",
-				c->spec == NULL, "object",
+			    json_pack("{s:b, s:o}", "deleted", c->spec == NULL,
+				"object",
 				describe(c->name, c->revision, c->spec)));
 		}
 		if (json_array_size(events) == 0 && jh_now() < w->until) {
@@ -162,9 +161,9 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct object *o = value;
 		if (g_str_has_prefix(key, prefix))
-			json_array_append_new(items,
-			    describe((char *)key + strlen(prefix),
-				o->revision, o->spec));
+			json_array_append_new(
+			    items, describe((char *)key + strlen(prefix),
+				       o->revision, o->spec));
 	}
 	g_free(prefix);
 	reply_json(v, 200,
@@ -189,8 +188,8 @@
 static const struct jh_visit_ops waiter_ops = {on_watcher_gone, on_nothing};
 
 static void
-start_watch(struct platform *p, struct jh_visit *v, const char *kind,
-    const char *query)
+start_watch(
+    struct platform *p, struct jh_visit *v, const char *kind, const char *query)
 {
 	struct waiter *w = g_new0(struct waiter, 1);
 	const char *wait = strstr(query, "waitMs=");
@@ -199,7 +198,7 @@
 	w->kind = g_strdup(kind);
 	w->since = g_ascii_strtoull(strstr(query, "watch=") + 6, NULL, 10);
 	w->until = jh_now() +
-	    g_ascii_strtoull(wait + strlen("waitMs="), NULL, 10) * 1000;
+		   g_ascii_strtoull(wait + strlen("waitMs="), NULL, 10) * 1000;
 	jh_visit_watch(v, &waiter_ops, w);
 	g_ptr_array_add(p->waiters, w);
 	answer_waiters(p);
@@ -218,12 +217,17 @@
 
 	if (create)
 		name = json_string_value(json_object_get(metadata, "name"));
+	if (name == NULL) {
+		jh_visit_answer(v, 400, "Bad Request", JH_STR(""), JH_STR(""));
+		json_decref(root);
+		return;
+	}
 	key = g_strdup_printf("%s/%s", kind, name);
 	o = g_hash_table_lookup(p->objects, key);
-	if (create ? o != NULL
-		   : o == NULL ||
-		(wanted != NULL &&
-		    (uint64_t)json_integer_value(wanted) != o->revision)) {
+	if (create
+		? o != NULL
+		: o == NULL || (wanted != NULL && (uint64_t)json_integer_value(
+						      wanted) != o->revision)) {
 		reply_json(v, o != NULL ? 409 : 404,
 		    o != NULL ? describe(name, o->revision, o->spec)
 			      : json_object());
@@ -315,8 +319,8 @@
 {
 	struct jh_str body = jh_visit_body(v);
 	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
-	unsigned int version = (unsigned int)json_integer_value(
-	    json_object_get(root, "version"));
+	unsigned int version =
+	    (unsigned int)json_integer_value(json_object_get(root, "version"));
 	json_t *expected = json_object_get(root, "expected");
 	unsigned int status = 202;
 
@@ -324,8 +328,8 @@
 	    json_string_value(json_object_get(root, "holder")) == NULL)
 		status = 400;
 	else if (w->loading != 0 ||
-	    (expected != NULL &&
-		json_integer_value(expected) != (json_int_t)w->orders))
+		 (expected != NULL &&
+		     json_integer_value(expected) != (json_int_t)w->orders))
 		status = 409;
 	else if (version == w->weights)
 		status = 200;
@@ -345,8 +349,7 @@
 	int from = last.ptr != NULL ? atoi(last.ptr) : 0, i;
 	char event[64];
 
-	jh_visit_begin(
-	    v, 200, "OK", (struct jh_str){fields->str, fields->len});
+	jh_visit_begin(v, 200, "OK", (struct jh_str){fields->str, fields->len});
 	for (i = from + 1; i <= EVENTS; i++) {
 		g_snprintf(event, sizeof(event), "id: %d\ndata: t%d\n\n", i, i);
 		jh_visit_write(v, jh_str_from(event));
@@ -386,8 +389,7 @@
 		stream(w, v, fields);
 	else
 		jh_visit_answer(v, 200, "OK",
-		    (struct jh_str){fields->str, fields->len},
-		    JH_STR("done"));
+		    (struct jh_str){fields->str, fields->len}, JH_STR("done"));
 	g_string_free(fields, TRUE);
 }
 
@@ -403,7 +405,7 @@
 	if (id.ptr != NULL && !jh_str_eq(id, jh_str_from(name)))
 		return true;
 	return weights.ptr != NULL &&
-	    (unsigned int)atoi(weights.ptr) != w->weights;
+	       (unsigned int)atoi(weights.ptr) != w->weights;
 }
 
 static void
@@ -528,11 +530,10 @@
 		    json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:i, s:b, "
 			      "s:b, s:i}",
 			"name", routes[i].name, "host", "h.example",
-			"pathPrefix", routes[i].prefix, "kind",
-			routes[i].kind, "timeoutMs", 4000, "targetLatencyMs",
-			500, "service", "llm", "attempts", 2, "public",
-			routes[i].open, "resumable", routes[i].resumable,
-			"targetGapMs", 400));
+			"pathPrefix", routes[i].prefix, "kind", routes[i].kind,
+			"timeoutMs", 4000, "targetLatencyMs", 500, "service",
+			"llm", "attempts", 2, "public", routes[i].open,
+			"resumable", routes[i].resumable, "targetGapMs", 400));
 	return json_pack("{s:i, s:o, s:[{s:s, s:{s:i, s:i}}], s:{s:i, s:i}, "
 			 "s:[{s:s, s:[s], s:b}]}",
 	    "version", (int)version, "routes", list, "services", "name", "llm",
@@ -564,8 +565,7 @@
 	    "grace_s: \"6\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
 	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n"
 	    "drain_ms: 2500\n",
-	    proc_port(), p->clients, p->readiness, proc_port(),
-	    p->store_port);
+	    proc_port(), p->clients, p->readiness, proc_port(), p->store_port);
 	assert_true(g_file_set_contents(file, text, -1, NULL));
 	proc_init(&p->entry, p->dir, "entry", p->clients, argv);
 	proc_start(&p->entry);
@@ -582,8 +582,8 @@
 	p->dir = g_dir_make_tmp("jh-platform-XXXXXX", NULL);
 	g_mutex_init(&p->lock);
 	uv_loop_init(&p->loop);
-	p->objects = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_object);
+	p->objects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_object);
 	p->changes = g_ptr_array_new();
 	p->waiters = g_ptr_array_new();
 	uv_async_init(&p->loop, &p->wake, on_wake);
@@ -672,8 +672,8 @@
 }
 
 static char *
-ask_port(unsigned int port, const char *method, const char *path,
-    const char *fields)
+ask_port(
+    unsigned int port, const char *method, const char *path, const char *fields)
 {
 	struct sockaddr_in sin = loopback(port);
 	struct timeval limit = {10, 0};
--- a/test/run.sh
+++ b/test/run.sh
@@ -20,6 +20,8 @@
 	else
 		failed=$((failed + 1))
 		echo "FAIL $name"
+		# Reports of sanitizers may follow the check that failed.
+		grep -A 2 'ERROR\|LINE\|never:' "$out/$name" | head -n 30
 		tail -n 60 "$out/$name"
 	fi
 done
--- a/test/test_attempt.c
+++ b/test/test_attempt.c
@@ -57,8 +57,7 @@
 	    jh_attempts_ended(&a, SEC, JH_ATTEMPT_BROKEN), JH_NEXT_RETRY);
 	jh_attempts_sent(&a);
 	assert_int_equal(
-	    jh_attempts_ended(&a, 5 * SEC, JH_ATTEMPT_DECLINED),
-	    JH_NEXT_FAIL);
+	    jh_attempts_ended(&a, 5 * SEC, JH_ATTEMPT_DECLINED), JH_NEXT_FAIL);
 }
 
 /* Guards against more runs than the route allows. */
@@ -85,8 +84,7 @@
 
 	jh_attempts_init(&a, true, 2, SEC);
 	jh_attempts_sent(&a);
-	assert_int_equal(jh_attempts_ended(&a,
-			     SEC - JH_ATTEMPT_LEAST_USEC / 2,
+	assert_int_equal(jh_attempts_ended(&a, SEC - JH_ATTEMPT_LEAST_USEC / 2,
 			     JH_ATTEMPT_BROKEN),
 	    JH_NEXT_FAIL);
 }
--- a/test/test_duty.c
+++ b/test/test_duty.c
@@ -96,8 +96,8 @@
 apply(struct world *w, const struct jh_duty_action *a)
 {
 	bool fits = a->kind == JH_DUTY_CREATE
-	    ? w->object.version == 0
-	    : w->object.version == a->if_version;
+			? w->object.version == 0
+			: w->object.version == a->if_version;
 
 	if (!fits)
 		return false;
@@ -119,9 +119,8 @@
 	if (m->action.kind != JH_DUTY_READ)
 		done = apply(w, &m->action);
 	if (m->lose_answer) {
-		r.result = m->action.kind == JH_DUTY_READ
-		    ? JH_STORE_UNAVAILABLE
-		    : JH_STORE_UNKNOWN;
+		r.result = m->action.kind == JH_DUTY_READ ? JH_STORE_UNAVAILABLE
+							  : JH_STORE_UNKNOWN;
 		jh_duty_on_reply(m->duty, now, &r);
 		return;
 	}
@@ -188,8 +187,8 @@
 	case 0:
 	case 1:
 		m->frozen = g_rand_boolean(w->rand);
-		m->stuck_until = now +
-		    (uint64_t)g_rand_int_range(w->rand, 500, 8000) * MSEC;
+		m->stuck_until =
+		    now + (uint64_t)g_rand_int_range(w->rand, 500, 8000) * MSEC;
 		break;
 	case 2:
 		if (w->last_actor == m)
--- a/test/test_overload.c
+++ b/test/test_overload.c
@@ -117,8 +117,7 @@
 {
 	if (is_kept(e, key, now))
 		return 0;
-	if (!g_hash_table_add(
-		r->ever_read, g_memdup2(&key, sizeof(key))))
+	if (!g_hash_table_add(r->ever_read, g_memdup2(&key, sizeof(key))))
 		r->out.read_again += tokens;
 	keep(e, key, tokens, now);
 	return tokens;
@@ -146,8 +145,8 @@
 	size_t i;
 
 	for (i = 0; i < q->n_levels; i++)
-		tokens += read_part(
-		    r, e, q->level[i].key, q->level[i].tokens, now);
+		tokens +=
+		    read_part(r, e, q->level[i].key, q->level[i].tokens, now);
 	keep(e, (uint64_t)g_rand_int(r->rand) << 32 | 1, q->own_tokens, now);
 	x->engine = e;
 	x->prefill = q->own_tokens + c->uncached;
@@ -186,8 +185,8 @@
 }
 
 static void
-arrive(struct replay *r, const struct policy *policy, uint64_t now,
-    bool is_long)
+arrive(
+    struct replay *r, const struct policy *policy, uint64_t now, bool is_long)
 {
 	uint64_t subject = (uint64_t)g_rand_int_range(r->rand, 0, SUBJECTS);
 	struct jh_choose_request q = {
@@ -206,8 +205,8 @@
 
 	if (is_long) {
 		q.n_levels = 2;
-		q.level[0] = (struct jh_choose_level){
-		    1000 + subject % MANUALS, MANUAL};
+		q.level[0] =
+		    (struct jh_choose_level){1000 + subject % MANUALS, MANUAL};
 		q.level[1] = (struct jh_choose_level){5000 + subject, SUBJECT};
 	}
 	r->out.asked[is_long ? 0 : 1]++;
@@ -237,8 +236,8 @@
 	r.fleet = jh_fleet_create();
 	r.chooser = jh_chooser_create(&site);
 	r.running = g_ptr_array_new();
-	r.ever_read = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, NULL);
+	r.ever_read =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	for (i = 0; i < WORKERS; i++) {
 		struct jh_listing l = {.id = id,
 		    .service = "llm",
@@ -309,8 +308,8 @@
 		urgent[1] += b.in_aim[1];
 		assert_true(b.turned_away > 0);
 	}
-	print_message("in aim: %u open, %u bounded; urgent %u, %u\n",
-	    in_aim[0], in_aim[1], urgent[0], urgent[1]);
+	print_message("in aim: %u open, %u bounded; urgent %u, %u\n", in_aim[0],
+	    in_aim[1], urgent[0], urgent[1]);
 	assert_true(in_aim[1] > in_aim[0]);
 	assert_true(urgent[1] > urgent[0]);
 }
--- a/test/test_parse.c
+++ b/test/test_parse.c
@@ -78,9 +78,9 @@
 
 	seen_init(&s);
 	p = jh_parse_create(JH_PARSE_REQUESTS, 4096, &ops, &s);
-	assert_int_equal(feed(p,
-			     "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
-			     "GET /b HTTP/1.1\r\n\r\n"),
+	assert_int_equal(
+	    feed(p, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+		    "GET /b HTTP/1.1\r\n\r\n"),
 	    JH_PARSE_PAUSED);
 	assert_int_equal(s.completes, 1);
 	assert_string_equal(s.body->str, "abc");
@@ -101,9 +101,8 @@
 
 	seen_init(&s);
 	p = jh_parse_create(JH_PARSE_REQUESTS, 4096, &ops, &s);
-	assert_int_equal(feed(p,
-			     "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
-			     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+	assert_int_equal(feed(p, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
 	    JH_PARSE_BAD);
 	assert_int_equal(s.completes, 0);
 	jh_parse_destroy(p);
@@ -139,8 +138,7 @@
 
 	seen_init(&s);
 	p = jh_parse_create(JH_PARSE_ANSWERS, 4096, &ops, &s);
-	assert_int_equal(
-	    feed(p, "HTTP/1.1 200 OK\r\n\r\nabc"), JH_PARSE_OK);
+	assert_int_equal(feed(p, "HTTP/1.1 200 OK\r\n\r\nabc"), JH_PARSE_OK);
 	assert_int_equal(s.completes, 0);
 	jh_parse_eof(p);
 	assert_int_equal(s.completes, 1);
@@ -174,9 +172,9 @@
 
 	seen_init(&s);
 	p = jh_parse_create(JH_PARSE_ANSWERS, 4096, &ops, &s);
-	assert_int_equal(feed(p,
-			     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-			     "\r\n3\r\nabc\r\n0\r\nX-Late: 1\r\n\r\n"),
+	assert_int_equal(
+	    feed(p, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		    "\r\n3\r\nabc\r\n0\r\nX-Late: 1\r\n\r\n"),
 	    JH_PARSE_PAUSED);
 	assert_string_equal(s.body->str, "abc");
 	assert_int_equal(s.completes, 1);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -244,14 +244,12 @@
 	jh_fleet_find(a.fleet, "a")->running = 4;
 	jh_gossip_set_mark(a.gossip, 1, 77);
 	seen = jh_fleet_find(b.fleet, "a");
-	jh_gossip_set_peer(
-	    a.gossip, "b", &b.address, jh_gossip_key(b.gossip));
+	jh_gossip_set_peer(a.gossip, "b", &b.address, jh_gossip_key(b.gossip));
 	jh_gossip_set_peer(b.gossip, "a", &a.address, stranger);
 	run_for(&loop, 600000);
 	assert_int_equal(seen->others_running, 0);
 	assert_true(jh_metrics_get(b.metrics, "jh_gossip_ignored") > 0);
-	jh_gossip_set_peer(
-	    b.gossip, "a", &a.address, jh_gossip_key(a.gossip));
+	jh_gossip_set_peer(b.gossip, "a", &a.address, jh_gossip_key(a.gossip));
 	run_for(&loop, 600000);
 	assert_int_equal(seen->others_running, 4);
 	assert_int_equal(b.mark, 77);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -10,11 +10,11 @@
 
 #include "platform_world.h"
 
-#define KEYED                                                  \
-	"X-Jacinthhill-Attempt-Id: a1\r\n"                     \
-	"X-Jacinthhill-Model: m1\r\n"                          \
-	"X-Jacinthhill-Token-Counts: 100,10\r\n"               \
-	"X-Jacinthhill-Deadline-Milliseconds: 3000\r\n"        \
+#define KEYED                                           \
+	"X-Jacinthhill-Attempt-Id: a1\r\n"              \
+	"X-Jacinthhill-Model: m1\r\n"                   \
+	"X-Jacinthhill-Token-Counts: 100,10\r\n"        \
+	"X-Jacinthhill-Deadline-Milliseconds: 3000\r\n" \
 	"Api-Key: k1\r\n"
 
 static struct platform *p;
@@ -156,14 +156,15 @@
 	set_all(WORKER_BREAKS_STREAM);
 	answer = ask("POST", "/stream/x", KEYED "Content-Length: 0\r\n", 200);
 	at = answer;
-	for (i = 1; i <= 6; i++) {
+	for (i = 1; i <= 6 && at != NULL; i++) {
 		g_snprintf(id, sizeof(id), "id: %d\n", i);
 		at = strstr(at, id);
 		if (at == NULL)
 			fail_msg("event %d is missing: %s", i, answer);
-		assert_null(strstr(at + 1, id));
+		else
+			assert_null(strstr(at + 1, id));
 	}
-	assert_non_null(strstr(at, "0\r\n\r\n"));
+	assert_true(at != NULL && strstr(at, "0\r\n\r\n") != NULL);
 	g_free(answer);
 }
 
--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -112,15 +112,13 @@
 	plat_dialect.write_offer(out, h.head, &offer, 0);
 	assert_non_null(strstr(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
 	assert_non_null(strstr(out->str, "Expected-Instance: i-1\r\n"));
-	assert_non_null(
-	    strstr(out->str, "Deadline-Milliseconds: 1500\r\n"));
+	assert_non_null(strstr(out->str, "Deadline-Milliseconds: 1500\r\n"));
 	assert_null(strstr(out->str, "Deadline-Milliseconds: 5000"));
 	assert_non_null(strstr(out->str, "Jacinthhill-Tenant: t1\r\n"));
 	assert_non_null(strstr(out->str, "Expected-Version: 3\r\n"));
 	assert_non_null(strstr(out->str, "Cache-Salt: m1/3/\r\n"));
 	assert_non_null(strstr(out->str, "X-Other: kept\r\n"));
-	assert_non_null(
-	    strstr(out->str, "Attempt-Id: 9c41d07be2a35f68\r\n"));
+	assert_non_null(strstr(out->str, "Attempt-Id: 9c41d07be2a35f68\r\n"));
 	for (i = 0; i < G_N_ELEMENTS(absent); i++)
 		if (strstr(out->str, absent[i]) != NULL)
 			fail_msg("\"%s\" was passed on", absent[i]);
@@ -246,8 +244,7 @@
 
 	assert_non_null(t);
 	assert_int_equal(jh_table_version(t), 7);
-	r = jh_table_find_route(
-	    t, JH_STR("H.example:8080"), JH_STR("/a/x/2f"));
+	r = jh_table_find_route(t, JH_STR("H.example:8080"), JH_STR("/a/x/2f"));
 	assert_string_equal(r->name, "r1");
 	assert_int_equal(r->kind, JH_ROUTE_STREAM);
 	assert_false(jh_route_repeatable(r));
@@ -256,8 +253,7 @@
 	r = jh_table_find_route(t, JH_STR("h.example"), JH_STR("/a/b/c"));
 	assert_string_equal(r->name, "r2");
 	assert_true(r->anonymous);
-	assert_null(
-	    jh_table_find_route(t, JH_STR("other"), JH_STR("/a/b/c")));
+	assert_null(jh_table_find_route(t, JH_STR("other"), JH_STR("/a/b/c")));
 	assert_null(
 	    jh_table_find_route(t, JH_STR("h.example"), JH_STR("/ab/")));
 	tenant = jh_table_find_key(t, JH_STR("k2"));
@@ -270,17 +266,26 @@
 	jh_table_unref(t);
 }
 
+/* A copy of the text with one word in the place of another. */
+static char *
+replace(const char *text, const char *from, const char *to)
+{
+	char **parts = g_strsplit(text, from, 2);
+	char *out = g_strjoinv(to, parts);
+
+	g_strfreev(parts);
+	return out;
+}
+
 /* Guards against a configuration of which half is taken over. */
 static void
 faulty_config_is_refused_whole(void **state)
 {
 	const char *reason = NULL;
-	char *text = g_strdup(config);
-	char *at = strstr(text, "\"idempotent\"");
+	char *text = replace(config, "\"idempotent\"", "\"sometimes\"");
 
-	memcpy(at, "\"idempotemp\"", strlen("\"idempotemp\""));
 	assert_null(read_config(text, &reason));
-	assert_non_null(strstr(reason, "kind"));
+	assert_true(reason != NULL && strstr(reason, "kind") != NULL);
 	g_free(text);
 	assert_null(read_config("{\"version\":\"7\",\"routes\":[]}", &reason));
 	assert_string_equal(reason, "version");
@@ -371,15 +376,15 @@
 	assert_int_equal(s.descriptors, 4100);
 	assert_true(s.repeat_ratio > 0.19 && s.repeat_ratio < 0.21);
 	plat_settings_clear(&s);
-	text = g_strdup(settings);
-	memcpy(strstr(text, "\"0.2\""), "\"x.2\"", 5);
+	text = replace(settings, "\"0.2\"", "\"x.2\"");
 	assert_false(load(text, &s, &message));
-	assert_non_null(strstr(message, "repeat_ratio"));
+	assert_true(message != NULL && strstr(message, "repeat_ratio") != NULL);
 	plat_settings_clear(&s);
 	g_free(message);
-	memcpy(strstr(text, "store:"), "stare:", 6);
+	g_free(text);
+	text = replace(settings, "store:", "stare:");
 	assert_false(load(text, &s, &message));
-	assert_non_null(strstr(message, "store"));
+	assert_true(message != NULL && strstr(message, "store") != NULL);
 	plat_settings_clear(&s);
 	g_free(message);
 	g_free(text);
--- a/test/test_weights.c
+++ b/test/test_weights.c
@@ -118,8 +118,8 @@
 	if (r->dead)
 		result = JH_WEIGHTS_NO_ANSWER;
 	else if (g_rand_double(w->rand) < w->lose) {
-		r->late_at = now +
-		    (uint64_t)g_rand_int_range(w->rand, 0, 6000) * MSEC;
+		r->late_at =
+		    now + (uint64_t)g_rand_int_range(w->rand, 0, 6000) * MSEC;
 		r->late_version = a->version;
 		r->late_expected = a->expected;
 		result = JH_WEIGHTS_NO_ANSWER;
@@ -253,8 +253,7 @@
 	assert_int_equal(jh_weights_newest(w, "m"), 0);
 	for (v = 1; v <= 20; v++)
 		assert_true(jh_weights_set(w, v * 100, "m", v));
-	assert_int_equal(
-	    jh_weights_history(w, "m", named), JH_WEIGHTS_HISTORY);
+	assert_int_equal(jh_weights_history(w, "m", named), JH_WEIGHTS_HISTORY);
 	assert_int_equal(named[JH_WEIGHTS_HISTORY - 1].version, 20);
 	assert_int_equal(named[0].since, (20 - JH_WEIGHTS_HISTORY + 1) * 100);
 	assert_int_equal(jh_weights_history(w, "other", named), 0);
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -140,8 +140,8 @@
 static const struct jh_call_ops call_ops = {on_head, on_body, on_end};
 
 static void
-call_peer(struct jh_caller *caller, const struct sockaddr_in *address,
-    struct call *c)
+call_peer(
+    struct jh_caller *caller, const struct sockaddr_in *address, struct call *c)
 {
 	uint64_t now = jh_now();
 	struct jh_call_spec spec = {
@@ -186,6 +186,7 @@
 	jh_caller_destroy(caller);
 	close_loop(&loop);
 	peer_stop(p);
+	c->loop = NULL;
 }
 
 /* Guards against an answer cut by a reset that is taken for whole. */
@@ -268,9 +269,8 @@
 static void
 connection_is_kept(void **state)
 {
-	struct peer p = {
-	    .answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-		      "Keep-Alive: timeout=30\r\n\r\nok",
+	struct peer p = {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				   "Keep-Alive: timeout=30\r\n\r\nok",
 	    .keep = true};
 	struct jh_caller *caller;
 	struct call c = {0};
@@ -415,8 +415,7 @@
 leaving_client_is_noticed(void **state)
 {
 	const struct jh_front_limits limits = {4096, 4096, 0, 0, 0};
-	struct client c = {
-	    .request = "GET / HTTP/1.1\r\n\r\n", .leave = true};
+	struct client c = {.request = "GET / HTTP/1.1\r\n\r\n", .leave = true};
 	struct server s = {0};
 
 	server_start(&s, &limits);
