--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -11,6 +11,7 @@
 
 #include "net/parse.h"
 #include "platform/headers.h"
+#include "platform/names.h"
 #include "platform/objects.h"
 #include "platform/settings.h"
 
@@ -131,8 +132,7 @@
 bad_values_are_refused(void **state)
 {
 	static const char *const heads[] = {
-	    "GET / HTTP/1.1\r\nX-Jacinthhill-Deadline-Milliseconds: soon\r\n"
-	    "\r\n",
+	    "GET / HTTP/1.1\r\n" PLAT_DEADLINE ": soon\r\n\r\n",
 	    "GET / HTTP/1.1\r\nX-Jacinthhill-Token-Counts: 12\r\n\r\n",
 	    "GET / HTTP/1.1\r\nX-Jacinthhill-Prompt-Prefix: ab:x\r\n\r\n",
 	    "GET / HTTP/1.1\r\nX-Jacinthhill-Prompt-Prefix: :5\r\n\r\n",
