--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -44,13 +44,6 @@
  */
 #define AGAIN_WEIGHT 16
 
-/* Workers remembered for one part, and parts remembered at all. */
-#define PLACED_WORKERS 4
-#define PLACED_PARTS 8192
-
-/* Placements that wait to be told; older ones are forgotten. */
-#define MAX_NEWS 256
-
 /* Smaller parts are not worth telling others of. */
 #define NEWS_TOKENS 1000
 
@@ -60,18 +53,11 @@
 /* Distinct versions of weights that are ranked apart. */
 #define MAX_VERSIONS 4
 
-struct placed {
-	uint64_t worker[PLACED_WORKERS];
-	uint64_t at[PLACED_WORKERS];
-};
-
 struct jh_chooser {
 	char *zone;
 	const char *region;
 	GHashTable *regions;
-	GHashTable *placed; /* part key to struct placed */
-	struct jh_placement news[MAX_NEWS];
-	size_t n_news;
+	struct jh_placed *placed;
 };
 
 /* What is known of one version of weights among the eligible workers. */
@@ -92,8 +78,7 @@
 	c->zone = g_strdup(site->zone);
 	c->regions = g_hash_table_ref(site->regions);
 	c->region = g_hash_table_lookup(c->regions, c->zone);
-	c->placed =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	c->placed = jh_placed_create();
 	return c;
 }
 
@@ -103,7 +88,7 @@
 	if (c == NULL)
 		return;
 	g_hash_table_unref(c->regions);
-	g_hash_table_destroy(c->placed);
+	jh_placed_destroy(c->placed);
 	g_free(c->zone);
 	g_free(c);
 }
@@ -236,32 +221,11 @@
 	return &versions[(*n)++];
 }
 
-/* When the part was last placed at the worker; 0: not that is known. */
-static uint64_t
-placed_at_hash(const struct jh_chooser *c, uint64_t key, uint64_t worker)
-{
-	const struct placed *p = g_hash_table_lookup(c->placed, &key);
-	size_t i;
-
-	if (p == NULL)
-		return 0;
-	for (i = 0; i < PLACED_WORKERS; i++)
-		if (p->worker[i] == worker)
-			return p->at[i];
-	return 0;
-}
-
-static uint64_t
-placed_at(const struct jh_chooser *c, uint64_t key, const struct jh_worker *w)
-{
-	return placed_at_hash(c, key, w->hash);
-}
-
 static bool
 holds(const struct jh_chooser *c, uint64_t key, uint64_t now,
     const struct jh_worker *w, uint64_t within)
 {
-	uint64_t at = placed_at(c, key, w);
+	uint64_t at = jh_placed_at(c->placed, key, w->hash);
 
 	return at != 0 && now - at < within;
 }
@@ -356,7 +320,7 @@
 			return NULL;
 		for (i = 0; i < jh_fleet_count(f); i++) {
 			struct jh_worker *w = jh_fleet_at(f, i);
-			uint64_t at = placed_at(c, key, w);
+			uint64_t at = jh_placed_at(c->placed, key, w->hash);
 			if (w == to || at <= best_at || !serves(r, w) ||
 			    now < w->hold_until || w->missing_since != 0 ||
 			    w->weights != to->weights ||
@@ -381,7 +345,7 @@
 	    out->uncached < last->tokens)
 		return;
 	key = part_key(r, r->n_levels - 1, out->worker->weights);
-	at = placed_at_hash(c, key, r->store);
+	at = jh_placed_at(c->placed, key, r->store);
 	if (at == 0 || now - at >= STORED_USEC)
 		out->save = true;
 	else if (out->source == NULL)
@@ -470,55 +434,25 @@
 	use_store(c, r, now, out);
 }
 
-static void
-remember(struct jh_chooser *c, uint64_t now, uint64_t key, uint64_t worker)
-{
-	struct placed *p = g_hash_table_lookup(c->placed, &key);
-	size_t i, oldest = 0;
-
-	if (p == NULL) {
-		if (g_hash_table_size(c->placed) >= PLACED_PARTS)
-			g_hash_table_remove_all(c->placed);
-		p = g_new0(struct placed, 1);
-		g_hash_table_insert(c->placed, g_memdup2(&key, sizeof(key)), p);
-	}
-	for (i = 0; i < PLACED_WORKERS; i++) {
-		if (p->worker[i] == worker) {
-			oldest = i;
-			break;
-		}
-		if (p->at[i] < p->at[oldest])
-			oldest = i;
-	}
-	p->worker[oldest] = worker;
-	p->at[oldest] = now;
-}
-
-static void
-add_news(struct jh_chooser *c, uint64_t key, uint64_t worker)
-{
-	if (c->n_news == MAX_NEWS)
-		memmove(c->news, c->news + 1, --c->n_news * sizeof(c->news[0]));
-	c->news[c->n_news++] = (struct jh_placement){key, worker};
-}
-
 void
 jh_chooser_placed(struct jh_chooser *c, uint64_t now,
     const struct jh_choose_request *r, const struct jh_choice *choice)
 {
-	const struct jh_worker *w = choice->worker;
+	bool stored = choice->save || choice->from_store;
 	size_t i;
 
 	for (i = 0; i < r->n_levels; i++) {
-		uint64_t key = part_key(r, i, w->weights);
-		remember(c, now, key, w->hash);
+		struct jh_placement at = {
+		    part_key(r, i, choice->worker->weights),
+		    choice->worker->hash};
+		jh_placed_add(c->placed, now, &at);
 		if (r->level[i].tokens >= NEWS_TOKENS)
-			add_news(c, key, w->hash);
-		if ((choice->save || choice->from_store) &&
-		    i + 1 == r->n_levels) {
-			remember(c, now, key, r->store);
-			add_news(c, key, r->store);
-		}
+			jh_placed_tell(c->placed, &at);
+		if (!stored || i + 1 < r->n_levels)
+			continue;
+		at.worker = r->store;
+		jh_placed_add(c->placed, now, &at);
+		jh_placed_tell(c->placed, &at);
 	}
 }
 
@@ -526,16 +460,11 @@
 jh_chooser_told(
     struct jh_chooser *c, uint64_t now, const struct jh_placement *p)
 {
-	remember(c, now, p->key, p->worker);
+	jh_placed_add(c->placed, now, p);
 }
 
 size_t
 jh_chooser_take_news(struct jh_chooser *c, struct jh_placement *out, size_t max)
 {
-	size_t n = MIN(max, c->n_news);
-
-	memcpy(out, c->news, n * sizeof(c->news[0]));
-	c->n_news -= n;
-	memmove(c->news, c->news + n, c->n_news * sizeof(c->news[0]));
-	return n;
+	return jh_placed_take_news(c->placed, out, max);
 }
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -9,6 +9,7 @@
 
 #include "member/weights.h"
 #include "route/fleet.h"
+#include "route/placed.h"
 
 /*
  * Chooses the worker that a request is sent to: the one with the lowest
@@ -85,12 +86,6 @@
 void jh_chooser_placed(struct jh_chooser *c, uint64_t now,
     const struct jh_choose_request *r, const struct jh_choice *choice);
 
-/* A placement as processes tell each other. */
-struct jh_placement {
-	uint64_t key; /* of a part and the weights that read it */
-	uint64_t worker; /* hash of its id */
-};
-
 /* Another process has placed a part. */
 void jh_chooser_told(
     struct jh_chooser *c, uint64_t now, const struct jh_placement *p);
