--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -96,10 +96,11 @@
 		g_hash_table_insert(f->by_hash, &w->hash, w);
 		g_ptr_array_add(f->sorted, w);
 		g_ptr_array_sort(f->sorted, compare);
-	} else if (l->born != w->born && w->born != 0) {
+	} else if (l->born != 0 && w->born != 0 && l->born != w->born) {
 		restart(w);
 	}
-	w->born = l->born;
+	if (l->born != 0)
+		w->born = l->born;
 	w->missing_since = 0;
 	w->address = l->address;
 	w->slots = l->slots;
--- a/src/route/placed.c
+++ b/src/route/placed.c
@@ -108,8 +108,7 @@
 jh_placed_tell(struct jh_placed *p, const struct jh_placement *at)
 {
 	if (p->n_news == MOST_NEWS)
-		memmove(
-		    p->news, p->news + 1, --p->n_news * sizeof(p->news[0]));
+		memmove(p->news, p->news + 1, --p->n_news * sizeof(p->news[0]));
 	p->news[p->n_news++] = *at;
 }
 
--- a/src/route/placed.h
+++ b/src/route/placed.h
@@ -22,8 +22,7 @@
 void jh_placed_add(
     struct jh_placed *p, uint64_t now, const struct jh_placement *at);
 /* When the part was last placed at the worker; 0: not that is known. */
-uint64_t jh_placed_at(
-    const struct jh_placed *p, uint64_t key, uint64_t worker);
+uint64_t jh_placed_at(const struct jh_placed *p, uint64_t key, uint64_t worker);
 
 /* Has others told of a placement; the oldest of too many is forgotten. */
 void jh_placed_tell(struct jh_placed *p, const struct jh_placement *at);
