--- a/test/platform_world.c
+++ b/test/platform_world.c
@@ -52,7 +52,7 @@
 
 struct platform {
 	char *dir;
-	GMutex lock;
+	pthread_mutex_t lock;
 	uv_loop_t loop;
 	uv_async_t wake;
 	uv_timer_t tick;
@@ -250,7 +250,7 @@
 	char **words;
 	const char *kind, *name;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	if (query != NULL)
 		*query++ = '\0';
 	words = g_strsplit(target, "/", 4); /* "", "objects", kind, name */
@@ -274,7 +274,7 @@
 		start_watch(p, v, kind, query);
 	else
 		list_kind(p, v, kind);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	g_strfreev(words);
 	g_free(target);
 }
@@ -307,11 +307,11 @@
 {
 	struct worker *w = t->data;
 
-	g_mutex_lock(&w->platform->lock);
+	pthread_mutex_lock(&w->platform->lock);
 	w->weights = w->loading;
 	w->loading = 0;
 	list_worker(w);
-	g_mutex_unlock(&w->platform->lock);
+	pthread_mutex_unlock(&w->platform->lock);
 }
 
 static void
@@ -430,7 +430,7 @@
 	const struct jh_head *head = jh_visit_head(v);
 	struct jh_str path = jh_head_path(head);
 
-	g_mutex_lock(&w->platform->lock);
+	pthread_mutex_lock(&w->platform->lock);
 	if (jh_str_eq(path, JH_STR("/report")))
 		reply_json(v, 200,
 		    json_pack("{s:[{s:s, s:i}], s:b, s:i}", "models", "name",
@@ -447,7 +447,7 @@
 		keep_head(w->platform, head);
 		run_request(w, v);
 	}
-	g_mutex_unlock(&w->platform->lock);
+	pthread_mutex_unlock(&w->platform->lock);
 }
 
 static const struct jh_front_ops store_ops = {on_store_request};
@@ -458,11 +458,11 @@
 {
 	struct platform *p = a->data;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	answer_waiters(p);
 	if (p->stop)
 		uv_stop(&p->loop);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 static void
@@ -579,7 +579,7 @@
 	size_t i;
 
 	p->dir = g_dir_make_tmp("jh-platform-XXXXXX", NULL);
-	g_mutex_init(&p->lock);
+	pthread_mutex_init(&p->lock, NULL);
 	uv_loop_init(&p->loop);
 	p->objects =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_object);
@@ -645,9 +645,9 @@
 
 	if (p->entry.pid > 0)
 		proc_kill(&p->entry);
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->stop = true;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	uv_async_send(&p->wake);
 	pthread_join(p->thread, NULL);
 	jh_front_destroy(p->store);
@@ -721,35 +721,35 @@
 platform_set_mode(
     struct platform *p, unsigned int worker, enum worker_mode mode)
 {
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->workers[worker].mode = mode;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 void
 platform_set_store_status(struct platform *p, unsigned int status)
 {
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	p->store_status = status;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 void
 platform_put(
     struct platform *p, const char *kind, const char *name, json_t *spec)
 {
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	change(p, kind, name, spec);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	json_decref(spec);
 }
 
 void
 platform_remove(struct platform *p, const char *kind, const char *name)
 {
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	change(p, kind, name, NULL);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 }
 
 void
@@ -770,9 +770,9 @@
 {
 	unsigned int n;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	n = p->workers[worker].runs;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return n;
 }
 
@@ -781,9 +781,9 @@
 {
 	unsigned int n;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	n = p->workers[worker].weights;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return n;
 }
 
@@ -793,10 +793,10 @@
 	unsigned int n = 0;
 	size_t i;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	for (i = 0; i < PLATFORM_WORKERS; i++)
 		n += p->workers[i].orders;
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return n;
 }
 
@@ -805,9 +805,9 @@
 {
 	char *copy;
 
-	g_mutex_lock(&p->lock);
+	pthread_mutex_lock(&p->lock);
 	copy = g_strdup(p->last_head);
-	g_mutex_unlock(&p->lock);
+	pthread_mutex_unlock(&p->lock);
 	return copy;
 }
 
