--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -53,8 +53,7 @@
 			     : NULL;
 	}
 	if (answer != NULL && !(w->silent && wait != NULL))
-		jh_visit_answer(
-		    v, 200, "OK", JH_STR(""), jh_str_from(answer));
+		jh_visit_answer(v, 200, "OK", JH_STR(""), jh_str_from(answer));
 	g_free(target);
 }
 
@@ -79,7 +78,8 @@
 	memset(w, 0, sizeof(*w));
 	w->address.sin_family = AF_INET;
 	w->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&w->address, sizeof(w->address));
+	assert_int_equal(
+	    bind(fd, (struct sockaddr *)&w->address, sizeof(w->address)), 0);
 	getsockname(fd, (struct sockaddr *)&w->address, &len);
 	close(fd);
 	uv_loop_init(&w->loop);
