--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -36,8 +36,6 @@
 	uint64_t wait; /* the client leaves after this, microseconds */
 	uint32_t prompt_tokens;
 	uint32_t answer_tokens; /* at most */
-	bool has_hint;
-	uint32_t answer_hint; /* the client's estimate */
 	/*
 	 * The prompt's parts in order. The last belongs to this request or its
 	 * session, those before it are shared with other requests.
--- a/src/net/parse.c
+++ b/src/net/parse.c
@@ -13,7 +13,6 @@
 	size_t head_limit;
 	bool in_value; /* the last header piece was of a value */
 	bool head_done; /* what follows are body and trailers */
-	bool in_message;
 	bool paused;
 	bool too_large;
 };
@@ -35,7 +34,6 @@
 	jh_head_clear(p->head);
 	p->in_value = true;
 	p->head_done = false;
-	p->in_message = true;
 	return 0;
 }
 
@@ -104,7 +102,6 @@
 {
 	struct jh_parse *p = hp->data;
 
-	p->in_message = false;
 	p->paused = true;
 	http_parser_pause(hp, 1);
 	p->ops->complete(p->arg);
@@ -197,12 +194,6 @@
 		http_parser_execute(&p->parser, &p->settings, NULL, 0);
 }
 
-bool
-jh_parse_in_message(const struct jh_parse *p)
-{
-	return p->in_message;
-}
-
 size_t
 jh_parse_kept(const struct jh_parse *p)
 {
--- a/src/net/parse.h
+++ b/src/net/parse.h
@@ -38,8 +38,6 @@
 /* The peer closed: completes an answer that ends with its connection. */
 void jh_parse_eof(struct jh_parse *p);
 
-/* Whether part of a message has arrived. */
-bool jh_parse_in_message(const struct jh_parse *p);
 /* Bytes kept while paused. */
 size_t jh_parse_kept(const struct jh_parse *p);
 
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -128,7 +128,6 @@
 	g_hash_table_remove(f->by_id, id);
 	g_hash_table_remove(f->by_hash, &w->hash);
 	g_ptr_array_remove(f->sorted, w);
-	g_ptr_array_sort(f->sorted, compare);
 }
 
 void
--- a/src/route/table.c
+++ b/src/route/table.c
@@ -34,7 +34,6 @@
 	struct jh_service *s = p;
 
 	g_free(s->name);
-	g_free(s->zone);
 	g_free(s);
 }
 
--- a/src/route/table.h
+++ b/src/route/table.h
@@ -38,20 +38,16 @@
 	unsigned int rank; /* 0 is the most urgent */
 	unsigned int attempts; /* workers that one request may be sent to */
 	bool anonymous; /* needs no key */
-	bool cached; /* requests share parts of prompts */
 	bool resumable; /* a stream may go on at another worker */
 	GArray *shares; /* struct jh_route_share */
 };
 
 struct jh_service {
 	char *name;
-	unsigned int connection_limit; /* of one worker, from all callers */
 	bool is_engine;
-	unsigned int slots; /* engines: requests in one batch */
 	uint64_t cache_tokens; /* engines: memory of one worker */
 	bool is_cache_store;
 	struct sockaddr_in cache_store; /* where is_cache_store */
-	char *zone; /* of the cache store */
 };
 
 struct jh_tenant {
