--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 # jhctl checks the daemons' settings files.
 CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c)) \
     src/entry/settings.c src/agent/settings.c
-FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list,\
+FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list platform,\
     $(wildcard fakes/$(d)/*.c)))
 PLATFORM_SRC = $(filter-out platform/main.c,$(wildcard platform/*.c))
 TEST_SRC = $(wildcard test/test_*.c)
--- /dev/null
+++ b/fakes/platform/reply.c
@@ -0,0 +1,34 @@
+#include <stdlib.h>
+
+#include <arpa/inet.h>
+
+#include "fakes/platform/reply.h"
+
+static const struct jh_front_limits limits = {65536, 1 << 20, 0, 0, 0};
+
+void
+fake_reply_json(struct jh_visit *v, unsigned int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	jh_visit_answer(v, status, "Answer",
+	    JH_STR("Content-Type: application/json\r\n"), jh_str_from(text));
+	free(text);
+	json_decref(body);
+}
+
+struct jh_front *
+fake_listen(uv_loop_t *loop, unsigned int port, const struct jh_front_ops *ops,
+    void *arg)
+{
+	struct jh_front *f = jh_front_create(loop, &limits, ops, arg);
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons((uint16_t)port)};
+	int error = jh_front_listen(f, &sin);
+
+	if (error != 0)
+		g_error(
+		    "cannot listen on port %u: %s", port, uv_strerror(error));
+	return f;
+}
--- /dev/null
+++ b/fakes/platform/worker.c
@@ -0,0 +1,482 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "fakes/platform/reply.h"
+#include "fakes/platform/worker.h"
+
+#define LOAD_MSEC 100
+#define ID_SIZE 24
+
+/* One request that runs. */
+struct run {
+	struct fake_worker *worker;
+	struct jh_visit *visit;
+	char *id;
+	GString *fields;
+	uv_timer_t timer;
+	int event; /* the last one that was sent */
+	bool streams, begun;
+	enum fake_worker_mode mode;
+};
+
+struct fake_worker {
+	struct fake_worker_spec spec;
+	struct fake_objects *objects;
+	uv_loop_t *loop;
+	struct jh_front *front; /* NULL: crashed */
+	char id[ID_SIZE];
+	unsigned int starts;
+	enum fake_worker_mode mode;
+	bool draining;
+	unsigned int runs;
+	unsigned int weights, loading;
+	unsigned int orders;
+	uint64_t born; /* Unix milliseconds */
+	uv_timer_t load;
+	GHashTable *running; /* struct run */
+	char *last_head;
+};
+
+/* Holds the lock. */
+static void
+list_worker(struct fake_worker *w)
+{
+	json_t *models = json_array(), *spec;
+	char address[32];
+
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    w->spec.shown_port != 0 ? w->spec.shown_port : w->spec.port);
+	if (w->spec.model != NULL)
+		json_array_append_new(
+		    models, json_pack("{s:s, s:i}", "name", w->spec.model,
+				"version", (int)w->weights));
+	spec = json_pack("{s:s, s:s, s:s, s:i, s:s, s:o, s:i, s:I}", "service",
+	    w->spec.service, "address", address, "zone", "z0", "slots", 8,
+	    "state", w->draining ? "draining" : "ready", "models", models,
+	    "sequence", 1, "born", (json_int_t)w->born);
+	fake_objects_put(w->objects, "servers", w->id, spec);
+	json_decref(spec);
+}
+
+static void
+on_loaded(uv_timer_t *t)
+{
+	struct fake_worker *w = t->data;
+
+	fake_objects_lock(w->objects);
+	w->weights = w->loading;
+	w->loading = 0;
+	list_worker(w);
+	fake_objects_unlock(w->objects);
+}
+
+static void
+take_order(struct fake_worker *w, struct jh_visit *v)
+{
+	struct jh_str body = jh_visit_body(v);
+	json_t *root = json_loadb(body.ptr, body.len, 0, NULL);
+	unsigned int version =
+	    (unsigned int)json_integer_value(json_object_get(root, "version"));
+	json_t *expected = json_object_get(root, "expected");
+	const char *holder = json_string_value(json_object_get(root, "holder"));
+	json_int_t token =
+	    json_integer_value(json_object_get(root, "fencingToken"));
+	unsigned int status = 202;
+
+	if (token <= 0 || holder == NULL || version == 0)
+		status = 400;
+	else if (w->loading != 0 ||
+		 (expected != NULL &&
+		     json_integer_value(expected) != (json_int_t)w->orders))
+		status = 409;
+	else if (version == w->weights)
+		status = 200;
+	if (status == 202) {
+		w->orders++;
+		w->loading = version;
+		uv_timer_start(&w->load, on_loaded, LOAD_MSEC, 0);
+		if (w->spec.ops != NULL)
+			w->spec.ops->ordered(
+			    w->spec.arg, w, holder, (uint64_t)token, version);
+	}
+	json_decref(root);
+	jh_visit_answer(v, status, "Answer", JH_STR(""), JH_STR(""));
+}
+
+static void
+on_run_closed(uv_handle_t *h)
+{
+	struct run *r = h->data;
+
+	g_string_free(r->fields, TRUE);
+	g_free(r->id);
+	g_free(r);
+}
+
+static void
+end_run(struct run *r)
+{
+	struct fake_worker *w = r->worker;
+
+	g_hash_table_remove(w->running, r);
+	if (w->spec.ops != NULL)
+		w->spec.ops->ended(w->spec.arg, w, jh_str_from(r->id));
+	uv_close((uv_handle_t *)&r->timer, on_run_closed);
+}
+
+static void
+on_gone(void *arg)
+{
+	struct run *r = arg;
+
+	fake_objects_lock(r->worker->objects);
+	end_run(r);
+	fake_objects_unlock(r->worker->objects);
+}
+
+static void
+on_drained(void *arg)
+{
+}
+
+static const struct jh_visit_ops run_ops = {on_gone, on_drained};
+
+/* Returns false once the stream has ended. */
+static bool
+send_event(struct run *r)
+{
+	struct jh_str fields = {r->fields->str, r->fields->len};
+	char event[64];
+
+	if (!r->begun)
+		jh_visit_begin(r->visit, 200, "OK", fields);
+	r->begun = true;
+	r->event++;
+	g_snprintf(
+	    event, sizeof(event), "id: %d\ndata: t%d\n\n", r->event, r->event);
+	jh_visit_write(r->visit, jh_str_from(event));
+	if (r->mode == WORKER_BREAKS_STREAM &&
+	    r->event == FAKE_WORKER_EVENTS / 2) {
+		jh_visit_write(r->visit, JH_STR("id: 4\nda"));
+		/* Only what was written already reaches the caller. */
+		jh_visit_abort(r->visit);
+		return false;
+	}
+	if (r->event < FAKE_WORKER_EVENTS)
+		return true;
+	jh_visit_end(r->visit);
+	return false;
+}
+
+static void
+send_answer(struct run *r)
+{
+	struct jh_str fields = {r->fields->str, r->fields->len};
+	char *body = g_strconcat("done ", r->id, NULL);
+
+	switch (r->mode) {
+	case WORKER_BREAKS:
+		jh_visit_abort(r->visit);
+		break;
+	case WORKER_FAILS:
+		jh_visit_answer(
+		    r->visit, 500, "Error", fields, JH_STR("broken"));
+		break;
+	case WORKER_GARBLES:
+		jh_visit_begin(
+		    r->visit, 200, "OK\r\nno answer", JH_STR("\001\002: \r\n"));
+		jh_visit_abort(r->visit);
+		break;
+	case WORKER_CUTS:
+		jh_visit_begin(r->visit, 200, "OK", fields);
+		jh_visit_write(r->visit, JH_STR("do"));
+		jh_visit_abort(r->visit);
+		break;
+	default:
+		jh_visit_answer(r->visit, 200, "OK", fields, jh_str_from(body));
+		break;
+	}
+	g_free(body);
+}
+
+static void
+on_run_due(uv_timer_t *t)
+{
+	struct run *r = t->data;
+	struct fake_worker *w = r->worker;
+
+	fake_objects_lock(w->objects);
+	if (r->mode == WORKER_SILENT) {
+		uv_timer_stop(&r->timer);
+	} else if (!r->streams) {
+		send_answer(r);
+		end_run(r);
+	} else {
+		/* Without a pause, the whole stream goes out at once. */
+		while (send_event(r)) {
+			if (w->spec.event_msec == 0)
+				continue;
+			uv_timer_start(
+			    &r->timer, on_run_due, w->spec.event_msec, 0);
+			fake_objects_unlock(w->objects);
+			return;
+		}
+		end_run(r);
+	}
+	fake_objects_unlock(w->objects);
+}
+
+static void
+keep_head(struct fake_worker *w, const struct jh_head *head)
+{
+	GString *s = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < jh_head_count(head); i++)
+		g_string_append_printf(s, "%.*s: %.*s\n",
+		    (int)jh_head_name(head, i).len, jh_head_name(head, i).ptr,
+		    (int)jh_head_value(head, i).len,
+		    jh_head_value(head, i).ptr);
+	g_free(w->last_head);
+	w->last_head = g_string_free(s, FALSE);
+}
+
+static bool
+begins(struct jh_str s, const char *prefix)
+{
+	return s.len >= strlen(prefix) &&
+	       memcmp(s.ptr, prefix, strlen(prefix)) == 0;
+}
+
+static void
+run_request(struct fake_worker *w, struct jh_visit *v)
+{
+	const struct jh_head *head = jh_visit_head(v);
+	struct jh_str last = jh_head_get(head, "Last-Event-Id");
+	struct run *r = g_new0(struct run, 1);
+
+	w->runs++;
+	keep_head(w, head);
+	r->worker = w;
+	r->visit = v;
+	r->mode = w->mode;
+	if (r->mode == WORKER_BREAKS_STREAM)
+		w->mode = WORKER_ANSWERS;
+	r->id = jh_str_dup(jh_head_get(head, "X-Jacinthhill-Attempt-Id"));
+	r->streams = begins(jh_head_path(head), "/stream/") &&
+		     r->mode != WORKER_BREAKS && r->mode != WORKER_FAILS &&
+		     r->mode != WORKER_GARBLES;
+	r->event = last.ptr != NULL ? atoi(last.ptr) : 0;
+	r->fields = g_string_new(NULL);
+	g_string_append_printf(r->fields,
+	    "X-Jacinthhill-Attempt-Id: %s\r\n"
+	    "X-Jacinthhill-Weight-Versions: %u\r\n",
+	    r->id, w->weights);
+	if (r->mode != WORKER_UNSEALED)
+		g_string_append_printf(r->fields,
+		    "X-Jacinthhill-Response-Seal: %s.%s\r\n", w->id, r->id);
+	uv_timer_init(w->loop, &r->timer);
+	r->timer.data = r;
+	g_hash_table_add(w->running, r);
+	if (w->spec.ops != NULL)
+		w->spec.ops->ran(w->spec.arg, w, head, jh_visit_body(v));
+	jh_visit_watch(v, &run_ops, r);
+	uv_timer_start(&r->timer, on_run_due, w->spec.work_msec, 0);
+}
+
+static bool
+is_misdirected(const struct fake_worker *w, const struct jh_head *head)
+{
+	struct jh_str id = jh_head_get(head, "X-Jacinthhill-Expected-Instance");
+	struct jh_str weights =
+	    jh_head_get(head, "X-Jacinthhill-Expected-Version");
+
+	if (id.ptr != NULL && !jh_str_eq(id, jh_str_from(w->id)))
+		return true;
+	return weights.ptr != NULL &&
+	       (unsigned int)atoi(weights.ptr) != w->weights;
+}
+
+static void
+report(struct fake_worker *w, struct jh_visit *v)
+{
+	json_t *models = json_array();
+
+	if (w->spec.model != NULL)
+		json_array_append_new(
+		    models, json_pack("{s:s, s:i}", "name", w->spec.model,
+				"version", (int)w->weights));
+	fake_reply_json(v, 200,
+	    json_pack("{s:o, s:b, s:i, s:I}", "models", models, "busy",
+		w->loading != 0, "sequence", (int)w->orders, "born",
+		(json_int_t)w->born));
+}
+
+static void
+on_request(void *arg, struct jh_visit *v)
+{
+	struct fake_worker *w = arg;
+	const struct jh_head *head = jh_visit_head(v);
+	struct jh_str path = jh_head_path(head);
+
+	fake_objects_lock(w->objects);
+	if (jh_str_eq(path, JH_STR("/report")))
+		report(w, v);
+	else if (is_misdirected(w, head))
+		jh_visit_answer(v, 421, "Misdirected", JH_STR(""), JH_STR(""));
+	else if (jh_str_eq(path, JH_STR("/order")))
+		take_order(w, v);
+	else if (w->mode == WORKER_DECLINES || w->loading != 0)
+		jh_visit_answer(v, 503, "Busy",
+		    JH_STR("X-Jacinthhill-Not-Executed: 1\r\n"), JH_STR(""));
+	else
+		run_request(w, v);
+	fake_objects_unlock(w->objects);
+}
+
+static const struct jh_front_ops front_ops = {on_request};
+
+void
+fake_worker_start(struct fake_worker *w)
+{
+	fake_objects_lock(w->objects);
+	if (w->starts++ == 0)
+		g_snprintf(w->id, sizeof(w->id), "w%u", w->spec.number);
+	else
+		g_snprintf(
+		    w->id, sizeof(w->id), "w%u-%u", w->spec.number, w->starts);
+	w->draining = false;
+	w->orders = 0;
+	w->born = (uint64_t)g_get_real_time() / JH_USEC_PER_MSEC;
+	w->front = fake_listen(w->loop, w->spec.port, &front_ops, w);
+	list_worker(w);
+	fake_objects_unlock(w->objects);
+}
+
+void
+fake_worker_crash(struct fake_worker *w)
+{
+	GHashTableIter it;
+	gpointer r;
+
+	fake_objects_lock(w->objects);
+	g_hash_table_iter_init(&it, w->running);
+	while (g_hash_table_iter_next(&it, &r, NULL)) {
+		g_hash_table_iter_remove(&it);
+		if (w->spec.ops != NULL)
+			w->spec.ops->ended(
+			    w->spec.arg, w, jh_str_from(((struct run *)r)->id));
+		uv_close(
+		    (uv_handle_t *)&((struct run *)r)->timer, on_run_closed);
+	}
+	uv_timer_stop(&w->load);
+	if (w->loading != 0)
+		w->weights = w->loading;
+	w->loading = 0;
+	jh_front_destroy(w->front);
+	w->front = NULL;
+	fake_objects_remove(w->objects, "servers", w->id);
+	fake_objects_unlock(w->objects);
+}
+
+struct fake_worker *
+fake_worker_create(uv_loop_t *loop, struct fake_objects *objects,
+    const struct fake_worker_spec *spec)
+{
+	struct fake_worker *w = g_new0(struct fake_worker, 1);
+
+	w->spec = *spec;
+	w->loop = loop;
+	w->objects = objects;
+	w->weights = 1;
+	w->running = g_hash_table_new(NULL, NULL);
+	uv_timer_init(loop, &w->load);
+	w->load.data = w;
+	fake_worker_start(w);
+	return w;
+}
+
+void
+fake_worker_destroy(struct fake_worker *w)
+{
+	if (w->front != NULL)
+		fake_worker_crash(w);
+	uv_close((uv_handle_t *)&w->load, NULL);
+	uv_run(w->loop, UV_RUN_NOWAIT);
+	g_hash_table_destroy(w->running);
+	g_free(w->last_head);
+	g_free(w);
+}
+
+void
+fake_worker_set_mode(struct fake_worker *w, enum fake_worker_mode mode)
+{
+	fake_objects_lock(w->objects);
+	w->mode = mode;
+	fake_objects_unlock(w->objects);
+}
+
+void
+fake_worker_drain(struct fake_worker *w)
+{
+	fake_objects_lock(w->objects);
+	w->draining = true;
+	list_worker(w);
+	fake_objects_unlock(w->objects);
+}
+
+unsigned int
+fake_worker_number(const struct fake_worker *w)
+{
+	return w->spec.number;
+}
+
+const char *
+fake_worker_id(const struct fake_worker *w)
+{
+	return w->id;
+}
+
+static unsigned int
+figure(struct fake_worker *w, const unsigned int *at)
+{
+	unsigned int n;
+
+	fake_objects_lock(w->objects);
+	n = *at;
+	fake_objects_unlock(w->objects);
+	return n;
+}
+
+unsigned int
+fake_worker_runs(struct fake_worker *w)
+{
+	return figure(w, &w->runs);
+}
+
+unsigned int
+fake_worker_weights(struct fake_worker *w)
+{
+	return figure(w, &w->weights);
+}
+
+unsigned int
+fake_worker_orders(struct fake_worker *w)
+{
+	return figure(w, &w->orders);
+}
+
+char *
+fake_worker_last_head(struct fake_worker *w)
+{
+	char *copy;
+
+	fake_objects_lock(w->objects);
+	copy = g_strdup(w->last_head);
+	fake_objects_unlock(w->objects);
+	return copy;
+}
--- a/test/platform_world.h
+++ b/test/platform_world.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "fakes/platform/worker.h"
 #include "harness.h"
 
 /*
@@ -15,16 +16,6 @@
  */
 struct platform;
 
-enum worker_mode {
-	WORKER_ANSWERS,
-	WORKER_DECLINES, /* 503, states that it did not run the request */
-	WORKER_BREAKS, /* runs the request and resets the connection */
-	WORKER_FAILS, /* 500 of its own */
-	WORKER_UNSEALED, /* a success without its proof */
-	WORKER_BREAKS_STREAM, /* after three events */
-	WORKER_SILENT
-};
-
 #define PLATFORM_WORKERS 3
 
 /* Routes: /once/, /again/, /stream/ (resumable), /public/; key "k1". */
@@ -36,7 +27,7 @@
 struct proc *platform_entry(struct platform *p);
 
 void platform_set_mode(
-    struct platform *p, unsigned int worker, enum worker_mode mode);
+    struct platform *p, unsigned int worker, enum fake_worker_mode mode);
 /* The store answers every call with this status; 0: serves. */
 void platform_set_store_status(struct platform *p, unsigned int status);
 /* Writes or removes an object as the operator or a worker does. */
@@ -50,7 +41,7 @@
 unsigned int platform_runs(struct platform *p, unsigned int worker);
 unsigned int platform_weights(struct platform *p, unsigned int worker);
 unsigned int platform_orders(struct platform *p);
-/* The last request head that a worker has read; free with g_free(). */
+/* The last request head that one of the workers has run; free with g_free(). */
 char *platform_last_head(struct platform *p);
 
 /*
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -34,7 +34,7 @@
 }
 
 static void
-set_all(enum worker_mode mode)
+set_all(enum fake_worker_mode mode)
 {
 	unsigned int i;
 
@@ -72,7 +72,8 @@
 	char *head = platform_last_head(p);
 
 	assert_non_null(strstr(answer, "done"));
-	assert_non_null(strstr(answer, "X-Jacinthhill-Response-Seal: s1"));
+	assert_non_null(strstr(answer, "X-Jacinthhill-Response-Seal: w"));
+	assert_non_null(strstr(answer, ".a1\r\n"));
 	assert_non_null(strstr(head, "X-Jacinthhill-Tenant: t1"));
 	assert_null(strstr(head, "Api-Key"));
 	assert_non_null(strstr(head, "X-Jacinthhill-Cache-Salt: m1/1/t1"));
