--- a/Makefile
+++ b/Makefile
@@ -39,8 +39,9 @@
 # jhctl checks the daemons' settings files.
 CTL_SRC = $(filter-out src/ctl/main.c,$(wildcard src/ctl/*.c)) \
     src/entry/settings.c src/agent/settings.c
-FAKE_LIB_SRC = $(filter-out %/main.c,$(foreach d,store list platform,\
-    $(wildcard fakes/$(d)/*.c)))
+FAKE_LIB_SRC = $(filter-out %/main.c,$(wildcard fakes/*.c) $(foreach d,store \
+    list platform,$(wildcard fakes/$(d)/*.c)))
+SOAK_SRC = $(filter-out soak/main.c,$(wildcard soak/*.c))
 PLATFORM_SRC = $(filter-out platform/main.c,$(wildcard platform/*.c))
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_LIB_SRC = $(filter-out $(TEST_SRC),$(wildcard test/*.c))
@@ -53,6 +54,7 @@
 FAKE_LIB = $(BUILD)/libjhfakes.a
 TEST_LIB = $(BUILD)/libjhtest.a
 PLATFORM_LIB = $(BUILD)/libjhplatform.a
+SOAK_LIB = $(BUILD)/libjhsoak.a
 
 DAEMONS = $(foreach d,entry agent ctl,$(if $(wildcard src/$(d)/main.c),\
     $(BUILD)/jh$(d))) $(BUILD)/jhplatform
@@ -83,8 +85,9 @@
 $(FAKE_LIB): $(call objs,$(FAKE_LIB_SRC))
 $(TEST_LIB): $(call objs,$(TEST_LIB_SRC))
 $(PLATFORM_LIB): $(call objs,$(PLATFORM_SRC))
+$(SOAK_LIB): $(call objs,$(SOAK_SRC))
 $(LIB) $(NET) $(ENTRY_LIB) $(AGENT_LIB) $(CTL_LIB) $(FAKE_LIB) $(TEST_LIB) \
-    $(PLATFORM_LIB):
+    $(PLATFORM_LIB) $(SOAK_LIB):
 	@rm -f $@
 	@ar rcs $@ $(filter %.o,$^)
 
@@ -104,8 +107,12 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
 
-$(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(ENTRY_LIB) $(AGENT_LIB) \
-    $(CTL_LIB) $(FAKE_LIB) $(PLATFORM_LIB) $(NET) $(LIB)
+$(BUILD)/jhsoak: $(BUILD)/soak/main.o $(SOAK_LIB) $(FAKE_LIB) $(NET) $(LIB)
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o %.a,$^) $(LDLIBS)
+
+$(BUILD)/test/%: $(BUILD)/test/%.o $(TEST_LIB) $(SOAK_LIB) $(ENTRY_LIB) \
+    $(AGENT_LIB) $(CTL_LIB) $(FAKE_LIB) $(PLATFORM_LIB) $(NET) $(LIB)
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
@@ -117,10 +124,10 @@
 # by side. Each part is as strict as by itself.
 CHECK_JOBS = 8
 CHECK_PARTS = test check-install lint model fuzz-corpus generated \
-    sanitize-address sanitize-thread
+    sanitize-address sanitize-thread soak
 
 check-here:
-	$(MAKE) -j$(CHECK_JOBS) all $(TESTS)
+	$(MAKE) -j$(CHECK_JOBS) all $(TESTS) $(BUILD)/jhsoak
 	$(MAKE) -j$(CHECK_JOBS) check-clang
 	$(MAKE) -j$(CHECK_JOBS) build-address
 	$(MAKE) -j$(CHECK_JOBS) build-thread
--- /dev/null
+++ b/fakes/port.c
@@ -0,0 +1,41 @@
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+
+#include "fakes/port.h"
+
+/* Outgoing connections take their ports from 32768 on. */
+#define FIRST_PORT 20000
+#define PORTS 12000
+
+static bool
+is_free(unsigned int port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool ok;
+
+	ok = bind(fd, (const struct sockaddr *)&sin, sizeof(sin)) == 0;
+	close(fd);
+	return ok;
+}
+
+unsigned int
+fake_port(void)
+{
+	static unsigned int next;
+	unsigned int port;
+
+	/* Programs that run side by side begin at different ports. */
+	if (next == 0)
+		next = (unsigned int)getpid() * 101;
+	do {
+		port = FIRST_PORT + next++ % PORTS;
+	} while (!is_free(port));
+	return port;
+}
--- /dev/null
+++ b/soak/caller.c
@@ -0,0 +1,366 @@
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+
+#include <jacinthhill/clock.h>
+
+#include "net/conn.h"
+#include "soak/caller.h"
+
+/* Between two requests of one caller. */
+#define LEAST_PAUSE_MSEC 2
+#define MOST_PAUSE_MSEC 60
+/* One in so many requests opens a new connection. */
+#define NEW_CONNECTION 12
+/* An answer may come this much later than the route's timeout. */
+#define PAST_TIMEOUT_MSEC 1000
+#define UNACKED_MSEC 60000
+
+enum field { FIELD_OTHER, FIELD_ID, FIELD_SEAL };
+
+struct soak_caller {
+	uv_loop_t *loop;
+	struct soak_ledger *ledger;
+	GRand *rand;
+	const struct soak_caller_ops *ops;
+	void *arg;
+	struct jh_conn *conn; /* NULL: none */
+	unsigned int port; /* of the connection */
+	bool reused;
+	struct soak_order order;
+	char *id; /* of the request that waits for its answer, or NULL */
+	uv_timer_t pause, limit, leave;
+	unsigned int handles;
+	http_parser parser;
+	enum field field;
+	bool in_value;
+	GString *name, *answer_id, *seal, *body;
+	bool complete;
+};
+
+static void send_next(struct soak_caller *c);
+
+static void
+on_pause(uv_timer_t *t)
+{
+	send_next(t->data);
+}
+
+static void
+rest(struct soak_caller *c)
+{
+	int msec = g_rand_int_range(c->rand, LEAST_PAUSE_MSEC, MOST_PAUSE_MSEC);
+
+	uv_timer_start(&c->pause, on_pause, (uint64_t)msec, 0);
+}
+
+static void
+drop_connection(struct soak_caller *c, bool reset)
+{
+	if (c->conn == NULL)
+		return;
+	if (reset)
+		jh_conn_reset(c->conn);
+	else
+		jh_conn_close(c->conn);
+	c->conn = NULL;
+}
+
+/* The request is over; the caller goes on after a pause. */
+static void
+finish(struct soak_caller *c)
+{
+	g_clear_pointer(&c->id, g_free);
+	uv_timer_stop(&c->limit);
+	uv_timer_stop(&c->leave);
+	rest(c);
+}
+
+static struct soak_answer
+answer_of(const struct soak_caller *c)
+{
+	return (struct soak_answer){.status = c->parser.status_code,
+	    .id = {c->answer_id->str, c->answer_id->len},
+	    .seal = {c->seal->str, c->seal->len},
+	    .body = {c->body->str, c->body->len},
+	    .complete = c->complete};
+}
+
+static void
+on_limit(uv_timer_t *t)
+{
+	struct soak_caller *c = t->data;
+
+	soak_ledger_unanswered(c->ledger, jh_now(), c->id);
+	drop_connection(c, true);
+	finish(c);
+}
+
+static void
+on_leave(uv_timer_t *t)
+{
+	struct soak_caller *c = t->data;
+
+	drop_connection(c, false);
+	soak_ledger_left(c->ledger, jh_now(), c->id);
+	finish(c);
+}
+
+static int
+on_message_begin(http_parser *p)
+{
+	struct soak_caller *c = p->data;
+
+	g_string_truncate(c->name, 0);
+	g_string_truncate(c->answer_id, 0);
+	g_string_truncate(c->seal, 0);
+	g_string_truncate(c->body, 0);
+	c->field = FIELD_OTHER;
+	c->in_value = false;
+	c->complete = false;
+	return 0;
+}
+
+static int
+on_name(http_parser *p, const char *at, size_t n)
+{
+	struct soak_caller *c = p->data;
+
+	if (c->in_value)
+		g_string_truncate(c->name, 0);
+	c->in_value = false;
+	g_string_append_len(c->name, at, (gssize)n);
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t n)
+{
+	struct soak_caller *c = p->data;
+
+	c->in_value = true;
+	if (g_ascii_strcasecmp(c->name->str, "X-Jacinthhill-Attempt-Id") == 0)
+		g_string_append_len(c->answer_id, at, (gssize)n);
+	if (g_ascii_strcasecmp(c->name->str, "X-Jacinthhill-Response-Seal") ==
+	    0)
+		g_string_append_len(c->seal, at, (gssize)n);
+	return 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t n)
+{
+	struct soak_caller *c = p->data;
+
+	g_string_append_len(c->body, at, (gssize)n);
+	return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+	struct soak_caller *c = p->data;
+
+	c->complete = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_message_begin,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+on_opened(void *arg)
+{
+}
+
+/* Judges what has been read once it is whole or cannot become so. */
+static void
+answered(struct soak_caller *c, bool keep)
+{
+	struct soak_answer a = answer_of(c);
+
+	soak_ledger_answered(c->ledger, jh_now(), c->id, &a);
+	if (!keep)
+		drop_connection(c, false);
+	finish(c);
+}
+
+static void
+on_data(void *arg, const char *p, size_t n)
+{
+	struct soak_caller *c = arg;
+	size_t taken;
+
+	if (c->id == NULL) {
+		soak_ledger_fault(c->ledger, jh_now(), "MIXED",
+		    "%zu bytes on a connection without a request", n);
+		drop_connection(c, true);
+		return;
+	}
+	taken = http_parser_execute(&c->parser, &parser_settings, p, n);
+	if (c->complete) {
+		if (taken < n)
+			soak_ledger_fault(c->ledger, jh_now(), "MIXED",
+			    "%zu bytes after the answer to %s", n - taken,
+			    c->id);
+		answered(c, taken == n && http_should_keep_alive(&c->parser));
+	} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
+		soak_ledger_fault(c->ledger, jh_now(), "MIXED",
+		    "the answer to %s is not HTTP: %s", c->id,
+		    http_errno_description(HTTP_PARSER_ERRNO(&c->parser)));
+		drop_connection(c, true);
+		finish(c);
+	}
+}
+
+static void
+on_ended(void *arg, int error)
+{
+	struct soak_caller *c = arg;
+
+	/* An answer without a length would end here. */
+	if (c->id != NULL && error == 0 && c->parser.status_code != 0)
+		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+	drop_connection(c, false);
+	if (c->id == NULL)
+		return;
+	if (c->complete || c->parser.status_code != 0) {
+		answered(c, false);
+		return;
+	}
+	soak_ledger_broken(c->ledger, jh_now(), c->id);
+	finish(c);
+}
+
+static void
+on_drained(void *arg)
+{
+}
+
+static const struct jh_conn_ops conn_ops = {
+    on_opened, on_data, on_ended, on_drained};
+
+static bool
+connect_to(struct soak_caller *c, unsigned int port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	    .sin_port = htons((uint16_t)port)};
+
+	if (c->conn != NULL && c->port == port &&
+	    g_rand_int_range(c->rand, 0, NEW_CONNECTION) != 0)
+		return true;
+	drop_connection(c, false);
+	c->port = port;
+	c->conn = jh_conn_connect(c->loop, &sin, UNACKED_MSEC, &conn_ops, c);
+	return c->conn != NULL;
+}
+
+static void
+append_body(GString *out, const struct soak_order *o)
+{
+	size_t n = strlen(o->request.body), half = n / 2;
+
+	if (n == 0 && strcmp(o->request.method, "GET") == 0)
+		g_string_append(out, "\r\n");
+	else if (o->chunked && n > 1)
+		g_string_append_printf(out,
+		    "Transfer-Encoding: chunked\r\n\r\n"
+		    "%zx\r\n%.*s\r\n%zx\r\n%s\r\n0\r\n\r\n",
+		    half, (int)half, o->request.body, n - half,
+		    o->request.body + half);
+	else
+		g_string_append_printf(
+		    out, "Content-Length: %zu\r\n\r\n%s", n, o->request.body);
+}
+
+static void
+send_next(struct soak_caller *c)
+{
+	struct soak_order *o = &c->order;
+	GString *out;
+
+	memset(o, 0, sizeof(*o));
+	if (!c->ops->next(c->arg, o))
+		return;
+	out = g_string_new(NULL);
+	g_string_append_printf(out,
+	    "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+	    "X-Jacinthhill-Attempt-Id: %s\r\n%s",
+	    o->request.method, o->request.target, o->request.id, o->fields);
+	append_body(out, o);
+	g_free(o->fields);
+	c->id = g_strdup(o->request.id);
+	o->request.sent = jh_now();
+	soak_ledger_sent(c->ledger, &o->request);
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	on_message_begin(&c->parser);
+	uv_timer_start(&c->limit, on_limit,
+	    o->request.timeout / JH_USEC_PER_MSEC + PAST_TIMEOUT_MSEC, 0);
+	if (o->leave_usec != 0)
+		uv_timer_start(&c->leave, on_leave,
+		    o->leave_usec / JH_USEC_PER_MSEC + 1, 0);
+	if (connect_to(c, o->port)) {
+		jh_conn_write(c->conn, out->str, out->len);
+	} else {
+		soak_ledger_broken(c->ledger, jh_now(), c->id);
+		finish(c);
+	}
+	g_string_free(out, TRUE);
+}
+
+struct soak_caller *
+soak_caller_create(uv_loop_t *loop, struct soak_ledger *l, GRand *rand,
+    const struct soak_caller_ops *ops, void *arg)
+{
+	struct soak_caller *c = g_new0(struct soak_caller, 1);
+
+	c->loop = loop;
+	c->ledger = l;
+	c->rand = rand;
+	c->ops = ops;
+	c->arg = arg;
+	c->name = g_string_new(NULL);
+	c->answer_id = g_string_new(NULL);
+	c->seal = g_string_new(NULL);
+	c->body = g_string_new(NULL);
+	uv_timer_init(loop, &c->pause);
+	uv_timer_init(loop, &c->limit);
+	uv_timer_init(loop, &c->leave);
+	c->pause.data = c->limit.data = c->leave.data = c;
+	c->handles = 3;
+	rest(c);
+	return c;
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+	struct soak_caller *c = h->data;
+
+	if (--c->handles > 0)
+		return;
+	g_string_free(c->name, TRUE);
+	g_string_free(c->answer_id, TRUE);
+	g_string_free(c->seal, TRUE);
+	g_string_free(c->body, TRUE);
+	g_free(c->id);
+	g_free(c);
+}
+
+void
+soak_caller_destroy(struct soak_caller *c)
+{
+	drop_connection(c, true);
+	uv_close((uv_handle_t *)&c->pause, on_closed);
+	uv_close((uv_handle_t *)&c->limit, on_closed);
+	uv_close((uv_handle_t *)&c->leave, on_closed);
+}
--- /dev/null
+++ b/soak/deployment.c
@@ -0,0 +1,79 @@
+#include "soak/deployment.h"
+
+static const struct route {
+	const char *name, *prefix, *kind, *service;
+	int resumable, open;
+	int parity; /* versions that have it: 0 even, 1 odd, -1 all */
+} routes[] = {
+    {"once", "/once/", "non_idempotent", "app", 0, 0, -1},
+    {"again", "/again/", "idempotent", "app", 0, 0, -1},
+    {"public", "/public/", "idempotent", "app", 0, 1, -1},
+    {"stream", "/stream/", "streaming", "llm", 1, 0, -1},
+    {"odd", "/odd/", "idempotent", "app", 0, 0, 1},
+    {"even", "/even/", "idempotent", "app", 0, 0, 0},
+};
+
+json_t *
+soak_config(unsigned int version)
+{
+	json_t *list = json_array(), *tenants = json_array();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		const struct route *r = &routes[i];
+		if (r->parity >= 0 && (unsigned int)r->parity != version % 2)
+			continue;
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:i, s:b, "
+			      "s:b, s:b, s:i}",
+			"name", r->name, "host", "h.example", "pathPrefix",
+			r->prefix, "kind", r->kind, "timeoutMs",
+			SOAK_TIMEOUT_MSEC, "targetLatencyMs", 500, "service",
+			r->service, "attempts", 3, "public", r->open,
+			"resumable", r->resumable, "sticky", r->resumable,
+			"targetGapMs", 400));
+	}
+	json_array_append_new(
+	    tenants, json_pack("{s:s, s:[s]}", "name", "t1", "apiKeys", "k1"));
+	json_array_append_new(
+	    tenants, json_pack("{s:s, s:[s], s:b}", "name", "t3", "apiKeys",
+			 "kw", "isolated", 1));
+	if (version % 2 == 1)
+		json_array_append_new(tenants,
+		    json_pack("{s:s, s:[s]}", "name", "t2", "apiKeys", "k2"));
+	return json_pack("{s:i, s:o, s:[{s:s, s:{s:i, s:i}}, {s:s}], "
+			 "s:{s:i, s:i}, s:o}",
+	    "version", (int)version, "routes", list, "services", "name", "llm",
+	    "engine", "slots", 8, "kvCapacityTokens", 80000, "name", "app",
+	    "limits", "headerBytes", 16384, "bodyBytes", 65536, "tenants",
+	    tenants);
+}
+
+struct soak_want
+soak_want_draw(GRand *rand)
+{
+	static const struct {
+		int weight;
+		struct soak_want want;
+	} wants[] = {
+	    {30, {"POST", "/once/", "k1", "t1", "", SOAK_ONCE, true, -1}},
+	    {20, {"GET", "/again/", "kw", "t3", "", SOAK_AGAIN, true, -1}},
+	    {15, {"POST", "/stream/", "k1", "t1", "m1", SOAK_STREAM, true, -1}},
+	    {10, {"POST", "/stream/", "kw", "t3", "m1", SOAK_STREAM, true, -1}},
+	    {5, {"GET", "/public/", "", "", "", SOAK_AGAIN, true, -1}},
+	    {5, {"GET", "/odd/", "k1", "t1", "", SOAK_AGAIN, true, 1}},
+	    {5, {"GET", "/even/", "k1", "t1", "", SOAK_AGAIN, true, 0}},
+	    {5, {"POST", "/once/", "k2", "t2", "", SOAK_ONCE, true, 1}},
+	    {2, {"GET", "/again/", "k9", "", "", SOAK_AGAIN, false, -1}},
+	    {2, {"GET", "/nowhere/", "k1", "t1", "", SOAK_AGAIN, false, -1}},
+	};
+	int total = 0, at;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(wants); i++)
+		total += wants[i].weight;
+	at = g_rand_int_range(rand, 0, total);
+	for (i = 0; at >= wants[i].weight; i++)
+		at -= wants[i].weight;
+	return wants[i].want;
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,142 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "soak/world.h"
+
+/* Defaults: a few dozen processes' worth of work, as in daily use. */
+static struct soak_spec spec = {
+    .entries = 4, .engines = 5, .services = 3, .callers = 40, .seconds = 24};
+
+static char *program, *dir;
+static gint64 seed = 1;
+static gint count = 1, entries, engines, services, callers;
+static gboolean verbose;
+
+static const GOptionEntry options[] = {
+    {"program", 'p', 0, G_OPTION_ARG_FILENAME, &program,
+	"the entry program (build/jhplatform)", "FILE"},
+    {"seed", 's', 0, G_OPTION_ARG_INT64, &seed, "first seed (1)", "N"},
+    {"count", 'n', 0, G_OPTION_ARG_INT, &count, "seeds in a row (1)", "N"},
+    {"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &spec.seconds,
+	"length of a run, 16 or more (24)", "S"},
+    {"entries", 'e', 0, G_OPTION_ARG_INT, &entries, "entry processes (4)", "N"},
+    {"engines", 0, 0, G_OPTION_ARG_INT, &engines, "model workers (5)", "N"},
+    {"services", 0, 0, G_OPTION_ARG_INT, &services, "plain workers (3)", "N"},
+    {"callers", 'c', 0, G_OPTION_ARG_INT, &callers, "callers (40)", "N"},
+    {"dir", 'd', 0, G_OPTION_ARG_FILENAME, &dir,
+	"keeps settings and logs there; otherwise only those of a run that "
+	"found something are kept",
+	"DIR"},
+    {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose, "prints each fault", NULL},
+    {NULL}};
+
+/* Returns NULL or what is wrong with the options. */
+static const char *
+check_options(void)
+{
+	if (count < 1)
+		return "--count must be 1 or more";
+	if (spec.seconds < 16 || spec.seconds > 3600)
+		return "--seconds must be from 16 to 3600";
+	if (seed < 0 || seed > G_MAXUINT32)
+		return "--seed must be from 0 to 4294967295";
+	if (entries < 0 || entries > 200 || engines < 0 || engines > 200 ||
+	    services < 0 || services > 200 || callers < 0 || callers > 5000)
+		return "at most 200 entries and workers of a kind, and 5000 "
+		       "callers";
+	return NULL;
+}
+
+static bool
+read_options(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(
+	    "- injects faults around real entry processes and checks that "
+	    "their promises hold");
+	const char *wrong = NULL;
+	GError *err = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	ok = g_option_context_parse(context, &argc, &argv, &err);
+	if (ok && argc > 1)
+		wrong = "no arguments are taken";
+	else if (ok)
+		wrong = check_options();
+	if (!ok || wrong != NULL)
+		fprintf(stderr, "jhsoak: %s\n", ok ? wrong : err->message);
+	g_clear_error(&err);
+	g_option_context_free(context);
+	return ok && wrong == NULL;
+}
+
+static void
+remove_dir(const char *path)
+{
+	GDir *d = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (d != NULL && (name = g_dir_read_name(d)) != NULL) {
+		char *file = g_build_filename(path, name, NULL);
+		g_unlink(file);
+		g_free(file);
+	}
+	if (d != NULL)
+		g_dir_close(d);
+	g_rmdir(path);
+}
+
+/* Returns whether the seed found nothing. */
+static bool
+run_seed(uint64_t number)
+{
+	char *path = dir != NULL ? g_strdup_printf("%s/%llu", dir,
+				       (unsigned long long)number)
+				 : g_dir_make_tmp("jh-soak-XXXXXX", NULL);
+	struct soak_result r;
+
+	if (path == NULL || g_mkdir_with_parents(path, 0700) != 0)
+		g_error("cannot create a folder for the logs");
+	spec.seed = number;
+	spec.dir = path;
+	r = soak_run(&spec);
+	printf("seed %llu: %u faults injected, %u sent, %u served, %u refused, "
+	       "%u failed, %u broken, %u left, %.3f served at the end, "
+	       "%ld kB, %u broken promises\n",
+	    (unsigned long long)number, r.planned, r.totals.sent,
+	    r.totals.served, r.totals.refused, r.totals.failed, r.totals.broken,
+	    r.totals.left, r.share_at_end, r.memory_kb, r.faults);
+	if (r.faults > 0)
+		printf("seed %llu: logs in %s\n", (unsigned long long)number,
+		    path);
+	else if (dir == NULL)
+		remove_dir(path);
+	fflush(stdout);
+	g_free(path);
+	return r.faults == 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	int i, failed = 0;
+
+	if (!read_options(argc, argv))
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	spec.program = program != NULL ? program : "build/jhplatform";
+	spec.verbose = verbose;
+	spec.entries = entries > 0 ? (unsigned int)entries : spec.entries;
+	spec.engines = engines > 0 ? (unsigned int)engines : spec.engines;
+	spec.services = services > 0 ? (unsigned int)services : spec.services;
+	spec.callers = callers > 0 ? (unsigned int)callers : spec.callers;
+	for (i = 0; i < count; i++)
+		failed += run_seed((uint64_t)(seed + i)) ? 0 : 1;
+	printf("%d passed, %d failed\n", count - failed, failed);
+	return failed > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/soak/run.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# Plays seeds of the soak side by side: run.sh kept, or run.sh FIRST COUNT,
+# where FIRST may be "random". Prints the lines of seeds that found something
+# and a total.
+set -u
+build=${BUILD:-build}
+jobs=${JOBS:-4}
+case $1 in
+kept)
+	seeds=$(sed -n 's/^seed: *\([0-9]*\).*/\1/p' soak/seeds.txt)
+	;;
+random)
+	first=$(od -An -N3 -tu4 /dev/urandom | tr -d ' ')
+	seeds=$(seq "$first" $((first + $2 - 1)))
+	;;
+*)
+	seeds=$(seq "$1" $(($1 + $2 - 1)))
+	;;
+esac
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+echo "$seeds" | xargs -P "$jobs" -I{} \
+	"$build/jhsoak" --program "$build/jhplatform" --seed {} >"$out"
+grep -v '^[01] passed' "$out"
+passed=$(grep -c '^1 passed' "$out")
+failed=$(($(echo "$seeds" | wc -l) - passed))
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -6,6 +6,7 @@
 #include <jacinthhill/clock.h>
 
 #include "gateway/gossip.h"
+#include "route/audience.h"
 
 /* A round of messages; a worker's queue turns over in about this time. */
 #define ROUND_MSEC 200
@@ -26,6 +27,9 @@
 #define MAX_ROWS 48
 #define MAX_PLACEMENTS 80
 
+/* Placements that wait to be told; older ones give way. */
+#define MOST_NEWS 512
+
 /* Token counts are sent in units of this many. */
 #define TOKEN_UNIT 16
 
@@ -35,6 +39,12 @@
 	uint64_t id; /* of the key */
 };
 
+/* A placement that is told in some more rounds. */
+struct news {
+	struct jh_placement placement;
+	unsigned int rounds;
+};
+
 struct jh_gossip {
 	struct jh_gossip_spec spec;
 	uv_udp_t udp;
@@ -44,7 +54,12 @@
 	uint64_t number;
 	uint64_t marks[JH_GOSSIP_MARKS];
 	GHashTable *peers; /* name to struct peer */
+	GHashTable *by_id; /* the same by id */
+	struct jh_audience *audience;
+	GArray *news; /* struct news */
+	size_t next_row; /* worker whose row comes first in the next message */
 	struct jh_peers *heard;
+	const uv_buf_t *sending; /* the message of the present round */
 	unsigned int handles;
 	char buffer[2048];
 };
@@ -96,14 +111,74 @@
 	put(at, changing ? 1 : 0, 1);
 }
 
+/* Workers that do not fit in one message come first in the next one. */
+static uint16_t
+put_rows(struct jh_gossip *g, unsigned char **at)
+{
+	size_t n = jh_fleet_count(g->spec.fleet), i, next = 0;
+	uint16_t rows = 0;
+
+	for (i = 0; i < n; i++) {
+		size_t k = (g->next_row + i) % n;
+		const struct jh_worker *w = jh_fleet_at(g->spec.fleet, k);
+		bool changing = jh_weights_under_way(g->spec.weights, w->id);
+		if (w->model == NULL || (w->running == 0 && !changing))
+			continue;
+		if (rows == MAX_ROWS) {
+			next = k;
+			break;
+		}
+		put_row(at, w, changing);
+		rows++;
+	}
+	g->next_row = next;
+	return rows;
+}
+
+/* Every near peer has its turn in the rounds for which news are kept. */
+static void
+take_news(struct jh_gossip *g)
+{
+	struct jh_placement fresh[MAX_PLACEMENTS];
+	struct news news = {.rounds = jh_audience_period(g->audience)};
+	size_t i, n;
+
+	n = jh_chooser_take_news(g->spec.chooser, fresh, MAX_PLACEMENTS);
+	for (i = 0; i < n; i++) {
+		news.placement = fresh[i];
+		g_array_append_val(g->news, news);
+	}
+	if (g->news->len > MOST_NEWS)
+		g_array_remove_range(g->news, 0, g->news->len - MOST_NEWS);
+}
+
+static uint16_t
+put_news(struct jh_gossip *g, unsigned char **at, size_t room)
+{
+	guint n = (guint)MIN(room / PLACEMENT_LEN, MAX_PLACEMENTS);
+	uint16_t told = 0;
+	guint i;
+
+	for (i = 0; i < g->news->len && told < n;) {
+		struct news *news = &g_array_index(g->news, struct news, i);
+		put(at, news->placement.key, 8);
+		put(at, news->placement.worker, 8);
+		told++;
+		if (--news->rounds == 0)
+			g_array_remove_index(g->news, i);
+		else
+			i++;
+	}
+	return told;
+}
+
 /* Returns the length of the message. */
 static size_t
 write_message(struct jh_gossip *g, unsigned char out[MAX_LEN])
 {
-	struct jh_placement news[MAX_PLACEMENTS];
 	unsigned char *at = out, *count;
-	uint16_t rows = 0;
-	size_t i, n;
+	uint16_t rows, told;
+	size_t i;
 
 	put(&at, MAGIC, 4);
 	put(&at, g->id, 8);
@@ -112,30 +187,28 @@
 		put(&at, g->marks[i], MARK_LEN);
 	count = at;
 	at += 4;
-	for (i = 0; i < jh_fleet_count(g->spec.fleet); i++) {
-		const struct jh_worker *w = jh_fleet_at(g->spec.fleet, i);
-		bool changing = jh_weights_under_way(g->spec.weights, w->id);
-		if (w->running == 0 && !changing && w->model == NULL)
-			continue;
-		if (rows == MAX_ROWS)
-			break;
-		put_row(&at, w, changing);
-		rows++;
-	}
-	n = jh_chooser_take_news(g->spec.chooser, news,
-	    MIN((size_t)(out + MAX_LEN - MAC_LEN - at) / PLACEMENT_LEN,
-		MAX_PLACEMENTS));
-	for (i = 0; i < n; i++) {
-		put(&at, news[i].key, 8);
-		put(&at, news[i].worker, 8);
-	}
+	rows = put_rows(g, &at);
+	take_news(g);
+	told = put_news(g, &at, (size_t)(out + MAX_LEN - MAC_LEN - at));
 	put(&count, rows, 2);
-	put(&count, n, 2);
+	put(&count, told, 2);
 	crypto_generichash(
 	    at, MAC_LEN, out, (size_t)(at - out), g->key, JH_GOSSIP_KEY_LEN);
 	return (size_t)(at - out) + MAC_LEN;
 }
 
+static void
+send_to(void *arg, void *peer)
+{
+	struct jh_gossip *g = arg;
+	const struct peer *p = peer;
+
+	/* A full socket loses the message; the next one makes it good. */
+	if (uv_udp_try_send(&g->udp, g->sending, 1,
+		(const struct sockaddr *)&p->address) < 0)
+		jh_metrics_add(g->spec.metrics, "jh_gossip_not_sent", 1);
+}
+
 void
 jh_gossip_send(struct jh_gossip *g)
 {
@@ -143,33 +216,13 @@
 	uv_buf_t buf = uv_buf_init(
 	    (char *)message, (unsigned int)write_message(g, message));
 	GHashTableIter it;
-	gpointer value;
+	gpointer peer;
 
+	g->sending = &buf;
 	g_hash_table_iter_init(&it, g->peers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct peer *p = value;
-		/* A full socket loses the message; the next round repeats it.
-		 */
-		if (uv_udp_try_send(&g->udp, &buf, 1,
-			(const struct sockaddr *)&p->address) < 0)
-			jh_metrics_add(
-			    g->spec.metrics, "jh_gossip_not_sent", 1);
-	}
-}
-
-static const struct peer *
-find_sender(const struct jh_gossip *g, uint64_t id)
-{
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, g->peers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct peer *p = value;
-		if (p->id == id)
-			return p;
-	}
-	return NULL;
+	while (g_hash_table_iter_next(&it, NULL, &peer))
+		send_to(g, peer);
+	g->sending = NULL;
 }
 
 static bool
@@ -198,7 +251,7 @@
 		marks[i] = take(&at, MARK_LEN);
 	count = take(&at, 2);
 	n_placed = take(&at, 2);
-	p = find_sender(g, id);
+	p = g_hash_table_lookup(g->by_id, &id);
 	if (p == NULL || count > MAX_ROWS || n_placed > MAX_PLACEMENTS ||
 	    len != HEAD_LEN + count * ROW_LEN + n_placed * PLACEMENT_LEN +
 		       MAC_LEN ||
@@ -249,9 +302,17 @@
 on_round(uv_timer_t *t)
 {
 	struct jh_gossip *g = t->data;
-
-	jh_peers_expire(g->heard, g->spec.fleet, jh_now());
-	jh_gossip_send(g);
+	unsigned char message[MAX_LEN];
+	uv_buf_t buf = uv_buf_init(
+	    (char *)message, (unsigned int)write_message(g, message));
+	uint64_t turn = (jh_audience_period(g->audience) - 1) * ROUND_MSEC *
+			JH_USEC_PER_MSEC;
+
+	jh_peers_expire(
+	    g->heard, g->spec.fleet, jh_now(), JH_PEERS_SILENT_USEC + 2 * turn);
+	g->sending = &buf;
+	jh_audience_round(g->audience, send_to, g);
+	g->sending = NULL;
 }
 
 static void
@@ -261,7 +322,10 @@
 
 	if (--g->handles > 0)
 		return;
+	g_hash_table_destroy(g->by_id);
 	g_hash_table_destroy(g->peers);
+	jh_audience_destroy(g->audience);
+	g_array_free(g->news, TRUE);
 	jh_peers_destroy(g->heard);
 	g_free(g);
 }
@@ -274,6 +338,9 @@
 	g->spec = *spec;
 	g->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->audience = jh_audience_create();
+	g->news = g_array_new(FALSE, FALSE, sizeof(struct news));
 	g->heard = jh_peers_create();
 	randombytes_buf(g->key, sizeof(g->key));
 	g->id = key_id(g->key);
@@ -310,16 +377,19 @@
 }
 
 void
-jh_gossip_set_peer(struct jh_gossip *g, const char *name,
+jh_gossip_set_peer(struct jh_gossip *g, const char *name, bool near,
     const struct sockaddr_in *address,
     const unsigned char key[JH_GOSSIP_KEY_LEN])
 {
 	struct peer *p = g_new0(struct peer, 1);
 
+	jh_gossip_drop_peer(g, name);
 	p->address = *address;
 	memcpy(p->key, key, JH_GOSSIP_KEY_LEN);
 	p->id = key_id(key);
-	g_hash_table_replace(g->peers, g_strdup(name), p);
+	g_hash_table_insert(g->peers, g_strdup(name), p);
+	g_hash_table_insert(g->by_id, &p->id, p);
+	jh_audience_add(g->audience, p, near);
 }
 
 void
@@ -331,6 +401,12 @@
 void
 jh_gossip_drop_peer(struct jh_gossip *g, const char *name)
 {
+	struct peer *p = g_hash_table_lookup(g->peers, name);
+
+	if (p == NULL)
+		return;
+	jh_audience_remove(g->audience, p);
+	g_hash_table_remove(g->by_id, &p->id);
 	g_hash_table_remove(g->peers, name);
 }
 
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -17,7 +17,8 @@
  * Exchanges between processes, in datagrams, what each has sent to the workers,
  * which of them hold which parts and which change their weights. Each message
  * carries a MAC under its sender's key, which stands in the store; one without
- * is ignored. A message that is lost is made good by the next.
+ * is ignored. A message that is lost is made good by the next. Peers take
+ * turns as in route/audience.h.
  */
 struct jh_gossip;
 
@@ -49,8 +50,8 @@
 
 /* This process's key, new at each start. */
 const unsigned char *jh_gossip_key(const struct jh_gossip *g);
-/* Adds or replaces a peer; the name identifies it. */
-void jh_gossip_set_peer(struct jh_gossip *g, const char *name,
+/* Adds or replaces a peer; the name identifies it. near: in this region. */
+void jh_gossip_set_peer(struct jh_gossip *g, const char *name, bool near,
     const struct sockaddr_in *address,
     const unsigned char key[JH_GOSSIP_KEY_LEN]);
 void jh_gossip_drop_peer(struct jh_gossip *g, const char *name);
@@ -58,7 +59,7 @@
 /* Marks rise; index and meaning are the owner's. */
 void jh_gossip_set_mark(struct jh_gossip *g, size_t i, uint64_t revision);
 
-/* Sends now rather than at the next turn. */
+/* Sends to every peer now rather than when its turn comes. */
 void jh_gossip_send(struct jh_gossip *g);
 /* Peers that were heard lately. */
 size_t jh_gossip_heard(const struct jh_gossip *g);
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -14,6 +14,7 @@
 	GHashTable *by_id;
 	GHashTable *by_hash;
 	GPtrArray *sorted; /* by id */
+	uint64_t changes;
 };
 
 static void
@@ -50,13 +51,22 @@
 	g_free(f);
 }
 
-static int
-compare(const void *a, const void *b)
-{
-	const struct jh_worker *x = *(struct jh_worker *const *)a;
-	const struct jh_worker *y = *(struct jh_worker *const *)b;
-
-	return strcmp(x->id, y->id);
+/* Keeps the workers in order of id. */
+static void
+insert_sorted(struct jh_fleet *f, struct jh_worker *w)
+{
+	guint low = 0, high = f->sorted->len, middle;
+
+	while (low < high) {
+		const struct jh_worker *at;
+		middle = low + (high - low) / 2;
+		at = g_ptr_array_index(f->sorted, middle);
+		if (strcmp(at->id, w->id) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	g_ptr_array_insert(f->sorted, (gint)low, w);
 }
 
 static void
@@ -94,8 +104,8 @@
 		w->hash = XXH3_64bits(l->id, strlen(l->id));
 		g_hash_table_insert(f->by_id, w->id, w);
 		g_hash_table_insert(f->by_hash, &w->hash, w);
-		g_ptr_array_add(f->sorted, w);
-		g_ptr_array_sort(f->sorted, compare);
+		insert_sorted(f, w);
+		f->changes++;
 	} else if (l->born != 0 && w->born != 0 && l->born != w->born) {
 		restart(w);
 	}
@@ -128,6 +138,7 @@
 	g_hash_table_remove(f->by_id, id);
 	g_hash_table_remove(f->by_hash, &w->hash);
 	g_ptr_array_remove(f->sorted, w);
+	f->changes++;
 }
 
 void
@@ -169,6 +180,12 @@
 	return f->sorted->len;
 }
 
+uint64_t
+jh_fleet_changes(const struct jh_fleet *f)
+{
+	return f->changes;
+}
+
 struct jh_worker *
 jh_fleet_at(struct jh_fleet *f, size_t i)
 {
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -95,6 +95,8 @@
 /* In order of id; i below jh_fleet_count(). */
 size_t jh_fleet_count(const struct jh_fleet *f);
 struct jh_worker *jh_fleet_at(struct jh_fleet *f, size_t i);
+/* Rises whenever a worker is added or removed. */
+uint64_t jh_fleet_changes(const struct jh_fleet *f);
 
 /* An answer told the version of the weights. */
 void jh_fleet_saw_weights(struct jh_worker *w, uint64_t now, uint64_t weights);
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -13,6 +13,7 @@
 
 struct jh_peers {
 	GHashTable *peers; /* by id */
+	uint64_t changes; /* of the fleet, at the last whole sum */
 };
 
 static void
@@ -43,7 +44,32 @@
 	g_free(p);
 }
 
-/* Sums what all peers said; workers come and go between messages. */
+static void
+add_row(struct jh_fleet *f, const struct jh_peer_row *r, int sign)
+{
+	struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
+
+	if (w == NULL)
+		return;
+	w->others_running += (unsigned int)sign * r->running;
+	w->others_prefill += (uint64_t)((int64_t)sign * r->prefill_tokens);
+	w->others_held += (uint64_t)((int64_t)sign * r->held_tokens);
+}
+
+static void
+add_peer(struct jh_fleet *f, const struct peer *peer, int sign)
+{
+	guint i;
+
+	for (i = 0; i < peer->rows->len; i++)
+		add_row(
+		    f, &g_array_index(peer->rows, struct jh_peer_row, i), sign);
+}
+
+/*
+ * Sums what all peers said anew if workers came or went since the last sum;
+ * otherwise the sums are right and follow each message.
+ */
 static void
 sum_up(struct jh_peers *p, struct jh_fleet *f)
 {
@@ -51,6 +77,9 @@
 	gpointer value;
 	size_t i;
 
+	if (p->changes == jh_fleet_changes(f))
+		return;
+	p->changes = jh_fleet_changes(f);
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
 		w->others_running = 0;
@@ -58,19 +87,8 @@
 		w->others_held = 0;
 	}
 	g_hash_table_iter_init(&it, p->peers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct peer *peer = value;
-		for (i = 0; i < peer->rows->len; i++) {
-			const struct jh_peer_row *r =
-			    &g_array_index(peer->rows, struct jh_peer_row, i);
-			struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
-			if (w == NULL)
-				continue;
-			w->others_running += r->running;
-			w->others_prefill += r->prefill_tokens;
-			w->others_held += r->held_tokens;
-		}
-	}
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		add_peer(f, value, 1);
 }
 
 static void
@@ -103,34 +121,35 @@
 	} else if (number <= from->number) {
 		return false;
 	}
+	sum_up(p, f);
+	add_peer(f, from, -1);
 	from->number = number;
 	from->heard = now;
 	g_array_set_size(from->rows, 0);
 	if (n > 0)
 		g_array_append_vals(from->rows, rows, (guint)n);
+	add_peer(f, from, 1);
 	for (i = 0; i < n; i++)
 		learn(f, now, &rows[i]);
-	sum_up(p, f);
 	return true;
 }
 
 void
-jh_peers_expire(struct jh_peers *p, struct jh_fleet *f, uint64_t now)
+jh_peers_expire(
+    struct jh_peers *p, struct jh_fleet *f, uint64_t now, uint64_t silent)
 {
 	GHashTableIter it;
 	gpointer value;
-	bool any = false;
 
+	sum_up(p, f);
 	g_hash_table_iter_init(&it, p->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct peer *peer = value;
-		if (now - peer->heard <= JH_PEERS_SILENT_USEC)
+		if (now - peer->heard <= silent)
 			continue;
+		add_peer(f, peer, -1);
 		g_hash_table_iter_remove(&it);
-		any = true;
 	}
-	if (any)
-		sum_up(p, f);
 }
 
 size_t
--- a/src/route/peers.h
+++ b/src/route/peers.h
@@ -12,7 +12,10 @@
  */
 struct jh_peers;
 
-/* A peer that has not been heard for this long counts for nothing. */
+/*
+ * A peer that has not been heard for this long counts for nothing. Messages are
+ * 0.2 s apart, so that several are lost in a row before.
+ */
 #define JH_PEERS_SILENT_USEC 1500000ULL
 
 /* One worker in a message. */
@@ -34,9 +37,10 @@
  */
 bool jh_peers_heard(struct jh_peers *p, struct jh_fleet *f, uint64_t now,
     uint64_t peer, uint64_t number, const struct jh_peer_row *rows, size_t n);
-/* Forgets what silent peers said. */
-void jh_peers_expire(struct jh_peers *p, struct jh_fleet *f, uint64_t now);
-/* Peers heard within JH_PEERS_SILENT_USEC. */
+/* Forgets what peers said that have not been heard for silent. */
+void jh_peers_expire(
+    struct jh_peers *p, struct jh_fleet *f, uint64_t now, uint64_t silent);
+/* Peers that are not forgotten. */
 size_t jh_peers_count(const struct jh_peers *p);
 
 #endif
--- a/test/harness.h
+++ b/test/harness.h
@@ -60,8 +60,6 @@
 bool proc_has_ended(struct proc *p);
 /* A figure in kB from the process's status, such as "VmHWM:". */
 long proc_memory(const struct proc *p, const char *field);
-/* A free port outside the range of outgoing connections. */
-unsigned int proc_port(void);
 /* The folder of the test program's binaries. */
 const char *proc_build_dir(void);
 
--- a/test/harness_proc.c
+++ b/test/harness_proc.c
@@ -18,10 +18,6 @@
 
 #define MAX_PIDS 64
 
-/* Outgoing connections take their ports from 32768 on. */
-#define FIRST_PORT 20000
-#define PORTS 12000
-
 /* A program that hangs is ended with all its processes after this. */
 #define PROGRAM_LIMIT_SEC 180
 
@@ -99,35 +95,6 @@
 	return dir;
 }
 
-static bool
-is_free(unsigned int port)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	    .sin_port = htons((uint16_t)port)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	bool ok;
-
-	ok = bind(fd, (const struct sockaddr *)&sin, sizeof(sin)) == 0;
-	close(fd);
-	return ok;
-}
-
-unsigned int
-proc_port(void)
-{
-	static unsigned int next;
-	unsigned int port;
-
-	/* Test programs that run side by side begin at different ports. */
-	if (next == 0)
-		next = (unsigned int)getpid() * 101;
-	do {
-		port = FIRST_PORT + next++ % PORTS;
-	} while (!is_free(port));
-	return port;
-}
-
 void
 proc_init(struct proc *p, const char *dir, const char *name, unsigned int port,
     char **argv)
--- a/test/harness_world.c
+++ b/test/harness_world.c
@@ -9,6 +9,7 @@
 #include <glib/gstdio.h>
 #include <sodium.h>
 
+#include "fakes/port.h"
 #include "harness.h"
 
 static char *
@@ -34,7 +35,7 @@
 static void
 start_store(struct world *w)
 {
-	unsigned int port = proc_port();
+	unsigned int port = fake_port();
 	char *at = g_strdup_printf("127.0.0.1:%u", port);
 	const char *args[] = {"--listen", at};
 
@@ -153,7 +154,7 @@
 prepare_daemon(struct world *w, struct proc *p, const char *program,
     const char *name, unsigned int rpc_port, const char *more)
 {
-	unsigned int port = proc_port();
+	unsigned int port = fake_port();
 	char *file = write_settings(w, name, port, rpc_port, more);
 	const char *args[] = {"--settings", file};
 
@@ -165,7 +166,7 @@
 static void
 start_backend(struct world *w, unsigned int i, const struct world_spec *spec)
 {
-	unsigned int port = proc_port();
+	unsigned int port = fake_port();
 	bool engine = i < spec->engines;
 	char *name = g_strdup_printf("backend-%u", i);
 	char *at = g_strdup_printf("127.0.0.1:%u", port);
@@ -190,7 +191,7 @@
 	    w->backend[i].port, engine ? "engine" : "service",
 	    engine ? "" : "service: pay\n");
 
-	w->rpc_port[i] = proc_port();
+	w->rpc_port[i] = fake_port();
 	prepare_daemon(w, &w->agent[i], "jhagent", name, w->rpc_port[i], more);
 	proc_start(&w->agent[i]);
 	w->listed[i] = true;
@@ -284,14 +285,14 @@
 	assert_true(w->entries <= WORLD_MAX && w->agents <= WORLD_MAX);
 	start_store(w);
 	fill_catalogue(w);
-	proc_init(&w->list, w->dir, "list", proc_port(), NULL);
+	proc_init(&w->list, w->dir, "list", fake_port(), NULL);
 	for (i = 0; i < w->agents; i++) {
 		start_backend(w, i, spec);
 		start_agent(w, i, i < spec->engines);
 	}
 	for (i = 0; i < w->entries; i++) {
 		name = g_strdup_printf("entry-%u", i);
-		w->entry_rpc[i] = proc_port();
+		w->entry_rpc[i] = fake_port();
 		prepare_daemon(w, &w->entry[i], "jhentry", name,
 		    w->entry_rpc[i], spec->entry_settings);
 		g_free(name);
--- a/test/platform_world.c
+++ b/test/platform_world.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include "fakes/port.h"
 #include "platform_world.h"
 
 struct platform {
@@ -96,8 +97,8 @@
 
 	argv[0] = program;
 	argv[1] = file;
-	p->clients = proc_port();
-	p->readiness = proc_port();
+	p->clients = fake_port();
+	p->readiness = fake_port();
 	text = g_strdup_printf(
 	    "name: \"e1\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
 	    "    region: \"r0\"\ngossip: \"127.0.0.1:%u\"\n"
@@ -106,7 +107,7 @@
 	    "store: \"127.0.0.1:%u\"\nmemory_mb: 110\ndescriptors: 1000\n"
 	    "grace_s: \"6\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
 	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n",
-	    proc_port(), p->clients, p->readiness, proc_port(), p->store_port);
+	    fake_port(), p->clients, p->readiness, fake_port(), p->store_port);
 	assert_true(g_file_set_contents(file, text, -1, NULL));
 	proc_init(&p->entry, p->dir, "entry", p->clients, argv);
 	proc_start(&p->entry);
@@ -124,11 +125,11 @@
 	uv_loop_init(&p->loop);
 	uv_async_init(&p->loop, &p->stop, on_stop);
 	p->stop.data = p;
-	p->store_port = proc_port();
+	p->store_port = fake_port();
 	p->objects = fake_objects_create(&p->loop, p->store_port);
 	for (i = 0; i < PLATFORM_WORKERS; i++) {
 		worker.number = i;
-		worker.port = proc_port();
+		worker.port = fake_port();
 		p->workers[i] =
 		    fake_worker_create(&p->loop, p->objects, &worker);
 	}
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <xxhash.h>
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -56,13 +57,70 @@
 	/* Datagrams may arrive late. */
 	assert_false(jh_peers_heard(p, f, SEC, 1, 5, &row, 0));
 	assert_int_equal(w->others_running, 4);
-	jh_peers_expire(p, f, SEC + JH_PEERS_SILENT_USEC + 1);
+	jh_peers_expire(
+	    p, f, SEC + JH_PEERS_SILENT_USEC + 1, JH_PEERS_SILENT_USEC);
 	assert_int_equal(w->others_running, 0);
 	assert_int_equal(jh_peers_count(p), 0);
 	jh_peers_destroy(p);
 	jh_fleet_destroy(f);
 }
 
+/*
+ * Guards against sums that drift from what the peers said, when workers come
+ * and go between their messages.
+ */
+static void
+sums_follow_workers_and_peers(void **state)
+{
+	static const char *const ids[] = {"w0", "w1", "w2", "w3", "w4"};
+	GRand *rand = g_rand_new_with_seed(11);
+	struct jh_fleet *f = jh_fleet_create();
+	struct jh_peers *p = jh_peers_create();
+	struct jh_peer_row said[6][G_N_ELEMENTS(ids)] = {0};
+	struct jh_listing l = {.service = "llm", .zone = "z", .model = "m"};
+	uint64_t number = 0, now = SEC;
+	unsigned int step, peer, k;
+
+	for (step = 0; step < 3000; step++) {
+		k = (unsigned int)g_rand_int_range(rand, 0, 5);
+		peer = (unsigned int)g_rand_int_range(rand, 0, 6);
+		switch (g_rand_int_range(rand, 0, 4)) {
+		case 0:
+			jh_fleet_drop(f, ids[k]);
+			break;
+		case 1:
+			l.id = ids[k];
+			jh_fleet_list(f, now, &l);
+			break;
+		default:
+			for (k = 0; k < G_N_ELEMENTS(ids); k++)
+				said[peer][k] = (struct jh_peer_row){
+				    .worker = XXH3_64bits(ids[k], 2),
+				    .running = g_rand_int(rand) % 9,
+				    .held_tokens = g_rand_int(rand) % 999};
+			jh_peers_heard(p, f, now, peer + 1, ++number,
+			    said[peer], G_N_ELEMENTS(ids));
+			break;
+		}
+		jh_peers_expire(p, f, now, JH_PEERS_SILENT_USEC);
+		for (k = 0; k < G_N_ELEMENTS(ids); k++) {
+			struct jh_worker *w = jh_fleet_find(f, ids[k]);
+			unsigned int running = 0, held = 0;
+			if (w == NULL)
+				continue;
+			for (peer = 0; peer < 6; peer++) {
+				running += said[peer][k].running;
+				held += said[peer][k].held_tokens;
+			}
+			assert_int_equal(w->others_running, running);
+			assert_int_equal(w->others_held, held);
+		}
+	}
+	jh_peers_destroy(p);
+	jh_fleet_destroy(f);
+	g_rand_free(rand);
+}
+
 /* Guards against requests to a worker that another process changes. */
 static void
 changes_and_weights_are_learnt(void **state)
@@ -244,12 +302,14 @@
 	jh_fleet_find(a.fleet, "a")->running = 4;
 	jh_gossip_set_mark(a.gossip, 1, 77);
 	seen = jh_fleet_find(b.fleet, "a");
-	jh_gossip_set_peer(a.gossip, "b", &b.address, jh_gossip_key(b.gossip));
-	jh_gossip_set_peer(b.gossip, "a", &a.address, stranger);
+	jh_gossip_set_peer(
+	    a.gossip, "b", true, &b.address, jh_gossip_key(b.gossip));
+	jh_gossip_set_peer(b.gossip, "a", true, &a.address, stranger);
 	run_for(&loop, 600000);
 	assert_int_equal(seen->others_running, 0);
 	assert_true(jh_metrics_get(b.metrics, "jh_gossip_ignored") > 0);
-	jh_gossip_set_peer(b.gossip, "a", &a.address, jh_gossip_key(a.gossip));
+	jh_gossip_set_peer(
+	    b.gossip, "a", true, &a.address, jh_gossip_key(a.gossip));
 	run_for(&loop, 600000);
 	assert_int_equal(seen->others_running, 4);
 	assert_int_equal(b.mark, 77);
@@ -273,6 +333,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(load_of_peers_is_replaced_and_expires),
+	    cmocka_unit_test(sums_follow_workers_and_peers),
 	    cmocka_unit_test(changes_and_weights_are_learnt),
 	    cmocka_unit_test(restarted_worker_is_new),
 	    cmocka_unit_test(missing_worker_has_some_time),
