--- a/soak/world.c
+++ b/soak/world.c
@@ -1,17 +1,12 @@
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
 
-#include "fakes/platform/objects.h"
-#include "fakes/platform/worker.h"
 #include "fakes/port.h"
 #include "soak/caller.h"
 #include "soak/deployment.h"
-#include "soak/link.h"
-#include "soak/process.h"
-#include "soak/world.h"
+#include "soak/state.h"
 
 /* Bounds of the users' sheets (bounds in their site files). */
 #define CONTACT_USEC (4 * JH_USEC_PER_SEC)
@@ -19,7 +14,6 @@
 #define DRAIN_USEC (2500 * JH_USEC_PER_MSEC)
 #define LATE_USEC (500 * JH_USEC_PER_MSEC)
 #define THAW_USEC (300 * JH_USEC_PER_MSEC)
-#define GRACE_SEC 8
 
 /* Faults begin and end this long after the start and before the end. */
 #define WARM_USEC (3 * JH_USEC_PER_SEC)
@@ -28,9 +22,6 @@
 #define LAST_USEC (3 * JH_USEC_PER_SEC)
 #define LEAST_SHARE 0.9
 
-/* A worker exits this long after it has reported that it leaves. */
-#define LEAVE_USEC (DRAIN_USEC + 500 * JH_USEC_PER_MSEC)
-#define RESTART_USEC (200 * JH_USEC_PER_MSEC)
 #define WORK_MSEC 15
 #define EVENT_MSEC 25
 
@@ -39,406 +30,6 @@
 #define CHUNKED 4
 #define MOST_LEAVE_USEC (200 * JH_USEC_PER_MSEC)
 
-struct entry {
-	struct soak_world *world;
-	unsigned int number;
-	unsigned int port; /* of the callers' link */
-	struct soak_link *callers, *store;
-	struct soak_process *process;
-	bool frozen;
-	bool ends; /* its end is expected */
-	uint64_t
-	    killed_at; /* by the platform if it has not stopped; 0: never */
-};
-
-struct worker {
-	struct fake_worker *fake;
-	struct soak_link *link;
-	enum fake_worker_mode mode;
-	bool away; /* leaves or has crashed */
-};
-
-/* Something that happens later. */
-struct later {
-	struct soak_world *world;
-	uv_timer_t timer;
-	void (*fn)(struct soak_world *w, struct soak_fault *f);
-	struct soak_fault fault;
-};
-
-struct soak_world {
-	struct soak_spec spec;
-	uv_loop_t loop;
-	GRand *rand;
-	struct soak_ledger *ledger;
-	struct fake_objects *objects;
-	struct entry *entries;
-	struct worker *workers;
-	unsigned int n_workers;
-	GPtrArray *callers;
-	GPtrArray *laters;
-	GArray *plan;
-	uv_timer_t finish;
-	uint64_t begun;
-	unsigned int config, weights;
-	uint64_t parity_since; /* of the configuration's number */
-	unsigned int store_fault; /* counts faults of the store */
-	unsigned int sent;
-	long memory_kb;
-	bool over;
-};
-
-static uint64_t
-since_start(const struct soak_world *w)
-{
-	return jh_now() - w->begun;
-}
-
-static void
-on_later(uv_timer_t *t)
-{
-	struct later *l = t->data;
-
-	if (!l->world->over)
-		l->fn(l->world, &l->fault);
-}
-
-static void
-after(struct soak_world *w, uint64_t usec,
-    void (*fn)(struct soak_world *w, struct soak_fault *f),
-    const struct soak_fault *f)
-{
-	struct later *l = g_new0(struct later, 1);
-
-	l->world = w;
-	l->fn = fn;
-	l->fault = *f;
-	uv_timer_init(&w->loop, &l->timer);
-	l->timer.data = l;
-	uv_timer_start(&l->timer, on_later, usec / JH_USEC_PER_MSEC, 0);
-	g_ptr_array_add(w->laters, l);
-}
-
-static struct entry *
-entry_of(struct soak_world *w, const struct soak_fault *f)
-{
-	return &w->entries[f->target % w->spec.entries];
-}
-
-static struct worker *
-worker_of(struct soak_world *w, const struct soak_fault *f)
-{
-	return &w->workers[f->target % w->n_workers];
-}
-
-static void
-start_entry(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-	int error;
-
-	if (soak_process_runs(e->process))
-		return;
-	e->ends = false;
-	e->frozen = false;
-	e->killed_at = 0;
-	soak_ledger_disturb_entry(w->ledger, e->number, jh_now(), false);
-	error = soak_process_start(e->process);
-	if (error != 0)
-		soak_ledger_fault(w->ledger, jh_now(), "FAULT",
-		    "entry %u does not start: %s", e->number,
-		    uv_strerror(error));
-}
-
-static void
-on_entry_ended(void *arg, int status, int sig)
-{
-	struct entry *e = arg;
-	struct soak_fault f = {.target = e->number};
-
-	if (!e->ends || (sig == 0 && status != 0))
-		soak_ledger_fault(e->world->ledger, jh_now(), "FAULT",
-		    "entry %u ended with status %d, signal %d", e->number,
-		    status, sig);
-	after(e->world, RESTART_USEC, start_entry, &f);
-}
-
-static const struct soak_process_ops process_ops = {on_entry_ended};
-
-static void
-kill_entry(struct entry *e, uint64_t until)
-{
-	soak_ledger_disturb_entry(e->world->ledger, e->number, until, false);
-	e->ends = true;
-	soak_process_signal(e->process, SIGKILL);
-}
-
-/* What is still there when the grace period is over is killed. */
-static void
-end_grace(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-
-	if (e->killed_at == 0 || jh_now() < e->killed_at || e->frozen)
-		return;
-	soak_ledger_fault(w->ledger, jh_now(), "FAULT",
-	    "entry %u does not stop in its grace period", e->number);
-	kill_entry(e, jh_now());
-}
-
-static void
-stop_entry(struct entry *e)
-{
-	struct soak_fault f = {.target = e->number};
-	uint64_t grace = GRACE_SEC * JH_USEC_PER_SEC;
-
-	if (e->ends || e->frozen || !soak_process_runs(e->process))
-		return;
-	e->ends = true;
-	e->killed_at = jh_now() + grace;
-	soak_ledger_disturb_entry(
-	    e->world->ledger, e->number, e->killed_at, true);
-	soak_process_signal(e->process, SIGTERM);
-	after(e->world, grace + LATE_USEC, end_grace, &f);
-}
-
-static void
-thaw(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-
-	soak_process_signal(e->process, SIGCONT);
-	e->frozen = false;
-	soak_ledger_disturb_entry(w->ledger, e->number, jh_now(), false);
-}
-
-static void
-freeze(struct entry *e, const struct soak_fault *f)
-{
-	if (e->frozen || !soak_process_runs(e->process))
-		return;
-	e->frozen = true;
-	soak_ledger_disturb_entry(
-	    e->world->ledger, e->number, e->world->begun + f->until, false);
-	soak_process_signal(e->process, SIGSTOP);
-	after(e->world, f->until - f->at, thaw, f);
-}
-
-static void
-end_store_fault(struct soak_world *w, struct soak_fault *f)
-{
-	/* A later fault of the store is not ended by an earlier one. */
-	if (f->variant == w->store_fault)
-		fake_objects_set_mode(w->objects, OBJECTS_SERVE, 0);
-	soak_ledger_disturb_store(w->ledger, jh_now());
-}
-
-static void
-disturb_store(struct soak_world *w, const struct soak_fault *f,
-    enum fake_objects_mode mode)
-{
-	struct soak_fault end = *f;
-
-	fake_objects_set_mode(w->objects, mode, 503);
-	soak_ledger_disturb_store(w->ledger, w->begun + f->until);
-	end.variant = ++w->store_fault;
-	after(w, f->until - f->at, end_store_fault, &end);
-}
-
-static enum soak_link_mode
-link_mode(const struct soak_fault *f)
-{
-	return (enum soak_link_mode)(LINK_DELAY + f->variant % LINK_SILENT);
-}
-
-static void
-heal_store_link(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-
-	soak_link_set(e->store, LINK_PASS, 0);
-	soak_ledger_disturb_entry(w->ledger, e->number, jh_now(), false);
-}
-
-static void
-heal_caller_link(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-
-	soak_link_set(e->callers, LINK_PASS, 0);
-	soak_ledger_disturb_entry(w->ledger, e->number, jh_now(), false);
-}
-
-static void
-harm_entry_link(struct soak_world *w, struct entry *e, struct soak_link *link,
-    void (*heal)(struct soak_world *w, struct soak_fault *f),
-    const struct soak_fault *f)
-{
-	soak_ledger_disturb_entry(
-	    w->ledger, e->number, w->begun + f->until, false);
-	soak_link_set(link, link_mode(f), f->delay);
-	after(w, f->until - f->at, heal, f);
-}
-
-static void
-heal_worker_link(struct soak_world *w, struct soak_fault *f)
-{
-	soak_link_set(worker_of(w, f)->link, LINK_PASS, 0);
-	soak_ledger_disturb_worker(
-	    w->ledger, f->target % w->n_workers, jh_now());
-}
-
-static void
-end_worker_mode(struct soak_world *w, struct soak_fault *f)
-{
-	struct worker *k = worker_of(w, f);
-
-	k->mode = WORKER_ANSWERS;
-	fake_worker_set_mode(k->fake, k->mode);
-}
-
-static void
-start_worker(struct soak_world *w, struct soak_fault *f)
-{
-	struct worker *k = worker_of(w, f);
-
-	soak_ledger_draining(w->ledger, f->target % w->n_workers, 0);
-	fake_worker_start(k->fake);
-	k->away = false;
-}
-
-static void
-exit_worker(struct soak_world *w, struct soak_fault *f)
-{
-	soak_ledger_disturb_worker(
-	    w->ledger, f->target % w->n_workers, jh_now());
-	fake_worker_crash(worker_of(w, f)->fake);
-	after(w, RESTART_USEC, start_worker, f);
-}
-
-static void
-disturb_worker(struct soak_world *w, const struct soak_fault *f)
-{
-	struct worker *k = worker_of(w, f);
-	unsigned int number = f->target % w->n_workers;
-
-	if (f->kind == FAULT_WORKER_MODE) {
-		k->mode = WORKER_DECLINES + f->variant % WORKER_SILENT;
-		fake_worker_set_mode(k->fake, k->mode);
-		after(w, f->until - f->at, end_worker_mode, f);
-	} else if (f->kind == FAULT_WORKER_LINK) {
-		soak_ledger_disturb_worker(
-		    w->ledger, number, w->begun + f->until);
-		soak_link_set(k->link, link_mode(f), f->delay);
-		after(w, f->until - f->at, heal_worker_link, f);
-	} else if (k->away) {
-		return;
-	} else if (f->kind == FAULT_WORKER_CRASH) {
-		k->away = true;
-		soak_ledger_disturb_worker(
-		    w->ledger, number, w->begun + f->until);
-		fake_worker_crash(k->fake);
-		after(w, f->until - f->at, start_worker, f);
-	} else {
-		k->away = true;
-		fake_worker_drain(k->fake);
-		soak_ledger_draining(w->ledger, number, jh_now());
-		after(w, LEAVE_USEC, exit_worker, f);
-	}
-}
-
-static void
-write_config(struct soak_world *w, unsigned int version)
-{
-	json_t *config = soak_config(version);
-
-	if (version % 2 != w->config % 2)
-		w->parity_since = jh_now();
-	w->config = version;
-	fake_objects_put(w->objects, "config", "main", config);
-	json_decref(config);
-}
-
-static void
-name_weights(struct soak_world *w, unsigned int version)
-{
-	json_t *spec =
-	    json_pack("{s:s, s:i}", "model", "m1", "version", (int)version);
-
-	w->weights = version;
-	fake_objects_put(w->objects, "versions", "m1", spec);
-	json_decref(spec);
-}
-
-static void
-kill_all(struct soak_world *w, const struct soak_fault *f)
-{
-	unsigned int i;
-
-	for (i = 0; i < w->spec.entries; i++) {
-		if (soak_process_runs(w->entries[i].process))
-			kill_entry(&w->entries[i], w->begun + f->until);
-	}
-}
-
-static void
-inject(struct soak_world *w, struct soak_fault *f)
-{
-	struct entry *e = entry_of(w, f);
-
-	if (w->spec.verbose)
-		printf("%.3f %s target %u variant %u for %.3f s\n",
-		    (double)since_start(w) / 1e6, soak_fault_name(f->kind),
-		    f->target, f->variant, (double)(f->until - f->at) / 1e6);
-	switch (f->kind) {
-	case FAULT_FREEZE:
-		freeze(e, f);
-		break;
-	case FAULT_KILL:
-		if (soak_process_runs(e->process))
-			kill_entry(e, w->begun + f->until);
-		break;
-	case FAULT_KILL_ALL:
-		kill_all(w, f);
-		break;
-	case FAULT_STOP:
-		stop_entry(e);
-		break;
-	case FAULT_RELOAD:
-		soak_ledger_disturb_entry(w->ledger, e->number, jh_now(), true);
-		soak_process_signal(e->process, SIGHUP);
-		break;
-	case FAULT_STORE_REFUSES:
-		disturb_store(w, f, OBJECTS_REFUSE);
-		break;
-	case FAULT_STORE_SILENT:
-		disturb_store(w, f, OBJECTS_SILENT);
-		break;
-	case FAULT_STORE_LOSES_ANSWERS:
-		disturb_store(w, f, OBJECTS_LOSE_ANSWERS);
-		break;
-	case FAULT_STORE_FORGETS:
-		soak_ledger_disturb_store(w->ledger, jh_now());
-		fake_objects_forget(w->objects);
-		break;
-	case FAULT_STORE_LINK:
-		harm_entry_link(w, e, e->store, heal_store_link, f);
-		break;
-	case FAULT_CALLER_LINK:
-		harm_entry_link(w, e, e->callers, heal_caller_link, f);
-		break;
-	case FAULT_CONFIG:
-		write_config(w, w->config + 1 + f->variant % 2);
-		break;
-	case FAULT_WEIGHTS:
-		name_weights(w, w->weights + 1);
-		break;
-	default:
-		disturb_worker(w, f);
-		break;
-	}
-}
-
 static int64_t
 number_of(struct jh_str s)
 {
@@ -453,7 +44,7 @@
 {
 	struct soak_world *w = arg;
 	unsigned int number = fake_worker_number(worker);
-	struct worker *k = &w->workers[number];
+	struct soak_worker *k = &w->workers[number];
 	struct soak_run run = {
 	    .id = jh_head_get(head, "X-Jacinthhill-Attempt-Id"),
 	    .method = jh_str_from(head->method),
@@ -498,7 +89,7 @@
 /* Whether the versions that may be in force at the entry allow the request. */
 static enum soak_right
 right_of(const struct soak_world *w, const struct soak_want *want,
-    const struct entry *e)
+    const struct soak_entry *e)
 {
 	uint64_t now = jh_now();
 
@@ -533,7 +124,7 @@
 	}
 }
 
-static struct entry *
+static struct soak_entry *
 choose_entry(struct soak_world *w)
 {
 	unsigned int i, at;
@@ -541,7 +132,7 @@
 	at =
 	    (unsigned int)g_rand_int_range(w->rand, 0, (gint32)w->spec.entries);
 	for (i = 0; i < w->spec.entries; i++) {
-		struct entry *e = &w->entries[(at + i) % w->spec.entries];
+		struct soak_entry *e = &w->entries[(at + i) % w->spec.entries];
 		if (soak_process_runs(e->process) && !e->ends)
 			return e;
 	}
@@ -553,7 +144,7 @@
 {
 	struct soak_world *w = arg;
 	struct soak_want want = soak_want_draw(w->rand);
-	struct entry *e = choose_entry(w);
+	struct soak_entry *e = choose_entry(w);
 	GString *fields = g_string_new(NULL);
 	struct soak_request *r = &out->request;
 
@@ -597,7 +188,7 @@
 static void
 create_entry(struct soak_world *w, unsigned int number, unsigned int store)
 {
-	struct entry *e = &w->entries[number];
+	struct soak_entry *e = &w->entries[number];
 	unsigned int clients = fake_port(), link = fake_port();
 	struct soak_fault f = {.target = number};
 	char *file = g_strdup_printf("%s/e%u.yaml", w->spec.dir, number);
@@ -611,7 +202,7 @@
 	    "repeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
 	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n",
 	    number, fake_port(), clients, fake_port(), fake_port(), link,
-	    GRACE_SEC);
+	    SOAK_GRACE_SEC);
 	char *argv[] = {(char *)w->spec.program, file, NULL};
 
 	e->world = w;
@@ -621,8 +212,9 @@
 	e->store = soak_link_create(&w->loop, link, store);
 	if (!g_file_set_contents(file, text, -1, NULL))
 		g_error("cannot write %s", file);
-	e->process = soak_process_create(&w->loop, argv, log, &process_ops, e);
-	start_entry(w, &f);
+	e->process =
+	    soak_process_create(&w->loop, argv, log, &soak_entry_ops, e);
+	soak_start_entry(w, &f);
 	g_free(file);
 	g_free(log);
 	g_free(text);
@@ -695,24 +287,24 @@
 	uv_loop_init(&w->loop);
 	w->rand = g_rand_new_with_seed((guint32)w->spec.seed);
 	w->ledger = soak_ledger_create(&bounds);
-	w->laters = g_ptr_array_new();
+	w->laters = g_ptr_array_new_with_free_func(soak_drop_later);
 	w->callers = g_ptr_array_new();
-	w->entries = g_new0(struct entry, w->spec.entries);
-	w->workers = g_new0(struct worker, w->n_workers);
+	w->entries = g_new0(struct soak_entry, w->spec.entries);
+	w->workers = g_new0(struct soak_worker, w->n_workers);
 	w->objects = fake_objects_create(&w->loop, store);
 	w->begun = jh_now();
-	write_config(w, 1);
-	name_weights(w, 1);
+	soak_write_config(w, 1);
+	soak_name_weights(w, 1);
 	for (i = 0; i < w->n_workers; i++)
 		create_worker(w, i);
 	for (i = 0; i < w->spec.entries; i++)
 		create_entry(w, i, store);
-	w->plan =
-	    soak_plan_draw(w->rand, WARM_USEC, length - MIN(length, CALM_USEC));
+	w->plan = soak_plan_draw(w->rand, w->spec.entries, WARM_USEC,
+	    length - MIN(length, CALM_USEC));
 	for (i = 0; i < w->plan->len; i++) {
 		struct soak_fault *f =
 		    &g_array_index(w->plan, struct soak_fault, i);
-		after(w, f->at, inject, f);
+		soak_after(w, f->at, soak_inject, f);
 	}
 	for (i = 0; i < w->spec.callers; i++)
 		g_ptr_array_add(
@@ -723,12 +315,6 @@
 	uv_timer_start(&w->finish, on_finish, length / JH_USEC_PER_MSEC, 0);
 }
 
-static void
-close_later(void *p, void *unused)
-{
-	uv_close((uv_handle_t *)&((struct later *)p)->timer, NULL);
-}
-
 static void
 end(struct soak_world *w)
 {
@@ -746,12 +332,10 @@
 		fake_worker_destroy(w->workers[i].fake);
 	}
 	fake_objects_destroy(w->objects);
-	g_ptr_array_foreach(w->laters, close_later, NULL);
+	g_ptr_array_free(w->laters, TRUE);
 	uv_close((uv_handle_t *)&w->finish, NULL);
 	uv_run(&w->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&w->loop);
-	g_ptr_array_foreach(w->laters, (GFunc)(void *)g_free, NULL);
-	g_ptr_array_free(w->laters, TRUE);
 	g_ptr_array_free(w->callers, TRUE);
 	g_array_free(w->plan, TRUE);
 	g_rand_free(w->rand);
--- a/src/route/audience.c
+++ b/src/route/audience.c
@@ -47,8 +47,8 @@
 }
 
 static void
-send_some(struct ring *r, guint n, void (*send)(void *arg, void *peer),
-    void *arg)
+send_some(
+    struct ring *r, guint n, void (*send)(void *arg, void *peer), void *arg)
 {
 	n = MIN(n, r->peers->len);
 	for (; n > 0; n--) {
--- a/test/test_audience.c
+++ b/test/test_audience.c
@@ -55,7 +55,8 @@
 	struct jh_audience *a = audience(167, 168);
 	unsigned int i, round, period = jh_audience_period(a);
 
-	assert_int_equal(period, (167 + JH_AUDIENCE_NEAR - 1) / JH_AUDIENCE_NEAR);
+	assert_int_equal(
+	    period, (167 + JH_AUDIENCE_NEAR - 1) / JH_AUDIENCE_NEAR);
 	for (round = 0; round < period; round++)
 		jh_audience_round(a, count, NULL);
 	for (i = 0; i < 167; i++)
