lint: check one file in each clang-tidy process

clang-tidy 14 carries state of its va_list checker from one file to the next: with two files in a process it reports leaks in test_proc_orders.c, depending on which file comes before. Each file by itself is clean.

--- a/Makefile
+++ b/Makefile
@@ -151,7 +151,7 @@
 	    --error-exitcode=1 --inline-suppr --enable=warning,portability \
 	    --suppress=missingIncludeSystem --suppress=memleak \
 	    -D_GNU_SOURCE -Iinclude -Isrc $(filter %.c,$(C_FILES))
-	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 2 \
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -n 1 \
 	    sh -c 'clang-tidy --quiet "$$@" -- -std=c11 $(CPPFLAGS)' sh
 
 # Installs what packages.txt lists; needs root.
