Read the store through neighbours in large zones; jhctl view; absent entries

A trial on a scratch copy of the site with 300 entries shows lists and watches that end as unavailable, one after another, in the far region.

Change: with more than 16 entries in a zone, every sixteenth reads the store and serves the others by the store's own lists and watches. After a failure, and when datagrams show that others are ahead, an entry asks the store itself. A list of several pages now goes on from the revision of its first page, so that a change between two pages is not missed, and no object gives way to an older one. Small zones read the store as before.

Also: `jhctl view` shows what each entry believes (GET /view on the metrics address); the holder of the duty removes entries that were not heard for 180 s, and an entry that was removed registers again; SIGHUP takes memory, descriptors, grace period and budget over; `jhfit` compares predicted with observed times to the first token from the logs. Tests: test_replica, test_absent, test_watch (neighbours), test_platform (view, removed entry, a stopping process refuses what it cannot finish, which fails without the refusal).

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 LIB_DIRS = base place admit once stream member catalog refuse poison cache route
 NET_DIRS = config http rpc store work feed net gateway
 FAKES = engine store service list
-BENCHES = load parts relay
+BENCHES = load parts relay fit
 
 srcs = $(foreach d,$(1),$(wildcard src/$(d)/*.c))
 objs = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -62,7 +62,8 @@
     $(BUILD)/fake-$(d)))
 BENCH_BINS = $(if $(wildcard bench/load/*.c),$(BUILD)/jhload) \
     $(if $(wildcard bench/parts/*.c),$(BUILD)/jhbench) \
-    $(if $(wildcard bench/relay/*.c),$(BUILD)/jhrelay)
+    $(if $(wildcard bench/relay/*.c),$(BUILD)/jhrelay) \
+    $(if $(wildcard bench/fit/*.c),$(BUILD)/jhfit)
 TESTS = $(patsubst test/%.c,$(BUILD)/test/%,$(TEST_SRC))
 
 all: $(LIB) $(DAEMONS) $(FAKE_BINS) $(BENCH_BINS)
@@ -97,6 +98,7 @@
 $(BUILD)/jhplatform: $(BUILD)/platform/main.o $(PLATFORM_LIB) $(NET) $(LIB)
 $(BUILD)/jhload: $(call objs,$(wildcard bench/load/*.c)) $(NET) $(LIB)
 $(BUILD)/jhrelay: $(call objs,$(wildcard bench/relay/*.c)) $(NET) $(LIB)
+$(BUILD)/jhfit: $(call objs,$(wildcard bench/fit/*.c)) $(LIB)
 $(BUILD)/jhbench: $(call objs,$(wildcard bench/parts/*.c)) $(NET) $(LIB)
 define FAKE_RULE
 $(BUILD)/fake-$(1): $(call objs,$(wildcard fakes/$(1)/*.c)) $(NET) $(LIB)
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -58,6 +58,7 @@
 extern const struct ctl_command ctl_in_force_commands[];
 extern const struct ctl_command ctl_instances_commands[];
 extern const struct ctl_command ctl_refusals_commands[];
+extern const struct ctl_command ctl_view_commands[];
 
 /*
  * Parses the options of a command, which extra (may be NULL) adds to the
--- a/src/ctl/instances.c
+++ b/src/ctl/instances.c
@@ -2,81 +2,17 @@
 
 #include <jansson.h>
 
-#include "base/thread.h"
 #include "config/settings.h"
+#include "ctl/fetch.h"
 #include "ctl/instances.h"
-#include "http/client.h"
-
-#define BODY_LIMIT (16 << 20)
-
-/* One read that the tool waits for. */
-struct reading {
-	GString *body;
-	pthread_mutex_t lock; /* guards ended */
-	pthread_cond_t cond;
-	bool ended;
-	enum jh_http_result result;
-	unsigned int http_status;
-};
-
-static bool
-on_data(void *arg, struct jh_http_call *call, struct jh_str data)
-{
-	struct reading *r = arg;
-
-	if (r->body->len + data.len <= BODY_LIMIT)
-		g_string_append_len(r->body, data.ptr, (gssize)data.len);
-	return true;
-}
-
-static void
-on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
-{
-	struct reading *r = arg;
-
-	pthread_mutex_lock(&r->lock);
-	r->result = result;
-	r->http_status = jh_http_call_status(call);
-	r->ended = true;
-	pthread_cond_signal(&r->cond);
-	pthread_mutex_unlock(&r->lock);
-}
-
-static const struct jh_http_call_ops ops = {.data = on_data, .done = on_done};
-
-static void
-read_body(struct ctl *c, struct reading *r)
-{
-	struct jh_http_client *client = jh_http_client_create("list", 1);
-	struct jh_http_call_spec spec = {.peer = c->settings.instance_list,
-	    .method = "GET",
-	    .path = "/v1/instances",
-	    .deadline = ctl_deadline(c),
-	    .ops = &ops,
-	    .arg = r};
-	struct jh_http_call *call = jh_http_call_start(client, &spec);
-
-	pthread_mutex_lock(&r->lock);
-	while (call != NULL && !r->ended)
-		pthread_cond_wait(&r->cond, &r->lock);
-	pthread_mutex_unlock(&r->lock);
-	jh_http_call_unref(call);
-	jh_http_client_destroy(client);
-}
 
 static GPtrArray *
-parse(struct ctl *c, const struct reading *r, int *status)
+parse(struct ctl *c, struct jh_str body, int *status)
 {
-	GPtrArray *list = NULL;
+	GPtrArray *list;
 	unsigned int faults = 0;
 
-	if (!r->ended || r->result != JH_HTTP_OK || r->http_status != 200) {
-		fprintf(c->err, "the instance list does not answer\n");
-		*status = CTL_UNAVAILABLE;
-		return NULL;
-	}
-	list = jh_instances_parse(
-	    (struct jh_str){r->body->str, r->body->len}, &faults);
+	list = jh_instances_parse(body, &faults);
 	if (list == NULL || faults > 0)
 		fprintf(c->err,
 		    "the instance list is malformed, %u instances are left "
@@ -91,22 +27,22 @@
 GPtrArray *
 ctl_instances_read(struct ctl *c, int *status)
 {
-	struct reading r = {0};
 	GPtrArray *list;
+	GString *body;
 
 	if (c->settings.instance_list.sin_port == 0) {
 		fprintf(c->err, "the settings give no instance_list\n");
 		*status = CTL_USAGE;
 		return NULL;
 	}
-	r.body = g_string_new(NULL);
-	pthread_mutex_init(&r.lock, NULL);
-	jh_cond_init(&r.cond);
-	read_body(c, &r);
-	list = parse(c, &r, status);
-	pthread_cond_destroy(&r.cond);
-	pthread_mutex_destroy(&r.lock);
-	g_string_free(r.body, TRUE);
+	body = ctl_fetch(c, &c->settings.instance_list, "/v1/instances");
+	if (body == NULL) {
+		fprintf(c->err, "the instance list does not answer\n");
+		*status = CTL_UNAVAILABLE;
+		return NULL;
+	}
+	list = parse(c, (struct jh_str){body->str, body->len}, status);
+	g_string_free(body, TRUE);
 	return list;
 }
 
--- a/src/ctl/run.c
+++ b/src/ctl/run.c
@@ -6,7 +6,7 @@
 
 static const struct ctl_command *const groups[] = {ctl_check_commands,
     ctl_catalog_commands, ctl_control_commands, ctl_in_force_commands,
-    ctl_instances_commands, ctl_refusals_commands};
+    ctl_instances_commands, ctl_refusals_commands, ctl_view_commands};
 
 static void
 print_usage(FILE *f)
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -34,6 +34,7 @@
 #define TOKEN_UNIT 16
 
 struct peer {
+	char *name;
 	struct sockaddr_in address;
 	unsigned char key[JH_GOSSIP_KEY_LEN];
 	uint64_t id; /* of the key */
@@ -64,6 +65,15 @@
 	char buffer[2048];
 };
 
+static void
+free_peer(void *arg)
+{
+	struct peer *p = arg;
+
+	g_free(p->name);
+	g_free(p);
+}
+
 static uint64_t
 key_id(const unsigned char key[JH_GOSSIP_KEY_LEN])
 {
@@ -271,6 +281,8 @@
 		g->heard, g->spec.fleet, jh_now(), id, number, rows, count))
 		return;
 	jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+	if (g->spec.heard_peer != NULL)
+		g->spec.heard_peer(g->spec.arg, p->name);
 	if (g->spec.heard_marks != NULL)
 		g->spec.heard_marks(g->spec.arg, marks);
 	for (i = 0; i < n_placed; i++) {
@@ -337,7 +349,7 @@
 
 	g->spec = *spec;
 	g->peers =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	g->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g->audience = jh_audience_create();
 	g->news = g_array_new(FALSE, FALSE, sizeof(struct news));
@@ -387,7 +399,8 @@
 	p->address = *address;
 	memcpy(p->key, key, JH_GOSSIP_KEY_LEN);
 	p->id = key_id(key);
-	g_hash_table_insert(g->peers, g_strdup(name), p);
+	p->name = g_strdup(name);
+	g_hash_table_insert(g->peers, p->name, p);
 	g_hash_table_insert(g->by_id, &p->id, p);
 	jh_audience_add(g->audience, p, near);
 }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -38,6 +38,8 @@
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
 	struct sockaddr_in address;
+	/* May be NULL: a peer was heard. */
+	void (*heard_peer)(void *arg, const char *name);
 	/* May be NULL: a peer has told its marks. */
 	void (*heard_marks)(void *arg, const uint64_t marks[JH_GOSSIP_MARKS]);
 	void *arg;
--- a/src/gateway/steward.c
+++ b/src/gateway/steward.c
@@ -171,6 +171,18 @@
 	    s->spec.weights, jh_now(), worker, answered, busy, weights);
 }
 
+bool
+jh_steward_holds(const struct jh_steward *s)
+{
+	return s->held;
+}
+
+const char *
+jh_steward_last_holder(const struct jh_steward *s)
+{
+	return jh_duty_last_holder(s->duty);
+}
+
 void
 jh_steward_resign(struct jh_steward *s, uint64_t deadline)
 {
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -48,6 +48,9 @@
     struct jh_steward *s, const char *worker, enum jh_weights_result result);
 void jh_steward_looked(struct jh_steward *s, const char *worker, bool answered,
     bool busy, uint64_t weights);
+/* Whether this process holds the duty; who held it when it was last seen. */
+bool jh_steward_holds(const struct jh_steward *s);
+const char *jh_steward_last_holder(const struct jh_steward *s);
 /*
  * Gives the duty up for a stop of the process: when the changes under way are
  * done, or at the deadline (a jh_now() time).
--- /dev/null
+++ b/src/gateway/view.c
@@ -0,0 +1,45 @@
+#include <jacinthhill/clock.h>
+
+#include "gateway/view.h"
+
+/* Milliseconds since then; -1 if it never was. */
+static json_int_t
+age_msec(uint64_t now, uint64_t then)
+{
+	const json_int_t msec = (json_int_t)JH_USEC_PER_MSEC;
+
+	if (then == 0)
+		return -1;
+	return (json_int_t)now / msec - (json_int_t)then / msec;
+}
+
+static json_t *
+view_worker(const struct jh_worker *w, uint64_t now)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, "
+			 "s:f, s:i}",
+	    "id", w->id, "service", w->service, "zone", w->zone, "state",
+	    jh_worker_state(w, now), "running", (int)w->running,
+	    "others_running", (int)w->others_running, "unread_tokens",
+	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held_tokens",
+	    (json_int_t)(w->held_tokens + w->others_held), "weights",
+	    (json_int_t)w->weights, "weights_age_ms",
+	    age_msec(now, w->weights_known), "fail_share", w->fail_rate,
+	    "failures", (int)w->failures);
+}
+
+json_t *
+jh_gateway_view(const struct jh_gateway *g, uint64_t now)
+{
+	json_t *workers = json_array();
+	size_t i;
+
+	for (i = 0; i < jh_fleet_count(g->fleet); i++)
+		json_array_append_new(
+		    workers, view_worker(jh_fleet_at(g->fleet, i), now));
+	return json_pack("{s:I, s:i, s:b, s:o}", "config_version",
+	    g->table != NULL ? (json_int_t)jh_table_version(g->table)
+			     : (json_int_t)-1,
+	    "processes", (int)g->processes, "stopping", g->ends_at != 0,
+	    "workers", workers);
+}
--- a/src/member/duty.c
+++ b/src/member/duty.c
@@ -18,6 +18,7 @@
 	/* The object as it was last seen. */
 	bool seen;
 	uint64_t version; /* 0: absent */
+	char *last_holder; /* NULL: absent */
 	uint64_t term;
 	uint64_t rest;
 	bool released;
@@ -52,6 +53,7 @@
 	if (d == NULL)
 		return;
 	g_free(d->holder);
+	g_free(d->last_holder);
 	g_free(d);
 }
 
@@ -141,6 +143,8 @@
 		return;
 	d->seen = true;
 	d->version = reply->version;
+	g_free(d->last_holder);
+	d->last_holder = reply->version != 0 ? jh_str_dup(reply->holder) : NULL;
 	d->term = reply->term;
 	d->rest = reply->rest;
 	d->released = reply->released;
@@ -212,6 +216,12 @@
 	return d->token != 0 && now < d->held_until;
 }
 
+const char *
+jh_duty_last_holder(const struct jh_duty *d)
+{
+	return d->last_holder;
+}
+
 void
 jh_duty_want_to_act(struct jh_duty *d, uint64_t now)
 {
--- a/src/member/duty.h
+++ b/src/member/duty.h
@@ -67,6 +67,8 @@
 
 /* Whether the duty is held, though perhaps not for acts yet. */
 bool jh_duty_held(const struct jh_duty *d, uint64_t now);
+/* Who wrote the object last, as far as it is known; NULL: nobody. */
+const char *jh_duty_last_holder(const struct jh_duty *d);
 /* There is something to do; the holder asks again with jh_duty_token(). */
 void jh_duty_want_to_act(struct jh_duty *d, uint64_t now);
 /*
--- a/src/route/budget.c
+++ b/src/route/budget.c
@@ -42,6 +42,13 @@
 	g_free(b);
 }
 
+void
+jh_budget_set(struct jh_budget *b, double ratio, double slack)
+{
+	b->spec.ratio = ratio;
+	b->spec.slack = slack;
+}
+
 static struct counts *
 find(struct jh_budget *b, const char *service)
 {
--- a/src/route/budget.h
+++ b/src/route/budget.h
@@ -20,6 +20,9 @@
 struct jh_budget *jh_budget_create(const struct jh_budget_spec *spec);
 void jh_budget_destroy(struct jh_budget *b);
 
+/* Later repeats are judged by these; the window stays. */
+void jh_budget_set(struct jh_budget *b, double ratio, double slack);
+
 /* Counts a request for the service. */
 void jh_budget_request(struct jh_budget *b, uint64_t now, const char *service);
 /* Draws a repeat; returns false if this process's part is used up. */
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -192,6 +192,20 @@
 	return g_ptr_array_index(f->sorted, i);
 }
 
+const char *
+jh_worker_state(const struct jh_worker *w, uint64_t now)
+{
+	if (w->leaving)
+		return "leaving";
+	if (w->missing_since != 0)
+		return "missing";
+	if (now < w->changing_until)
+		return "changing";
+	if (now < w->hold_until)
+		return "held";
+	return w->fail_rate > JH_FLEET_EASED_SHARE ? "eased" : "ready";
+}
+
 void
 jh_fleet_saw_weights(struct jh_worker *w, uint64_t now, uint64_t weights)
 {
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -72,6 +72,9 @@
 #define JH_FLEET_HOLD_USEC 250000ULL
 #define JH_FLEET_HOLD_MAX_USEC 2000000ULL
 
+/* A worker with a higher share of failures counts as eased off. */
+#define JH_FLEET_EASED_SHARE 0.05
+
 struct jh_fleet *jh_fleet_create(void);
 void jh_fleet_destroy(struct jh_fleet *f);
 
@@ -98,6 +101,13 @@
 /* Rises whenever a worker is added or removed. */
 uint64_t jh_fleet_changes(const struct jh_fleet *f);
 
+/*
+ * Why a worker gets no work or less of it, in one word: "leaving", "missing"
+ * (dropped from a list that may be incomplete), "changing" (its weights),
+ * "held" (after failures), "eased" (some of its answers fail) or "ready".
+ */
+const char *jh_worker_state(const struct jh_worker *w, uint64_t now);
+
 /* An answer told the version of the weights. */
 void jh_fleet_saw_weights(struct jh_worker *w, uint64_t now, uint64_t weights);
 /* No connection, or one that broke. */
--- a/test/platform_world.c
+++ b/test/platform_world.c
@@ -25,7 +25,7 @@
 	unsigned int store_port;
 	struct fake_worker *workers[PLATFORM_WORKERS];
 	struct proc entry;
-	unsigned int clients, readiness;
+	unsigned int clients, readiness, metrics;
 };
 
 static void
@@ -99,6 +99,7 @@
 	argv[1] = file;
 	p->clients = fake_port();
 	p->readiness = fake_port();
+	p->metrics = fake_port();
 	text = g_strdup_printf(
 	    "name: \"e1\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
 	    "    region: \"r0\"\ngossip: \"127.0.0.1:%u\"\n"
@@ -107,7 +108,7 @@
 	    "store: \"127.0.0.1:%u\"\nmemory_mb: 110\ndescriptors: 1000\n"
 	    "grace_s: \"6\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
 	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n",
-	    fake_port(), p->clients, p->readiness, fake_port(), p->store_port);
+	    fake_port(), p->clients, p->readiness, p->metrics, p->store_port);
 	assert_true(g_file_set_contents(file, text, -1, NULL));
 	proc_init(&p->entry, p->dir, "entry", p->clients, argv);
 	proc_start(&p->entry);
@@ -213,6 +214,12 @@
 	}
 }
 
+unsigned int
+platform_metrics_port(const struct platform *p)
+{
+	return p->metrics;
+}
+
 struct proc *
 platform_entry(struct platform *p)
 {
@@ -241,6 +248,12 @@
 	json_decref(spec);
 }
 
+json_t *
+platform_get(struct platform *p, const char *kind, const char *name)
+{
+	return fake_objects_get(p->objects, kind, name);
+}
+
 void
 platform_remove(struct platform *p, const char *kind, const char *name)
 {
--- a/test/platform_world.h
+++ b/test/platform_world.h
@@ -25,6 +25,8 @@
 /* Starts another entry; the first one runs after platform_start(). */
 void platform_await_ready(struct platform *p);
 struct proc *platform_entry(struct platform *p);
+/* Where the entry serves its metrics and its view. */
+unsigned int platform_metrics_port(const struct platform *p);
 
 void platform_set_mode(
     struct platform *p, unsigned int worker, enum fake_worker_mode mode);
@@ -33,6 +35,8 @@
 /* Writes or removes an object as the operator or a worker does. */
 void platform_put(
     struct platform *p, const char *kind, const char *name, json_t *spec);
+/* A new reference, or NULL. */
+json_t *platform_get(struct platform *p, const char *kind, const char *name);
 void platform_remove(struct platform *p, const char *kind, const char *name);
 /* Replaces the configuration by one of this version, without key k1. */
 void platform_revoke(struct platform *p, unsigned int version);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -3,11 +3,13 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
 
+#include "ctl/ctl.h"
 #include "platform_world.h"
 
 #define KEYED                                           \
@@ -82,6 +84,103 @@
 	g_free(ask("GET", "/public/x", "X-Jacinthhill-Model: m1\r\n", 200));
 }
 
+/* Guards against an entry that was removed by mistake and stays so. */
+static void
+removed_entry_comes_back(void **state)
+{
+	json_t *spec;
+
+	await((spec = platform_get(p, "entries", "e1")) != NULL);
+	json_decref(spec);
+	platform_remove(p, "entries", "e1");
+	await((spec = platform_get(p, "entries", "e1")) != NULL);
+	json_decref(spec);
+}
+
+static void *
+ask_silent_worker(void *arg)
+{
+	g_free(platform_ask(
+	    p, "POST", "/once/slow", KEYED "Content-Length: 0\r\n"));
+	return NULL;
+}
+
+/*
+ * Guards against a process that takes a request which it cannot finish before
+ * its end, and then cuts it.
+ */
+static void
+stopping_process_refuses_what_it_cannot_finish(void **state)
+{
+	static const char fields[] =
+	    "X-Jacinthhill-Attempt-Id: a2\r\n"
+	    "X-Jacinthhill-Model: m1\r\n"
+	    "X-Jacinthhill-Token-Counts: 100,100000\r\n"
+	    "Api-Key: k1\r\n"
+	    "Content-Length: 0\r\n";
+	struct proc *entry = platform_entry(p);
+	GThread *slow;
+	char *answer;
+
+	set_all(WORKER_SILENT);
+	slow = g_thread_new("slow", ask_silent_worker, NULL);
+	await(all_runs() == 1);
+	set_all(WORKER_ANSWERS);
+	proc_terminate(entry);
+	/* The balancer is given two and a half seconds to notice. */
+	g_usleep(2700000);
+	answer = ask("POST", "/stream/long", fields, 503);
+	assert_non_null(strstr(answer, "Retry-After: "));
+	assert_int_equal(all_runs(), 1);
+	g_free(answer);
+	g_thread_join(slow);
+	assert_int_equal(proc_join(entry), 0);
+}
+
+/* What the tool prints about the entry; free with free(). */
+static char *
+view(const char *option, int status)
+{
+	char address[32], *text = NULL;
+	char *argv[] = {"jhctl", "view", address, (char *)option, NULL};
+	size_t len;
+	FILE *out = open_memstream(&text, &len);
+
+	g_snprintf(
+	    address, sizeof(address), "127.0.0.1:%u", platform_metrics_port(p));
+	assert_int_equal(
+	    ctl_main(option != NULL ? 4 : 3, argv, out, stderr), status);
+	fclose(out);
+	return text;
+}
+
+/* Guards against a tool that does not show why a worker gets no work. */
+static void
+tool_shows_what_the_entry_believes(void **state)
+{
+	char *text = view(NULL, CTL_OK);
+
+	assert_non_null(strstr(text, "e1"));
+	assert_non_null(strstr(text, "3/3"));
+	free(text);
+	platform_remove(p, "servers", "w2");
+	platform_put(p, "servers", "w1",
+	    json_pack("{s:s, s:s, s:s, s:i, s:s, s:[{s:s, s:i}], s:i}",
+		"service", "llm", "address", "127.0.0.1:9", "zone", "z0",
+		"slots", 8, "state", "draining", "models", "name", "m1",
+		"version", 1, "sequence", 1));
+	g_usleep(800000);
+	text = view(NULL, CTL_OK);
+	assert_non_null(strstr(text, "1/2"));
+	assert_non_null(strstr(text, "w1: leaving"));
+	free(text);
+	text = view("--json", CTL_OK);
+	assert_non_null(strstr(text, "\"config_version\":1"));
+	free(text);
+	proc_kill(platform_entry(p));
+	free(view(NULL, CTL_UNAVAILABLE));
+}
+
 /* Guards against requests that no configuration allows. */
 static void
 strangers_are_turned_away(void **state)
@@ -276,6 +375,9 @@
 {
 	const struct CMUnitTest tests[] = {
 	    ON_PLATFORM(request_reaches_a_worker),
+	    ON_PLATFORM(tool_shows_what_the_entry_believes),
+	    ON_PLATFORM(removed_entry_comes_back),
+	    ON_PLATFORM(stopping_process_refuses_what_it_cannot_finish),
 	    ON_PLATFORM(strangers_are_turned_away),
 	    ON_PLATFORM(broken_request_runs_once),
 	    ON_PLATFORM(declined_request_goes_elsewhere),
--- /dev/null
+++ b/test/test_replica.c
@@ -0,0 +1,226 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "feed/replica.h"
+#include "member/readers.h"
+
+/* What was given, as "name=text " and "name- ". */
+static GString *given;
+
+static void
+on_object(void *arg, const char *name, struct jh_str text)
+{
+	if (text.ptr != NULL)
+		g_string_append_printf(
+		    given, "%s=%.*s ", name, (int)text.len, text.ptr);
+	else
+		g_string_append_printf(given, "%s- ", name);
+}
+
+static const struct jh_replica_ops ops = {on_object};
+
+static int
+set_up(void **state)
+{
+	given = g_string_new(NULL);
+	*state = jh_replica_create();
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	jh_replica_destroy(*state);
+	g_string_free(given, TRUE);
+	return 0;
+}
+
+static void
+expect_changes(struct jh_replica *r, uint64_t since, const char *text)
+{
+	g_string_truncate(given, 0);
+	assert_true(jh_replica_changes(r, since, &ops, NULL));
+	assert_string_equal(given->str, text);
+}
+
+/* Guards against a neighbour that misses, repeats or reorders a change. */
+static void
+changes_are_told_once_in_order(void **state)
+{
+	struct jh_replica *r = *state;
+
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_put(r, "b", JH_STR("1"));
+	assert_int_equal(jh_replica_revision(r), 0);
+	jh_replica_reached(r, 10);
+	expect_changes(r, 10, "");
+	jh_replica_put(r, "a", JH_STR("2"));
+	expect_changes(r, 10, "");
+	jh_replica_reached(r, 12);
+	jh_replica_remove(r, "b");
+	jh_replica_put(r, "c", JH_STR("1"));
+	jh_replica_reached(r, 15);
+	expect_changes(r, 10, "a=2 b- c=1 ");
+	expect_changes(r, 12, "b- c=1 ");
+	expect_changes(r, 15, "");
+	expect_changes(r, 99, "");
+	assert_false(jh_replica_list(r, NULL, 9, &ops, NULL));
+}
+
+/* Guards against a list that a neighbour reads with gaps between its pages. */
+static void
+lists_go_on_after_a_name(void **state)
+{
+	struct jh_replica *r = *state;
+
+	jh_replica_put(r, "b", JH_STR("1"));
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_put(r, "c", JH_STR("1"));
+	jh_replica_reached(r, 4);
+	assert_true(jh_replica_list(r, NULL, 2, &ops, NULL));
+	assert_false(jh_replica_list(r, "b", 2, &ops, NULL));
+	assert_string_equal(given->str, "a=1 b=1 c=1 ");
+}
+
+/* Guards against a second list that is told as a change of every object. */
+static void
+repeated_objects_are_no_changes(void **state)
+{
+	struct jh_replica *r = *state;
+
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_reached(r, 4);
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_remove(r, "x");
+	jh_replica_reached(r, 6);
+	expect_changes(r, 4, "");
+	jh_replica_put(r, "a", JH_STR("2"));
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_reached(r, 8);
+	expect_changes(r, 6, "a=2 a=1 ");
+}
+
+/* Guards against a neighbour that is behind what is kept and is not told. */
+static void
+dropped_changes_are_not_passed_over(void **state)
+{
+	struct jh_replica *r = *state;
+	char text[16];
+	unsigned int i;
+
+	jh_replica_put(r, "a", JH_STR("0"));
+	jh_replica_reached(r, 1);
+	assert_false(jh_replica_changes(r, 0, &ops, NULL));
+	for (i = 1; i <= JH_REPLICA_CHANGES + 5; i++) {
+		g_snprintf(text, sizeof(text), "%u", i);
+		jh_replica_put(r, "a", jh_str_from(text));
+		jh_replica_reached(r, 1 + i);
+	}
+	assert_false(jh_replica_changes(r, 1, &ops, NULL));
+	assert_false(jh_replica_changes(r, 5, &ops, NULL));
+	assert_true(jh_replica_changes(r, 6, &ops, NULL));
+}
+
+static struct jh_readers *
+readers_of(unsigned int self, unsigned int n)
+{
+	char name[16];
+	struct jh_readers *r;
+	unsigned int i;
+
+	g_snprintf(name, sizeof(name), "e%u", self);
+	r = jh_readers_create(name);
+	for (i = 0; i < n; i++) {
+		g_snprintf(name, sizeof(name), "e%u", i);
+		if (i != self)
+			jh_readers_add(r, name);
+	}
+	return r;
+}
+
+/* Guards against a small deployment that depends on a neighbour. */
+static void
+few_processes_all_read_the_store(void **state)
+{
+	struct jh_readers *r = readers_of(3, JH_READERS_EACH);
+
+	assert_true(jh_readers_all(r));
+	assert_null(jh_readers_source(r));
+	jh_readers_destroy(r);
+}
+
+/*
+ * Guards against processes that read from one that reads from a neighbour
+ * itself, and against one that all read from.
+ */
+static void
+sources_read_the_store_and_share_the_load(void **state)
+{
+	enum { ALL = 168 };
+	unsigned int reads[ALL] = {0}, readers = 0, i;
+	struct jh_readers *r[ALL];
+	const char *source;
+
+	for (i = 0; i < ALL; i++) {
+		r[i] = readers_of(i, ALL);
+		source = jh_readers_source(r[i]);
+		if (source == NULL)
+			readers++;
+		else
+			reads[g_ascii_strtoull(source + 1, NULL, 10)]++;
+	}
+	assert_int_equal(
+	    readers, (ALL + JH_READERS_EACH - 1) / JH_READERS_EACH);
+	for (i = 0; i < ALL; i++) {
+		if (reads[i] > 0)
+			assert_null(jh_readers_source(r[i]));
+		assert_true(reads[i] <= 2 * JH_READERS_EACH);
+		jh_readers_destroy(r[i]);
+	}
+}
+
+/* Guards against a process that stays with a source that does not serve. */
+static void
+failed_sources_are_replaced(void **state)
+{
+	struct jh_readers *r = NULL;
+	char *first;
+	unsigned int i;
+
+	for (i = 0; i < 40; i++) {
+		r = readers_of(i, 40);
+		if (jh_readers_source(r) != NULL)
+			break;
+		jh_readers_destroy(r);
+	}
+	first = g_strdup(jh_readers_source(r));
+	jh_readers_failed(r);
+	assert_string_not_equal(jh_readers_source(r), first);
+	jh_readers_remove(r, first);
+	assert_string_not_equal(jh_readers_source(r), first);
+	g_free(first);
+	jh_readers_destroy(r);
+}
+
+#define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+
+static const struct CMUnitTest tests[] = {
+    CASE(changes_are_told_once_in_order),
+    CASE(lists_go_on_after_a_name),
+    CASE(repeated_objects_are_no_changes),
+    CASE(dropped_changes_are_not_passed_over),
+    cmocka_unit_test(few_processes_all_read_the_store),
+    cmocka_unit_test(sources_read_the_store_and_share_the_load),
+    cmocka_unit_test(failed_sources_are_replaced),
+};
+
+int
+main(void)
+{
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -14,6 +14,7 @@
 #include <jacinthhill/clock.h>
 
 #include "net/front.h"
+#include "platform/share.h"
 #include "platform/watch.h"
 
 /* A store that lists one object and may leave watches without an answer. */
@@ -171,12 +172,165 @@
 	world_clear(&w);
 }
 
+/* A neighbour before the store, and one watch that reads from it. */
+struct near_world {
+	struct world w;
+	struct plat_share *share;
+	struct jh_replica *replica;
+	struct plat_store *client; /* calls to the neighbour */
+	struct plat_watch *watch;
+	bool serves;
+	unsigned int failures;
+	uint64_t seen;
+};
+
+static bool
+serves(void *arg)
+{
+	return ((struct near_world *)arg)->serves;
+}
+
+static void
+on_near_object(void *arg, const struct plat_object *o)
+{
+	((struct near_world *)arg)->seen = o->revision;
+}
+
+static struct plat_store *
+neighbour(void *arg)
+{
+	return ((struct near_world *)arg)->client;
+}
+
+static void
+neighbour_failed(void *arg)
+{
+	((struct near_world *)arg)->failures++;
+}
+
+static struct sockaddr_in
+free_address(void)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return sin;
+}
+
+static void
+near_world_init(struct near_world *n)
+{
+	struct plat_share_kind kind = {
+	    .kind = "config", .follows = serves, .arg = n};
+	struct plat_watch_spec spec = {.kind = "config",
+	    .object = on_near_object,
+	    .neighbour = neighbour,
+	    .neighbour_failed = neighbour_failed,
+	    .arg = n};
+	struct sockaddr_in sin = free_address();
+	int error;
+
+	memset(n, 0, sizeof(*n));
+	world_init(&n->w);
+	n->replica = jh_replica_create();
+	n->share = plat_share_create(&n->w.loop, &sin, &error);
+	assert_non_null(n->share);
+	kind.replica = n->replica;
+	plat_share_add(n->share, &kind);
+	n->client = plat_store_create(n->w.caller, &sin, n->w.metrics);
+	jh_replica_put(n->replica, "a",
+	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":5},"
+		   "\"specification\":1}"));
+	jh_replica_reached(n->replica, 9);
+	n->serves = true;
+	spec.loop = &n->w.loop;
+	spec.store = n->w.client;
+	spec.trace = n->w.trace;
+	n->watch = plat_watch_create(&spec);
+}
+
+static void
+near_world_clear(struct near_world *n)
+{
+	plat_watch_destroy(n->watch);
+	plat_store_destroy(n->client);
+	plat_share_destroy(n->share);
+	world_clear(&n->w);
+	jh_replica_destroy(n->replica);
+}
+
+/* Guards against news that a neighbour has and does not pass on. */
+static void
+neighbour_passes_changes_on(void **state)
+{
+	struct near_world n;
+
+	near_world_init(&n);
+	run_for(&n.w, 300000, 0);
+	assert_int_equal(n.seen, 5);
+	jh_replica_put(n.replica, "a",
+	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":14},"
+		   "\"specification\":2}"));
+	jh_replica_reached(n.replica, 14);
+	plat_share_changed(n.share);
+	run_for(&n.w, 300000, 0);
+	assert_int_equal(n.seen, 14);
+	assert_int_equal(n.failures, 0);
+	near_world_clear(&n);
+}
+
+/*
+ * Guards against a watch that stays with a neighbour that is cut off from the
+ * store, and so misses what the store has.
+ */
+static void
+neighbour_in_trouble_is_left_for_the_store(void **state)
+{
+	struct near_world n;
+
+	near_world_init(&n);
+	run_for(&n.w, 300000, 0);
+	assert_int_equal(n.seen, 5);
+	n.w.changed = true;
+	n.serves = false;
+	run_for(&n.w, 1500000, 0);
+	assert_true(n.failures > 0);
+	assert_int_equal(n.seen, 12);
+	near_world_clear(&n);
+}
+
+/* Guards against an older state that another source tells after a newer one. */
+static void
+older_state_is_not_taken_over(void **state)
+{
+	struct near_world n;
+
+	near_world_init(&n);
+	run_for(&n.w, 300000, 0);
+	jh_replica_put(n.replica, "a",
+	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":4},"
+		   "\"specification\":0}"));
+	jh_replica_reached(n.replica, 10);
+	plat_share_changed(n.share);
+	run_for(&n.w, 300000, 0);
+	assert_int_equal(n.seen, 5);
+	near_world_clear(&n);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(silent_watch_is_asked_until_it_answers),
 	    cmocka_unit_test(known_revision_is_not_asked_for),
+	    cmocka_unit_test(neighbour_passes_changes_on),
+	    cmocka_unit_test(neighbour_in_trouble_is_left_for_the_store),
+	    cmocka_unit_test(older_state_is_not_taken_over),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
