--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -6,11 +6,9 @@
 static json_int_t
 age_msec(uint64_t now, uint64_t then)
 {
-	const json_int_t msec = (json_int_t)JH_USEC_PER_MSEC;
-
 	if (then == 0)
 		return -1;
-	return (json_int_t)now / msec - (json_int_t)then / msec;
+	return (json_int_t)(now - then) / (json_int_t)JH_USEC_PER_MSEC;
 }
 
 static json_t *
@@ -21,8 +19,9 @@
 	    "id", w->id, "service", w->service, "zone", w->zone, "state",
 	    jh_worker_state(w, now), "running", (int)w->running,
 	    "others_running", (int)w->others_running, "unread_tokens",
-	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held_tokens",
-	    (json_int_t)(w->held_tokens + w->others_held), "weights",
+	    (json_int_t)w->prefill_tokens + (json_int_t)w->others_prefill,
+	    "held_tokens",
+	    (json_int_t)w->held_tokens + (json_int_t)w->others_held, "weights",
 	    (json_int_t)w->weights, "weights_age_ms",
 	    age_msec(now, w->weights_known), "fail_share", w->fail_rate,
 	    "failures", (int)w->failures);
