--- a/soak/faults.c
+++ b/soak/faults.c
@@ -300,8 +300,10 @@
 {
 	json_t *config = soak_config(version);
 
-	if (version % 2 != w->config % 2)
+	if (version % 2 != w->config % 2) {
 		w->parity_since = jh_now();
+		soak_ledger_configured(w->ledger, jh_now());
+	}
 	w->config = version;
 	fake_objects_put(w->objects, "config", "main", config);
 	json_decref(config);
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -50,6 +50,7 @@
 	struct worker *workers;
 	uint64_t store;
 	uint64_t any_trouble; /* until then, anywhere */
+	uint64_t configured; /* the last change of what is allowed */
 	unsigned int lost, stopped_late, stopped;
 	GPtrArray *faults;
 	unsigned int n_faults;
@@ -152,6 +153,18 @@
 	l->totals.sent++;
 }
 
+/*
+ * Whether the request was and is allowed. What was sent before a configuration
+ * may be judged by it.
+ */
+static enum soak_right
+right_of(const struct soak_ledger *l, const struct record *rec)
+{
+	if (rec->r.varies && l->configured >= rec->r.sent)
+		return SOAK_UNSURE;
+	return rec->r.right;
+}
+
 static bool
 is_promise(unsigned int status)
 {
@@ -216,7 +229,7 @@
 	if (rec->runs == 0)
 		soak_ledger_fault(l, now, "MIXED",
 		    "request %s succeeded without a run", rec->r.id);
-	if (rec->r.right == SOAK_FORBIDDEN)
+	if (right_of(l, rec) == SOAK_FORBIDDEN)
 		soak_ledger_fault(l, now, "CONFIG",
 		    "request %s to %s succeeded", rec->r.id, rec->r.target);
 }
@@ -233,7 +246,7 @@
 		soak_ledger_fault(l, now, "REFUSED",
 		    "request %s has run and got %u", rec->r.id, a->status);
 	if (a->status >= 300 && a->status < 500 && !is_promise(a->status) &&
-	    rec->r.right == SOAK_ALLOWED)
+	    right_of(l, rec) == SOAK_ALLOWED)
 		soak_ledger_fault(l, now, "DENIED",
 		    "request %s to %s got %u from entry %u", rec->r.id,
 		    rec->r.target, a->status, rec->r.entry);
@@ -357,7 +370,7 @@
 		soak_ledger_fault(l, now, "ROUTE",
 		    "request %s ran by a route or key that never was",
 		    rec->r.id);
-	if (rec->r.right == SOAK_FORBIDDEN)
+	if (right_of(l, rec) == SOAK_FORBIDDEN)
 		soak_ledger_fault(l, now, "CONFIG",
 		    "request %s to %s ran at entry %u after it was withdrawn",
 		    rec->r.id, rec->r.target, rec->r.entry);
@@ -465,6 +478,12 @@
 	w->holder = g_strdup(holder);
 }
 
+void
+soak_ledger_configured(struct soak_ledger *l, uint64_t now)
+{
+	l->configured = now;
+}
+
 void
 soak_ledger_draining(struct soak_ledger *l, unsigned int worker, uint64_t since)
 {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -38,6 +38,7 @@
 	const char *model; /* "" without one */
 	enum soak_kind kind;
 	enum soak_right right;
+	bool varies; /* right holds until the next configuration only */
 	bool key_ever; /* some configuration held key and route */
 	unsigned int entry;
 	uint64_t sent;
@@ -86,6 +87,8 @@
 void soak_ledger_ended(struct soak_ledger *l, uint64_t now, struct jh_str id);
 void soak_ledger_order(struct soak_ledger *l, uint64_t now, unsigned int worker,
     const char *holder, uint64_t token);
+/* A configuration that allows other requests is on its way. */
+void soak_ledger_configured(struct soak_ledger *l, uint64_t now);
 /* The store has acknowledged that the worker leaves; 0: it is back. */
 void soak_ledger_draining(
     struct soak_ledger *l, unsigned int worker, uint64_t since);
--- a/soak/world.c
+++ b/soak/world.c
@@ -160,6 +160,7 @@
 	r->model = want.model;
 	r->kind = want.kind;
 	r->right = right_of(w, &want, e);
+	r->varies = want.parity >= 0;
 	r->key_ever = want.known;
 	r->entry = e->number;
 	r->timeout = SOAK_TIMEOUT_MSEC * JH_USEC_PER_MSEC;
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -43,6 +43,14 @@
 	return 0;
 }
 
+static bool varies;
+
+static void
+set_varies(bool v)
+{
+	varies = v;
+}
+
 static void
 send(const char *id, enum soak_kind kind, enum soak_right right)
 {
@@ -54,6 +62,7 @@
 	    .model = "",
 	    .kind = kind,
 	    .right = right,
+	    .varies = varies,
 	    .key_ever = true,
 	    .sent = START,
 	    .timeout = 3 * SEC};
@@ -243,6 +252,28 @@
 	expect("CONFIG");
 }
 
+/*
+ * Guards against a request that is judged by the configuration before the one
+ * that came while it was on its way.
+ */
+static void
+later_configuration_may_allow(void **state)
+{
+	send("b", SOAK_AGAIN, SOAK_FORBIDDEN);
+	soak_ledger_configured(l, START + 1);
+	run("b", START + 2);
+	expect("CONFIG");
+	set_varies(true);
+	send("c", SOAK_AGAIN, SOAK_FORBIDDEN);
+	soak_ledger_configured(l, START + 1);
+	run("c", START + 2);
+	expect("CONFIG");
+	send("d", SOAK_AGAIN, SOAK_ALLOWED);
+	answer("d", 404, "", "");
+	expect("CONFIG");
+	set_varies(false);
+}
+
 static void
 denied_request_is_found(void **state)
 {
@@ -370,6 +401,7 @@
     CASE(unknown_request_is_found),
     CASE(longer_deadline_is_found),
     CASE(withdrawn_route_is_found),
+    CASE(later_configuration_may_allow),
     CASE(denied_request_is_found),
     CASE(held_request_is_found_unless_disturbed),
     CASE(late_arrival_is_found),
