--- a/bench/fit/main.c
+++ b/bench/fit/main.c
@@ -25,7 +25,7 @@
 
 static const GOptionEntry options[] = {
     {"svg", 0, 0, G_OPTION_ARG_FILENAME, &svg, "also writes a plot", "FILE"},
-    {NULL}};
+    G_OPTION_ENTRY_NULL};
 
 static void
 print_band(const GArray *pairs, double from, double to)
--- a/soak/main.c
+++ b/soak/main.c
@@ -33,7 +33,7 @@
 	"found something are kept",
 	"DIR"},
     {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose, "prints each fault", NULL},
-    {NULL}};
+    G_OPTION_ENTRY_NULL};
 
 /* Returns NULL or what is wrong with the options. */
 static const char *
