Do not look every worker up while no weights change

Cause: the steward's tick, 50 times a second, and each datagram ask for every worker whether its weights are being changed, a lookup by name each.

Ruled out: the datagrams themselves, whose number no longer grows.

Change: the answer is no without a lookup while nothing is under way.

--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -351,7 +351,11 @@
 bool
 jh_weights_under_way(const struct jh_weights *w, const char *worker)
 {
-	const struct task *t = g_hash_table_lookup(w->tasks, worker);
+	const struct task *t;
 
+	/* Asked for each worker many times a second, mostly in vain. */
+	if (g_hash_table_size(w->tasks) == 0)
+		return false;
+	t = g_hash_table_lookup(w->tasks, worker);
 	return t != NULL && !t->ahead && t->failures <= MOST_FAILURES;
 }
