Bound a doubtful removal by the store's return

Ruled out: a watch that hangs (the removal was read 0.36 s after it was acknowledged); the new reading from neighbours (small zones do not use it).

Change: what was dropped by mistake is back about two seconds after the store's return, so a removal is doubtful until 2.2 s after the return and not beyond. test_watch, removal_is_doubtful_only_soon_after_the_return, states both sides; the old code has no such bound.

--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -142,12 +142,12 @@
 }
 
 void
-jh_fleet_miss(struct jh_fleet *f, uint64_t now, const char *id)
+jh_fleet_miss(struct jh_fleet *f, uint64_t since, const char *id)
 {
 	struct jh_worker *w = g_hash_table_lookup(f->by_id, id);
 
 	if (w != NULL && w->missing_since == 0)
-		w->missing_since = now;
+		w->missing_since = since;
 }
 
 void
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -87,10 +87,10 @@
 /* The list has dropped a worker. */
 void jh_fleet_drop(struct jh_fleet *f, const char *id);
 /*
- * A worker disappeared from a list that may be incomplete: it is dropped by
- * jh_fleet_expire() unless it is listed again in time.
+ * A worker disappeared from a list that may be incomplete since that time: it
+ * is dropped by jh_fleet_expire() unless it is listed again in time.
  */
-void jh_fleet_miss(struct jh_fleet *f, uint64_t now, const char *id);
+void jh_fleet_miss(struct jh_fleet *f, uint64_t since, const char *id);
 void jh_fleet_expire(struct jh_fleet *f, uint64_t now, uint64_t grace);
 
 struct jh_worker *jh_fleet_find(struct jh_fleet *f, const char *id);
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -27,11 +27,16 @@
 	struct plat_store *client;
 	struct plat_watch *watch;
 	struct sockaddr_in address;
+	bool idle; /* watches end at once, without a change */
+	bool refuses; /* every call gets 503 */
+	bool removed; /* the object is gone */
 	bool silent; /* watches get no answer */
 	bool changed; /* there is a newer object */
 	unsigned int watches;
 	unsigned int last_wait_ms;
 	uint64_t seen; /* revision of the object that was given last */
+	bool gone;
+	uint64_t doubtful_since;
 };
 
 static void
@@ -53,7 +58,15 @@
 			       "\"specification\":2}}],\"storeRevision\":12}"
 			     : NULL;
 	}
-	if (answer != NULL && !(w->silent && wait != NULL))
+	if (wait != NULL && w->idle)
+		answer = "{\"events\":[],\"storeRevision\":9}";
+	if (wait != NULL && w->removed)
+		answer = "{\"events\":[{\"deleted\":true,\"object\":{"
+			 "\"metadata\":{\"name\":\"a\",\"revision\":3}}}],"
+			 "\"storeRevision\":15}";
+	if (w->refuses)
+		jh_visit_answer(v, 503, "Away", JH_STR(""), JH_STR(""));
+	else if (answer != NULL && !(w->silent && wait != NULL))
 		jh_visit_answer(v, 200, "OK", JH_STR(""), jh_str_from(answer));
 	g_free(target);
 }
@@ -66,6 +79,8 @@
 	struct world *w = arg;
 
 	w->seen = o->revision;
+	w->gone = o->gone;
+	w->doubtful_since = o->doubtful_since;
 }
 
 static void
@@ -172,6 +187,41 @@
 	world_clear(&w);
 }
 
+/* Lets the store be away for a moment, and removes the object after that. */
+static void
+remove_after_return(struct world *w, uint64_t usec)
+{
+	world_init(w);
+	w->idle = true;
+	run_for(w, 200000, 0);
+	w->refuses = true;
+	run_for(w, 1500000, 0);
+	w->refuses = false;
+	run_for(w, usec, 0);
+	w->removed = true;
+	run_for(w, 1200000, 0);
+	assert_true(w->gone);
+}
+
+/*
+ * Guards against a worker that has left and is used for longer than its leave:
+ * a removal once counted as doubtful for 3 s after trouble and was kept for
+ * 2.2 s more, while requests may reach it for 2.5 s only.
+ */
+static void
+removal_is_doubtful_only_soon_after_the_return(void **state)
+{
+	struct world w;
+
+	remove_after_return(&w, 700000);
+	assert_true(w.doubtful_since != 0);
+	assert_true(jh_now() - w.doubtful_since > 100000);
+	world_clear(&w);
+	remove_after_return(&w, 3200000);
+	assert_true(w.doubtful_since == 0);
+	world_clear(&w);
+}
+
 /* A neighbour before the store, and one watch that reads from it. */
 struct near_world {
 	struct world w;
@@ -328,6 +378,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(silent_watch_is_asked_until_it_answers),
 	    cmocka_unit_test(known_revision_is_not_asked_for),
+	    cmocka_unit_test(removal_is_doubtful_only_soon_after_the_return),
 	    cmocka_unit_test(neighbour_passes_changes_on),
 	    cmocka_unit_test(neighbour_in_trouble_is_left_for_the_store),
 	    cmocka_unit_test(older_state_is_not_taken_over),
