Call what exists instead of writing it again

Found when the whole change was read once more; behaviour is as before.

- jh_choose() computed the chosen worker's wait three times, now two; what it takes without other work is a sum of its own instead of a difference.
- Both ways of sending a datagram built the message in a buffer of their own.
- Tests and soak share one settings file of an entry, one reading of a process's memory and one loopback address; the ledger compares bodies in one place; two tests of test_wire share their steps; jhctl reads addresses in one place.
- Two functions of the stand-ins that nothing called are gone.

--- a/fakes/platform/objects.c
+++ b/fakes/platform/objects.c
@@ -436,7 +436,7 @@
 	o->oldest = ++o->revision;
 	g_ptr_array_set_size(o->changes, 0);
 	fake_objects_unlock(o);
-	fake_objects_wake(o);
+	uv_async_send(&o->wake);
 }
 
 uint64_t
@@ -473,9 +473,3 @@
 	fake_objects_unlock(o);
 	return spec;
 }
-
-void
-fake_objects_wake(struct fake_objects *o)
-{
-	uv_async_send(&o->wake);
-}
--- a/fakes/platform/objects.h
+++ b/fakes/platform/objects.h
@@ -46,7 +46,4 @@
 json_t *fake_objects_get(
     struct fake_objects *o, const char *kind, const char *name);
 
-/* Lets a waiting watch answer. */
-void fake_objects_wake(struct fake_objects *o);
-
 #endif
--- a/fakes/platform/reply.c
+++ b/fakes/platform/reply.c
@@ -1,8 +1,7 @@
 #include <stdlib.h>
 
-#include <arpa/inet.h>
-
 #include "fakes/platform/reply.h"
+#include "fakes/port.h"
 
 static const struct jh_front_limits limits = {65536, 1 << 20, 0, 0, 0};
 
@@ -22,9 +21,7 @@
     void *arg)
 {
 	struct jh_front *f = jh_front_create(loop, &limits, ops, arg);
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	    .sin_port = htons((uint16_t)port)};
+	struct sockaddr_in sin = fake_loopback(port);
 	int error = jh_front_listen(f, &sin);
 
 	if (error != 0)
--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -435,12 +435,6 @@
 	return w->spec.number;
 }
 
-const char *
-fake_worker_id(const struct fake_worker *w)
-{
-	return w->id;
-}
-
 static unsigned int
 figure(struct fake_worker *w, const unsigned int *at)
 {
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -69,8 +69,6 @@
 void fake_worker_start(struct fake_worker *w);
 
 unsigned int fake_worker_number(const struct fake_worker *w);
-/* Its id in the store; valid until it starts again. */
-const char *fake_worker_id(const struct fake_worker *w);
 unsigned int fake_worker_runs(struct fake_worker *w);
 unsigned int fake_worker_weights(struct fake_worker *w);
 /* Orders accepted since its start. */
--- a/fakes/port.c
+++ b/fakes/port.c
@@ -11,12 +11,18 @@
 #define FIRST_PORT 20000
 #define PORTS 12000
 
-static bool
-is_free(unsigned int port)
+struct sockaddr_in
+fake_loopback(unsigned int port)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET,
+	return (struct sockaddr_in){.sin_family = AF_INET,
 	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	    .sin_port = htons((uint16_t)port)};
+}
+
+static bool
+is_free(unsigned int port)
+{
+	struct sockaddr_in sin = fake_loopback(port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	bool ok;
 
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -1,10 +1,10 @@
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <http_parser.h>
 
 #include <jacinthhill/clock.h>
 
+#include "fakes/port.h"
 #include "net/conn.h"
 #include "soak/caller.h"
 
@@ -250,9 +250,7 @@
 static bool
 connect_to(struct soak_caller *c, unsigned int port)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	    .sin_port = htons((uint16_t)port)};
+	struct sockaddr_in sin = fake_loopback(port);
 
 	if (c->conn != NULL && c->port == port &&
 	    g_rand_int_range(c->rand, 0, NEW_CONNECTION) != 0)
--- a/soak/ledger.c
+++ b/soak/ledger.c
@@ -171,36 +171,33 @@
 	return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
-/* A stream's events are 1 to n, each once, and whole if it is complete. */
-static bool
-is_stream_body(struct jh_str body, bool complete)
+/* The whole body; a stream's events are 1 to n, each once. */
+static GString *
+whole_body(const struct record *rec)
 {
-	GString *want = g_string_new(NULL);
-	bool ok;
+	GString *s = g_string_new(NULL);
 	int i;
 
-	for (i = 1; i <= FAKE_WORKER_EVENTS; i++)
-		g_string_append_printf(want, "id: %d\ndata: t%d\n\n", i, i);
-	ok = body.len <= want->len &&
-	     memcmp(body.ptr, want->str, body.len) == 0 &&
-	     (!complete || body.len == want->len);
-	g_string_free(want, TRUE);
-	return ok;
+	if (rec->r.kind != SOAK_STREAM)
+		g_string_append_printf(s, "done %s", rec->r.id);
+	else
+		for (i = 1; i <= FAKE_WORKER_EVENTS; i++)
+			g_string_append_printf(
+			    s, "id: %d\ndata: t%d\n\n", i, i);
+	return s;
 }
 
+/* An incomplete answer may have the beginning only. */
 static bool
 is_body(const struct record *rec, const struct soak_answer *a)
 {
-	char *want;
+	GString *want = whole_body(rec);
 	bool ok;
 
-	if (rec->r.kind == SOAK_STREAM)
-		return is_stream_body(a->body, a->complete);
-	want = g_strconcat("done ", rec->r.id, NULL);
-	ok = a->body.len <= strlen(want) &&
-	     memcmp(a->body.ptr, want, a->body.len) == 0 &&
-	     (!a->complete || a->body.len == strlen(want));
-	g_free(want);
+	ok = a->body.len <= want->len &&
+	     memcmp(a->body.ptr, want->str, a->body.len) == 0 &&
+	     (!a->complete || a->body.len == want->len);
+	g_string_free(want, TRUE);
 	return ok;
 }
 
--- a/soak/link.c
+++ b/soak/link.c
@@ -1,11 +1,11 @@
 #include <stdbool.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <glib.h>
 
 #include <jacinthhill/clock.h>
 
+#include "fakes/port.h"
 #include "net/conn.h"
 #include "soak/link.h"
 
@@ -195,14 +195,11 @@
 soak_link_create(uv_loop_t *loop, unsigned int port, unsigned int server_port)
 {
 	struct soak_link *l = g_new0(struct soak_link, 1);
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	    .sin_port = htons((uint16_t)port)};
+	struct sockaddr_in sin = fake_loopback(port);
 	int error;
 
 	l->loop = loop;
-	l->server = sin;
-	l->server.sin_port = htons((uint16_t)server_port);
+	l->server = fake_loopback(server_port);
 	l->pairs = g_ptr_array_new_with_free_func(free_pair);
 	uv_tcp_init(loop, &l->listener);
 	uv_timer_init(loop, &l->tick);
--- a/soak/process.c
+++ b/soak/process.c
@@ -1,12 +1,10 @@
 #include <fcntl.h>
 #include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
 #include <glib.h>
 
+#include "fakes/process.h"
 #include "soak/process.h"
 
 struct soak_process {
@@ -95,20 +93,7 @@
 long
 soak_process_memory(const struct soak_process *p)
 {
-	char *path, *text = NULL;
-	const char *at = NULL;
-	long kb = 0;
-
-	if (p->child == NULL)
-		return 0;
-	path = g_strdup_printf("/proc/%d/status", (int)p->child->pid);
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		at = strstr(text, "VmHWM:");
-	if (at != NULL)
-		kb = strtol(at + strlen("VmHWM:"), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kb;
+	return p->child != NULL ? fake_process_kb(p->child->pid, "VmHWM:") : 0;
 }
 
 void
--- a/soak/process.h
+++ b/soak/process.h
@@ -23,7 +23,7 @@
 int soak_process_start(struct soak_process *p);
 bool soak_process_runs(const struct soak_process *p);
 void soak_process_signal(struct soak_process *p, int signal);
-/* Resident memory in kilobytes; 0 if it is not known. */
+/* Most resident memory in kilobytes; 0 or less if it is not known. */
 long soak_process_memory(const struct soak_process *p);
 
 #endif
--- a/soak/world.c
+++ b/soak/world.c
@@ -3,6 +3,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "fakes/platform/settings.h"
 #include "fakes/port.h"
 #include "soak/caller.h"
 #include "soak/deployment.h"
@@ -192,18 +193,15 @@
 	struct soak_entry *e = &w->entries[number];
 	unsigned int clients = fake_port(), link = fake_port();
 	struct soak_fault f = {.target = number};
+	char *name = g_strdup_printf("e%u", number);
 	char *file = g_strdup_printf("%s/e%u.yaml", w->spec.dir, number);
 	char *log = g_strdup_printf("%s/e%u.log", w->spec.dir, number);
-	char *text = g_strdup_printf(
-	    "name: \"e%u\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
-	    "    region: \"r0\"\ngossip: \"127.0.0.1:%u\"\n"
-	    "clients: \"127.0.0.1:%u\"\nreadiness: \"127.0.0.1:%u\"\n"
-	    "metrics: \"127.0.0.1:%u\"\nstore: \"127.0.0.1:%u\"\n"
-	    "memory_mb: 110\ndescriptors: 1000\ngrace_s: \"%d\"\n"
-	    "repeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
-	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n",
-	    number, fake_port(), clients, fake_port(), fake_port(), link,
-	    SOAK_GRACE_SEC);
+	struct fake_entry_settings settings = {.name = name,
+	    .clients = clients,
+	    .readiness = fake_port(),
+	    .metrics = fake_port(),
+	    .store = link,
+	    .grace_sec = SOAK_GRACE_SEC};
 	char *argv[] = {(char *)w->spec.program, file, NULL};
 
 	e->world = w;
@@ -211,14 +209,14 @@
 	e->port = fake_port();
 	e->callers = soak_link_create(&w->loop, e->port, clients);
 	e->store = soak_link_create(&w->loop, link, store);
-	if (!g_file_set_contents(file, text, -1, NULL))
+	if (!fake_entry_settings_write(file, &settings))
 		g_error("cannot write %s", file);
 	e->process =
 	    soak_process_create(&w->loop, argv, log, &soak_entry_ops, e);
 	soak_start_entry(w, &f);
 	g_free(file);
 	g_free(log);
-	g_free(text);
+	g_free(name);
 }
 
 static void
--- a/src/ctl/control.c
+++ b/src/ctl/control.c
@@ -32,9 +32,7 @@
 	struct sockaddr_in peer;
 	GError *err = NULL;
 
-	if (!jh_address_parse(address, &peer)) {
-		fprintf(c->err, "\"%s\" is no address such as 10.0.0.1:7001\n",
-		    address);
+	if (!ctl_address(c, address, "10.0.0.1:7001", &peer)) {
 		*status = CTL_USAGE;
 		return false;
 	}
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -68,6 +68,10 @@
 int ctl_parse(struct ctl *c, const struct ctl_command *command,
     const GOptionEntry *extra, char ***args, guint min, guint max);
 
+/* Reads an operand such as the example, or prints that it is no address. */
+bool ctl_address(struct ctl *c, const char *text, const char *example,
+    struct sockaddr_in *out);
+
 /* Loads the settings; returns CTL_GO_ON or an exit code. */
 int ctl_load_settings(struct ctl *c);
 /* Loads the settings and opens the store client. */
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -90,6 +90,16 @@
 	return check_operands(c, command, *args, min, max);
 }
 
+bool
+ctl_address(struct ctl *c, const char *text, const char *example,
+    struct sockaddr_in *out)
+{
+	if (jh_address_parse(text, out))
+		return true;
+	fprintf(c->err, "\"%s\" is no address such as %s\n", text, example);
+	return false;
+}
+
 int
 ctl_load_settings(struct ctl *c)
 {
--- a/src/ctl/view.c
+++ b/src/ctl/view.c
@@ -2,7 +2,6 @@
 
 #include <jansson.h>
 
-#include "config/settings.h"
 #include "ctl/ctl.h"
 #include "ctl/fetch.h"
 
@@ -17,9 +16,7 @@
 	GString *body;
 	json_t *view;
 
-	if (!jh_address_parse(address, &peer)) {
-		fprintf(c->err, "\"%s\" is no address such as 10.0.0.1:9464\n",
-		    address);
+	if (!ctl_address(c, address, "10.0.0.1:9464", &peer)) {
 		*status = CTL_USAGE;
 		return NULL;
 	}
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -60,7 +60,8 @@
 	GArray *news; /* struct news */
 	size_t next_row; /* worker whose row comes first in the next message */
 	struct jh_peers *heard;
-	const uv_buf_t *sending; /* the message of the present round */
+	unsigned char message[MAX_LEN]; /* the one that is being sent */
+	size_t message_len;
 	unsigned int handles;
 	char buffer[2048];
 };
@@ -182,11 +183,10 @@
 	return told;
 }
 
-/* Returns the length of the message. */
-static size_t
-write_message(struct jh_gossip *g, unsigned char out[MAX_LEN])
+static void
+write_message(struct jh_gossip *g)
 {
-	unsigned char *at = out, *count;
+	unsigned char *out = g->message, *at = out, *count;
 	uint16_t rows, told;
 	size_t i;
 
@@ -204,7 +204,7 @@
 	put(&count, told, 2);
 	crypto_generichash(
 	    at, MAC_LEN, out, (size_t)(at - out), g->key, JH_GOSSIP_KEY_LEN);
-	return (size_t)(at - out) + MAC_LEN;
+	g->message_len = (size_t)(at - out) + MAC_LEN;
 }
 
 static void
@@ -212,27 +212,25 @@
 {
 	struct jh_gossip *g = arg;
 	const struct peer *p = peer;
+	uv_buf_t buf =
+	    uv_buf_init((char *)g->message, (unsigned int)g->message_len);
 
 	/* A full socket loses the message; the next one makes it good. */
-	if (uv_udp_try_send(&g->udp, g->sending, 1,
-		(const struct sockaddr *)&p->address) < 0)
+	if (uv_udp_try_send(
+		&g->udp, &buf, 1, (const struct sockaddr *)&p->address) < 0)
 		jh_metrics_add(g->spec.metrics, "jh_gossip_not_sent", 1);
 }
 
 void
 jh_gossip_send(struct jh_gossip *g)
 {
-	unsigned char message[MAX_LEN];
-	uv_buf_t buf = uv_buf_init(
-	    (char *)message, (unsigned int)write_message(g, message));
 	GHashTableIter it;
 	gpointer peer;
 
-	g->sending = &buf;
+	write_message(g);
 	g_hash_table_iter_init(&it, g->peers);
 	while (g_hash_table_iter_next(&it, NULL, &peer))
 		send_to(g, peer);
-	g->sending = NULL;
 }
 
 static bool
@@ -314,17 +312,13 @@
 on_round(uv_timer_t *t)
 {
 	struct jh_gossip *g = t->data;
-	unsigned char message[MAX_LEN];
-	uv_buf_t buf = uv_buf_init(
-	    (char *)message, (unsigned int)write_message(g, message));
 	uint64_t turn = (jh_audience_period(g->audience) - 1) * ROUND_MSEC *
 			JH_USEC_PER_MSEC;
 
 	jh_peers_expire(
 	    g->heard, g->spec.fleet, jh_now(), JH_PEERS_SILENT_USEC + 2 * turn);
-	g->sending = &buf;
+	write_message(g);
 	jh_audience_round(g->audience, send_to, g);
-	g->sending = NULL;
 }
 
 static void
@@ -423,6 +417,20 @@
 	g_hash_table_remove(g->peers, name);
 }
 
+size_t
+jh_gossip_peers(const struct jh_gossip *g)
+{
+	return g_hash_table_size(g->peers);
+}
+
+const struct sockaddr_in *
+jh_gossip_address(const struct jh_gossip *g, const char *name)
+{
+	const struct peer *p = g_hash_table_lookup(g->peers, name);
+
+	return p != NULL ? &p->address : NULL;
+}
+
 size_t
 jh_gossip_heard(const struct jh_gossip *g)
 {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -57,6 +57,10 @@
     const struct sockaddr_in *address,
     const unsigned char key[JH_GOSSIP_KEY_LEN]);
 void jh_gossip_drop_peer(struct jh_gossip *g, const char *name);
+/* Number of peers, and where one is; NULL: not a peer. */
+size_t jh_gossip_peers(const struct jh_gossip *g);
+const struct sockaddr_in *jh_gossip_address(
+    const struct jh_gossip *g, const char *name);
 
 /* Marks rise; index and meaning are the owner's. */
 void jh_gossip_set_mark(struct jh_gossip *g, size_t i, uint64_t revision);
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -290,12 +290,12 @@
 	return cost + reading + prefill_usec(r->own_tokens);
 }
 
-/* The time to the first token. */
+/* The time to the first token on a worker without other work. */
 static uint64_t
-expected_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
+base_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
     const struct jh_worker *w, uint64_t now)
 {
-	uint64_t time = wait_usec(r, w, now) + distance_usec(distance(c, w));
+	uint64_t time = distance_usec(distance(c, w));
 
 	if (!r->is_engine)
 		return time;
@@ -424,9 +424,8 @@
 		choose_cheapest(c, f, now, r, versions, n, true, out);
 	if (out->worker == NULL)
 		return;
-	out->expected = expected_usec(c, r, out->worker, now);
-	out->base =
-	    out->expected - MIN(out->expected, wait_usec(r, out->worker, now));
+	out->base = base_usec(c, r, out->worker, now);
+	out->expected = out->base + wait_usec(r, out->worker, now);
 	if (!r->is_engine || r->n_levels == 0)
 		return;
 	out->uncached = uncached(c, r, out->worker, now);
--- a/test/harness_proc.c
+++ b/test/harness_proc.c
@@ -14,6 +14,7 @@
 #include <arpa/inet.h>
 #include <cmocka.h>
 
+#include "fakes/process.h"
 #include "harness.h"
 
 #define MAX_PIDS 64
@@ -258,16 +259,5 @@
 long
 proc_memory(const struct proc *p, const char *field)
 {
-	char *path = g_strdup_printf("/proc/%d/status", (int)p->pid);
-	gchar *text = NULL;
-	const char *at = NULL;
-	long kb = -1;
-
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		at = strstr(text, field);
-	if (at != NULL)
-		kb = strtol(at + strlen(field), NULL, 10);
-	g_free(text);
-	g_free(path);
-	return kb;
+	return fake_process_kb(p->pid, field);
 }
--- a/test/platform_world.c
+++ b/test/platform_world.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include "fakes/platform/settings.h"
 #include "fakes/port.h"
 #include "platform_world.h"
 
@@ -45,16 +46,6 @@
 	return NULL;
 }
 
-static struct sockaddr_in
-loopback(unsigned int port)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	sin.sin_port = htons((uint16_t)port);
-	return sin;
-}
-
 static json_t *
 make_config(unsigned int version, const char *key)
 {
@@ -93,26 +84,17 @@
 	    g_strdup_printf("%s/jhplatform", build != NULL ? build : "build");
 	char *file = g_strdup_printf("%s/entry.yaml", p->dir);
 	char **argv = g_new0(char *, 3); /* owned by the process */
-	char *text;
+	struct fake_entry_settings settings = {
+	    .name = "e1", .store = p->store_port, .grace_sec = 6};
 
 	argv[0] = program;
 	argv[1] = file;
-	p->clients = fake_port();
-	p->readiness = fake_port();
-	p->metrics = fake_port();
-	text = g_strdup_printf(
-	    "name: \"e1\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
-	    "    region: \"r0\"\ngossip: \"127.0.0.1:%u\"\n"
-	    "clients: \"127.0.0.1:%u\"\nreadiness: \"127.0.0.1:%u\"\n"
-	    "metrics: \"127.0.0.1:%u\"\n"
-	    "store: \"127.0.0.1:%u\"\nmemory_mb: 110\ndescriptors: 1000\n"
-	    "grace_s: \"6\"\nrepeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
-	    "repeat_window_s: \"10\"\nholders_apart_ms: 500\n",
-	    fake_port(), p->clients, p->readiness, p->metrics, p->store_port);
-	assert_true(g_file_set_contents(file, text, -1, NULL));
+	settings.clients = p->clients = fake_port();
+	settings.readiness = p->readiness = fake_port();
+	settings.metrics = p->metrics = fake_port();
+	assert_true(fake_entry_settings_write(file, &settings));
 	proc_init(&p->entry, p->dir, "entry", p->clients, argv);
 	proc_start(&p->entry);
-	g_free(text);
 }
 
 struct platform *
@@ -177,7 +159,7 @@
 ask_port(
     unsigned int port, const char *method, const char *path, const char *fields)
 {
-	struct sockaddr_in sin = loopback(port);
+	struct sockaddr_in sin = fake_loopback(port);
 	struct timeval limit = {10, 0};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	GString *answer = g_string_new(NULL);
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -8,11 +8,9 @@
 
 #include <cmocka.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-
 #include <jacinthhill/clock.h>
 
+#include "fakes/port.h"
 #include "net/front.h"
 #include "platform/share.h"
 #include "platform/watch.h"
@@ -88,16 +86,9 @@
 {
 	const struct jh_front_limits limits = {8192, 8192, 0, 0, 0};
 	struct plat_watch_spec spec = {.kind = "config", .arg = w};
-	socklen_t len = sizeof(w->address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	memset(w, 0, sizeof(*w));
-	w->address.sin_family = AF_INET;
-	w->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(
-	    bind(fd, (struct sockaddr *)&w->address, sizeof(w->address)), 0);
-	getsockname(fd, (struct sockaddr *)&w->address, &len);
-	close(fd);
+	w->address = fake_loopback(fake_port());
 	uv_loop_init(&w->loop);
 	w->store = jh_front_create(&w->loop, &limits, &store_ops, w);
 	assert_int_equal(jh_front_listen(w->store, &w->address), 0);
@@ -258,20 +249,6 @@
 	((struct near_world *)arg)->failures++;
 }
 
-static struct sockaddr_in
-free_address(void)
-{
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_int_equal(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-	getsockname(fd, (struct sockaddr *)&sin, &len);
-	close(fd);
-	return sin;
-}
-
 static void
 near_world_init(struct near_world *n)
 {
@@ -282,7 +259,7 @@
 	    .neighbour = neighbour,
 	    .neighbour_failed = neighbour_failed,
 	    .arg = n};
-	struct sockaddr_in sin = free_address();
+	struct sockaddr_in sin = fake_loopback(fake_port());
 	int error;
 
 	memset(n, 0, sizeof(*n));
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -426,35 +426,38 @@
 	server_stop(&s);
 }
 
-/* Guards against a body that fills the memory. */
+/* Checks that the front refuses a request by itself. */
 static void
-large_body_is_refused(void **state)
+expect_refusal(const struct jh_front_limits *limits, const char *request,
+    const char *status)
 {
-	const struct jh_front_limits limits = {4096, 4, 0, 0, 0};
-	struct client c = {
-	    .request = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde"};
+	struct client c = {.request = request};
 	struct server s = {0};
 
-	server_start(&s, &limits);
+	server_start(&s, limits);
 	serve(&s, &c);
 	assert_int_equal(s.requests, 0);
-	assert_non_null(strstr(c.answer, "413"));
+	assert_non_null(strstr(c.answer, status));
 	server_stop(&s);
 }
 
+/* Guards against a body that fills the memory. */
+static void
+large_body_is_refused(void **state)
+{
+	const struct jh_front_limits limits = {4096, 4, 0, 0, 0};
+
+	expect_refusal(&limits,
+	    "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", "413");
+}
+
 /* Guards against a client that holds a connection with half a request. */
 static void
 slow_request_is_refused(void **state)
 {
 	const struct jh_front_limits limits = {4096, 4096, 300000, 0, 0};
-	struct client c = {.request = "POST / HTTP/1.1\r\nContent-Le"};
-	struct server s = {0};
 
-	server_start(&s, &limits);
-	serve(&s, &c);
-	assert_int_equal(s.requests, 0);
-	assert_non_null(strstr(c.answer, "408"));
-	server_stop(&s);
+	expect_refusal(&limits, "POST / HTTP/1.1\r\nContent-Le", "408");
 }
 
 /* Guards against clients that are cut off by a planned stop. */
