--- a/src/gateway/weights_controller.c
+++ b/src/gateway/weights_controller.c
@@ -16,6 +16,7 @@
 
 /* Other processes poll the election's object this often. */
 #define POLL_INTERVAL_USEC (600 * JH_USEC_PER_MSEC)
+#define STANDBY_INTERVAL_USEC (3 * JH_USEC_PER_SEC)
 
 /* Longest time that an order takes to arrive. */
 #define MAX_TRANSIT_USEC (500 * JH_USEC_PER_MSEC)
@@ -120,6 +121,7 @@
 	    .lease_time = LEASE_USEC,
 	    .renew_interval = RENEW_INTERVAL_USEC,
 	    .poll_interval = POLL_INTERVAL_USEC,
+	    .standby_interval = STANDBY_INTERVAL_USEC,
 	    .min_gap = spec->min_gap,
 	    .max_transit = MAX_TRANSIT_USEC,
 	};
@@ -175,6 +177,12 @@
 	    s->spec.weights, jh_now(), worker, responded, busy, weights);
 }
 
+void
+jh_weights_controller_set_standby(struct jh_weights_controller *s, bool standby)
+{
+	jh_election_set_standby(s->election, standby);
+}
+
 bool
 jh_weights_controller_is_leader(const struct jh_weights_controller *s)
 {
--- a/src/gateway/weights_controller.h
+++ b/src/gateway/weights_controller.h
@@ -60,6 +60,9 @@
     const char *worker, enum jh_weights_result result);
 void jh_weights_controller_on_report(struct jh_weights_controller *s,
     const char *worker, bool responded, bool busy, uint64_t weights);
+/* See jh_election_set_standby(). */
+void jh_weights_controller_set_standby(
+    struct jh_weights_controller *s, bool standby);
 /* Whether this process is the leader; the last known leader, or NULL. */
 bool jh_weights_controller_is_leader(const struct jh_weights_controller *s);
 const char *jh_weights_controller_last_leader(
--- a/src/member/election.c
+++ b/src/member/election.c
@@ -11,6 +11,7 @@
 	struct jh_election_spec spec;
 	char *holder;
 	bool resigned;
+	bool standby;
 	bool in_call;
 	bool writing;
 	uint64_t call_sent;
@@ -24,6 +25,7 @@
 	bool released;
 	bool own; /* written by this process, perhaps without a reply */
 	uint64_t unchanged_since;
+	uint64_t confirmed_at; /* when the object was last read or written */
 	/* The present leadership. */
 	uint64_t token; /* 0: not the leader */
 	uint64_t lease_end;
@@ -66,6 +68,9 @@
 		return false;
 	if (e->version == 0 || e->own)
 		return true;
+	/* On standby the leader may have renewed since; a read is cheaper. */
+	if (now - e->confirmed_at > 2 * e->spec.poll_interval)
+		return false;
 	if (!e->released)
 		wait += e->spec.lease_time;
 	return now - e->unchanged_since >= wait;
@@ -140,6 +145,7 @@
 record_object(
     struct jh_election *e, uint64_t now, const struct jh_election_reply *reply)
 {
+	e->confirmed_at = now;
 	if (e->seen && reply->version == e->version)
 		return;
 	/* A stale read may return an older version than the known one. */
@@ -172,6 +178,18 @@
 	e->may_act = e->write_allows_actions;
 }
 
+/* Interval of the calls, by what is known of the leader. */
+static uint64_t
+call_interval(const struct jh_election *e, uint64_t now)
+{
+	if (e->token != 0)
+		return e->spec.renew_interval;
+	if (e->standby && e->seen && e->version != 0 &&
+	    now - e->unchanged_since < e->spec.lease_time)
+		return e->spec.standby_interval;
+	return e->spec.poll_interval;
+}
+
 void
 jh_election_on_reply(
     struct jh_election *e, uint64_t now, const struct jh_election_reply *reply)
@@ -180,16 +198,13 @@
 
 	e->in_call = false;
 	e->writing = false;
-	e->next_call = now + (e->token != 0 ? e->spec.renew_interval
-					    : e->spec.poll_interval);
+	e->next_call = now + call_interval(e, now);
 	switch (reply->result) {
 	case JH_STORE_OK:
 		record_object(e, now, reply);
 		if (wrote)
 			on_written(e, reply);
-		e->next_call =
-		    e->call_sent + (e->token != 0 ? e->spec.renew_interval
-						  : e->spec.poll_interval);
+		e->next_call = e->call_sent + call_interval(e, now);
 		break;
 	case JH_STORE_NOT_FOUND:
 		if (e->token != 0 || wrote || !e->seen)
@@ -210,7 +225,7 @@
 			e->token = 0;
 		e->next_call = now;
 		if (e->token == 0)
-			e->next_call = now + e->spec.poll_interval;
+			e->next_call = now + call_interval(e, now);
 		break;
 	default:
 		/* The store is down, refused the call or did not respond. */
@@ -250,6 +265,12 @@
 	e->last_action = now;
 }
 
+void
+jh_election_set_standby(struct jh_election *e, bool standby)
+{
+	e->standby = standby;
+}
+
 bool
 jh_election_release_pending(const struct jh_election *e)
 {
--- a/src/member/election.h
+++ b/src/member/election.h
@@ -32,6 +32,7 @@
 	uint64_t lease_time; /* validity after a renewal */
 	uint64_t renew_interval; /* of the leader */
 	uint64_t poll_interval; /* of the others */
+	uint64_t standby_interval; /* of those on standby */
 	uint64_t min_gap; /* least time between actions of two leaders */
 	uint64_t max_transit; /* an action takes effect within this time */
 };
@@ -91,6 +92,12 @@
 uint64_t jh_election_token(const struct jh_election *e, uint64_t now);
 /* An action was sent. */
 void jh_election_acted(struct jh_election *e, uint64_t now);
+/*
+ * On standby this process reads the object at the standby interval, because
+ * enough others read it more often. When the object has not changed for the
+ * lease time, it reads it as often as they do.
+ */
+void jh_election_set_standby(struct jh_election *e, bool standby);
 /* Stops acting, releases the object and never leads again. */
 void jh_election_resign(struct jh_election *e);
 /* After jh_election_resign(): whether the object is still to be released. */
--- a/src/member/liveness.c
+++ b/src/member/liveness.c
@@ -1,4 +1,7 @@
+#include <string.h>
+
 #include <glib.h>
+#include <xxhash.h>
 
 #include "member/liveness.h"
 
@@ -44,6 +47,29 @@
 	g_hash_table_remove(l->last_seen, name);
 }
 
+static uint64_t
+hash_name(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
+size_t
+jh_liveness_rank(const struct jh_liveness *l, uint64_t now, const char *self)
+{
+	uint64_t own = hash_name(self);
+	gpointer name, last_seen;
+	GHashTableIter it;
+	size_t before = 0;
+
+	g_hash_table_iter_init(&it, l->last_seen);
+	while (g_hash_table_iter_next(&it, &name, &last_seen)) {
+		if (now - *(uint64_t *)last_seen < JH_LIVENESS_RECENT_USEC &&
+		    hash_name(name) < own)
+			before++;
+	}
+	return before;
+}
+
 const char *
 jh_liveness_next_dead(struct jh_liveness *l, uint64_t now)
 {
--- a/src/member/liveness.h
+++ b/src/member/liveness.h
@@ -1,6 +1,7 @@
 #ifndef MEMBER_LIVENESS_H
 #define MEMBER_LIVENESS_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 /*
@@ -28,6 +29,18 @@
 void jh_liveness_seen(struct jh_liveness *l, uint64_t now, const char *name);
 /* The entry of the process has been removed. */
 void jh_liveness_forget(struct jh_liveness *l, const char *name);
+/*
+ * A process that was seen within this time counts as live for a ranking: longer
+ * than the interval of the messages between regions, see above.
+ */
+#define JH_LIVENESS_RECENT_USEC (60 * 1000000ULL)
+
+/*
+ * The number of live processes that rank before this one. Processes rank by the
+ * hash of their name, so those that see each other agree.
+ */
+size_t jh_liveness_rank(
+    const struct jh_liveness *l, uint64_t now, const char *self);
 /*
  * The name of a process whose entry is to be removed now, or NULL; valid until
  * the next change. The next removal is due an interval later.
--- a/src/member/mirrors.c
+++ b/src/member/mirrors.c
@@ -8,12 +8,12 @@
 struct process {
 	char *name;
 	uint64_t rank;
+	uint64_t backoff_until; /* 0: it served, or was not asked */
 };
 
 struct jh_mirrors {
 	uint64_t rank; /* hash of this process's name */
 	GPtrArray *peers; /* other processes as struct process, by rank */
-	unsigned int failures; /* of sources */
 };
 
 static uint64_t
@@ -98,24 +98,36 @@
 bool
 jh_mirrors_unused(const struct jh_mirrors *r)
 {
-	return r->peers->len + 1 <= JH_MIRRORS_GROUP_SIZE;
+	return r->peers->len + 1 <= JH_MIRRORS_MIN_ZONE;
 }
 
 const char *
-jh_mirrors_source(const struct jh_mirrors *r)
+jh_mirrors_source(const struct jh_mirrors *r, uint64_t now)
 {
 	const guint n_mirrors =
-	    MAX(1U + r->peers->len / JH_MIRRORS_GROUP_SIZE, 1U);
+	    MAX(1U + r->peers->len / JH_MIRRORS_GROUP_SIZE, JH_MIRRORS_MIN);
 	const struct process *p;
+	guint i;
 
 	if (jh_mirrors_unused(r) || position(r) < n_mirrors)
 		return NULL;
-	p = g_ptr_array_index(r->peers, (r->rank + r->failures) % n_mirrors);
-	return p->name;
+	for (i = 0; i < n_mirrors; i++) {
+		p = g_ptr_array_index(r->peers, (r->rank + i) % n_mirrors);
+		if (now >= p->backoff_until)
+			return p->name;
+	}
+	return NULL;
 }
 
 void
-jh_mirrors_source_failed(struct jh_mirrors *r)
+jh_mirrors_source_failed(struct jh_mirrors *r, uint64_t now, const char *name)
 {
-	r->failures++;
+	struct process *p;
+	guint i;
+
+	for (i = 0; i < r->peers->len; i++) {
+		p = g_ptr_array_index(r->peers, i);
+		if (strcmp(p->name, name) == 0)
+			p->backoff_until = now + JH_MIRRORS_BACKOFF_USEC;
+	}
 }
--- a/test/test_election.c
+++ b/test/test_election.c
@@ -16,6 +16,7 @@
 #define LEASE_TIME (1500 * MSEC)
 #define MIN_GAP (3000 * MSEC)
 #define MAX_TRANSIT (500 * MSEC)
+#define STANDBY_INTERVAL (3000 * MSEC)
 
 /* The election's object in the store. */
 struct object {
@@ -60,6 +61,7 @@
 	    .lease_time = LEASE_TIME,
 	    .renew_interval = 500 * MSEC,
 	    .poll_interval = 600 * MSEC,
+	    .standby_interval = STANDBY_INTERVAL,
 	    .min_gap = MIN_GAP,
 	    .max_transit = MAX_TRANSIT,
 	};
@@ -298,6 +300,74 @@
 	simulation_clear(&s);
 }
 
+/* Calls to the store that a process makes in 60 s while another one leads. */
+static unsigned int
+count_follower_calls(bool standby)
+{
+	struct jh_election_spec spec = {
+	    .holder = "follower",
+	    .lease_time = LEASE_TIME,
+	    .renew_interval = 500 * MSEC,
+	    .poll_interval = 600 * MSEC,
+	    .standby_interval = STANDBY_INTERVAL,
+	    .min_gap = MIN_GAP,
+	    .max_transit = MAX_TRANSIT,
+	};
+	struct jh_election *e = jh_election_create(&spec);
+	struct jh_election_reply r = {.result = JH_STORE_OK,
+	    .version = 1,
+	    .holder = jh_str_from("leader")};
+	struct jh_election_action a;
+	unsigned int calls = 0;
+	uint64_t now;
+
+	jh_election_set_standby(e, standby);
+	for (now = MSEC; now < 60000 * MSEC; now += 20 * MSEC) {
+		if (now % (500 * MSEC) < 20 * MSEC)
+			r.version++;
+		if (!jh_election_next(e, now, &a))
+			continue;
+		assert_int_equal(a.kind, JH_ELECTION_READ);
+		jh_election_on_reply(e, now, &r);
+		calls++;
+	}
+	jh_election_destroy(e);
+	return calls;
+}
+
+/* Guards against calls to the store that grow with the number of processes. */
+static void
+standby_makes_few_calls(void **state)
+{
+	assert_in_range(count_follower_calls(false), 95, 101);
+	assert_in_range(count_follower_calls(true), 19, 22);
+}
+
+/* Guards against a standby that leaves the deployment without a leader. */
+static void
+standby_replaces_killed_leader(void **state)
+{
+	struct simulation s;
+	struct process *first, *second;
+	uint64_t now = 1, killed;
+	size_t i;
+
+	simulation_init(&s, 7);
+	first = run_until_act(&s, &now);
+	assert_non_null(first);
+	for (i = 0; i < G_N_ELEMENTS(s.processes); i++)
+		jh_election_set_standby(s.processes[i].election, true);
+	killed = now;
+	first->frozen = true;
+	first->stuck_until = UINT64_MAX;
+	second = run_until_act(&s, &now);
+	assert_non_null(second);
+	assert_ptr_not_equal(first, second);
+	assert_true(now - killed <= LEASE_TIME + MIN_GAP + MAX_TRANSIT +
+					STANDBY_INTERVAL + 2000 * MSEC);
+	simulation_clear(&s);
+}
+
 int
 main(void)
 {
@@ -305,6 +375,8 @@
 	    cmocka_unit_test(actions_of_two_leaders_are_apart),
 	    cmocka_unit_test(killed_leader_is_replaced),
 	    cmocka_unit_test(successor_waits_only_for_the_cooldown),
+	    cmocka_unit_test(standby_makes_few_calls),
+	    cmocka_unit_test(standby_replaces_killed_leader),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_liveness.c
+++ b/test/test_liveness.c
@@ -59,10 +59,30 @@
 	jh_liveness_destroy(l);
 }
 
+/* Guards against processes that all rank first, or a dead one that does. */
+static void
+live_processes_rank_once_each(void **state)
+{
+	static const char *const names[] = {"e1", "e2", "e3", "e4"};
+	struct jh_liveness *l = jh_liveness_create();
+	unsigned int seen = 0;
+	size_t i, rank;
+
+	for (i = 0; i < 4; i++)
+		jh_liveness_seen(l, SEC, names[i]);
+	for (i = 0; i < 4; i++)
+		seen |= 1U << jh_liveness_rank(l, 2 * SEC, names[i]);
+	assert_int_equal(seen, 0xf);
+	rank = jh_liveness_rank(l, SEC + JH_LIVENESS_RECENT_USEC, names[0]);
+	assert_int_equal(rank, 0);
+	jh_liveness_destroy(l);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test(silent_process_is_removed),
     cmocka_unit_test(removals_are_spread),
     cmocka_unit_test(live_process_stays),
+    cmocka_unit_test(live_processes_rank_once_each),
 };
 
 int
--- a/test/test_replica.c
+++ b/test/test_replica.c
@@ -147,10 +147,10 @@
 static void
 few_processes_all_read_the_store(void **state)
 {
-	struct jh_mirrors *r = create_mirrors(3, JH_MIRRORS_GROUP_SIZE);
+	struct jh_mirrors *r = create_mirrors(3, JH_MIRRORS_MIN_ZONE);
 
 	assert_true(jh_mirrors_unused(r));
-	assert_null(jh_mirrors_source(r));
+	assert_null(jh_mirrors_source(r, 1));
 	jh_mirrors_destroy(r);
 }
 
@@ -168,7 +168,7 @@
 
 	for (i = 0; i < ALL; i++) {
 		r[i] = create_mirrors(i, ALL);
-		source = jh_mirrors_source(r[i]);
+		source = jh_mirrors_source(r[i], 1);
 		if (source == NULL)
 			n_mirrors++;
 		else
@@ -178,31 +178,42 @@
 	    (ALL + JH_MIRRORS_GROUP_SIZE - 1) / JH_MIRRORS_GROUP_SIZE);
 	for (i = 0; i < ALL; i++) {
 		if (reads[i] > 0)
-			assert_null(jh_mirrors_source(r[i]));
+			assert_null(jh_mirrors_source(r[i], 1));
 		assert_true(reads[i] <= 2 * JH_MIRRORS_GROUP_SIZE);
 		jh_mirrors_destroy(r[i]);
 	}
 }
 
-/* Guards against a process that keeps reading from a mirror that fails. */
+/*
+ * Guards against a process that keeps reading from a mirror that fails, or goes
+ * back to it because all its watches fail there.
+ */
 static void
 failed_mirrors_are_replaced(void **state)
 {
+	const uint64_t later = 1 + JH_MIRRORS_BACKOFF_USEC;
 	struct jh_mirrors *r = NULL;
+	const char *second;
 	char *first;
 	unsigned int i;
 
 	for (i = 0; i < 40; i++) {
 		r = create_mirrors(i, 40);
-		if (jh_mirrors_source(r) != NULL)
+		if (jh_mirrors_source(r, 1) != NULL)
 			break;
 		jh_mirrors_destroy(r);
 	}
-	first = g_strdup(jh_mirrors_source(r));
-	jh_mirrors_source_failed(r);
-	assert_string_not_equal(jh_mirrors_source(r), first);
+	first = g_strdup(jh_mirrors_source(r, 1));
+	for (i = 0; i < 4; i++) {
+		jh_mirrors_source_failed(r, 1, first);
+		assert_string_not_equal(jh_mirrors_source(r, 1), first);
+	}
+	while ((second = jh_mirrors_source(r, 1)) != NULL)
+		jh_mirrors_source_failed(r, 1, second);
+	assert_string_equal(jh_mirrors_source(r, later), first);
+	jh_mirrors_source_failed(r, later, first);
 	jh_mirrors_remove(r, first);
-	assert_string_not_equal(jh_mirrors_source(r), first);
+	assert_string_not_equal(jh_mirrors_source(r, later), first);
 	g_free(first);
 	jh_mirrors_destroy(r);
 }
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -251,13 +251,14 @@
 }
 
 static struct plat_store *
-choose_mirror(void *arg)
+choose_mirror(void *arg, const char **name)
 {
+	*name = "mirror";
 	return ((struct mirror_fixture *)arg)->client;
 }
 
 static void
-on_mirror_failed(void *arg)
+on_mirror_failed(void *arg, const char *name)
 {
 	((struct mirror_fixture *)arg)->failures++;
 }
