Stop requests to workers whose address another instance has

A crashed worker comes back as another instance at its address while the old one is still listed; a 421 led to no backoff, and each of 103 routers learnt it by itself, up to 11 times a worker.

Ruled out: 421 for other weights (19 of 144 workers); those name no other instance.

Change: a 421 that names another instance, or a listed worker that started later at the address, ends the use of a worker until it is listed with another start. Routers tell each other for 2 s, also what they were told, so that the news also reaches the other region. A retry of an attempt that was not sent takes nothing from the budget, because nothing has arrived at the service.

--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -33,6 +33,7 @@
 	enum fake_worker_mode mode;
 	bool draining;
 	unsigned int runs;
+	unsigned int misdirected;
 	unsigned int weights, loading;
 	unsigned int orders;
 	uint64_t started_ms; /* Unix milliseconds */
@@ -305,6 +306,18 @@
 	       (unsigned int)atoi(weights.ptr) != w->weights;
 }
 
+static void
+send_misdirected(struct fake_worker *w, struct jh_server_request *v)
+{
+	char *field =
+	    g_strdup_printf("X-Jacinthhill-Instance-Id: %s\r\n", w->id);
+
+	w->misdirected++;
+	jh_server_request_respond(
+	    v, 421, "Misdirected", jh_str_from(field), JH_STR(""));
+	g_free(field);
+}
+
 static void
 send_report(struct fake_worker *w, struct jh_server_request *v)
 {
@@ -331,8 +344,7 @@
 	if (jh_str_eq(path, JH_STR("/report")))
 		send_report(w, v);
 	else if (is_misdirected(w, head))
-		jh_server_request_respond(
-		    v, 421, "Misdirected", JH_STR(""), JH_STR(""));
+		send_misdirected(w, v);
 	else if (jh_str_eq(path, JH_STR("/order")))
 		handle_order(w, v);
 	else if (w->mode == WORKER_DECLINES || w->loading != 0)
@@ -457,6 +469,12 @@
 	return locked_value(w, &w->runs);
 }
 
+unsigned int
+fake_worker_misdirected(struct fake_worker *w)
+{
+	return locked_value(w, &w->misdirected);
+}
+
 unsigned int
 fake_worker_weights(struct fake_worker *w)
 {
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -77,6 +77,9 @@
  */
 void fake_worker_start(struct fake_worker *w);
 
+/* Requests for another instance, or for other weights. */
+unsigned int fake_worker_misdirected(struct fake_worker *w);
+
 unsigned int fake_worker_number(const struct fake_worker *w);
 unsigned int fake_worker_runs(struct fake_worker *w);
 unsigned int fake_worker_weights(struct fake_worker *w);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -234,7 +234,8 @@
 	x->expected_ttft = choice->expected_ttft;
 	x->idle_ttft = choice->idle_ttft;
 	x->requested_weights = w->weights;
-	x->silence_timed_out = x->malformed = x->streaming = false;
+	x->other_instance = x->silence_timed_out = x->malformed = x->streaming =
+	    false;
 	x->status = 0;
 	memset(&x->response, 0, sizeof(x->response));
 	g_string_truncate(x->fields, 0);
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -23,6 +23,10 @@
 #define PLACEMENT_LEN 16
 #define MAC_LEN 16
 
+/* Flags of a report. */
+#define FLAG_LOADING 1U
+#define FLAG_REPLACED 2U
+
 /* A datagram stays below the usual path MTU of 1,500 bytes. */
 #define MAX_LEN 1440
 #define MAX_REPORTS 48
@@ -113,14 +117,14 @@
 }
 
 static void
-put_report(unsigned char **at, const struct jh_worker *w, bool changing)
+put_report(unsigned char **at, const struct jh_worker *w, unsigned int flags)
 {
 	put_uint(at, w->hash, 8);
 	put_uint(at, MIN(w->running, UINT16_MAX), 2);
 	put_uint(at, units(w->prefill_tokens), 2);
 	put_uint(at, units(w->held_tokens), 2);
 	put_uint(at, w->weights, 7);
-	put_uint(at, changing ? 1 : 0, 1);
+	put_uint(at, flags, 1);
 }
 
 /* Workers that do not fit into this message come first in the next one. */
@@ -128,19 +132,24 @@
 put_reports(struct jh_gossip *g, unsigned char **at)
 {
 	size_t n = jh_fleet_count(g->spec.fleet), i, next = 0;
+	uint64_t now = jh_now();
 	uint16_t n_reports = 0;
 
 	for (i = 0; i < n; i++) {
 		size_t k = (g->next_worker + i) % n;
 		const struct jh_worker *w = jh_fleet_at(g->spec.fleet, k);
-		bool changing = jh_weights_in_progress(g->spec.weights, w->id);
-		if (w->model == NULL || (w->running == 0 && !changing))
+		unsigned int flags = 0;
+		if (jh_weights_in_progress(g->spec.weights, w->id))
+			flags |= FLAG_LOADING;
+		if (jh_worker_tell_replaced(w, now))
+			flags |= FLAG_REPLACED;
+		if (flags == 0 && (w->model == NULL || w->running == 0))
 			continue;
 		if (n_reports == MAX_REPORTS) {
 			next = k;
 			break;
 		}
-		put_report(at, w, changing);
+		put_report(at, w, flags);
 		n_reports++;
 	}
 	g->next_worker = next;
@@ -255,7 +264,7 @@
 	const unsigned char *at = message;
 	const struct peer *p;
 	uint64_t revisions[JH_GOSSIP_REVISIONS], id, number, count, n_announced,
-	    i;
+	    flags, i;
 
 	if (len < HEAD_LEN + MAC_LEN || take_uint(&at, 4) != MAGIC)
 		return;
@@ -281,7 +290,9 @@
 		reports[i].held_tokens =
 		    (uint32_t)take_uint(&at, 2) * TOKEN_UNIT;
 		reports[i].weights = take_uint(&at, 7);
-		reports[i].loading = take_uint(&at, 1) != 0;
+		flags = take_uint(&at, 1);
+		reports[i].loading = (flags & FLAG_LOADING) != 0;
+		reports[i].replaced = (flags & FLAG_REPLACED) != 0;
 	}
 	if (!jh_peers_receive(g->reports, g->spec.fleet, jh_now(), id, number,
 		reports, count))
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -26,6 +26,20 @@
 /* Weight of one request in the moving average of a worker's excess TTFT. */
 #define TTFT_EXCESS_WEIGHT 0.4
 
+/* Whether the response is not from the worker that the request was sent to. */
+static bool
+is_other_instance(const struct exchange *x)
+{
+	const struct jh_str *id = &x->response.instance;
+
+	if (id->len == 0 || x->worker_id == NULL ||
+	    jh_str_eq(*id, jh_str_from(x->worker_id)))
+		return false;
+	jh_json_log(x->gateway->log, "worker_replaced", "s:s, s:s#", "worker",
+	    x->worker_id, "instance", id->ptr, (int)id->len);
+	return true;
+}
+
 static bool
 on_head(void *arg, const struct jh_head *head)
 {
@@ -42,6 +56,7 @@
 		return false;
 	}
 	x->status = head->status;
+	x->other_instance = is_other_instance(x);
 	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
 		       head->status == 200 && x->response.sealed &&
 		       !x->response.transformed && !x->response.declined;
@@ -172,6 +187,8 @@
 		if (x->gateway->on_observed_weights != NULL)
 			x->gateway->on_observed_weights(x->gateway->arg, w);
 	}
+	if (x->other_instance)
+		jh_worker_replaced(w, now);
 	if (x->status == 421)
 		return;
 	newest = jh_weights_newest(x->gateway->weights, w->model);
@@ -278,7 +295,8 @@
 	enum jh_attempt_next next =
 	    jh_attempts_ended(&x->attempts, now, result);
 
-	if (next == JH_NEXT_RETRY &&
+	/* What was not sent has not arrived at the service. */
+	if (next == JH_NEXT_RETRY && result != JH_ATTEMPT_NOT_SENT &&
 	    !jh_retry_budget_take(x->gateway->retry_budget, now,
 		x->service_name, x->gateway->processes)) {
 		jh_metrics_add(x->gateway->metrics, "jh_repeats_denied", 1);
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -164,7 +164,8 @@
 is_eligible(
     const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
 {
-	if (w->leaving || now < w->changing_until || is_excluded(r, w))
+	if (w->leaving || now < w->replaced_until || now < w->changing_until ||
+	    is_excluded(r, w))
 		return false;
 	return outdated_for_usec(r, w, now) <= JH_CHOOSE_OUTDATED_USEC;
 }
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -13,6 +13,7 @@
 struct jh_fleet {
 	GHashTable *by_id;
 	GHashTable *by_hash;
+	GHashTable *by_address; /* the worker that started last at each */
 	GPtrArray *sorted; /* by id */
 	uint64_t changes;
 };
@@ -36,6 +37,8 @@
 
 	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	f->by_address =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	f->sorted = g_ptr_array_new_with_free_func(free_worker);
 	return f;
 }
@@ -47,6 +50,7 @@
 		return;
 	g_hash_table_destroy(f->by_id);
 	g_hash_table_destroy(f->by_hash);
+	g_hash_table_destroy(f->by_address);
 	g_ptr_array_free(f->sorted, TRUE);
 	g_free(f);
 }
@@ -90,6 +94,42 @@
 	w->fail_rate = 0;
 	w->ttft_excess = 0;
 	w->leaving = false;
+	w->replaced_until = 0;
+	w->replaced_at = 0;
+}
+
+static uint64_t
+address_key(const struct jh_worker *w)
+{
+	return (uint64_t)w->address.sin_addr.s_addr << 16 | w->address.sin_port;
+}
+
+static void
+forget_address(struct jh_fleet *f, const struct jh_worker *w)
+{
+	uint64_t key = address_key(w);
+
+	if (g_hash_table_lookup(f->by_address, &key) == w)
+		g_hash_table_remove(f->by_address, &key);
+}
+
+/* Of two workers listed at one address, the one that started first has ended.
+ */
+static void
+resolve_address(struct jh_fleet *f, struct jh_worker *w, uint64_t now)
+{
+	uint64_t key = address_key(w);
+	struct jh_worker *other = g_hash_table_lookup(f->by_address, &key);
+
+	if (other == w || key == 0 || w->started_ms == 0)
+		return;
+	if (other != NULL && other->started_ms > w->started_ms) {
+		jh_worker_replaced(w, now);
+		return;
+	}
+	if (other != NULL)
+		jh_worker_replaced(other, now);
+	g_hash_table_replace(f->by_address, g_memdup2(&key, sizeof(key)), w);
 }
 
 struct jh_worker *
@@ -113,6 +153,7 @@
 	if (l->started_ms != 0)
 		w->started_ms = l->started_ms;
 	w->missing_since = 0;
+	forget_address(f, w);
 	w->address = l->address;
 	w->slots = l->slots;
 	w->leaving = l->leaving;
@@ -126,6 +167,7 @@
 		w->weights = l->weights;
 		w->weights_confirmed = now;
 	}
+	resolve_address(f, w, now);
 	return w;
 }
 
@@ -136,6 +178,7 @@
 
 	if (w == NULL)
 		return;
+	forget_address(f, w);
 	g_hash_table_remove(f->by_id, id);
 	g_hash_table_remove(f->by_hash, &w->hash);
 	g_ptr_array_remove(f->sorted, w);
@@ -198,6 +241,8 @@
 {
 	if (w->leaving)
 		return "leaving";
+	if (now < w->replaced_until)
+		return "replaced";
 	if (w->missing_since != 0)
 		return "missing";
 	if (now < w->changing_until)
@@ -216,6 +261,22 @@
 	w->weights_confirmed = now;
 }
 
+void
+jh_worker_replaced(struct jh_worker *w, uint64_t now)
+{
+	if (now < w->replaced_until)
+		return;
+	w->replaced_at = now;
+	w->replaced_until = now + JH_FLEET_REPLACED_USEC;
+}
+
+bool
+jh_worker_tell_replaced(const struct jh_worker *w, uint64_t now)
+{
+	return now < w->replaced_until &&
+	       now - w->replaced_at < JH_FLEET_TELL_REPLACED_USEC;
+}
+
 void
 jh_worker_attempt_failed(struct jh_worker *w, uint64_t now)
 {
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -46,6 +46,12 @@
 	uint64_t started_ms;
 	/* When it left a list that may be incomplete; 0: it is listed. */
 	uint64_t missing_since;
+	/*
+	 * Another instance has its address, so it gets no requests until it is
+	 * listed with another start; 0: none is known to.
+	 */
+	uint64_t replaced_until;
+	uint64_t replaced_at; /* when this process learnt it */
 	/* Results of this process's own requests. */
 	uint64_t backoff_until; /* gets no requests before */
 	uint64_t
@@ -74,6 +80,13 @@
  */
 #define JH_FLEET_CHANGING_USEC 800000ULL
 
+/*
+ * A replaced worker gets no requests for this long, which is longer than it
+ * stays listed. Peers are told for the second time.
+ */
+#define JH_FLEET_REPLACED_USEC 10000000ULL
+#define JH_FLEET_TELL_REPLACED_USEC 2000000ULL
+
 /* Backoff after a failure; each consecutive failure doubles it. */
 #define JH_FLEET_BACKOFF_MIN_USEC 250000ULL
 #define JH_FLEET_BACKOFF_MAX_USEC 2000000ULL
@@ -111,15 +124,19 @@
 
 /*
  * The state of a worker, which tells why it gets no requests or fewer:
- * "leaving", "missing" (it left a list that may be incomplete), "changing" (it
- * loads weights), "held" (in backoff after failures), "eased" (some of its
- * responses fail) or "ready".
+ * "leaving", "replaced" (another instance has its address), "missing" (it left
+ * a list that may be incomplete), "changing" (it loads weights), "held" (in
+ * backoff after failures), "eased" (some of its responses fail) or "ready".
  */
 const char *jh_worker_state(const struct jh_worker *w, uint64_t now);
 
 /* Takes over the version of the weights that a worker reported. */
 void jh_worker_observed_weights(
     struct jh_worker *w, uint64_t now, uint64_t weights);
+/* Another instance responded at the worker's address: it has ended. */
+void jh_worker_replaced(struct jh_worker *w, uint64_t now);
+/* Whether peers are to be told that the worker was replaced. */
+bool jh_worker_tell_replaced(const struct jh_worker *w, uint64_t now);
 /* The connection failed or the worker timed out: starts a backoff. */
 void jh_worker_attempt_failed(struct jh_worker *w, uint64_t now);
 /* The worker responded; failed: with an error of its own. */
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -93,12 +93,14 @@
 }
 
 static void
-update_weights(struct jh_fleet *f, uint64_t now, const struct jh_peer_report *r)
+update_state(struct jh_fleet *f, uint64_t now, const struct jh_peer_report *r)
 {
 	struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
 
 	if (w == NULL)
 		return;
+	if (r->replaced)
+		jh_worker_replaced(w, now);
 	/* Versions only rise, so the higher of two is the later. */
 	if (r->weights > w->weights && w->weights != 0)
 		jh_worker_observed_weights(w, now, r->weights);
@@ -132,7 +134,7 @@
 		g_array_append_vals(from->reports, reports, (guint)n);
 	add_peer(f, from, 1);
 	for (i = 0; i < n; i++)
-		update_weights(f, now, &reports[i]);
+		update_state(f, now, &reports[i]);
 	return true;
 }
 
--- a/src/route/peers.h
+++ b/src/route/peers.h
@@ -27,6 +27,7 @@
 	uint32_t held_tokens;
 	uint64_t weights; /* version that the sender knows; 0: none */
 	bool loading; /* the sender orders the worker to load weights */
+	bool replaced; /* another instance has its address */
 };
 
 struct jh_peers *jh_peers_create(void);
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -262,6 +262,12 @@
 	return fake_worker_runs(p->workers[worker]);
 }
 
+unsigned int
+platform_misdirected(struct platform *p, unsigned int worker)
+{
+	return fake_worker_misdirected(p->workers[worker]);
+}
+
 unsigned int
 platform_weights(struct platform *p, unsigned int worker)
 {
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -47,6 +47,8 @@
 void platform_set_weights(struct platform *p, unsigned int version);
 
 unsigned int platform_runs(struct platform *p, unsigned int worker);
+/* Requests that the worker got for another instance. */
+unsigned int platform_misdirected(struct platform *p, unsigned int worker);
 unsigned int platform_weights(struct platform *p, unsigned int worker);
 unsigned int platform_orders(struct platform *p);
 /* The head of the last request that a worker ran; free with g_free(). */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -213,6 +213,33 @@
 	assert_int_equal(platform_runs(p, 2), 1);
 }
 
+/*
+ * Guards against requests that are sent again and again to the address of a
+ * worker that another instance has taken over.
+ */
+static void
+replaced_worker_gets_one_request(void **state)
+{
+	json_t *spec = platform_get(p, "servers", "w0");
+	unsigned int i;
+
+	assert_non_null(spec);
+	json_object_del(spec, "born");
+	platform_put(p, "servers", "former", json_incref(spec));
+	json_decref(spec);
+	for (i = 0; i < PLATFORM_WORKERS; i++) {
+		char *id = g_strdup_printf("w%u", i);
+		platform_remove(p, "servers", id);
+		g_free(id);
+	}
+	/* More than the time after which the router reads changes. */
+	g_usleep(800000);
+	for (i = 0; i < 4; i++)
+		g_free(request("GET", "/again/x", KEYED, 503));
+	assert_int_equal(platform_misdirected(p, 0), 1);
+	assert_int_equal(all_runs(), 0);
+}
+
 /* If all workers decline, nothing has run and Retry-After is set. */
 static void
 rejection_has_retry_after(void **state)
@@ -388,6 +415,7 @@
 	    PLATFORM_TEST(unknown_routes_and_keys_are_rejected),
 	    PLATFORM_TEST(reset_request_is_not_retried),
 	    PLATFORM_TEST(declined_request_is_sent_to_another_worker),
+	    PLATFORM_TEST(replaced_worker_gets_one_request),
 	    PLATFORM_TEST(rejection_has_retry_after),
 	    PLATFORM_TEST(unsealed_response_is_rejected),
 	    PLATFORM_TEST(error_response_is_passed_on),
