Do not abort requests at slow workers; let prompts finish before a load

Change: an attempt without a response is aborted only if the worker has answered nobody since (routers tell each other who was answered in the last 0.6 s), or at the third check, and only if the retry budget allows another attempt. The leader waits up to 0.8 s until an announced worker has read its prompts. Attempts that were not sent are repeated at up to eight other workers.

Also: bytes that are no response, or a response without end, end a call at once.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -18,12 +18,6 @@
 #define MAX_IDLE_USEC (10 * JH_USEC_PER_SEC)
 #define MAX_IDLE_ONCE_USEC (1 * JH_USEC_PER_SEC)
 
-/*
- * An attempt of a request that may run more than once is aborted when the
- * response does not start within this time after the expected one.
- */
-#define SILENCE_TIMEOUT_USEC (1000 * JH_USEC_PER_MSEC)
-
 /*
  * A worker with a shorter queue counts as free. Computing prefixes again at a
  * worker that is not free would only move the queue there.
@@ -106,12 +100,33 @@
 	exchange_release_load(x);
 }
 
+/* Whether the attempt goes on although its response is late. */
+static bool
+keeps_waiting(struct exchange *x, const struct jh_worker *w)
+{
+	struct jh_gateway *gw = x->gateway;
+	struct jh_silence s = {.quiet_since = x->quiet_since,
+	    .checks = ++x->silence_checks,
+	    .may_retry = jh_retry_budget_allows(
+		gw->retry_budget, jh_now(), x->service_name, gw->processes)};
+
+	if (w != NULL)
+		s.worker_responded_at =
+		    MAX(w->responded_at, w->others_responded_at);
+	return !jh_silence_aborts(&s);
+}
+
 static void
 on_silence_timeout(uv_timer_t *t)
 {
 	struct exchange *x = t->data;
 	struct jh_worker *w = exchange_worker(x);
 
+	if (keeps_waiting(x, w)) {
+		uv_timer_start(t, t->timer_cb,
+		    JH_SILENCE_CHECK_USEC / JH_USEC_PER_MSEC, 0);
+		return;
+	}
 	jh_json_log(x->gateway->log, "worker_silent", "s:s#, s:s?, s:I, s:I",
 	    "request", x->request.id.ptr, (int)x->request.id.len, "worker",
 	    x->worker_id, "waited_us", (json_int_t)(jh_now() - x->sent_at),
@@ -201,13 +216,15 @@
 static void
 start_silence_timer(struct exchange *x, uint64_t now)
 {
-	uint64_t timeout = x->expected_ttft + SILENCE_TIMEOUT_USEC;
+	uint64_t timeout = x->expected_ttft + JH_SILENCE_CHECK_USEC;
 
 	if (!x->attempts.repeatable ||
 	    x->attempts.sent - x->attempts.not_run >= x->attempts.max_runs)
 		return;
-	if (x->attempts.deadline < now + timeout + SILENCE_TIMEOUT_USEC / 2)
+	if (x->attempts.deadline < now + timeout + JH_SILENCE_CHECK_USEC / 2)
 		return;
+	x->quiet_since = now;
+	x->silence_checks = 0;
 	uv_update_time(x->gateway->loop);
 	uv_timer_start(&x->silence_timer, on_silence_timeout,
 	    timeout / JH_USEC_PER_MSEC, 0);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,6 +36,8 @@
 	/* What the attempt adds to the load of its worker, in tokens. */
 	uint64_t counted_prefill, counted_held;
 	uv_timer_t silence_timer; /* aborts an attempt without a response */
+	uint64_t quiet_since; /* see struct jh_silence */
+	unsigned int silence_checks;
 	bool other_instance; /* responds in place of the chosen worker */
 	bool silence_timed_out; /* the silence timer has expired */
 	bool malformed; /* the response breaks the protocol or a limit */
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -26,6 +26,7 @@
 /* Flags of a report. */
 #define FLAG_LOADING 1U
 #define FLAG_REPLACED 2U
+#define FLAG_RESPONDED 4U
 
 /* A datagram stays below the usual path MTU of 1,500 bytes. */
 #define MAX_LEN 1440
@@ -143,6 +144,9 @@
 			flags |= FLAG_LOADING;
 		if (jh_worker_tell_replaced(w, now))
 			flags |= FLAG_REPLACED;
+		if (w->model != NULL && w->responded_at != 0 &&
+		    now - w->responded_at < JH_PEERS_RESPONDED_USEC)
+			flags |= FLAG_RESPONDED;
 		if (flags == 0 && (w->model == NULL || w->running == 0))
 			continue;
 		if (n_reports == MAX_REPORTS) {
@@ -293,6 +297,7 @@
 		flags = take_uint(&at, 1);
 		reports[i].loading = (flags & FLAG_LOADING) != 0;
 		reports[i].replaced = (flags & FLAG_REPLACED) != 0;
+		reports[i].responded = (flags & FLAG_RESPONDED) != 0;
 	}
 	if (!jh_peers_receive(g->reports, g->spec.fleet, jh_now(), id, number,
 		reports, count))
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -40,6 +40,15 @@
 	return true;
 }
 
+static void
+note_responded(struct exchange *x)
+{
+	struct jh_worker *w = exchange_worker(x);
+
+	if (w != NULL)
+		w->responded_at = jh_now();
+}
+
 static bool
 on_head(void *arg, const struct jh_head *head)
 {
@@ -55,6 +64,8 @@
 		    "worker", x->worker_id);
 		return false;
 	}
+	if (head->status == 200)
+		note_responded(x);
 	x->status = head->status;
 	x->other_instance = is_other_instance(x);
 	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
@@ -102,6 +113,8 @@
 
 	if (!uv_is_active((uv_handle_t *)&x->silence_timer) || gap == 0)
 		return;
+	x->quiet_since = jh_now();
+	x->silence_checks = 0;
 	uv_update_time(x->gateway->loop);
 	uv_timer_start(&x->silence_timer, x->silence_timer.timer_cb,
 	    gap / JH_USEC_PER_MSEC, 0);
@@ -115,6 +128,7 @@
 
 	if (x->malformed)
 		return;
+	note_responded(x);
 	if (x->n_events++ == 0) {
 		x->first_at = jh_now();
 		exchange_release_prefill(x);
@@ -137,31 +151,30 @@
 	jh_server_request_write(x->conn_request, block->bytes);
 }
 
-static void
+/* Gives the attempt up at bytes that are no response: they may never end. */
+static bool
 on_body(void *arg, const char *p, size_t n)
 {
 	struct exchange *x = arg;
 
-	if (x->malformed)
-		return;
 	if (!x->streaming) {
-		if (x->body->len + n > MAX_BODY_BYTES)
-			x->malformed = true;
-		else
+		x->malformed = x->body->len + n > MAX_BODY_BYTES;
+		if (!x->malformed)
 			g_byte_array_append(
 			    x->body, (const guint8 *)p, (guint)n);
-		return;
+		return !x->malformed;
 	}
 	if (!jh_sse_parser_feed(
 		x->events, (struct jh_str){p, n}, on_event, x)) {
 		x->malformed = true;
-		return;
+		return false;
 	}
 	if (!x->paused &&
 	    jh_server_request_queued(x->conn_request) > MAX_QUEUED_BYTES) {
 		x->paused = true;
 		jh_call_pause(x->call);
 	}
+	return true;
 }
 
 void
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -43,6 +43,7 @@
 	uint64_t version;
 	uint64_t since; /* when the order was accepted */
 	uint64_t next; /* earliest time of the next action */
+	uint64_t drain_until; /* see JH_WEIGHTS_DRAIN_USEC */
 	unsigned int failures; /* in a row */
 	bool is_probe; /* only a query, to learn the count of orders */
 };
@@ -206,6 +207,9 @@
 		start_call(t, worker, JH_WEIGHTS_QUERY, t->version, out);
 		return true;
 	}
+	if (now < t->drain_until &&
+	    worker->prefill_tokens + worker->others_prefill > 0)
+		return false;
 	start_call(t, worker,
 	    worker->orders_known ? JH_WEIGHTS_ORDER : JH_WEIGHTS_QUERY, version,
 	    out);
@@ -286,6 +290,7 @@
 	t->state = TASK_WAITING;
 	g_hash_table_insert(w->tasks, g_strdup(least_loaded->id), t);
 	t->next = now + JH_WEIGHTS_NOTICE_USEC;
+	t->drain_until = now + JH_WEIGHTS_DRAIN_USEC;
 	out->kind = JH_WEIGHTS_ANNOUNCE;
 	out->worker = least_loaded;
 	out->version = jh_weights_newest(w, least_loaded->model);
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -27,6 +27,12 @@
 /* An order is announced to other processes this long before it is sent. */
 #define JH_WEIGHTS_NOTICE_USEC 250000ULL
 
+/*
+ * A worker that still reads prompts then is ordered this long after the
+ * announcement at the latest: the order rejects the requests that wait there.
+ */
+#define JH_WEIGHTS_DRAIN_USEC 800000ULL
+
 enum jh_weights_action_kind {
 	JH_WEIGHTS_ANNOUNCE, /* tell others to avoid the worker; no reply */
 	JH_WEIGHTS_QUERY, /* request the worker's report */
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -27,6 +27,9 @@
 /* Responses to other requests skipped before a connection is closed. */
 #define MAX_SKIPPED 4
 
+/* Bytes of the body of such a response, which may have no end. */
+#define MAX_SKIPPED_BYTES (1024 * 1024)
+
 /* A connection, either idle or in use by one call. */
 struct http_conn {
 	struct jh_uv_client *client;
@@ -37,7 +40,9 @@
 	uint64_t idle_since;
 	uint64_t idle_deadline; /* not reused after this */
 	unsigned int skipped;
+	size_t skipped_bytes; /* of bodies */
 	bool skipping; /* the current response is to another request */
+	bool rejected; /* the call gave the current response up */
 	bool reusable; /* the response allows reuse */
 	bool response_done;
 	bool parsing; /* inside the parser: must not be freed */
@@ -157,8 +162,15 @@
 {
 	struct http_conn *hc = arg;
 
-	if (hc->call != NULL && !hc->skipping)
-		hc->call->spec.ops->body(hc->call->spec.arg, p, n);
+	if (hc->call == NULL || hc->rejected)
+		return;
+	if (!hc->skipping) {
+		hc->rejected =
+		    !hc->call->spec.ops->body(hc->call->spec.arg, p, n);
+		return;
+	}
+	hc->skipped_bytes += n;
+	hc->rejected = hc->skipped_bytes > MAX_SKIPPED_BYTES;
 }
 
 static void
@@ -207,6 +219,10 @@
 		close_http_conn(hc); /* data without a request */
 		return;
 	}
+	if (hc->rejected) {
+		end_call(call, JH_CALL_BROKEN, false);
+		return;
+	}
 	while (r == JH_PARSE_PAUSED && hc->response_done) {
 		hc->response_done = false;
 		if (!hc->skipping) {
@@ -227,6 +243,10 @@
 			close_http_conn(hc);
 			return;
 		}
+		if (hc->rejected) {
+			end_call(call, JH_CALL_BROKEN, false);
+			return;
+		}
 	}
 	if (r == JH_PARSE_OK || r == JH_PARSE_PAUSED)
 		return;
@@ -283,6 +303,7 @@
 	call->sent = true;
 	hc->response_done = false;
 	hc->skipping = false;
+	hc->rejected = false;
 	hc->reusable = false;
 	start_timer(call, call->spec.deadline);
 	jh_conn_write(
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -33,7 +33,8 @@
 	 * another request; it is then skipped.
 	 */
 	bool (*head)(void *arg, const struct jh_head *head);
-	void (*body)(void *arg, const char *p, size_t n);
+	/* Returns false to give the call up: it ends as JH_CALL_BROKEN. */
+	bool (*body)(void *arg, const char *p, size_t n);
 	/* The last callback; the call is freed when it is called. */
 	void (*end)(void *arg, enum jh_call_result result);
 };
--- a/src/route/attempt.c
+++ b/src/route/attempt.c
@@ -18,6 +18,15 @@
 	a->sent++;
 }
 
+bool
+jh_silence_aborts(const struct jh_silence *s)
+{
+	if (!s->may_retry)
+		return false;
+	return s->worker_responded_at <= s->quiet_since ||
+	       s->checks >= JH_SILENCE_MAX_CHECKS;
+}
+
 enum jh_attempt_next
 jh_attempts_give_up(const struct jh_attempts *a)
 {
@@ -35,9 +44,16 @@
 		a->may_have_run = true;
 		return JH_NEXT_RELAY;
 	case JH_ATTEMPT_NOT_SENT:
+		a->not_sent++;
+		a->not_run++;
+		if (in_time && a->not_sent <= JH_ATTEMPTS_MAX_NOT_SENT &&
+		    a->not_run - a->not_sent < JH_ATTEMPTS_MAX_NOT_RUN)
+			return JH_NEXT_RETRY;
+		return jh_attempts_give_up(a);
 	case JH_ATTEMPT_DECLINED:
 		a->not_run++;
-		if (in_time && a->not_run <= JH_ATTEMPTS_MAX_NOT_RUN)
+		if (in_time &&
+		    a->not_run - a->not_sent <= JH_ATTEMPTS_MAX_NOT_RUN)
 			return JH_NEXT_RETRY;
 		return jh_attempts_give_up(a);
 	case JH_ATTEMPT_BROKEN:
--- a/src/route/attempt.h
+++ b/src/route/attempt.h
@@ -14,6 +14,7 @@
 	uint64_t deadline; /* of the final response */
 	unsigned int sent; /* attempts so far */
 	unsigned int not_run; /* of these, attempts known not to have run */
+	unsigned int not_sent; /* of those, attempts that were not sent */
 	bool may_have_run; /* some attempt ran or has an unknown outcome */
 };
 
@@ -32,6 +33,10 @@
 	JH_NEXT_FAIL /* tell the client that the outcome is unknown */
 };
 
+/* More attempts that could not be sent cost time only; each excludes a worker.
+ */
+#define JH_ATTEMPTS_MAX_NOT_SENT 8
+
 /* No retry follows more attempts than this that did not run. */
 #define JH_ATTEMPTS_MAX_NOT_RUN 3
 
@@ -45,6 +50,31 @@
 /* Records the result of the last attempt and returns what follows. */
 enum jh_attempt_next jh_attempts_ended(
     struct jh_attempts *a, uint64_t now, enum jh_attempt_result result);
+/*
+ * An attempt that may be repeated is checked when its response has been missing
+ * for this long beyond the expected time, or beyond the longest event gap, and
+ * then again after each such time.
+ */
+#define JH_SILENCE_CHECK_USEC 1000000ULL
+
+/* A response that is missing for this many checks counts as lost. */
+#define JH_SILENCE_MAX_CHECKS 3
+
+/* What is known when a response is missing. */
+struct jh_silence {
+	uint64_t quiet_since; /* the request was sent, or the last event came */
+	uint64_t worker_responded_at; /* to any process; 0: not known */
+	unsigned int checks; /* of this silence, with this one */
+	bool may_retry; /* the retry budget allows another attempt */
+};
+
+/*
+ * Whether the attempt is to be aborted. A worker that responds to others is
+ * slow and not silent: aborting its requests would discard its work and have it
+ * done again elsewhere, while the load is at its worst.
+ */
+bool jh_silence_aborts(const struct jh_silence *s);
+
 /* What the client is told when there is no further attempt. */
 enum jh_attempt_next jh_attempts_give_up(const struct jh_attempts *a);
 
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -58,6 +58,9 @@
 	    changing_until; /* until then loads weights, gets no requests */
 	unsigned int consecutive_failures;
 	double fail_rate; /* moving average of failed attempts, 0 to 1 */
+	/* Last response or event that this process, and any other, got. */
+	uint64_t responded_at;
+	uint64_t others_responded_at;
 	/* Requests in progress that this process has sent. */
 	unsigned int running;
 	uint64_t prefill_tokens; /* prompt tokens still to be computed */
--- a/src/route/peers.h
+++ b/src/route/peers.h
@@ -19,6 +19,12 @@
  */
 #define JH_PEERS_TIMEOUT_USEC 1500000ULL
 
+/*
+ * A worker that responded to a process within this time is reported as such:
+ * about the time between two messages to the same peer.
+ */
+#define JH_PEERS_RESPONDED_USEC 600000ULL
+
 /* A report of one worker. */
 struct jh_peer_report {
 	uint64_t worker; /* hash of its id */
@@ -28,6 +34,7 @@
 	uint64_t weights; /* version that the sender knows; 0: none */
 	bool loading; /* the sender orders the worker to load weights */
 	bool replaced; /* another instance has its address */
+	bool responded; /* to the sender, within JH_PEERS_RESPONDED_USEC */
 };
 
 struct jh_peers *jh_peers_create(void);
--- a/src/route/retry_budget.c
+++ b/src/route/retry_budget.c
@@ -87,7 +87,7 @@
 }
 
 bool
-jh_retry_budget_take(struct jh_retry_budget *b, uint64_t now,
+jh_retry_budget_allows(struct jh_retry_budget *b, uint64_t now,
     const char *service, unsigned int processes)
 {
 	struct counts *c = find_counts(b, service);
@@ -103,8 +103,18 @@
 	}
 	allowed = USABLE_FRACTION * (b->spec.ratio * requests +
 					b->spec.slack / MAX(processes, 1));
-	if (retries + 1 > allowed)
+	return retries + 1 <= allowed;
+}
+
+bool
+jh_retry_budget_take(struct jh_retry_budget *b, uint64_t now,
+    const char *service, unsigned int processes)
+{
+	struct counts *c;
+
+	if (!jh_retry_budget_allows(b, now, service, processes))
 		return false;
-	c->retries[current]++;
+	c = find_counts(b, service);
+	c->retries[current_step(b, c, now)]++;
 	return true;
 }
--- a/src/route/retry_budget.h
+++ b/src/route/retry_budget.h
@@ -29,6 +29,9 @@
 /* Counts a request to the service. */
 void jh_retry_budget_add_request(
     struct jh_retry_budget *b, uint64_t now, const char *service);
+/* Whether jh_retry_budget_take() would return true. */
+bool jh_retry_budget_allows(struct jh_retry_budget *b, uint64_t now,
+    const char *service, unsigned int processes);
 /* Takes one retry; returns false if this process's share is used up. */
 bool jh_retry_budget_take(struct jh_retry_budget *b, uint64_t now,
     const char *service, unsigned int processes);
--- a/test/test_attempt.c
+++ b/test/test_attempt.c
@@ -145,6 +145,57 @@
 	jh_retry_budget_destroy(b);
 }
 
+/*
+ * Guards against aborting requests at a worker that is slow because the load is
+ * at its worst: their work is then done again elsewhere. Replays a burst in
+ * which a first event takes up to 4 s at workers that respond to others.
+ */
+static void
+slow_worker_is_not_silent(void **state)
+{
+	struct jh_silence s = {.quiet_since = 100 * SEC, .may_retry = true};
+
+	for (s.checks = 1; s.checks < JH_SILENCE_MAX_CHECKS; s.checks++) {
+		s.worker_responded_at = s.quiet_since + 1;
+		assert_false(jh_silence_aborts(&s));
+		/* A worker that responds to nobody. */
+		s.worker_responded_at = s.quiet_since;
+		assert_true(jh_silence_aborts(&s));
+	}
+	/* A response that was lost is not awaited until the deadline. */
+	s.worker_responded_at = s.quiet_since + 1;
+	assert_true(jh_silence_aborts(&s));
+}
+
+/* Guards against aborting an attempt that cannot be repeated. */
+static void
+silence_without_retry_is_borne(void **state)
+{
+	struct jh_silence s = {
+	    .quiet_since = 100 * SEC, .checks = JH_SILENCE_MAX_CHECKS};
+
+	assert_false(jh_silence_aborts(&s));
+}
+
+/* Guards against a refusal after a few of many crashed workers were tried. */
+static void
+unsent_attempts_are_repeated(void **state)
+{
+	struct jh_attempts a;
+	int i;
+
+	jh_attempts_init(&a, false, 1, 100 * SEC);
+	for (i = 0; i < JH_ATTEMPTS_MAX_NOT_SENT; i++) {
+		jh_attempts_sent(&a);
+		assert_int_equal(
+		    jh_attempts_ended(&a, SEC, JH_ATTEMPT_NOT_SENT),
+		    JH_NEXT_RETRY);
+	}
+	jh_attempts_sent(&a);
+	assert_int_equal(
+	    jh_attempts_ended(&a, SEC, JH_ATTEMPT_NOT_SENT), JH_NEXT_REFUSE);
+}
+
 int
 main(void)
 {
@@ -152,6 +203,9 @@
 	    cmocka_unit_test(broken_non_idempotent_request_is_not_retried),
 	    cmocka_unit_test(declined_request_is_retried_then_refused),
 	    cmocka_unit_test(unknown_outcome_is_not_reported_as_not_run),
+	    cmocka_unit_test(slow_worker_is_not_silent),
+	    cmocka_unit_test(silence_without_retry_is_borne),
+	    cmocka_unit_test(unsent_attempts_are_repeated),
 	    cmocka_unit_test(number_of_runs_is_limited),
 	    cmocka_unit_test(no_retry_close_to_deadline),
 	    cmocka_unit_test(processes_share_the_retry_budget),
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -25,11 +25,22 @@
 
 #define LIMIT_USEC (10 * JH_USEC_PER_SEC)
 
+/* A peer that may send this much has not been stopped. */
+#define FLOOD_LIMIT ((size_t)64 * 1024 * 1024)
+
+/*
+ * What a peer may send before the client closes: the client's limits and what
+ * the sockets of both sides hold.
+ */
+#define FLOOD_BOUND ((size_t)16 * 1024 * 1024)
+
 struct peer {
 	int listener;
 	struct sockaddr_in address;
 	pthread_t thread;
 	const char *response; /* written after each request */
+	const char *flood; /* then repeated until the client closes; or NULL */
+	size_t flooded; /* bytes of that */
 	bool reset; /* resets the connection instead of closing it */
 	bool keep; /* serves two requests on the connection */
 	unsigned int requests;
@@ -53,6 +64,21 @@
 	}
 }
 
+static void
+send_flood(struct peer *p, int fd)
+{
+	ssize_t n;
+
+	if (p->flood == NULL)
+		return;
+	while (p->flooded < FLOOD_LIMIT) {
+		n = send(fd, p->flood, strlen(p->flood), MSG_NOSIGNAL);
+		if (n < 0)
+			return;
+		p->flooded += (size_t)n;
+	}
+}
+
 static void *
 serve_peer(void *arg)
 {
@@ -67,6 +93,7 @@
 		p->requests++;
 		if (write(fd, p->response, strlen(p->response)) < 0)
 			break;
+		send_flood(p, fd);
 	} while (p->keep && p->requests < 2);
 	if (p->reset) {
 		(void)setsockopt(
@@ -104,8 +131,10 @@
 struct call {
 	uv_loop_t *loop;
 	enum jh_call_result result;
+	bool ended;
 	unsigned int status;
 	GString *body;
+	size_t body_limit; /* a longer body is rejected; 0: none */
 	const char *skip; /* a response with this field is to another request */
 };
 
@@ -120,12 +149,13 @@
 	return true;
 }
 
-static void
+static bool
 on_body(void *arg, const char *p, size_t n)
 {
 	struct call *c = arg;
 
 	g_string_append_len(c->body, p, (gssize)n);
+	return c->body_limit == 0 || c->body->len <= c->body_limit;
 }
 
 static void
@@ -134,7 +164,7 @@
 	struct call *c = arg;
 
 	c->result = result;
-	uv_stop(c->loop);
+	c->ended = true;
 }
 
 static const struct jh_call_ops call_ops = {on_head, on_body, on_end};
@@ -156,12 +186,15 @@
 
 	g_string_truncate(c->body, 0);
 	c->status = 0;
+	c->ended = false;
 	jh_call_start(http_client, &spec);
 	/* Pause, so that data and the connection's end are read together. */
 	uv_run(c->loop, UV_RUN_NOWAIT);
 	uv_run(c->loop, UV_RUN_NOWAIT);
 	g_usleep(50000);
-	uv_run(c->loop, UV_RUN_DEFAULT);
+	/* It may have ended already, and a kept connection stays open. */
+	while (!c->ended)
+		uv_run(c->loop, UV_RUN_ONCE);
 }
 
 static void
@@ -291,6 +324,63 @@
 	g_string_free(c.body, TRUE);
 }
 
+/* Calls a peer that floods after the response; returns the call's result. */
+static enum jh_call_result
+call_flooding_peer(const char *response, const char *flood)
+{
+	char line[4096];
+	struct peer p = {.response = response, .flood = line};
+	struct call c = {
+	    .skip = "Stray", .body_limit = 65536, .result = JH_CALL_COMPLETE};
+	size_t n = strlen(flood), i;
+
+	for (i = 0; i + n < sizeof(line); i += n)
+		memcpy(line + i, flood, n);
+	line[i] = '\0';
+	one_call(&p, &c);
+	g_string_free(c.body, TRUE);
+	assert_true(p.flooded < FLOOD_BOUND);
+	return c.result;
+}
+
+/*
+ * Guards against a peer whose bytes are no response and come without end: they
+ * must neither be read until the deadline nor fill the memory.
+ */
+static void
+floods_end_the_call(void **state)
+{
+	static const struct {
+		const char *response, *flood;
+	} cases[] = {
+	    /* heads */
+	    {"HTTP/1.1 200 OK\r\n", "X-Field: more\r\n"},
+	    {"HTTP/1.1 200 OK\r\nX-Field: ", "aaaaaaaaaaaaaaaa"},
+	    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	    {"", "no response at all "},
+	    /* bodies */
+	    {"HTTP/1.1 200 OK\r\n\r\n", "until the connection ends "},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+		"longer than promised "},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"4\r\nmore\r\n"},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+		"extension"},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "0\r\n",
+		"Trailer: more\r\n"},
+	    /* a response to another request */
+	    {"HTTP/1.1 200 OK\r\nStray: 1\r\n\r\n", "without end "},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		if (call_flooding_peer(cases[i].response, cases[i].flood) !=
+		    JH_CALL_BROKEN)
+			fail_msg("case %zu: not broken", i);
+	}
+}
+
 /* A server with one handler; a client runs in a thread. */
 struct server {
 	uv_loop_t loop;
@@ -486,6 +576,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(reset_after_data_is_broken),
 	    cmocka_unit_test(end_after_data_is_complete),
+	    cmocka_unit_test(floods_end_the_call),
 	    cmocka_unit_test(response_to_another_request_is_skipped),
 	    cmocka_unit_test(non_http_response_is_broken),
 	    cmocka_unit_test(refused_connection_is_not_sent),
--- a/test/test_weights.c
+++ b/test/test_weights.c
@@ -189,6 +189,51 @@
 	simulation_clear(&s);
 }
 
+/* Prompt tokens that a worker of the simulation still has to read. */
+static void
+set_prefill(struct simulation *s, uint64_t tokens)
+{
+	size_t i;
+
+	for (i = 0; i < WORKERS; i++)
+		jh_fleet_at(s->fleet, i)->others_prefill = tokens;
+}
+
+/*
+ * Guards against orders that reject the requests which wait at a worker: in a
+ * burst of long prompts, workers have a queue of some hundred milliseconds.
+ */
+static void
+order_waits_for_queued_prompts(void **state)
+{
+	struct simulation s;
+
+	simulation_init(&s, 4);
+	run(&s, 1, 1000 * MSEC);
+	set_prefill(&s, 12000);
+	jh_weights_set(s.weights, 1000 * MSEC, "m", 2);
+	run(&s, 1000 * MSEC, 1000 * MSEC + JH_WEIGHTS_DRAIN_USEC - 100 * MSEC);
+	assert_int_equal(s.loads, 0);
+	set_prefill(&s, 0);
+	run(&s, 1700 * MSEC, 1900 * MSEC);
+	assert_true(s.loads > 0);
+	simulation_clear(&s);
+}
+
+/* Guards against a flood that keeps old weights longer than 8 s in use. */
+static void
+flood_does_not_stop_the_update(void **state)
+{
+	struct simulation s;
+
+	simulation_init(&s, 5);
+	set_prefill(&s, 12000);
+	jh_weights_set(s.weights, 1, "m", 2);
+	run(&s, 1, 8000 * MSEC);
+	assert_int_equal(count_at(&s, 2), WORKERS);
+	simulation_clear(&s);
+}
+
 /* Guards against loads of a version that a newer one has replaced. */
 static void
 newest_version_is_loaded(void **state)
@@ -268,6 +313,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(workers_are_updated_some_at_a_time),
+	    cmocka_unit_test(order_waits_for_queued_prompts),
+	    cmocka_unit_test(flood_does_not_stop_the_update),
 	    cmocka_unit_test(newest_version_is_loaded),
 	    cmocka_unit_test(late_orders_change_nothing),
 	    cmocka_unit_test(dead_workers_do_not_delay_others),
