Look up a request's prefixes once, not once for each worker

Cause: the choice walked all workers three times and looked up each of the request's prefixes for each of them; the source of a fetch was searched among all workers for each prefix.

Change: the placements of each prefix are found once for each version of the weights, and the source among the at most four workers that it was placed at. The decisions are the same, but that a replaced worker is no source.

The choice still visits every worker twice.

--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -51,8 +51,8 @@
 /* A worker's observed excess TTFT decays to 0 over this time. */
 #define TTFT_EXCESS_DECAY_USEC (2 * JH_USEC_PER_SEC)
 
-/* Versions of weights that are ranked separately. */
-#define MAX_VERSIONS 4
+/* Workers with further versions of the weights get no requests. */
+#define MAX_VERSIONS 16
 
 struct jh_chooser {
 	char *zone;
@@ -67,6 +67,8 @@
 	uint64_t score;
 	struct jh_worker *home; /* computes a prefix that no worker has */
 	bool cached; /* a worker has the longest shared prefix */
+	/* Where each prefix of the request was placed. */
+	const struct jh_prefix_sites *sites[JH_CHOOSE_MAX_PREFIXES];
 };
 
 enum scope { SCOPE_ZONE, SCOPE_REGION, SCOPE_ALL };
@@ -209,9 +211,16 @@
 	return mix(r->prefix[level].key, weights);
 }
 
+/*
+ * Finds the version, or adds it and looks up where its prefixes are: once for
+ * all workers, because there may be thousands. Returns NULL if there are too
+ * many versions.
+ */
 static struct version *
-find_version(struct version *versions, size_t *n, uint64_t weights)
+find_version(const struct jh_chooser *c, const struct jh_choose_request *r,
+    struct version *versions, size_t *n, uint64_t weights)
 {
+	struct version *v;
 	size_t i;
 
 	for (i = 0; i < *n; i++)
@@ -219,30 +228,33 @@
 			return &versions[i];
 	if (*n == MAX_VERSIONS)
 		return NULL;
-	versions[*n] = (struct version){.weights = weights};
-	return &versions[(*n)++];
+	v = &versions[(*n)++];
+	*v = (struct version){.weights = weights};
+	for (i = 0; i < r->n_prefixes; i++)
+		v->sites[i] =
+		    jh_placements_find(c->placed, prefix_key(r, i, weights));
+	return v;
 }
 
 static bool
-was_placed_within(const struct jh_chooser *c, uint64_t key, uint64_t now,
+was_placed_within(const struct version *v, size_t level, uint64_t now,
     const struct jh_worker *w, uint64_t within)
 {
-	uint64_t at = jh_placements_last(c->placed, key, w->hash);
+	uint64_t at = jh_prefix_sites_last(v->sites[level], w->hash);
 
 	return at != 0 && now - at < within;
 }
 
 /* Shared tokens behind the longest prefix that the worker has. */
 static uint32_t
-uncached_tokens(const struct jh_chooser *c, const struct jh_choose_request *r,
+uncached_tokens(const struct jh_choose_request *r, const struct version *v,
     const struct jh_worker *w, uint64_t now)
 {
 	uint32_t tokens = 0;
 	size_t i;
 
 	for (i = r->n_prefixes; i > 0; i--) {
-		if (was_placed_within(c, prefix_key(r, i - 1, w->weights), now,
-			w, CACHED_USEC))
+		if (was_placed_within(v, i - 1, now, w, CACHED_USEC))
 			break;
 		tokens += r->prefix[i - 1].tokens;
 	}
@@ -286,9 +298,9 @@
 		return cost;
 	if (outdated_for_usec(r, w, now) > OUTDATED_GRACE_USEC)
 		cost += OUTDATED_COST_USEC;
-	compute_usec = prefill_usec(uncached_tokens(c, r, w, now));
+	compute_usec = prefill_usec(uncached_tokens(r, v, w, now));
 	/* A prefix that no worker has must be computed once: at its home. */
-	if (v != NULL && !v->cached && v->home == w)
+	if (!v->cached && v->home == w)
 		compute_usec = 0;
 	if (!r->minimise_ttft)
 		compute_usec *= RECOMPUTE_WEIGHT;
@@ -298,14 +310,39 @@
 /* TTFT if the worker had no other work. */
 static uint64_t
 idle_ttft_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
-    const struct jh_worker *w, uint64_t now)
+    const struct jh_worker *w, const struct version *v, uint64_t now)
 {
 	uint64_t time = distance_usec(distance(c, w));
 
 	if (!r->is_engine)
 		return time;
 	return time +
-	       prefill_usec(uncached_tokens(c, r, w, now) + r->own_tokens);
+	       prefill_usec(uncached_tokens(r, v, w, now) + r->own_tokens);
+}
+
+/* The worker where the prefix was placed last, but for the chosen one. */
+static struct jh_worker *
+find_last_placed(const struct jh_choose_request *r, struct jh_fleet *f,
+    const struct jh_prefix_sites *sites, const struct jh_worker *to,
+    uint64_t now)
+{
+	struct jh_worker *best = NULL, *w;
+	uint64_t best_at = 0;
+	size_t i;
+
+	for (i = 0; sites != NULL && i < JH_PLACEMENTS_WORKERS; i++) {
+		if (sites->at[i] <= best_at ||
+		    now - sites->at[i] >= MAYBE_CACHED_USEC)
+			continue;
+		w = jh_fleet_find_hash(f, sites->worker[i]);
+		if (w == NULL || w == to || !serves(r, w) ||
+		    now < w->backoff_until || now < w->replaced_until ||
+		    w->missing_since != 0 || w->weights != to->weights)
+			continue;
+		best = w;
+		best_at = sites->at[i];
+	}
+	return best;
 }
 
 /*
@@ -313,31 +350,18 @@
  * one where the longest of them was placed last, or NULL.
  */
 static struct jh_worker *
-find_fetch_source(const struct jh_chooser *c, const struct jh_choose_request *r,
-    struct jh_fleet *f, const struct jh_worker *to, uint64_t now)
+find_fetch_source(const struct jh_choose_request *r, struct jh_fleet *f,
+    const struct version *v, const struct jh_worker *to, uint64_t now)
 {
-	struct jh_worker *best = NULL;
-	uint64_t best_at = 0;
-	size_t level, i;
+	struct jh_worker *found = NULL;
+	size_t level;
 
-	for (level = r->n_prefixes; level > 0 && best == NULL; level--) {
-		uint64_t key = prefix_key(r, level - 1, to->weights);
-		if (was_placed_within(c, key, now, to, CACHED_USEC))
+	for (level = r->n_prefixes; level > 0 && found == NULL; level--) {
+		if (was_placed_within(v, level - 1, now, to, CACHED_USEC))
 			return NULL;
-		for (i = 0; i < jh_fleet_count(f); i++) {
-			struct jh_worker *w = jh_fleet_at(f, i);
-			uint64_t at =
-			    jh_placements_last(c->placed, key, w->hash);
-			if (w == to || at <= best_at || !serves(r, w) ||
-			    now < w->backoff_until || w->missing_since != 0 ||
-			    w->weights != to->weights ||
-			    now - at >= MAYBE_CACHED_USEC)
-				continue;
-			best = w;
-			best_at = at;
-		}
+		found = find_last_placed(r, f, v->sites[level - 1], to, now);
 	}
-	return best;
+	return found;
 }
 
 /* Decides whether the prefix is fetched from the store or saved to it. */
@@ -352,7 +376,8 @@
 	    out->uncached < last->tokens)
 		return;
 	key = prefix_key(r, r->n_prefixes - 1, out->worker->weights);
-	at = jh_placements_last(c->placed, key, r->prefix_store);
+	at = jh_prefix_sites_last(
+	    jh_placements_find(c->placed, key), r->prefix_store);
 	if (at == 0 || now - at >= STORED_USEC)
 		out->save = true;
 	else if (out->source == NULL)
@@ -360,48 +385,45 @@
 }
 
 /* Finds the home of the longest shared prefix for each version of weights. */
-static size_t
+static void
 rank_versions(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
-    const struct jh_choose_request *r, struct version *versions)
+    const struct jh_choose_request *r, struct version *versions, size_t *n)
 {
 	enum scope scope = placement_scope(r);
-	size_t n = 0, i;
+	size_t last = r->n_prefixes - 1, i;
 
-	if (r->n_prefixes == 0)
-		return 0;
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
-		uint64_t score, key;
 		struct version *v;
+		uint64_t score;
 		if (!serves(r, w) || !is_eligible(r, w, now) ||
 		    now < w->backoff_until)
 			continue;
-		v = find_version(versions, &n, w->weights);
+		v = find_version(c, r, versions, n, w->weights);
 		if (v == NULL)
 			continue;
-		key = prefix_key(r, r->n_prefixes - 1, w->weights);
-		if (was_placed_within(c, key, now, w, CACHED_USEC))
+		if (was_placed_within(v, last, now, w, CACHED_USEC))
 			v->cached = true;
-		score = mix(key, w->hash);
+		score = mix(prefix_key(r, last, w->weights), w->hash);
 		if (distance(c, w) <= scope &&
 		    (v->home == NULL || score > v->score)) {
 			v->score = score;
 			v->home = w;
 		}
 	}
-	return n;
 }
 
 static void
 choose_cheapest(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct version *versions,
-    size_t n_versions, bool include_backed_off, struct jh_choice *out)
+    size_t *n_versions, bool include_backed_off, struct jh_choice *out)
 {
 	uint64_t best = UINT64_MAX;
 	size_t i;
 
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
+		struct version *v;
 		uint64_t cost;
 		if (!serves(r, w))
 			continue;
@@ -409,8 +431,10 @@
 		if (!is_eligible(r, w, now) ||
 		    (now < w->backoff_until && !include_backed_off))
 			continue;
-		cost = cost_usec(c, r, w,
-		    find_version(versions, &n_versions, w->weights), now);
+		v = find_version(c, r, versions, n_versions, w->weights);
+		if (v == NULL)
+			continue;
+		cost = cost_usec(c, r, w, v, now);
 		if (cost < best) {
 			best = cost;
 			out->worker = w;
@@ -423,22 +447,26 @@
     const struct jh_choose_request *r, struct jh_choice *out)
 {
 	struct version versions[MAX_VERSIONS];
-	size_t n = rank_versions(c, f, now, r, versions);
+	const struct version *v;
+	size_t n = 0;
 
 	memset(out, 0, sizeof(*out));
-	choose_cheapest(c, f, now, r, versions, n, false, out);
+	if (r->n_prefixes > 0)
+		rank_versions(c, f, now, r, versions, &n);
+	choose_cheapest(c, f, now, r, versions, &n, false, out);
 	/* A worker in backoff may work again; trying it beats a refusal. */
 	if (out->worker == NULL)
-		choose_cheapest(c, f, now, r, versions, n, true, out);
+		choose_cheapest(c, f, now, r, versions, &n, true, out);
 	if (out->worker == NULL)
 		return;
-	out->idle_ttft = idle_ttft_usec(c, r, out->worker, now);
+	v = find_version(c, r, versions, &n, out->worker->weights);
+	out->idle_ttft = idle_ttft_usec(c, r, out->worker, v, now);
 	out->expected_ttft =
 	    out->idle_ttft + queue_wait_usec(r, out->worker, now);
 	if (!r->is_engine || r->n_prefixes == 0)
 		return;
-	out->uncached = uncached_tokens(c, r, out->worker, now);
-	out->source = find_fetch_source(c, r, f, out->worker, now);
+	out->uncached = uncached_tokens(r, v, out->worker, now);
+	out->source = find_fetch_source(r, f, v, out->worker, now);
 	use_store(c, r, now, out);
 }
 
--- a/src/route/placements.c
+++ b/src/route/placements.c
@@ -6,8 +6,7 @@
 
 #include "route/placements.h"
 
-/* Workers kept for each prefix, and prefixes kept in total. */
-#define WORKERS_PER_PREFIX 4
+/* Prefixes kept in total. */
 #define MAX_PREFIXES 8192
 
 /* Prefixes that were not placed for this long are dropped first. */
@@ -16,13 +15,8 @@
 /* Placements that wait to be announced. */
 #define MAX_QUEUED 256
 
-struct prefix {
-	uint64_t worker[WORKERS_PER_PREFIX];
-	uint64_t at[WORKERS_PER_PREFIX]; /* time of the placement; 0: unused */
-};
-
 struct jh_placements {
-	GHashTable *prefixes; /* key to struct prefix */
+	GHashTable *prefixes; /* key to struct jh_prefix_sites */
 	struct jh_placement queue[MAX_QUEUED];
 	size_t n_queued;
 };
@@ -49,20 +43,20 @@
 static gboolean
 is_expired(void *key, void *value, void *arg)
 {
-	const struct prefix *prefix = value;
+	const struct jh_prefix_sites *prefix = value;
 	const uint64_t *now = arg;
 	size_t i;
 
-	for (i = 0; i < WORKERS_PER_PREFIX; i++)
+	for (i = 0; i < JH_PLACEMENTS_WORKERS; i++)
 		if (prefix->at[i] != 0 && *now - prefix->at[i] < EXPIRY_USEC)
 			return FALSE;
 	return TRUE;
 }
 
-static struct prefix *
+static struct jh_prefix_sites *
 add_prefix(struct jh_placements *p, uint64_t now, uint64_t key)
 {
-	struct prefix *prefix = g_new0(struct prefix, 1);
+	struct jh_prefix_sites *prefix = g_new0(struct jh_prefix_sites, 1);
 
 	if (g_hash_table_size(p->prefixes) >= MAX_PREFIXES)
 		g_hash_table_foreach_remove(p->prefixes, is_expired, &now);
@@ -76,12 +70,13 @@
 jh_placements_add(
     struct jh_placements *p, uint64_t now, const struct jh_placement *at)
 {
-	struct prefix *prefix = g_hash_table_lookup(p->prefixes, &at->key);
+	struct jh_prefix_sites *prefix =
+	    g_hash_table_lookup(p->prefixes, &at->key);
 	size_t i, slot = 0;
 
 	if (prefix == NULL)
 		prefix = add_prefix(p, now, at->key);
-	for (i = 0; i < WORKERS_PER_PREFIX; i++) {
+	for (i = 0; i < JH_PLACEMENTS_WORKERS; i++) {
 		if (prefix->worker[i] == at->worker) {
 			slot = i;
 			break;
@@ -93,15 +88,20 @@
 	prefix->at[slot] = now;
 }
 
+const struct jh_prefix_sites *
+jh_placements_find(const struct jh_placements *p, uint64_t key)
+{
+	return g_hash_table_lookup(p->prefixes, &key);
+}
+
 uint64_t
-jh_placements_last(const struct jh_placements *p, uint64_t key, uint64_t worker)
+jh_prefix_sites_last(const struct jh_prefix_sites *sites, uint64_t worker)
 {
-	const struct prefix *prefix = g_hash_table_lookup(p->prefixes, &key);
 	size_t i;
 
-	for (i = 0; prefix != NULL && i < WORKERS_PER_PREFIX; i++)
-		if (prefix->worker[i] == worker)
-			return prefix->at[i];
+	for (i = 0; sites != NULL && i < JH_PLACEMENTS_WORKERS; i++)
+		if (sites->worker[i] == worker)
+			return sites->at[i];
 	return 0;
 }
 
--- a/src/route/placements.h
+++ b/src/route/placements.h
@@ -22,9 +22,21 @@
 
 void jh_placements_add(
     struct jh_placements *p, uint64_t now, const struct jh_placement *at);
-/* When the prefix was last placed at the worker; 0: not known. */
-uint64_t jh_placements_last(
-    const struct jh_placements *p, uint64_t key, uint64_t worker);
+/* Workers kept for each prefix. */
+#define JH_PLACEMENTS_WORKERS 4
+
+/* Where one prefix was placed last. */
+struct jh_prefix_sites {
+	uint64_t worker[JH_PLACEMENTS_WORKERS]; /* hash of its id */
+	uint64_t at[JH_PLACEMENTS_WORKERS]; /* time; 0: unused */
+};
+
+/* NULL: not placed; valid until the next change of the placements. */
+const struct jh_prefix_sites *jh_placements_find(
+    const struct jh_placements *p, uint64_t key);
+/* When it was last placed at the worker; 0: not known. sites may be NULL. */
+uint64_t jh_prefix_sites_last(
+    const struct jh_prefix_sites *sites, uint64_t worker);
 
 /* Queues an announcement; the oldest is dropped when the queue is full. */
 void jh_placements_announce(
