--- a/src/feed/store_backoff.c
+++ b/src/feed/store_backoff.c
@@ -7,8 +7,7 @@
 	bool probing;
 };
 
-/* A probe without a result, as its reader gave it up, is repeated after this.
- */
+/* A probe without a result, because its reader gave it up, is repeated. */
 #define PROBE_TIMEOUT_USEC 2000000ULL
 
 struct jh_store_backoff *
@@ -48,7 +47,7 @@
 }
 
 bool
-jh_store_backoff_take(struct jh_store_backoff *b, uint64_t now)
+jh_store_backoff_may_call(struct jh_store_backoff *b, uint64_t now)
 {
 	if (b->delay == 0)
 		return true;
--- a/src/feed/store_backoff.h
+++ b/src/feed/store_backoff.h
@@ -31,6 +31,6 @@
  * Whether a reader may call the store now. In an outage this takes the probe
  * that is due; the caller makes the call and reports its result.
  */
-bool jh_store_backoff_take(struct jh_store_backoff *b, uint64_t now);
+bool jh_store_backoff_may_call(struct jh_store_backoff *b, uint64_t now);
 
 #endif
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -142,7 +142,7 @@
 		unsigned int flags = 0;
 		if (jh_weights_in_progress(g->spec.weights, w->id))
 			flags |= FLAG_LOADING;
-		if (jh_worker_tell_replaced(w, now))
+		if (jh_worker_announces_replaced(w, now))
 			flags |= FLAG_REPLACED;
 		if (w->model != NULL && w->responded_at != 0 &&
 		    now - w->responded_at < JH_PEERS_RESPONDED_USEC)
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -70,9 +70,7 @@
 	bool transformed; /* the body is not as the worker sent it */
 	bool has_weights;
 	uint64_t weights;
-	/* Id of the worker that responds, valid as long as the head; or empty.
-	 */
-	struct jh_str instance;
+	struct jh_str instance; /* id of the responder; valid with the head */
 };
 
 struct jh_http_codec {
--- a/src/route/attempt.h
+++ b/src/route/attempt.h
@@ -33,13 +33,12 @@
 	JH_NEXT_FAIL /* tell the client that the outcome is unknown */
 };
 
-/* More attempts that could not be sent cost time only; each excludes a worker.
- */
-#define JH_ATTEMPTS_MAX_NOT_SENT 8
-
-/* No retry follows more attempts than this that did not run. */
+/* No retry follows more attempts than this that a worker declined. */
 #define JH_ATTEMPTS_MAX_NOT_RUN 3
 
+/* The same for attempts that were not sent, which cost time only. */
+#define JH_ATTEMPTS_MAX_NOT_SENT 8
+
 /* Time to the deadline below which no attempt is started. */
 #define JH_ATTEMPT_MIN_USEC 30000ULL
 
@@ -50,6 +49,9 @@
 /* Records the result of the last attempt and returns what follows. */
 enum jh_attempt_next jh_attempts_ended(
     struct jh_attempts *a, uint64_t now, enum jh_attempt_result result);
+/* What the client is told when there is no further attempt. */
+enum jh_attempt_next jh_attempts_give_up(const struct jh_attempts *a);
+
 /*
  * An attempt that may be repeated is checked when its response has been missing
  * for this long beyond the expected time, or beyond the longest event gap, and
@@ -75,7 +77,4 @@
  */
 bool jh_silence_aborts(const struct jh_silence *s);
 
-/* What the client is told when there is no further attempt. */
-enum jh_attempt_next jh_attempts_give_up(const struct jh_attempts *a);
-
 #endif
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -113,8 +113,7 @@
 		g_hash_table_remove(f->by_address, &key);
 }
 
-/* Of two workers listed at one address, the one that started first has ended.
- */
+/* Of two workers at one address, the one that started first has ended. */
 static void
 resolve_address(struct jh_fleet *f, struct jh_worker *w, uint64_t now)
 {
@@ -271,10 +270,10 @@
 }
 
 bool
-jh_worker_tell_replaced(const struct jh_worker *w, uint64_t now)
+jh_worker_announces_replaced(const struct jh_worker *w, uint64_t now)
 {
 	return now < w->replaced_until &&
-	       now - w->replaced_at < JH_FLEET_TELL_REPLACED_USEC;
+	       now - w->replaced_at < JH_FLEET_ANNOUNCE_REPLACED_USEC;
 }
 
 void
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -88,7 +88,7 @@
  * stays listed. Peers are told for the second time.
  */
 #define JH_FLEET_REPLACED_USEC 10000000ULL
-#define JH_FLEET_TELL_REPLACED_USEC 2000000ULL
+#define JH_FLEET_ANNOUNCE_REPLACED_USEC 2000000ULL
 
 /* Backoff after a failure; each consecutive failure doubles it. */
 #define JH_FLEET_BACKOFF_MIN_USEC 250000ULL
@@ -139,7 +139,7 @@
 /* Another instance responded at the worker's address: it has ended. */
 void jh_worker_replaced(struct jh_worker *w, uint64_t now);
 /* Whether peers are to be told that the worker was replaced. */
-bool jh_worker_tell_replaced(const struct jh_worker *w, uint64_t now);
+bool jh_worker_announces_replaced(const struct jh_worker *w, uint64_t now);
 /* The connection failed or the worker timed out: starts a backoff. */
 void jh_worker_attempt_failed(struct jh_worker *w, uint64_t now);
 /* The worker responded; failed: with an error of its own. */
--- a/test/test_replaced.c
+++ b/test/test_replaced.c
@@ -116,7 +116,7 @@
 
 	for (i = 0; i < WORKERS; i++) {
 		const struct jh_worker *w = jh_fleet_at(p->fleet, i);
-		if (jh_worker_tell_replaced(w, now))
+		if (jh_worker_announces_replaced(w, now))
 			reports[n++] = (struct jh_peer_report){
 			    .worker = w->hash, .replaced = true};
 	}
@@ -191,7 +191,7 @@
 	l.started_ms = 6;
 	jh_fleet_update(f, START, &l);
 	assert_int_equal(w->replaced_until, 0);
-	assert_false(jh_worker_tell_replaced(w, START));
+	assert_false(jh_worker_announces_replaced(w, START));
 	jh_fleet_destroy(f);
 }
 
--- a/test/test_store_backoff.c
+++ b/test/test_store_backoff.c
@@ -28,7 +28,7 @@
 				jh_store_backoff_failed(b, now);
 			}
 			if (busy_until[i] != 0 ||
-			    !jh_store_backoff_take(b, now))
+			    !jh_store_backoff_may_call(b, now))
 				continue;
 			busy_until[i] = now + call_usec;
 			calls++;
@@ -65,13 +65,13 @@
 	unsigned int i;
 
 	calls_in_outage(b, 5 * MSEC);
-	assert_true(jh_store_backoff_take(
+	assert_true(jh_store_backoff_may_call(
 	    b, 8000 * MSEC + 2 * JH_STORE_BACKOFF_MAX_USEC));
-	assert_false(jh_store_backoff_take(
+	assert_false(jh_store_backoff_may_call(
 	    b, 8000 * MSEC + 2 * JH_STORE_BACKOFF_MAX_USEC));
 	jh_store_backoff_served(b);
 	for (i = 0; i < READERS; i++)
-		assert_true(jh_store_backoff_take(b, 11000 * MSEC));
+		assert_true(jh_store_backoff_may_call(b, 11000 * MSEC));
 }
 
 /* Guards against a probe without a result that stops all later ones. */
@@ -81,9 +81,9 @@
 	struct jh_store_backoff *b = *state;
 
 	jh_store_backoff_failed(b, 1);
-	assert_true(jh_store_backoff_take(b, 1000 * MSEC));
-	assert_false(jh_store_backoff_take(b, 1500 * MSEC));
-	assert_true(jh_store_backoff_take(b, 3500 * MSEC));
+	assert_true(jh_store_backoff_may_call(b, 1000 * MSEC));
+	assert_false(jh_store_backoff_may_call(b, 1500 * MSEC));
+	assert_true(jh_store_backoff_may_call(b, 3500 * MSEC));
 }
 
 static int
