Do not take a worker out because another at its address claims a later start

A worker whose clock is behind would have been unused for 10 s after its start. Only the worker that is listed later can replace one now; a 421 covers the rest.

--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -113,7 +113,11 @@
 		g_hash_table_remove(f->by_address, &key);
 }
 
-/* Of two workers at one address, the one that started first has ended. */
+/*
+ * A worker that is listed at the address of one that started before has
+ * replaced it. The reverse is not concluded: a wrong clock would take a live
+ * worker out.
+ */
 static void
 resolve_address(struct jh_fleet *f, struct jh_worker *w, uint64_t now)
 {
@@ -122,10 +126,8 @@
 
 	if (other == w || key == 0 || w->started_ms == 0)
 		return;
-	if (other != NULL && other->started_ms > w->started_ms) {
-		jh_worker_replaced(w, now);
+	if (other != NULL && other->started_ms >= w->started_ms)
 		return;
-	}
 	if (other != NULL)
 		jh_worker_replaced(other, now);
 	g_hash_table_replace(f->by_address, g_memdup2(&key, sizeof(key)), w);
