--- a/fakes/platform/objects.c
+++ b/fakes/platform/objects.c
@@ -371,7 +371,7 @@
 	g_free(target);
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request};
+static const struct jh_uv_server_ops server_ops = {on_request, NULL};
 
 static void
 on_wake(uv_async_t *a)
--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -355,7 +355,7 @@
 	fake_objects_unlock(w->objects);
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request};
+static const struct jh_uv_server_ops server_ops = {on_request, NULL};
 
 void
 fake_worker_start(struct fake_worker *w)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,5 +47,7 @@
 
 /* Handles a request to the HTTP server; arg is the gateway. */
 void jh_gateway_request(void *arg, struct jh_server_request *v);
+/* Logs and counts a client's connection that the HTTP server closes. */
+void jh_gateway_closing(void *arg, const struct jh_server_closing *c);
 
 #endif
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -224,3 +224,20 @@
 	}
 	start_exchange(gw, v, &request, route, org, service);
 }
+
+void
+jh_gateway_closing(void *arg, const struct jh_server_closing *c)
+{
+	struct jh_gateway *gw = arg;
+	char name[64];
+
+	g_snprintf(name, sizeof(name), "jh_connections_closed{reason=\"%s\"}",
+	    c->reason);
+	jh_metrics_add(gw->metrics, name, 1);
+	/* Idle connections without unread bytes are closed all the time. */
+	if (c->unread == 0 && strcmp(c->reason, "too_many") != 0)
+		return;
+	jh_json_log(gw->log, "connection_closed", "s:s, s:I, s:I", "reason",
+	    c->reason, "idle_us", (json_int_t)c->idle_usec, "unread",
+	    (json_int_t)c->unread);
+}
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include "net/conn.h"
 
@@ -241,6 +242,18 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
 }
 
+size_t
+jh_conn_unread(const struct jh_conn *c)
+{
+	uv_os_fd_t fd;
+	int n = 0;
+
+	if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &n) != 0)
+		return 0;
+	return (size_t)n;
+}
+
 void
 jh_conn_close(struct jh_conn *c)
 {
--- /dev/null
+++ b/src/net/loop_lag.c
@@ -0,0 +1,61 @@
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "net/loop_lag.h"
+
+#define NSEC_PER_USEC 1000
+
+struct jh_loop_lag {
+	uv_prepare_t prepare; /* runs once in each iteration */
+	uint64_t min_usec;
+	uint64_t last; /* time of the last iteration; 0: none yet */
+	uint64_t last_idle_usec; /* the loop's idle time until then */
+	void (*blocked)(void *arg, uint64_t usec);
+	void *arg;
+};
+
+static void
+on_prepare(uv_prepare_t *h)
+{
+	struct jh_loop_lag *l = h->data;
+	uint64_t now = jh_now();
+	uint64_t idle = uv_metrics_idle_time(h->loop) / NSEC_PER_USEC;
+	uint64_t waited = idle - l->last_idle_usec;
+	uint64_t took = now - l->last;
+
+	if (l->last != 0 && took > waited + l->min_usec)
+		l->blocked(l->arg, took - waited);
+	l->last = now;
+	l->last_idle_usec = idle;
+}
+
+struct jh_loop_lag *
+jh_loop_lag_create(uv_loop_t *loop, uint64_t min_usec,
+    void (*blocked)(void *arg, uint64_t usec), void *arg)
+{
+	struct jh_loop_lag *l = g_new0(struct jh_loop_lag, 1);
+
+	l->min_usec = min_usec;
+	l->blocked = blocked;
+	l->arg = arg;
+	uv_loop_configure(loop, UV_METRICS_IDLE_TIME);
+	uv_prepare_init(loop, &l->prepare);
+	l->prepare.data = l;
+	uv_prepare_start(&l->prepare, on_prepare);
+	uv_unref((uv_handle_t *)&l->prepare);
+	return l;
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+	g_free(h->data);
+}
+
+void
+jh_loop_lag_destroy(struct jh_loop_lag *l)
+{
+	if (l != NULL)
+		uv_close((uv_handle_t *)&l->prepare, on_closed);
+}
--- /dev/null
+++ b/src/net/loop_lag.h
@@ -0,0 +1,22 @@
+#ifndef NET_LOOP_LAG_H
+#define NET_LOOP_LAG_H
+
+#include <stdint.h>
+
+#include <uv.h>
+
+/*
+ * Measures how long the callbacks of one iteration of an event loop take. While
+ * they run, no timer expires and no socket is read.
+ */
+struct jh_loop_lag;
+
+/*
+ * Calls blocked() after each iteration that took longer than min_usec without
+ * the time spent waiting for events. To be created before the loop runs.
+ */
+struct jh_loop_lag *jh_loop_lag_create(uv_loop_t *loop, uint64_t min_usec,
+    void (*blocked)(void *arg, uint64_t usec), void *arg);
+void jh_loop_lag_destroy(struct jh_loop_lag *l);
+
+#endif
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -73,6 +73,20 @@
 	g_free(req);
 }
 
+/* Reports a connection that is closed without a response. */
+static void
+report_closing(const struct jh_server_request *req, const char *reason)
+{
+	const struct jh_uv_server *server = req->server;
+	struct jh_server_closing c = {.reason = reason};
+
+	if (server->ops->closing == NULL)
+		return;
+	c.idle_usec = jh_now() - req->idle_since;
+	c.unread = jh_conn_unread(req->conn);
+	server->ops->closing(server->arg, &c);
+}
+
 /* Closes the connection after all written data has been sent. */
 static void
 close_connection(struct jh_server_request *req)
@@ -250,6 +264,7 @@
 	if (server->limits.connections != 0 &&
 	    g_hash_table_size(server->open_connections) >
 		server->limits.connections) {
+		report_closing(req, "too_many");
 		jh_conn_reset(req->conn);
 		free_request(req);
 	}
@@ -310,10 +325,12 @@
 	for (i = 0; i < expired_list->len; i++) {
 		struct jh_server_request *req =
 		    g_ptr_array_index(expired_list, i);
-		if (req->started == 0)
-			close_connection(req);
-		else
+		if (req->started != 0) {
 			reject(req, 408, "Request Timeout");
+			continue;
+		}
+		report_closing(req, server->closing ? "stopping" : "idle");
+		close_connection(req);
 	}
 	g_ptr_array_free(expired_list, TRUE);
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -26,6 +26,13 @@
 	unsigned int connections;
 };
 
+/* A connection that the server closes without a response. */
+struct jh_server_closing {
+	const char *reason; /* "idle", "stopping" or "too_many" */
+	uint64_t idle_usec; /* since the last response, or since its start */
+	size_t unread; /* bytes that the client sent and that were not read */
+};
+
 struct jh_uv_server_ops {
 	/*
 	 * A complete request has arrived. The handler must finish it with
@@ -33,6 +40,8 @@
 	 * jh_server_request_abort(), inside the callback or later.
 	 */
 	void (*request)(void *arg, struct jh_server_request *req);
+	/* May be NULL. The connection is closed when this returns. */
+	void (*closing)(void *arg, const struct jh_server_closing *c);
 };
 
 struct jh_server_request_ops {
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -421,7 +421,7 @@
 		    req, 200, "OK", JH_STR(""), JH_STR("hello"));
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request};
+static const struct jh_uv_server_ops server_ops = {on_request, NULL};
 
 static void
 server_start(struct server *s, const struct jh_uv_server_limits *limits)
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -75,7 +75,7 @@
 	g_free(target);
 }
 
-static const struct jh_uv_server_ops store_ops = {on_store};
+static const struct jh_uv_server_ops store_ops = {on_store, NULL};
 
 static void
 on_object(void *arg, const struct plat_object *o)
