--- /dev/null
+++ b/test/test_server_pause.c
@@ -0,0 +1,183 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "net/server.h"
+
+/*
+ * Tests of the HTTP server after a pause of its event loop, such as the
+ * decoding of a large configuration: timers run before sockets are read, so
+ * they see connections whose next request has arrived and is not read yet.
+ */
+
+#define LIMIT_USEC (300 * JH_USEC_PER_MSEC)
+/* Longer than the limit, and than the interval of the server's checks. */
+#define PAUSE_USEC (600 * JH_USEC_PER_MSEC)
+#define WAIT_USEC (5 * JH_USEC_PER_SEC)
+
+#define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+struct fixture {
+	uv_loop_t loop;
+	struct jh_uv_server *server;
+	int client;
+	char response[4096]; /* what the client has received */
+	size_t len;
+};
+
+static void
+on_request(void *arg, struct jh_server_request *req)
+{
+	jh_server_request_respond(req, 200, "OK", JH_STR(""), JH_STR("hello"));
+}
+
+static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+
+/* Returns a free port of the loopback interface. */
+static struct sockaddr_in
+free_address(void)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&a, &len), 0);
+	close(fd);
+	return a;
+}
+
+static struct fixture *
+create(const struct jh_uv_server_limits *limits)
+{
+	struct fixture *f = g_new0(struct fixture, 1);
+	struct sockaddr_in address = free_address();
+
+	uv_loop_init(&f->loop);
+	f->server = jh_uv_server_create(&f->loop, limits, &server_ops, f);
+	assert_int_equal(jh_uv_server_listen(f->server, &address), 0);
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(
+	    connect(f->client, (struct sockaddr *)&address, sizeof(address)),
+	    0);
+	return f;
+}
+
+static void
+destroy(struct fixture *f)
+{
+	close(f->client);
+	jh_uv_server_destroy(f->server);
+	uv_run(&f->loop, UV_RUN_DEFAULT);
+	assert_int_equal(uv_loop_close(&f->loop), 0);
+	g_free(f);
+}
+
+static void
+send_text(struct fixture *f, const char *text)
+{
+	assert_int_equal(write(f->client, text, strlen(text)), strlen(text));
+}
+
+/*
+ * Runs the loop until the client has received the text; fails the test if the
+ * connection ends before.
+ */
+static void
+expect(struct fixture *f, const char *text)
+{
+	uint64_t deadline = jh_now() + WAIT_USEC;
+	ssize_t n;
+
+	f->len = 0;
+	f->response[0] = '\0';
+	while (strstr(f->response, text) == NULL) {
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+		n = recv(f->client, f->response + f->len,
+		    sizeof(f->response) - 1 - f->len, MSG_DONTWAIT);
+		if (n == 0 || jh_now() > deadline)
+			fail_msg("no \"%s\" but: \"%s\"", text, f->response);
+		if (n > 0)
+			f->len += (size_t)n;
+		f->response[f->len] = '\0';
+	}
+}
+
+/* Guards against closing an idle connection whose next request has arrived. */
+static void
+request_that_arrived_in_a_pause_is_answered(void **state)
+{
+	const struct jh_uv_server_limits limits = {
+	    .head_bytes = 4096, .idle_usec = LIMIT_USEC};
+	struct fixture *f = create(&limits);
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	send_text(f, REQUEST);
+	g_usleep(PAUSE_USEC);
+	expect(f, "hello");
+	destroy(f);
+}
+
+/* Guards against the same when a stopping server closes idle connections. */
+static void
+request_that_arrived_before_the_stop_is_answered(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	send_text(f, REQUEST);
+	g_usleep(PAUSE_USEC);
+	jh_uv_server_drain(f->server);
+	jh_uv_server_close_idle(f->server);
+	expect(f, "hello");
+	destroy(f);
+}
+
+/* Guards against a time-out of a request whose rest has arrived. */
+static void
+rest_that_arrived_in_a_pause_is_read(void **state)
+{
+	const struct jh_uv_server_limits limits = {
+	    .head_bytes = 4096, .request_usec = LIMIT_USEC};
+	struct fixture *f = create(&limits);
+	unsigned int i;
+
+	send_text(f, "GET / HTTP/1.1\r\n");
+	for (i = 0; i < 10; i++)
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+	send_text(f, "Host: h\r\n\r\n");
+	g_usleep(PAUSE_USEC);
+	expect(f, "hello");
+	destroy(f);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(request_that_arrived_in_a_pause_is_answered),
+	    cmocka_unit_test(request_that_arrived_before_the_stop_is_answered),
+	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
