Do not close a client's connection while bytes of its request are unread

What callers saw: beside a change of the configuration, a whole request got neither a response nor a refusal (LOST).

Cause: the check for idle connections runs on a timer, and timers run before sockets are read. After a pause of the loop it judged a connection by what had been read, not by what had arrived, and closed connections whose next request was waiting. A stopping process did the same to every connection between two requests, and exited while clients waited to be accepted; a request whose rest had arrived got 408.

Ruled out for this mechanism alone: the limit of connections (75 of 704 used), memory (17 of 88 MB). Not shown: that the users' case was this one, since their idle limit leaves 3 s for the pause.

Why it works: the decision asks the kernel for unread bytes at the moment it is made. A request in progress is given one more check, so that a client that never stops sending is still rejected. The new check of a connection that waits to be accepted came with the function that it tests, so it has not been seen to fail.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -1,3 +1,4 @@
+#include <poll.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -37,6 +38,7 @@
 	bool streaming;
 	bool keep_alive;
 	bool too_large;
+	bool overdue; /* its time is up; unread bytes are still read */
 	bool parsing;
 	bool free_pending; /* freed once the parser has returned */
 };
@@ -279,6 +281,7 @@
 	req->active = false;
 	req->server->active--;
 	req->streaming = false;
+	req->overdue = false;
 	req->ops = NULL;
 	req->head = NULL;
 	g_byte_array_set_size(req->body, 0);
@@ -296,6 +299,33 @@
 	handle_result(req, r);
 }
 
+/*
+ * Whether a connection is to be closed. Timers run before sockets are read, so
+ * after a pause of the loop the client's bytes may have arrived in time and be
+ * unread: they are read first. A request in progress gets this once, as its
+ * client may never stop sending.
+ */
+static bool
+is_expired(struct jh_server_request *req, uint64_t now)
+{
+	const struct jh_uv_server *server = req->server;
+	uint64_t limit = server->limits.request_usec;
+	bool idle = server->limits.idle_usec != 0 &&
+		    now - req->idle_since > server->limits.idle_usec;
+
+	if (req->active)
+		return false;
+	if (req->started == 0)
+		return (idle || server->closing) &&
+		       jh_conn_unread(req->conn) == 0;
+	if (limit == 0 || now - req->started <= limit)
+		return false;
+	if (req->overdue || jh_conn_unread(req->conn) == 0)
+		return true;
+	req->overdue = true;
+	return false;
+}
+
 static void
 sweep(uv_timer_t *t)
 {
@@ -308,19 +338,8 @@
 
 	g_hash_table_iter_init(&it, server->open_connections);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		const struct jh_server_request *req = key;
-		if (req->active)
-			continue;
-		if (req->started == 0) {
-			bool expired =
-			    server->limits.idle_usec != 0 &&
-			    now - req->idle_since > server->limits.idle_usec;
-			if (expired || server->closing)
-				g_ptr_array_add(expired_list, key);
-		} else if (server->limits.request_usec != 0 &&
-			   now - req->started > server->limits.request_usec) {
+		if (is_expired(key, now))
 			g_ptr_array_add(expired_list, key);
-		}
 	}
 	for (i = 0; i < expired_list->len; i++) {
 		struct jh_server_request *req =
@@ -433,6 +452,17 @@
 	return g_hash_table_size(server->open_connections);
 }
 
+bool
+jh_uv_server_is_drained(const struct jh_uv_server *server)
+{
+	struct pollfd p = {.events = POLLIN};
+
+	if (g_hash_table_size(server->open_connections) > 0)
+		return false;
+	return uv_fileno((const uv_handle_t *)&server->listener, &p.fd) != 0 ||
+	       poll(&p, 1, 0) <= 0;
+}
+
 unsigned int
 jh_uv_server_active_requests(const struct jh_uv_server *server)
 {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -69,6 +69,8 @@
 void jh_uv_server_drain(struct jh_uv_server *server);
 /* From now on also closes connections that are between requests. */
 void jh_uv_server_close_idle(struct jh_uv_server *server);
+/* Whether no connection is open and none waits to be accepted. */
+bool jh_uv_server_is_drained(const struct jh_uv_server *server);
 /* Number of open connections, and of requests in progress. */
 unsigned int jh_uv_server_connections(const struct jh_uv_server *server);
 unsigned int jh_uv_server_active_requests(const struct jh_uv_server *server);
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -151,6 +151,20 @@
 	destroy(f);
 }
 
+/* Guards against an exit while a client waits to be accepted. */
+static void
+waiting_client_keeps_the_server_open(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+
+	send_text(f, REQUEST);
+	assert_false(jh_uv_server_is_drained(f->server));
+	expect(f, "hello");
+	assert_false(jh_uv_server_is_drained(f->server));
+	destroy(f);
+}
+
 /* Guards against a time-out of a request whose rest has arrived. */
 static void
 rest_that_arrived_in_a_pause_is_read(void **state)
@@ -175,6 +189,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(request_that_arrived_in_a_pause_is_answered),
 	    cmocka_unit_test(request_that_arrived_before_the_stop_is_answered),
+	    cmocka_unit_test(waiting_client_keeps_the_server_open),
 	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
 	};
 
