Read a response that is ready before a deadline discards it

Calls whose response had arrived in time ended as timed out (a store that answered counted as lost), a client got 504 in place of a response that was ready, and a worker that had answered counted as silent and its request was sent again.

test_net, response_that_arrived_in_a_pause_is_read: failed before with the result timed out, passes now. A deadline waits once for the loop to read what the kernel has; a call with unread bytes is not silent. The deadline of the gateway's requests has no test of its own yet.

Looked at and left: lease and election timers act on the clock alone, as they must; peers dropped after a pause come back with their next message. The library's other path reads in libmicrohttpd and libcurl, which handle sockets before time-outs.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -122,7 +122,9 @@
 	struct exchange *x = t->data;
 	struct jh_worker *w = exchange_worker(x);
 
-	if (keeps_waiting(x, w)) {
+	/* After a pause of the loop, the response may be there unread. */
+	if ((x->call != NULL && jh_call_has_unread(x->call)) ||
+	    keeps_waiting(x, w)) {
 		uv_timer_start(t, t->timer_cb,
 		    JH_SILENCE_CHECK_USEC / JH_USEC_PER_MSEC, 0);
 		return;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -53,6 +53,7 @@
 	struct http_conn *hc;
 	uv_timer_t timer;
 	bool sent;
+	bool overdue; /* the deadline has passed; unread bytes are still read */
 };
 
 struct jh_uv_client {
@@ -105,11 +106,20 @@
 	ops->end(arg, result);
 }
 
+/*
+ * Timers run before sockets are read, so after a pause of the loop the response
+ * may have arrived in time and be unread: the loop reads it first.
+ */
 static void
 on_timer(uv_timer_t *t)
 {
 	struct jh_call *call = t->data;
 
+	if (!call->overdue && jh_call_has_unread(call)) {
+		call->overdue = true;
+		uv_timer_start(t, on_timer, JH_CALL_OVERDUE_READ_MSEC, 0);
+		return;
+	}
 	end_call(
 	    call, call->sent ? JH_CALL_TIMED_OUT : JH_CALL_NOT_SENT, false);
 }
@@ -408,6 +418,13 @@
 	return call->sent;
 }
 
+bool
+jh_call_has_unread(const struct jh_call *call)
+{
+	return call->sent && call->hc != NULL && call->hc->conn != NULL &&
+	       jh_conn_unread(call->hc->conn) > 0;
+}
+
 void
 jh_call_pause(struct jh_call *call)
 {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -27,6 +27,9 @@
 	JH_CALL_TIMED_OUT /* the deadline passed after the request was sent */
 };
 
+/* Time for the loop to read what arrived before a deadline. */
+#define JH_CALL_OVERDUE_READ_MSEC 1
+
 struct jh_call_ops {
 	/*
 	 * A response head has arrived. Returns false if the response is to
@@ -62,6 +65,8 @@
 void jh_call_cancel(struct jh_call *call);
 /* Whether any byte of the request may have reached the peer. */
 bool jh_call_was_sent(const struct jh_call *call);
+/* Whether bytes of the response have arrived and are not read yet. */
+bool jh_call_has_unread(const struct jh_call *call);
 /* Stop and resume reading the response. */
 void jh_call_pause(struct jh_call *call);
 void jh_call_resume(struct jh_call *call);
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -136,6 +136,8 @@
 	GString *body;
 	size_t body_limit; /* a longer body is rejected; 0: none */
 	const char *skip; /* a response with this field is to another request */
+	/* Its deadline, and the pause of the loop, in microseconds; 0: usual */
+	uint64_t limit_usec, pause_usec;
 };
 
 static bool
@@ -174,11 +176,12 @@
     struct call *c)
 {
 	uint64_t now = jh_now();
+	uint64_t limit = c->limit_usec != 0 ? c->limit_usec : LIMIT_USEC;
 	struct jh_call_spec spec = {
 	    .peer = *address,
 	    .message = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-	    .connect_deadline = now + LIMIT_USEC,
-	    .deadline = now + LIMIT_USEC,
+	    .connect_deadline = now + limit,
+	    .deadline = now + limit,
 	    .max_idle_usec = LIMIT_USEC,
 	    .ops = &call_ops,
 	    .arg = c,
@@ -191,7 +194,7 @@
 	/* Pause, so that data and the connection's end are read together. */
 	uv_run(c->loop, UV_RUN_NOWAIT);
 	uv_run(c->loop, UV_RUN_NOWAIT);
-	g_usleep(50000);
+	g_usleep(c->pause_usec != 0 ? c->pause_usec : 50000);
 	/* It may have ended already, and a kept connection stays open. */
 	while (!c->ended)
 		uv_run(c->loop, UV_RUN_ONCE);
@@ -222,6 +225,23 @@
 	c->loop = NULL;
 }
 
+/*
+ * Guards against discarding a response that arrived in time while the loop did
+ * not run until the deadline.
+ */
+static void
+response_that_arrived_in_a_pause_is_read(void **state)
+{
+	struct peer p = {
+	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+	struct call c = {.limit_usec = 200000, .pause_usec = 400000};
+
+	one_call(&p, &c);
+	assert_int_equal(c.result, JH_CALL_COMPLETE);
+	assert_string_equal(c.body->str, "ok");
+	g_string_free(c.body, TRUE);
+}
+
 /* Guards against treating a response cut off by a reset as complete. */
 static void
 reset_after_data_is_broken(void **state)
@@ -574,6 +594,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(response_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(reset_after_data_is_broken),
 	    cmocka_unit_test(end_after_data_is_complete),
 	    cmocka_unit_test(floods_end_the_call),
