--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -256,6 +256,7 @@
 	x->other_instance = x->silence_timed_out = x->malformed = x->streaming =
 	    false;
 	x->status = 0;
+	x->attempt_events = 0;
 	memset(&x->response, 0, sizeof(x->response));
 	g_string_truncate(x->fields, 0);
 	g_byte_array_set_size(x->body, 0);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,7 +43,8 @@
 	bool silence_timed_out; /* the silence timer has expired */
 	bool malformed; /* the response breaks the protocol or a limit */
 	struct jh_worker_response response;
-	unsigned int status;
+	unsigned int status; /* 0: no response head has arrived */
+	unsigned int attempt_events; /* complete events of this attempt */
 	GString *fields; /* header lines for the client */
 	GByteArray *body; /* of a response that is no stream */
 	struct jh_sse_parser *events; /* of a stream */
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -20,6 +20,9 @@
 /* Parts of a prompt beyond this number are merged with the last. */
 #define JH_PROMPT_MAX_PARTS 16
 
+/* Shared parts of a prompt that are known by their ids; more are ignored. */
+#define JH_PROMPT_MAX_SHARED_IDS 32
+
 struct jh_prompt_part {
 	uint64_t hash; /* of the prompt up to the end of this part */
 	uint32_t tokens;
@@ -42,6 +45,9 @@
 	 */
 	struct jh_prompt_part part[JH_PROMPT_MAX_PARTS];
 	size_t n_parts;
+	/* Hashes of the ids of all parts but the last. */
+	uint64_t shared_id[JH_PROMPT_MAX_SHARED_IDS];
+	size_t n_shared_ids;
 	bool resumes; /* continues a stream */
 	uint64_t resume_after; /* id of the last event that the client has */
 };
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -129,6 +129,7 @@
 	if (x->malformed)
 		return;
 	note_responded(x);
+	x->attempt_events++;
 	if (x->n_events++ == 0) {
 		x->first_at = jh_now();
 		exchange_release_prefill(x);
@@ -336,6 +337,38 @@
 	}
 }
 
+/* The ids of the prompt's shared parts, for the log. */
+static json_t *
+shared_ids(const struct jh_client_request *request)
+{
+	json_t *out = json_array();
+	char hex[17];
+	size_t i;
+
+	for (i = 0; i < request->n_shared_ids; i++) {
+		g_snprintf(hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x",
+		    request->shared_id[i]);
+		json_array_append_new(out, json_string(hex));
+	}
+	return out;
+}
+
+static void
+log_attempt(const struct exchange *x, const char *why)
+{
+	uint64_t weights = x->response.has_weights ? x->response.weights : 0;
+
+	jh_json_log(x->gateway->log, "attempt_ended",
+	    "s:s#, s:s?, s:s, s:i, s:i, s:I, s:I, s:I, s:s?, s:o", "request",
+	    x->request.id.ptr, (int)x->request.id.len, "worker", x->worker_id,
+	    "why", why, "status", (int)x->status, "events",
+	    (int)x->attempt_events, "took_us",
+	    (json_int_t)(jh_now() - x->sent_at), "asked_weights",
+	    (json_int_t)x->requested_weights, "answer_weights",
+	    (json_int_t)weights, "org", x->org != NULL ? x->org->name : NULL,
+	    "parts", shared_ids(&x->request));
+}
+
 static void
 on_end(void *arg, enum jh_call_result call_result)
 {
@@ -349,15 +382,7 @@
 	uv_timer_stop(&x->silence_timer);
 	result = classify_result(x, call_result, &why);
 	if (result != JH_ATTEMPT_RESPONDED)
-		jh_json_log(x->gateway->log, "attempt_ended",
-		    "s:s#, s:s?, s:s, s:i, s:I, s:I, s:I", "request",
-		    x->request.id.ptr, (int)x->request.id.len, "worker",
-		    x->worker_id, "why", why, "status", (int)x->status,
-		    "took_us", (json_int_t)(jh_now() - x->sent_at),
-		    "asked_weights", (json_int_t)x->requested_weights,
-		    "answer_weights",
-		    (json_int_t)(x->response.has_weights ? x->response.weights
-							 : 0));
+		log_attempt(x, why);
 	update_worker(x, w, result);
 	exclude(x, w);
 	exchange_release_load(x);
