Daemons do not learn of a quarantine beside many suspects

A message between daemons had room for 64 crashes and was filled from the crash that changed first, so that with more of them the same 64 were sent each time, and nothing new ever left the process: not a quarantine either. Four crashes of engines with 16 requests each are enough. The limit is part of the message: a daemon from before this commit rejects one with more than 64 crashes.

--- a/src/rpc/control.h
+++ b/src/rpc/control.h
@@ -17,7 +17,7 @@
 #define JH_MAX_TEXT 1048576
 #define JH_MAX_NAME 256
 #define JH_MAX_ITEMS 65536
-#define JH_MAX_CRASHES 64
+#define JH_MAX_CRASHES 2048
 #define JH_NONCE_LEN 16
 #define JH_MAC_LEN 32
 
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -9,7 +9,7 @@
 const JH_MAX_TEXT = 1048576;
 const JH_MAX_NAME = 256;
 const JH_MAX_ITEMS = 65536;
-const JH_MAX_CRASHES = 64;
+const JH_MAX_CRASHES = 2048;
 const JH_NONCE_LEN = 16;
 const JH_MAC_LEN = 32;
 
