Poll once more before a deadline of a call or a request ends it

test_net, connection_that_opened_in_a_pause_is_used: failed before (result 1, not sent), passes now.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,7 +24,7 @@
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED];
 	size_t n_excluded;
 	uv_timer_t deadline_timer; /* for the final response */
-	bool overdue; /* the deadline has passed; unread bytes are still read */
+	bool overdue; /* the deadline has passed; the loop polls once more */
 
 	/* The attempt in progress. */
 	struct jh_call *call;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -78,7 +78,7 @@
 		   (x->call != NULL && jh_call_was_sent(x->call));
 
 	/* After a pause of the loop, a response that is ready is read first. */
-	if (!x->overdue && x->call != NULL && jh_call_has_unread(x->call)) {
+	if (!x->overdue) {
 		x->overdue = true;
 		uv_timer_start(t, on_deadline, JH_CALL_OVERDUE_READ_MSEC, 0);
 		return;
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -53,7 +53,7 @@
 	struct http_conn *hc;
 	uv_timer_t timer;
 	bool sent;
-	bool overdue; /* the deadline has passed; unread bytes are still read */
+	bool overdue; /* a deadline has passed; the loop polls once more */
 };
 
 struct jh_uv_client {
@@ -107,15 +107,16 @@
 }
 
 /*
- * Timers run before sockets are read, so after a pause of the loop the response
- * may have arrived in time and be unread: the loop reads it first.
+ * Timers run before sockets are polled, so after a pause of the loop the
+ * connection may be open, or the response be there, and not be noticed yet: the
+ * loop polls once more.
  */
 static void
 on_timer(uv_timer_t *t)
 {
 	struct jh_call *call = t->data;
 
-	if (!call->overdue && jh_call_has_unread(call)) {
+	if (!call->overdue) {
 		call->overdue = true;
 		uv_timer_start(t, on_timer, JH_CALL_OVERDUE_READ_MSEC, 0);
 		return;
@@ -130,6 +131,7 @@
 	uint64_t now = jh_now();
 
 	uv_timer_stop(&call->timer);
+	call->overdue = false;
 	if (deadline == JH_NEVER)
 		return;
 	uv_update_time(call->timer.loop);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -27,7 +27,7 @@
 	JH_CALL_TIMED_OUT /* the deadline passed after the request was sent */
 };
 
-/* Time for the loop to read what arrived before a deadline. */
+/* Time for the loop to notice what happened before a deadline. */
 #define JH_CALL_OVERDUE_READ_MSEC 1
 
 struct jh_call_ops {
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -138,6 +138,7 @@
 	const char *skip; /* a response with this field is to another request */
 	/* Its deadline, and the pause of the loop, in microseconds; 0: usual */
 	uint64_t limit_usec, pause_usec;
+	uint64_t connect_usec; /* the same for the time to connect */
 };
 
 static bool
@@ -172,15 +173,16 @@
 static const struct jh_call_ops call_ops = {on_head, on_body, on_end};
 
 static void
-call_peer(struct jh_uv_client *http_client, const struct sockaddr_in *address,
+start_call(struct jh_uv_client *http_client, const struct sockaddr_in *address,
     struct call *c)
 {
 	uint64_t now = jh_now();
 	uint64_t limit = c->limit_usec != 0 ? c->limit_usec : LIMIT_USEC;
+	uint64_t connect = c->connect_usec != 0 ? c->connect_usec : limit;
 	struct jh_call_spec spec = {
 	    .peer = *address,
 	    .message = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-	    .connect_deadline = now + limit,
+	    .connect_deadline = now + connect,
 	    .deadline = now + limit,
 	    .max_idle_usec = LIMIT_USEC,
 	    .ops = &call_ops,
@@ -191,6 +193,13 @@
 	c->status = 0;
 	c->ended = false;
 	jh_call_start(http_client, &spec);
+}
+
+static void
+call_peer(struct jh_uv_client *http_client, const struct sockaddr_in *address,
+    struct call *c)
+{
+	start_call(http_client, address, c);
 	/* Pause, so that data and the connection's end are read together. */
 	uv_run(c->loop, UV_RUN_NOWAIT);
 	uv_run(c->loop, UV_RUN_NOWAIT);
@@ -242,6 +251,32 @@
 	g_string_free(c.body, TRUE);
 }
 
+/* Guards against the same for a connection that was opened in time. */
+static void
+connection_that_opened_in_a_pause_is_used(void **state)
+{
+	struct peer p = {
+	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+	struct call c = {.connect_usec = 200000};
+	struct jh_uv_client *http_client;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	http_client = jh_uv_client_create(&loop);
+	c.loop = &loop;
+	c.body = g_string_new(NULL);
+	peer_start(&p);
+	start_call(http_client, &p.address, &c);
+	g_usleep(400000);
+	while (!c.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(c.result, JH_CALL_COMPLETE);
+	jh_uv_client_destroy(http_client);
+	close_loop(&loop);
+	peer_stop(&p);
+	g_string_free(c.body, TRUE);
+}
+
 /* Guards against treating a response cut off by a reset as complete. */
 static void
 reset_after_data_is_broken(void **state)
@@ -595,6 +630,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(response_that_arrived_in_a_pause_is_read),
+	    cmocka_unit_test(connection_that_opened_in_a_pause_is_used),
 	    cmocka_unit_test(reset_after_data_is_broken),
 	    cmocka_unit_test(end_after_data_is_complete),
 	    cmocka_unit_test(floods_end_the_call),
