Do not forward a request whose client has left while it was unread

The end of the client's connection lies behind the request in the socket and was noticed after the request had been forwarded. Now it is looked for when the request is complete.

test_server_pause, request_of_a_client_that_left_in_a_pause_is_dropped: failed before, passes now.

--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -240,8 +240,9 @@
 	g_snprintf(name, sizeof(name), "jh_connections_closed{reason=\"%s\"}",
 	    c->reason);
 	jh_metrics_add(gw->metrics, name, 1);
-	/* Idle connections without unread bytes are closed all the time. */
-	if (c->unread == 0 && strcmp(c->reason, "too_many") != 0)
+	/* Connections without a request are closed all the time. */
+	if (c->unread == 0 && (strcmp(c->reason, "idle") == 0 ||
+				  strcmp(c->reason, "stopping") == 0))
 		return;
 	jh_json_log(gw->log, "connection_closed", "s:s, s:I, s:I", "reason",
 	    c->reason, "idle_us", (json_int_t)c->idle_usec, "unread",
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -254,6 +254,17 @@
 	return (size_t)n;
 }
 
+bool
+jh_conn_peer_has_closed(const struct jh_conn *c)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return !c->closing &&
+	       uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void
 jh_conn_close(struct jh_conn *c)
 {
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -39,6 +39,9 @@
 /* Bytes that the peer sent and that were not read yet. */
 size_t jh_conn_unread(const struct jh_conn *c);
 
+/* Whether the peer has closed its side and all that it sent was read. */
+bool jh_conn_peer_has_closed(const struct jh_conn *c);
+
 /* Stop and resume reading; the end is not noticed while reading is stopped. */
 void jh_conn_pause(struct jh_conn *c);
 void jh_conn_resume(struct jh_conn *c);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -198,8 +198,16 @@
 	case JH_PARSE_OK:
 		break;
 	}
-	if (req->request_done)
-		dispatch(req);
+	if (!req->request_done)
+		return;
+	/* The request may be read long after its client has given it up. */
+	if (jh_conn_peer_has_closed(req->conn)) {
+		report_closing(req, "client_left");
+		jh_conn_close(req->conn);
+		free_request(req);
+		return;
+	}
+	dispatch(req);
 }
 
 static void
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -34,6 +34,7 @@
 struct fixture {
 	uv_loop_t loop;
 	struct jh_uv_server *server;
+	unsigned int requests; /* passed to the handler */
 	int client;
 	char response[4096]; /* what the client has received */
 	size_t len;
@@ -42,6 +43,9 @@
 static void
 on_request(void *arg, struct jh_server_request *req)
 {
+	struct fixture *f = arg;
+
+	f->requests++;
 	jh_server_request_respond(req, 200, "OK", JH_STR(""), JH_STR("hello"));
 }
 
@@ -183,6 +187,26 @@
 	destroy(f);
 }
 
+/* Guards against forwarding the request of a client that has left since. */
+static void
+request_of_a_client_that_left_in_a_pause_is_dropped(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+	uint64_t deadline = jh_now() + WAIT_USEC;
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	send_text(f, REQUEST);
+	shutdown(f->client, SHUT_RDWR);
+	while (jh_uv_server_connections(f->server) > 0) {
+		assert_true(jh_now() < deadline);
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+	}
+	assert_int_equal(f->requests, 1);
+	destroy(f);
+}
+
 int
 main(void)
 {
@@ -190,6 +214,8 @@
 	    cmocka_unit_test(request_that_arrived_in_a_pause_is_answered),
 	    cmocka_unit_test(request_that_arrived_before_the_stop_is_answered),
 	    cmocka_unit_test(waiting_client_keeps_the_server_open),
+	    cmocka_unit_test(
+		request_of_a_client_that_left_in_a_pause_is_dropped),
 	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
 	};
 
