Suspect requests by the parts that they share

Parts now have crashes in the same table and the same exchange: three crashes without a success in between quarantine a part, the first output of a request clears its parts, and a part does not count if another one, which the request does not have, was in all the same crashes.

The daemons' exchange sends quarantined fingerprints first.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -8,22 +8,41 @@
 #include <jacinthhill/str.h>
 
 /*
- * Detects requests that crash the engine that runs them ("poison" requests). A
- * request that was running on an engine when it crashed is a suspect, and is
- * not run together with another suspect. If an engine crashes while the
- * request is its only suspect, or the request is in a third crash, it is
- * quarantined. Times are microseconds of the process's own clock. The rules
- * are in docs/poison.md.
+ * Detects requests that crash the engine that runs them ("poison" requests), as
+ * a whole or by a part of their prompt that other requests share. A request
+ * that was running on an engine when it crashed is a suspect, and is not run
+ * together with another suspect. If an engine crashes while the request is its
+ * only suspect, or the request is in a third crash, it is quarantined. A part
+ * is quarantined by its third crash without a success in between. Times are
+ * microseconds of the process's own clock. The rules are in docs/poison.md.
  */
 struct jh_suspects;
 
-/* Identifies a request: XXH3-128 of its organisation and body. */
+/*
+ * Identifies a request (XXH3-128 of its organisation and body), or a part that
+ * requests share.
+ */
 struct jh_fingerprint {
 	uint64_t high;
 	uint64_t low;
 };
 
 struct jh_fingerprint jh_fingerprint_of(struct jh_str org, struct jh_str body);
+/* hash: of the part's content or id. */
+struct jh_fingerprint jh_fingerprint_of_part(uint64_t hash);
+bool jh_fingerprint_is_part(struct jh_fingerprint fingerprint);
+
+/* Number of crashes that quarantine a request or a part in any case. */
+#define JH_SUSPECT_QUARANTINE_CRASHES 3
+
+/* A request with a part that was in so many crashes is not retried. */
+#define JH_SUSPECT_NO_RETRY_CRASHES 2
+
+/*
+ * Crashes of a part within this time count once: engines that end together for
+ * another reason do not show what each of them was running.
+ */
+#define JH_SUSPECT_CRASH_GAP_USEC 100000ULL
 
 struct jh_suspects_settings {
 	size_t max_entries; /* fingerprints in the table */
@@ -89,16 +108,56 @@
     uint64_t now, struct jh_fingerprint fingerprint,
     const struct jh_fingerprint *running, size_t n);
 
+/*
+ * Reports that an engine crashed while it began to respond to a request with
+ * these parts, without any output yet. One crash may be reported several times,
+ * with different parts, also by different processes that give it the same
+ * reporter and number.
+ */
+void jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now,
+    uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
+    size_t n);
+
+/*
+ * Reports the first output of a request with these parts, which shows that none
+ * of them crashes engines: their crashes so far no longer count.
+ */
+void jh_suspects_parts_succeeded(struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n);
+
+/*
+ * Returns the number of crashes of the part of a request that was in most of
+ * them; it is refused from JH_SUSPECT_QUARANTINE_CRASHES on. A part does not
+ * count if another one, which the request does not have, was in all the same
+ * crashes. Sets *deadline, unless NULL, to the time until which the number
+ * lasts.
+ */
+unsigned int jh_suspects_parts_crashes(const struct jh_suspects *s,
+    uint64_t now, const struct jh_fingerprint *part, size_t n,
+    uint64_t *deadline);
+
+/* Returns the number of parts that are quarantined. */
+size_t jh_suspects_parts_quarantined(const struct jh_suspects *s, uint64_t now);
+
 /*
  * Copies up to max crashes that have changed since the given revision; 0 is
  * for all. Returns their number and sets *next to the revision to pass in the
  * next call. A max under JH_SUSPECT_MAX_CRASHES, the number of crashes kept of
  * one request, may yield nothing.
  */
-#define JH_SUSPECT_MAX_CRASHES 4
+#define JH_SUSPECT_MAX_CRASHES 16
 size_t jh_suspects_export(const struct jh_suspects *s, uint64_t now,
     uint64_t since, struct jh_crash *out, size_t max, uint64_t *next);
 
+/*
+ * The same for a message of limited size: copies quarantined fingerprints,
+ * whenever they changed, then others that changed since, the latest first.
+ */
+size_t jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
+    uint64_t since, struct jh_crash *out, size_t max);
+/* Rises whenever crashes change. */
+uint64_t jh_suspects_revision(const struct jh_suspects *s);
+
 /*
  * Merges the crashes exported by another process. Merging is commutative and
  * idempotent.
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -79,45 +79,29 @@
 	return decision;
 }
 
-/* Returns all crashes, the latest changed last. */
-static GArray *
-list_crashes(struct crash_log *l)
-{
-	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct jh_crash));
-	uint64_t next;
-	size_t n;
-
-	pthread_mutex_lock(&l->lock);
-	n = jh_suspects_len(l->table) * JH_SUSPECT_MAX_CRASHES;
-	g_array_set_size(all, (guint)n);
-	n = jh_suspects_export(l->table, jh_now(), 0,
-	    (struct jh_crash *)(void *)all->data, n, &next);
-	pthread_mutex_unlock(&l->lock);
-	g_array_set_size(all, (guint)n);
-	return all;
-}
-
 void
 crash_log_export(struct crash_log *l, u_int *n, struct jh_wire_crash **list)
 {
-	GArray *all = list_crashes(l);
-	const struct jh_crash *c;
-	u_int i;
+	struct jh_crash *all = g_new(struct jh_crash, JH_MAX_CRASHES);
+	size_t i, len;
 
-	*n = MIN(all->len, JH_MAX_CRASHES);
-	*list = g_new0(struct jh_wire_crash, *n);
-	for (i = 0; i < *n; i++) {
-		c = &g_array_index(all, struct jh_crash, all->len - *n + i);
-		(*list)[i].print_high = c->fingerprint.high;
-		(*list)[i].print_low = c->fingerprint.low;
-		(*list)[i].reporter = c->reporter;
-		(*list)[i].sequence = c->seq;
+	pthread_mutex_lock(&l->lock);
+	len = jh_suspects_export_latest(
+	    l->table, jh_now(), 0, all, JH_MAX_CRASHES);
+	pthread_mutex_unlock(&l->lock);
+	*n = (u_int)len;
+	*list = g_new0(struct jh_wire_crash, len);
+	for (i = 0; i < len; i++) {
+		(*list)[i].print_high = all[i].fingerprint.high;
+		(*list)[i].print_low = all[i].fingerprint.low;
+		(*list)[i].reporter = all[i].reporter;
+		(*list)[i].sequence = all[i].seq;
 		(*list)[i].remaining_ms =
-		    (u_int)(c->remaining_usec / JH_USEC_PER_MSEC);
-		(*list)[i].sole = c->sole;
-		(*list)[i].cleared = c->cleared;
+		    (u_int)(all[i].remaining_usec / JH_USEC_PER_MSEC);
+		(*list)[i].sole = all[i].sole;
+		(*list)[i].cleared = all[i].cleared;
 	}
-	g_array_free(all, TRUE);
+	g_free(all);
 }
 
 void
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -15,6 +15,63 @@
 	return last;
 }
 
+unsigned int
+jh_suspect_entry_part_crashes(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline)
+{
+	unsigned int count = 0, i;
+	uint64_t last = 0, counted = 0;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->crash[i].cleared)
+			continue;
+		last = e->crash[i].deadline;
+		if (count > 0 && last < counted + JH_SUSPECT_CRASH_GAP_USEC)
+			continue;
+		counted = last;
+		count++;
+	}
+	if (deadline != NULL)
+		*deadline = last > now ? last : 0;
+	return last > now ? count : 0;
+}
+
+static bool
+has_counted_crash(
+    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
+{
+	unsigned int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->crash[i].reporter == c->reporter &&
+		    e->crash[i].seq == c->seq && !e->crash[i].cleared)
+			return true;
+	}
+	return false;
+}
+
+bool
+jh_suspect_entry_includes(
+    const struct jh_suspect_entry *e, const struct jh_suspect_entry *other)
+{
+	unsigned int i;
+
+	for (i = 0; i < other->n; i++) {
+		if (!other->crash[i].cleared &&
+		    !has_counted_crash(e, &other->crash[i]))
+			return false;
+	}
+	return true;
+}
+
+static enum jh_suspect_state
+state_of(unsigned int count, bool sole)
+{
+	if (sole || count >= JH_SUSPECT_QUARANTINE_CRASHES)
+		return JH_SUSPECT_QUARANTINED;
+	return count > 0 ? JH_SUSPECT_SUSPECT : JH_SUSPECT_NONE;
+}
+
 /* A crash counts until the deadline of the latest one that is not cleared. */
 enum jh_suspect_state
 jh_suspect_entry_state(
@@ -24,6 +81,9 @@
 	uint64_t last = 0;
 	bool sole = false;
 
+	if (jh_fingerprint_is_part(e->fingerprint))
+		return state_of(
+		    jh_suspect_entry_part_crashes(e, now, deadline), false);
 	for (i = 0; i < e->n; i++) {
 		if (e->crash[i].cleared)
 			continue;
@@ -42,9 +102,7 @@
 	}
 	if (deadline != NULL)
 		*deadline = last;
-	if (sole || count >= JH_SUSPECT_QUARANTINE_CRASHES)
-		return JH_SUSPECT_QUARANTINED;
-	return count > 0 ? JH_SUSPECT_SUSPECT : JH_SUSPECT_NONE;
+	return state_of(count, sole);
 }
 
 static int
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -3,9 +3,6 @@
 
 #include <jacinthhill/suspects.h>
 
-/* Number of crashes after which a request is quarantined in any case. */
-#define JH_SUSPECT_QUARANTINE_CRASHES 3
-
 /* One crash in which the request was running; see struct jh_crash. */
 struct jh_suspect_crash {
 	uint64_t reporter;
@@ -31,6 +28,17 @@
 enum jh_suspect_state jh_suspect_entry_state(
     const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
 
+/*
+ * Returns the number of crashes of a part that count, and sets *deadline,
+ * unless NULL, to the time until which they do.
+ */
+unsigned int jh_suspect_entry_part_crashes(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
+
+/* Whether e was in all crashes of other that count. */
+bool jh_suspect_entry_includes(
+    const struct jh_suspect_entry *e, const struct jh_suspect_entry *other);
+
 /* Returns the latest deadline, that of cleared crashes included. */
 uint64_t jh_suspect_entry_last_deadline(const struct jh_suspect_entry *e);
 
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -63,6 +63,56 @@
 	return n;
 }
 
+struct by_urgency {
+	const struct jh_suspect_entry *entry;
+	bool quarantined;
+};
+
+static int
+compare_urgency(gconstpointer a, gconstpointer b)
+{
+	const struct by_urgency *x = a, *y = b;
+
+	if (x->quarantined != y->quarantined)
+		return x->quarantined ? -1 : 1;
+	return (x->entry->revision < y->entry->revision) -
+	       (x->entry->revision > y->entry->revision);
+}
+
+size_t
+jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
+    uint64_t since, struct jh_crash *out, size_t max)
+{
+	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct by_urgency));
+	struct by_urgency u;
+	GHashTableIter it;
+	size_t n = 0;
+	guint i;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&u.entry)) {
+		u.quarantined = jh_suspect_entry_state(u.entry, now, NULL) ==
+				JH_SUSPECT_QUARANTINED;
+		if (u.quarantined || u.entry->revision > since)
+			g_array_append_val(sorted, u);
+	}
+	g_array_sort(sorted, compare_urgency);
+	for (i = 0; i < sorted->len; i++) {
+		u = g_array_index(sorted, struct by_urgency, i);
+		if (u.entry->n > max - n)
+			break;
+		n += copy_entry(u.entry, now, out + n);
+	}
+	g_array_free(sorted, TRUE);
+	return n;
+}
+
+uint64_t
+jh_suspects_revision(const struct jh_suspects *s)
+{
+	return s->revision;
+}
+
 void
 jh_suspects_merge(struct jh_suspects *s, uint64_t now,
     const struct jh_crash *crashes, size_t n)
--- a/src/poison/fingerprint.c
+++ b/src/poison/fingerprint.c
@@ -3,6 +3,21 @@
 
 #include <jacinthhill/suspects.h>
 
+/* The upper half of the fingerprints of parts; unlikely for a request. */
+#define PART_HIGH 0x6a682d70617274ULL
+
+struct jh_fingerprint
+jh_fingerprint_of_part(uint64_t hash)
+{
+	return (struct jh_fingerprint){PART_HIGH, hash};
+}
+
+bool
+jh_fingerprint_is_part(struct jh_fingerprint fingerprint)
+{
+	return fingerprint.high == PART_HIGH;
+}
+
 struct jh_fingerprint
 jh_fingerprint_of(struct jh_str org, struct jh_str body)
 {
--- /dev/null
+++ b/src/poison/parts.c
@@ -0,0 +1,121 @@
+#include "poison/table.h"
+
+void
+jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now,
+    uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
+    size_t n)
+{
+	struct jh_suspect_crash c = {.reporter = reporter,
+	    .seq = seq,
+	    .deadline = now + s->settings.hold_usec};
+	struct jh_suspect_entry *e;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		e = jh_suspects_find_or_add(s, now, part[i]);
+		if (jh_suspect_entry_merge(e, &c))
+			e->revision = ++s->revision;
+	}
+}
+
+static void
+clear(struct jh_suspects *s, struct jh_suspect_entry *e)
+{
+	bool changed = false;
+	unsigned int i;
+
+	for (i = 0; i < e->n; i++) {
+		changed |= !e->crash[i].cleared;
+		e->crash[i].cleared = true;
+	}
+	if (changed)
+		e->revision = ++s->revision;
+}
+
+void
+jh_suspects_parts_succeeded(struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n)
+{
+	struct jh_suspect_entry *e;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		e = jh_suspects_find(s, part[i]);
+		if (e != NULL)
+			clear(s, e);
+	}
+}
+
+static bool
+has_part(const struct jh_fingerprint *part, size_t n, struct jh_fingerprint p)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (part[i].high == p.high && part[i].low == p.low)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether another part, which the request does not have, was in all crashes of
+ * e. Parts that come together with the cause are then not taken for it.
+ */
+static bool
+is_explained(const struct jh_suspects *s, const struct jh_suspect_entry *e,
+    const struct jh_fingerprint *part, size_t n)
+{
+	const struct jh_suspect_entry *other;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
+		if (jh_fingerprint_is_part(other->fingerprint) &&
+		    jh_suspect_entry_includes(other, e) &&
+		    !has_part(part, n, other->fingerprint))
+			return true;
+	}
+	return false;
+}
+
+unsigned int
+jh_suspects_parts_crashes(const struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n, uint64_t *deadline)
+{
+	const struct jh_suspect_entry *e;
+	unsigned int most = 0, count;
+	uint64_t until = 0, last = 0;
+	size_t i;
+
+	for (i = 0; i < n && g_hash_table_size(s->entries) > 0; i++) {
+		e = jh_suspects_find(s, part[i]);
+		if (e == NULL)
+			continue;
+		count = jh_suspect_entry_part_crashes(e, now, &until);
+		if (count <= most || is_explained(s, e, part, n))
+			continue;
+		most = count;
+		last = until;
+	}
+	if (deadline != NULL)
+		*deadline = last;
+	return most;
+}
+
+size_t
+jh_suspects_parts_quarantined(const struct jh_suspects *s, uint64_t now)
+{
+	const struct jh_suspect_entry *e;
+	GHashTableIter it;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
+		if (jh_fingerprint_is_part(e->fingerprint) &&
+		    jh_suspect_entry_part_crashes(e, now, NULL) >=
+			JH_SUSPECT_QUARANTINE_CRASHES)
+			n++;
+	}
+	return n;
+}
