--- /dev/null
+++ b/fakes/platform/worker_run.c
@@ -0,0 +1,188 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/platform/worker_state.h"
+
+static void
+on_run_closed(uv_handle_t *h)
+{
+	struct fake_run *r = h->data;
+
+	g_string_free(r->fields, TRUE);
+	g_free(r->id);
+	g_free(r);
+}
+
+void
+fake_run_end(struct fake_run *r)
+{
+	struct fake_worker *w = r->worker;
+
+	g_hash_table_remove(w->running, r);
+	if (w->spec.ops != NULL)
+		w->spec.ops->ended(w->spec.arg, w, jh_str_from(r->id));
+	uv_close((uv_handle_t *)&r->timer, on_run_closed);
+}
+
+static void
+on_disconnect(void *arg)
+{
+	struct fake_run *r = arg;
+
+	fake_objects_lock(r->worker->objects);
+	fake_run_end(r);
+	fake_objects_unlock(r->worker->objects);
+}
+
+static void
+on_drained(void *arg)
+{
+}
+
+static const struct jh_server_request_ops run_ops = {on_disconnect, on_drained};
+
+/* Sends the next event; returns false when the stream has ended. */
+static bool
+send_event(struct fake_run *r)
+{
+	struct jh_str fields = {r->fields->str, r->fields->len};
+	char event[64];
+
+	if (!r->head_sent)
+		jh_server_request_begin_response(r->request, 200, "OK", fields);
+	r->head_sent = true;
+	r->event++;
+	g_snprintf(
+	    event, sizeof(event), "id: %d\ndata: t%d\n\n", r->event, r->event);
+	jh_server_request_write(r->request, jh_str_from(event));
+	if (r->mode == WORKER_RESETS_STREAM &&
+	    r->event == FAKE_WORKER_EVENTS / 2) {
+		jh_server_request_write(r->request, JH_STR("id: 4\nda"));
+		/* The client receives only what was written before. */
+		jh_server_request_abort(r->request);
+		return false;
+	}
+	if (r->event < FAKE_WORKER_EVENTS)
+		return true;
+	jh_server_request_end(r->request);
+	return false;
+}
+
+static void
+send_response(struct fake_run *r)
+{
+	struct jh_str fields = {r->fields->str, r->fields->len};
+	char *body = g_strconcat("done ", r->id, NULL);
+
+	switch (r->mode) {
+	case WORKER_RESETS:
+		jh_server_request_abort(r->request);
+		break;
+	case WORKER_RETURNS_ERROR:
+		jh_server_request_respond(
+		    r->request, 500, "Error", fields, JH_STR("broken"));
+		break;
+	case WORKER_GARBLES:
+		jh_server_request_begin_response(r->request, 200,
+		    "OK\r\nno answer", JH_STR("\001\002: \r\n"));
+		jh_server_request_abort(r->request);
+		break;
+	case WORKER_TRUNCATES:
+		jh_server_request_begin_response(r->request, 200, "OK", fields);
+		jh_server_request_write(r->request, JH_STR("do"));
+		jh_server_request_abort(r->request);
+		break;
+	default:
+		jh_server_request_respond(
+		    r->request, 200, "OK", fields, jh_str_from(body));
+		break;
+	}
+	g_free(body);
+}
+
+static void
+on_run_timer(uv_timer_t *t)
+{
+	struct fake_run *r = t->data;
+	struct fake_worker *w = r->worker;
+
+	fake_objects_lock(w->objects);
+	if (r->mode == WORKER_SILENT) {
+		uv_timer_stop(&r->timer);
+	} else if (!r->is_stream) {
+		send_response(r);
+		fake_run_end(r);
+	} else {
+		/* If event_msec is 0, all events are sent at once. */
+		while (send_event(r)) {
+			if (w->spec.event_msec == 0)
+				continue;
+			uv_timer_start(
+			    &r->timer, on_run_timer, w->spec.event_msec, 0);
+			fake_objects_unlock(w->objects);
+			return;
+		}
+		fake_run_end(r);
+	}
+	fake_objects_unlock(w->objects);
+}
+
+static void
+save_head(struct fake_worker *w, const struct jh_head *head)
+{
+	GString *s = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < jh_head_count(head); i++)
+		g_string_append_printf(s, "%.*s: %.*s\n",
+		    (int)jh_head_name(head, i).len, jh_head_name(head, i).ptr,
+		    (int)jh_head_value(head, i).len,
+		    jh_head_value(head, i).ptr);
+	g_free(w->last_head);
+	w->last_head = g_string_free(s, FALSE);
+}
+
+static bool
+has_prefix(struct jh_str s, const char *prefix)
+{
+	return s.len >= strlen(prefix) &&
+	       memcmp(s.ptr, prefix, strlen(prefix)) == 0;
+}
+
+void
+fake_run_start(struct fake_worker *w, struct jh_server_request *v)
+{
+	const struct jh_head *head = jh_server_request_head(v);
+	struct jh_str last = jh_head_get(head, "Last-Event-Id");
+	struct fake_run *r = g_new0(struct fake_run, 1);
+
+	w->runs++;
+	save_head(w, head);
+	r->worker = w;
+	r->request = v;
+	r->mode = w->mode;
+	if (r->mode == WORKER_RESETS_STREAM)
+		w->mode = WORKER_RESPONDS;
+	r->id = jh_str_dup(jh_head_get(head, "X-Jacinthhill-Attempt-Id"));
+	r->is_stream = has_prefix(jh_head_path(head), "/stream/") &&
+		       r->mode != WORKER_RESETS &&
+		       r->mode != WORKER_RETURNS_ERROR &&
+		       r->mode != WORKER_GARBLES;
+	r->event = last.ptr != NULL ? atoi(last.ptr) : 0;
+	r->fields = g_string_new(NULL);
+	g_string_append_printf(r->fields,
+	    "X-Jacinthhill-Attempt-Id: %s\r\n"
+	    "X-Jacinthhill-Weight-Versions: %u\r\n",
+	    r->id, w->weights);
+	if (r->mode != WORKER_UNSEALED)
+		g_string_append_printf(r->fields,
+		    "X-Jacinthhill-Response-Seal: %s.%s\r\n", w->id, r->id);
+	uv_timer_init(w->loop, &r->timer);
+	r->timer.data = r;
+	g_hash_table_add(w->running, r);
+	if (w->spec.ops != NULL)
+		w->spec.ops->ran(
+		    w->spec.arg, w, head, jh_server_request_body(v));
+	jh_server_request_set_ops(v, &run_ops, r);
+	uv_timer_start(&r->timer, on_run_timer, w->spec.work_msec, 0);
+}
--- /dev/null
+++ b/fakes/platform/worker_state.h
@@ -0,0 +1,51 @@
+#ifndef FAKES_PLATFORM_WORKER_STATE_H
+#define FAKES_PLATFORM_WORKER_STATE_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include "fakes/platform/worker.h"
+#include "net/server.h"
+
+/* Shared by the files of the fake worker only. */
+
+#define FAKE_WORKER_ID_SIZE 24
+
+/* A running request. */
+struct fake_run {
+	struct fake_worker *worker;
+	struct jh_server_request *request;
+	char *id;
+	GString *fields;
+	uv_timer_t timer;
+	int event; /* id of the last event that was sent */
+	bool is_stream, head_sent;
+	enum fake_worker_mode mode;
+};
+
+struct fake_worker {
+	struct fake_worker_spec spec;
+	struct fake_objects *objects;
+	uv_loop_t *loop;
+	struct jh_uv_server *server; /* NULL after a crash */
+	char id[FAKE_WORKER_ID_SIZE];
+	unsigned int starts;
+	enum fake_worker_mode mode;
+	bool draining;
+	unsigned int runs;
+	unsigned int misdirected;
+	unsigned int weights, loading;
+	unsigned int orders;
+	uint64_t started_ms; /* Unix milliseconds */
+	uv_timer_t load_timer;
+	GHashTable *running; /* struct fake_run */
+	char *last_head;
+};
+
+/* Starts to run a request. Call it with the lock held. */
+void fake_run_start(struct fake_worker *w, struct jh_server_request *v);
+/* Ends a run without a response. Call it with the lock held. */
+void fake_run_end(struct fake_run *r);
+
+#endif
