Platform fixture: several routers, workers that crash on a prompt part

platform_create() takes the number of routers and of workers and their behaviour; platform_start() is the former fixture, and test_platform is unchanged. A fake worker may crash on requests with a prompt part, after the head of its response and without an event, and start again by itself. A crash now resets the connections of running requests. JH_TEST_KEEP keeps the routers' logs.

--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -125,6 +125,8 @@
 	struct jh_str path = jh_head_path(head);
 
 	fake_objects_lock(w->objects);
+	if (fake_run_has_crash_part(w, head))
+		w->crash_arrivals++;
 	if (jh_str_eq(path, JH_STR("/report")))
 		send_report(w, v);
 	else if (is_misdirected(w, head))
@@ -158,6 +160,12 @@
 	fake_objects_unlock(w->objects);
 }
 
+static void
+on_restart(uv_timer_t *t)
+{
+	fake_worker_start(t->data);
+}
+
 void
 fake_worker_crash(struct fake_worker *w)
 {
@@ -167,7 +175,7 @@
 	fake_objects_lock(w->objects);
 	while (g_hash_table_iter_init(&it, w->running),
 	    g_hash_table_iter_next(&it, &r, NULL))
-		fake_run_end(r);
+		fake_run_reset(r);
 	uv_timer_stop(&w->load_timer);
 	if (w->loading != 0)
 		w->weights = w->loading;
@@ -175,9 +183,18 @@
 	jh_uv_server_destroy(w->server);
 	w->server = NULL;
 	fake_objects_remove(w->objects, "servers", w->id);
+	if (w->spec.restart_msec != 0)
+		uv_timer_start(
+		    &w->restart_timer, on_restart, w->spec.restart_msec, 0);
 	fake_objects_unlock(w->objects);
 }
 
+bool
+fake_worker_is_up(const struct fake_worker *w)
+{
+	return w->server != NULL;
+}
+
 struct fake_worker *
 fake_worker_create(uv_loop_t *loop, struct fake_objects *objects,
     const struct fake_worker_spec *spec)
@@ -190,7 +207,8 @@
 	w->weights = 1;
 	w->running = g_hash_table_new(NULL, NULL);
 	uv_timer_init(loop, &w->load_timer);
-	w->load_timer.data = w;
+	uv_timer_init(loop, &w->restart_timer);
+	w->load_timer.data = w->restart_timer.data = w;
 	fake_worker_start(w);
 	return w;
 }
@@ -201,6 +219,7 @@
 	if (w->server != NULL)
 		fake_worker_crash(w);
 	uv_close((uv_handle_t *)&w->load_timer, NULL);
+	uv_close((uv_handle_t *)&w->restart_timer, NULL);
 	uv_run(w->loop, UV_RUN_NOWAIT);
 	g_hash_table_destroy(w->running);
 	g_free(w->last_head);
@@ -253,6 +272,18 @@
 	return locked_value(w, &w->misdirected);
 }
 
+unsigned int
+fake_worker_crashes(struct fake_worker *w)
+{
+	return locked_value(w, &w->crashes);
+}
+
+unsigned int
+fake_worker_crash_arrivals(struct fake_worker *w)
+{
+	return locked_value(w, &w->crash_arrivals);
+}
+
 unsigned int
 fake_worker_weights(struct fake_worker *w)
 {
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -1,6 +1,7 @@
 #ifndef FAKES_PLATFORM_WORKER_H
 #define FAKES_PLATFORM_WORKER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <uv.h>
@@ -49,7 +50,15 @@
 	unsigned int
 	    registered_port; /* the port in its registration; 0: port */
 	unsigned int work_msec; /* before a response or the first event */
+	unsigned int begin_msec; /* from a stream's head to the first event */
 	unsigned int event_msec; /* between events; 0: none */
+	/*
+	 * A request that has the prompt part with this ID, but not as its last
+	 * one, crashes the worker: the head of its response is sent, and the
+	 * crash takes the place of the body or of the first event. NULL: none.
+	 */
+	const char *crash_part;
+	unsigned int restart_msec; /* after a crash; 0: stays down */
 	const struct fake_worker_ops *ops; /* may be NULL */
 	void *arg;
 };
@@ -67,10 +76,13 @@
 /* Registers itself as draining. */
 void fake_worker_drain(struct fake_worker *w);
 /*
- * Closes every connection and removes its registration. Call it on the loop's
+ * Resets the connections of running requests, closes all others and removes its
+ * registration. It starts again after restart_msec. Call it on the loop's
  * thread.
  */
 void fake_worker_crash(struct fake_worker *w);
+/* Whether it was started and has not crashed. Call it on the loop's thread. */
+bool fake_worker_is_up(const struct fake_worker *w);
 /*
  * Starts again with a new id and the same weights. Call it on the loop's
  * thread.
@@ -80,6 +92,11 @@
 /* Requests for another instance, or for other weights. */
 unsigned int fake_worker_misdirected(struct fake_worker *w);
 
+/* Crashes by the part crash_part. */
+unsigned int fake_worker_crashes(struct fake_worker *w);
+/* Requests with the part crash_part that arrived, run or not. */
+unsigned int fake_worker_crash_arrivals(struct fake_worker *w);
+
 unsigned int fake_worker_number(const struct fake_worker *w);
 unsigned int fake_worker_runs(struct fake_worker *w);
 unsigned int fake_worker_weights(struct fake_worker *w);
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -24,6 +24,13 @@
 	uv_close((uv_handle_t *)&r->timer, on_run_closed);
 }
 
+void
+fake_run_reset(struct fake_run *r)
+{
+	jh_server_request_abort(r->request);
+	fake_run_end(r);
+}
+
 static void
 on_disconnect(void *arg)
 {
@@ -41,16 +48,20 @@
 
 static const struct jh_server_request_ops run_ops = {on_disconnect, on_drained};
 
+static void
+send_head(struct fake_run *r)
+{
+	jh_server_request_begin_response(r->request, 200, "OK",
+	    (struct jh_str){r->fields->str, r->fields->len});
+	r->head_sent = true;
+}
+
 /* Sends the next event; returns false when the stream has ended. */
 static bool
 send_event(struct fake_run *r)
 {
-	struct jh_str fields = {r->fields->str, r->fields->len};
 	char event[64];
 
-	if (!r->head_sent)
-		jh_server_request_begin_response(r->request, 200, "OK", fields);
-	r->head_sent = true;
 	r->event++;
 	g_snprintf(
 	    event, sizeof(event), "id: %d\ndata: t%d\n\n", r->event, r->event);
@@ -109,6 +120,12 @@
 	fake_objects_lock(w->objects);
 	if (r->mode == WORKER_SILENT) {
 		uv_timer_stop(&r->timer);
+	} else if (!r->head_sent && (r->is_stream || r->crashes)) {
+		send_head(r);
+		uv_timer_start(&r->timer, on_run_timer, w->spec.begin_msec, 0);
+	} else if (r->crashes) {
+		w->crashes++;
+		fake_worker_crash(w);
 	} else if (!r->is_stream) {
 		send_response(r);
 		fake_run_end(r);
@@ -142,6 +159,30 @@
 	w->last_head = g_string_free(s, FALSE);
 }
 
+bool
+fake_run_has_crash_part(const struct fake_worker *w, const struct jh_head *head)
+{
+	struct jh_str list = jh_head_get(head, "X-Jacinthhill-Prompt-Prefix");
+	bool found = false;
+	char *text, **parts;
+	guint i;
+
+	if (w->spec.crash_part == NULL || list.ptr == NULL)
+		return false;
+	text = jh_str_dup(list);
+	parts = g_strsplit(text, ",", -1);
+	/* The last part belongs to the request itself. */
+	for (i = 0; parts[i] != NULL && parts[i + 1] != NULL; i++) {
+		char **fields = g_strsplit(g_strstrip(parts[i]), ":", 2);
+		if (g_ascii_strcasecmp(fields[0], w->spec.crash_part) == 0)
+			found = true;
+		g_strfreev(fields);
+	}
+	g_strfreev(parts);
+	g_free(text);
+	return found;
+}
+
 static bool
 has_prefix(struct jh_str s, const char *prefix)
 {
@@ -168,6 +209,7 @@
 		       r->mode != WORKER_RESETS &&
 		       r->mode != WORKER_RETURNS_ERROR &&
 		       r->mode != WORKER_GARBLES;
+	r->crashes = fake_run_has_crash_part(w, head);
 	r->event = last.ptr != NULL ? atoi(last.ptr) : 0;
 	r->fields = g_string_new(NULL);
 	g_string_append_printf(r->fields,
@@ -177,6 +219,9 @@
 	if (r->mode != WORKER_UNSEALED)
 		g_string_append_printf(r->fields,
 		    "X-Jacinthhill-Response-Seal: %s.%s\r\n", w->id, r->id);
+	if (r->is_stream)
+		g_string_append(
+		    r->fields, "Content-Type: text/event-stream\r\n");
 	uv_timer_init(w->loop, &r->timer);
 	r->timer.data = r;
 	g_hash_table_add(w->running, r);
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -17,16 +17,21 @@
 #include "fakes/port.h"
 #include "platform_fixture.h"
 
+struct router {
+	struct proc proc;
+	unsigned int clients, readiness, metrics;
+};
+
 struct platform {
+	struct platform_spec spec;
 	char *dir;
 	uv_loop_t loop;
-	uv_async_t stop;
+	uv_async_t stop, crash;
 	pthread_t thread;
 	struct fake_objects *objects;
 	unsigned int store_port;
-	struct fake_worker *workers[PLATFORM_WORKERS];
-	struct proc router;
-	unsigned int clients, readiness, metrics;
+	struct fake_worker **workers;
+	struct router *routers;
 };
 
 static void
@@ -37,6 +42,18 @@
 	uv_stop(&p->loop);
 }
 
+static void
+on_crash(uv_async_t *a)
+{
+	struct platform *p = a->data;
+	unsigned int i;
+
+	for (i = 0; i < p->spec.workers; i++) {
+		if (fake_worker_is_up(p->workers[i]))
+			fake_worker_crash(p->workers[i]);
+	}
+}
+
 static void *
 run_loop(void *arg)
 {
@@ -77,40 +94,58 @@
 }
 
 static void
-start_router(struct platform *p)
+start_router(struct platform *p, unsigned int number)
 {
+	struct router *router = &p->routers[number];
 	const char *build = getenv("BUILD");
 	char *program =
 	    g_strdup_printf("%s/jhplatform", build != NULL ? build : "build");
-	char *file = g_strdup_printf("%s/entry.yaml", p->dir);
+	char *name = g_strdup_printf("e%u", number + 1);
+	char *file = g_strdup_printf("%s/%s.yaml", p->dir, name);
 	char **argv = g_new0(char *, 3); /* owned by struct proc */
 	struct fake_router_settings settings = {
-	    .name = "e1", .store = p->store_port, .grace_sec = 6};
+	    .name = name, .store = p->store_port, .grace_sec = 6};
 
 	argv[0] = program;
 	argv[1] = file;
-	settings.clients = p->clients = fake_port();
-	settings.readiness = p->readiness = fake_port();
-	settings.metrics = p->metrics = fake_port();
+	settings.clients = router->clients = fake_port();
+	settings.readiness = router->readiness = fake_port();
+	settings.metrics = router->metrics = fake_port();
 	assert_true(fake_router_settings_write(file, &settings));
-	proc_init(&p->router, p->dir, "entry", p->clients, argv);
-	proc_start(&p->router);
+	proc_init(&router->proc, p->dir, name, router->clients, argv);
+	proc_start(&router->proc);
+	g_free(name);
 }
 
 struct platform *
 platform_start(void)
+{
+	static const struct platform_spec spec = {
+	    .routers = 1, .workers = PLATFORM_WORKERS};
+
+	return platform_create(&spec);
+}
+
+struct platform *
+platform_create(const struct platform_spec *spec)
 {
 	struct platform *p = g_new0(struct platform, 1);
-	struct fake_worker_spec worker = {.service = "llm", .model = "m1"};
+	struct fake_worker_spec worker = spec->worker;
 	unsigned int i;
 
+	p->spec = *spec;
+	p->workers = g_new0(struct fake_worker *, spec->workers);
+	p->routers = g_new0(struct router, spec->routers);
 	p->dir = g_dir_make_tmp("jh-platform-XXXXXX", NULL);
 	uv_loop_init(&p->loop);
 	uv_async_init(&p->loop, &p->stop, on_stop);
-	p->stop.data = p;
+	uv_async_init(&p->loop, &p->crash, on_crash);
+	p->stop.data = p->crash.data = p;
 	p->store_port = fake_port();
 	p->objects = fake_objects_create(&p->loop, p->store_port);
-	for (i = 0; i < PLATFORM_WORKERS; i++) {
+	worker.service = "llm";
+	worker.model = "m1";
+	for (i = 0; i < spec->workers; i++) {
 		worker.number = i;
 		worker.port = fake_port();
 		p->workers[i] =
@@ -119,7 +154,8 @@
 	platform_put(p, "config", "main", make_config(1, "k1"));
 	pthread_create(&p->thread, NULL, run_loop, p);
 	platform_set_weights(p, 1);
-	start_router(p);
+	for (i = 0; i < spec->routers; i++)
+		start_router(p, i);
 	platform_await_ready(p);
 	return p;
 }
@@ -137,21 +173,27 @@
 	char *command;
 	size_t i;
 
-	if (p->router.pid > 0)
-		proc_kill(&p->router);
+	for (i = 0; i < p->spec.routers; i++) {
+		if (p->routers[i].proc.pid > 0)
+			proc_kill(&p->routers[i].proc);
+	}
 	uv_async_send(&p->stop);
 	pthread_join(p->thread, NULL);
-	for (i = 0; i < PLATFORM_WORKERS; i++)
+	for (i = 0; i < p->spec.workers; i++)
 		fake_worker_destroy(p->workers[i]);
 	fake_objects_destroy(p->objects);
 	uv_walk(&p->loop, close_handle, NULL);
 	uv_run(&p->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&p->loop);
-	proc_clear(&p->router);
-	command = g_strdup_printf("rm -rf '%s'", p->dir);
+	for (i = 0; i < p->spec.routers; i++)
+		proc_clear(&p->routers[i].proc);
+	command = g_strdup_printf("%s '%s'",
+	    getenv("JH_TEST_KEEP") != NULL ? "echo kept" : "rm -rf", p->dir);
 	assert_int_equal(system(command), 0);
 	g_free(command);
 	g_free(p->dir);
+	g_free(p->workers);
+	g_free(p->routers);
 	g_free(p);
 }
 
@@ -179,34 +221,47 @@
 	return g_string_free(answer, FALSE);
 }
 
+static bool
+is_ready(const struct router *router)
+{
+	char *answer = send_request(router->readiness, "GET", "/readiness", "");
+	unsigned int status = answer_status(answer);
+
+	g_free(answer);
+	return status == 200;
+}
+
 void
 platform_await_ready(struct platform *p)
 {
-	uint64_t until = jh_now() + AWAIT_USEC;
-
-	for (;;) {
-		char *answer =
-		    send_request(p->readiness, "GET", "/readiness", "");
-		unsigned int status = answer_status(answer);
-		g_free(answer);
-		if (status == 200)
-			return;
-		if (jh_now() > until)
-			fail_msg("process entry did not become ready");
-		g_usleep(AWAIT_POLL_USEC);
-	}
+	unsigned int i;
+
+	for (i = 0; i < p->spec.routers; i++)
+		await(is_ready(&p->routers[i]));
 }
 
 unsigned int
 platform_metrics_port(const struct platform *p)
 {
-	return p->metrics;
+	return p->routers[0].metrics;
 }
 
 struct proc *
 platform_router(struct platform *p)
 {
-	return &p->router;
+	return platform_router_at(p, 0);
+}
+
+struct proc *
+platform_router_at(struct platform *p, unsigned int router)
+{
+	return &p->routers[router].proc;
+}
+
+void
+platform_crash_workers(struct platform *p)
+{
+	uv_async_send(&p->crash);
 }
 
 void
@@ -262,6 +317,26 @@
 	return fake_worker_runs(p->workers[worker]);
 }
 
+unsigned int
+platform_crashes(struct platform *p)
+{
+	unsigned int n = 0, i;
+
+	for (i = 0; i < p->spec.workers; i++)
+		n += fake_worker_crashes(p->workers[i]);
+	return n;
+}
+
+unsigned int
+platform_crash_arrivals(struct platform *p)
+{
+	unsigned int n = 0, i;
+
+	for (i = 0; i < p->spec.workers; i++)
+		n += fake_worker_crash_arrivals(p->workers[i]);
+	return n;
+}
+
 unsigned int
 platform_misdirected(struct platform *p, unsigned int worker)
 {
@@ -279,7 +354,7 @@
 {
 	unsigned int n = 0, i;
 
-	for (i = 0; i < PLATFORM_WORKERS; i++)
+	for (i = 0; i < p->spec.workers; i++)
 		n += fake_worker_orders(p->workers[i]);
 	return n;
 }
@@ -290,7 +365,7 @@
 	char *head;
 	unsigned int i;
 
-	for (i = 0; i < PLATFORM_WORKERS; i++) {
+	for (i = 0; i < p->spec.workers; i++) {
 		head = fake_worker_last_head(p->workers[i]);
 		if (head != NULL)
 			return head;
@@ -302,7 +377,7 @@
 platform_ask(struct platform *p, const char *method, const char *path,
     const char *fields)
 {
-	return send_request(p->clients, method, path, fields);
+	return send_request(p->routers[0].clients, method, path, fields);
 }
 
 unsigned int
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -11,29 +11,42 @@
 #include "harness.h"
 
 /*
- * Fakes of the platform's store and workers, on their own thread, and one
- * router instance (jhplatform) that uses them. They implement the part of the
+ * Fakes of the platform's store and workers, on their own thread, and router
+ * instances (jhplatform) that use them. They implement the part of the
  * platform's protocol that the tests need.
  */
 struct platform;
 
+struct platform_spec {
+	unsigned int routers; /* named e1, e2 and so on */
+	unsigned int workers;
+	/* Behaviour of each worker; the rest of the members is ignored. */
+	struct fake_worker_spec worker;
+};
+
 #define PLATFORM_WORKERS 3
 
 /*
- * Starts all of it and waits until the router is ready. The routes are /once/,
- * /again/, /stream/ (resumable) and /public/; the API key is "k1".
+ * Starts all of it and waits until the routers are ready. The routes are
+ * /once/, /again/, /stream/ (resumable) and /public/; the API key is "k1".
  */
+struct platform *platform_create(const struct platform_spec *spec);
+/* platform_create() with one router and PLATFORM_WORKERS workers. */
 struct platform *platform_start(void);
 void platform_stop(struct platform *p);
 
-/* Waits until the router is ready; fails the test on a timeout. */
+/* Waits until all routers are ready; fails the test on a timeout. */
 void platform_await_ready(struct platform *p);
+/* The first router, and any router from 0 on. */
 struct proc *platform_router(struct platform *p);
-/* Port of the router's metrics and its state view. */
+struct proc *platform_router_at(struct platform *p, unsigned int router);
+/* Port of the first router's metrics and its state view. */
 unsigned int platform_metrics_port(const struct platform *p);
 
 void platform_set_mode(
     struct platform *p, unsigned int worker, enum fake_worker_mode mode);
+/* Crashes all workers that are up, at the same moment; does not wait for it. */
+void platform_crash_workers(struct platform *p);
 /* The store responds to every call with this status; 0: normally. */
 void platform_set_store_status(struct platform *p, unsigned int status);
 /* Writes or removes an object. platform_put() takes over the reference. */
@@ -47,6 +60,9 @@
 void platform_set_weights(struct platform *p, unsigned int version);
 
 unsigned int platform_runs(struct platform *p, unsigned int worker);
+/* Of all workers; see fakes/platform/worker.h. */
+unsigned int platform_crashes(struct platform *p);
+unsigned int platform_crash_arrivals(struct platform *p);
 /* Requests that the worker got for another instance. */
 unsigned int platform_misdirected(struct platform *p, unsigned int worker);
 unsigned int platform_weights(struct platform *p, unsigned int worker);
@@ -55,7 +71,7 @@
 char *platform_last_head(struct platform *p);
 
 /*
- * Sends one request to the router and returns the whole response, or what
+ * Sends one request to the first router and returns the whole response, or what
  * arrived before the connection ended. Free with g_free().
  */
 char *platform_ask(struct platform *p, const char *method, const char *path,
