Routers stop prompt parts that crash workers

Cause: a router knew requests by id only. The retry of a request whose worker had crashed, and the next request with the same part, at this or any other router, were new to it. Class: a decision on state that is not keyed by what repeats, and not shared by those who decide.

Now each router reports, for a worker that ends when it has begun a response, the shared parts of that request, each by its own id. Crashes are named by the worker and its start, so the routers' reports unite by gossip without a coordinator. After the third crash without a success, requests with the part are rejected at once, with the time until the quarantine ends; a request that was in a crash is not retried from the second one on.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -80,6 +80,8 @@
     struct exchange *x, struct jh_worker *w, const struct jh_choice *choice)
 {
 	x->worker_id = g_strdup(w->id);
+	x->worker_hash = w->hash;
+	x->worker_started_ms = w->started_ms;
 	x->worker_address = w->address;
 	x->counted_prefill = (uint64_t)x->choose.own_tokens + choice->uncached;
 	x->counted_held =
@@ -325,6 +327,8 @@
 	struct jh_admit_decision decision;
 	struct jh_choice choice;
 
+	if (exchange_refuse_quarantined(x))
+		return;
 	choose_worker(x, now, &choice);
 	if (choice.worker == NULL) {
 		exchange_give_up(x, choice.any_worker
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -21,6 +21,9 @@
 	struct jh_choose_request choose; /* the same for all attempts */
 	char *model;
 	struct jh_attempts attempts;
+	/* The prompt's shared parts and the request itself, in suspects.h. */
+	struct jh_fingerprint suspect_part[JH_PROMPT_MAX_SHARED_IDS + 1];
+	size_t n_suspect_parts;
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED];
 	size_t n_excluded;
 	uv_timer_t deadline_timer; /* for the final response */
@@ -29,6 +32,8 @@
 	/* The attempt in progress. */
 	struct jh_call *call;
 	char *worker_id; /* id; NULL: none */
+	uint64_t worker_hash; /* of the id */
+	uint64_t worker_started_ms;
 	struct sockaddr_in worker_address;
 	uint64_t sent_at;
 	uint64_t expected_ttft; /* microseconds to the first token */
@@ -83,6 +88,18 @@
 /* The client has taken all that was written: resumes a paused worker. */
 void exchange_drained(struct exchange *x);
 
+/* suspect.c: requests that crash the workers that run them. */
+void exchange_set_suspect_parts(struct exchange *x);
+/* The worker ended when it had begun to respond, before any output. */
+void exchange_report_crash(struct exchange *x);
+/* The first output of the response has arrived. */
+void exchange_clear_suspects(struct exchange *x);
+/*
+ * Ends the exchange and returns true if the request has a part that crashes
+ * workers, or may have one and has run already.
+ */
+bool exchange_refuse_quarantined(struct exchange *x);
+
 /* The worker of the attempt, or NULL if it was removed. */
 struct jh_worker *exchange_worker(struct exchange *x);
 /* The organisation's rank, or that of the route if it has none. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,8 @@
 
 #include <uv.h>
 
+#include <jacinthhill/suspects.h>
+
 #include "base/metrics.h"
 #include "base/json_log.h"
 #include "gateway/http_codec.h"
@@ -33,6 +35,8 @@
 	struct jh_chooser *chooser;
 	struct jh_retry_budget *retry_budget;
 	struct jh_weights *weights;
+	struct jh_suspects *suspects; /* parts of requests that crash workers */
+	size_t quarantined_parts; /* of these, as last logged */
 	unsigned int processes; /* that share workers and retry budget */
 	/*
 	 * jh_now() time at which the process stops; 0: it is not stopping. From
@@ -47,6 +51,8 @@
 
 /* Handles a request to the HTTP server; arg is the gateway. */
 void jh_gateway_request(void *arg, struct jh_server_request *v);
+/* Expires suspects, and logs a new number of quarantined parts. */
+void jh_gateway_check_suspects(struct jh_gateway *gw, uint64_t now);
 /* Logs and counts a client's connection that the HTTP server closes. */
 void jh_gateway_closing(void *arg, const struct jh_server_closing *c);
 
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -5,7 +5,9 @@
 
 #include <jacinthhill/clock.h>
 
+#include "gateway/crash_message.h"
 #include "gateway/gossip.h"
+#include "gateway/wire.h"
 #include "route/fanout.h"
 
 /* Interval between rounds; a worker's queue turns over in about this time. */
@@ -17,6 +19,17 @@
  * placements, MAC.
  */
 #define MAGIC 0x4a484731U /* "JHG1" */
+/*
+ * A second message has the same first three fields and MAC, and crashes between
+ * them. It is sent only while there are any.
+ */
+#define CRASH_MAGIC 0x4a484331U /* "JHC1" */
+#define ENVELOPE_LEN 20
+
+/* Rounds in which a changed crash is sent; more than one turn of all peers. */
+#define CRASH_ROUNDS 16
+/* Quarantined parts are sent in each so-many-th round. */
+#define QUARANTINE_ROUNDS 5
 #define REVISION_LEN 6
 #define HEAD_LEN (24 + REVISION_LEN * JH_GOSSIP_REVISIONS)
 #define REPORT_LEN 22
@@ -68,6 +81,9 @@
 	struct jh_peers *reports;
 	unsigned char message[MAX_LEN]; /* last one written */
 	size_t message_len;
+	unsigned char crash_message[MAX_LEN];
+	size_t crash_message_len; /* 0: there is nothing to tell */
+	uint64_t crash_revision[CRASH_ROUNDS]; /* of the suspects, by round */
 	unsigned int open_handles; /* not closed yet */
 	char buffer[2048];
 };
@@ -91,26 +107,6 @@
 	return id;
 }
 
-static void
-put_uint(unsigned char **at, uint64_t value, size_t n)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		*(*at)++ = (unsigned char)(value >> (8 * i));
-}
-
-static uint64_t
-take_uint(const unsigned char **at, size_t n)
-{
-	uint64_t value = 0;
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		value |= (uint64_t) * (*at)++ << (8 * i);
-	return value;
-}
-
 static uint64_t
 units(uint64_t tokens)
 {
@@ -120,12 +116,12 @@
 static void
 put_report(unsigned char **at, const struct jh_worker *w, unsigned int flags)
 {
-	put_uint(at, w->hash, 8);
-	put_uint(at, MIN(w->running, UINT16_MAX), 2);
-	put_uint(at, units(w->prefill_tokens), 2);
-	put_uint(at, units(w->held_tokens), 2);
-	put_uint(at, w->weights, 7);
-	put_uint(at, flags, 1);
+	jh_wire_put(at, w->hash, 8);
+	jh_wire_put(at, MIN(w->running, UINT16_MAX), 2);
+	jh_wire_put(at, units(w->prefill_tokens), 2);
+	jh_wire_put(at, units(w->held_tokens), 2);
+	jh_wire_put(at, w->weights, 7);
+	jh_wire_put(at, flags, 1);
 }
 
 /* Workers that do not fit into this message come first in the next one. */
@@ -189,8 +185,8 @@
 	for (i = 0; i < g->announcements->len && n_placements < n;) {
 		struct announcement *a =
 		    &g_array_index(g->announcements, struct announcement, i);
-		put_uint(at, a->placement.key, 8);
-		put_uint(at, a->placement.worker, 8);
+		jh_wire_put(at, a->placement.key, 8);
+		jh_wire_put(at, a->placement.worker, 8);
 		n_placements++;
 		if (--a->rounds == 0)
 			g_array_remove_index(g->announcements, i);
@@ -200,6 +196,48 @@
 	return n_placements;
 }
 
+/* Returns the length of the message with its MAC. */
+static size_t
+append_mac(
+    const struct jh_gossip *g, const unsigned char *message, unsigned char *end)
+{
+	size_t len = (size_t)(end - message);
+
+	crypto_generichash(
+	    end, MAC_LEN, message, len, g->key, JH_GOSSIP_KEY_LEN);
+	return len + MAC_LEN;
+}
+
+/*
+ * Crashes that changed are sent for some rounds, so that they reach all peers
+ * in spite of lost messages; quarantined parts from time to time, for peers
+ * that have restarted.
+ */
+static void
+write_crash_message(struct jh_gossip *g)
+{
+	const struct jh_suspects *s = g->spec.suspects;
+	unsigned char *out = g->crash_message, *at = out;
+	uint64_t since, revision;
+	size_t n;
+
+	g->crash_message_len = 0;
+	if (s == NULL)
+		return;
+	revision = jh_suspects_revision(s);
+	since = g->crash_revision[g->number % CRASH_ROUNDS];
+	g->crash_revision[g->number % CRASH_ROUNDS] = revision;
+	if (since == revision && g->number % QUARANTINE_ROUNDS != 0)
+		return;
+	jh_wire_put(&at, CRASH_MAGIC, 4);
+	jh_wire_put(&at, g->id, 8);
+	jh_wire_put(&at, g->number, 8);
+	n = jh_crash_message_write(
+	    s, jh_now(), since, at, MAX_LEN - ENVELOPE_LEN - MAC_LEN);
+	if (n > 0)
+		g->crash_message_len = append_mac(g, out, at + n);
+}
+
 static void
 write_message(struct jh_gossip *g)
 {
@@ -207,38 +245,44 @@
 	uint16_t n_reports, n_placements;
 	size_t i;
 
-	put_uint(&at, MAGIC, 4);
-	put_uint(&at, g->id, 8);
-	put_uint(&at, ++g->number, 8);
+	jh_wire_put(&at, MAGIC, 4);
+	jh_wire_put(&at, g->id, 8);
+	jh_wire_put(&at, ++g->number, 8);
 	for (i = 0; i < JH_GOSSIP_REVISIONS; i++)
-		put_uint(&at, g->revisions[i], REVISION_LEN);
+		jh_wire_put(&at, g->revisions[i], REVISION_LEN);
 	count = at;
 	at += 4;
 	n_reports = put_reports(g, &at);
 	collect_announcements(g);
 	n_placements =
 	    put_announcements(g, &at, (size_t)(out + MAX_LEN - MAC_LEN - at));
-	put_uint(&count, n_reports, 2);
-	put_uint(&count, n_placements, 2);
-	crypto_generichash(
-	    at, MAC_LEN, out, (size_t)(at - out), g->key, JH_GOSSIP_KEY_LEN);
-	g->message_len = (size_t)(at - out) + MAC_LEN;
+	jh_wire_put(&count, n_reports, 2);
+	jh_wire_put(&count, n_placements, 2);
+	g->message_len = append_mac(g, out, at);
+	write_crash_message(g);
 }
 
 static void
-send_to(void *arg, void *peer)
+send_datagram(struct jh_gossip *g, const struct peer *p, unsigned char *message,
+    size_t len)
 {
-	struct jh_gossip *g = arg;
-	const struct peer *p = peer;
-	uv_buf_t buf =
-	    uv_buf_init((char *)g->message, (unsigned int)g->message_len);
+	uv_buf_t buf = uv_buf_init((char *)message, (unsigned int)len);
 
 	/* Lost if the socket is full; the next message replaces it. */
-	if (uv_udp_try_send(
-		&g->udp, &buf, 1, (const struct sockaddr *)&p->address) < 0)
+	if (len > 0 && uv_udp_try_send(&g->udp, &buf, 1,
+			   (const struct sockaddr *)&p->address) < 0)
 		jh_metrics_add(g->spec.metrics, "jh_gossip_not_sent", 1);
 }
 
+static void
+send_to(void *arg, void *peer)
+{
+	struct jh_gossip *g = arg;
+
+	send_datagram(g, peer, g->message, g->message_len);
+	send_datagram(g, peer, g->crash_message, g->crash_message_len);
+}
+
 void
 jh_gossip_send(struct jh_gossip *g)
 {
@@ -261,6 +305,20 @@
 	return sodium_memcmp(mac, message + len - MAC_LEN, MAC_LEN) == 0;
 }
 
+static void
+read_crash_message(
+    struct jh_gossip *g, const unsigned char *message, size_t len)
+{
+	const unsigned char *at = message + 4;
+	uint64_t id = jh_wire_take(&at, 8);
+	const struct peer *p = g_hash_table_lookup(g->by_id, &id);
+
+	if (p == NULL || !has_valid_mac(p, message, len) ||
+	    !jh_crash_message_read(g->spec.suspects, jh_now(),
+		message + ENVELOPE_LEN, len - ENVELOPE_LEN - MAC_LEN))
+		jh_metrics_add(g->spec.metrics, "jh_gossip_ignored", 1);
+}
+
 static void
 read_message(struct jh_gossip *g, const unsigned char *message, size_t len)
 {
@@ -270,14 +328,14 @@
 	uint64_t revisions[JH_GOSSIP_REVISIONS], id, number, count, n_announced,
 	    flags, i;
 
-	if (len < HEAD_LEN + MAC_LEN || take_uint(&at, 4) != MAGIC)
+	if (len < HEAD_LEN + MAC_LEN || jh_wire_take(&at, 4) != MAGIC)
 		return;
-	id = take_uint(&at, 8);
-	number = take_uint(&at, 8);
+	id = jh_wire_take(&at, 8);
+	number = jh_wire_take(&at, 8);
 	for (i = 0; i < JH_GOSSIP_REVISIONS; i++)
-		revisions[i] = take_uint(&at, REVISION_LEN);
-	count = take_uint(&at, 2);
-	n_announced = take_uint(&at, 2);
+		revisions[i] = jh_wire_take(&at, REVISION_LEN);
+	count = jh_wire_take(&at, 2);
+	n_announced = jh_wire_take(&at, 2);
 	p = g_hash_table_lookup(g->by_id, &id);
 	if (p == NULL || count > MAX_REPORTS || n_announced > MAX_PLACEMENTS ||
 	    len != HEAD_LEN + count * REPORT_LEN + n_announced * PLACEMENT_LEN +
@@ -287,14 +345,14 @@
 		return;
 	}
 	for (i = 0; i < count; i++) {
-		reports[i].worker = take_uint(&at, 8);
-		reports[i].running = (uint32_t)take_uint(&at, 2);
+		reports[i].worker = jh_wire_take(&at, 8);
+		reports[i].running = (uint32_t)jh_wire_take(&at, 2);
 		reports[i].prefill_tokens =
-		    (uint32_t)take_uint(&at, 2) * TOKEN_UNIT;
+		    (uint32_t)jh_wire_take(&at, 2) * TOKEN_UNIT;
 		reports[i].held_tokens =
-		    (uint32_t)take_uint(&at, 2) * TOKEN_UNIT;
-		reports[i].weights = take_uint(&at, 7);
-		flags = take_uint(&at, 1);
+		    (uint32_t)jh_wire_take(&at, 2) * TOKEN_UNIT;
+		reports[i].weights = jh_wire_take(&at, 7);
+		flags = jh_wire_take(&at, 1);
 		reports[i].loading = (flags & FLAG_LOADING) != 0;
 		reports[i].replaced = (flags & FLAG_REPLACED) != 0;
 		reports[i].responded = (flags & FLAG_RESPONDED) != 0;
@@ -309,12 +367,24 @@
 		g->spec.on_revisions(g->spec.arg, revisions);
 	for (i = 0; i < n_announced; i++) {
 		struct jh_placement placed;
-		placed.key = take_uint(&at, 8);
-		placed.worker = take_uint(&at, 8);
+		placed.key = jh_wire_take(&at, 8);
+		placed.worker = jh_wire_take(&at, 8);
 		jh_chooser_add_placement(g->spec.chooser, jh_now(), &placed);
 	}
 }
 
+static void
+read_datagram(struct jh_gossip *g, const unsigned char *datagram, size_t len)
+{
+	const unsigned char *at = datagram;
+
+	if (len >= ENVELOPE_LEN + MAC_LEN && g->spec.suspects != NULL &&
+	    jh_wire_take(&at, 4) == CRASH_MAGIC)
+		read_crash_message(g, datagram, len);
+	else
+		read_message(g, datagram, len);
+}
+
 static void
 on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
@@ -328,7 +398,7 @@
     const struct sockaddr *from, unsigned int flags)
 {
 	if (n > 0 && (flags & UV_UDP_PARTIAL) == 0)
-		read_message(
+		read_datagram(
 		    udp->data, (const unsigned char *)buf->base, (size_t)n);
 }
 
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -7,6 +7,8 @@
 #include <netinet/in.h>
 #include <uv.h>
 
+#include <jacinthhill/suspects.h>
+
 #include "base/metrics.h"
 #include "member/weights.h"
 #include "route/choose.h"
@@ -15,11 +17,11 @@
 
 /*
  * Gossip between processes over UDP: the load that each has sent to the
- * workers, which workers were sent which prefixes, and which workers load
- * weights. Each message carries a MAC under its sender's key, which peers read
- * from the store; a message without a valid MAC is ignored. A lost message is
- * not sent again: the next one replaces it. route/fanout.h selects the peers of
- * a round.
+ * workers, which workers were sent which prefixes, which workers load weights,
+ * and which requests crash workers. Each message carries a MAC under its
+ * sender's key, which peers read from the store; a message without a valid MAC
+ * is ignored. A lost message is not sent again: the next one replaces it.
+ * route/fanout.h selects the peers of a round.
  */
 struct jh_gossip;
 
@@ -38,6 +40,7 @@
 	struct jh_fleet *fleet;
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
+	struct jh_suspects *suspects; /* NULL: crashes are not exchanged */
 	struct sockaddr_in address;
 	/* May be NULL. A message of a peer has arrived. */
 	void (*on_peer)(void *arg, const char *name);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -129,7 +129,8 @@
 	if (x->malformed)
 		return;
 	note_responded(x);
-	x->attempt_events++;
+	if (x->attempt_events++ == 0)
+		exchange_clear_suspects(x);
 	if (x->n_events++ == 0) {
 		x->first_at = jh_now();
 		exchange_release_prefill(x);
@@ -309,6 +310,8 @@
 	enum jh_attempt_next next =
 	    jh_attempts_ended(&x->attempts, now, result);
 
+	if (next == JH_NEXT_RETRY && exchange_refuse_quarantined(x))
+		return;
 	/* What was not sent has not arrived at the service. */
 	if (next == JH_NEXT_RETRY && result != JH_ATTEMPT_NOT_SENT &&
 	    !jh_retry_budget_take(x->gateway->retry_budget, now,
@@ -337,6 +340,21 @@
 	}
 }
 
+/*
+ * Whether the worker ended the connection when it had begun to respond, before
+ * any output. Requests that were still waiting at the worker, or in the middle
+ * of their output, do not count: the crash of a worker breaks all of them.
+ */
+static bool
+ended_before_output(const struct exchange *x, enum jh_call_result call_result)
+{
+	if (x->status != 200 || x->attempt_events > 0 || x->malformed ||
+	    x->silence_timed_out)
+		return false;
+	return call_result == JH_CALL_BROKEN ||
+	       (call_result == JH_CALL_COMPLETE && x->streaming);
+}
+
 /* The ids of the prompt's shared parts, for the log. */
 static json_t *
 shared_ids(const struct jh_client_request *request)
@@ -383,6 +401,10 @@
 	result = classify_result(x, call_result, &why);
 	if (result != JH_ATTEMPT_RESPONDED)
 		log_attempt(x, why);
+	if (result == JH_ATTEMPT_BROKEN && ended_before_output(x, call_result))
+		exchange_report_crash(x);
+	else if (result == JH_ATTEMPT_RESPONDED && !x->streaming)
+		exchange_clear_suspects(x);
 	update_worker(x, w, result);
 	exclude(x, w);
 	exchange_release_load(x);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -165,6 +165,7 @@
 	jh_attempts_init(&x->attempts, jh_route_repeatable(route),
 	    route->max_runs, x->arrived + time_limit);
 	set_choose_request(x);
+	exchange_set_suspect_parts(x);
 	uv_timer_init(gw->loop, &x->deadline_timer);
 	uv_timer_init(gw->loop, &x->silence_timer);
 	x->deadline_timer.data = x;
--- /dev/null
+++ b/src/gateway/suspect.c
@@ -0,0 +1,101 @@
+#include <jansson.h>
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <xxhash.h>
+
+#include "gateway/exchange.h"
+
+/* Identifies the request itself: its organisation, target and body. */
+static uint64_t
+hash_request(const struct exchange *x)
+{
+	struct jh_str target =
+	    jh_head_target(jh_server_request_head(x->conn_request));
+	struct jh_str body = jh_server_request_body(x->conn_request);
+	const char *org = x->org != NULL ? x->org->name : "";
+	uint64_t h = XXH3_64bits(org, strlen(org));
+
+	h = XXH3_64bits_withSeed(target.ptr, target.len, h);
+	return XXH3_64bits_withSeed(body.ptr, body.len, h);
+}
+
+void
+exchange_set_suspect_parts(struct exchange *x)
+{
+	const struct jh_client_request *request = &x->request;
+	size_t i;
+
+	for (i = 0; i < request->n_shared_ids; i++)
+		x->suspect_part[i] =
+		    jh_fingerprint_of_part(request->shared_id[i]);
+	x->suspect_part[i++] = jh_fingerprint_of_part(hash_request(x));
+	x->n_suspect_parts = i;
+}
+
+void
+exchange_report_crash(struct exchange *x)
+{
+	struct jh_gateway *gw = x->gateway;
+
+	jh_suspects_parts_crashed(gw->suspects, jh_now(), x->worker_hash,
+	    x->worker_started_ms, x->suspect_part, x->n_suspect_parts);
+	jh_metrics_add(gw->metrics, "jh_crashes_reported", 1);
+	jh_json_log(gw->log, "crash_reported", "s:s#, s:s?, s:I, s:i",
+	    "request", x->request.id.ptr, (int)x->request.id.len, "worker",
+	    x->worker_id, "born", (json_int_t)x->worker_started_ms, "crashes",
+	    (int)jh_suspects_parts_crashes(gw->suspects, jh_now(),
+		x->suspect_part, x->n_suspect_parts, NULL));
+}
+
+void
+exchange_clear_suspects(struct exchange *x)
+{
+	struct jh_suspects *s = x->gateway->suspects;
+
+	if (jh_suspects_len(s) > 0)
+		jh_suspects_parts_succeeded(
+		    s, jh_now(), x->suspect_part, x->n_suspect_parts);
+}
+
+bool
+exchange_refuse_quarantined(struct exchange *x)
+{
+	struct jh_gateway *gw = x->gateway;
+	uint64_t now = jh_now(), deadline;
+	unsigned int limit = x->attempts.may_have_run
+				 ? JH_SUSPECT_NO_RETRY_CRASHES
+				 : JH_SUSPECT_QUARANTINE_CRASHES;
+	unsigned int crashes = jh_suspects_parts_crashes(
+	    gw->suspects, now, x->suspect_part, x->n_suspect_parts, &deadline);
+	const char *reason = "a part of the prompt crashes workers";
+
+	if (crashes < limit)
+		return false;
+	jh_metrics_add(gw->metrics, "jh_quarantined", 1);
+	jh_json_log(gw->log, "quarantined", "s:s#, s:s, s:i, s:i", "request",
+	    x->request.id.ptr, (int)x->request.id.len, "route", x->route->name,
+	    "crashes", (int)crashes, "attempts", (int)x->attempts.sent);
+	if (x->response_begun)
+		exchange_break_stream(x, reason);
+	else if (x->attempts.may_have_run)
+		exchange_fail(x, 502, reason);
+	else
+		exchange_refuse(x, reason,
+		    (double)(deadline - now) / (double)JH_USEC_PER_SEC);
+	return true;
+}
+
+void
+jh_gateway_check_suspects(struct jh_gateway *gw, uint64_t now)
+{
+	size_t n;
+
+	jh_suspects_expire(gw->suspects, now);
+	n = jh_suspects_parts_quarantined(gw->suspects, now);
+	if (n == gw->quarantined_parts)
+		return;
+	gw->quarantined_parts = n;
+	jh_metrics_set(gw->metrics, "jh_quarantined_parts", (double)n);
+	jh_json_log(gw->log, "quarantined_parts", "s:i", "parts", (int)n);
+}
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -36,9 +36,11 @@
 	for (i = 0; i < jh_fleet_count(g->fleet); i++)
 		json_array_append_new(
 		    workers, view_worker(jh_fleet_at(g->fleet, i), now));
-	return json_pack("{s:I, s:i, s:b, s:o}", "config_version",
+	return json_pack("{s:I, s:i, s:b, s:I, s:o}", "config_version",
 	    g->routes != NULL ? (json_int_t)jh_route_table_version(g->routes)
 			      : (json_int_t)-1,
 	    "processes", (int)g->processes, "stopping", g->stop_at != 0,
+	    "quarantined_parts",
+	    (json_int_t)jh_suspects_parts_quarantined(g->suspects, now),
 	    "workers", workers);
 }
--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -94,6 +94,30 @@
 	jh_http_parser_destroy(h.parse);
 }
 
+/* Guards against knowing a part by what comes before it in the prompt. */
+static void
+shared_parts_are_known_by_their_ids(void **state)
+{
+	static const char other[] =
+	    "GET / HTTP/1.1\r\nX-Jacinthhill-Prompt-Prefix: "
+	    "ab:10, 91bd3f06:7 ,77:1\r\n\r\n";
+	const char *reason;
+	struct jh_client_request a, b;
+	struct head h;
+
+	head_init(&h, JH_PARSE_REQUESTS, model_request);
+	assert_true(plat_http_codec.read_client_request(h.head, &a, &reason));
+	jh_http_parser_destroy(h.parse);
+	head_init(&h, JH_PARSE_REQUESTS, other);
+	assert_true(plat_http_codec.read_client_request(h.head, &b, &reason));
+	jh_http_parser_destroy(h.parse);
+	assert_int_equal(a.n_shared_ids, 2);
+	assert_int_equal(b.n_shared_ids, 2);
+	assert_true(a.shared_id[1] == b.shared_id[1]);
+	assert_true(a.shared_id[0] != b.shared_id[0]);
+	assert_true(a.part[1].hash != b.part[1].hash);
+}
+
 /*
  * Guards against forwarding the client's values of fields that the gateway
  * sets, its API key, or hop-by-hop fields.
@@ -408,6 +432,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(client_request_is_decoded),
+	    cmocka_unit_test(shared_parts_are_known_by_their_ids),
 	    cmocka_unit_test(forwarded_request_has_gateway_fields),
 	    cmocka_unit_test(invalid_values_are_rejected),
 	    cmocka_unit_test(responses_are_classified),
