--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -40,6 +40,8 @@
 	/* An order was accepted. */
 	void (*ordered)(void *arg, struct fake_worker *w, const char *holder,
 	    uint64_t token, unsigned int version);
+	/* The part crash_part crashed it; may be NULL. */
+	void (*crashed)(void *arg, struct fake_worker *w);
 };
 
 struct fake_worker_spec {
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -126,6 +126,8 @@
 	} else if (r->crashes) {
 		w->crashes++;
 		fake_worker_crash(w);
+		if (w->spec.ops != NULL && w->spec.ops->crashed != NULL)
+			w->spec.ops->crashed(w->spec.arg, w);
 	} else if (!r->is_stream) {
 		send_response(r);
 		fake_run_end(r);
--- a/soak/checker.c
+++ b/soak/checker.c
@@ -65,6 +65,7 @@
 	g_free(rec->request.id);
 	g_free(rec->request.target);
 	g_free(rec->request.body);
+	g_free(rec->request.first_part);
 	g_free(rec);
 }
 
@@ -533,6 +534,14 @@
 	extend(&ck->any_disturbed, until);
 }
 
+void
+soak_checker_crashed_by_part(
+    struct soak_checker *ck, uint64_t now, unsigned int worker, uint64_t until)
+{
+	ck->totals.part_crashes++;
+	soak_checker_disturb_worker(ck, worker, until);
+}
+
 void
 soak_checker_disturb_store(struct soak_checker *ck, uint64_t until)
 {
@@ -576,7 +585,8 @@
 		const struct record *rec = g_ptr_array_index(ck->order, i);
 		if (rec->request.sent < t ||
 		    rec->request.permission != SOAK_ALLOWED ||
-		    rec->outcome == ABANDONED || rec->outcome == WAITING)
+		    rec->request.crashes_workers || rec->outcome == ABANDONED ||
+		    rec->outcome == WAITING)
 			continue;
 		n++;
 		if (rec->outcome == RESPONDED && rec->status < 300)
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -40,6 +40,8 @@
 	const char *method;
 	const char *org; /* organisation of its key; "" without a key */
 	const char *model; /* "" for none */
+	char *first_part; /* id, of its prompt; NULL: none; owned */
+	bool crashes_workers; /* its prompt has the part that does */
 	enum soak_request_kind kind;
 	enum soak_permission permission;
 	bool
@@ -71,13 +73,13 @@
 
 struct soak_totals {
 	unsigned int sent, executions, served, refused, failed, broken,
-	    abandoned;
+	    abandoned, part_crashes;
 };
 
 struct soak_checker *soak_checker_create(const struct soak_bounds *b);
 void soak_checker_destroy(struct soak_checker *ck);
 
-/* Takes ownership of the request's id, target and body. */
+/* Takes ownership of the request's id, target, body and first part. */
 void soak_checker_sent(struct soak_checker *ck, const struct soak_request *r);
 void soak_checker_responded(struct soak_checker *ck, uint64_t now,
     const char *id, const struct soak_response *a);
@@ -112,6 +114,9 @@
     struct soak_checker *ck, unsigned int router, uint64_t until, bool planned);
 void soak_checker_disturb_worker(
     struct soak_checker *ck, unsigned int worker, uint64_t until);
+/* A part of a prompt crashed the worker, which is back by until. */
+void soak_checker_crashed_by_part(
+    struct soak_checker *ck, uint64_t now, unsigned int worker, uint64_t until);
 void soak_checker_disturb_store(struct soak_checker *ck, uint64_t until);
 /* Whether the router was undisturbed for connected_after before t. */
 bool soak_checker_router_undisturbed(
@@ -127,7 +132,10 @@
 /* The violations, as text, in the order found; owned by the checker. */
 const GPtrArray *soak_checker_violations(const struct soak_checker *ck);
 struct soak_totals soak_checker_totals(const struct soak_checker *ck);
-/* Fraction of the allowed requests sent since t that were served; 1 if none. */
+/*
+ * Fraction of the allowed requests sent since t that were served; 1 if none.
+ * Requests that crash workers do not count.
+ */
 double soak_checker_success_ratio(const struct soak_checker *ck, uint64_t t);
 
 #endif
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -257,8 +257,8 @@
 	fake_worker_set_mode(worker->fake, worker->mode);
 }
 
-static void
-start_worker(struct soak_fixture *fx, struct soak_fault *f)
+void
+soak_start_worker(struct soak_fixture *fx, struct soak_fault *f)
 {
 	struct soak_worker *worker = worker_of(fx, f);
 
@@ -272,8 +272,9 @@
 {
 	soak_checker_disturb_worker(
 	    fx->checker, f->target % fx->n_workers, jh_now());
-	fake_worker_crash(worker_of(fx, f)->fake);
-	soak_schedule(fx, RESTART_DELAY_USEC, start_worker, f);
+	if (fake_worker_is_up(worker_of(fx, f)->fake))
+		fake_worker_crash(worker_of(fx, f)->fake);
+	soak_schedule(fx, RESTART_DELAY_USEC, soak_start_worker, f);
 }
 
 static void
@@ -298,7 +299,7 @@
 		soak_checker_disturb_worker(
 		    fx->checker, number, fx->started + f->until);
 		fake_worker_crash(worker->fake);
-		soak_schedule(fx, f->until - f->at, start_worker, f);
+		soak_schedule(fx, f->until - f->at, soak_start_worker, f);
 	} else {
 		worker->unavailable = true;
 		fake_worker_drain(worker->fake);
@@ -388,6 +389,9 @@
 		disturb_router_link(
 		    fx, router, router->store_proxy, restore_store_link, f);
 		break;
+	case FAULT_POISON_PART:
+		soak_poison_start(fx, f);
+		break;
 	case FAULT_CLIENT_LINK:
 		disturb_router_link(
 		    fx, router, router->client_proxy, restore_client_link, f);
--- a/soak/fixture.h
+++ b/soak/fixture.h
@@ -19,6 +19,7 @@
 	uint64_t seed;
 	unsigned int routers, engines, services, clients;
 	double seconds; /* duration of the run */
+	bool poison; /* one prompt part crashes workers */
 	bool verbose; /* prints each fault */
 };
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -10,12 +10,15 @@
 
 /* Default size of a run, for daily use: work for a few dozen processes. */
 static struct soak_spec spec = {
-    .routers = 4, .engines = 5, .services = 3, .clients = 40, .seconds = 24};
+    .routers = 4, .engines = 5, .services = 3, .clients = 40};
+
+/* Default duration; the poison adds as much as it outlasts other faults. */
+#define SECONDS 24
 
 static char *program, *dir;
 static gint64 seed = 1;
 static gint count = 1, entries, engines, services, n_clients;
-static gboolean verbose;
+static gboolean poison, verbose;
 
 static const GOptionEntry options[] = {
     {"program", 'p', 0, G_OPTION_ARG_FILENAME, &program,
@@ -24,7 +27,7 @@
     {"count", 'n', 0, G_OPTION_ARG_INT, &count,
 	"number of consecutive seeds (1)", "N"},
     {"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &spec.seconds,
-	"duration of a run, 16 or more (24)", "S"},
+	"duration of a run, 16 or more (24; 34 with --poison)", "S"},
     {"entries", 'e', 0, G_OPTION_ARG_INT, &entries, "entry processes (4)", "N"},
     {"engines", 0, 0, G_OPTION_ARG_INT, &engines, "model workers (5)", "N"},
     {"services", 0, 0, G_OPTION_ARG_INT, &services,
@@ -34,6 +37,10 @@
 	"folder for settings and logs; without it, they are kept only if a "
 	"run found a violation",
 	"DIR"},
+    {"poison", 0, 0, G_OPTION_ARG_NONE, &poison,
+	"adds a prompt part that crashes each worker that begins an answer "
+	"on it",
+	NULL},
     {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
 	"prints each injected fault", NULL},
     G_OPTION_ENTRY_NULL};
@@ -44,6 +51,8 @@
 {
 	if (count < 1)
 		return "--count must be 1 or more";
+	if (spec.seconds == 0)
+		spec.seconds = SECONDS + (poison ? SOAK_POISON_TAIL_SEC : 0);
 	if (spec.seconds < 16 || spec.seconds > 3600)
 		return "--seconds must be from 16 to 3600";
 	if (seed < 0 || seed > G_MAXUINT32)
@@ -110,11 +119,11 @@
 	r = soak_run(&spec);
 	printf("seed %llu: %u faults injected, %u sent, %u served, %u refused, "
 	       "%u failed, %u broken, %u abandoned, %.3f served at the end, "
-	       "%ld kB, %u violations\n",
+	       "%ld kB, %u crashes by a part, %u violations\n",
 	    (unsigned long long)number, r.planned_faults, r.totals.sent,
 	    r.totals.served, r.totals.refused, r.totals.failed, r.totals.broken,
 	    r.totals.abandoned, r.final_success_ratio, r.memory_kb,
-	    r.violations);
+	    r.totals.part_crashes, r.violations);
 	if (r.violations > 0)
 		printf("seed %llu: logs in %s\n", (unsigned long long)number,
 		    path);
@@ -135,6 +144,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	spec.program = program != NULL ? program : "build/jhplatform";
 	spec.verbose = verbose;
+	spec.poison = poison;
 	spec.routers = entries > 0 ? (unsigned int)entries : spec.routers;
 	spec.engines = engines > 0 ? (unsigned int)engines : spec.engines;
 	spec.services = services > 0 ? (unsigned int)services : spec.services;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -14,6 +14,12 @@
 /* Delay of a slow link; the platform calls its store slow from 0.3 s on. */
 #define MIN_DELAY_SEC 0.05
 #define MAX_DELAY_SEC 0.8
+/*
+ * The rules on a crashing prompt part begin 4 and 8 s after its fifth crash,
+ * and bind routers 4 s after the other faults.
+ */
+#define MAX_POISON_WAIT_SEC 1.0
+#define MIN_POISON_TAIL_SEC 9.0
 
 /* What a fault affects. */
 enum affects {
@@ -53,6 +59,7 @@
     [FAULT_WORKER_CRASH] = {"worker_crash", 4, true, AFFECTS_WORKER},
     [FAULT_WORKER_DRAINS] = {"worker_leaves", 3, true, AFFECTS_WORKER},
     [FAULT_WORKER_LINK] = {"worker_link", 4, true, AFFECTS_WORKER},
+    [FAULT_POISON_PART] = {"poison_part", 0, true, AFFECTS_NONE},
     [FAULT_CLIENT_LINK] = {"caller_link", 3, true, AFFECTS_ROUTER},
     [FAULT_CONFIG] = {"config", 5, false, AFFECTS_NONE},
     [FAULT_WEIGHTS] = {"weights", 3, false, AFFECTS_NONE},
@@ -133,3 +140,24 @@
 		g_array_append_val(plan, f);
 	}
 }
+
+static int
+compare_times(gconstpointer a, gconstpointer b)
+{
+	const struct soak_fault *x = a, *y = b;
+
+	return (x->at > y->at) - (x->at < y->at);
+}
+
+void
+soak_plan_add_poison(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	struct soak_fault f = {.kind = FAULT_POISON_PART};
+
+	f.at = from + draw_duration(rand, 0, MAX_POISON_WAIT_SEC);
+	f.until = until + draw_duration(
+			      rand, MIN_POISON_TAIL_SEC, SOAK_POISON_TAIL_SEC);
+	f.variant = g_rand_int(rand);
+	g_array_append_val(plan, f);
+	g_array_sort(plan, compare_times);
+}
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -27,6 +27,11 @@
 	FAULT_WORKER_CRASH,
 	FAULT_WORKER_DRAINS,
 	FAULT_WORKER_LINK,
+	/*
+	 * Requests with one certain prompt part, which crashes each worker
+	 * that begins to write an answer on it.
+	 */
+	FAULT_POISON_PART,
 	/* The link between the clients and one router. */
 	FAULT_CLIENT_LINK,
 	/* Planned changes. */
@@ -65,4 +70,14 @@
 GArray *soak_plan_draw(
     GRand *rand, unsigned int routers, uint64_t from, uint64_t until);
 
+/*
+ * Adds one FAULT_POISON_PART, which begins soon after from and outlasts until,
+ * by SOAK_POISON_TAIL_SEC at most. It follows soak_plan_draw(), which never
+ * draws it, so that the other faults of a seed are the same with and without
+ * it.
+ */
+#define SOAK_POISON_TAIL_SEC 10
+void soak_plan_add_poison(
+    GArray *plan, GRand *rand, uint64_t from, uint64_t until);
+
 #endif
--- a/soak/state.h
+++ b/soak/state.h
@@ -34,6 +34,13 @@
 	bool unavailable; /* is draining or has crashed */
 };
 
+/* Requests with the prompt part that crashes workers; see poison.c. */
+struct soak_poison {
+	char part[9]; /* its id; "": none in this run */
+	uint64_t until; /* such requests are sent until then; 0: none yet */
+	uint64_t next; /* time of the next one */
+};
+
 struct soak_fixture {
 	struct soak_spec spec;
 	uv_loop_t loop;
@@ -50,6 +57,7 @@
 	uint64_t started;
 	unsigned int config_version, weights_version;
 	uint64_t parity_since; /* last change between odd and even versions */
+	struct soak_poison poison;
 	unsigned int store_fault; /* number of faults of the store so far */
 	unsigned int sent;
 	long memory_kb;
@@ -67,8 +75,30 @@
 /* Starts the router that is the fault's target, unless it is running. */
 void soak_start_router(struct soak_fixture *fx, struct soak_fault *f);
 extern const struct soak_process_ops soak_router_ops;
+/* Starts the worker that is the fault's target. */
+void soak_start_worker(struct soak_fixture *fx, struct soak_fault *f);
 /* Publish a version of the configuration, and of the model's weights. */
 void soak_publish_config(struct soak_fixture *fx, unsigned int version);
 void soak_publish_weights(struct soak_fixture *fx, unsigned int version);
 
+/* The prompt of a request; this and what follows is in poison.c. */
+struct soak_prompt {
+	char *parts; /* as the header field's value, to be freed */
+	char *first_part; /* its id, to be freed */
+};
+
+/* Takes the part's id from the plan; to be called before workers start. */
+void soak_poison_prepare(struct soak_fixture *fx);
+void soak_poison_start(struct soak_fixture *fx, const struct soak_fault *f);
+/* Whether the next request is to have the part; the one after it is not. */
+bool soak_poison_due(struct soak_fixture *fx);
+/*
+ * A prompt of a few shared parts and one of its own at the end. If it is
+ * poisoned, it also has the part that crashes workers, at any place but the
+ * last.
+ */
+struct soak_prompt soak_prompt_draw(struct soak_fixture *fx, bool poisoned);
+/* The operation "crashed" of a fake worker; arg is the fixture. */
+void soak_poison_crashed(void *arg, struct fake_worker *fake);
+
 #endif
