Fault soak: check BUDGET and LOST beside a part that crashes workers

BUDGET: more than three requests with the part, repeats too, reach workers, sent by routers in touch, later than 4 s after the fifth crash; what arrives at a worker whose link or process another fault disturbed within 4 s is excused. LOST: from 8 s after the fifth crash, or the last, while such requests come, streams with the same key or first part begin less than half as often as when nothing is disturbed, 20 or more of each at routers in touch.

--- a/soak/checker.c
+++ b/soak/checker.c
@@ -6,6 +6,7 @@
 
 #include "fakes/platform/worker.h"
 #include "soak/checker.h"
+#include "soak/part_checker.h"
 
 /* Lost responses that are tolerated (LOST allows three). */
 #define MAX_LOST_RESPONSES 3
@@ -27,6 +28,7 @@
 	uint64_t started; /* start of the last execution */
 	uint64_t ended; /* end of the last execution; 0: still running */
 	bool faulty; /* a faulty worker executed it */
+	bool in_touch, calm; /* its router; everything; when it was sent */
 };
 
 struct router_state {
@@ -36,6 +38,7 @@
 
 struct worker_state {
 	uint64_t disturbed;
+	uint64_t injected; /* the same, except by crashes by a part */
 	uint64_t draining; /* since then; 0: not draining */
 	uint64_t token;
 	char *holder;
@@ -48,6 +51,7 @@
 	GHashTable *holders; /* token to holder */
 	struct router_state *routers;
 	struct worker_state *workers;
+	struct soak_part_checker *parts;
 	uint64_t store_disturbed;
 	uint64_t any_disturbed; /* end of the last fault anywhere */
 	uint64_t config_changed; /* last change of what is allowed */
@@ -81,6 +85,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	ck->routers = g_new0(struct router_state, b->routers);
 	ck->workers = g_new0(struct worker_state, b->workers);
+	ck->parts = soak_part_checker_create(b->connected_after);
 	ck->violations = g_ptr_array_new_with_free_func(g_free);
 	return ck;
 }
@@ -92,6 +97,7 @@
 
 	for (i = 0; i < ck->bounds.workers; i++)
 		g_free(ck->workers[i].holder);
+	soak_part_checker_destroy(ck->parts);
 	g_hash_table_destroy(ck->records);
 	g_hash_table_destroy(ck->holders);
 	g_ptr_array_free(ck->order, TRUE);
@@ -137,6 +143,19 @@
 	return ck->store_disturbed + ck->bounds.connected_after < t;
 }
 
+static bool
+is_in_touch(const struct soak_checker *ck, unsigned int router, uint64_t t)
+{
+	return soak_checker_router_undisturbed(ck, router, t) &&
+	       soak_checker_store_undisturbed(ck, t);
+}
+
+static bool
+is_calm(const struct soak_checker *ck, uint64_t t)
+{
+	return ck->any_disturbed + ck->bounds.connected_after < t;
+}
+
 static bool
 worker_undisturbed(
     const struct soak_checker *ck, unsigned int worker, uint64_t t)
@@ -150,6 +169,10 @@
 	struct record *rec = g_new0(struct record, 1);
 
 	rec->request = *r;
+	rec->in_touch = is_in_touch(ck, r->router, r->sent);
+	rec->calm = is_calm(ck, r->sent);
+	if (r->crashes_workers)
+		soak_part_checker_sent(ck->parts, r);
 	g_hash_table_insert(ck->records, rec->request.id, rec);
 	g_ptr_array_add(ck->order, rec);
 	ck->totals.sent++;
@@ -258,16 +281,60 @@
 		    rec->request.target, a->status, rec->request.router);
 }
 
+/* Passes a sound stream on to the checks that the part's rules make. */
+static void
+note_end(
+    struct soak_checker *ck, uint64_t now, const struct record *rec, bool began)
+{
+	const struct soak_request *r = &rec->request;
+
+	if (r->kind != SOAK_STREAMING || r->crashes_workers ||
+	    r->permission != SOAK_ALLOWED || !rec->in_touch ||
+	    !is_in_touch(ck, r->router, now))
+		return;
+	soak_part_checker_ended(
+	    ck->parts, r, began, rec->calm && is_calm(ck, now));
+}
+
+/* Whether a healthy worker had the request and no fault excuses the router. */
+static bool
+is_lost(const struct soak_checker *ck, const struct record *rec)
+{
+	return rec->executions > 0 && !rec->faulty &&
+	       worker_undisturbed(ck, rec->worker, rec->request.sent) &&
+	       ck->workers[rec->worker].draining == 0 &&
+	       ck->routers[rec->request.router].unplanned +
+		       ck->bounds.connected_after <
+		   rec->request.sent;
+}
+
+static void
+close_broken(struct soak_checker *ck, uint64_t now, struct record *rec)
+{
+	rec->outcome = BROKEN;
+	rec->closed = now;
+	ck->totals.broken++;
+	if (!is_lost(ck, rec))
+		return;
+	if (++ck->lost > MAX_LOST_RESPONSES)
+		soak_checker_add_violation(ck, now, "LOST",
+		    "request %s to entry %u ran at worker %u and got no "
+		    "complete answer",
+		    rec->request.id, rec->request.router, rec->worker);
+}
+
 void
 soak_checker_responded(struct soak_checker *ck, uint64_t now, const char *id,
     const struct soak_response *a)
 {
 	struct record *rec = find_record(ck, id);
+	bool success = a->status >= 200 && a->status < 300;
 
 	rec->outcome = a->complete ? RESPONDED : BROKEN;
 	rec->status = a->status;
 	rec->closed = now;
-	if (a->status >= 200 && a->status < 300) {
+	note_end(ck, now, rec, success && a->body.len > 0);
+	if (success) {
 		check_success(ck, now, rec, a);
 		if (a->complete)
 			ck->totals.served++;
@@ -279,19 +346,7 @@
 			ck->totals.failed++;
 	}
 	if (!a->complete)
-		soak_checker_broken(ck, now, id);
-}
-
-/* Whether a healthy worker had the request and no fault excuses the router. */
-static bool
-is_lost(const struct soak_checker *ck, const struct record *rec)
-{
-	return rec->executions > 0 && !rec->faulty &&
-	       worker_undisturbed(ck, rec->worker, rec->request.sent) &&
-	       ck->workers[rec->worker].draining == 0 &&
-	       ck->routers[rec->request.router].unplanned +
-		       ck->bounds.connected_after <
-		   rec->request.sent;
+		close_broken(ck, now, rec);
 }
 
 void
@@ -299,16 +354,8 @@
 {
 	struct record *rec = find_record(ck, id);
 
-	rec->outcome = BROKEN;
-	rec->closed = now;
-	ck->totals.broken++;
-	if (!is_lost(ck, rec))
-		return;
-	if (++ck->lost > MAX_LOST_RESPONSES)
-		soak_checker_add_violation(ck, now, "LOST",
-		    "request %s to entry %u ran at worker %u and got no "
-		    "complete answer",
-		    id, rec->request.router, rec->worker);
+	note_end(ck, now, rec, false);
+	close_broken(ck, now, rec);
 }
 
 void
@@ -328,6 +375,7 @@
 
 	rec->outcome = TIMED_OUT;
 	rec->closed = now;
+	note_end(ck, now, rec, false);
 	if (soak_checker_router_undisturbed(
 		ck, rec->request.router, rec->request.sent))
 		soak_checker_add_violation(ck, now, "CONFIG",
@@ -436,6 +484,13 @@
 	check_forwarded(ck, now, rec, execution);
 	check_allowed(ck, now, rec, execution->worker);
 	check_worker(ck, now, rec, execution->worker);
+	/* What arrives over a link after its fault is not late. */
+	if (rec->request.crashes_workers &&
+	    is_in_touch(ck, rec->request.router, now) &&
+	    ck->workers[execution->worker].injected +
+		    ck->bounds.connected_after <
+		now)
+		soak_part_checker_ran(ck->parts, now);
 	if (rec->executions > 0 && rec->ended == 0 &&
 	    rec->request.kind == SOAK_STREAMING && execution->last_event > 0 &&
 	    worker_undisturbed(ck, rec->worker, now) &&
@@ -530,6 +585,7 @@
 soak_checker_disturb_worker(
     struct soak_checker *ck, unsigned int worker, uint64_t until)
 {
+	extend(&ck->workers[worker].injected, until);
 	extend(&ck->workers[worker].disturbed, until);
 	extend(&ck->any_disturbed, until);
 }
@@ -538,8 +594,10 @@
 soak_checker_crashed_by_part(
     struct soak_checker *ck, uint64_t now, unsigned int worker, uint64_t until)
 {
+	soak_part_checker_crashed(ck->parts, now);
 	ck->totals.part_crashes++;
-	soak_checker_disturb_worker(ck, worker, until);
+	extend(&ck->workers[worker].disturbed, until);
+	extend(&ck->any_disturbed, until);
 }
 
 void
@@ -557,6 +615,7 @@
 		soak_checker_add_violation(ck, now, "GONE",
 		    "%u of %u executions went on after their clients left",
 		    ck->late_executions, ck->cancelled);
+	soak_part_checker_finish(ck->parts, now, ck);
 	if (ck->n_violations > MAX_VIOLATIONS)
 		g_ptr_array_add(
 		    ck->violations, g_strdup_printf("and %u more faults",
