Daemons stop messages that crash engines

What callers saw: requests that all differ but share a message of their prompt crashed engine after engine. An entry daemon knew a request only by the hash of its whole body, so each was new and took two engines down before its own quarantine.

Now the table of suspects also has the parts of prompts, as for the routers. The entry daemon computes the parts, the first 8 messages but the last one and the request itself, and sends them in the signed header Jh-Parts; the agent reports at a crash those of the started jobs without output, and the first output of a job clears its parts. Both refuse a request with a quarantined part as request_quarantined. A part is the prefix key of a prompt of that message alone. So it covers model and weights, since an engine with others proves nothing, and the organisation unless the catalogue shares the message with all: as for cached prefixes, content that is not shared is not compared across organisations, and none can have another's refused.

Crashes come faster than reports: an agent now returns the number of the crash to the entry daemon, which notes it before it retries. For this the agent's reply begins with the first bytes of the engine's body, not with its head; a crash between the two is an error and no longer a broken response.

The MAC covers the new headers, so entry daemons and agents have to be of the same version, as with each new header.

--- a/fakes/engine/main.c
+++ b/fakes/engine/main.c
@@ -16,6 +16,9 @@
 #define BODY_LIMIT (16 << 20)
 #define EVENTS_PER_REPLY 4096
 
+/* Time for the head of a reply to leave before a crash. */
+#define CRASH_DELAY_USEC (50 * JH_USEC_PER_MSEC)
+
 /*
  * A fake model engine: it serves chat completions, cache events, its load and
  * orders to load weights. See docs/engine-protocol.md.
@@ -42,7 +45,7 @@
 static gint64 capacity = 2000, time_scale = 100, event_lag_ms = 200, seed = 1;
 static gint64 load_ms;
 static gdouble gap_rate;
-static gboolean ignore_fencing;
+static gboolean ignore_fencing, crash_begun;
 
 static const GOptionEntry options[] = {
     {"listen", 0, 0, G_OPTION_ARG_STRING, &listen_text, "address", "A:P"},
@@ -61,6 +64,8 @@
     {"event-gap-rate", 0, 0, G_OPTION_ARG_DOUBLE, &gap_rate, "0 to 1", "R"},
     {"crash-on", 0, 0, G_OPTION_ARG_STRING, &crash_text,
 	"exit when a body contains this", "TEXT"},
+    {"crash-begun", 0, 0, G_OPTION_ARG_NONE, &crash_begun,
+	"send the head of the reply first", NULL},
     {"load-ms", 0, 0, G_OPTION_ARG_INT64, &load_ms,
 	"time of a load, in which nothing is answered", "N"},
     {"ignore-fencing", 0, 0, G_OPTION_ARG_NONE, &ignore_fencing,
@@ -109,7 +114,30 @@
 	return text == NULL ? 0 : g_ascii_strtoull(text, NULL, 10);
 }
 
-/* Returns true if the batch has taken over the request. */
+static void *
+exit_later(void *arg)
+{
+	g_usleep(CRASH_DELAY_USEC);
+	_exit(99);
+	return NULL;
+}
+
+/* The process exits while it holds the request. */
+static void
+crash(struct jh_http_req *req)
+{
+	pthread_t thread;
+
+	if (!crash_begun)
+		_exit(99);
+	jh_http_req_add_header(req, "Content-Type", "text/event-stream");
+	jh_http_req_begin(req, 200);
+	if (pthread_create(&thread, NULL, exit_later, NULL) != 0)
+		_exit(99);
+	pthread_detach(thread);
+}
+
+/* Returns true if the request has been taken over. */
 static bool
 serve_completion(struct engine *e, struct jh_http_req *req)
 {
@@ -124,8 +152,10 @@
 
 	g_atomic_int_inc(&e->requests);
 	if (e->crash_marker != NULL &&
-	    g_strstr_len(body.ptr, (gssize)body.len, e->crash_marker) != NULL)
-		_exit(99);
+	    g_strstr_len(body.ptr, (gssize)body.len, e->crash_marker) != NULL) {
+		crash(req);
+		return true;
+	}
 	seq = prompt_parse(body, &salts, e->cfg.block_tokens, &errmsg);
 	if (seq == NULL) {
 		reply_error(req, 400, errmsg);
--- a/src/agent/chat.c
+++ b/src/agent/chat.c
@@ -368,6 +368,8 @@
 		reason = "loading";
 	else if (verdict == JH_SUSPECT_REFUSE)
 		reason = "quarantined";
+	else if (agent_refuses_parts(j))
+		reason = "part_quarantined";
 	else if (verdict == JH_SUSPECT_WAIT)
 		reason = "suspect_beside";
 	else if (agent_over_max_wait(a, &item))
@@ -389,7 +391,9 @@
 agent_chat(struct agent *a, struct jh_job_headers *w, struct jh_http_req *req)
 {
 	const char *prefix_text = jh_job_headers_get(w, JH_JOB_PREFIX);
+	const char *parts_text = jh_job_headers_get(w, JH_JOB_PARTS);
 	struct jh_prefix prefix = {0};
+	struct jh_job_parts parts = {.n = 0};
 	const char *reason;
 	struct agent_job *j;
 	GArray *pieces;
@@ -400,7 +404,8 @@
 	}
 	if (jh_job_headers_get(w, JH_JOB_REQUEST_ID) == NULL ||
 	    prefix_text == NULL ||
-	    !jh_prefix_parse(&prefix, jh_str_from(prefix_text))) {
+	    !jh_prefix_parse(&prefix, jh_str_from(prefix_text)) ||
+	    (parts_text != NULL && !jh_job_parts_parse(&parts, parts_text))) {
 		jh_job_headers_destroy(w);
 		agent_refuse(a, req, 400, "malformed");
 		jh_http_req_unref(req);
@@ -411,6 +416,7 @@
 	j = agent_job_create(a, w, req, jh_prefix_tokens(&prefix));
 	j->block_hashes = pieces;
 	j->fingerprint = agent_fingerprint(w);
+	j->parts = parts;
 	j->width = agent_record_width(a, w, &prefix);
 	if (jh_job_headers_get_uint(w, JH_JOB_CRASHES, 0) > 0)
 		crash_log_hint(a->crashes, j->fingerprint,
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -57,6 +57,15 @@
 		jh_http_req_add_header(req, to, value);
 }
 
+static void
+add_number(struct jh_http_req *req, const char *name, uint64_t value)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+	jh_http_req_add_header(req, name, text);
+}
+
 static void
 record_first_token(struct agent_job *j, struct jh_http_call *call)
 {
@@ -72,10 +81,17 @@
 		    g_ascii_strtoull(cached, NULL, 10));
 }
 
-/* Starts the reply to the entry daemon. The caller holds j->lock. */
+/*
+ * Starts the reply to the entry daemon, not before the engine's reply has a
+ * body: after a crash until then, the daemon gets an error that says so. The
+ * caller holds j->lock.
+ */
 static void
 begin_reply(struct agent_job *j, struct jh_http_call *call)
 {
+	if (j->begun)
+		return;
+	j->begun = true;
 	if (j->req == NULL)
 		return;
 	copy_header(call, j->req, "X-Cached-Tokens", "Jh-Cached");
@@ -95,28 +111,52 @@
 	if (j->engine_ok)
 		record_first_token(j, call);
 	pthread_mutex_lock(&j->lock);
-	j->begun = true;
 	j->is_stream = content_type != NULL &&
 		       g_str_has_prefix(content_type, "text/event-stream");
-	begin_reply(j, call);
 	pthread_mutex_unlock(&j->lock);
 }
 
+/*
+ * Whether this is the first output: a whole event, as an engine may crash
+ * within one, or the end of a reply without events. The caller holds j->lock.
+ */
+static bool
+begins_output(struct agent_job *j, bool complete)
+{
+	if (j->has_output || !j->engine_ok)
+		return false;
+	j->has_output =
+	    complete || (j->is_stream && g_strstr_len(j->log->str,
+					     (gssize)j->log->len, "\n\n"));
+	return j->has_output;
+}
+
+static void
+clear_parts(struct agent_job *j)
+{
+	crash_log_parts_succeeded(j->agent->crashes, j->parts.part, j->parts.n);
+}
+
 static bool
 on_data(void *arg, struct jh_http_call *call, struct jh_str data)
 {
 	struct agent_job *j = arg;
+	bool first_output;
 
 	pthread_mutex_lock(&j->lock);
 	if (j->blocked) {
 		pthread_mutex_unlock(&j->lock);
 		return false;
 	}
+	begin_reply(j, call);
 	append_log(j, data);
 	j->tokens += count_events(data);
+	first_output = begins_output(j, false);
 	if (j->req != NULL && !jh_http_req_write(j->req, data.ptr, data.len))
 		j->blocked = true;
 	pthread_mutex_unlock(&j->lock);
+	if (first_output)
+		clear_parts(j);
 	return true;
 }
 
@@ -127,6 +167,7 @@
 static void
 fail_reply(struct agent_job *j, enum jh_http_result result)
 {
+	struct crash_log *crashes = j->agent->crashes;
 	struct jh_http_req *req = j->req;
 
 	if (req == NULL)
@@ -135,9 +176,12 @@
 		jh_http_req_abort(req);
 		return;
 	}
-	if (crash_log_state(j->agent->crashes, j->fingerprint) ==
-	    JH_SUSPECT_QUARANTINED)
-		jh_http_req_add_header(req, "Jh-Quarantined", "1");
+	if (crash_log_state(crashes, j->fingerprint) == JH_SUSPECT_QUARANTINED)
+		jh_http_req_add_header(req, "Jh-Quarantined", "request");
+	else if (agent_refuses_parts(j))
+		jh_http_req_add_header(req, "Jh-Quarantined", "part");
+	if (j->crash_seq != 0)
+		add_number(req, "Jh-Crash", j->crash_seq);
 	jh_http_req_add_header(req, "Jh-Reason", "engine_lost");
 	agent_add_headers(
 	    j->agent, req, result == JH_HTTP_NOT_SENT ? "not_run" : "unknown");
@@ -148,18 +192,25 @@
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
 	struct agent_job *j = arg;
-	bool complete = result == JH_HTTP_OK;
+	bool complete = result == JH_HTTP_OK, first_output;
+	uint64_t crash_seq = 0;
 
 	if (result == JH_HTTP_CONNECTION_LOST)
-		agent_report_engine_crash(j);
+		crash_seq = agent_report_engine_crash(j);
 	pthread_mutex_lock(&j->lock);
+	j->crash_seq = crash_seq;
+	if (complete)
+		begin_reply(j, call);
 	if (complete && j->req != NULL)
 		jh_http_req_end(j->req);
 	else
 		fail_reply(j, result);
 	/* A request that reconnects after this gets the log and its end. */
 	j->state = JOB_ENDED;
+	first_output = complete && begins_output(j, true);
 	pthread_mutex_unlock(&j->lock);
+	if (first_output)
+		clear_parts(j);
 	if (!complete && result != JH_HTTP_CANCELLED) {
 		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
 		jh_event(JH_EV_ENGINE_LOST, G_LOG_LEVEL_WARNING,
--- a/src/agent/job.h
+++ b/src/agent/job.h
@@ -5,6 +5,7 @@
 
 #include "agent/agent.h"
 #include "work/job_headers.h"
+#include "work/job_parts.h"
 
 enum job_state {
 	JOB_QUEUED,
@@ -24,6 +25,7 @@
 	struct jh_body *body;
 	uint64_t prompt_tokens;
 	struct jh_fingerprint fingerprint;
+	struct jh_job_parts parts;
 	uint32_t width; /* greatest recent width of the prefix, for Jh-Width */
 	uint64_t started_at; /* 0 while queued; guarded by agent->lock */
 	GArray *block_hashes; /* of uint64_t, of the prompt's blocks; or NULL */
@@ -39,9 +41,11 @@
 	bool is_stream; /* the engine replies with events */
 	GString *log; /* end of the stream, at most AGENT_STREAM_LOG_LEN */
 	bool log_trimmed;
-	bool begun; /* the engine's reply has begun */
+	bool begun; /* the reply has begun */
+	bool has_output; /* it has a whole event, or is complete */
 	bool blocked; /* the reply's buffer is full: call paused */
 	bool cancelled;
+	uint64_t crash_seq; /* of the crash that broke it off; 0: none */
 	bool engine_ok; /* the engine replied with status 200 */
 	uint32_t tokens;
 };
--- a/src/agent/suspect.c
+++ b/src/agent/suspect.c
@@ -26,27 +26,62 @@
 	return out;
 }
 
-void
+/*
+ * Returns the parts of the started jobs without output: a part that crashes
+ * engines does so before the first. The caller holds agent->lock.
+ */
+static GArray *
+collect_parts(struct agent *a)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct jh_fingerprint));
+	struct agent_job *j;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		j = value;
+		pthread_mutex_lock(&j->lock);
+		if (j->started_at != 0 && !j->has_output)
+			g_array_append_vals(
+			    out, j->parts.part, (guint)j->parts.n);
+		pthread_mutex_unlock(&j->lock);
+	}
+	return out;
+}
+
+static const struct jh_fingerprint *
+fingerprints(const GArray *list)
+{
+	return (const struct jh_fingerprint *)(const void *)list->data;
+}
+
+uint64_t
 agent_report_engine_crash(struct agent_job *j)
 {
 	struct agent *a = j->agent;
-	GArray *batch = NULL;
-	uint64_t seq = 0;
+	GArray *batch = NULL, *parts = NULL;
+	uint64_t seq;
 
 	pthread_mutex_lock(&a->lock);
 	if (j->started_at > a->crashed_at) {
 		a->crashed_at = jh_now();
-		seq = ++a->crash_seq;
+		a->crash_seq++;
 		batch = collect_fingerprints(a, NULL, true);
+		parts = collect_parts(a);
 	}
+	seq = a->crash_seq;
 	pthread_mutex_unlock(&a->lock);
 	if (batch == NULL)
-		return;
-	crash_log_crashed(a->crashes, a->incarnation, seq,
-	    (const struct jh_fingerprint *)(const void *)batch->data,
-	    batch->len);
+		return seq;
+	crash_log_crashed(
+	    a->crashes, a->incarnation, seq, fingerprints(batch), batch->len);
+	crash_log_parts_crashed(
+	    a->crashes, a->incarnation, seq, fingerprints(parts), parts->len);
 	g_array_free(batch, TRUE);
+	g_array_free(parts, TRUE);
 	jh_feed_pull_from_random_peer(a->feed);
+	return seq;
 }
 
 enum jh_suspect_decision
@@ -60,9 +95,16 @@
 	if (crash_log_len(a->crashes) == 0)
 		return JH_SUSPECT_RUN;
 	others = collect_fingerprints(a, j, false);
-	verdict = crash_log_may_run(a->crashes, j->fingerprint,
-	    (const struct jh_fingerprint *)(const void *)others->data,
-	    others->len);
+	verdict = crash_log_may_run(
+	    a->crashes, j->fingerprint, fingerprints(others), others->len);
 	g_array_free(others, TRUE);
 	return verdict;
 }
+
+bool
+agent_refuses_parts(const struct agent_job *j)
+{
+	return jh_job_headers_get_uint(j->work, JH_JOB_POSITION, 0) == 0 &&
+	       crash_log_refuses_parts(
+		   j->agent->crashes, j->parts.part, j->parts.n);
+}
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -13,9 +13,6 @@
 /* Largest non-streamed response body that is forwarded, in bytes. */
 #define RESPONSE_LIMIT (16 << 20)
 
-/* Number of crashes that quarantines a request; see docs/poison.md. */
-#define QUARANTINE_CRASHES 3
-
 static uint64_t
 header_number(struct jh_http_call *call, const char *name, uint64_t fallback)
 {
@@ -157,6 +154,34 @@
 	entry_job_finish(j);
 }
 
+/* Gets the worker's catalogue and the crashes that it knows. */
+static void
+pull_from_worker(struct entry_job *j)
+{
+	struct worker_address to;
+
+	if (entry_workers_find(j->entry->workers, j->worker, &to))
+		jh_feed_pull_now(j->entry->feed, &to.rpc_address);
+}
+
+/*
+ * Notes the crash for the parts at once, which the agent reports to all. It has
+ * no number if the reply had begun: then the report has to arrive first.
+ */
+static void
+note_crash(struct entry_job *j, struct jh_http_call *call)
+{
+	const char *agent = jh_http_call_header(call, "Jh-Incarnation");
+	uint64_t seq = header_number(call, "Jh-Crash", 0);
+
+	if (agent != NULL && seq != 0)
+		crash_log_parts_crashed(j->entry->crashes,
+		    g_ascii_strtoull(agent, NULL, 16), seq, j->parts.part,
+		    j->parts.n);
+	else
+		pull_from_worker(j);
+}
+
 /* Records a busy worker's wait for the choice after all refusals. */
 static void
 add_refusal(struct entry_job *j, struct jh_http_call *call)
@@ -191,6 +216,13 @@
 	entry_job_advance(j);
 }
 
+/* Unknown once an attempt failed that may have run. */
+static enum entry_outcome
+outcome_so_far(const struct entry_job *j)
+{
+	return j->may_have_run ? ENTRY_OUTCOME_UNKNOWN : ENTRY_NOT_RUN;
+}
+
 static void
 refuse_quarantined(struct entry_job *j, enum entry_outcome outcome)
 {
@@ -199,35 +231,57 @@
 	entry_job_refuse(j, ENTRY_ERR_QUARANTINED, outcome);
 }
 
+/* Once there is output, the parts are not what crashes engines. */
+static unsigned int
+parts_crashes(const struct entry_job *j)
+{
+	if (entry_job_has_output(j))
+		return 0;
+	return crash_log_parts_crashes(
+	    j->entry->crashes, j->parts.part, j->parts.n);
+}
+
+static bool
+is_quarantined(const struct entry_job *j)
+{
+	return crash_log_state(j->entry->crashes, j->fingerprint) ==
+		   JH_SUSPECT_QUARANTINED ||
+	       parts_crashes(j) >= JH_SUSPECT_QUARANTINE_CRASHES;
+}
+
 /* Retries after an attempt that failed; unless not_sent it may have run. */
 static void
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
 {
 	struct entry *e = j->entry;
-	bool allowed, quarantined_by_agent;
+	const char *quarantined = jh_http_call_header(call, "Jh-Quarantined");
+	bool allowed, crashes_engines;
 
 	update_placer(j, call, JH_PLACE_FAILED);
 	if (!not_sent) {
 		j->may_have_run = true;
 		/* Without a status the agent failed, not its engine. */
-		if (jh_http_call_status(call) != 0)
+		if (jh_http_call_status(call) != 0) {
 			j->crashes++;
-		quarantined_by_agent =
-		    jh_http_call_header(call, "Jh-Quarantined") != NULL;
+			note_crash(j, call);
+		}
 		crash_log_hint(e->crashes, j->fingerprint,
-		    quarantined_by_agent ? QUARANTINE_CRASHES : j->crashes);
+		    g_strcmp0(quarantined, "request") == 0
+			? JH_SUSPECT_QUARANTINE_CRASHES
+			: j->crashes);
 		/* Choose again, as the failed worker is now in backoff. */
 		j->n_candidates = 0;
 		j->n_worker_refusals = 0;
 		j->next_candidate = 0;
 		j->stage = STAGE_NONE;
 	}
+	crashes_engines = parts_crashes(j) >= JH_SUSPECT_NO_RETRY_CRASHES;
 	pthread_mutex_lock(&e->lock);
-	allowed = not_sent || jh_retry_take(e->retry, jh_now());
+	allowed =
+	    not_sent || (!crashes_engines && jh_retry_take(e->retry, jh_now()));
 	pthread_mutex_unlock(&e->lock);
-	if (crash_log_state(e->crashes, j->fingerprint) ==
-	    JH_SUSPECT_QUARANTINED) {
-		refuse_quarantined(j, ENTRY_OUTCOME_UNKNOWN);
+	if (quarantined != NULL || is_quarantined(j)) {
+		refuse_quarantined(j, outcome_so_far(j));
 		return;
 	}
 	if (!allowed) {
@@ -245,18 +299,18 @@
 	entry_job_advance(j);
 }
 
-/* Unknown once an attempt failed that may have run. */
-static enum entry_outcome
-outcome_so_far(const struct entry_job *j)
-{
-	return j->may_have_run ? ENTRY_OUTCOME_UNKNOWN : ENTRY_NOT_RUN;
-}
-
-/* The agent reports the request as quarantined for crashing engines. */
+/*
+ * The agent refused a request that is quarantined for crashing engines, or that
+ * has such a part.
+ */
 static void
-handle_quarantined(struct entry_job *j)
+handle_quarantined(struct entry_job *j, bool part)
 {
-	crash_log_hint(j->entry->crashes, j->fingerprint, QUARANTINE_CRASHES);
+	if (part)
+		pull_from_worker(j);
+	else
+		crash_log_hint(j->entry->crashes, j->fingerprint,
+		    JH_SUSPECT_QUARANTINE_CRASHES);
 	refuse_quarantined(j, outcome_so_far(j));
 }
 
@@ -295,10 +349,8 @@
 await_catalogue(struct entry_job *j, struct jh_http_call *call)
 {
 	uint64_t revision = header_number(call, "Jh-Catalog-Rev", 0);
-	struct worker_address to;
 
-	if (entry_workers_find(j->entry->workers, j->worker, &to))
-		jh_feed_pull_now(j->entry->feed, &to.rpc_address);
+	pull_from_worker(j);
 	entry_revision_wait_add(
 	    j->entry->revision_wait, revision, on_catalogue, entry_job_ref(j));
 }
@@ -308,6 +360,7 @@
 {
 	struct entry_job *j = arg;
 	const char *outcome = jh_http_call_header(call, "Jh-Outcome");
+	const char *reason = jh_http_call_header(call, "Jh-Reason");
 	unsigned int status = jh_http_call_status(call);
 	bool completed, client_gone;
 
@@ -321,9 +374,10 @@
 		entry_job_finish(j);
 	else if (result == JH_HTTP_NOT_SENT)
 		retry(j, call, true);
-	else if (g_strcmp0(jh_http_call_header(call, "Jh-Reason"),
-		     "quarantined") == 0)
-		handle_quarantined(j);
+	else if (g_strcmp0(reason, "quarantined") == 0)
+		handle_quarantined(j, false);
+	else if (g_strcmp0(reason, "part_quarantined") == 0)
+		handle_quarantined(j, true);
 	else if (result == JH_HTTP_OK && status == 409)
 		await_catalogue(j, call);
 	else if (result == JH_HTTP_OK && status != 200 &&
--- a/src/entry/chat.c
+++ b/src/entry/chat.c
@@ -90,6 +90,7 @@
 	size_t shared = is_shared(j, c) ? 1 : 0;
 
 	chat_request_prefix(c, &scope, shared, &j->prefix);
+	chat_request_parts(c, &scope, shared, &j->parts);
 	jh_cache_salt(&scope, 0, j->salt);
 	if (shared == 0)
 		return;
@@ -161,6 +162,8 @@
 	/* Must precede keep_body(), which takes the body from the request. */
 	j->fingerprint = jh_fingerprint_of(
 	    jh_str_from(j->auth.org->name), jh_http_req_body(req));
+	j->parts.part[j->parts.n++] =
+	    jh_fingerprint_of_part(j->fingerprint.low);
 	keep_body(j, &c, req);
 	ok = true;
 out:
@@ -192,8 +195,14 @@
 		    "Last-Event-ID is not one of this service.");
 		return false;
 	}
-	if (j->reconnect_worker != 0)
+	if (j->reconnect_worker != 0) {
 		jh_counters_add(j->entry->counters, ENTRY_RECONNECTS, 1);
+	} else if (crash_log_refuses_parts(
+		       j->entry->crashes, j->parts.part, j->parts.n)) {
+		entry_reply_error(
+		    req, ENTRY_ERR_QUARANTINED, ENTRY_NOT_RUN, NULL);
+		return false;
+	}
 	j->first_token_deadline =
 	    j->arrived_at +
 	    (uint64_t)j->auth.rule->ttft_target_ms * JH_USEC_PER_MSEC;
--- a/src/entry/chat_request.c
+++ b/src/entry/chat_request.c
@@ -110,14 +110,16 @@
 	memset(c, 0, sizeof(*c));
 }
 
-void
-chat_request_prefix(const struct chat_request *c,
-    const struct jh_prefix_scope *scope, size_t shared, struct jh_prefix *out)
+/* Returns the messages, which c owns; free the list with g_free(). */
+static struct jh_prefix_message *
+list_messages(const struct chat_request *c, size_t *n)
 {
 	json_t *messages = json_object_get(c->root, "messages"), *msg, *s;
-	size_t i, n = json_array_size(messages);
-	struct jh_prefix_message *list = g_new0(struct jh_prefix_message, n);
+	struct jh_prefix_message *list;
+	size_t i;
 
+	*n = json_array_size(messages);
+	list = g_new0(struct jh_prefix_message, *n);
 	json_array_foreach(messages, i, msg)
 	{
 		s = json_object_get(msg, "role");
@@ -129,10 +131,40 @@
 	}
 	if (c->head != NULL)
 		list[0].content = entry_head_content(c->head);
+	return list;
+}
+
+void
+chat_request_prefix(const struct chat_request *c,
+    const struct jh_prefix_scope *scope, size_t shared, struct jh_prefix *out)
+{
+	struct jh_prefix_message *list;
+	size_t n;
+
+	list = list_messages(c, &n);
 	jh_prefix_build(out, scope, list, n, shared);
 	g_free(list);
 }
 
+void
+chat_request_parts(const struct chat_request *c,
+    const struct jh_prefix_scope *scope, size_t shared,
+    struct jh_job_parts *out)
+{
+	struct jh_prefix_message *list;
+	struct jh_prefix alone;
+	size_t i, n;
+
+	out->n = 0;
+	list = list_messages(c, &n);
+	for (i = 0; i + 1 < n && i < JH_PREFIX_MAX_LEVELS; i++) {
+		jh_prefix_build(&alone, scope, &list[i], 1, i < shared ? 1 : 0);
+		out->part[out->n++] =
+		    jh_fingerprint_of_part(alone.level[0].hash);
+	}
+	g_free(list);
+}
+
 char *
 chat_request_resume_body(
     const struct jh_body *body, uint64_t position, struct jh_str text)
--- a/src/entry/chat_request.h
+++ b/src/entry/chat_request.h
@@ -8,6 +8,7 @@
 
 #include "entry/head_cache.h"
 #include "http/body.h"
+#include "work/job_parts.h"
 
 /* A parsed chat-completions body. */
 struct chat_request {
@@ -34,6 +35,15 @@
 void chat_request_prefix(const struct chat_request *c,
     const struct jh_prefix_scope *scope, size_t shared, struct jh_prefix *out);
 
+/*
+ * Builds the fingerprints of the prompt's messages but the last one. Each is
+ * the level key of a prompt of that message alone, and so known wherever it
+ * stands.
+ */
+void chat_request_parts(const struct chat_request *c,
+    const struct jh_prefix_scope *scope, size_t shared,
+    struct jh_job_parts *out);
+
 /*
  * Returns the body that resumes a broken stream: the same request with the
  * position reached and the text so far. Free it with free().
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -18,10 +18,17 @@
 /* Limit of consecutive waits for a worker, each of about a second. */
 #define MAX_WORKER_WAITS 10
 
+bool
+entry_job_has_output(const struct entry_job *j)
+{
+	return j->relay != NULL && jh_relay_position(j->relay) > 0;
+}
+
 static struct jh_job_headers *
 make_job_headers(struct entry_job *j, const struct jh_candidate *c)
 {
 	char levels[JH_PREFIX_HEADER_SIZE], fingerprint[34];
+	char parts[JH_JOB_PARTS_SIZE];
 	struct jh_job_headers *w = jh_job_headers_create();
 	uint64_t now = jh_now();
 	uint64_t remaining =
@@ -52,6 +59,12 @@
 	    (unsigned long long)j->fingerprint.high,
 	    (unsigned long long)j->fingerprint.low);
 	jh_job_headers_set(w, JH_JOB_FINGERPRINT, fingerprint);
+	jh_job_parts_format(&j->parts, parts);
+	if (j->parts.n > 0)
+		jh_job_headers_set(w, JH_JOB_PARTS, parts);
+	if (entry_job_has_output(j))
+		jh_job_headers_set_uint(
+		    w, JH_JOB_POSITION, jh_relay_position(j->relay));
 	jh_job_headers_set_uint(
 	    w, JH_JOB_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
 	if (j->reconnect_worker != 0)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -63,6 +63,7 @@
 	uint32_t crashes;
 	unsigned int worker_waits; /* since the last accepted attempt */
 	struct jh_fingerprint fingerprint;
+	struct jh_job_parts parts;
 	struct limit_admission *admission; /* NULL until admitted */
 	uint64_t reconnect_deadline; /* JH_NEVER: none is awaited */
 };
@@ -75,6 +76,9 @@
 /* Expected cost in tokens on a worker that has the prefix cached. */
 uint64_t entry_job_cost(const struct entry_job *j);
 
+/* Whether a part of the stream has been passed on. */
+bool entry_job_has_output(const struct entry_job *j);
+
 /* Callbacks of one attempt; the argument is the job (attempt.c). */
 extern const struct jh_http_call_ops entry_attempt_ops;
 
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -79,6 +79,44 @@
 	return decision;
 }
 
+void
+crash_log_parts_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
+    const struct jh_fingerprint *part, size_t n)
+{
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_parts_crashed(l->table, jh_now(), reporter, seq, part, n);
+	pthread_mutex_unlock(&l->lock);
+}
+
+void
+crash_log_parts_succeeded(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n)
+{
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_parts_succeeded(l->table, jh_now(), part, n);
+	pthread_mutex_unlock(&l->lock);
+}
+
+unsigned int
+crash_log_parts_crashes(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n)
+{
+	unsigned int crashes;
+
+	pthread_mutex_lock(&l->lock);
+	crashes = jh_suspects_parts_crashes(l->table, jh_now(), part, n, NULL);
+	pthread_mutex_unlock(&l->lock);
+	return crashes;
+}
+
+bool
+crash_log_refuses_parts(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n)
+{
+	return crash_log_parts_crashes(l, part, n) >=
+	       JH_SUSPECT_QUARANTINE_CRASHES;
+}
+
 void
 crash_log_export(struct crash_log *l, u_int *n, struct jh_wire_crash **list)
 {
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -27,6 +27,16 @@
     struct jh_fingerprint print, const struct jh_fingerprint *running,
     size_t n);
 
+void crash_log_parts_crashed(struct crash_log *l, uint64_t reporter,
+    uint64_t seq, const struct jh_fingerprint *part, size_t n);
+void crash_log_parts_succeeded(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n);
+unsigned int crash_log_parts_crashes(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n);
+/* Whether a request with these parts is refused. */
+bool crash_log_refuses_parts(
+    struct crash_log *l, const struct jh_fingerprint *part, size_t n);
+
 /* Returns the crashes for a message; free the list with g_free(). */
 void crash_log_export(
     struct crash_log *l, u_int *n, struct jh_wire_crash **list);
--- a/test/test_proc_poison_parts.c
+++ b/test/test_proc_poison_parts.c
@@ -6,6 +6,8 @@
 
 #include <cmocka.h>
 
+#include <jacinthhill/suspects.h>
+
 #include "harness.h"
 
 #define MARKER "petal-of-death"
@@ -27,6 +29,12 @@
 #define CONTACT_USEC (4 * JH_USEC_PER_SEC)
 #define MAX_LATE_CRASHES 3
 
+/* Streams that engines run beside the cause of a crash. */
+#define STREAMS 8
+#define POISON_REQUESTS 3
+#define STREAM_TOKENS 400
+#define MIDDLE 20
+
 /* The continuous load. */
 #define INTERVAL_USEC (250 * JH_USEC_PER_MSEC)
 #define RESTART_USEC (1 * JH_USEC_PER_SEC)
@@ -56,6 +64,19 @@
 	return 0;
 }
 
+/* Engines send the head of the response before they crash. */
+static int
+setup_begun(void **state)
+{
+	static const struct fixture_spec spec = {.entries = 2,
+	    .engines = 8,
+	    .engine_args = {
+		"--step-usec", "5000", "--crash-on", MARKER, "--crash-begun"}};
+
+	*state = fixture_create(&spec);
+	return 0;
+}
+
 static int
 teardown(void **state)
 {
@@ -73,21 +94,22 @@
 	return n;
 }
 
-/* Starts a request that no other one is like. */
+/* Starts a request that no other one is like, with a last message. */
 static struct call *
-start(struct fixture *w, unsigned int entry, const struct parts *p)
+start_with(struct fixture *w, unsigned int entry, const struct parts *p,
+    const char *last, unsigned int tokens)
 {
 	static unsigned int count;
-	char question[32], *text;
+	char question[64], *text;
 	struct call *c;
 	json_t *root;
 
-	g_snprintf(question, sizeof(question), "Question %u?", ++count);
+	g_snprintf(question, sizeof(question), "%s %u", last, ++count);
 	root = json_pack("{s:s, s:b, s:i, s:[{s:s, s:s}, {s:s, s:s},"
 			 " {s:s, s:s}]}",
-	    "model", "small", "stream", 1, "max_tokens", 2, "messages", "role",
-	    "system", "content", p->first, "role", "user", "content", p->second,
-	    "role", "user", "content", question);
+	    "model", "small", "stream", 1, "max_tokens", (int)tokens,
+	    "messages", "role", "system", "content", p->first, "role", "user",
+	    "content", p->second, "role", "user", "content", question);
 	text = json_dumps(root, JSON_COMPACT);
 	c = chat_start(w, entry, text, NULL);
 	free(text);
@@ -95,6 +117,12 @@
 	return c;
 }
 
+static struct call *
+start(struct fixture *w, unsigned int entry, const struct parts *p)
+{
+	return start_with(w, entry, p, "How warm is the water?", 2);
+}
+
 static void
 check_refused(struct call *c)
 {
@@ -121,7 +149,7 @@
 	for (i = 0; i < REQUESTS; i++) {
 		c = start(w, i % w->entries, poison);
 		call_join(c);
-		assert_int_not_equal(call_status(c), 200);
+		assert_false(call_status(c) == 200 && call_complete(c));
 		call_free(c);
 		crashed = crashed_engines(w);
 		if (crashed > MAX_CRASHES)
@@ -156,6 +184,44 @@
 	check_parts(*state, &poison_second, &sound_second);
 }
 
+static void
+test_second_message_begun(void **state)
+{
+	check_parts(*state, &poison_second, &sound_second);
+}
+
+/*
+ * Guards against streams that are given up because other requests with the same
+ * parts crash engines by their last message.
+ */
+static void
+test_streams_beside(void **state)
+{
+	struct fixture *w = *state;
+	struct call *stream[STREAMS], *c;
+	unsigned int i;
+
+	for (i = 0; i < STREAMS; i++)
+		stream[i] = start_with(w, i % w->entries, &sound_second,
+		    "How deep is the pool?", STREAM_TOKENS);
+	for (i = 0; i < STREAMS; i++)
+		await(call_event_count(stream[i]) >= MIDDLE);
+	for (i = 0; i < POISON_REQUESTS; i++) {
+		c = start_with(w, i % w->entries, &sound_second, MARKER, 2);
+		call_join(c);
+		assert_int_not_equal(call_status(c), 200);
+		call_free(c);
+		g_usleep(JH_SUSPECT_CRASH_GAP_USEC);
+	}
+	assert_true(crashed_engines(w) > 1);
+	for (i = 0; i < STREAMS; i++) {
+		check_served(stream[i]);
+		assert_int_equal(
+		    call_events(stream[i])->len, STREAM_TOKENS + 1);
+		call_free(stream[i]);
+	}
+}
+
 /* A request of the continuous load. */
 struct load_call {
 	struct call *call;
@@ -284,9 +350,9 @@
  * The bound in real time is a requirement.
  */
 static void
-test_continuous_load(void **state)
+check_load(struct fixture *w)
 {
-	struct load l = {.fixture = *state, .until = jh_now() + LOAD_USEC};
+	struct load l = {.fixture = w, .until = jh_now() + LOAD_USEC};
 	uint64_t from;
 
 	run_load(&l);
@@ -298,10 +364,27 @@
 	free_calls(l.sound, l.n_calls);
 }
 
+static void
+test_continuous_load(void **state)
+{
+	check_load(*state);
+}
+
+static void
+test_continuous_load_begun(void **state)
+{
+	check_load(*state);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_first_message, setup, teardown),
     cmocka_unit_test_setup_teardown(test_second_message, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_second_message_begun, setup_begun, teardown),
+    cmocka_unit_test_setup_teardown(test_streams_beside, setup, teardown),
     cmocka_unit_test_setup_teardown(test_continuous_load, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_continuous_load_begun, setup_begun, teardown),
 };
 
 HARNESS_MAIN(tests)
