A stream that has had output is neither a suspect nor refused

A part that crashes workers has no output, so a stream that breaks again after it was resumed shows nothing about its parts, and is resumed whatever is suspected meanwhile.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -348,7 +348,7 @@
 static bool
 ended_before_output(const struct exchange *x, enum jh_call_result call_result)
 {
-	if (x->status != 200 || x->attempt_events > 0 || x->malformed ||
+	if (x->status != 200 || x->n_events > 0 || x->malformed ||
 	    x->silence_timed_out)
 		return false;
 	return call_result == JH_CALL_BROKEN ||
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -70,15 +70,14 @@
 	    gw->suspects, now, x->suspect_part, x->n_suspect_parts, &deadline);
 	const char *reason = "a part of the prompt crashes workers";
 
-	if (crashes < limit)
+	/* A stream that has had output is not what crashes workers. */
+	if (crashes < limit || x->n_events > 0)
 		return false;
 	jh_metrics_add(gw->metrics, "jh_quarantined", 1);
 	jh_json_log(gw->log, "quarantined", "s:s#, s:s, s:i, s:i", "request",
 	    x->request.id.ptr, (int)x->request.id.len, "route", x->route->name,
 	    "crashes", (int)crashes, "attempts", (int)x->attempts.sent);
-	if (x->response_begun)
-		exchange_break_stream(x, reason);
-	else if (x->attempts.may_have_run)
+	if (x->attempts.may_have_run)
 		exchange_fail(x, 502, reason);
 	else
 		exchange_refuse(x, reason,
