Do not suspect what causes share, and tell peers that missed a success

- A part that two causes share, or one cause and one ordinary crash, counted as a cause, as no single other part was in all of its crashes.
Now the quarantined parts that a request does not have explain the crashes they were in, together.
- A router that was cut off while a success was announced kept the quarantine and passed it on.
A process that gets a crash it knows to be cleared says so again.
- More quarantined records than fit into a message left out the same ones each time.
They take turns, in consecutive rounds, as peers take turns too.
- Crashes 0.1 s apart count once up to 0.25 s apart now.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -42,7 +42,7 @@
  * Crashes of a part within this time count once: engines that end together for
  * another reason do not show what each of them was running.
  */
-#define JH_SUSPECT_CRASH_GAP_USEC 100000ULL
+#define JH_SUSPECT_CRASH_GAP_USEC 250000ULL
 
 struct jh_suspects_settings {
 	size_t max_entries; /* fingerprints in the table */
@@ -125,12 +125,19 @@
 void jh_suspects_parts_succeeded(struct jh_suspects *s, uint64_t now,
     const struct jh_fingerprint *part, size_t n);
 
+/*
+ * Reports that the engine of a reported crash has not ended: the crash no
+ * longer counts.
+ */
+void jh_suspects_crash_voided(
+    struct jh_suspects *s, uint64_t reporter, uint64_t seq);
+
 /*
  * Returns the number of crashes of the part of a request that was in most of
  * them; it is refused from JH_SUSPECT_QUARANTINE_CRASHES on. A part does not
- * count if another one, which the request does not have, was in all the same
- * crashes. Sets *deadline, unless NULL, to the time until which the number
- * lasts.
+ * count if other parts, which the request does not have, were in all the same
+ * crashes but one: each of these is quarantined or was in all of them. Sets
+ * *deadline, unless NULL, to the time until which the number lasts.
  */
 unsigned int jh_suspects_parts_crashes(const struct jh_suspects *s,
     uint64_t now, const struct jh_fingerprint *part, size_t n,
@@ -152,9 +159,11 @@
 /*
  * The same for a message of limited size: copies quarantined fingerprints,
  * whenever they changed, then others that changed since, the latest first.
+ * Fingerprints that do not fit come first in another turn: pass a number that
+ * rises with each message.
  */
 size_t jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
-    uint64_t since, struct jh_crash *out, size_t max);
+    uint64_t since, uint64_t turn, struct jh_crash *out, size_t max);
 /* Rises whenever crashes change. */
 uint64_t jh_suspects_revision(const struct jh_suspects *s);
 
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -125,7 +125,7 @@
 
 	pthread_mutex_lock(&l->lock);
 	len = jh_suspects_export_latest(
-	    l->table, jh_now(), 0, all, JH_MAX_CRASHES);
+	    l->table, jh_now(), 0, 0, all, JH_MAX_CRASHES);
 	pthread_mutex_unlock(&l->lock);
 	*n = (u_int)len;
 	*list = g_new0(struct jh_wire_crash, len);
--- a/src/gateway/crash_message.c
+++ b/src/gateway/crash_message.c
@@ -12,11 +12,11 @@
 
 size_t
 jh_crash_message_write(const struct jh_suspects *s, uint64_t now,
-    uint64_t since, unsigned char *out, size_t max)
+    uint64_t since, uint64_t turn, unsigned char *out, size_t max)
 {
 	struct jh_crash crash[MAX_RECORDS];
 	size_t n = jh_suspects_export_latest(
-	    s, now, since, crash, MIN(max / RECORD_LEN, MAX_RECORDS));
+	    s, now, since, turn, crash, MIN(max / RECORD_LEN, MAX_RECORDS));
 	unsigned char *at = out;
 	size_t i;
 
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -28,8 +28,11 @@
 
 /* Rounds in which a changed crash is sent; more than one turn of all peers. */
 #define CRASH_ROUNDS 16
-/* Quarantined parts are sent in each so-many-th round. */
-#define QUARANTINE_ROUNDS 5
+/*
+ * Quarantined parts are sent to all peers once in so many rounds: in one turn
+ * of consecutive rounds, as peers take turns.
+ */
+#define QUARANTINE_ROUNDS 8
 #define REVISION_LEN 6
 #define HEAD_LEN (24 + REVISION_LEN * JH_GOSSIP_REVISIONS)
 #define REPORT_LEN 22
@@ -84,6 +87,7 @@
 	unsigned char crash_message[MAX_LEN];
 	size_t crash_message_len; /* 0: there is nothing to tell */
 	uint64_t crash_revision[CRASH_ROUNDS]; /* of the suspects, by round */
+	uint64_t crash_turn;
 	unsigned int open_handles; /* not closed yet */
 	char buffer[2048];
 };
@@ -227,13 +231,14 @@
 	revision = jh_suspects_revision(s);
 	since = g->crash_revision[g->number % CRASH_ROUNDS];
 	g->crash_revision[g->number % CRASH_ROUNDS] = revision;
-	if (since == revision && g->number % QUARANTINE_ROUNDS != 0)
+	if (since == revision &&
+	    g->number % QUARANTINE_ROUNDS > jh_fanout_period(g->fanout))
 		return;
 	jh_wire_put(&at, CRASH_MAGIC, 4);
 	jh_wire_put(&at, g->id, 8);
 	jh_wire_put(&at, g->number, 8);
-	n = jh_crash_message_write(
-	    s, jh_now(), since, at, MAX_LEN - ENVELOPE_LEN - MAC_LEN);
+	n = jh_crash_message_write(s, jh_now(), since, g->crash_turn++, at,
+	    MAX_LEN - ENVELOPE_LEN - MAC_LEN);
 	if (n > 0)
 		g->crash_message_len = append_mac(g, out, at + n);
 }
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -15,20 +15,38 @@
 	return last;
 }
 
+static bool
+has_counted_crash(
+    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
+{
+	unsigned int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->crash[i].reporter == c->reporter &&
+		    e->crash[i].seq == c->seq && !e->crash[i].cleared)
+			return true;
+	}
+	return false;
+}
+
 unsigned int
-jh_suspect_entry_part_crashes(
-    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline)
+jh_suspect_entry_part_crashes(const struct jh_suspect_entry *e,
+    const struct jh_suspect_entry *except, uint64_t now, uint64_t *deadline)
 {
 	unsigned int count = 0, i;
 	uint64_t last = 0, counted = 0;
 
 	for (i = 0; i < e->n; i++) {
-		if (e->crash[i].cleared)
+		const struct jh_suspect_crash *c = &e->crash[i];
+		if (c->cleared)
 			continue;
-		last = e->crash[i].deadline;
-		if (count > 0 && last < counted + JH_SUSPECT_CRASH_GAP_USEC)
+		last = c->deadline;
+		if (except != NULL && has_counted_crash(except, c))
 			continue;
-		counted = last;
+		if (count > 0 &&
+		    c->deadline < counted + JH_SUSPECT_CRASH_GAP_USEC)
+			continue;
+		counted = c->deadline;
 		count++;
 	}
 	if (deadline != NULL)
@@ -36,32 +54,20 @@
 	return last > now ? count : 0;
 }
 
-static bool
-has_counted_crash(
-    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
-{
-	unsigned int i;
-
-	for (i = 0; i < e->n; i++) {
-		if (e->crash[i].reporter == c->reporter &&
-		    e->crash[i].seq == c->seq && !e->crash[i].cleared)
-			return true;
-	}
-	return false;
-}
-
 bool
-jh_suspect_entry_includes(
-    const struct jh_suspect_entry *e, const struct jh_suspect_entry *other)
+jh_suspect_entry_remove(
+    struct jh_suspect_entry *e, const struct jh_suspect_entry *other)
 {
-	unsigned int i;
+	unsigned int i, n = 0;
+	bool removed;
 
-	for (i = 0; i < other->n; i++) {
-		if (!other->crash[i].cleared &&
-		    !has_counted_crash(e, &other->crash[i]))
-			return false;
+	for (i = 0; i < e->n; i++) {
+		if (!has_counted_crash(other, &e->crash[i]))
+			e->crash[n++] = e->crash[i];
 	}
-	return true;
+	removed = n < e->n;
+	e->n = n;
+	return removed;
 }
 
 static enum jh_suspect_state
@@ -83,7 +89,8 @@
 
 	if (jh_fingerprint_is_part(e->fingerprint))
 		return state_of(
-		    jh_suspect_entry_part_crashes(e, now, deadline), false);
+		    jh_suspect_entry_part_crashes(e, NULL, now, deadline),
+		    false);
 	for (i = 0; i < e->n; i++) {
 		if (e->crash[i].cleared)
 			continue;
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -29,15 +29,16 @@
     const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
 
 /*
- * Returns the number of crashes of a part that count, and sets *deadline,
- * unless NULL, to the time until which they do.
+ * Returns the number of crashes of a part that count, without those that
+ * another part, unless NULL, was in too. Sets *deadline, unless NULL, to the
+ * time until which they count.
  */
-unsigned int jh_suspect_entry_part_crashes(
-    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
+unsigned int jh_suspect_entry_part_crashes(const struct jh_suspect_entry *e,
+    const struct jh_suspect_entry *except, uint64_t now, uint64_t *deadline);
 
-/* Whether e was in all crashes of other that count. */
-bool jh_suspect_entry_includes(
-    const struct jh_suspect_entry *e, const struct jh_suspect_entry *other);
+/* Removes the crashes that other was in too; returns whether there were any. */
+bool jh_suspect_entry_remove(
+    struct jh_suspect_entry *e, const struct jh_suspect_entry *other);
 
 /* Returns the latest deadline, that of cleared crashes included. */
 uint64_t jh_suspect_entry_last_deadline(const struct jh_suspect_entry *e);
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -79,30 +79,44 @@
 	       (x->entry->revision > y->entry->revision);
 }
 
+/* Copies entries from the first one on, as far as they fit; adds to *n. */
+static void
+copy_entries(const GArray *list, guint from, guint to, uint64_t now,
+    struct jh_crash *out, size_t max, size_t *n)
+{
+	const struct jh_suspect_entry *e;
+	guint i;
+
+	for (i = from; i < to; i++) {
+		e = g_array_index(list, struct by_urgency, i).entry;
+		if (e->n <= max - *n)
+			*n += copy_entry(e, now, out + *n);
+	}
+}
+
 size_t
 jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
-    uint64_t since, struct jh_crash *out, size_t max)
+    uint64_t since, uint64_t turn, struct jh_crash *out, size_t max)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct by_urgency));
+	guint quarantined = 0, first;
 	struct by_urgency u;
 	GHashTableIter it;
 	size_t n = 0;
-	guint i;
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&u.entry)) {
 		u.quarantined = jh_suspect_entry_state(u.entry, now, NULL) ==
 				JH_SUSPECT_QUARANTINED;
+		quarantined += u.quarantined;
 		if (u.quarantined || u.entry->revision > since)
 			g_array_append_val(sorted, u);
 	}
 	g_array_sort(sorted, compare_urgency);
-	for (i = 0; i < sorted->len; i++) {
-		u = g_array_index(sorted, struct by_urgency, i);
-		if (u.entry->n > max - n)
-			break;
-		n += copy_entry(u.entry, now, out + n);
-	}
+	first = quarantined > 0 ? (guint)(turn % quarantined) : 0;
+	copy_entries(sorted, first, quarantined, now, out, max, &n);
+	copy_entries(sorted, 0, first, now, out, max, &n);
+	copy_entries(sorted, quarantined, sorted->len, now, out, max, &n);
 	g_array_free(sorted, TRUE);
 	return n;
 }
@@ -113,6 +127,24 @@
 	return s->revision;
 }
 
+/*
+ * Whether the sender counts a crash that is known to be cleared here: it has to
+ * be told again.
+ */
+static bool
+sender_missed_success(
+    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
+{
+	unsigned int i;
+
+	for (i = 0; i < e->n && !c->cleared; i++) {
+		if (e->crash[i].reporter == c->reporter &&
+		    e->crash[i].seq == c->seq)
+			return e->crash[i].cleared;
+	}
+	return false;
+}
+
 void
 jh_suspects_merge(struct jh_suspects *s, uint64_t now,
     const struct jh_crash *crashes, size_t n)
@@ -127,7 +159,8 @@
 		    now + MIN(crashes[i].remaining_usec, s->settings.hold_usec),
 		    crashes[i].sole, crashes[i].cleared};
 		e = jh_suspects_find_or_add(s, now, crashes[i].fingerprint);
-		if (jh_suspect_entry_merge(e, &c))
+		if (jh_suspect_entry_merge(e, &c) ||
+		    sender_missed_success(e, &c))
 			e->revision = ++s->revision;
 	}
 }
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -58,25 +58,43 @@
 	return false;
 }
 
+/* Crashes of a part that no other part explains, but chance may. */
+#define STRAY_CRASHES 1
+
+/* Whether the other part may be the cause of crashes that e was in too. */
+static bool
+may_explain(const struct jh_suspect_entry *other,
+    const struct jh_suspect_entry *e, uint64_t now)
+{
+	return jh_fingerprint_is_part(other->fingerprint) &&
+	       (jh_suspect_entry_part_crashes(other, NULL, now, NULL) >=
+		       JH_SUSPECT_QUARANTINE_CRASHES ||
+		   jh_suspect_entry_part_crashes(e, other, now, NULL) == 0);
+}
+
 /*
- * Whether another part, which the request does not have, was in all crashes of
- * e. Parts that come together with the cause are then not taken for it.
+ * Whether other parts, which the request does not have, explain the crashes of
+ * e. Parts that come together with a cause are then not taken for one.
  */
 static bool
-is_explained(const struct jh_suspects *s, const struct jh_suspect_entry *e,
-    const struct jh_fingerprint *part, size_t n)
+is_explained(const struct jh_suspects *s, uint64_t now,
+    const struct jh_suspect_entry *e, const struct jh_fingerprint *part,
+    size_t n)
 {
+	struct jh_suspect_entry left = *e;
 	const struct jh_suspect_entry *other;
+	bool some = false;
 	GHashTableIter it;
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
-		if (jh_fingerprint_is_part(other->fingerprint) &&
-		    jh_suspect_entry_includes(other, e) &&
-		    !has_part(part, n, other->fingerprint))
-			return true;
+		if (has_part(part, n, other->fingerprint) ||
+		    !may_explain(other, e, now))
+			continue;
+		some |= jh_suspect_entry_remove(&left, other);
 	}
-	return false;
+	return some && jh_suspect_entry_part_crashes(&left, NULL, now, NULL) <=
+			   STRAY_CRASHES;
 }
 
 unsigned int
@@ -92,8 +110,8 @@
 		e = jh_suspects_find(s, part[i]);
 		if (e == NULL)
 			continue;
-		count = jh_suspect_entry_part_crashes(e, now, &until);
-		if (count <= most || is_explained(s, e, part, n))
+		count = jh_suspect_entry_part_crashes(e, NULL, now, &until);
+		if (count <= most || is_explained(s, now, e, part, n))
 			continue;
 		most = count;
 		last = until;
@@ -113,9 +131,28 @@
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
 		if (jh_fingerprint_is_part(e->fingerprint) &&
-		    jh_suspect_entry_part_crashes(e, now, NULL) >=
+		    jh_suspect_entry_part_crashes(e, NULL, now, NULL) >=
 			JH_SUSPECT_QUARANTINE_CRASHES)
 			n++;
 	}
 	return n;
 }
+
+void
+jh_suspects_crash_voided(struct jh_suspects *s, uint64_t reporter, uint64_t seq)
+{
+	struct jh_suspect_entry *e;
+	GHashTableIter it;
+	unsigned int i;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
+		for (i = 0; i < e->n; i++) {
+			if (e->crash[i].reporter != reporter ||
+			    e->crash[i].seq != seq || e->crash[i].cleared)
+				continue;
+			e->crash[i].cleared = true;
+			e->revision = ++s->revision;
+		}
+	}
+}
--- /dev/null
+++ b/test/suspect_fleet.h
@@ -0,0 +1,38 @@
+#ifndef TEST_SUSPECT_FLEET_H
+#define TEST_SUSPECT_FLEET_H
+
+/*
+ * A fleet of routers and workers in virtual time: requests of several parts,
+ * some of which crash workers, beside ordinary crashes, power failures and
+ * paused routers.
+ */
+
+struct suspect_fleet_spec {
+	const char *name;
+	double sound_rate, poison_rate; /* in each step */
+	double kill_rate; /* ordinary crashes in each step */
+	unsigned int causes; /* number of crashing parts */
+	unsigned int firsts, seconds; /* numbers of other parts */
+	unsigned int chain; /* parts that all prompts begin with */
+	unsigned int private_parts; /* of each prompt, seen with nothing else */
+	unsigned int all_fail_steps; /* interval of power failures; 0: none */
+	unsigned int pause_steps; /* a router sees crashes so late at most */
+	/* Longest time from a response's head to its output; 0: 5. */
+	unsigned int gap_steps;
+};
+
+/*
+ * Plays 20 seeds and fails the test if one breaks a bound: 3 requests with each
+ * cause later than the time to be in touch after the fifth crash, half of the
+ * requests with one first part refused later, one in 100 dropped at a retry.
+ */
+void suspect_fleet_play(const struct suspect_fleet_spec *s);
+
+#define SUSPECT_FLEET(id, ...)                                                 \
+	static void id(void **state)                                           \
+	{                                                                      \
+		static const struct suspect_fleet_spec s = {#id, __VA_ARGS__}; \
+		suspect_fleet_play(&s);                                        \
+	}
+
+#endif
