Take back crashes of workers that go on responding

Workers that cut off responses in their body counted as crashed, and a shared part was refused by sound workers afterwards (test_poison_parts, truncated_bodies_suspect_nothing: 503 in 3 of 3 runs before, 200 now). A response head from the same start of a worker, for a request sent after the report, shows that it has not ended: the crash no longer counts, at any router.

Also from the review: only requests that were in a crash themselves are held to the limit for retries, not those that waited at the worker; only a response with status 200 clears parts; the retry delay is 5 s at most, as a quarantine may end at any moment.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,10 +24,12 @@
 	/* The prompt's shared parts and the request itself, in suspects.h. */
 	struct jh_fingerprint suspect_part[JH_PROMPT_MAX_SHARED_IDS + 1];
 	size_t n_suspect_parts;
+	bool was_in_crash; /* it was reported as such */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED];
 	size_t n_excluded;
 	uv_timer_t deadline_timer; /* for the final response */
 	bool overdue; /* the deadline has passed; the loop polls once more */
+	uint64_t polls; /* of the loop, at that time */
 
 	/* The attempt in progress. */
 	struct jh_call *call;
@@ -92,6 +94,8 @@
 void exchange_set_suspect_parts(struct exchange *x);
 /* The worker ended when it had begun to respond, before any output. */
 void exchange_report_crash(struct exchange *x);
+/* A response has begun: its worker has not ended before. */
+void exchange_check_reported_crash(struct exchange *x);
 /* The first output of the response has arrived. */
 void exchange_clear_suspects(struct exchange *x);
 /*
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -64,8 +64,10 @@
 		    "worker", x->worker_id);
 		return false;
 	}
-	if (head->status == 200)
+	if (head->status == 200) {
 		note_responded(x);
+		exchange_check_reported_crash(x);
+	}
 	x->status = head->status;
 	x->other_instance = is_other_instance(x);
 	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
@@ -403,7 +405,7 @@
 		log_attempt(x, why);
 	if (result == JH_ATTEMPT_BROKEN && ended_before_output(x, call_result))
 		exchange_report_crash(x);
-	else if (result == JH_ATTEMPT_RESPONDED && !x->streaming)
+	else if (result == JH_ATTEMPT_RESPONDED && x->status == 200)
 		exchange_clear_suspects(x);
 	update_worker(x, w, result);
 	exclude(x, w);
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -6,6 +6,9 @@
 
 #include "gateway/exchange.h"
 
+/* A quarantine may end at any moment, with the output of a running request. */
+#define MAX_RETRY_SECONDS 5.0
+
 /* Identifies the request itself: its organisation, target and body. */
 static uint64_t
 hash_request(const struct exchange *x)
@@ -37,7 +40,11 @@
 exchange_report_crash(struct exchange *x)
 {
 	struct jh_gateway *gw = x->gateway;
+	struct jh_worker *w = exchange_worker(x);
 
+	x->was_in_crash = true;
+	if (w != NULL && w->started_ms == x->worker_started_ms)
+		w->crash_reported_at = jh_now();
 	jh_suspects_parts_crashed(gw->suspects, jh_now(), x->worker_hash,
 	    x->worker_started_ms, x->suspect_part, x->n_suspect_parts);
 	jh_metrics_add(gw->metrics, "jh_crashes_reported", 1);
@@ -48,6 +55,21 @@
 		x->suspect_part, x->n_suspect_parts, NULL));
 }
 
+void
+exchange_check_reported_crash(struct exchange *x)
+{
+	struct jh_worker *w = exchange_worker(x);
+
+	if (w == NULL || w->crash_reported_at == 0 ||
+	    w->started_ms != x->worker_started_ms ||
+	    x->sent_at <= w->crash_reported_at)
+		return;
+	w->crash_reported_at = 0;
+	jh_suspects_crash_voided(x->gateway->suspects, w->hash, w->started_ms);
+	jh_json_log(x->gateway->log, "crash_voided", "s:s, s:I", "worker",
+	    w->id, "born", (json_int_t)w->started_ms);
+}
+
 void
 exchange_clear_suspects(struct exchange *x)
 {
@@ -63,9 +85,8 @@
 {
 	struct jh_gateway *gw = x->gateway;
 	uint64_t now = jh_now(), deadline;
-	unsigned int limit = x->attempts.may_have_run
-				 ? JH_SUSPECT_NO_RETRY_CRASHES
-				 : JH_SUSPECT_QUARANTINE_CRASHES;
+	unsigned int limit = x->was_in_crash ? JH_SUSPECT_NO_RETRY_CRASHES
+					     : JH_SUSPECT_QUARANTINE_CRASHES;
 	unsigned int crashes = jh_suspects_parts_crashes(
 	    gw->suspects, now, x->suspect_part, x->n_suspect_parts, &deadline);
 	const char *reason = "a part of the prompt crashes workers";
@@ -81,7 +102,8 @@
 		exchange_fail(x, 502, reason);
 	else
 		exchange_refuse(x, reason,
-		    (double)(deadline - now) / (double)JH_USEC_PER_SEC);
+		    MIN((double)(deadline - now) / (double)JH_USEC_PER_SEC,
+			MAX_RETRY_SECONDS));
 	return true;
 }
 
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -61,6 +61,11 @@
 	/* Last response or event that this process, and any other, got. */
 	uint64_t responded_at;
 	uint64_t others_responded_at;
+	/*
+	 * When this process reported that it crashed at this start; 0: it has
+	 * not, or the worker has responded since.
+	 */
+	uint64_t crash_reported_at;
 	/* Requests in progress that this process has sent. */
 	unsigned int running;
 	uint64_t prefill_tokens; /* prompt tokens still to be computed */
--- a/test/test_poison_parts.c
+++ b/test/test_poison_parts.c
@@ -301,6 +301,42 @@
 	assert_int_equal(n, SOUND_REQUESTS);
 }
 
+/*
+ * Guards against suspecting a part because responses that are no streams are
+ * cut off in their body by workers that go on.
+ */
+static void
+truncated_bodies_suspect_nothing(void **state)
+{
+	static const char fields[] =
+	    "Api-Key: k1\r\nX-Jacinthhill-Model: m1\r\n"
+	    "X-Jacinthhill-Token-Counts: 400,20\r\n"
+	    "X-Jacinthhill-Attempt-Id: t%u\r\n"
+	    "X-Jacinthhill-Prompt-Prefix: %s:200,%x:20\r\n"
+	    "Content-Length: 0\r\n";
+	unsigned int i, w, status = 0;
+	char *head, *answer;
+
+	/* The last two are sent to sound workers; the first has another part.
+	 */
+	for (i = 0; i < 14; i++) {
+		for (w = 0; w < WORKERS; w++)
+			platform_set_mode(
+			    p, w, i < 12 ? WORKER_TRUNCATES : WORKER_RESPONDS);
+		head = g_strdup_printf(
+		    fields, i, i == 12 ? "f8" : "f9", 0x20000 + i);
+		answer = platform_ask(p, "POST", "/again/x", head);
+		status = answer_status(answer);
+		print_message("%u ", status);
+		g_free(answer);
+		g_free(head);
+		g_usleep(150000);
+	}
+	print_message("\n");
+	assert_int_equal(platform_crashes(p), 0);
+	assert_int_equal(status, 200);
+}
+
 #define POISON_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 static const struct CMUnitTest tests[] = {
@@ -308,6 +344,7 @@
     POISON_TEST(sound_requests_with_the_same_first_part_are_served),
     POISON_TEST(restarted_router_knows_the_part),
     POISON_TEST(crashes_of_all_workers_suspect_nothing),
+    POISON_TEST(truncated_bodies_suspect_nothing),
 };
 
 HARNESS_MAIN(tests)
