Decide on what has arrived also for kept connections and resets

- A kept connection to a worker whose end had arrived in a pause was used again, and a request that may run once then failed with 502.
- A client that had reset its connection in a pause was not seen as gone.
- A deadline could still pass without a poll, when another timer of the same pass took over 1 ms.
It now waits until the loop has polled.
- The time of a request counted from when it was read, so that a pause was added to its deadline.
It counts from the poll before, unless the loop was waiting; a request whose deadline has passed then is refused at once.

--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -78,8 +78,9 @@
 		   (x->call != NULL && jh_call_was_sent(x->call));
 
 	/* After a pause of the loop, a response that is ready is read first. */
-	if (!x->overdue) {
+	if (!x->overdue || x->polls == jh_uv_client_polls(x->gateway->client)) {
 		x->overdue = true;
+		x->polls = jh_uv_client_polls(x->gateway->client);
 		uv_timer_start(t, on_deadline, JH_CALL_OVERDUE_READ_MSEC, 0);
 		return;
 	}
@@ -183,6 +184,13 @@
 		    x, "the process is stopping", STOPPING_RETRY_SECONDS);
 		return;
 	}
+	if (x->attempts.deadline <= now) {
+		exchange_refuse(x,
+		    "the deadline passed before the request "
+		    "was read",
+		    0);
+		return;
+	}
 	jh_retry_budget_add_request(gw->retry_budget, now, service);
 	exchange_start_attempt(x);
 }
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -49,11 +49,13 @@
 };
 
 struct jh_call {
+	struct jh_uv_client *client;
 	struct jh_call_spec spec;
 	struct http_conn *hc;
 	uv_timer_t timer;
 	bool sent;
 	bool overdue; /* a deadline has passed; the loop polls once more */
+	uint64_t polls; /* of the loop, at that time */
 };
 
 struct jh_uv_client {
@@ -61,6 +63,8 @@
 	GPtrArray *idle; /* struct http_conn *; most recently used last */
 	GHashTable *connections; /* struct http_conn *; all connections */
 	uint64_t opened;
+	uv_check_t check; /* runs after each poll of the loop */
+	uint64_t polls;
 };
 
 static void
@@ -116,8 +120,9 @@
 {
 	struct jh_call *call = t->data;
 
-	if (!call->overdue) {
+	if (!call->overdue || call->polls == call->client->polls) {
 		call->overdue = true;
+		call->polls = call->client->polls;
 		uv_timer_start(t, on_timer, JH_CALL_OVERDUE_READ_MSEC, 0);
 		return;
 	}
@@ -355,6 +360,11 @@
 			continue;
 		if (now - hc->idle_since > spec->max_idle_usec)
 			continue;
+		/* Its end, or stray bytes, may not have been read yet. */
+		if (jh_conn_has_input(hc->conn)) {
+			close_http_conn(hc);
+			continue;
+		}
 		g_ptr_array_remove_index(c->idle, i - 1);
 		return hc;
 	}
@@ -382,6 +392,7 @@
 	struct jh_call *call = g_new0(struct jh_call, 1);
 	struct http_conn *hc = find_idle(c, spec);
 
+	call->client = c;
 	call->spec = *spec;
 	uv_timer_init(c->loop, &call->timer);
 	call->timer.data = call;
@@ -424,7 +435,7 @@
 jh_call_has_unread(const struct jh_call *call)
 {
 	return call->sent && call->hc != NULL && call->hc->conn != NULL &&
-	       jh_conn_unread(call->hc->conn) > 0;
+	       jh_conn_has_input(call->hc->conn);
 }
 
 void
@@ -441,17 +452,35 @@
 		jh_conn_resume(call->hc->conn);
 }
 
+static void
+on_polled(uv_check_t *h)
+{
+	struct jh_uv_client *c = h->data;
+
+	c->polls++;
+}
+
 struct jh_uv_client *
 jh_uv_client_create(uv_loop_t *loop)
 {
 	struct jh_uv_client *c = g_new0(struct jh_uv_client, 1);
 
 	c->loop = loop;
+	uv_check_init(loop, &c->check);
+	c->check.data = c;
+	uv_check_start(&c->check, on_polled);
+	uv_unref((uv_handle_t *)&c->check);
 	c->idle = g_ptr_array_new();
 	c->connections = g_hash_table_new(NULL, NULL);
 	return c;
 }
 
+static void
+on_client_closed(uv_handle_t *h)
+{
+	g_free(h->data);
+}
+
 void
 jh_uv_client_destroy(struct jh_uv_client *c)
 {
@@ -473,7 +502,7 @@
 	}
 	g_ptr_array_free(c->idle, TRUE);
 	g_hash_table_destroy(c->connections);
-	g_free(c);
+	uv_close((uv_handle_t *)&c->check, on_client_closed);
 }
 
 void
@@ -488,6 +517,12 @@
 	}
 }
 
+uint64_t
+jh_uv_client_polls(const struct jh_uv_client *c)
+{
+	return c->polls;
+}
+
 uint64_t
 jh_uv_client_connections_opened(const struct jh_uv_client *c)
 {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -74,6 +74,8 @@
 /* Closes the idle connections to a peer. */
 void jh_uv_client_close_idle(
     struct jh_uv_client *c, const struct sockaddr_in *peer);
+/* Polls of the loop so far: a timer that has seen one more is up to date. */
+uint64_t jh_uv_client_polls(const struct jh_uv_client *c);
 /* Number of connections opened since the client was created. */
 uint64_t jh_uv_client_connections_opened(const struct jh_uv_client *c);
 
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 
 #include <glib.h>
@@ -254,15 +255,27 @@
 	return (size_t)n;
 }
 
+bool
+jh_conn_has_input(const struct jh_conn *c)
+{
+	struct pollfd p = {.events = POLLIN};
+
+	return !c->closing &&
+	       uv_fileno((const uv_handle_t *)&c->tcp, &p.fd) == 0 &&
+	       poll(&p, 1, 0) > 0;
+}
+
 bool
 jh_conn_peer_has_closed(const struct jh_conn *c)
 {
 	uv_os_fd_t fd;
 	char byte;
+	ssize_t n;
 
-	return !c->closing &&
-	       uv_fileno((const uv_handle_t *)&c->tcp, &fd) == 0 &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0)
+		return false;
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 void
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -39,7 +39,12 @@
 /* Bytes that the peer sent and that were not read yet. */
 size_t jh_conn_unread(const struct jh_conn *c);
 
-/* Whether the peer has closed its side and all that it sent was read. */
+/*
+ * Whether the kernel has something to read: bytes, or the end of the
+ * connection.
+ */
+bool jh_conn_has_input(const struct jh_conn *c);
+/* Whether the peer has ended the connection and all that it sent was read. */
 bool jh_conn_peer_has_closed(const struct jh_conn *c);
 
 /* Stop and resume reading; the end is not noticed while reading is stopped. */
--- a/src/net/loop_lag.c
+++ b/src/net/loop_lag.c
@@ -11,6 +11,7 @@
 	uint64_t min_usec;
 	uint64_t last; /* time of the last iteration; 0: none yet */
 	uint64_t last_idle_usec; /* the loop's idle time until then */
+	uint64_t polled; /* when the poll before returned; 0: none has */
 	void (*blocked)(void *arg, uint64_t usec);
 	void *arg;
 };
@@ -24,7 +25,9 @@
 	uint64_t waited = idle - l->last_idle_usec;
 	uint64_t took = now - l->last;
 
-	if (l->last != 0 && took > waited + l->min_usec)
+	if (l->last != 0)
+		l->polled = l->last + waited;
+	if (l->last != 0 && l->blocked != NULL && took > waited + l->min_usec)
 		l->blocked(l->arg, took - waited);
 	l->last = now;
 	l->last_idle_usec = idle;
@@ -47,6 +50,15 @@
 	return l;
 }
 
+uint64_t
+jh_loop_lag_arrival(const struct jh_loop_lag *l)
+{
+	uint64_t idle = uv_metrics_idle_time(l->prepare.loop) / NSEC_PER_USEC;
+
+	return l->polled == 0 || idle > l->last_idle_usec ? jh_now()
+							  : l->polled;
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
--- a/src/net/loop_lag.h
+++ b/src/net/loop_lag.h
@@ -12,11 +12,18 @@
 struct jh_loop_lag;
 
 /*
- * Calls blocked() after each iteration that took longer than min_usec without
- * the time spent waiting for events. To be created before the loop runs.
+ * Calls blocked(), unless NULL, after each iteration that took longer than
+ * min_usec without the time spent waiting for events. To be created before the
+ * loop runs.
  */
 struct jh_loop_lag *jh_loop_lag_create(uv_loop_t *loop, uint64_t min_usec,
     void (*blocked)(void *arg, uint64_t usec), void *arg);
+/*
+ * The earliest jh_now() time at which what a callback of the current iteration
+ * reads may have arrived: now if the loop was waiting for it, else the time of
+ * the poll before.
+ */
+uint64_t jh_loop_lag_arrival(const struct jh_loop_lag *l);
 void jh_loop_lag_destroy(struct jh_loop_lag *l);
 
 #endif
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -4,6 +4,7 @@
 #include <jacinthhill/clock.h>
 
 #include "net/conn.h"
+#include "net/loop_lag.h"
 #include "net/server.h"
 #include "net/parse.h"
 
@@ -47,6 +48,7 @@
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	uv_timer_t sweep;
+	struct jh_loop_lag *lag;
 	struct jh_uv_server_limits limits;
 	const struct jh_uv_server_ops *ops;
 	void *arg;
@@ -217,7 +219,8 @@
 	enum jh_parse_result r;
 
 	if (req->started == 0)
-		req->started = jh_now();
+		req->started =
+		    MAX(req->idle_since, jh_loop_lag_arrival(req->server->lag));
 	req->parsing = true;
 	r = jh_http_parser_feed(req->parser, p, n);
 	req->parsing = false;
@@ -269,7 +272,7 @@
 					   : DEFAULT_HEAD_LIMIT,
 	    &parse_ops, req);
 	req->body = g_byte_array_new();
-	req->idle_since = jh_now();
+	req->idle_since = jh_loop_lag_arrival(server->lag);
 	g_hash_table_add(server->open_connections, req);
 	if (server->limits.connections != 0 &&
 	    g_hash_table_size(server->open_connections) >
@@ -325,10 +328,10 @@
 		return false;
 	if (req->started == 0)
 		return (idle || server->closing) &&
-		       jh_conn_unread(req->conn) == 0;
+		       !jh_conn_has_input(req->conn);
 	if (limit == 0 || now - req->started <= limit)
 		return false;
-	if (req->overdue || jh_conn_unread(req->conn) == 0)
+	if (req->overdue || !jh_conn_has_input(req->conn))
 		return true;
 	req->overdue = true;
 	return false;
@@ -378,6 +381,7 @@
 	server->listener.data = server;
 	server->sweep.data = server;
 	server->handles = 2;
+	server->lag = jh_loop_lag_create(loop, 0, NULL, NULL);
 	uv_timer_start(&server->sweep, sweep, SWEEP_MSEC, SWEEP_MSEC);
 	return server;
 }
@@ -425,6 +429,7 @@
 	}
 	uv_close((uv_handle_t *)&server->listener, on_closed);
 	uv_close((uv_handle_t *)&server->sweep, on_closed);
+	jh_loop_lag_destroy(server->lag);
 }
 
 void
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -277,6 +277,84 @@
 	g_string_free(c.body, TRUE);
 }
 
+/*
+ * Guards against sending a request on a kept connection whose end has arrived
+ * in a pause of the loop: the request then may have run.
+ */
+static void
+connection_that_ended_in_a_pause_is_not_used(void **state)
+{
+	struct peer p = {
+	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+	struct call c = {0};
+	struct jh_uv_client *http_client;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	http_client = jh_uv_client_create(&loop);
+	c.loop = &loop;
+	c.body = g_string_new(NULL);
+	peer_start(&p);
+	start_call(http_client, &p.address, &c);
+	while (!c.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(c.result, JH_CALL_COMPLETE);
+	pthread_join(p.thread, NULL);
+	/* The peer has closed; the loop has not run since. */
+	pthread_create(&p.thread, NULL, serve_peer, &p);
+	start_call(http_client, &p.address, &c);
+	while (!c.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(c.result, JH_CALL_COMPLETE);
+	jh_uv_client_destroy(http_client);
+	close_loop(&loop);
+	peer_stop(&p);
+	g_string_free(c.body, TRUE);
+}
+
+/* A timer that is due with a deadline, and whose callback takes a while. */
+static void
+on_slow_timer(uv_timer_t *t)
+{
+	g_usleep(3000);
+	uv_update_time(t->loop);
+	uv_close((uv_handle_t *)t, NULL);
+}
+
+/*
+ * Guards against a deadline that ends a call without a poll, as other timers
+ * that are due in the same iteration take longer than the time it is put off.
+ */
+static void
+response_is_read_although_other_timers_take_long(void **state)
+{
+	struct peer p = {
+	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+	struct call c = {.limit_usec = 200000};
+	struct jh_uv_client *http_client;
+	uv_timer_t slow;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	http_client = jh_uv_client_create(&loop);
+	c.loop = &loop;
+	c.body = g_string_new(NULL);
+	peer_start(&p);
+	start_call(http_client, &p.address, &c);
+	uv_timer_init(&loop, &slow);
+	uv_timer_start(&slow, on_slow_timer, 250, 0);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	g_usleep(400000);
+	while (!c.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(c.result, JH_CALL_COMPLETE);
+	jh_uv_client_destroy(http_client);
+	close_loop(&loop);
+	peer_stop(&p);
+	g_string_free(c.body, TRUE);
+}
+
 /* Guards against treating a response cut off by a reset as complete. */
 static void
 reset_after_data_is_broken(void **state)
@@ -631,6 +709,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(response_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(connection_that_opened_in_a_pause_is_used),
+	    cmocka_unit_test(connection_that_ended_in_a_pause_is_not_used),
+	    cmocka_unit_test(response_is_read_although_other_timers_take_long),
 	    cmocka_unit_test(reset_after_data_is_broken),
 	    cmocka_unit_test(end_after_data_is_complete),
 	    cmocka_unit_test(floods_end_the_call),
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -35,6 +35,7 @@
 	uv_loop_t loop;
 	struct jh_uv_server *server;
 	unsigned int requests; /* passed to the handler */
+	uint64_t started; /* of the last one */
 	int client;
 	char response[4096]; /* what the client has received */
 	size_t len;
@@ -46,6 +47,7 @@
 	struct fixture *f = arg;
 
 	f->requests++;
+	f->started = jh_server_request_started(req);
 	jh_server_request_respond(req, 200, "OK", JH_STR(""), JH_STR("hello"));
 }
 
@@ -207,6 +209,47 @@
 	destroy(f);
 }
 
+/* Guards against the same when the client has reset its connection. */
+static void
+request_of_a_client_that_reset_in_a_pause_is_dropped(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	const struct linger linger = {1, 0};
+	struct fixture *f = create(&limits);
+	uint64_t deadline = jh_now() + WAIT_USEC;
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	send_text(f, REQUEST);
+	setsockopt(f->client, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(f->client);
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+	while (jh_uv_server_connections(f->server) > 0) {
+		assert_true(jh_now() < deadline);
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+	}
+	assert_int_equal(f->requests, 1);
+	destroy(f);
+}
+
+/* Guards against counting the time of a request from when it was read. */
+static void
+pause_counts_in_the_time_of_a_request(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+	uint64_t sent;
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	send_text(f, REQUEST);
+	sent = jh_now();
+	g_usleep(PAUSE_USEC);
+	expect(f, "hello");
+	assert_in_range(f->started, 0, sent + 100 * JH_USEC_PER_MSEC);
+	destroy(f);
+}
+
 int
 main(void)
 {
@@ -217,6 +260,9 @@
 	    cmocka_unit_test(
 		request_of_a_client_that_left_in_a_pause_is_dropped),
 	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
+	    cmocka_unit_test(
+		request_of_a_client_that_reset_in_a_pause_is_dropped),
+	    cmocka_unit_test(pause_counts_in_the_time_of_a_request),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
