--- a/src/net/server.c
+++ b/src/net/server.c
@@ -20,6 +20,9 @@
 /* TCP_USER_TIMEOUT: allows for clients that read slowly. */
 #define UNACKED_MSEC 10000
 
+/* Clients may use a connection for all of its idle limit but this part. */
+#define IDLE_MARGIN_PART 5
+
 /* Used when the limit is 0. */
 #define DEFAULT_HEAD_LIMIT 16384
 
@@ -138,6 +141,21 @@
 static const struct jh_http_parser_ops parse_ops = {
     on_head, on_body, on_complete};
 
+/*
+ * States for how long the client may use the idle connection: less than the
+ * server keeps it, as a request that crosses its close is lost.
+ */
+static void
+write_idle_time(const struct jh_server_request *req, GString *to)
+{
+	uint64_t limit = req->server->limits.idle_usec;
+	uint64_t seconds = (limit - limit / IDLE_MARGIN_PART) / JH_USEC_PER_SEC;
+
+	if (seconds > 0)
+		g_string_append_printf(to,
+		    "Keep-Alive: timeout=%" G_GUINT64_FORMAT "\r\n", seconds);
+}
+
 static void
 write_head(struct jh_server_request *req, unsigned int status,
     const char *reason, struct jh_str fields, const char *framing)
@@ -147,7 +165,9 @@
 	g_string_append_printf(s, "HTTP/1.1 %u %s\r\n", status, reason);
 	g_string_append_len(s, fields.ptr, (gssize)fields.len);
 	g_string_append(s, framing);
-	if (!req->keep_alive)
+	if (req->keep_alive)
+		write_idle_time(req, s);
+	else
 		g_string_append(s, "Connection: close\r\n");
 	g_string_append(s, "\r\n");
 	jh_conn_write(req->conn, s->str, s->len);
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -250,6 +250,28 @@
 	destroy(f);
 }
 
+/*
+ * Guards against a request that crosses the close of its idle connection: the
+ * client has to stop using the connection well before the server closes it.
+ */
+static void
+idle_time_is_stated_with_a_margin(void **state)
+{
+	const struct jh_uv_server_limits limits = {
+	    .head_bytes = 4096, .idle_usec = 15 * JH_USEC_PER_SEC};
+	struct fixture *f = create(&limits);
+	const char *field;
+	uint64_t seconds;
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	field = strstr(f->response, "\r\nKeep-Alive: timeout=");
+	assert_non_null(field);
+	seconds = g_ascii_strtoull(strchr(field, '=') + 1, NULL, 10);
+	assert_in_range(seconds * JH_USEC_PER_SEC, 1, limits.idle_usec * 4 / 5);
+	destroy(f);
+}
+
 int
 main(void)
 {
@@ -259,6 +281,7 @@
 	    cmocka_unit_test(waiting_client_keeps_the_server_open),
 	    cmocka_unit_test(
 		request_of_a_client_that_left_in_a_pause_is_dropped),
+	    cmocka_unit_test(idle_time_is_stated_with_a_margin),
 	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(
 		request_of_a_client_that_reset_in_a_pause_is_dropped),
