Test of poison parts: no index before the first crash for cppcheck

cppcheck does not know that the assertion before it does not return, and reports a negative index. The check is the same: the test still fails when no engine has crashed.

--- a/test/test_proc_poison_parts.c
+++ b/test/test_proc_poison_parts.c
@@ -283,10 +283,13 @@
 static uint64_t
 known_at(const struct load *l)
 {
-	unsigned int n = MIN(l->n_crashes, KNOWN_CRASHES);
+	uint64_t last = 0;
+	unsigned int i;
 
-	assert_true(n > 0);
-	return l->crashed_at[n - 1] + CONTACT_USEC;
+	for (i = 0; i < l->n_crashes && i < KNOWN_CRASHES; i++)
+		last = l->crashed_at[i];
+	assert_true(last > 0);
+	return last + CONTACT_USEC;
 }
 
 static void
