A connection with unsent output is not idle; a new start ends a crash report

From the review, by reading: the idle time of a connection began while its response was still queued, so that a slow client could lose the end of it; and a worker's new start kept the time of a crash reported for the one before.

--- a/src/net/server.c
+++ b/src/net/server.c
@@ -348,6 +348,7 @@
 		return false;
 	if (req->started == 0)
 		return (idle || server->closing) &&
+		       jh_conn_queued(req->conn) == 0 &&
 		       !jh_conn_has_input(req->conn);
 	if (limit == 0 || now - req->started <= limit)
 		return false;
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -85,6 +85,7 @@
 static void
 reset_observations(struct jh_worker *w)
 {
+	w->crash_reported_at = 0;
 	w->weights = 0;
 	w->weights_confirmed = 0;
 	w->orders_known = false;
