--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -142,6 +142,20 @@
 	start_job(f, step, j);
 }
 
+/* Returns the index of the first free report from this one on. */
+static unsigned int
+free_report(const struct fleet *f, unsigned int from)
+{
+	unsigned int i;
+
+	for (i = from; i < MAX_JOBS; i++) {
+		if (!f->report[i].used)
+			return i;
+	}
+	fail_msg("too many reports");
+	return 0;
+}
+
 static void
 crash_worker(struct fleet *f, unsigned int step, unsigned int worker)
 {
@@ -157,9 +171,7 @@
 		if (!j->used || j->worker != worker)
 			continue;
 		j->used = false;
-		while (k < MAX_JOBS && f->report[k].used)
-			k++;
-		assert_true(k < MAX_JOBS);
+		k = free_report(f, k);
 		f->report[k] = (struct report){.router = j->router,
 		    .due = step + late[j->router],
 		    .worker = worker,
