--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -19,9 +19,15 @@
  * placements, MAC.
  */
 #define MAGIC 0x4a484731U /* "JHG1" */
+#define REVISION_LEN 6
+#define HEAD_LEN (24 + REVISION_LEN * JH_GOSSIP_REVISIONS)
+#define REPORT_LEN 22
+#define PLACEMENT_LEN 16
+#define MAC_LEN 16
+
 /*
- * A second message has the same first three fields and MAC, and crashes between
- * them. It is sent only while there are any.
+ * A second message, of crashes, has the same first three fields and MAC, and
+ * the crashes between them. It is sent only while there are any.
  */
 #define CRASH_MAGIC 0x4a484331U /* "JHC1" */
 #define ENVELOPE_LEN 20
@@ -33,11 +39,6 @@
  * of consecutive rounds, as peers take turns.
  */
 #define QUARANTINE_ROUNDS 8
-#define REVISION_LEN 6
-#define HEAD_LEN (24 + REVISION_LEN * JH_GOSSIP_REVISIONS)
-#define REPORT_LEN 22
-#define PLACEMENT_LEN 16
-#define MAC_LEN 16
 
 /* Flags of a report. */
 #define FLAG_LOADING 1U
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -65,7 +65,7 @@
 void jh_call_cancel(struct jh_call *call);
 /* Whether any byte of the request may have reached the peer. */
 bool jh_call_was_sent(const struct jh_call *call);
-/* Whether bytes of the response have arrived and are not read yet. */
+/* Whether more of the response, or its end, has arrived and is not read yet. */
 bool jh_call_has_unread(const struct jh_call *call);
 /* Stop and resume reading the response. */
 void jh_call_pause(struct jh_call *call);
--- /dev/null
+++ b/test/test_gateway_pause.c
@@ -0,0 +1,74 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "platform_fixture.h"
+
+/* Tests of a router that does not run for a while, with a signal. */
+
+/* The worker responds in the pause, and the request's deadline lies in it. */
+#define WORK_MSEC 400
+#define DEADLINE "900"
+#define PAUSE_USEC (1200 * JH_USEC_PER_MSEC)
+
+static struct platform *p;
+
+static int
+set_up(void **state)
+{
+	static const struct platform_spec spec = {
+	    .routers = 1, .workers = 1, .worker = {.work_msec = WORK_MSEC}};
+
+	p = platform_create(&spec);
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	platform_stop(p);
+	return 0;
+}
+
+/* Sends a request and pauses the router while the worker runs it. */
+static struct call *
+pause_beside_request(const char *path)
+{
+	struct call_spec spec = {
+	    .port = platform_router(p)->port,
+	    .path = path,
+	    .headers = {"Host: h.example", "Api-Key: k1",
+		"X-Jacinthhill-Model: m1", "X-Jacinthhill-Token-Counts: 400,20",
+		"X-Jacinthhill-Deadline-Milliseconds: " DEADLINE,
+		"X-Jacinthhill-Attempt-Id: a1"},
+	    .body = "question",
+	};
+	struct call *c = call_start(&spec);
+
+	await(platform_runs(p, 0) == 1);
+	proc_freeze(platform_router(p));
+	g_usleep(PAUSE_USEC);
+	proc_thaw(platform_router(p));
+	call_join(c);
+	return c;
+}
+
+/* Guards against a 504 in place of a response that is ready. */
+static void
+ready_response_is_passed_on_after_a_pause(void **state)
+{
+	struct call *c = pause_beside_request("/once/x");
+
+	assert_int_equal(call_status(c), 200);
+	call_free(c);
+}
+
+static const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown(
+	ready_response_is_passed_on_after_a_pause, set_up, tear_down),
+};
+
+HARNESS_MAIN(tests)
