--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -52,6 +52,7 @@
 	unsigned int down_until[WORKERS], starts[WORKERS];
 	struct job job[MAX_JOBS];
 	struct report report[MAX_JOBS];
+	unsigned int n_jobs, n_reports; /* indices used so far */
 	uint64_t next;
 	unsigned int crashes, fifth, late, poison_sent;
 	unsigned int sound, refused, dropped, late_sound, late_refused;
@@ -107,6 +108,7 @@
 	for (i = 0; i < MAX_JOBS; i++) {
 		if (!f->job[i].used) {
 			f->job[i] = j;
+			f->n_jobs = MAX(f->n_jobs, i + 1);
 			return;
 		}
 	}
@@ -166,12 +168,13 @@
 	for (i = 0; f->spec->pause_steps > 0 && i < ROUTERS; i++)
 		late[i] = (unsigned int)g_rand_int_range(
 		    f->rand, 0, (gint32)f->spec->pause_steps);
-	for (i = 0, k = 0; i < MAX_JOBS; i++) {
+	for (i = 0, k = 0; i < f->n_jobs; i++) {
 		struct job *j = &f->job[i];
 		if (!j->used || j->worker != worker)
 			continue;
 		j->used = false;
 		k = free_report(f, k);
+		f->n_reports = MAX(f->n_reports, k + 1);
 		f->report[k] = (struct report){.router = j->router,
 		    .due = step + late[j->router],
 		    .worker = worker,
@@ -188,7 +191,7 @@
 	unsigned int pass, i;
 
 	for (pass = 0; pass < 2; pass++) {
-		for (i = 0; i < MAX_JOBS; i++) {
+		for (i = 0; i < f->n_reports; i++) {
 			struct report *r = &f->report[i];
 			if (!r->used || r->due > step)
 				continue;
@@ -210,7 +213,7 @@
 {
 	unsigned int i;
 
-	for (i = 0; i < MAX_JOBS; i++) {
+	for (i = 0; i < f->n_jobs; i++) {
 		struct job *j = &f->job[i];
 		if (!j->used)
 			continue;
