Test of entry daemons that a granter does not know yet

holder_just_known_is_not_refused: 429 for an entry daemon whose incarnation the granter of a limit has just learned. holder_not_known_yet_keeps_its_share: at 50 spacings in time, no small request is refused and the limit holds while the granter learns the entry daemons one by one.

The granter is told how many listed entry daemons have no known incarnation yet; it does not use this number so far.

--- a/include/jacinthhill/quota.h
+++ b/include/jacinthhill/quota.h
@@ -147,9 +147,12 @@
 void jh_quota_granter_destroy(struct jh_quota_granter *g);
 void jh_quota_granter_set_limit(
     struct jh_quota_granter *g, const struct jh_quota_limit *limit);
-/* Sets the ids of the entry daemons in the region. */
-void jh_quota_granter_set_members(
-    struct jh_quota_granter *g, uint64_t now, const uint64_t *ids, size_t n);
+/*
+ * Sets the ids of the entry daemons in the region. nameless is the number of
+ * those whose ids are not known yet.
+ */
+void jh_quota_granter_set_members(struct jh_quota_granter *g, uint64_t now,
+    const uint64_t *ids, size_t n, unsigned int nameless);
 /* Fills the grant for a report; returns false if it cannot grant yet. */
 bool jh_quota_granter_handle_report(struct jh_quota_granter *g, uint64_t now,
     const struct jh_quota_report *report, struct jh_quota_grant *grant);
--- a/src/admit/quota_granter.c
+++ b/src/admit/quota_granter.c
@@ -22,6 +22,8 @@
 	GHashTable *members; /* struct jh_quota_member by id */
 	/* Number of members that are not removed. */
 	unsigned int member_count;
+	/* Number of entry daemons in the region whose ids are not known yet. */
+	unsigned int nameless;
 	/*
 	 * For one allocation lifetime from here on, allocations that this
 	 * granter does not know of may be in force.
@@ -99,13 +101,14 @@
 }
 
 void
-jh_quota_granter_set_members(
-    struct jh_quota_granter *g, uint64_t now, const uint64_t *ids, size_t n)
+jh_quota_granter_set_members(struct jh_quota_granter *g, uint64_t now,
+    const uint64_t *ids, size_t n, unsigned int nameless)
 {
 	GHashTableIter it;
 	void *value;
 	size_t i;
 
+	g->nameless = nameless;
 	g_hash_table_iter_init(&it, g->members);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		((struct jh_quota_member *)value)->removed = true;
--- a/src/entry/limits.c
+++ b/src/entry/limits.c
@@ -54,7 +54,8 @@
 		if (p->incarnation != 0)
 			ids[n++] = p->incarnation;
 	}
-	jh_quota_granter_set_members(t->granter, jh_now(), ids, n);
+	jh_quota_granter_set_members(
+	    t->granter, jh_now(), ids, n, l->peers->len - (guint)n);
 	g_free(ids);
 }
 
--- a/test/quota_simulation.c
+++ b/test/quota_simulation.c
@@ -20,16 +20,23 @@
 void
 start_granter(struct quota_simulation *sim, int i)
 {
-	uint64_t ids[HOLDERS];
-	int h;
-
 	jh_quota_granter_destroy(sim->granters[i]);
 	sim->granter_ids[i] = sim->next_granter_id++;
 	sim->granters[i] =
 	    jh_quota_granter_create(sim->granter_ids[i], sim->now, &limit);
-	for (h = 0; h < HOLDERS; h++)
-		ids[h] = (uint64_t)h + 1;
-	jh_quota_granter_set_members(sim->granters[i], sim->now, ids, HOLDERS);
+	set_known(sim, i, HOLDERS);
+}
+
+void
+set_known(struct quota_simulation *sim, int granter, unsigned int n)
+{
+	uint64_t ids[HOLDERS];
+	unsigned int h;
+
+	for (h = 0; h < n; h++)
+		ids[h] = h + 1;
+	jh_quota_granter_set_members(
+	    sim->granters[granter], sim->now, ids, n, HOLDERS - n);
 }
 
 void
--- a/test/quota_simulation.h
+++ b/test/quota_simulation.h
@@ -43,6 +43,8 @@
 void simulation_close(struct quota_simulation *sim);
 /* Starts or restarts granter i, with a new id. */
 void start_granter(struct quota_simulation *sim, int i);
+/* Makes the granter know the ids of the first n holders only. */
+void set_known(struct quota_simulation *sim, int granter, unsigned int n);
 /* Makes holder h report to this granter. */
 void set_granter(struct quota_simulation *sim, int h, int granter);
 /* True with this probability. */
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -284,6 +284,90 @@
 	}
 }
 
+/* Sends a small request to one holder after the other; none is refused. */
+static void
+step_with_small_requests(struct quota_simulation *sim, unsigned int steps)
+{
+	struct jh_quota_holder *h;
+
+	while (steps-- > 0) {
+		step(sim);
+		h = sim->holders[steps % HOLDERS];
+		assert_int_equal(
+		    jh_quota_holder_admit(h, sim->now, 1), JH_QUOTA_OK);
+		jh_quota_holder_finish(h, sim->now, 0);
+	}
+}
+
+/* A report of the holder reaches the granter, and the grant the holder. */
+static void
+exchange(struct jh_quota_granter *g, struct jh_quota_holder *h, uint64_t now)
+{
+	struct jh_quota_report report;
+	struct jh_quota_grant grant;
+
+	assert_true(jh_quota_holder_make_report(h, now, &report));
+	if (jh_quota_granter_handle_report(g, now, &report, &grant))
+		jh_quota_holder_apply_grant(h, now, &grant);
+}
+
+/*
+ * Guards against a grant of 0 to an entry daemon whose id the granter has just
+ * learned: its requests were refused although the limit was hardly used.
+ */
+static void
+holder_just_known_is_not_refused(void **state)
+{
+	static const uint64_t ids[] = {1, 2};
+	uint64_t now = JH_USEC_PER_SEC;
+	struct jh_quota_granter *g = jh_quota_granter_create(9, now, &limit);
+	struct jh_quota_holder *h[2];
+	unsigned int i;
+
+	for (i = 0; i < G_N_ELEMENTS(h); i++) {
+		h[i] = jh_quota_holder_create(ids[i], now, &limit);
+		jh_quota_holder_set_view(h[i], now, 9, G_N_ELEMENTS(h));
+	}
+	jh_quota_granter_set_members(g, now, ids, 1, 1);
+	assert_int_equal(jh_quota_holder_admit(h[0], now, 1), JH_QUOTA_OK);
+	exchange(g, h[0], now);
+	now += JH_QUOTA_REPORT_USEC;
+	jh_quota_granter_set_members(g, now, ids, 2, 0);
+	exchange(g, h[0], now);
+	exchange(g, h[1], now);
+	assert_int_equal(jh_quota_holder_admit(h[1], now, 1), JH_QUOTA_OK);
+	for (i = 0; i < G_N_ELEMENTS(h); i++)
+		jh_quota_holder_destroy(h[i]);
+	jh_quota_granter_destroy(g);
+}
+
+/*
+ * Guards against dividing the whole limit among the entry daemons whose ids are
+ * known, while the others use their shares.
+ */
+static void
+holder_not_known_yet_keeps_its_share(void **state)
+{
+	struct quota_simulation sim;
+	unsigned int i, known;
+
+	for (i = 0; i < 50; i++) {
+		simulation_open(&sim, i);
+		sim.max_delay = 10 * JH_USEC_PER_MSEC;
+		start_granter(&sim, 0);
+		for (known = 0; known < HOLDERS; known++)
+			set_granter(&sim, (int)known, 0);
+		for (known = 1; known < HOLDERS; known++) {
+			set_known(&sim, 0, known);
+			step_with_small_requests(&sim, 10 + 7 * i);
+		}
+		set_known(&sim, 0, HOLDERS);
+		step_with_small_requests(&sim, 1000);
+		assert_int_equal(sim.max_split, 1);
+		simulation_close(&sim);
+	}
+}
+
 /*
  * Guards against different choices by entry daemons with the same membership.
  */
@@ -315,6 +399,8 @@
 	    cmocka_unit_test(concurrency_is_counted),
 	    cmocka_unit_test(running_requests_stay_counted),
 	    cmocka_unit_test(granter_change_never_exceeds_the_limit),
+	    cmocka_unit_test(holder_just_known_is_not_refused),
+	    cmocka_unit_test(holder_not_known_yet_keeps_its_share),
 	    cmocka_unit_test(granter_choice_depends_on_the_set_only),
 	};
 
