Quota: count the entry daemons whose incarnation is not known yet

Callers got 429 limit_exceeded, once at each affected entry daemon for one to two seconds, for an organisation far below its limit: soon after a start of the region, and after a restart of the entry daemon that grants.

Cause: a granter knows an entry daemon by its incarnation, which it learns only from messages. It took as members only those that it had learned, and divided the whole limit among them. The next one was learned a second later, reported, and was granted 0, since the others held everything; a grant of 0 replaces the equal share, so that all its requests were refused until the next grant. Before its report it used its equal share on top of the whole limit.

Evidence, from runs of test_edit_after_outage under TSan with each grant and refusal printed: "grants e64b...: 1000" to itself, the only member; 1.03 s later "grants ffc7...: 0 0; fair 333 available 0 0"; 3 ms later "ffc7... refuses: running 0 allowed 0 members 3 held seq 2 amount 0 0". The second failed run: two members hold each and the third gets 0.

Ruled out as the cause, by the same prints: an expired allocation (it had 1.84 and 2.00 s left), a late granter, a share by a wrong number of members (it was 3), an earlier granter's limit (none), the bucket and the cost of the request (refused for concurrency, limit 1000, none running). The store's outage has no part in it: the test is the first to use the limit of organisation beta.

Fix: the granter is told how many listed entry daemons have no known incarnation and keeps an equal share for each, in what it may grant and in the division, and does not take them as having reported when it is new. So an entry daemon has its share when it becomes known, and the limit also holds before that.

--- a/src/admit/quota_granter.c
+++ b/src/admit/quota_granter.c
@@ -20,10 +20,13 @@
 	uint64_t id;
 	struct jh_quota_limit limit;
 	GHashTable *members; /* struct jh_quota_member by id */
-	/* Number of members that are not removed. */
-	unsigned int member_count;
-	/* Number of entry daemons in the region whose ids are not known yet. */
+	/*
+	 * Number of entry daemons in the region whose ids are not known yet.
+	 * Each may use its equal share.
+	 */
 	unsigned int nameless;
+	/* Number of members that are not removed, and of nameless ones. */
+	unsigned int member_count;
 	/*
 	 * For one allocation lifetime from here on, allocations that this
 	 * granter does not know of may be in force.
@@ -114,7 +117,7 @@
 		((struct jh_quota_member *)value)->removed = true;
 	for (i = 0; i < n; i++)
 		find_or_add(g, ids[i])->removed = false;
-	g->member_count = 0;
+	g->member_count = nameless;
 	g_hash_table_iter_init(&it, g->members);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (!((struct jh_quota_member *)value)->removed)
@@ -134,6 +137,8 @@
 
 	if (now >= g->unknown_since + JH_QUOTA_LIFETIME_USEC)
 		return false;
+	if (g->nameless > 0)
+		return true;
 	g_hash_table_iter_init(&it, g->members);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		m = value;
@@ -157,20 +162,24 @@
 	       now < m->reported_at + JH_QUOTA_LIFETIME_USEC;
 }
 
+static uint64_t
+equal_share(const struct jh_quota_granter *g, enum jh_quota_kind kind)
+{
+	return g->limit.amount[kind] / MAX(g->member_count, 1);
+}
+
 static uint64_t
 bound_of(const struct jh_quota_granter *g, const struct jh_quota_member *m,
     uint64_t now, enum jh_quota_kind kind)
 {
-	uint64_t limit = g->limit.amount[kind];
-
 	return jh_quota_member_bound(
-	    m, now, kind, limit, limit / MAX(g->member_count, 1));
+	    m, now, kind, g->limit.amount[kind], equal_share(g, kind));
 }
 
 static struct demands
 sum_demands(struct jh_quota_granter *g, uint64_t now, enum jh_quota_kind kind)
 {
-	struct demands d = {0};
+	struct demands d = {.silent = g->nameless * equal_share(g, kind)};
 	struct jh_quota_member *m;
 	GHashTableIter it;
 	void *value;
@@ -261,7 +270,8 @@
 available(struct jh_quota_granter *g, const struct jh_quota_member *m,
     uint64_t now, enum jh_quota_kind kind)
 {
-	uint64_t used = 0, limit = g->limit.amount[kind];
+	uint64_t used = g->nameless * equal_share(g, kind);
+	uint64_t limit = g->limit.amount[kind];
 	GHashTableIter it;
 	void *value;
 
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -341,6 +341,76 @@
 	jh_quota_granter_destroy(g);
 }
 
+/*
+ * Guards against granting the share of an entry daemon that is not known yet,
+ * by a division made before it was listed, or to the first one that reports.
+ */
+static void
+share_of_a_nameless_holder_is_not_granted(void **state)
+{
+	static const uint64_t ids[] = {1, 2};
+	uint64_t now = JH_USEC_PER_SEC;
+	struct jh_quota_granter *g = jh_quota_granter_create(9, now, &limit);
+	struct jh_quota_holder *h[2];
+	unsigned int i, round;
+
+	for (i = 0; i < G_N_ELEMENTS(h); i++) {
+		h[i] = jh_quota_holder_create(ids[i], now, &limit);
+		jh_quota_holder_set_view(h[i], now, 9, 3);
+	}
+	jh_quota_granter_set_members(g, now, ids, 2, 0);
+	for (round = 0; round < 4; round++) {
+		for (i = 0; i < G_N_ELEMENTS(h); i++)
+			exchange(g, h[i], now);
+		now += JH_QUOTA_REPORT_USEC;
+	}
+	exchange(g, h[1], now);
+	now += STEP;
+	jh_quota_granter_set_members(g, now, ids, 2, 1);
+	exchange(g, h[0], now);
+	assert_int_equal(jh_quota_holder_allowed(h[0], now, JH_QUOTA_RATE),
+	    RATE - RATE / 2 - RATE / 3);
+	for (round = 0; round < 4; round++) {
+		now += JH_QUOTA_REPORT_USEC;
+		for (i = 0; i < G_N_ELEMENTS(h); i++)
+			exchange(g, h[i], now);
+	}
+	for (i = 0; i < G_N_ELEMENTS(h); i++)
+		assert_int_equal(
+		    jh_quota_holder_allowed(h[i], now, JH_QUOTA_RATE),
+		    RATE / 3);
+	for (i = 0; i < G_N_ELEMENTS(h); i++)
+		jh_quota_holder_destroy(h[i]);
+	jh_quota_granter_destroy(g);
+}
+
+/*
+ * Guards against a new granter that grants what a holder that it does not know
+ * yet was granted before.
+ */
+static void
+new_granter_waits_for_a_nameless_holder(void **state)
+{
+	struct quota_simulation sim;
+	int h, i;
+
+	simulation_open(&sim, 6);
+	sim.max_delay = 10 * JH_USEC_PER_MSEC;
+	sim.demand[HOLDERS - 1] = 2 * RATE;
+	run(&sim, 10);
+	start_granter(&sim, 1);
+	set_known(&sim, 1, HOLDERS - 1);
+	for (h = 0; h < HOLDERS; h++)
+		set_granter(&sim, h, 1);
+	sim.demand[0] = 2 * RATE;
+	for (i = 0; i < 500; i++) {
+		step(&sim);
+		assert_true(sum_allowed(&sim, JH_QUOTA_RATE) <= RATE);
+	}
+	assert_true(sim.held_granter[0] == sim.granter_ids[1]);
+	simulation_close(&sim);
+}
+
 /*
  * Guards against dividing the whole limit among the entry daemons whose ids are
  * known, while the others use their shares.
@@ -400,6 +470,8 @@
 	    cmocka_unit_test(running_requests_stay_counted),
 	    cmocka_unit_test(granter_change_never_exceeds_the_limit),
 	    cmocka_unit_test(holder_just_known_is_not_refused),
+	    cmocka_unit_test(share_of_a_nameless_holder_is_not_granted),
+	    cmocka_unit_test(new_granter_waits_for_a_nameless_holder),
 	    cmocka_unit_test(holder_not_known_yet_keeps_its_share),
 	    cmocka_unit_test(granter_choice_depends_on_the_set_only),
 	};
