A stream that ends with its connection has to have an event in each attempt

What callers saw: a stream that looked complete after part of its events. Its first worker broke off inside an event; the worker that resumed it sent a head with neither a length nor chunks and crashed.

Cause: an attempt without events counted as broken only while the response to the client had not begun. The end of the connection then passed for the end of the stream, although nothing in it shows that.

Why it works: the parser tells whether a response ends with its connection, and such an attempt without an event is broken: it is repeated, or the client's stream is reset. A stream with a length or chunks may still be resumed at its end without an event. Ruled out: the parser of events and resets, whose tests passed before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,6 +51,7 @@
 	bool malformed; /* the response breaks the protocol or a limit */
 	struct jh_worker_response response;
 	unsigned int status; /* 0: no response head has arrived */
+	bool until_close; /* the response ends with its connection */
 	unsigned int attempt_events; /* complete events of this attempt */
 	GString *fields; /* header lines for the client */
 	GByteArray *body; /* of a response that is no stream */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -69,6 +69,7 @@
 		exchange_check_reported_crash(x);
 	}
 	x->status = head->status;
+	x->until_close = head->until_close;
 	x->other_instance = is_other_instance(x);
 	x->streaming = x->route->kind == JH_ROUTE_STREAM &&
 		       head->status == 200 && x->response.sealed &&
@@ -233,6 +234,17 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/*
+ * Whether a stream that has ended was broken off. One without framing that has
+ * no event looks the same if its worker crashed after the head.
+ */
+static bool
+is_cut_off(const struct exchange *x)
+{
+	return jh_sse_parser_has_partial(x->events) || !x->response_begun ||
+	       (x->until_close && x->attempt_events == 0);
+}
+
 static enum jh_attempt_result
 classify_result(
     struct exchange *x, enum jh_call_result result, const char **why)
@@ -251,8 +263,7 @@
 		*why = "the worker declined the request";
 		return JH_ATTEMPT_DECLINED;
 	}
-	if (x->streaming &&
-	    (jh_sse_parser_has_partial(x->events) || !x->response_begun)) {
+	if (x->streaming && is_cut_off(x)) {
 		*why = "the stream ended before its first event or inside an "
 		       "event";
 		return JH_ATTEMPT_BROKEN;
--- a/src/net/head.c
+++ b/src/net/head.c
@@ -39,6 +39,7 @@
 	h->method = NULL;
 	h->status = 0;
 	h->keep_alive = false;
+	h->until_close = false;
 }
 
 static struct jh_str
--- a/src/net/head.h
+++ b/src/net/head.h
@@ -16,6 +16,7 @@
 	const char *method; /* of a request; a static string */
 	unsigned int status; /* of a response */
 	bool keep_alive; /* the connection may serve another message */
+	bool until_close; /* a response that ends with its connection */
 };
 
 struct jh_head *jh_head_create(void);
--- a/src/net/parse.c
+++ b/src/net/parse.c
@@ -84,6 +84,8 @@
 	else
 		p->head->status = hp->status_code;
 	p->head->keep_alive = http_should_keep_alive(hp) != 0;
+	p->head->until_close = hp->type == HTTP_RESPONSE &&
+			       (hp->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 	p->ops->head(p->arg, p->head);
 	return 0;
 }
