Failing test: after a pause a worker that responds to others counts as silent

A slow worker runs two requests and responds to the first while the router does not run for 1.6 s. The silence timer of the second runs before the sockets are read and judges by responses that were read: the attempt is aborted, and the client gets 502 although the worker goes on.

--- a/test/test_gateway_pause.c
+++ b/test/test_gateway_pause.c
@@ -65,9 +65,69 @@
 	call_free(c);
 }
 
+/* A slow worker responds to an earlier request in the pause only. */
+#define SLOW_WORK_MSEC 2000
+#define EARLIER_USEC (1000 * JH_USEC_PER_MSEC)
+#define SILENT_PAUSE_USEC (1600 * JH_USEC_PER_MSEC)
+
+static int
+set_up_slow(void **state)
+{
+	static const struct platform_spec spec = {.routers = 1,
+	    .workers = 1,
+	    .worker = {.work_msec = SLOW_WORK_MSEC}};
+
+	p = platform_create(&spec);
+	return 0;
+}
+
+static struct call *
+start_request(const char *path, const char *id)
+{
+	struct call_spec spec = {
+	    .port = platform_router(p)->port,
+	    .path = path,
+	    .headers = {"Host: h.example", "Api-Key: k1",
+		"X-Jacinthhill-Model: m1", "X-Jacinthhill-Token-Counts: 400,20",
+		"X-Jacinthhill-Deadline-Milliseconds: 3900", id},
+	    .body = "question",
+	};
+
+	return call_start(&spec);
+}
+
+/*
+ * Guards against a worker that counts as silent because what it sent to others
+ * in the pause is not read yet.
+ */
+static void
+worker_that_responded_in_a_pause_is_not_silent(void **state)
+{
+	struct call *earlier =
+	    start_request("/once/x", "X-Jacinthhill-Attempt-Id: a1");
+	struct call *c;
+
+	await(platform_runs(p, 0) == 1);
+	g_usleep(EARLIER_USEC);
+	c = start_request("/stream/x", "X-Jacinthhill-Attempt-Id: a2");
+	await(platform_runs(p, 0) == 2);
+	proc_freeze(platform_router(p));
+	g_usleep(SILENT_PAUSE_USEC);
+	proc_thaw(platform_router(p));
+	call_join(c);
+	call_join(earlier);
+	assert_int_equal(call_status(earlier), 200);
+	assert_int_equal(call_status(c), 200);
+	assert_int_equal(platform_runs(p, 0), 2);
+	call_free(c);
+	call_free(earlier);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(
 	ready_response_is_passed_on_after_a_pause, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(
+	worker_that_responded_in_a_pause_is_not_silent, set_up_slow, tear_down),
 };
 
 HARNESS_MAIN(tests)
