Poll once more before a worker counts as silent

What callers saw: 502, or a second run of a request, beside a pause of the router, though the worker was responding to others.

Cause: the silence timer runs before sockets are read. It looked for unread bytes of its own request only, and judged the worker by when its other responses were read. A request sent just before a pause of over a second lost its attempt, and the worker got a backoff.

Why it works: when the timer expires the loop first polls once more, as for the other deadlines, so that the worker's responses and the gossip are read. The check for unread bytes stays: reading stops for slow clients.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -123,8 +123,20 @@
 {
 	struct exchange *x = t->data;
 	struct jh_worker *w = exchange_worker(x);
-
-	/* After a pause of the loop, the response may be there unread. */
+	uint64_t polls = jh_uv_client_polls(x->gateway->client);
+
+	/*
+	 * After a pause of the loop, responses of the worker to this request
+	 * and others may be unread.
+	 */
+	if (!x->silence_due || x->silence_polls == polls) {
+		x->silence_due = true;
+		x->silence_polls = polls;
+		uv_timer_start(t, t->timer_cb, JH_CALL_OVERDUE_READ_MSEC, 0);
+		return;
+	}
+	x->silence_due = false;
+	/* Reading stops for a slow client. */
 	if ((x->call != NULL && jh_call_has_unread(x->call)) ||
 	    keeps_waiting(x, w)) {
 		uv_timer_start(t, t->timer_cb,
@@ -229,6 +241,7 @@
 		return;
 	x->quiet_since = now;
 	x->silence_checks = 0;
+	x->silence_due = false;
 	uv_update_time(x->gateway->loop);
 	uv_timer_start(&x->silence_timer, on_silence_timeout,
 	    timeout / JH_USEC_PER_MSEC, 0);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,8 @@
 	uv_timer_t silence_timer; /* aborts an attempt without a response */
 	uint64_t quiet_since; /* see struct jh_silence */
 	unsigned int silence_checks;
+	bool silence_due; /* the timer has expired; the loop polls once more */
+	uint64_t silence_polls; /* of the loop, at that time */
 	bool other_instance; /* responds in place of the chosen worker */
 	bool silence_timed_out; /* the silence timer has expired */
 	bool malformed; /* the response breaks the protocol or a limit */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -118,6 +118,7 @@
 		return;
 	x->quiet_since = jh_now();
 	x->silence_checks = 0;
+	x->silence_due = false;
 	uv_update_time(x->gateway->loop);
 	uv_timer_start(&x->silence_timer, x->silence_timer.timer_cb,
 	    gap / JH_USEC_PER_MSEC, 0);
