Failing test: a request is sent after its deadline

Since a connection that opened in a pause is used, its request is sent however late that is noticed: here 0.2 s after the deadline of the whole call.

--- a/test/test_net.c
+++ b/test/test_net.c
@@ -251,30 +251,49 @@
 	g_string_free(c.body, TRUE);
 }
 
-/* Guards against the same for a connection that was opened in time. */
-static void
-connection_that_opened_in_a_pause_is_used(void **state)
+/* A call during which the loop does not run for 0.4 s while it connects. */
+static enum jh_call_result
+call_with_pause_while_connecting(struct call *c)
 {
 	struct peer p = {
 	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
-	struct call c = {.connect_usec = 200000};
 	struct jh_uv_client *http_client;
 	uv_loop_t loop;
 
 	uv_loop_init(&loop);
 	http_client = jh_uv_client_create(&loop);
-	c.loop = &loop;
-	c.body = g_string_new(NULL);
+	c->loop = &loop;
+	c->body = g_string_new(NULL);
 	peer_start(&p);
-	start_call(http_client, &p.address, &c);
+	start_call(http_client, &p.address, c);
 	g_usleep(400000);
-	while (!c.ended)
+	while (!c->ended)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_int_equal(c.result, JH_CALL_COMPLETE);
 	jh_uv_client_destroy(http_client);
 	close_loop(&loop);
 	peer_stop(&p);
-	g_string_free(c.body, TRUE);
+	g_string_free(c->body, TRUE);
+	return c->result;
+}
+
+/* Guards against the same for a connection that was opened in time. */
+static void
+connection_that_opened_in_a_pause_is_used(void **state)
+{
+	struct call c = {.connect_usec = 200000};
+
+	assert_int_equal(
+	    call_with_pause_while_connecting(&c), JH_CALL_COMPLETE);
+}
+
+/* Guards against sending a request whose deadline passed meanwhile. */
+static void
+request_is_not_sent_after_its_deadline(void **state)
+{
+	struct call c = {.limit_usec = 200000};
+
+	assert_int_equal(
+	    call_with_pause_while_connecting(&c), JH_CALL_NOT_SENT);
 }
 
 /*
@@ -709,6 +728,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(response_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(connection_that_opened_in_a_pause_is_used),
+	    cmocka_unit_test(request_is_not_sent_after_its_deadline),
 	    cmocka_unit_test(connection_that_ended_in_a_pause_is_not_used),
 	    cmocka_unit_test(response_is_read_although_other_timers_take_long),
 	    cmocka_unit_test(reset_after_data_is_broken),
