Do not send a request after its deadline when its connection opens late

What callers saw: nothing wrong, but a worker or the store ran a request for nobody after a pause of the router, and a weights order could leave later than the 0.3 s after which another process may be the leader.

Cause: since the loop polls once more before the time to connect ends a call, and a connection that is open then is used without a look at the clock. The comment of connect_deadline still said that nothing is sent after it.

Why it works: a call has a time until which it may be sent, checked when the connection is found open.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -255,6 +255,7 @@
 	    .peer = w->address,
 	    .connect_deadline =
 		MIN(now + CONNECT_TIMEOUT_USEC, x->attempts.deadline),
+	    .send_deadline = x->attempts.deadline,
 	    .deadline = JH_NEVER,
 	    .max_idle_usec =
 		x->attempts.repeatable ? MAX_IDLE_USEC : MAX_IDLE_ONCE_USEC,
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -332,7 +332,12 @@
 {
 	struct http_conn *hc = arg;
 
-	if (hc->call != NULL)
+	if (hc->call == NULL)
+		return;
+	/* It may be noticed only after a pause of the loop. */
+	if (jh_now() >= hc->call->spec.send_deadline)
+		end_call(hc->call, JH_CALL_NOT_SENT, false);
+	else
 		send_message(hc->call);
 }
 
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -45,7 +45,9 @@
 struct jh_call_spec {
 	struct sockaddr_in peer;
 	GString *message; /* the whole request; the call takes ownership */
-	uint64_t connect_deadline; /* jh_now() time; not sent after it */
+	/* jh_now() time; a connection that opened until then is used */
+	uint64_t connect_deadline;
+	uint64_t send_deadline; /* jh_now() time; not sent after it */
 	uint64_t
 	    deadline; /* jh_now() time of the complete response, or JH_NEVER */
 	/* Longest idle time of a reused connection; 0: use a new one. */
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -139,6 +139,7 @@
 	/* Its deadline, and the pause of the loop, in microseconds; 0: usual */
 	uint64_t limit_usec, pause_usec;
 	uint64_t connect_usec; /* the same for the time to connect */
+	uint64_t send_usec; /* the same for the time to send */
 };
 
 static bool
@@ -183,6 +184,7 @@
 	    .peer = *address,
 	    .message = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 	    .connect_deadline = now + connect,
+	    .send_deadline = now + (c->send_usec != 0 ? c->send_usec : limit),
 	    .deadline = now + limit,
 	    .max_idle_usec = LIMIT_USEC,
 	    .ops = &call_ops,
@@ -296,6 +298,16 @@
 	    call_with_pause_while_connecting(&c), JH_CALL_NOT_SENT);
 }
 
+/* Guards against the same for an order that may not be sent late. */
+static void
+order_is_not_sent_after_its_time_to_send(void **state)
+{
+	struct call c = {.connect_usec = 200000, .send_usec = 200000};
+
+	assert_int_equal(
+	    call_with_pause_while_connecting(&c), JH_CALL_NOT_SENT);
+}
+
 /*
  * Guards against sending a request on a kept connection whose end has arrived
  * in a pause of the loop: the request then may have run.
@@ -729,6 +741,7 @@
 	    cmocka_unit_test(response_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(connection_that_opened_in_a_pause_is_used),
 	    cmocka_unit_test(request_is_not_sent_after_its_deadline),
+	    cmocka_unit_test(order_is_not_sent_after_its_time_to_send),
 	    cmocka_unit_test(connection_that_ended_in_a_pause_is_not_used),
 	    cmocka_unit_test(response_is_read_although_other_timers_take_long),
 	    cmocka_unit_test(reset_after_data_is_broken),
