--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -36,6 +36,7 @@
 	struct jh_uv_server *server;
 	unsigned int requests; /* passed to the handler */
 	uint64_t started; /* of the last one */
+	struct sockaddr_in address;
 	int client;
 	char response[4096]; /* what the client has received */
 	size_t len;
@@ -68,22 +69,36 @@
 	return a;
 }
 
+static void
+connect_client(struct fixture *f)
+{
+	f->client = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(connect(f->client, (struct sockaddr *)&f->address,
+			     sizeof(f->address)),
+	    0);
+}
+
 static struct fixture *
 create(const struct jh_uv_server_limits *limits)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
-	struct sockaddr_in address = free_address();
 
+	f->address = free_address();
 	uv_loop_init(&f->loop);
 	f->server = jh_uv_server_create(&f->loop, limits, &server_ops, f);
-	assert_int_equal(jh_uv_server_listen(f->server, &address), 0);
-	f->client = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(
-	    connect(f->client, (struct sockaddr *)&address, sizeof(address)),
-	    0);
+	assert_int_equal(jh_uv_server_listen(f->server, &f->address), 0);
+	connect_client(f);
 	return f;
 }
 
+/* Closes the client's connection and opens another one. */
+static void
+reconnect(struct fixture *f)
+{
+	close(f->client);
+	connect_client(f);
+}
+
 static void
 destroy(struct fixture *f)
 {
@@ -171,6 +186,26 @@
 	destroy(f);
 }
 
+/*
+ * Guards against a reset of new clients because the end of connections that
+ * count for the limit is not read yet.
+ */
+static void
+limit_does_not_count_clients_that_left_in_a_pause(void **state)
+{
+	const struct jh_uv_server_limits limits = {
+	    .head_bytes = 4096, .connections = 1};
+	struct fixture *f = create(&limits);
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	reconnect(f);
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	assert_int_equal(f->requests, 2);
+	destroy(f);
+}
+
 /* Guards against a time-out of a request whose rest has arrived. */
 static void
 rest_that_arrived_in_a_pause_is_read(void **state)
@@ -282,6 +317,7 @@
 	    cmocka_unit_test(
 		request_of_a_client_that_left_in_a_pause_is_dropped),
 	    cmocka_unit_test(idle_time_is_stated_with_a_margin),
+	    cmocka_unit_test(limit_does_not_count_clients_that_left_in_a_pause),
 	    cmocka_unit_test(rest_that_arrived_in_a_pause_is_read),
 	    cmocka_unit_test(
 		request_of_a_client_that_reset_in_a_pause_is_dropped),
