Count the time of a request from when the kernel received it

A request that had expired in the pause was run.

Cause: counts from the poll before, but only if the loop was busy. A process that is not run while it waits for events sees no busy loop, so the request counted from when it was read, as before. In the other case time was counted that had passed before the request arrived: after a busy loop of 0.6 s, a request that came at its end had 0.6 s less than the client gave.

The kernel knows when the last bytes arrived (TCP_INFO). The server now asks it when it reads the first bytes of a request, and when it accepts a connection.

Ruled out: the time between the decision and the send; the time in the head was 2999 ms, so the request left at once. Not covered: a request whose bytes arrive in several segments during one pause counts from the last of them.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -6,6 +6,8 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
+#include <jacinthhill/clock.h>
+
 #include "net/conn.h"
 
 /* Holds most messages in one read. */
@@ -255,6 +257,24 @@
 	return (size_t)n;
 }
 
+bool
+jh_conn_arrival(const struct jh_conn *c, uint64_t *at)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+	uint64_t now = jh_now();
+	uv_os_fd_t fd;
+
+	if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return false;
+	/* Some network stacks have these fields, but do not set them. */
+	if (info.tcpi_last_data_recv == 0 && info.tcpi_last_data_sent == 0)
+		return false;
+	*at = now - MIN(info.tcpi_last_data_recv * JH_USEC_PER_MSEC, now);
+	return true;
+}
+
 bool
 jh_conn_has_input(const struct jh_conn *c)
 {
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include <netinet/in.h>
 #include <uv.h>
@@ -39,6 +40,13 @@
 /* Bytes that the peer sent and that were not read yet. */
 size_t jh_conn_unread(const struct jh_conn *c);
 
+/*
+ * Sets *at to the jh_now() time at which the last bytes from the peer arrived,
+ * read or not, or at which the connection was established if there were none.
+ * Returns false if the kernel does not tell.
+ */
+bool jh_conn_arrival(const struct jh_conn *c, uint64_t *at);
+
 /*
  * Whether the kernel has something to read: bytes, or the end of the
  * connection.
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -35,7 +35,7 @@
 	GByteArray *body;
 	const struct jh_server_request_ops *ops;
 	void *arg;
-	uint64_t started; /* time of the first byte; 0: none yet */
+	uint64_t started; /* arrival of the first bytes; 0: none yet */
 	uint64_t idle_since;
 	bool request_done; /* the parser has a whole request */
 	bool active; /* passed to the handler */
@@ -232,6 +232,17 @@
 	dispatch(req);
 }
 
+/* jh_now() time at which what is being read, or the connection, arrived. */
+static uint64_t
+arrival(const struct jh_server_request *req)
+{
+	uint64_t at;
+
+	if (jh_conn_arrival(req->conn, &at))
+		return at;
+	return jh_loop_lag_arrival(req->server->lag);
+}
+
 static void
 on_data(void *arg, const char *p, size_t n)
 {
@@ -239,8 +250,7 @@
 	enum jh_parse_result r;
 
 	if (req->started == 0)
-		req->started =
-		    MAX(req->idle_since, jh_loop_lag_arrival(req->server->lag));
+		req->started = MAX(req->idle_since, arrival(req));
 	req->parsing = true;
 	r = jh_http_parser_feed(req->parser, p, n);
 	req->parsing = false;
@@ -292,7 +302,7 @@
 					   : DEFAULT_HEAD_LIMIT,
 	    &parse_ops, req);
 	req->body = g_byte_array_new();
-	req->idle_since = jh_loop_lag_arrival(server->lag);
+	req->idle_since = arrival(req);
 	g_hash_table_add(server->open_connections, req);
 	if (server->limits.connections != 0 &&
 	    g_hash_table_size(server->open_connections) >
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -79,7 +79,7 @@
 const struct jh_head *jh_server_request_head(
     const struct jh_server_request *req);
 struct jh_str jh_server_request_body(const struct jh_server_request *req);
-/* jh_now() time at which the request's first byte may have arrived. */
+/* jh_now() time at which the request's first bytes arrived, read or not. */
 uint64_t jh_server_request_started(const struct jh_server_request *req);
 
 /* Sets the callbacks of a request. */
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -11,6 +11,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 
 #include <glib.h>
 
@@ -28,6 +29,10 @@
 /* Longer than the limit, and than the interval of the server's checks. */
 #define PAUSE_USEC (600 * JH_USEC_PER_MSEC)
 #define WAIT_USEC (5 * JH_USEC_PER_SEC)
+/* The loop waits for events by then. */
+#define SIGNAL_MSEC 20
+/* The clock of the kernel's time-stamps is coarse. */
+#define ARRIVAL_MARGIN_USEC (100 * JH_USEC_PER_MSEC)
 
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -285,6 +290,85 @@
 	destroy(f);
 }
 
+static volatile sig_atomic_t client_to_write;
+static uint64_t written;
+
+/* The request arrives while the process waits for it and does not run. */
+static void
+on_alarm(int sig)
+{
+	const struct timespec pause = {.tv_nsec = PAUSE_USEC * 1000};
+
+	(void)sig;
+	written = jh_now();
+	if (write(client_to_write, REQUEST, strlen(REQUEST)) < 0)
+		abort();
+	nanosleep(&pause, NULL);
+}
+
+/* Runs the loop until on_alarm() has paused it while it waits for events. */
+static void
+pause_while_waiting(struct fixture *f)
+{
+	const struct sigaction action = {.sa_handler = on_alarm};
+	const struct itimerval in = {
+	    .it_value = {.tv_usec = SIGNAL_MSEC * JH_USEC_PER_MSEC}};
+	unsigned int before = f->requests;
+
+	client_to_write = f->client;
+	sigaction(SIGALRM, &action, NULL);
+	setitimer(ITIMER_REAL, &in, NULL);
+	while (f->requests == before)
+		uv_run(&f->loop, UV_RUN_ONCE);
+}
+
+/*
+ * Guards against the same when the process did not run while it waited for
+ * events, as on a machine with more load than processors.
+ */
+static void
+pause_while_waiting_counts_in_the_time_of_a_request(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	pause_while_waiting(f);
+	assert_in_range(f->started, 0, written + ARRIVAL_MARGIN_USEC);
+	destroy(f);
+}
+
+/* Guards against the same for the first request on a connection. */
+static void
+pause_while_waiting_counts_on_a_new_connection(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+
+	pause_while_waiting(f);
+	assert_in_range(f->started, 0, written + ARRIVAL_MARGIN_USEC);
+	destroy(f);
+}
+
+/* Guards against counting time before the request arrived. */
+static void
+pause_before_a_request_does_not_count(void **state)
+{
+	const struct jh_uv_server_limits limits = {.head_bytes = 4096};
+	struct fixture *f = create(&limits);
+	uint64_t sent;
+
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	g_usleep(PAUSE_USEC);
+	sent = jh_now();
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	assert_true(f->started + ARRIVAL_MARGIN_USEC > sent);
+	destroy(f);
+}
+
 /*
  * Guards against a request that crosses the close of its idle connection: the
  * client has to stop using the connection well before the server closes it.
@@ -322,6 +406,10 @@
 	    cmocka_unit_test(
 		request_of_a_client_that_reset_in_a_pause_is_dropped),
 	    cmocka_unit_test(pause_counts_in_the_time_of_a_request),
+	    cmocka_unit_test(
+		pause_while_waiting_counts_in_the_time_of_a_request),
+	    cmocka_unit_test(pause_while_waiting_counts_on_a_new_connection),
+	    cmocka_unit_test(pause_before_a_request_does_not_count),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
