Soak: do not count stalls of the soak as time of a router

Cause: clients, proxies and fake workers run in the soak's process. If it does not run for 0.6 s, a request that a client has sent lies in the soak's own proxy, and no router can know of that time.

The checker now gets a tick each 10 ms and adds the time without ticks since the request was sent to the bound of its time left, and no more. A request that waits in a router is found as before: a pause of routers does not stop the ticks.

test_soak: stall_of_the_soak_is_not_the_routers fails without the addition; stall_excuses_no_more_than_its_length and stall_before_a_request_does_not_excuse_it show that the check is as strict as before otherwise.

--- a/soak/checker.c
+++ b/soak/checker.c
@@ -13,6 +13,8 @@
 /* Executions that may outlive their clients: a few, and a quarter (GONE). */
 #define MAX_LATE_EXECUTIONS 5
 #define MAX_LATE_RATIO 0.25
+/* The soak's own timer is at most this late when the soak runs. */
+#define MIN_STALL_USEC (50 * JH_USEC_PER_MSEC)
 /* Violations beyond this number are counted but not recorded. */
 #define MAX_VIOLATIONS 50
 
@@ -23,6 +25,7 @@
 	enum outcome outcome;
 	unsigned int status;
 	uint64_t closed; /* when the outcome became known */
+	uint64_t stalled; /* stalls of the soak until it was sent, in all */
 	unsigned int executions;
 	unsigned int worker; /* of the last execution */
 	uint64_t started; /* start of the last execution */
@@ -55,6 +58,8 @@
 	uint64_t store_disturbed;
 	uint64_t any_disturbed; /* end of the last fault anywhere */
 	uint64_t config_changed; /* last change of what is allowed */
+	uint64_t ticked; /* time of the last tick; 0: none yet */
+	uint64_t stalled; /* time in which the soak did not run, until then */
 	unsigned int lost, late_executions, cancelled;
 	GPtrArray *violations;
 	unsigned int n_violations;
@@ -163,6 +168,23 @@
 	return ck->workers[worker].disturbed + ck->bounds.connected_after < t;
 }
 
+/* Time in which the soak did not run, until now. */
+static uint64_t
+stalled_until(const struct soak_checker *ck, uint64_t now)
+{
+	uint64_t since = ck->ticked == 0 ? 0 : now - MIN(now, ck->ticked);
+
+	return ck->stalled +
+	       (since > MIN_STALL_USEC ? since - SOAK_TICK_USEC : 0);
+}
+
+void
+soak_checker_tick(struct soak_checker *ck, uint64_t now)
+{
+	ck->stalled = stalled_until(ck, now);
+	ck->ticked = now;
+}
+
 void
 soak_checker_sent(struct soak_checker *ck, const struct soak_request *r)
 {
@@ -171,6 +193,7 @@
 	rec->request = *r;
 	rec->in_touch = is_in_touch(ck, r->router, r->sent);
 	rec->calm = is_calm(ck, r->sent);
+	rec->stalled = stalled_until(ck, r->sent);
 	if (r->crashes_workers)
 		soak_part_checker_sent(ck->parts, r);
 	g_hash_table_insert(ck->records, rec->request.id, rec);
@@ -396,7 +419,8 @@
 check_forwarded(struct soak_checker *ck, uint64_t now, const struct record *rec,
     const struct soak_execution *execution)
 {
-	uint64_t end = rec->request.sent + rec->request.timeout;
+	uint64_t end = rec->request.sent + rec->request.timeout +
+		       stalled_until(ck, now) - rec->stalled;
 	uint64_t left = (uint64_t)execution->remaining_msec * JH_USEC_PER_MSEC;
 
 	if (!jh_str_eq(execution->method, jh_str_from(rec->request.method)) ||
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include <jacinthhill/clock.h>
 #include <jacinthhill/str.h>
 
 /*
@@ -124,6 +125,14 @@
 /* Whether the store was undisturbed for connected_after before t. */
 bool soak_checker_store_undisturbed(const struct soak_checker *ck, uint64_t t);
 
+/*
+ * The soak runs at this time. To be called every SOAK_TICK_USEC: while the soak
+ * itself does not run, it neither passes on what its clients sent nor reads
+ * what its workers received, and this time is not the router's.
+ */
+#define SOAK_TICK_USEC (10 * JH_USEC_PER_MSEC)
+void soak_checker_tick(struct soak_checker *ck, uint64_t now);
+
 /* Records a violation that was detected elsewhere. */
 void soak_checker_add_violation(struct soak_checker *ck, uint64_t now,
     const char *rule, const char *format, ...) G_GNUC_PRINTF(4, 5);
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -285,6 +285,14 @@
 	uv_stop(&fx->loop);
 }
 
+static void
+on_tick(uv_timer_t *t)
+{
+	struct soak_fixture *fx = t->data;
+
+	soak_checker_tick(fx->checker, jh_now());
+}
+
 static void
 set_up(struct soak_fixture *fx)
 {
@@ -331,6 +339,11 @@
 		g_ptr_array_add(
 		    fx->clients, soak_client_create(&fx->loop, fx->checker,
 				     fx->rand, &client_ops, fx));
+	uv_timer_init(&fx->loop, &fx->tick_timer);
+	fx->tick_timer.data = fx;
+	uv_timer_start(&fx->tick_timer, on_tick,
+	    SOAK_TICK_USEC / JH_USEC_PER_MSEC,
+	    SOAK_TICK_USEC / JH_USEC_PER_MSEC);
 	uv_timer_init(&fx->loop, &fx->end_timer);
 	fx->end_timer.data = fx;
 	uv_timer_start(&fx->end_timer, on_finish, length / JH_USEC_PER_MSEC, 0);
@@ -355,6 +368,7 @@
 	fake_objects_destroy(fx->objects);
 	g_ptr_array_free(fx->actions, TRUE);
 	uv_close((uv_handle_t *)&fx->end_timer, NULL);
+	uv_close((uv_handle_t *)&fx->tick_timer, NULL);
 	uv_run(&fx->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&fx->loop);
 	g_ptr_array_free(fx->clients, TRUE);
--- a/soak/state.h
+++ b/soak/state.h
@@ -53,7 +53,7 @@
 	GPtrArray *clients;
 	GPtrArray *actions;
 	GArray *plan;
-	uv_timer_t end_timer;
+	uv_timer_t end_timer, tick_timer;
 	uint64_t started;
 	unsigned int config_version, weights_version;
 	uint64_t parity_since; /* last change between odd and even versions */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -244,6 +244,52 @@
 	expect_violation("BUDGET");
 }
 
+static void
+tick(uint64_t from, uint64_t until)
+{
+	for (; from <= until; from += SOAK_TICK_USEC)
+		soak_checker_tick(checker, from);
+}
+
+static void
+stall_of_the_soak_is_not_the_routers(void **state)
+{
+	struct soak_execution r = execution_of("a");
+
+	tick(START - SEC, START);
+	send("a", SOAK_IDEMPOTENT, SOAK_ALLOWED);
+	/* Sockets may be read before the timer runs. */
+	soak_checker_execution_started(checker, START + SEC, &r);
+	soak_checker_tick(checker, START + SEC);
+	soak_checker_execution_started(checker, START + SEC, &r);
+	expect_no_violation();
+}
+
+static void
+stall_excuses_no_more_than_its_length(void **state)
+{
+	struct soak_execution r = execution_of("a");
+
+	tick(START - SEC, START);
+	send("a", SOAK_IDEMPOTENT, SOAK_ALLOWED);
+	tick(START + SEC, START + 2 * SEC);
+	soak_checker_execution_started(checker, START + 2 * SEC, &r);
+	expect_violation("BUDGET");
+}
+
+static void
+stall_before_a_request_does_not_excuse_it(void **state)
+{
+	struct soak_execution r = execution_of("a");
+
+	tick(START - 3 * SEC, START - 2 * SEC);
+	tick(START - SEC, START);
+	send("a", SOAK_IDEMPOTENT, SOAK_ALLOWED);
+	tick(START, START + SEC);
+	soak_checker_execution_started(checker, START + SEC, &r);
+	expect_violation("BUDGET");
+}
+
 static void
 withdrawn_route_is_found(void **state)
 {
@@ -400,6 +446,9 @@
     CASE(forwarded_api_key_is_found),
     CASE(unknown_request_is_found),
     CASE(longer_deadline_is_found),
+    CASE(stall_of_the_soak_is_not_the_routers),
+    CASE(stall_excuses_no_more_than_its_length),
+    CASE(stall_before_a_request_does_not_excuse_it),
     CASE(withdrawn_route_is_found),
     CASE(later_configuration_may_allow),
     CASE(denied_request_is_found),
