Failing test: a prompt part that crashes workers before their response head

docs/poison.md has this as a limit, so far from reading. With workers that crash in place of the head, two routers send 9 requests with the part in the 3 s that begin 4 s after the fifth crash, where the rule BUDGET allows 3; 28 workers end in all.

The users' page says "begins to write an answer", and in their record each crash has a request with a head, so that this may not occur there.

--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -60,6 +60,7 @@
 	 * crash takes the place of the body or of the first event. NULL: none.
 	 */
 	const char *crash_part;
+	bool crash_headless; /* such a crash takes the place of the head too */
 	unsigned int restart_msec; /* after a crash; 0: stays down */
 	const struct fake_worker_ops *ops; /* may be NULL */
 	void *arg;
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -120,7 +120,8 @@
 	fake_objects_lock(w->objects);
 	if (r->mode == WORKER_SILENT) {
 		uv_timer_stop(&r->timer);
-	} else if (!r->head_sent && (r->is_stream || r->crashes)) {
+	} else if (!r->head_sent && (r->is_stream || r->crashes) &&
+		   !(r->crashes && w->spec.crash_headless)) {
 		send_head(r);
 		uv_timer_start(&r->timer, on_run_timer, w->spec.begin_msec, 0);
 	} else if (r->crashes) {
