Test of a reset after data: the response head is read

Passes on the code as it is: a head that arrives together with the reset of its connection is seen, so that the crash of its worker is evidence.

--- a/test/test_net.c
+++ b/test/test_net.c
@@ -396,6 +396,8 @@
 
 	one_call(&p, &c);
 	assert_int_equal(c.result, JH_CALL_BROKEN);
+	/* The head tells a request that crashed its worker from others. */
+	assert_int_equal(c.status, 200);
 	g_string_free(c.body, TRUE);
 }
 
