Failing test: an engine's crash looks like the end of a stream without a length

The library's path, for streams with neither a length nor chunks. A complete stream of that kind passes.

--- /dev/null
+++ b/test/test_proc_unframed.c
@@ -0,0 +1,231 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include "fakes/port.h"
+#include "harness.h"
+
+/*
+ * Engines whose streams have neither a length nor chunks and end with their
+ * connection. They are threads with a plain socket in place of fake-engine.
+ */
+
+#define ENGINES 2
+#define MARKER "petal-of-death"
+
+#define HEAD                                  \
+	"HTTP/1.1 200 OK\r\n"                 \
+	"Content-Type: text/event-stream\r\n" \
+	"X-Cached-Tokens: 0\r\n\r\n"
+#define TOKEN(id)       \
+	"id: " #id "\n" \
+	"data: {\"choices\":[{\"delta\":{\"content\":\"w" #id "\"}}]}\n\n"
+#define DONE "data: [DONE]\n\n"
+
+/* Requests with the part, and the most of them that may reach engines. */
+#define REQUESTS 12
+#define MAX_ARRIVALS 5
+#define INTERVAL_USEC (500 * JH_USEC_PER_MSEC)
+
+struct raw_engine {
+	struct proc *fake; /* whose port it has */
+	char *load; /* the fake's reply to /v1/load */
+	int listener;
+	pthread_t thread;
+};
+
+static struct fixture *fixture;
+static struct raw_engine engines[ENGINES];
+static int arrivals; /* atomic: requests with the marker */
+
+/* Reads a head and the body that it announces. */
+static bool
+read_request(int fd, char *buf, size_t len)
+{
+	const char *end, *field;
+	size_t n = 0, total = len - 1;
+	ssize_t r;
+
+	while (n < total) {
+		r = read(fd, buf + n, len - 1 - n);
+		if (r <= 0)
+			return false;
+		n += (size_t)r;
+		buf[n] = '\0';
+		end = strstr(buf, "\r\n\r\n");
+		if (end == NULL)
+			continue;
+		field = g_strstr_len(buf, end - buf, "Content-Length: ");
+		total = (size_t)(end + 4 - buf);
+		if (field != NULL)
+			total += strtoul(
+			    field + strlen("Content-Length: "), NULL, 10);
+	}
+	return true;
+}
+
+static void
+reply(int fd, const char *text)
+{
+	(void)!write(fd, text, strlen(text));
+}
+
+static void
+reply_json(int fd, const char *body)
+{
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+				     "Connection: close\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+	    strlen(body), body);
+
+	reply(fd, text);
+	g_free(text);
+}
+
+/* A request with the marker ends its engine after the head of the response. */
+static void
+serve(const struct raw_engine *e, int fd)
+{
+	char buf[16384];
+
+	if (!read_request(fd, buf, sizeof(buf)))
+		return;
+	if (g_str_has_prefix(buf, "GET /v1/load")) {
+		reply_json(fd, e->load);
+	} else if (!g_str_has_prefix(buf, "POST /v1/chat/completions")) {
+		reply_json(fd, "{}");
+	} else if (strstr(buf, MARKER) != NULL) {
+		g_atomic_int_inc(&arrivals);
+		reply(fd, HEAD);
+	} else {
+		reply(fd, HEAD TOKEN(1) TOKEN(2) DONE);
+	}
+}
+
+static void *
+run_engine(void *arg)
+{
+	struct raw_engine *e = arg;
+	int fd;
+
+	while ((fd = accept(e->listener, NULL, NULL)) >= 0) {
+		serve(e, fd);
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Takes the place of the fake engine. */
+static void
+start_engine(struct raw_engine *e, struct proc *fake)
+{
+	struct call_spec spec = {
+	    .port = fake->port, .method = "GET", .path = "/v1/load"};
+	struct sockaddr_in address = fake_loopback(fake->port);
+	struct call *c = call_run(&spec);
+	int on = 1;
+
+	e->fake = fake;
+	e->load = g_strdup(call_body(c));
+	call_free(c);
+	proc_kill(fake);
+	e->listener = socket(AF_INET, SOCK_STREAM, 0);
+	(void)setsockopt(
+	    e->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	assert_int_equal(
+	    bind(e->listener, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(listen(e->listener, 64), 0);
+	pthread_create(&e->thread, NULL, run_engine, e);
+}
+
+static int
+set_up(void **state)
+{
+	static const struct fixture_spec spec = {
+	    .entries = 1, .engines = ENGINES};
+	unsigned int i;
+
+	fixture = fixture_create(&spec);
+	for (i = 0; i < ENGINES; i++)
+		start_engine(&engines[i], &fixture->backend[i]);
+	g_atomic_int_set(&arrivals, 0);
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	unsigned int i;
+
+	for (i = 0; i < ENGINES; i++) {
+		shutdown(engines[i].listener, SHUT_RDWR);
+		pthread_join(engines[i].thread, NULL);
+		close(engines[i].listener);
+		g_free(engines[i].load);
+	}
+	fixture_destroy(fixture);
+	return 0;
+}
+
+/* Runs a request whose last message is like no other. */
+static struct call *
+run_request(const char *first, unsigned int n)
+{
+	char *text = g_strdup_printf(
+	    "{\"model\":\"small\",\"stream\":true,\"max_tokens\":2,"
+	    "\"messages\":[{\"role\":\"system\",\"content\":\"%s\"},"
+	    "{\"role\":\"user\",\"content\":\"question %u\"}]}",
+	    first, n);
+	struct call *c = chat_start(fixture, 0, text, NULL);
+
+	call_join(c);
+	g_free(text);
+	return c;
+}
+
+/* Guards against taking the end of the connection for a failure. */
+static void
+test_complete(void **state)
+{
+	struct call *c = run_request("You are brief.", 1);
+
+	assert_int_equal(call_status(c), 200);
+	assert_true(call_complete(c));
+	assert_int_equal(call_event_count(c), 3);
+	call_free(c);
+}
+
+/* Guards against taking an engine's crash for the end of a stream. */
+static void
+test_part_that_crashes_engines(void **state)
+{
+	struct call *c;
+	unsigned int i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		c = run_request("Measure the " MARKER ".", i);
+		assert_false(call_status(c) == 200 && call_complete(c));
+		call_free(c);
+		g_usleep(INTERVAL_USEC);
+	}
+	print_message("%d requests with the part reached engines\n",
+	    g_atomic_int_get(&arrivals));
+	assert_in_range(g_atomic_int_get(&arrivals), 1, MAX_ARRIVALS);
+}
+
+static const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown(test_complete, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(
+	test_part_that_crashes_engines, set_up, tear_down),
+};
+
+HARNESS_MAIN(tests)
