A stream of an engine is complete only with its end marker

What callers saw: requests with one message crashed engine after engine, and a response cut off by the crash was passed on by the agent as a complete one.

Cause: a stream with neither a length nor chunks ends with its connection, and libcurl then reports it as complete. After a crash behind the response head the agent reported none, and cleared the crashes of the message instead.

Why it works: the end of a stream is its event [DONE], which the entry daemon requires already; an engine's reply without it counts as a lost connection. Ruled out: the entry daemon, which takes no stream for complete without the marker. A response of JSON that is cut off in the same way is not recognised.

--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -188,13 +188,40 @@
 	jh_http_req_reply(req, 502, "text/plain", "engine lost\n", 12);
 }
 
+/* Whether the last event ends the stream. The caller holds j->lock. */
+static bool
+has_end_marker(const struct agent_job *j)
+{
+	return g_str_has_suffix(j->log->str, "[DONE]\n\n") ||
+	       g_str_has_suffix(j->log->str, "[DONE]\r\n\r\n");
+}
+
+/*
+ * Whether the engine's connection ended within a stream. To libcurl, one with
+ * neither a length nor chunks is complete then.
+ */
+static bool
+is_cut_off(struct agent_job *j, enum jh_http_result result)
+{
+	bool cut_off;
+
+	pthread_mutex_lock(&j->lock);
+	cut_off = result == JH_HTTP_OK && j->engine_ok && j->is_stream &&
+		  !has_end_marker(j);
+	pthread_mutex_unlock(&j->lock);
+	return cut_off;
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
 	struct agent_job *j = arg;
-	bool complete = result == JH_HTTP_OK, first_output;
+	bool complete, first_output;
 	uint64_t crash_seq = 0;
 
+	if (is_cut_off(j, result))
+		result = JH_HTTP_CONNECTION_LOST;
+	complete = result == JH_HTTP_OK;
 	if (result == JH_HTTP_CONNECTION_LOST)
 		crash_seq = agent_report_engine_crash(j);
 	pthread_mutex_lock(&j->lock);
