Quota: send no grant that starves a holder while older grants end

Callers got 429 limit_exceeded for one to two seconds at all entry daemons of a region but the one restarted, or at an added one, for an organisation far below its limit.

Cause: when an entry daemon restarts within 2 s, the granter counts the allocation of its old incarnation, which is in force, and the equal share of the new one. With the allocations of the others that is over the limit, so nothing is left for the next that reports: it was granted 0, which replaces the allocation that it had. When one is added, the others hold the whole limit and it gets 0.

Fix: if the others leave less for a holder than it may use without this grant, up to its equal share, the granter sends no grant, for at most one lifetime. The holder then keeps its allocation until that ends, and after it the least of that and its share; the older grants end meanwhile. The proof of the limit holds as it does for a lost grant. After one lifetime the grant is sent, so that requests that still run are not exceeded by shares for longer.

Ruled out: a grant of the share itself, as it would be above what the others leave (rule 4, on which the proof rests).

The random tests of the limit pass as they are.

--- a/src/admit/quota_granter.c
+++ b/src/admit/quota_granter.c
@@ -283,6 +283,44 @@
 	return used < limit ? limit - used : 0;
 }
 
+/*
+ * Whether the other holders leave less than what the holder may use without
+ * this grant, up to its equal share: some were granted it for fewer members.
+ */
+static bool
+is_starved(struct jh_quota_granter *g, const struct jh_quota_member *m,
+    uint64_t now, const struct jh_quota_report *report)
+{
+	uint64_t kept;
+	int k;
+
+	for (k = 0; k < JH_QUOTA_KINDS; k++) {
+		kept = equal_share(g, k);
+		if (report->held_granter != 0)
+			kept = MIN(kept, report->held_amount[k]);
+		if (available(g, m, now, k) < kept)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether to send no grant now. The holder then keeps what it has, as if the
+ * grant were lost. The grants that starve it end within a lifetime.
+ */
+static bool
+withhold_grant(struct jh_quota_granter *g, struct jh_quota_member *m,
+    uint64_t now, const struct jh_quota_report *report)
+{
+	if (!is_starved(g, m, now, report)) {
+		m->starved_since = 0;
+		return false;
+	}
+	if (m->starved_since == 0)
+		m->starved_since = now;
+	return now < m->starved_since + JH_QUOTA_LIFETIME_USEC;
+}
+
 bool
 jh_quota_granter_handle_report(struct jh_quota_granter *g, uint64_t now,
     const struct jh_quota_report *report, struct jh_quota_grant *grant)
@@ -297,7 +335,8 @@
 	    !jh_quota_member_update(m, now, g->id, report))
 		return false;
 	slot = jh_quota_member_free_slot(m, now);
-	if (unknown_allocation_possible(g, now) || slot == NULL)
+	if (unknown_allocation_possible(g, now) || slot == NULL ||
+	    withhold_grant(g, m, now, report))
 		return false;
 	*grant = (struct jh_quota_grant){.holder = report->holder,
 	    .granter = g->id,
--- a/src/admit/quota_member.h
+++ b/src/admit/quota_member.h
@@ -47,6 +47,8 @@
 	 */
 	uint64_t acked_report_sent_at;
 	uint64_t acked_grant_sent_at;
+	/* Since when the others leave too little for it; 0: they do not. */
+	uint64_t starved_since;
 	/* Largest amount of that grant and of those sent since. */
 	uint64_t max_since_acked[JH_QUOTA_KINDS];
 };
