Tests: programs that run at the same time choose ports of their own

Test programs failed in set-up, "first request not served within 30 s", since a daemon had ended with "cannot listen on RPC port: Address already in use".

Cause: fake_port() returns a port that is free at that moment and listened on later. Programs began at 101 times their process id, modulo 12,000, so that two of them chose from the same part when their ids differed by one (after 101 ports) or by 119, which is usual, as threads have ids too.

Ruled out: holding each port bound until the daemon starts, which leaves a gap at each start and restart; to choose again when a daemon does not start, since its peers have the address in their settings.

--- a/fakes/port.h
+++ b/fakes/port.h
@@ -7,8 +7,9 @@
 struct sockaddr_in fake_loopback(unsigned int port);
 
 /*
- * Returns a loopback TCP port that is free at the moment and outside the
- * ephemeral port range. Not thread-safe.
+ * Returns a loopback TCP port that is free at the moment, outside the ephemeral
+ * port range, and that no other program chooses while this one runs. Not
+ * thread-safe.
  */
 unsigned int fake_port(void);
 
