Soak: pauses of a router beside kept connections, large configurations, power failures

Drawn in addition to the other faults of a seed, which stay the same:

- series of pauses (0.4 to 1 s, for 2 to 6 s) of one router of each plan.
They count as planned work, as the decoding of a large configuration does, so they excuse no lost response;
- one configuration in three has 1,400 routes more;
- several model workers, but not all, crash at the same moment, and single ones, also beside a part that crashes workers, for 8 s after the other faults.

Clients now use a connection again after up to 1 s of 1.25 s idle time, mostly the one that they have. LOST also counts requests that no worker ran, if their connection ended over 0.5 s after they were sent, so that they cannot have crossed the close; a killed router or a reset link excuses them.

--- a/soak/checker.c
+++ b/soak/checker.c
@@ -319,16 +319,23 @@
 	    ck->parts, r, began, rec->calm && is_calm(ck, now));
 }
 
-/* Whether a healthy worker had the request and no fault excuses the router. */
+/*
+ * Whether a request without a complete answer is lost: a healthy worker had it,
+ * or it was sent so long ago that it cannot have crossed the router's close.
+ */
 static bool
-is_lost(const struct soak_checker *ck, const struct record *rec)
+is_lost(const struct soak_checker *ck, const struct record *rec, uint64_t now)
 {
-	return rec->executions > 0 && !rec->faulty &&
+	if (ck->routers[rec->request.router].unplanned +
+		ck->bounds.connected_after >=
+	    rec->request.sent)
+		return false;
+	if (rec->executions == 0)
+		return now > rec->request.sent + ck->bounds.response +
+				 stalled_until(ck, now) - rec->stalled;
+	return !rec->faulty &&
 	       worker_undisturbed(ck, rec->worker, rec->request.sent) &&
-	       ck->workers[rec->worker].draining == 0 &&
-	       ck->routers[rec->request.router].unplanned +
-		       ck->bounds.connected_after <
-		   rec->request.sent;
+	       ck->workers[rec->worker].draining == 0;
 }
 
 static void
@@ -337,9 +344,15 @@
 	rec->outcome = BROKEN;
 	rec->closed = now;
 	ck->totals.broken++;
-	if (!is_lost(ck, rec))
+	if (!is_lost(ck, rec, now) || ++ck->lost <= MAX_LOST_RESPONSES)
 		return;
-	if (++ck->lost > MAX_LOST_RESPONSES)
+	if (rec->executions == 0)
+		soak_checker_add_violation(ck, now, "LOST",
+		    "request %s to entry %u got no answer after %.0f ms and "
+		    "did not run",
+		    rec->request.id, rec->request.router,
+		    (double)(now - rec->request.sent) / 1e3);
+	else
 		soak_checker_add_violation(ck, now, "LOST",
 		    "request %s to entry %u ran at worker %u and got no "
 		    "complete answer",
--- a/soak/client.c
+++ b/soak/client.c
@@ -7,10 +7,14 @@
 #include "fakes/port.h"
 #include "net/conn.h"
 #include "soak/client.h"
+#include "soak/deployment.h"
 
 /* Pause between two requests of a client. */
 #define MIN_PAUSE_MSEC 2
 #define MAX_PAUSE_MSEC 60
+/* One in this many pauses is long. */
+#define LONG_PAUSE_INTERVAL 15
+#define MIN_LONG_PAUSE_MSEC (SOAK_MAX_IDLE_MSEC / 2)
 /* One in this many requests opens a new connection. */
 #define NEW_CONNECTION_INTERVAL 12
 /* A response may arrive this long after the route's timeout. */
@@ -50,7 +54,11 @@
 static void
 schedule_next(struct soak_client *c)
 {
-	int msec = g_rand_int_range(c->rand, MIN_PAUSE_MSEC, MAX_PAUSE_MSEC);
+	bool is_long = g_rand_int_range(c->rand, 0, LONG_PAUSE_INTERVAL) == 0;
+	int msec =
+	    is_long ? g_rand_int_range(
+			  c->rand, MIN_LONG_PAUSE_MSEC, SOAK_MAX_IDLE_MSEC)
+		    : g_rand_int_range(c->rand, MIN_PAUSE_MSEC, MAX_PAUSE_MSEC);
 
 	uv_timer_start(&c->pause_timer, on_pause, (uint64_t)msec, 0);
 }
@@ -287,6 +295,7 @@
 	GString *out;
 
 	memset(o, 0, sizeof(*o));
+	o->port = c->conn != NULL ? c->port : 0;
 	if (!c->ops->next(c->arg, o))
 		return;
 	out = g_string_new(NULL);
--- a/soak/client.h
+++ b/soak/client.h
@@ -15,7 +15,8 @@
 struct soak_client_request {
 	struct soak_request request; /* the checker takes its strings */
 	char *fields; /* "Name: value\r\n" lines, owned */
-	unsigned int port; /* of the router */
+	/* Of the router; before next(), of the open connection, 0 if none. */
+	unsigned int port;
 	bool chunked; /* sends the body in chunks */
 	uint64_t disconnect_usec; /* disconnects after this time; 0: never */
 };
--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -13,26 +13,46 @@
     {"even", "/even/", "idempotent", "app", 0, 0, 0},
 };
 
+static json_t *
+create_route(const struct route *r)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:i, s:b, "
+			 "s:b, s:b, s:i}",
+	    "name", r->name, "host", "h.example", "pathPrefix", r->prefix,
+	    "kind", r->kind, "timeoutMs", SOAK_TIMEOUT_MSEC, "targetLatencyMs",
+	    500, "service", r->service, "attempts", 3, "public", r->open,
+	    "resumable", r->resumable, "sticky", r->resumable, "targetGapMs",
+	    400);
+}
+
+static void
+append_unused_routes(json_t *list, unsigned int n)
+{
+	struct route r = {.kind = "idempotent", .service = "app"};
+	char name[32], prefix[32];
+	unsigned int i;
+
+	r.name = name;
+	r.prefix = prefix;
+	for (i = 0; i < n; i++) {
+		g_snprintf(name, sizeof(name), "unused%u", i);
+		g_snprintf(prefix, sizeof(prefix), "/unused%u/", i);
+		json_array_append_new(list, create_route(&r));
+	}
+}
+
 json_t *
-soak_config_create(unsigned int version)
+soak_config_create(unsigned int version, unsigned int more_routes)
 {
 	json_t *list = json_array(), *orgs = json_array();
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
 		const struct route *r = &routes[i];
-		if (r->parity >= 0 && (unsigned int)r->parity != version % 2)
-			continue;
-		json_array_append_new(list,
-		    json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:s, s:i, s:b, "
-			      "s:b, s:b, s:i}",
-			"name", r->name, "host", "h.example", "pathPrefix",
-			r->prefix, "kind", r->kind, "timeoutMs",
-			SOAK_TIMEOUT_MSEC, "targetLatencyMs", 500, "service",
-			r->service, "attempts", 3, "public", r->open,
-			"resumable", r->resumable, "sticky", r->resumable,
-			"targetGapMs", 400));
+		if (r->parity < 0 || (unsigned int)r->parity == version % 2)
+			json_array_append_new(list, create_route(r));
 	}
+	append_unused_routes(list, more_routes);
 	json_array_append_new(
 	    orgs, json_pack("{s:s, s:[s]}", "name", "t1", "apiKeys", "k1"));
 	json_array_append_new(orgs, json_pack("{s:s, s:[s], s:b}", "name", "t3",
@@ -41,11 +61,11 @@
 		json_array_append_new(orgs,
 		    json_pack("{s:s, s:[s]}", "name", "t2", "apiKeys", "k2"));
 	return json_pack("{s:i, s:o, s:[{s:s, s:{s:i, s:i}}, {s:s}], "
-			 "s:{s:i, s:i}, s:o}",
+			 "s:{s:i, s:i, s:i}, s:o}",
 	    "version", (int)version, "routes", list, "services", "name", "llm",
 	    "engine", "slots", 8, "kvCapacityTokens", 80000, "name", "app",
-	    "limits", "headerBytes", 16384, "bodyBytes", 65536, "tenants",
-	    orgs);
+	    "limits", "headerBytes", 16384, "bodyBytes", 65536, "idleTimeoutMs",
+	    SOAK_IDLE_MSEC, "tenants", orgs);
 }
 
 struct soak_template
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -17,8 +17,17 @@
 /* Timeout of every route. */
 #define SOAK_TIMEOUT_MSEC 3000
 
-/* Returns a new reference to the configuration of that version. */
-json_t *soak_config_create(unsigned int version);
+/* Idle connections of clients may be closed then; clients leave a margin. */
+#define SOAK_IDLE_MSEC 1250
+#define SOAK_MAX_IDLE_MSEC 1000
+/* Routes that no client uses, in a configuration that is slow to decode. */
+#define SOAK_MORE_ROUTES 1400
+
+/*
+ * Returns a new reference to the configuration of that version, with so many
+ * unused routes more.
+ */
+json_t *soak_config_create(unsigned int version, unsigned int more_routes);
 
 /* The kind of request that a client sends. */
 struct soak_template {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -15,6 +15,9 @@
 /* A process that still runs this long after its grace period failed to stop. */
 #define GRACE_MARGIN_USEC (500 * JH_USEC_PER_MSEC)
 
+/* One configuration in so many is large. */
+#define LARGE_INTERVAL 3
+
 /* A function that runs later, from a timer. */
 struct delayed_action {
 	struct soak_fixture *fixture;
@@ -165,7 +168,7 @@
 	soak_process_signal(router->process, SIGCONT);
 	router->frozen = false;
 	soak_checker_disturb_router(
-	    fx->checker, router->number, jh_now(), false);
+	    fx->checker, router->number, jh_now(), f->kind == FAULT_PAUSES);
 }
 
 static void
@@ -175,11 +178,25 @@
 		return;
 	router->frozen = true;
 	soak_checker_disturb_router(router->fixture->checker, router->number,
-	    router->fixture->started + f->until, false);
+	    router->fixture->started + f->until, f->kind == FAULT_PAUSES);
 	soak_process_signal(router->process, SIGSTOP);
 	soak_schedule(router->fixture, f->until - f->at, resume, f);
 }
 
+/* One pause of a series; the router runs for as long before the next. */
+static void
+pause_router(struct soak_fixture *fx, struct soak_fault *f)
+{
+	struct soak_fault pause = *f;
+
+	pause.at = since_start(fx);
+	pause.until = pause.at + f->delay;
+	if (pause.at >= f->until)
+		return;
+	suspend(router_of(fx, f), &pause);
+	soak_schedule(fx, 2 * f->delay, pause_router, f);
+}
+
 static void
 end_store_fault(struct soak_fixture *fx, struct soak_fault *f)
 {
@@ -308,10 +325,26 @@
 	}
 }
 
+/* At least one model worker goes on. */
+static void
+crash_several(struct soak_fixture *fx, const struct soak_fault *f)
+{
+	unsigned int engines = fx->spec.engines, i;
+	unsigned int n = 2 + f->variant % engines;
+	struct soak_fault crash = *f;
+
+	crash.kind = FAULT_WORKER_CRASH;
+	for (i = 0; i < MIN(n, engines - 1); i++) {
+		crash.target = (f->target + i) % engines;
+		disturb_worker(fx, &crash);
+	}
+}
+
 void
 soak_publish_config(struct soak_fixture *fx, unsigned int version)
 {
-	json_t *config = soak_config_create(version);
+	json_t *config = soak_config_create(
+	    version, fx->large_config ? SOAK_MORE_ROUTES : 0);
 
 	if (version % 2 != fx->config_version % 2) {
 		fx->parity_since = jh_now();
@@ -372,6 +405,12 @@
 		    fx->checker, router->number, jh_now(), true);
 		soak_process_signal(router->process, SIGHUP);
 		break;
+	case FAULT_PAUSES:
+		pause_router(fx, f);
+		break;
+	case FAULT_POWER:
+		crash_several(fx, f);
+		break;
 	case FAULT_STORE_REFUSES:
 		disturb_store(fx, f, OBJECTS_REFUSE);
 		break;
@@ -397,6 +436,7 @@
 		    fx, router, router->client_proxy, restore_client_link, f);
 		break;
 	case FAULT_CONFIG:
+		fx->large_config = f->variant / 2 % LARGE_INTERVAL == 0;
 		soak_publish_config(
 		    fx, fx->config_version + 1 + f->variant % 2);
 		break;
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -19,6 +19,8 @@
 /* Faults begin this long after the start and end this long before the end. */
 #define WARMUP_USEC (3 * JH_USEC_PER_SEC)
 #define RECOVERY_USEC (11 * JH_USEC_PER_SEC)
+/* Overlapping faults go on beside the poison, after other faults have ended. */
+#define OVERLAP_TAIL_USEC (8 * JH_USEC_PER_SEC)
 /* This fraction of the requests sent in the last FINAL_USEC must be served. */
 #define FINAL_USEC (3 * JH_USEC_PER_SEC)
 #define MIN_FINAL_RATIO 0.9
@@ -29,6 +31,9 @@
 /* One request in so many is abandoned early; one in so many is chunked. */
 #define ABANDON_INTERVAL 15
 #define CHUNKED_INTERVAL 4
+/* One request in so many goes to any router, the others on a kept connection.
+ */
+#define OTHER_ROUTER_INTERVAL 4
 #define MAX_ABANDON_USEC (200 * JH_USEC_PER_MSEC)
 
 static int64_t
@@ -127,11 +132,17 @@
 	}
 }
 
+/* The client's connection to kept_port, 0 if none, is mostly used again. */
 static struct soak_router *
-choose_router(struct soak_fixture *fx)
+choose_router(struct soak_fixture *fx, unsigned int kept_port)
 {
+	bool keep = g_rand_int_range(fx->rand, 0, OTHER_ROUTER_INTERVAL) != 0;
 	unsigned int i, at;
 
+	for (i = 0; keep && i < fx->spec.routers; i++) {
+		if (fx->routers[i].port == kept_port)
+			return &fx->routers[i];
+	}
 	at = (unsigned int)g_rand_int_range(
 	    fx->rand, 0, (gint32)fx->spec.routers);
 	for (i = 0; i < fx->spec.routers; i++) {
@@ -149,7 +160,7 @@
 {
 	struct soak_fixture *fx = arg;
 	struct soak_template template = soak_template_draw(fx->rand);
-	struct soak_router *router = choose_router(fx);
+	struct soak_router *router = choose_router(fx, out->port);
 	struct soak_prompt prompt;
 	GString *fields = g_string_new(NULL);
 	struct soak_request *r = &out->request;
@@ -325,6 +336,8 @@
 	    soak_plan_draw(fx->rand, fx->spec.routers, WARMUP_USEC, until);
 	if (fx->spec.poison)
 		soak_plan_add_poison(fx->plan, fx->rand, WARMUP_USEC, until);
+	soak_plan_add_overlaps(fx->plan, fx->rand, WARMUP_USEC,
+	    until + (fx->spec.poison ? OVERLAP_TAIL_USEC : 0));
 	soak_poison_prepare(fx);
 	for (i = 0; i < fx->n_workers; i++)
 		create_worker(fx, i);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -14,6 +14,14 @@
 /* Delay of a slow link; the platform calls its store slow from 0.3 s on. */
 #define MIN_DELAY_SEC 0.05
 #define MAX_DELAY_SEC 0.8
+/* Series of pauses of a router, and what lies between two series. */
+#define MAX_SERIES_INTERVAL_SEC 2.0
+#define MIN_SERIES_SEC 2.0
+#define MAX_SERIES_SEC 6.0
+#define MIN_PAUSE_SEC 0.4
+#define MAX_PAUSE_SEC 1.0
+/* Between crashes of workers and power failures beside them. */
+#define MEAN_CRASH_INTERVAL_SEC 2.0
 /*
  * The rules on a crashing prompt part begin 4 and 8 s after its fifth crash,
  * and bind routers 4 s after the other faults.
@@ -49,6 +57,7 @@
     [FAULT_KILL_ALL] = {"kill_all", 1, true, AFFECTS_ALL_ROUTERS},
     [FAULT_STOP] = {"stop", 3, true, AFFECTS_ROUTER},
     [FAULT_RELOAD] = {"reload", 1, false, AFFECTS_ROUTER},
+    [FAULT_PAUSES] = {"pauses", 0, true, AFFECTS_ROUTER},
     [FAULT_STORE_REFUSES] = {"store_refuses", 2, true, AFFECTS_STORE},
     [FAULT_STORE_SILENT] = {"store_silent", 2, true, AFFECTS_STORE},
     [FAULT_STORE_LOSES_RESPONSES] = {"store_loses_answers", 2, true,
@@ -59,6 +68,7 @@
     [FAULT_WORKER_CRASH] = {"worker_crash", 4, true, AFFECTS_WORKER},
     [FAULT_WORKER_DRAINS] = {"worker_leaves", 3, true, AFFECTS_WORKER},
     [FAULT_WORKER_LINK] = {"worker_link", 4, true, AFFECTS_WORKER},
+    [FAULT_POWER] = {"power", 0, true, AFFECTS_NONE},
     [FAULT_POISON_PART] = {"poison_part", 0, true, AFFECTS_NONE},
     [FAULT_CLIENT_LINK] = {"caller_link", 3, true, AFFECTS_ROUTER},
     [FAULT_CONFIG] = {"config", 5, false, AFFECTS_NONE},
@@ -149,6 +159,53 @@
 	return (x->at > y->at) - (x->at < y->at);
 }
 
+static void
+add_pauses(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	struct soak_fault f = {.kind = FAULT_PAUSES};
+
+	f.target = g_rand_int(rand);
+	for (;;) {
+		f.at = from + draw_duration(rand, 0, MAX_SERIES_INTERVAL_SEC);
+		if (f.at >= until)
+			return;
+		f.until =
+		    f.at + draw_duration(rand, MIN_SERIES_SEC, MAX_SERIES_SEC);
+		f.until = MIN(f.until, until);
+		f.delay = draw_duration(rand, MIN_PAUSE_SEC, MAX_PAUSE_SEC);
+		g_array_append_val(plan, f);
+		from = f.until;
+	}
+}
+
+static void
+add_crashes(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	struct soak_fault f = {.at = from};
+
+	for (;;) {
+		f.at += draw_duration(rand, 0, 2 * MEAN_CRASH_INTERVAL_SEC);
+		if (f.at >= until)
+			return;
+		f.kind =
+		    g_rand_boolean(rand) ? FAULT_POWER : FAULT_WORKER_CRASH;
+		f.until = f.at + draw_duration(
+				     rand, MIN_DURATION_SEC, MAX_DURATION_SEC);
+		f.until = MIN(f.until, until);
+		f.target = g_rand_int(rand);
+		f.variant = g_rand_int(rand);
+		g_array_append_val(plan, f);
+	}
+}
+
+void
+soak_plan_add_overlaps(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	add_pauses(plan, rand, from, until);
+	add_crashes(plan, rand, from, until);
+	g_array_sort(plan, compare_times);
+}
+
 void
 soak_plan_add_poison(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
 {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -15,6 +15,11 @@
 	FAULT_KILL_ALL,
 	FAULT_STOP, /* SIGTERM */
 	FAULT_RELOAD, /* SIGHUP */
+	/*
+	 * Short pauses in series, as by large configurations. They count as
+	 * planned work, so they excuse no lost response.
+	 */
+	FAULT_PAUSES,
 	/* The store. */
 	FAULT_STORE_REFUSES,
 	FAULT_STORE_SILENT,
@@ -27,6 +32,8 @@
 	FAULT_WORKER_CRASH,
 	FAULT_WORKER_DRAINS,
 	FAULT_WORKER_LINK,
+	/* Several model workers crash at the same moment. */
+	FAULT_POWER,
 	/*
 	 * Requests with one certain prompt part, which crashes each worker
 	 * that begins to write an answer on it.
@@ -56,7 +63,7 @@
 	uint64_t until; /* end of the fault; equals at if it has no duration */
 	unsigned int target; /* router or worker; the user takes the modulus */
 	unsigned int variant; /* selects a mode; the user takes the modulus */
-	uint64_t delay; /* of a slow link */
+	uint64_t delay; /* of a slow link; length of each pause */
 };
 
 const char *soak_fault_name(enum soak_fault_kind kind);
@@ -70,6 +77,14 @@
 GArray *soak_plan_draw(
     GRand *rand, unsigned int routers, uint64_t from, uint64_t until);
 
+/*
+ * Adds pauses of one router, which may be the excluded one, power failures and
+ * crashes of workers between from and until, after the other faults of a seed
+ * were drawn, which stay the same.
+ */
+void soak_plan_add_overlaps(
+    GArray *plan, GRand *rand, uint64_t from, uint64_t until);
+
 /*
  * Adds one FAULT_POISON_PART, which begins soon after from and outlasts until,
  * by SOAK_POISON_TAIL_SEC at most. It follows soak_plan_draw(), which never
--- a/soak/state.h
+++ b/soak/state.h
@@ -56,6 +56,7 @@
 	uv_timer_t end_timer, tick_timer;
 	uint64_t started;
 	unsigned int config_version, weights_version;
+	bool large_config; /* the configuration has SOAK_MORE_ROUTES */
 	uint64_t parity_since; /* last change between odd and even versions */
 	struct soak_poison poison;
 	unsigned int store_fault; /* number of faults of the store so far */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -388,6 +388,44 @@
 	expect_violation("LOST");
 }
 
+/* Four requests that no worker ran, without an answer after so long. */
+static void
+break_unread(uint64_t after)
+{
+	static const char *const ids[] = {"a", "b", "c", "d"};
+	unsigned int i;
+
+	tick(START - SEC, START);
+	for (i = 0; i < 4; i++)
+		send(ids[i], SOAK_NON_IDEMPOTENT, SOAK_ALLOWED);
+	tick(START, START + after);
+	for (i = 0; i < 4; i++)
+		soak_checker_broken(checker, START + after, ids[i]);
+}
+
+static void
+unread_requests_are_found_beside_planned_work(void **state)
+{
+	soak_checker_disturb_router(checker, 0, START, true);
+	break_unread(6 * SEC / 10);
+	expect_violation("LOST");
+}
+
+static void
+requests_that_cross_a_close_are_not_lost(void **state)
+{
+	break_unread(4 * SEC / 10);
+	expect_no_violation();
+}
+
+static void
+killed_router_excuses_unread_requests(void **state)
+{
+	soak_checker_disturb_router(checker, 0, START, false);
+	break_unread(6 * SEC / 10);
+	expect_no_violation();
+}
+
 static void
 two_holders_of_a_token_are_found(void **state)
 {
@@ -432,6 +470,31 @@
 	g_rand_free(b);
 }
 
+/* Overlapping faults are added to the others, which stay as they are. */
+static void
+overlaps_leave_the_other_faults_as_they_are(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(9);
+	GArray *plan = soak_plan_draw(rand, 4, SEC, 20 * SEC);
+	guint before = plan->len, others = 0, pauses = 0, i;
+	uint64_t last = 0;
+
+	soak_plan_add_overlaps(plan, rand, SEC, 30 * SEC);
+	for (i = 0; i < plan->len; i++) {
+		const struct soak_fault *f =
+		    &g_array_index(plan, struct soak_fault, i);
+		assert_true(f->at >= last && f->until <= 30 * SEC);
+		last = f->at;
+		pauses += f->kind == FAULT_PAUSES ? 1 : 0;
+		others +=
+		    f->kind == FAULT_PAUSES || f->kind == FAULT_POWER ? 0 : 1;
+	}
+	assert_true(pauses > 2 && others >= before);
+	assert_true(plan->len > before + 8);
+	g_array_free(plan, TRUE);
+	g_rand_free(rand);
+}
+
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 static const struct CMUnitTest tests[] = {
@@ -457,9 +520,13 @@
     CASE(request_to_draining_worker_is_found),
     CASE(lost_responses_are_found_after_three),
     CASE(planned_stop_excuses_no_lost_response),
+    CASE(unread_requests_are_found_beside_planned_work),
+    CASE(requests_that_cross_a_close_are_not_lost),
+    CASE(killed_router_excuses_unread_requests),
     CASE(two_holders_of_a_token_are_found),
     CASE(lower_token_is_found),
     cmocka_unit_test(plan_depends_only_on_its_seed),
+    cmocka_unit_test(overlaps_leave_the_other_faults_as_they_are),
 };
 
 int
