Tests of suspects: one table and one round for all fleets

new_table() and send_round() stood in test_suspect_fleet and in test_suspect_limits, and the simulation had a third copy of the round. They are in suspect_fleet.c now.

--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -25,7 +25,6 @@
 #define SEEDS 20
 /* What a message between routers holds. */
 #define RECORDS 36
-#define HISTORY 16
 
 struct job {
 	struct jh_fingerprint part[MAX_PARTS];
@@ -48,7 +47,7 @@
 	const struct suspect_fleet_spec *spec;
 	GRand *rand;
 	struct jh_suspects *table[ROUTERS];
-	uint64_t revision[ROUTERS][HISTORY];
+	uint64_t revision[ROUTERS][SUSPECT_ROUNDS];
 	unsigned int down_until[WORKERS], starts[WORKERS];
 	struct job job[MAX_JOBS];
 	struct report report[MAX_JOBS];
@@ -59,6 +58,37 @@
 	unsigned int group_sound[64], group_refused[64]; /* by first part */
 };
 
+struct jh_suspects *
+suspect_table(void)
+{
+	struct jh_suspects_settings settings = {JH_SUSPECTS_DEFAULTS};
+
+	return jh_suspects_create(&settings);
+}
+
+/* Takes what a router sends that sent the changes of the last rounds. */
+static size_t
+take_round(const struct jh_suspects *from, uint64_t now,
+    uint64_t revision[SUSPECT_ROUNDS], unsigned int number,
+    struct jh_crash c[RECORDS])
+{
+	uint64_t since = revision[number % SUSPECT_ROUNDS];
+
+	revision[number % SUSPECT_ROUNDS] = jh_suspects_revision(from);
+	return jh_suspects_export_latest(from, now, since, number, c, RECORDS);
+}
+
+void
+suspect_send_round(const struct jh_suspects *from, struct jh_suspects *to,
+    uint64_t now, uint64_t revision[SUSPECT_ROUNDS], unsigned int number)
+{
+	struct jh_crash c[RECORDS];
+	size_t n = take_round(from, now, revision, number, c);
+
+	if (to != NULL)
+		jh_suspects_merge(to, now, c, n);
+}
+
 static uint64_t
 time_at(unsigned int step)
 {
@@ -237,14 +267,13 @@
 
 	for (from = 0; from < ROUTERS; from++) {
 		struct jh_crash c[RECORDS];
-		uint64_t *since = &f->revision[from][number % HISTORY];
-		uint64_t revision = jh_suspects_revision(f->table[from]);
 		size_t n;
-		if (*since == revision && number % 5 != 0)
+		if (f->revision[from][number % SUSPECT_ROUNDS] ==
+			jh_suspects_revision(f->table[from]) &&
+		    number % 5 != 0)
 			continue;
-		n = jh_suspects_export_latest(
-		    f->table[from], time_at(step), *since, number, c, RECORDS);
-		*since = revision;
+		n = take_round(f->table[from], time_at(step), f->revision[from],
+		    number, c);
 		for (to = 0; to < ROUTERS; to++) {
 			unsigned int late =
 			    f->spec->pause_steps > 0
@@ -261,7 +290,6 @@
 static bool
 play(const struct suspect_fleet_spec *s, guint32 seed)
 {
-	struct jh_suspects_settings settings = {JH_SUSPECTS_DEFAULTS};
 	struct fleet *f = g_new0(struct fleet, 1);
 	unsigned int step, i;
 	bool ok;
@@ -269,7 +297,7 @@
 	f->spec = s;
 	f->rand = g_rand_new_with_seed(seed);
 	for (i = 0; i < ROUTERS; i++)
-		f->table[i] = jh_suspects_create(&settings);
+		f->table[i] = suspect_table();
 	for (step = 0; step < STEPS; step++) {
 		if (g_rand_double(f->rand) < s->sound_rate)
 			add_request(f, step, false);
--- a/test/suspect_fleet.h
+++ b/test/suspect_fleet.h
@@ -1,12 +1,25 @@
 #ifndef TEST_SUSPECT_FLEET_H
 #define TEST_SUSPECT_FLEET_H
 
+#include <jacinthhill/suspects.h>
+
+/* Rounds in which a router sends a change. */
+#define SUSPECT_ROUNDS 16
+
+/* The caller destroys it. */
+struct jh_suspects *suspect_table(void);
+/*
+ * Plays one round between routers; to is NULL if the message is lost. revision:
+ * at the last rounds, all 0 at first; number: of the round.
+ */
+void suspect_send_round(const struct jh_suspects *from, struct jh_suspects *to,
+    uint64_t now, uint64_t revision[SUSPECT_ROUNDS], unsigned int number);
+
 /*
  * A fleet of routers and workers in virtual time: requests of several parts,
  * some of which crash workers, beside ordinary crashes, power failures and
  * paused routers.
  */
-
 struct suspect_fleet_spec {
 	const char *name;
 	double sound_rate, poison_rate; /* in each step */
--- a/test/test_suspect_fleet.c
+++ b/test/test_suspect_fleet.c
@@ -15,54 +15,29 @@
 /* Parts that crash workers, and fleets that are beset by them. */
 
 #define SEC JH_USEC_PER_SEC
-/* What a message between routers holds, and rounds in which it is sent. */
-#define RECORDS 36
-#define HISTORY 16
-
-static struct jh_suspects *
-new_table(void)
-{
-	struct jh_suspects_settings settings = {JH_SUSPECTS_DEFAULTS};
-
-	return jh_suspects_create(&settings);
-}
-
-/* One round: what a router sends that sent the last 16 rounds' changes. */
-static void
-send_round(struct jh_suspects *from, struct jh_suspects *to, uint64_t now,
-    uint64_t revision[HISTORY], unsigned int number)
-{
-	uint64_t since = revision[number % HISTORY];
-	struct jh_crash c[RECORDS];
-	size_t n;
-
-	revision[number % HISTORY] = jh_suspects_revision(from);
-	n = jh_suspects_export_latest(from, now, since, number, c, RECORDS);
-	if (to != NULL)
-		jh_suspects_merge(to, now, c, n);
-}
 
 /* Guards against a quarantine that a router keeps when it missed its end. */
 static void
 router_that_was_cut_off_learns_that_a_part_is_sound(void **state)
 {
-	struct jh_suspects *a = new_table(), *b = new_table();
-	uint64_t from_a[HISTORY] = {0}, from_b[HISTORY] = {0}, now = SEC;
+	struct jh_suspects *a = suspect_table(), *b = suspect_table();
+	uint64_t from_a[SUSPECT_ROUNDS] = {0}, from_b[SUSPECT_ROUNDS] = {0},
+		 now = SEC;
 	struct jh_fingerprint part = jh_fingerprint_of_part(1);
 	unsigned int round, i;
 
 	for (i = 0; i < 3; i++)
 		jh_suspects_parts_crashed(a, now += SEC, i, 1, &part, 1);
 	for (round = 0; round < 5; round++)
-		send_round(a, b, now += SEC / 5, from_a, round);
+		suspect_send_round(a, b, now += SEC / 5, from_a, round);
 	assert_int_equal(jh_suspects_parts_crashes(b, now, &part, 1, NULL), 3);
 	/* b is cut off for 5 s, in which output clears the part at a. */
 	jh_suspects_parts_succeeded(a, now, &part, 1);
 	for (; round < 30; round++)
-		send_round(a, NULL, now += SEC / 5, from_a, round);
+		suspect_send_round(a, NULL, now += SEC / 5, from_a, round);
 	for (; round < 300; round++) {
-		send_round(a, b, now += SEC / 5, from_a, round);
-		send_round(b, a, now, from_b, round);
+		suspect_send_round(a, b, now += SEC / 5, from_a, round);
+		suspect_send_round(b, a, now, from_b, round);
 	}
 	assert_int_equal(jh_suspects_parts_crashes(a, now, &part, 1, NULL), 0);
 	assert_int_equal(jh_suspects_parts_crashes(b, now, &part, 1, NULL), 0);
@@ -74,9 +49,9 @@
 static void
 all_quarantined_parts_reach_a_router_that_starts(void **state)
 {
-	struct jh_suspects *a = new_table(), *b = new_table();
+	struct jh_suspects *a = suspect_table(), *b = suspect_table();
 	struct jh_fingerprint part[6];
-	uint64_t from_a[HISTORY] = {0}, now = SEC;
+	uint64_t from_a[SUSPECT_ROUNDS] = {0}, now = SEC;
 	unsigned int round, i;
 
 	/* The cause is the first of five shared parts, in nine crashes. */
@@ -87,7 +62,7 @@
 		jh_suspects_parts_crashed(a, now += SEC, i, 1, part, 6);
 	}
 	for (round = 0; round < 300; round++)
-		send_round(a, b, now += SEC / 5, from_a, round);
+		suspect_send_round(a, b, now += SEC / 5, from_a, round);
 	assert_int_equal(jh_suspects_parts_quarantined(b, now), 5);
 	assert_in_range(
 	    jh_suspects_parts_crashes(b, now, part, 5, NULL), 3, 16);
@@ -99,7 +74,7 @@
 static void
 part_that_two_causes_share_is_served(void **state)
 {
-	struct jh_suspects *s = new_table();
+	struct jh_suspects *s = suspect_table();
 	struct jh_fingerprint p[3], sound[3];
 	unsigned int i;
 
@@ -120,7 +95,7 @@
 static void
 part_of_an_ordinary_crash_beside_a_cause_is_served(void **state)
 {
-	struct jh_suspects *s = new_table();
+	struct jh_suspects *s = suspect_table();
 	struct jh_fingerprint p[3], sound[3];
 	unsigned int i;
 
--- a/test/test_suspect_limits.c
+++ b/test/test_suspect_limits.c
@@ -18,48 +18,23 @@
  */
 
 #define SEC JH_USEC_PER_SEC
-/* What a message between routers holds, and rounds in which it is sent. */
-#define RECORDS 36
-#define HISTORY 16
-
-static struct jh_suspects *
-new_table(void)
-{
-	struct jh_suspects_settings settings = {JH_SUSPECTS_DEFAULTS};
-
-	return jh_suspects_create(&settings);
-}
-
-/* One round: what a router sends that sent the last 16 rounds' changes. */
-static void
-send_round(struct jh_suspects *from, struct jh_suspects *to, uint64_t now,
-    uint64_t revision[HISTORY], unsigned int number)
-{
-	uint64_t since = revision[number % HISTORY];
-	struct jh_crash c[RECORDS];
-	size_t n;
-
-	revision[number % HISTORY] = jh_suspects_revision(from);
-	n = jh_suspects_export_latest(from, now, since, number, c, RECORDS);
-	if (to != NULL)
-		jh_suspects_merge(to, now, c, n);
-}
 
 /* Guards against power failures that routers notice at different times. */
 static void
 power_failure_seen_late_counts_once(void **state)
 {
-	struct jh_suspects *a = new_table(), *b = new_table(), *c = new_table();
+	struct jh_suspects *a = suspect_table(), *b = suspect_table(),
+			   *c = suspect_table();
 	struct jh_fingerprint part = jh_fingerprint_of_part(1);
-	uint64_t revision[HISTORY] = {0};
+	uint64_t revision[SUSPECT_ROUNDS] = {0};
 
 	/* Three workers fail at once; b and c are paused for 0.3 and 0.6 s. */
 	jh_suspects_parts_crashed(a, SEC, 1, 1, &part, 1);
 	jh_suspects_parts_crashed(b, SEC + 300000, 2, 1, &part, 1);
 	jh_suspects_parts_crashed(c, SEC + 600000, 3, 1, &part, 1);
-	send_round(b, a, SEC + 600000, revision, 0);
+	suspect_send_round(b, a, SEC + 600000, revision, 0);
 	memset(revision, 0, sizeof(revision));
-	send_round(c, a, SEC + 600000, revision, 0);
+	suspect_send_round(c, a, SEC + 600000, revision, 0);
 	assert_int_equal(
 	    jh_suspects_parts_crashes(a, 2 * SEC, &part, 1, NULL), 1);
 	jh_suspects_destroy(a);
