Suspects: one look for a crash, one for a fingerprint in a list

A look for a crash by reporter and number stood in entry.c, exchange.c, suspects.c and parts.c, and has_part() of parts.c was the twin of contains() in suspects.c.

--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -15,18 +15,26 @@
 	return last;
 }
 
-static bool
-has_counted_crash(
-    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
+unsigned int
+jh_suspect_entry_find(
+    const struct jh_suspect_entry *e, uint64_t reporter, uint64_t seq)
 {
 	unsigned int i;
 
 	for (i = 0; i < e->n; i++) {
-		if (e->crash[i].reporter == c->reporter &&
-		    e->crash[i].seq == c->seq && !e->crash[i].cleared)
-			return true;
+		if (e->crash[i].reporter == reporter && e->crash[i].seq == seq)
+			break;
 	}
-	return false;
+	return i;
+}
+
+static bool
+has_counted_crash(
+    const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
+{
+	unsigned int i = jh_suspect_entry_find(e, c->reporter, c->seq);
+
+	return i < e->n && !e->crash[i].cleared;
 }
 
 unsigned int
@@ -168,13 +176,10 @@
 jh_suspect_entry_merge(
     struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
 {
-	unsigned int i;
+	unsigned int i = jh_suspect_entry_find(e, c->reporter, c->seq);
 
-	for (i = 0; i < e->n; i++) {
-		if (e->crash[i].reporter == c->reporter &&
-		    e->crash[i].seq == c->seq)
-			return merge_duplicate(e, i, c);
-	}
+	if (i < e->n)
+		return merge_duplicate(e, i, c);
 	if (e->n == JH_SUSPECT_MAX_CRASHES) {
 		if (compare_crashes(c, &e->crash[0]) < 0)
 			return false;
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -24,6 +24,10 @@
 	uint64_t hint_deadline;
 };
 
+/* Returns the index of the crash, or e->n if the entry doesn't have it. */
+unsigned int jh_suspect_entry_find(
+    const struct jh_suspect_entry *e, uint64_t reporter, uint64_t seq);
+
 /* Sets *deadline, unless NULL, to the time until which the state lasts. */
 enum jh_suspect_state jh_suspect_entry_state(
     const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -135,14 +135,9 @@
 sender_missed_success(
     const struct jh_suspect_entry *e, const struct jh_suspect_crash *c)
 {
-	unsigned int i;
+	unsigned int i = jh_suspect_entry_find(e, c->reporter, c->seq);
 
-	for (i = 0; i < e->n && !c->cleared; i++) {
-		if (e->crash[i].reporter == c->reporter &&
-		    e->crash[i].seq == c->seq)
-			return e->crash[i].cleared;
-	}
-	return false;
+	return !c->cleared && i < e->n && e->crash[i].cleared;
 }
 
 void
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -46,18 +46,6 @@
 	}
 }
 
-static bool
-has_part(const struct jh_fingerprint *part, size_t n, struct jh_fingerprint p)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		if (part[i].high == p.high && part[i].low == p.low)
-			return true;
-	}
-	return false;
-}
-
 /* Crashes of a part that no other part explains, but chance may. */
 #define STRAY_CRASHES 1
 
@@ -88,7 +76,7 @@
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
-		if (has_part(part, n, other->fingerprint) ||
+		if (jh_fingerprint_in(part, n, other->fingerprint) ||
 		    !may_explain(other, e, now))
 			continue;
 		some |= jh_suspect_entry_remove(&left, other);
@@ -147,12 +135,10 @@
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
-		for (i = 0; i < e->n; i++) {
-			if (e->crash[i].reporter != reporter ||
-			    e->crash[i].seq != seq || e->crash[i].cleared)
-				continue;
-			e->crash[i].cleared = true;
-			e->revision = ++s->revision;
-		}
+		i = jh_suspect_entry_find(e, reporter, seq);
+		if (i == e->n || e->crash[i].cleared)
+			continue;
+		e->crash[i].cleared = true;
+		e->revision = ++s->revision;
 	}
 }
--- a/src/poison/suspects.c
+++ b/src/poison/suspects.c
@@ -21,6 +21,19 @@
 	return x->high == y->high && x->low == y->low;
 }
 
+bool
+jh_fingerprint_in(
+    const struct jh_fingerprint *list, size_t n, struct jh_fingerprint f)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (fingerprint_eq(&list[i], &f))
+			return true;
+	}
+	return false;
+}
+
 struct jh_suspects *
 jh_suspects_create(const struct jh_suspects_settings *settings)
 {
@@ -105,30 +118,6 @@
 	return JH_SUSPECT_NONE;
 }
 
-static bool
-has_crash(const struct jh_suspect_entry *e, uint64_t reporter, uint64_t seq)
-{
-	unsigned int i;
-
-	for (i = 0; e != NULL && i < e->n; i++) {
-		if (e->crash[i].reporter == reporter && e->crash[i].seq == seq)
-			return true;
-	}
-	return false;
-}
-
-static bool
-contains(const struct jh_fingerprint *batch, size_t n, struct jh_fingerprint p)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		if (fingerprint_eq(&batch[i], &p))
-			return true;
-	}
-	return false;
-}
-
 /* Returns the number of distinct suspects in the batch. */
 static size_t
 count_suspects(const struct jh_suspects *s, uint64_t now,
@@ -137,7 +126,7 @@
 	size_t i, count = 0;
 
 	for (i = 0; i < n; i++)
-		count += !contains(batch, i, batch[i]) &&
+		count += !jh_fingerprint_in(batch, i, batch[i]) &&
 			 jh_suspects_state(s, now, batch[i], NULL) !=
 			     JH_SUSPECT_NONE;
 	return count;
@@ -155,7 +144,8 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (has_crash(jh_suspects_find(s, batch[i]), reporter, seq))
+		e = jh_suspects_find(s, batch[i]);
+		if (e != NULL && jh_suspect_entry_find(e, reporter, seq) < e->n)
 			continue;
 		c.sole = single_suspect && jh_suspects_state(s, now, batch[i],
 					       NULL) != JH_SUSPECT_NONE;
--- a/src/poison/table.h
+++ b/src/poison/table.h
@@ -12,6 +12,9 @@
 	uint64_t revision; /* number of changes so far */
 };
 
+bool jh_fingerprint_in(
+    const struct jh_fingerprint *list, size_t n, struct jh_fingerprint f);
+
 struct jh_suspect_entry *jh_suspects_find(
     const struct jh_suspects *s, struct jh_fingerprint fingerprint);
 
