Suspects: two more crashes for a part that has had output

A quarantine is a guess after three crashes without output in between, and takes no account of the output before them.

Each process now remembers 4,096 parts that had output in the last 10 minutes, and a crash of such a part says so when it is exchanged; so does a crash that output clears. The quarantine of such a part, and the rule that a request is not retried, take two more crashes. A cause that is new has had no output, so its bounds stay three and two; a part that turns into a cause is quarantined by its fifth crash, from which the users count. A crash that is voided is not output.

Mixed versions: a flag bit that the old gossip ignores; between daemons 'sole', which was unused for parts, so the format stays.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -13,7 +13,8 @@
  * that was running on an engine when it crashed is a suspect, and is not run
  * together with another suspect. If an engine crashes while the request is its
  * only suspect, or the request is in a third crash, it is quarantined. A part
- * is quarantined by its third crash without a success in between. Times are
+ * is quarantined by its third crash without a success in between, one that has
+ * had a success before by its fifth. Times are
  * microseconds of the process's own clock. The rules are in docs/poison.md.
  */
 struct jh_suspects;
@@ -35,6 +36,12 @@
 /* Number of crashes that quarantine a request or a part in any case. */
 #define JH_SUSPECT_QUARANTINE_CRASHES 3
 
+/*
+ * So many crashes of a part do not count if it has had output: sound parts are
+ * in crashes of other causes, and a part that crashes engines has no output.
+ */
+#define JH_SUSPECT_OUTPUT_CRASHES 2
+
 /* A request with a part that was in so many crashes is not retried. */
 #define JH_SUSPECT_NO_RETRY_CRASHES 2
 
@@ -72,6 +79,7 @@
 	uint64_t remaining_usec; /* how long it still counts */
 	bool sole; /* the request was the only suspect in the batch */
 	bool cleared; /* the request has since run successfully */
+	bool had_output; /* of a part: it is known to have had output */
 };
 
 struct jh_suspects *jh_suspects_create(const struct jh_suspects_settings *s);
@@ -134,10 +142,11 @@
 
 /*
  * Returns the number of crashes of the part of a request that was in most of
- * them; it is refused from JH_SUSPECT_QUARANTINE_CRASHES on. A part does not
- * count if other parts, which the request does not have, were in all the same
- * crashes but one: each of these is quarantined or was in all of them. Sets
- * *deadline, unless NULL, to the time until which the number lasts.
+ * them; it is refused from JH_SUSPECT_QUARANTINE_CRASHES on. The first
+ * JH_SUSPECT_OUTPUT_CRASHES of a part that has had output do not count. A part
+ * does not count if other parts, which the request does not have, were in all
+ * the same crashes but one: each of these is quarantined or was in all of them.
+ * Sets *deadline, unless NULL, to the time until which the number lasts.
  */
 unsigned int jh_suspects_parts_crashes(const struct jh_suspects *s,
     uint64_t now, const struct jh_fingerprint *part, size_t n,
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -136,7 +136,7 @@
 		(*list)[i].sequence = all[i].seq;
 		(*list)[i].remaining_ms =
 		    (u_int)(all[i].remaining_usec / JH_USEC_PER_MSEC);
-		(*list)[i].sole = all[i].sole;
+		(*list)[i].sole = all[i].sole || all[i].had_output;
 		(*list)[i].cleared = all[i].cleared;
 	}
 	g_free(all);
@@ -146,6 +146,7 @@
 crash_log_merge(struct crash_log *l, const struct jh_wire_crash *list, u_int n)
 {
 	struct jh_crash c;
+	bool is_part;
 	u_int i;
 
 	pthread_mutex_lock(&l->lock);
@@ -155,8 +156,10 @@
 		    .reporter = list[i].reporter,
 		    .seq = list[i].sequence,
 		    .remaining_usec = list[i].remaining_ms * JH_USEC_PER_MSEC,
-		    .sole = list[i].sole != 0,
 		    .cleared = list[i].cleared != 0};
+		is_part = jh_fingerprint_is_part(c.fingerprint);
+		c.sole = list[i].sole && !is_part;
+		c.had_output = list[i].sole && is_part;
 		jh_suspects_merge(l->table, jh_now(), &c, 1);
 	}
 	pthread_mutex_unlock(&l->lock);
--- a/src/gateway/crash_message.c
+++ b/src/gateway/crash_message.c
@@ -9,6 +9,7 @@
 
 #define FLAG_SOLE 1U
 #define FLAG_CLEARED 2U
+#define FLAG_HAD_OUTPUT 4U
 
 size_t
 jh_crash_message_write(const struct jh_suspects *s, uint64_t now,
@@ -28,7 +29,9 @@
 		jh_wire_put(&at, c->seq, 8);
 		jh_wire_put(&at, c->remaining_usec, 6);
 		jh_wire_put(&at,
-		    (c->sole ? FLAG_SOLE : 0) | (c->cleared ? FLAG_CLEARED : 0),
+		    (c->sole ? FLAG_SOLE : 0) |
+			(c->cleared ? FLAG_CLEARED : 0) |
+			(c->had_output ? FLAG_HAD_OUTPUT : 0),
 		    1);
 	}
 	return (size_t)(at - out);
@@ -55,6 +58,7 @@
 		flags = jh_wire_take(&at, 1);
 		c->sole = (flags & FLAG_SOLE) != 0;
 		c->cleared = (flags & FLAG_CLEARED) != 0;
+		c->had_output = (flags & FLAG_HAD_OUTPUT) != 0;
 	}
 	jh_suspects_merge(s, now, crash, n);
 	return true;
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -73,11 +73,8 @@
 void
 exchange_clear_suspects(struct exchange *x)
 {
-	struct jh_suspects *s = x->gateway->suspects;
-
-	if (jh_suspects_len(s) > 0)
-		jh_suspects_parts_succeeded(
-		    s, jh_now(), x->suspect_part, x->n_suspect_parts);
+	jh_suspects_parts_succeeded(x->gateway->suspects, jh_now(),
+	    x->suspect_part, x->n_suspect_parts);
 }
 
 bool
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -62,6 +62,35 @@
 	return last > now ? count : 0;
 }
 
+bool
+jh_suspect_entry_had_output(const struct jh_suspect_entry *e)
+{
+	unsigned int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->crash[i].had_output)
+			return true;
+	}
+	return false;
+}
+
+unsigned int
+jh_suspect_entry_part_evidence(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline)
+{
+	unsigned int count =
+	    jh_suspect_entry_part_crashes(e, NULL, now, deadline);
+	unsigned int all = 0, i;
+
+	if (count == 0 || !jh_suspect_entry_had_output(e))
+		return count;
+	for (i = 0; i < e->n; i++)
+		all += !e->crash[i].cleared;
+	return all > JH_SUSPECT_OUTPUT_CRASHES
+		   ? MIN(count, all - JH_SUSPECT_OUTPUT_CRASHES)
+		   : 1;
+}
+
 bool
 jh_suspect_entry_remove(
     struct jh_suspect_entry *e, const struct jh_suspect_entry *other)
@@ -97,8 +126,7 @@
 
 	if (jh_fingerprint_is_part(e->fingerprint))
 		return state_of(
-		    jh_suspect_entry_part_crashes(e, NULL, now, deadline),
-		    false);
+		    jh_suspect_entry_part_evidence(e, now, deadline), false);
 	for (i = 0; i < e->n; i++) {
 		if (e->crash[i].cleared)
 			continue;
@@ -162,6 +190,7 @@
 
 	new.cleared |= c->cleared;
 	new.sole |= c->sole;
+	new.had_output |= c->had_output;
 	/*
 	 * Processes exchange deadlines as remaining time, which adds the
 	 * transmission delay each time. Taking the earlier deadline keeps them
@@ -169,7 +198,8 @@
 	 */
 	new.deadline = MIN(old.deadline, c->deadline);
 	insert_sorted(e, new);
-	return new.cleared != old.cleared || new.sole != old.sole;
+	return new.cleared != old.cleared || new.sole != old.sole ||
+	       new.had_output != old.had_output;
 }
 
 bool
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -10,6 +10,7 @@
 	uint64_t deadline; /* until when it counts */
 	bool sole;
 	bool cleared;
+	bool had_output; /* a part had output before this crash or after it */
 };
 
 /* The crashes of requests with one fingerprint. */
@@ -40,6 +41,16 @@
 unsigned int jh_suspect_entry_part_crashes(const struct jh_suspect_entry *e,
     const struct jh_suspect_entry *except, uint64_t now, uint64_t *deadline);
 
+/* Whether a part is known to have had output; a cause seldom has. */
+bool jh_suspect_entry_had_output(const struct jh_suspect_entry *e);
+
+/*
+ * Returns the number of crashes that speak against a part: all that count, or,
+ * if it has had output, all but JH_SUSPECT_OUTPUT_CRASHES, at least one.
+ */
+unsigned int jh_suspect_entry_part_evidence(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
+
 /* Removes the crashes that other was in too; returns whether there were any. */
 bool jh_suspect_entry_remove(
     struct jh_suspect_entry *e, const struct jh_suspect_entry *other);
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -1,5 +1,19 @@
 #include "poison/table.h"
 
+static struct jh_suspect_output *
+output_slot(struct jh_suspects *s, struct jh_fingerprint part)
+{
+	return &s->output[part.low % JH_SUSPECT_OUTPUTS];
+}
+
+static bool
+had_output(struct jh_suspects *s, uint64_t now, struct jh_fingerprint part)
+{
+	const struct jh_suspect_output *o = output_slot(s, part);
+
+	return o->deadline > now && jh_fingerprint_in(&part, 1, o->part);
+}
+
 void
 jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now,
     uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
@@ -12,6 +26,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
+		c.had_output = had_output(s, now, part[i]);
 		e = jh_suspects_find_or_add(s, now, part[i]);
 		if (jh_suspect_entry_merge(e, &c))
 			e->revision = ++s->revision;
@@ -27,6 +42,7 @@
 	for (i = 0; i < e->n; i++) {
 		changed |= !e->crash[i].cleared;
 		e->crash[i].cleared = true;
+		e->crash[i].had_output = true;
 	}
 	if (changed)
 		e->revision = ++s->revision;
@@ -40,6 +56,8 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
+		*output_slot(s, part[i]) = (struct jh_suspect_output){
+		    part[i], now + s->settings.hold_usec};
 		e = jh_suspects_find(s, part[i]);
 		if (e != NULL)
 			clear(s, e);
@@ -55,7 +73,7 @@
     const struct jh_suspect_entry *e, uint64_t now)
 {
 	return jh_fingerprint_is_part(other->fingerprint) &&
-	       (jh_suspect_entry_part_crashes(other, NULL, now, NULL) >=
+	       (jh_suspect_entry_part_evidence(other, now, NULL) >=
 		       JH_SUSPECT_QUARANTINE_CRASHES ||
 		   jh_suspect_entry_part_crashes(e, other, now, NULL) == 0);
 }
@@ -98,7 +116,7 @@
 		e = jh_suspects_find(s, part[i]);
 		if (e == NULL)
 			continue;
-		count = jh_suspect_entry_part_crashes(e, NULL, now, &until);
+		count = jh_suspect_entry_part_evidence(e, now, &until);
 		if (count <= most || is_explained(s, now, e, part, n))
 			continue;
 		most = count;
@@ -119,7 +137,7 @@
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
 		if (jh_fingerprint_is_part(e->fingerprint) &&
-		    jh_suspect_entry_part_crashes(e, NULL, now, NULL) >=
+		    jh_suspect_entry_part_evidence(e, now, NULL) >=
 			JH_SUSPECT_QUARANTINE_CRASHES)
 			n++;
 	}
--- a/src/poison/table.h
+++ b/src/poison/table.h
@@ -5,10 +5,21 @@
 
 #include "poison/entry.h"
 
+/* A part that has had output. */
+struct jh_suspect_output {
+	struct jh_fingerprint part;
+	uint64_t deadline; /* until when it counts */
+};
+
+/* Number of parts remembered to have had output. */
+#define JH_SUSPECT_OUTPUTS 4096
+
 /* The table of fingerprints and their crashes. */
 struct jh_suspects {
 	struct jh_suspects_settings settings;
 	GHashTable *entries; /* fingerprint to entry; owns the entries */
+	/* Indexed by the hash of the part; the latest part replaces another. */
+	struct jh_suspect_output output[JH_SUSPECT_OUTPUTS];
 	uint64_t revision; /* number of changes so far */
 };
 
--- a/src/rpc/control.x
+++ b/src/rpc/control.x
@@ -34,7 +34,7 @@
 	unsigned hyper reporter;	/* incarnation of the reporting agent */
 	unsigned hyper sequence;	/* of that reporter's crashes */
 	unsigned int remaining_ms;
-	bool sole;
+	bool sole;	/* of a part: it has had output */
 	bool cleared;
 };
 
--- a/test/test_crash_log.c
+++ b/test/test_crash_log.c
@@ -59,11 +59,34 @@
 	crash_log_destroy(b);
 }
 
+/* Guards against output of a part that other daemons do not learn of. */
+static void
+output_of_a_part_is_exported(void **state)
+{
+	struct crash_log *a = crash_log_create(), *b = crash_log_create();
+	struct jh_fingerprint sound = jh_fingerprint_of_part(1);
+	struct jh_fingerprint cause = jh_fingerprint_of_part(2);
+	uint64_t seq;
+
+	crash_log_parts_succeeded(a, &sound, 1);
+	for (seq = 1; seq <= JH_SUSPECT_QUARANTINE_CRASHES; seq++) {
+		crash_log_parts_crashed(a, REPORTER, seq, &sound, 1);
+		crash_log_parts_crashed(a, REPORTER, 10 + seq, &cause, 1);
+		g_usleep(JH_SUSPECT_CRASH_GAP_USEC);
+	}
+	send_to(a, b);
+	assert_false(crash_log_refuses_parts(b, &sound, 1));
+	assert_true(crash_log_refuses_parts(b, &cause, 1));
+	crash_log_destroy(a);
+	crash_log_destroy(b);
+}
+
 int
 main(void)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(quarantine_is_exported),
+	    cmocka_unit_test(output_of_a_part_is_exported),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_suspect_parts.c
+++ b/test/test_suspect_parts.c
@@ -10,6 +10,8 @@
 #include <jacinthhill/clock.h>
 #include <jacinthhill/suspects.h>
 
+#include "gateway/crash_message.h"
+
 /* Tests of parts of requests that crash engines, in virtual time. */
 
 #define SEC JH_USEC_PER_SEC
@@ -147,6 +149,69 @@
 	jh_suspects_destroy(s);
 }
 
+/* Guards against suspecting a sound part by a few crashes without output. */
+static void
+part_that_has_had_output_needs_five_crashes(void **state)
+{
+	struct jh_suspects *s = new_table(), *other = new_table();
+	struct request r = make(F, X, W1);
+	unsigned int i;
+
+	jh_suspects_parts_succeeded(s, SEC, r.part, 2);
+	for (i = 2; i <= 5; i++) {
+		crash(s, i * SEC, i, make(F, X, W1 + i));
+		assert_in_range(crashes(s, i * SEC, r), 0, 2);
+	}
+	/* A process that has not seen the output learns of it. */
+	copy_all(other, s, 5 * SEC);
+	assert_int_equal(crashes(other, 5 * SEC, r), 2);
+	crash(s, 6 * SEC, 6, make(F, X, W2));
+	assert_true(is_refused(s, 6 * SEC, r));
+	copy_all(other, s, 6 * SEC);
+	assert_true(is_refused(other, 6 * SEC, r));
+	/* What has not had output in the hold time is refused by its third. */
+	for (i = 0; i < 3; i++)
+		crash(s, (700 + i) * SEC, 10 + i, make(G, G, W1 + i));
+	assert_true(is_refused(s, 702 * SEC, make(G, Y, Y)));
+	jh_suspects_destroy(other);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against taking a crash that was none for a part's output. */
+static void
+voided_crash_is_no_output(void **state)
+{
+	struct jh_suspects *s = new_table();
+	unsigned int i;
+
+	crash(s, SEC, 1, make(F, P, W1));
+	jh_suspects_crash_voided(s, 1, 1);
+	for (i = 2; i <= 4; i++)
+		crash(s, i * SEC, i, make(F, P, W1 + i));
+	assert_true(is_refused(s, 4 * SEC, make(F, P, W1)));
+	jh_suspects_destroy(s);
+}
+
+/* Guards against output that gossip does not tell of. */
+static void
+crash_message_tells_of_output(void **state)
+{
+	struct jh_suspects *s = new_table(), *other = new_table();
+	struct request r = make(F, X, W1);
+	unsigned char message[1440];
+	unsigned int i;
+	size_t n;
+
+	jh_suspects_parts_succeeded(s, SEC, r.part, r.n);
+	for (i = 2; i <= 4; i++)
+		crash(s, i * SEC, i, r);
+	n = jh_crash_message_write(s, 4 * SEC, 0, 0, message, sizeof(message));
+	assert_true(jh_crash_message_read(other, 4 * SEC, message, n));
+	assert_int_equal(crashes(other, 4 * SEC, r), 1);
+	jh_suspects_destroy(other);
+	jh_suspects_destroy(s);
+}
+
 /* Guards against suspecting what runs when several engines lose power. */
 static void
 crashes_at_one_moment_count_once(void **state)
@@ -429,6 +494,9 @@
 	    cmocka_unit_test(parts_beside_the_cause_are_served),
 	    cmocka_unit_test(parts_of_a_poison_request_are_served),
 	    cmocka_unit_test(output_clears_a_part),
+	    cmocka_unit_test(part_that_has_had_output_needs_five_crashes),
+	    cmocka_unit_test(voided_crash_is_no_output),
+	    cmocka_unit_test(crash_message_tells_of_output),
 	    cmocka_unit_test(crashes_at_one_moment_count_once),
 	    cmocka_unit_test(reports_of_one_crash_count_once),
 	    cmocka_unit_test(quarantined_parts_are_exported_first),
