Test that fails: a stream is broken off after engines ended under it

A stream whose engines end, for other reasons than the stream, is quarantined at the second or third of these ends and broken off, although it went on after each.

--- a/test/test_proc_poison.c
+++ b/test/test_proc_poison.c
@@ -17,6 +17,10 @@
 #define MIDDLE 20
 #define STREAMS 3
 
+/* Engines that end under a stream, for other reasons. */
+#define ENDED_ENGINES 4
+#define LONG_TOKENS 400
+
 static int
 setup(void **state)
 {
@@ -154,10 +158,55 @@
 	g_free(text);
 }
 
+/* Kills the engine that runs the only request, after some more output. */
+static void
+kill_engine_of(struct fixture *w, struct call *c)
+{
+	guint seen = call_event_count(c);
+	unsigned int i;
+
+	await(call_event_count(c) >= seen + MIDDLE || call_ended(c));
+	if (call_ended(c))
+		fail_msg("the stream has ended after %u events (%s)",
+		    call_event_count(c), call_error(c));
+	for (i = 0; i < w->engines; i++) {
+		if (proc_has_ended(&w->backend[i]) || engine_load(w, i) == 0)
+			continue;
+		proc_kill(&w->backend[i]);
+		return;
+	}
+	fail_msg("no engine runs the stream");
+}
+
+/*
+ * Guards against a stream that is quarantined because engines ended while they
+ * ran it, although it went on after each of these ends.
+ */
+static void
+test_stream_goes_on(void **state)
+{
+	struct fixture *w = *state;
+	char *text = chat_expected_text(w, QUESTION, LONG_TOKENS);
+	char *body = chat_body(QUESTION, LONG_TOKENS, true);
+	struct call *c = chat_start(w, 0, body, NULL);
+	unsigned int i;
+
+	for (i = 0; i < ENDED_ENGINES; i++)
+		kill_engine_of(w, c);
+	call_join(c);
+	check_stream(&c, 1, LONG_TOKENS, text);
+	call_free(c);
+	for (i = 0; i < w->entries; i++)
+		chat_ok(w, i, QUESTION);
+	g_free(body);
+	g_free(text);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_retry, setup, teardown),
     cmocka_unit_test_setup_teardown(test_entries_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_streams, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_stream_goes_on, setup, teardown),
 };
 
 HARNESS_MAIN(tests)
