Poison: a stream that goes on after a crash is not the cause of it

Cause: a crash makes suspects of all requests that ran on the engine. The stream is resumed on another engine and goes on; then a new request, which is no suspect yet, crashes that one too. So the stream is the only suspect in its second crash and is quarantined. Whether it is broken off depends on which comes first at the entry daemon, the agent's report or the end of the connection; the third crash breaks it off in any case, by the entry daemon's own count.

A stream that goes on beyond the point at which a crash broke it off has shown that it does not crash engines up to there, so its crashes until then no longer count, at the entry daemon and at the agent that runs it. A stream that does crash engines within its output crashes the next one before that, and is quarantined as before. One that gets a little further each time is quarantined in its eighth crash. Agents leave the decision on a resumed stream to the entry daemon, because reports of crashes may reach them before the news that they no longer count.

Without the bound of eight crashes test_stream_crashes_engines fails.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -107,6 +107,14 @@
 void jh_suspects_succeeded(
     struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint);
 
+/*
+ * Reports that a stream which a crash broke off has gone on beyond that point:
+ * the request is not the cause of its crashes so far. A quarantine as the only
+ * suspect lasts all the same.
+ */
+void jh_suspects_progressed(
+    struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint);
+
 /* Sets *deadline, unless NULL, to the time until which the state lasts. */
 enum jh_suspect_state jh_suspects_state(const struct jh_suspects *s,
     uint64_t now, struct jh_fingerprint fingerprint, uint64_t *deadline);
--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -131,12 +131,6 @@
 	return j->has_output;
 }
 
-static void
-clear_parts(struct agent_job *j)
-{
-	crash_log_parts_succeeded(j->agent->crashes, j->parts.part, j->parts.n);
-}
-
 static bool
 on_data(void *arg, struct jh_http_call *call, struct jh_str data)
 {
@@ -156,7 +150,7 @@
 		j->blocked = true;
 	pthread_mutex_unlock(&j->lock);
 	if (first_output)
-		clear_parts(j);
+		agent_report_output(j);
 	return true;
 }
 
@@ -237,7 +231,7 @@
 	first_output = complete && begins_output(j, true);
 	pthread_mutex_unlock(&j->lock);
 	if (first_output)
-		clear_parts(j);
+		agent_report_output(j);
 	if (!complete && result != JH_HTTP_CANCELLED) {
 		jh_counters_add(j->agent->counters, AGENT_ENGINE_LOST, 1);
 		jh_event(JH_EV_ENGINE_LOST, G_LOG_LEVEL_WARNING,
--- a/src/agent/suspect.c
+++ b/src/agent/suspect.c
@@ -4,6 +4,17 @@
 
 #include "agent/suspect.h"
 
+/*
+ * Whether the job is a stream that was broken off, by a crash that the entry
+ * daemon counts, and resumed.
+ */
+static bool
+is_resumed(const struct agent_job *j)
+{
+	return jh_job_headers_get_uint(j->work, JH_JOB_POSITION, 0) > 0 &&
+	       jh_job_headers_get_uint(j->work, JH_JOB_CRASHES, 0) > 0;
+}
+
 /*
  * Returns the fingerprints of all jobs, or only of those started, except for
  * one. The caller holds agent->lock.
@@ -50,6 +61,29 @@
 	return out;
 }
 
+/*
+ * Returns the fingerprints of the resumed streams that have gone on. The caller
+ * holds agent->lock.
+ */
+static GArray *
+collect_progressed(struct agent *a)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct jh_fingerprint));
+	struct agent_job *j;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		j = value;
+		pthread_mutex_lock(&j->lock);
+		if (j->has_output && is_resumed(j))
+			g_array_append_val(out, j->fingerprint);
+		pthread_mutex_unlock(&j->lock);
+	}
+	return out;
+}
+
 static const struct jh_fingerprint *
 fingerprints(const GArray *list)
 {
@@ -60,8 +94,9 @@
 agent_report_engine_crash(struct agent_job *j)
 {
 	struct agent *a = j->agent;
-	GArray *batch = NULL, *parts = NULL;
+	GArray *batch = NULL, *parts = NULL, *progressed = NULL;
 	uint64_t seq;
+	guint i;
 
 	pthread_mutex_lock(&a->lock);
 	if (j->started_at > a->crashed_at) {
@@ -69,17 +104,22 @@
 		a->crash_seq++;
 		batch = collect_fingerprints(a, NULL, true);
 		parts = collect_parts(a);
+		progressed = collect_progressed(a);
 	}
 	seq = a->crash_seq;
 	pthread_mutex_unlock(&a->lock);
 	if (batch == NULL)
 		return seq;
+	/* Reports of their earlier crashes may have come after the output. */
+	for (i = 0; i < progressed->len; i++)
+		crash_log_progressed(a->crashes, fingerprints(progressed)[i]);
 	crash_log_crashed(
 	    a->crashes, a->incarnation, seq, fingerprints(batch), batch->len);
 	crash_log_parts_crashed(
 	    a->crashes, a->incarnation, seq, fingerprints(parts), parts->len);
 	g_array_free(batch, TRUE);
 	g_array_free(parts, TRUE);
+	g_array_free(progressed, TRUE);
 	jh_feed_pull_from_random_peer(a->feed);
 	return seq;
 }
@@ -98,9 +138,22 @@
 	verdict = crash_log_may_run(
 	    a->crashes, j->fingerprint, fingerprints(others), others->len);
 	g_array_free(others, TRUE);
+	/* Only the entry daemon knows how far the stream has got. */
+	if (verdict == JH_SUSPECT_REFUSE && is_resumed(j))
+		return JH_SUSPECT_RUN;
 	return verdict;
 }
 
+void
+agent_report_output(struct agent_job *j)
+{
+	struct agent *a = j->agent;
+
+	crash_log_parts_succeeded(a->crashes, j->parts.part, j->parts.n);
+	if (is_resumed(j))
+		crash_log_progressed(a->crashes, j->fingerprint);
+}
+
 bool
 agent_refuses_parts(const struct agent_job *j)
 {
--- a/src/agent/suspect.h
+++ b/src/agent/suspect.h
@@ -16,6 +16,9 @@
  */
 enum jh_suspect_decision agent_may_run(struct agent_job *j);
 
+/* Reports the job's first output in this run. */
+void agent_report_output(struct agent_job *j);
+
 /*
  * Whether the job has a quarantined part. A stream that is resumed has had
  * output, so its parts are not what crashes engines.
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -13,6 +13,12 @@
 /* Largest non-streamed response body that is forwarded, in bytes. */
 #define RESPONSE_LIMIT (16 << 20)
 
+/*
+ * A stream in so many crashes is quarantined, even if it has gone on after each
+ * of them.
+ */
+#define MAX_STREAM_CRASHES 8
+
 static uint64_t
 header_number(struct jh_http_call *call, const char *name, uint64_t fallback)
 {
@@ -249,6 +255,24 @@
 	       parts_crashes(j) >= JH_SUSPECT_QUARANTINE_CRASHES;
 }
 
+/*
+ * Counts a crash of the attempt. If the stream had gone on after an earlier
+ * one, it was not the cause of that.
+ */
+static void
+count_crash(struct entry_job *j)
+{
+	uint64_t position = j->relay == NULL ? 0 : jh_relay_position(j->relay);
+
+	if (j->crashes > 0 && position > j->crash_position) {
+		crash_log_progressed(j->entry->crashes, j->fingerprint);
+		j->crashes = 0;
+	}
+	j->crash_position = position;
+	j->crashes++;
+	j->crashes_in_all++;
+}
+
 /* Retries after an attempt that failed; unless not_sent it may have run. */
 static void
 retry(struct entry_job *j, struct jh_http_call *call, bool not_sent)
@@ -262,11 +286,12 @@
 		j->may_have_run = true;
 		/* Without a status the agent failed, not its engine. */
 		if (jh_http_call_status(call) != 0) {
-			j->crashes++;
+			count_crash(j);
 			note_crash(j, call);
 		}
 		crash_log_hint(e->crashes, j->fingerprint,
-		    g_strcmp0(quarantined, "request") == 0
+		    g_strcmp0(quarantined, "request") == 0 ||
+			    j->crashes_in_all >= MAX_STREAM_CRASHES
 			? JH_SUSPECT_QUARANTINE_CRASHES
 			: j->crashes);
 		/* Choose again, as the failed worker is now in backoff. */
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -60,7 +60,9 @@
 	bool may_have_run;
 	bool response_invalid; /* stream out of order, or body too long */
 	bool deadline_unreachable; /* an agent refused for the deadline */
-	uint32_t crashes;
+	uint32_t crashes; /* since the stream has last gone on after one */
+	uint64_t crash_position; /* of the stream at the last of them */
+	uint32_t crashes_in_all;
 	unsigned int worker_waits; /* since the last accepted attempt */
 	struct jh_fingerprint fingerprint;
 	struct jh_job_parts parts;
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -56,6 +56,14 @@
 	pthread_mutex_unlock(&l->lock);
 }
 
+void
+crash_log_progressed(struct crash_log *l, struct jh_fingerprint print)
+{
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_progressed(l->table, jh_now(), print);
+	pthread_mutex_unlock(&l->lock);
+}
+
 enum jh_suspect_state
 crash_log_state(struct crash_log *l, struct jh_fingerprint print)
 {
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -21,6 +21,7 @@
 void crash_log_hint(
     struct crash_log *l, struct jh_fingerprint print, unsigned int crashes);
 void crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print);
+void crash_log_progressed(struct crash_log *l, struct jh_fingerprint print);
 enum jh_suspect_state crash_log_state(
     struct crash_log *l, struct jh_fingerprint print);
 enum jh_suspect_decision crash_log_may_run(struct crash_log *l,
--- a/src/poison/suspects.c
+++ b/src/poison/suspects.c
@@ -171,16 +171,11 @@
 	e->hint_deadline = now + s->settings.hold_usec;
 }
 
-void
-jh_suspects_succeeded(
-    struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint)
+static void
+clear_crashes(struct jh_suspects *s, struct jh_suspect_entry *e)
 {
-	struct jh_suspect_entry *e = jh_suspects_find(s, fingerprint);
 	unsigned int i;
 
-	if (e == NULL ||
-	    jh_suspect_entry_state(e, now, NULL) != JH_SUSPECT_SUSPECT)
-		return;
 	for (i = 0; i < e->n; i++)
 		e->crash[i].cleared = true;
 	e->hint = 0;
@@ -188,6 +183,42 @@
 	e->revision = ++s->revision;
 }
 
+void
+jh_suspects_succeeded(
+    struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint)
+{
+	struct jh_suspect_entry *e = jh_suspects_find(s, fingerprint);
+
+	if (e != NULL &&
+	    jh_suspect_entry_state(e, now, NULL) == JH_SUSPECT_SUSPECT)
+		clear_crashes(s, e);
+}
+
+/* Whether it was the only suspect in a crash, or the hint says so. */
+static bool
+is_found_cause(const struct jh_suspect_entry *e)
+{
+	unsigned int i;
+
+	for (i = 0; i < e->n; i++) {
+		if (e->crash[i].sole && !e->crash[i].cleared)
+			return true;
+	}
+	return e->hint >= JH_SUSPECT_QUARANTINE_CRASHES;
+}
+
+void
+jh_suspects_progressed(
+    struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint)
+{
+	struct jh_suspect_entry *e = jh_suspects_find(s, fingerprint);
+
+	if (e != NULL &&
+	    jh_suspect_entry_state(e, now, NULL) != JH_SUSPECT_NONE &&
+	    !is_found_cause(e))
+		clear_crashes(s, e);
+}
+
 enum jh_suspect_decision
 jh_suspects_may_run(const struct jh_suspects *s, uint64_t now,
     struct jh_fingerprint fingerprint, const struct jh_fingerprint *running,
--- a/test/test_proc_poison.c
+++ b/test/test_proc_poison.c
@@ -21,6 +21,10 @@
 #define ENDED_ENGINES 4
 #define LONG_TOKENS 400
 
+/* Crashes after which a stream is given up, however far it has got. */
+#define MAX_STREAM_CRASHES 8
+#define ENDLESS_TOKENS 4000
+
 static int
 setup(void **state)
 {
@@ -158,8 +162,11 @@
 	g_free(text);
 }
 
-/* Kills the engine that runs the only request, after some more output. */
-static void
+/*
+ * Kills the engine that runs the only request, after some more output; returns
+ * its index.
+ */
+static unsigned int
 kill_engine_of(struct fixture *w, struct call *c)
 {
 	guint seen = call_event_count(c);
@@ -173,9 +180,10 @@
 		if (proc_has_ended(&w->backend[i]) || engine_load(w, i) == 0)
 			continue;
 		proc_kill(&w->backend[i]);
-		return;
+		return i;
 	}
 	fail_msg("no engine runs the stream");
+	return 0;
 }
 
 /*
@@ -202,11 +210,41 @@
 	g_free(text);
 }
 
+/*
+ * Guards against a stream that crashes engine after engine because it gets a
+ * little further each time.
+ */
+static void
+test_stream_crashes_engines(void **state)
+{
+	struct fixture *w = *state;
+	char *body = chat_body(QUESTION, ENDLESS_TOKENS, true);
+	struct call *c = chat_start(w, 0, body, NULL);
+	unsigned int i, engine;
+
+	for (i = 0; i < MAX_STREAM_CRASHES; i++) {
+		engine = kill_engine_of(w, c);
+		proc_start(&w->backend[engine]);
+		proc_await(&w->backend[engine]);
+	}
+	call_join(c);
+	assert_false(call_complete(c));
+	call_free(c);
+	c = chat_start(w, 0, body, NULL);
+	call_join(c);
+	check_error(c, 422, "request_quarantined", "not_run");
+	call_free(c);
+	chat_ok(w, 0, QUESTION);
+	g_free(body);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_retry, setup, teardown),
     cmocka_unit_test_setup_teardown(test_entries_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_streams, setup, teardown),
     cmocka_unit_test_setup_teardown(test_stream_goes_on, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_stream_crashes_engines, setup, teardown),
 };
 
 HARNESS_MAIN(tests)
--- a/test/test_suspects.c
+++ b/test/test_suspects.c
@@ -166,18 +166,58 @@
 	}
 }
 
+/*
+ * Guards against the quarantine of a stream that has gone on after each crash,
+ * also by reports that arrive late, and against a quarantine that ends because
+ * another run of the request goes on.
+ */
+static void
+progress_clears_earlier_crashes(void **state)
+{
+	struct jh_suspects *s = new_table(16);
+	uint64_t seq;
+
+	jh_suspects_progressed(s, 1, P);
+	for (seq = 1; seq <= 9; seq++) {
+		crash(s, seq, seq, P, R);
+		assert_state(s, seq, P, JH_SUSPECT_SUSPECT);
+		jh_suspects_progressed(s, seq, P);
+		assert_state(s, seq, P, JH_SUSPECT_NONE);
+		jh_suspects_succeeded(s, seq, R);
+	}
+	for (seq = 10; seq <= 12; seq++)
+		crash(s, seq, seq, P, Q);
+	assert_state(s, 13, P, JH_SUSPECT_QUARANTINED);
+	jh_suspects_progressed(s, 13, P);
+	assert_state(s, 13, P, JH_SUSPECT_NONE);
+	assert_state(s, 13, Q, JH_SUSPECT_QUARANTINED);
+	/* Without progress the second crash quarantines it. */
+	crash(s, 14, 14, P, R);
+	crash(s, 15, 15, P, P);
+	assert_state(s, 16, P, JH_SUSPECT_QUARANTINED);
+	jh_suspects_progressed(s, 16, P);
+	assert_state(s, 16, P, JH_SUSPECT_QUARANTINED);
+	jh_suspects_hint(s, 16, R, JH_SUSPECT_QUARANTINE_CRASHES);
+	jh_suspects_progressed(s, 16, R);
+	assert_state(s, 16, R, JH_SUSPECT_QUARANTINED);
+	jh_suspects_destroy(s);
+}
+
 static void
 random_events(GRand *rand, struct jh_suspects *s, uint64_t reporter)
 {
 	struct jh_fingerprint batch[3];
-	int i, j;
+	int i, j, event;
 
 	for (i = 0; i < 12; i++) {
 		for (j = 0; j < 3; j++)
 			batch[j] = (struct jh_fingerprint){
 			    0, (uint64_t)g_rand_int_range(rand, 0, 8)};
-		if (g_rand_int_range(rand, 0, 3) == 0)
+		event = g_rand_int_range(rand, 0, 4);
+		if (event == 0)
 			jh_suspects_succeeded(s, 100, batch[0]);
+		else if (event == 1)
+			jh_suspects_progressed(s, 100, batch[0]);
 		else
 			jh_suspects_crashed(s, 100 + (uint64_t)i, reporter,
 			    (uint64_t)i, batch, 3);
@@ -284,6 +324,7 @@
 	    cmocka_unit_test(suspects_run_apart),
 	    cmocka_unit_test(quarantines_only_suspect),
 	    cmocka_unit_test(third_crash_quarantines),
+	    cmocka_unit_test(progress_clears_earlier_crashes),
 	    cmocka_unit_test(repeated_reports_count_once),
 	    cmocka_unit_test(merge_is_commutative_and_idempotent),
 	    cmocka_unit_test(exports_only_changes),
