Tests that fail: a resumed stream is quarantined for the crash of a new request

jh_suspects_crashed() is told which requests of the batch have had output, which changes nothing yet. A stream that was resumed and has no new output is still a suspect. If a new request crashes the engine in that time, the stream is the only suspect and is quarantined.

--- a/bench/parts/poison_bench.c
+++ b/bench/parts/poison_bench.c
@@ -163,7 +163,7 @@
 	s->crashes++;
 	if (s->track)
 		jh_suspects_crashed(
-		    e->table, now(s), n + 1, ++e->crashes, batch, len);
+		    e->table, now(s), n + 1, ++e->crashes, batch, len, 0);
 	for (i = 0; i < SLOTS; i++) {
 		r = e->slot[i];
 		e->slot[i] = NULL;
--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -87,11 +87,12 @@
 
 /*
  * Reports that an engine crashed while it ran the n requests of the batch. The
- * crash is identified by the agent's incarnation and its number at that agent;
- * repeating a report changes nothing.
+ * last n_begun of them have had output, in this run or in the one that it
+ * resumes. The crash is identified by the agent's incarnation and its number at
+ * that agent; repeating a report changes nothing.
  */
 void jh_suspects_crashed(struct jh_suspects *s, uint64_t now, uint64_t reporter,
-    uint64_t seq, const struct jh_fingerprint *batch, size_t n);
+    uint64_t seq, const struct jh_fingerprint *batch, size_t n, size_t n_begun);
 
 /*
  * Reports the number of crashes from the Jh-Crashes header of a request. It
--- a/src/agent/suspect.c
+++ b/src/agent/suspect.c
@@ -16,12 +16,11 @@
 }
 
 /*
- * Returns the fingerprints of all jobs, or only of those started, except for
- * one. The caller holds agent->lock.
+ * Returns the fingerprints of all jobs except for one. The caller holds
+ * agent->lock.
  */
 static GArray *
-collect_fingerprints(
-    struct agent *a, const struct agent_job *except, bool only_started)
+collect_fingerprints(struct agent *a, const struct agent_job *except)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct jh_fingerprint));
 	struct agent_job *j;
@@ -31,12 +30,43 @@
 	g_hash_table_iter_init(&it, a->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		j = value;
-		if (j != except && (!only_started || j->started_at != 0))
+		if (j != except)
 			g_array_append_val(out, j->fingerprint);
 	}
 	return out;
 }
 
+/*
+ * Returns the fingerprints of the started jobs; those that have had output, in
+ * this run or in the one that it resumes, are the last *n_begun. The caller
+ * holds agent->lock.
+ */
+static GArray *
+collect_batch(struct agent *a, size_t *n_begun)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct jh_fingerprint));
+	struct agent_job *j;
+	GHashTableIter it;
+	gpointer value;
+
+	*n_begun = 0;
+	g_hash_table_iter_init(&it, a->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		j = value;
+		if (j->started_at == 0)
+			continue;
+		pthread_mutex_lock(&j->lock);
+		if (j->has_output || is_resumed(j)) {
+			g_array_append_val(out, j->fingerprint);
+			++*n_begun;
+		} else {
+			g_array_prepend_val(out, j->fingerprint);
+		}
+		pthread_mutex_unlock(&j->lock);
+	}
+	return out;
+}
+
 /*
  * Returns the parts of the started jobs without output: a part that crashes
  * engines does so before the first. The caller holds agent->lock.
@@ -95,6 +125,7 @@
 {
 	struct agent *a = j->agent;
 	GArray *batch = NULL, *parts = NULL, *progressed = NULL;
+	size_t n_begun = 0;
 	uint64_t seq;
 	guint i;
 
@@ -102,7 +133,7 @@
 	if (j->started_at > a->crashed_at) {
 		a->crashed_at = jh_now();
 		a->crash_seq++;
-		batch = collect_fingerprints(a, NULL, true);
+		batch = collect_batch(a, &n_begun);
 		parts = collect_parts(a);
 		progressed = collect_progressed(a);
 	}
@@ -113,8 +144,8 @@
 	/* Reports of their earlier crashes may have come after the output. */
 	for (i = 0; i < progressed->len; i++)
 		crash_log_progressed(a->crashes, fingerprints(progressed)[i]);
-	crash_log_crashed(
-	    a->crashes, a->incarnation, seq, fingerprints(batch), batch->len);
+	crash_log_crashed(a->crashes, a->incarnation, seq, fingerprints(batch),
+	    batch->len, n_begun);
 	crash_log_parts_crashed(
 	    a->crashes, a->incarnation, seq, fingerprints(parts), parts->len);
 	g_array_free(batch, TRUE);
@@ -134,7 +165,7 @@
 	/* Crashes are rare, so this spares nearly all requests the search. */
 	if (crash_log_len(a->crashes) == 0)
 		return JH_SUSPECT_RUN;
-	others = collect_fingerprints(a, j, false);
+	others = collect_fingerprints(a, j);
 	verdict = crash_log_may_run(
 	    a->crashes, j->fingerprint, fingerprints(others), others->len);
 	g_array_free(others, TRUE);
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -32,10 +32,11 @@
 
 void
 crash_log_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
-    const struct jh_fingerprint *batch, size_t n)
+    const struct jh_fingerprint *batch, size_t n, size_t n_begun)
 {
 	pthread_mutex_lock(&l->lock);
-	jh_suspects_crashed(l->table, jh_now(), reporter, seq, batch, n);
+	jh_suspects_crashed(
+	    l->table, jh_now(), reporter, seq, batch, n, n_begun);
 	pthread_mutex_unlock(&l->lock);
 }
 
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -17,7 +17,7 @@
 void crash_log_destroy(struct crash_log *l);
 
 void crash_log_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
-    const struct jh_fingerprint *batch, size_t n);
+    const struct jh_fingerprint *batch, size_t n, size_t n_begun);
 void crash_log_hint(
     struct crash_log *l, struct jh_fingerprint print, unsigned int crashes);
 void crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print);
--- a/src/poison/suspects.c
+++ b/src/poison/suspects.c
@@ -134,7 +134,7 @@
 
 void
 jh_suspects_crashed(struct jh_suspects *s, uint64_t now, uint64_t reporter,
-    uint64_t seq, const struct jh_fingerprint *batch, size_t n)
+    uint64_t seq, const struct jh_fingerprint *batch, size_t n, size_t n_begun)
 {
 	bool single_suspect = count_suspects(s, now, batch, n) == 1;
 	struct jh_suspect_crash c = {.reporter = reporter,
--- a/test/test_crash_log.c
+++ b/test/test_crash_log.c
@@ -26,7 +26,7 @@
 	for (seq = first_seq; seq < first_seq + CRASHES; seq++) {
 		for (i = 0; i < BATCH; i++)
 			batch[i] = (struct jh_fingerprint){2 + seq, i};
-		crash_log_crashed(l, REPORTER, seq, batch, BATCH);
+		crash_log_crashed(l, REPORTER, seq, batch, BATCH, 0);
 	}
 }
 
@@ -51,7 +51,7 @@
 
 	add_suspects(a, 1);
 	for (seq = 1001; seq <= 1003; seq++)
-		crash_log_crashed(a, REPORTER, seq, &poison, 1);
+		crash_log_crashed(a, REPORTER, seq, &poison, 1, 0);
 	assert_int_equal(crash_log_state(a, poison), JH_SUSPECT_QUARANTINED);
 	send_to(a, b);
 	assert_int_equal(crash_log_state(b, poison), JH_SUSPECT_QUARANTINED);
--- a/test/test_proc_poison.c
+++ b/test/test_proc_poison.c
@@ -36,6 +36,17 @@
 	return 0;
 }
 
+static int
+setup_two_engines(void **state)
+{
+	static const struct fixture_spec spec = {.entries = 2,
+	    .engines = 2,
+	    .engine_args = {"--step-usec", "5000", "--crash-on", MARKER}};
+
+	*state = fixture_create(&spec);
+	return 0;
+}
+
 static int
 teardown(void **state)
 {
@@ -210,6 +221,36 @@
 	g_free(text);
 }
 
+/*
+ * Guards against a resumed stream that is taken for the cause of a crash before
+ * its first new output, when a request that crashes engines comes beside it.
+ */
+static void
+test_resumed_stream_beside(void **state)
+{
+	struct fixture *w = *state;
+	char *text = chat_expected_text(w, QUESTION, LONG_TOKENS);
+	char *body = chat_body(QUESTION, LONG_TOKENS, true);
+	struct call *c = chat_start(w, 0, body, NULL);
+	unsigned int first, other;
+
+	await(call_event_count(c) >= MIDDLE);
+	first = engine_load(w, 0) > 0 ? 0 : 1;
+	other = 1 - first;
+	control_set(&w->backend[other], "{\"action\":\"stall\"}");
+	proc_kill(&w->backend[first]);
+	await(engine_load(w, other) > 0);
+	send_poison(w, 1);
+	await(proc_has_ended(&w->backend[other]));
+	proc_start(&w->backend[first]);
+	proc_start(&w->backend[other]);
+	call_join(c);
+	check_stream(&c, 1, LONG_TOKENS, text);
+	call_free(c);
+	g_free(body);
+	g_free(text);
+}
+
 /*
  * Guards against a stream that crashes engine after engine because it gets a
  * little further each time.
@@ -243,6 +284,8 @@
     cmocka_unit_test_setup_teardown(test_entries_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_streams, setup, teardown),
     cmocka_unit_test_setup_teardown(test_stream_goes_on, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_resumed_stream_beside, setup_two_engines, teardown),
     cmocka_unit_test_setup_teardown(
 	test_stream_crashes_engines, setup, teardown),
 };
--- a/test/test_suspects.c
+++ b/test/test_suspects.c
@@ -31,7 +31,7 @@
 {
 	struct jh_fingerprint batch[] = {a, b};
 
-	jh_suspects_crashed(s, now, 7, seq, batch, 2);
+	jh_suspects_crashed(s, now, 7, seq, batch, 2, 0);
 }
 
 /* Exports all crashes of one table and merges them into another. */
@@ -203,6 +203,44 @@
 	jh_suspects_destroy(s);
 }
 
+/*
+ * Guards against the quarantine of a stream because a request that crashes
+ * engines before any output came beside it, and against one that crashes
+ * engines within its output and is never found beside such requests.
+ */
+static void
+requests_without_output_are_suspected_first(void **state)
+{
+	struct jh_fingerprint second[] = {R, P}, third[] = {{4, 4}, P};
+	struct jh_suspects *s = new_table(16);
+
+	crash(s, 1, 1, P, Q);
+	/* P had output before the first crash; the others never. */
+	jh_suspects_crashed(s, 2, 7, 2, second, 2, 1);
+	assert_state(s, 2, P, JH_SUSPECT_SUSPECT);
+	assert_state(s, 2, R, JH_SUSPECT_SUSPECT);
+	/* Its third crash without progress. */
+	jh_suspects_crashed(s, 3, 7, 3, third, 2, 1);
+	assert_state(s, 3, P, JH_SUSPECT_QUARANTINED);
+	assert_state(s, 3, third[0], JH_SUSPECT_SUSPECT);
+	jh_suspects_destroy(s);
+}
+
+/* Guards against a crash without such requests that shows nothing. */
+static void
+only_suspect_with_output_is_quarantined(void **state)
+{
+	struct jh_fingerprint batch[] = {P, Q};
+	struct jh_suspects *s = new_table(16);
+
+	jh_suspects_crashed(s, 1, 7, 1, &P, 1, 1);
+	assert_state(s, 1, P, JH_SUSPECT_SUSPECT);
+	jh_suspects_crashed(s, 2, 7, 2, batch, 2, 2);
+	assert_state(s, 2, P, JH_SUSPECT_QUARANTINED);
+	assert_state(s, 2, Q, JH_SUSPECT_SUSPECT);
+	jh_suspects_destroy(s);
+}
+
 static void
 random_events(GRand *rand, struct jh_suspects *s, uint64_t reporter)
 {
@@ -220,7 +258,8 @@
 			jh_suspects_progressed(s, 100, batch[0]);
 		else
 			jh_suspects_crashed(s, 100 + (uint64_t)i, reporter,
-			    (uint64_t)i, batch, 3);
+			    (uint64_t)i, batch, 3,
+			    (size_t)g_rand_int_range(rand, 0, 4));
 	}
 }
 
@@ -325,6 +364,8 @@
 	    cmocka_unit_test(quarantines_only_suspect),
 	    cmocka_unit_test(third_crash_quarantines),
 	    cmocka_unit_test(progress_clears_earlier_crashes),
+	    cmocka_unit_test(requests_without_output_are_suspected_first),
+	    cmocka_unit_test(only_suspect_with_output_is_quarantined),
 	    cmocka_unit_test(repeated_reports_count_once),
 	    cmocka_unit_test(merge_is_commutative_and_idempotent),
 	    cmocka_unit_test(exports_only_changes),
