Poison: new requests in a crash are suspected before streams with output

A stream that was resumed is a suspect until its first new output. On a busy machine, or with long prompts, that time is long.

A suspect that has had output, in this run or the one that it resumes, is no longer quarantined as the only one if a request without any output was in the crash, which explains it at least as well. Everything else is as before; the number of suspects counted in the batch too.

--- a/src/poison/suspects.c
+++ b/src/poison/suspects.c
@@ -137,6 +137,8 @@
     uint64_t seq, const struct jh_fingerprint *batch, size_t n, size_t n_begun)
 {
 	bool single_suspect = count_suspects(s, now, batch, n) == 1;
+	/* Requests that have had output may only have been beside the cause. */
+	size_t n_sole = n_begun < n ? n - n_begun : n;
 	struct jh_suspect_crash c = {.reporter = reporter,
 	    .seq = seq,
 	    .deadline = now + s->settings.hold_usec};
@@ -147,8 +149,9 @@
 		e = jh_suspects_find(s, batch[i]);
 		if (e != NULL && jh_suspect_entry_find(e, reporter, seq) < e->n)
 			continue;
-		c.sole = single_suspect && jh_suspects_state(s, now, batch[i],
-					       NULL) != JH_SUSPECT_NONE;
+		c.sole = single_suspect && i < n_sole &&
+			 jh_suspects_state(s, now, batch[i], NULL) !=
+			     JH_SUSPECT_NONE;
 		e = jh_suspects_find_or_add(s, now, batch[i]);
 		if (jh_suspect_entry_merge(e, &c))
 			e->revision = ++s->revision;
