--- a/test/test_net.c
+++ b/test/test_net.c
@@ -255,7 +255,7 @@
 
 /* A call during which the loop does not run for 0.4 s while it connects. */
 static enum jh_call_result
-call_with_pause_while_connecting(struct call *c)
+call_with_pause_while_connecting(struct call c)
 {
 	struct peer p = {
 	    .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
@@ -264,18 +264,18 @@
 
 	uv_loop_init(&loop);
 	http_client = jh_uv_client_create(&loop);
-	c->loop = &loop;
-	c->body = g_string_new(NULL);
+	c.loop = &loop;
+	c.body = g_string_new(NULL);
 	peer_start(&p);
-	start_call(http_client, &p.address, c);
+	start_call(http_client, &p.address, &c);
 	g_usleep(400000);
-	while (!c->ended)
+	while (!c.ended)
 		uv_run(&loop, UV_RUN_ONCE);
 	jh_uv_client_destroy(http_client);
 	close_loop(&loop);
 	peer_stop(&p);
-	g_string_free(c->body, TRUE);
-	return c->result;
+	g_string_free(c.body, TRUE);
+	return c.result;
 }
 
 /* Guards against the same for a connection that was opened in time. */
@@ -284,8 +284,7 @@
 {
 	struct call c = {.connect_usec = 200000};
 
-	assert_int_equal(
-	    call_with_pause_while_connecting(&c), JH_CALL_COMPLETE);
+	assert_int_equal(call_with_pause_while_connecting(c), JH_CALL_COMPLETE);
 }
 
 /* Guards against sending a request whose deadline passed meanwhile. */
@@ -294,8 +293,7 @@
 {
 	struct call c = {.limit_usec = 200000};
 
-	assert_int_equal(
-	    call_with_pause_while_connecting(&c), JH_CALL_NOT_SENT);
+	assert_int_equal(call_with_pause_while_connecting(c), JH_CALL_NOT_SENT);
 }
 
 /* Guards against the same for an order that may not be sent late. */
@@ -304,8 +302,7 @@
 {
 	struct call c = {.connect_usec = 200000, .send_usec = 200000};
 
-	assert_int_equal(
-	    call_with_pause_while_connecting(&c), JH_CALL_NOT_SENT);
+	assert_int_equal(call_with_pause_while_connecting(c), JH_CALL_NOT_SENT);
 }
 
 /*
