Suspects: two new causes do not keep the part that they share quarantined

The common part is in every crash and is quarantined with them; the second cause has two crashes, so it does not explain those of the common part, and as all its requests are refused for that part, neither its third crash nor output of a sound one can come.

Up to two parts that never had output now explain crashes of a part that has had output, each from its second crash on. Of a part with output and one without, the second is the likelier cause. The limit of two keeps a part that turns into a cause from going on beside ever more others. A part of the refused request itself never explains, as before.

--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -78,6 +78,51 @@
 		   jh_suspect_entry_part_crashes(e, other, now, NULL) == 0);
 }
 
+/*
+ * Parts without output, each in two crashes or more, that may together explain
+ * those of a part with output. More would let a part that turns into a cause
+ * go on.
+ */
+#define MAX_NEW_CAUSES 2
+
+/* Whether the part has had no output and may be a cause nonetheless. */
+static bool
+may_be_new_cause(const struct jh_suspect_entry *e, uint64_t now)
+{
+	return jh_fingerprint_is_part(e->fingerprint) &&
+	       !jh_suspect_entry_had_output(e) &&
+	       jh_suspect_entry_part_crashes(e, NULL, now, NULL) >=
+		   JH_SUSPECT_NO_RETRY_CRASHES;
+}
+
+/*
+ * Removes the crashes of the part without output, not of the request, that was
+ * in most of them, at least two; returns whether there is one.
+ */
+static bool
+remove_new_cause(const struct jh_suspects *s, uint64_t now,
+    struct jh_suspect_entry *left, const struct jh_fingerprint *part, size_t n)
+{
+	const struct jh_suspect_entry *other;
+	struct jh_suspect_entry rest, fewest = *left;
+	GHashTableIter it;
+
+	g_hash_table_iter_init(&it, s->entries);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
+		if (!may_be_new_cause(other, now) ||
+		    jh_fingerprint_in(part, n, other->fingerprint))
+			continue;
+		rest = *left;
+		if (jh_suspect_entry_remove(&rest, other) &&
+		    rest.n + 1 < left->n && rest.n < fewest.n)
+			fewest = rest;
+	}
+	if (fewest.n == left->n)
+		return false;
+	*left = fewest;
+	return true;
+}
+
 /*
  * Whether other parts, which the request does not have, explain the crashes of
  * e. Parts that come together with a cause are then not taken for one.
@@ -91,6 +136,7 @@
 	const struct jh_suspect_entry *other;
 	bool some = false;
 	GHashTableIter it;
+	unsigned int i;
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
@@ -99,6 +145,8 @@
 			continue;
 		some |= jh_suspect_entry_remove(&left, other);
 	}
+	for (i = 0; i < MAX_NEW_CAUSES && jh_suspect_entry_had_output(e); i++)
+		some |= remove_new_cause(s, now, &left, part, n);
 	return some && jh_suspect_entry_part_crashes(&left, NULL, now, NULL) <=
 			   STRAY_CRASHES;
 }
--- a/test/test_suspect_parts.c
+++ b/test/test_suspect_parts.c
@@ -177,6 +177,28 @@
 	jh_suspects_destroy(s);
 }
 
+/* Guards against refusing what two new causes share, one of them in doubt. */
+static void
+part_with_output_that_two_new_causes_share_is_served(void **state)
+{
+	struct jh_suspects *s = new_table();
+	struct request r = make(F, F, F);
+	unsigned int i;
+
+	jh_suspects_parts_succeeded(s, SEC, r.part, r.n);
+	for (i = 0; i < 5; i++)
+		crash(
+		    s, (2 + i) * SEC, i, make(F, i % 2 == 0 ? X : Y, 1000 + i));
+	assert_false(is_refused(s, 7 * SEC, make(F, G, W1)));
+	assert_true(is_refused(s, 7 * SEC, make(F, X, W1)));
+	/* A part that turns into a cause does not go on beside many others. */
+	for (i = 0; i < 4; i++)
+		crash(s, (8 + i) * SEC, 8 + i,
+		    make(F, i % 2 == 0 ? W2 : W3, 2000 + i));
+	assert_true(is_refused(s, 12 * SEC, make(F, G, W1)));
+	jh_suspects_destroy(s);
+}
+
 /* Guards against taking a crash that was none for a part's output. */
 static void
 voided_crash_is_no_output(void **state)
@@ -495,6 +517,8 @@
 	    cmocka_unit_test(parts_of_a_poison_request_are_served),
 	    cmocka_unit_test(output_clears_a_part),
 	    cmocka_unit_test(part_that_has_had_output_needs_five_crashes),
+	    cmocka_unit_test(
+		part_with_output_that_two_new_causes_share_is_served),
 	    cmocka_unit_test(voided_crash_is_no_output),
 	    cmocka_unit_test(crash_message_tells_of_output),
 	    cmocka_unit_test(crashes_at_one_moment_count_once),
