Suspects: guard the cases that pass now, and fleets in which a part turns bad

The fleets of test_suspect_limits pass, so they are in test_suspect_fleet, with the same seeds and bounds. New there: requests with the cause that begin after 20 s, and parts that crash workers after 20 s of success, at low and high rates, beside ordinary crashes and power failures, with one first part.

--- a/test/test_suspect_fleet.c
+++ b/test/test_suspect_fleet.c
@@ -159,6 +159,36 @@
 SUSPECT_FLEET(
     cause_and_paused_routers, 0.3, 0.04, 0, 1, 12, 300, 0, 0, 0, 60, 0)
 
+SUSPECT_FLEET(two_causes_common_first, 0.1, 0.1, 0, 2, 1, 50, 0, 0, 0, 0, 0)
+SUSPECT_FLEET(late_output_and_crashes_low_traffic, 0.05, 0, 0.01, 1, 4, 10, 0,
+    0, 0, 0, 60)
+SUSPECT_FLEET(
+    late_output_and_power_failures, 0.3, 0, 0, 1, 6, 50, 0, 0, 400, 0, 60)
+SUSPECT_FLEET(
+    late_output_power_failures_paused, 0.3, 0, 0, 1, 6, 50, 0, 0, 400, 60, 60)
+SUSPECT_FLEET(part_turns_into_a_cause, 0.7, 0.04, 0, 1, 12, 300, 0, 0, 0, 0, 0,
+    .sound_steps = 2000)
+SUSPECT_FLEET(part_turns_into_a_cause_low_rate, 0.7, 0.002, 0, 1, 12, 300, 0, 0,
+    0, 0, 0, .sound_steps = 2000)
+SUSPECT_FLEET(part_turns_into_a_cause_low_traffic, 0.05, 0.01, 0.005, 1, 4, 10,
+    0, 0, 0, 0, 60, .sound_steps = 2000)
+SUSPECT_FLEET(common_first_and_a_part_that_turns, 0.7, 0.04, 0, 1, 1, 10, 0, 0,
+    0, 0, 0, .poison_seconds = true, .sound_steps = 2000)
+SUSPECT_FLEET(cause_comes_later_one_first, 0.05, 0.1, 0.002, 1, 1, 30, 0, 0, 0,
+    0, 30, .from_step = 2000)
+SUSPECT_FLEET(cause_comes_later_and_crashes, 0.7, 0.04, 0.005, 1, 4, 10, 0, 0,
+    0, 0, 60, .poison_seconds = true, .from_step = 2000)
+SUSPECT_FLEET(cause_comes_later_power_failures, 0.7, 0.04, 0, 1, 4, 30, 0, 0,
+    1100, 60, 0, .from_step = 2000)
+SUSPECT_FLEET(two_causes_come_later, 0.05, 0.04, 0, 2, 1, 30, 0, 0, 0, 0, 0,
+    .from_step = 2000)
+SUSPECT_FLEET(two_causes_come_later_high_rate, 0.05, 0.1, 0, 2, 1, 30, 0, 0, 0,
+    0, 0, .from_step = 2000)
+SUSPECT_FLEET(two_parts_turn_into_causes, 0.05, 0.1, 0, 2, 1, 30, 0, 0, 0, 0, 0,
+    .sound_steps = 2000)
+SUSPECT_FLEET(part_turns_and_crashes_high_rate, 0.7, 0.1, 0.005, 1, 4, 10, 0, 0,
+    0, 0, 60, .poison_seconds = true, .sound_steps = 2000)
+
 int
 main(void)
 {
@@ -198,6 +228,21 @@
 	    cmocka_unit_test(power_failures_paused_low_traffic),
 	    cmocka_unit_test(cause_and_power_failures),
 	    cmocka_unit_test(cause_and_paused_routers),
+	    cmocka_unit_test(two_causes_common_first),
+	    cmocka_unit_test(late_output_and_crashes_low_traffic),
+	    cmocka_unit_test(late_output_and_power_failures),
+	    cmocka_unit_test(late_output_power_failures_paused),
+	    cmocka_unit_test(part_turns_into_a_cause),
+	    cmocka_unit_test(part_turns_into_a_cause_low_rate),
+	    cmocka_unit_test(part_turns_into_a_cause_low_traffic),
+	    cmocka_unit_test(common_first_and_a_part_that_turns),
+	    cmocka_unit_test(cause_comes_later_one_first),
+	    cmocka_unit_test(cause_comes_later_and_crashes),
+	    cmocka_unit_test(cause_comes_later_power_failures),
+	    cmocka_unit_test(two_causes_come_later),
+	    cmocka_unit_test(two_causes_come_later_high_rate),
+	    cmocka_unit_test(two_parts_turn_into_causes),
+	    cmocka_unit_test(part_turns_and_crashes_high_rate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_suspect_limits.c
+++ b/test/test_suspect_limits.c
@@ -14,7 +14,7 @@
 
 /*
  * Known limits of suspecting requests by their parts: sound parts that are
- * refused. Listed in KNOWN-RED.txt.
+ * refused, and causes that are found late. Listed in KNOWN-RED.txt.
  */
 
 #define SEC JH_USEC_PER_SEC
@@ -42,23 +42,15 @@
 	jh_suspects_destroy(c);
 }
 
-SUSPECT_FLEET(two_causes_common_first, 0.1, 0.1, 0, 2, 1, 50, 0, 0, 0, 0, 0)
-SUSPECT_FLEET(late_output_and_crashes_low_traffic, 0.05, 0, 0.01, 1, 4, 10, 0,
-    0, 0, 0, 60)
-SUSPECT_FLEET(
-    late_output_and_power_failures, 0.3, 0, 0, 1, 6, 50, 0, 0, 400, 0, 60)
-SUSPECT_FLEET(
-    late_output_power_failures_paused, 0.3, 0, 0, 1, 6, 50, 0, 0, 400, 60, 60)
+SUSPECT_FLEET(part_turns_power_failures_paused_high_rate, 0.7, 0.1, 0, 1, 4, 30,
+    0, 0, 1100, 60, 0, .sound_steps = 2000)
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(power_failure_seen_late_counts_once),
-	    cmocka_unit_test(two_causes_common_first),
-	    cmocka_unit_test(late_output_and_crashes_low_traffic),
-	    cmocka_unit_test(late_output_and_power_failures),
-	    cmocka_unit_test(late_output_power_failures_paused),
+	    cmocka_unit_test(part_turns_power_failures_paused_high_rate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
