--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -402,6 +402,26 @@
 	g_free(command);
 }
 
+/*
+ * Guards against a process that ends because its settings change while it
+ * starts. It waits for its settings, which come from a pipe, until SIGKILL.
+ */
+static void
+reload_signal_during_the_start_is_survived(void **state)
+{
+	const char *build = getenv("BUILD");
+	char *command = g_strdup_printf(
+	    "d=$(mktemp -d) && mkfifo $d/pipe || exit 1\n"
+	    "%s/jhplatform $d/pipe & pid=$!\n"
+	    "exec 3>$d/pipe\n"
+	    "kill -HUP $pid; sleep 0.2; kill -KILL $pid; wait $pid\n"
+	    "status=$?; rm -r $d; exit $((status - 128))",
+	    build != NULL ? build : "build");
+
+	assert_int_equal(WEXITSTATUS(system(command)), SIGKILL);
+	g_free(command);
+}
+
 #define PLATFORM_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int
@@ -427,6 +447,7 @@
 	    PLATFORM_TEST(invalid_objects_are_ignored),
 	    PLATFORM_TEST(requests_succeed_after_stop_signal),
 	    cmocka_unit_test(incomplete_settings_are_rejected),
+	    cmocka_unit_test(reload_signal_during_the_start_is_survived),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
