Soak: compare sound requests beside a crashing part by each part of their prompts

A part that is refused by mistake and that few prompts have did not move the share of all sound requests below the half that LOST bounds. The check now also compares the requests with each one part, by the same bound and the same least number.

test_soak_part: unserved_requests_with_one_part_are_found, 20 of 60 sound requests are not served, all those with one part; not found before.

--- a/soak/checker.c
+++ b/soak/checker.c
@@ -75,6 +75,7 @@
 	g_free(rec->request.target);
 	g_free(rec->request.body);
 	g_free(rec->request.first_part);
+	g_free(rec->request.parts);
 	g_free(rec);
 }
 
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -42,6 +42,7 @@
 	const char *org; /* organisation of its key; "" without a key */
 	const char *model; /* "" for none */
 	char *first_part; /* id, of its prompt; NULL: none; owned */
+	char *parts; /* "id:tokens,...", of its prompt; NULL: none; owned */
 	bool crashes_workers; /* its prompt has the part that does */
 	enum soak_request_kind kind;
 	enum soak_permission permission;
@@ -80,7 +81,7 @@
 struct soak_checker *soak_checker_create(const struct soak_bounds *b);
 void soak_checker_destroy(struct soak_checker *ck);
 
-/* Takes ownership of the request's id, target, body and first part. */
+/* Takes ownership of the request's id, target, body and parts. */
 void soak_checker_sent(struct soak_checker *ck, const struct soak_request *r);
 void soak_checker_responded(struct soak_checker *ck, uint64_t now,
     const char *id, const struct soak_response *a);
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -195,7 +195,7 @@
 		    "X-Jacinthhill-Prompt-Prefix: %s\r\n",
 		    template.model, prompt.parts);
 		r->first_part = prompt.first_part;
-		g_free(prompt.parts);
+		r->parts = prompt.parts;
 	}
 	append_forged_field(fields, fx->rand);
 	out->fields = g_string_free(fields, FALSE);
--- a/soak/part_checker.c
+++ b/soak/part_checker.c
@@ -29,6 +29,11 @@
 	unsigned int count, began;
 };
 
+/* Sound requests beside those that crash workers, and without them. */
+struct comparison {
+	struct share beside, outside;
+};
+
 struct soak_part_checker *
 soak_part_checker_create(uint64_t connected_after)
 {
@@ -122,11 +127,63 @@
 	return (double)share->began / share->count;
 }
 
+static void
+compare(const struct soak_part_checker *pc, const struct sound_request *s,
+    struct comparison *c)
+{
+	if (is_beside(pc, s->request->sent))
+		count(&c->beside, s);
+	else if (s->calm && is_outside(pc, s->request->sent))
+		count(&c->outside, s);
+}
+
+/* Counts the request at each part of its prompt. */
+static void
+compare_parts(const struct soak_part_checker *pc, const struct sound_request *s,
+    GHashTable *by_part)
+{
+	char **parts = g_strsplit(
+	    s->request->parts != NULL ? s->request->parts : "", ",", -1);
+	struct comparison *c;
+	unsigned int i;
+
+	for (i = 0; parts[i] != NULL; i++) {
+		c = g_hash_table_lookup(by_part, parts[i]);
+		if (c == NULL) {
+			c = g_new0(struct comparison, 1);
+			g_hash_table_insert(by_part, g_strdup(parts[i]), c);
+		}
+		compare(pc, s, c);
+	}
+	g_strfreev(parts);
+}
+
+/* Reports too small a share; part: of which they are, or "". */
+static bool
+check_share(const struct comparison *c, const char *part, uint64_t now,
+    struct soak_checker *ck)
+{
+	if (c->beside.count < MIN_SOUND_REQUESTS ||
+	    c->outside.count < MIN_SOUND_REQUESTS ||
+	    ratio(&c->beside) >= MIN_SOUND_RATIO * ratio(&c->outside))
+		return true;
+	soak_checker_add_violation(ck, now, "LOST",
+	    "%u of %u sound requests %s%s began beside those with a part that "
+	    "crashes workers, %u of %u without them",
+	    c->beside.began, c->beside.count, part[0] != '\0' ? "with " : "",
+	    part, c->outside.began, c->outside.count);
+	return false;
+}
+
 static void
 check_sound(
     const struct soak_part_checker *pc, uint64_t now, struct soak_checker *ck)
 {
-	struct share beside = {0}, outside = {0};
+	GHashTable *by_part =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	struct comparison all = {0};
+	GHashTableIter it;
+	gpointer part, c;
 	guint i;
 
 	for (i = 0; i < pc->sound->len; i++) {
@@ -134,19 +191,15 @@
 		    &g_array_index(pc->sound, struct sound_request, i);
 		if (!is_related(pc, s->request))
 			continue;
-		if (is_beside(pc, s->request->sent))
-			count(&beside, s);
-		else if (s->calm && is_outside(pc, s->request->sent))
-			count(&outside, s);
+		compare(pc, s, &all);
+		compare_parts(pc, s, by_part);
 	}
-	if (beside.count < MIN_SOUND_REQUESTS ||
-	    outside.count < MIN_SOUND_REQUESTS ||
-	    ratio(&beside) >= MIN_SOUND_RATIO * ratio(&outside))
-		return;
-	soak_checker_add_violation(ck, now, "LOST",
-	    "%u of %u sound requests began beside those with a part that "
-	    "crashes workers, %u of %u without them",
-	    beside.began, beside.count, outside.began, outside.count);
+	g_hash_table_iter_init(&it, by_part);
+	if (check_share(&all, "", now, ck)) {
+		while (g_hash_table_iter_next(&it, &part, &c))
+			check_share(c, part, now, ck);
+	}
+	g_hash_table_destroy(by_part);
 }
 
 void
--- a/soak/part_checker.h
+++ b/soak/part_checker.h
@@ -9,8 +9,9 @@
 /*
  * Checks the rules on a prompt part that crashes each worker that begins to
  * write an answer on it: BUDGET bounds the requests with the part that still
- * reach workers, LOST the sound requests beside them that are not served. It is
- * a part of the checker; times are microseconds.
+ * reach workers, LOST the sound requests beside them that are not served, of
+ * all and of those with any one part in their prompts. It is a part of the
+ * checker; times are microseconds.
  */
 struct soak_part_checker;
 
--- a/test/test_soak_part.c
+++ b/test/test_soak_part.c
@@ -39,12 +39,15 @@
 	const char *org, *first_part;
 	bool crashes_workers;
 	unsigned int router;
+	const char *parts;
 };
 
-static const struct kind poison = {"t1", "a0", true, 0};
-static const struct kind same_key = {"t1", "a1", false, 0};
-static const struct kind same_part = {"t2", "a0", false, 0};
-static const struct kind unrelated = {"t2", "a1", false, 0};
+static const struct kind poison = {"t1", "a0", true, 0, NULL};
+static const struct kind same_key = {"t1", "a1", false, 0, NULL};
+static const struct kind same_part = {"t2", "a0", false, 0, NULL};
+static const struct kind unrelated = {"t2", "a1", false, 0, NULL};
+static const struct kind with_b1 = {"t1", "a0", false, 0, "a0:200,b1:80"};
+static const struct kind with_b2 = {"t1", "a0", false, 0, "a0:200,b2:80"};
 
 static struct soak_checker *checker;
 static unsigned int sent;
@@ -74,6 +77,7 @@
 	    .org = kind->org,
 	    .model = "",
 	    .first_part = g_strdup(kind->first_part),
+	    .parts = g_strdup(kind->parts),
 	    .crashes_workers = kind->crashes_workers,
 	    .kind = SOAK_STREAMING,
 	    .permission = SOAK_ALLOWED,
@@ -290,6 +294,31 @@
 	expect_violation("LOST");
 }
 
+static void
+unserved_requests_with_one_part_are_found(void **state)
+{
+	poison_five();
+	end_times(2 * ENOUGH, &with_b1, BESIDE, true);
+	end_times(ENOUGH, &with_b2, BESIDE, false);
+	poison_ends();
+	end_times(ENOUGH, &with_b1, OUTSIDE, true);
+	end_times(ENOUGH, &with_b2, OUTSIDE, true);
+	expect_violation("LOST: 0 of 20 sound requests with b2:80");
+}
+
+static void
+requests_with_each_part_are_served_often_enough(void **state)
+{
+	poison_five();
+	end_times(ENOUGH, &with_b1, BESIDE, true);
+	end_times(ENOUGH / 2, &with_b2, BESIDE, true);
+	end_times(ENOUGH / 2, &with_b2, BESIDE, false);
+	poison_ends();
+	end_times(ENOUGH, &with_b1, OUTSIDE, true);
+	end_times(ENOUGH, &with_b2, OUTSIDE, true);
+	expect_no_violation();
+}
+
 static void
 broken_and_silent_requests_are_found(void **state)
 {
@@ -430,6 +459,8 @@
     CASE(disturbed_links_are_excused),
     CASE(unserved_sound_requests_are_found),
     CASE(unserved_requests_with_the_same_first_part_are_found),
+    CASE(unserved_requests_with_one_part_are_found),
+    CASE(requests_with_each_part_are_served_often_enough),
     CASE(broken_and_silent_requests_are_found),
     CASE(unserved_requests_after_one_crash_are_found),
     CASE(half_of_the_sound_requests_suffice),
