Test that fails: other entry daemons run a request that one has quarantined

The agents of the crashed engines know no entry daemon yet and end before they have told any. The entry daemon that sent the request refuses it, but 3 s later the other one still runs it and crashes two more engines.

--- a/test/test_proc_poison.c
+++ b/test/test_proc_poison.c
@@ -17,6 +17,9 @@
 #define MIDDLE 20
 #define STREAMS 3
 
+/* Time in which daemons tell each other of a crash. */
+#define EXCHANGE_USEC (3 * JH_USEC_PER_SEC)
+
 /* Engines that end under a stream, for other reasons. */
 #define ENDED_ENGINES 4
 #define LONG_TOKENS 400
@@ -143,6 +146,33 @@
 	assert_true(crashed_engines(w) <= MAX_CRASHES);
 }
 
+/*
+ * Guards against a quarantine that other entry daemons do not learn of, because
+ * the agents of the crashed engines end before they have told any.
+ */
+static void
+test_agents_end(void **state)
+{
+	struct fixture *w = *state;
+	unsigned int i, crashed;
+
+	/* Agents that start without the list know no entry daemon. */
+	proc_freeze(&w->list);
+	for (i = 0; i < w->agents; i++)
+		proc_restart(&w->agent[i]);
+	await(send_poison(w, 0));
+	crashed = crashed_engines(w);
+	assert_true(crashed <= MAX_CRASHES);
+	for (i = 0; i < w->agents; i++) {
+		if (proc_has_ended(&w->backend[i]))
+			proc_kill(&w->agent[i]);
+	}
+	proc_thaw(&w->list);
+	g_usleep(EXCHANGE_USEC);
+	check_quarantined(w, 1);
+	assert_int_equal(crashed_engines(w), crashed);
+}
+
 /*
  * Guards against losing, or later refusing, requests that ran on a crashed
  * engine.
@@ -282,6 +312,7 @@
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_retry, setup, teardown),
     cmocka_unit_test_setup_teardown(test_entries_restart, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_agents_end, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_streams, setup, teardown),
     cmocka_unit_test_setup_teardown(test_stream_goes_on, setup, teardown),
     cmocka_unit_test_setup_teardown(
