Poison: an entry daemon passes on the crashes that it knows from replies

A caller who sent a request that crashes engines again through another entry daemon crashed two more engines, four in all, if the agents of the first two had not yet told any entry daemon of their crashes and had ended (test_agents_end, 6 of 6 runs).

Cause: from an agent's reply the entry daemon noted only the parts of the crash; the request itself it noted as a hint, which is not exported. The only way to other daemons was the agent's report, to one random entry daemon.

The reply has the crash's incarnation and number, so the entry daemon notes the same crash as the agent; the two merge into one. test_agents_end passes in 6 of 6 runs.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -171,21 +171,26 @@
 }
 
 /*
- * Notes the crash for the parts at once, which the agent reports to all. It has
- * no number if the reply had begun: then the report has to arrive first.
+ * Notes the crash at once, also for other entry daemons, as the agent may end
+ * before it has reported it to any. It has no number if the reply had begun:
+ * then the report has to arrive first.
  */
 static void
 note_crash(struct entry_job *j, struct jh_http_call *call)
 {
 	const char *agent = jh_http_call_header(call, "Jh-Incarnation");
-	uint64_t seq = header_number(call, "Jh-Crash", 0);
+	const char *quarantined = jh_http_call_header(call, "Jh-Quarantined");
+	uint64_t seq = header_number(call, "Jh-Crash", 0), reporter;
 
-	if (agent != NULL && seq != 0)
-		crash_log_parts_crashed(j->entry->crashes,
-		    g_ascii_strtoull(agent, NULL, 16), seq, j->parts.part,
-		    j->parts.n);
-	else
+	if (agent == NULL || seq == 0) {
 		pull_from_worker(j);
+		return;
+	}
+	reporter = g_ascii_strtoull(agent, NULL, 16);
+	crash_log_note(j->entry->crashes, reporter, seq, j->fingerprint,
+	    g_strcmp0(quarantined, "request") == 0);
+	crash_log_parts_crashed(
+	    j->entry->crashes, reporter, seq, j->parts.part, j->parts.n);
 }
 
 /* Records a busy worker's wait for the choice after all refusals. */
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -49,6 +49,21 @@
 	pthread_mutex_unlock(&l->lock);
 }
 
+void
+crash_log_note(struct crash_log *l, uint64_t reporter, uint64_t seq,
+    struct jh_fingerprint print, bool sole)
+{
+	struct jh_crash c = {.fingerprint = print,
+	    .reporter = reporter,
+	    .seq = seq,
+	    .remaining_usec = UINT64_MAX,
+	    .sole = sole};
+
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_merge(l->table, jh_now(), &c, 1);
+	pthread_mutex_unlock(&l->lock);
+}
+
 void
 crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print)
 {
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -20,6 +20,12 @@
     const struct jh_fingerprint *batch, size_t n, size_t n_begun);
 void crash_log_hint(
     struct crash_log *l, struct jh_fingerprint print, unsigned int crashes);
+/*
+ * Notes one request in a crash that an agent has told of and will report
+ * itself.
+ */
+void crash_log_note(struct crash_log *l, uint64_t reporter, uint64_t seq,
+    struct jh_fingerprint print, bool sole);
 void crash_log_succeeded(struct crash_log *l, struct jh_fingerprint print);
 void crash_log_progressed(struct crash_log *l, struct jh_fingerprint print);
 enum jh_suspect_state crash_log_state(
