Test of a router that was paused, with an idle worker

idle_worker_is_not_busy_after_a_pause: after a pause of 3 s, during which the first event of a stream arrived, the next request gets 503 "the workers are busy": "turned_away wait_us 1193301", with one idle worker. 3 of 3 runs fail.

--- a/test/test_gateway_pause.c
+++ b/test/test_gateway_pause.c
@@ -14,10 +14,12 @@
 /* The worker responds in the pause; SHORT, a request's time, ends in it too. */
 #define WORK_MSEC 400
 #define PAUSE_MSEC 1200
+#define LONG_PAUSE_MSEC 3000
 #define DEADLINE "X-Jacinthhill-Deadline-Milliseconds: "
 #define SHORT DEADLINE "900"
 #define LONG DEADLINE "3000"
 #define LONG_MSEC 3000
+#define LONGEST DEADLINE "3900"
 #define FIRST "X-Jacinthhill-Attempt-Id: a1"
 #define SECOND "X-Jacinthhill-Attempt-Id: a2"
 /* Start of a request, and the kernel's coarse time-stamps. */
@@ -58,22 +60,22 @@
 }
 
 static void
-pause_and_join(struct call *c)
+pause_and_join(struct call *c, unsigned int msec)
 {
-	g_usleep(PAUSE_MSEC * JH_USEC_PER_MSEC);
+	g_usleep(msec * JH_USEC_PER_MSEC);
 	proc_thaw(platform_router(p));
 	call_join(c);
 }
 
 /* Sends a request and pauses the router while the worker runs it. */
 static struct call *
-pause_beside_request(const char *path)
+pause_beside_request(const char *path, const char *deadline, unsigned int msec)
 {
-	struct call *c = start_request(path, SHORT, FIRST);
+	struct call *c = start_request(path, deadline, FIRST);
 
 	await(platform_runs(p, 0) == 1);
 	proc_freeze(platform_router(p));
-	pause_and_join(c);
+	pause_and_join(c, msec);
 	return c;
 }
 
@@ -85,7 +87,7 @@
 
 	proc_freeze(platform_router(p));
 	c = start_request("/once/x", deadline, FIRST);
-	pause_and_join(c);
+	pause_and_join(c, PAUSE_MSEC);
 	return c;
 }
 
@@ -93,7 +95,7 @@
 static void
 ready_response_is_passed_on_after_a_pause(void **state)
 {
-	struct call *c = pause_beside_request("/once/x");
+	struct call *c = pause_beside_request("/once/x", SHORT, PAUSE_MSEC);
 
 	assert_int_equal(call_status(c), 200);
 	call_free(c);
@@ -131,7 +133,6 @@
 /* A slow worker responds to an earlier request in the pause only. */
 #define SLOW_WORK_MSEC 2000
 #define EARLIER_USEC (1000 * JH_USEC_PER_MSEC)
-#define SLOW DEADLINE "3900"
 #define SILENT_PAUSE_USEC (1600 * JH_USEC_PER_MSEC)
 
 static int
@@ -152,12 +153,12 @@
 static void
 worker_that_responded_in_a_pause_is_not_silent(void **state)
 {
-	struct call *earlier = start_request("/once/x", SLOW, FIRST);
+	struct call *earlier = start_request("/once/x", LONGEST, FIRST);
 	struct call *c;
 
 	await(platform_runs(p, 0) == 1);
 	g_usleep(EARLIER_USEC);
-	c = start_request("/stream/x", SLOW, SECOND);
+	c = start_request("/stream/x", LONGEST, SECOND);
 	await(platform_runs(p, 0) == 2);
 	proc_freeze(platform_router(p));
 	g_usleep(SILENT_PAUSE_USEC);
@@ -171,6 +172,24 @@
 	call_free(earlier);
 }
 
+/*
+ * Guards against taking a pause of the router for a busy worker: the first
+ * event of a stream was read after the pause, and the next request was refused.
+ */
+static void
+idle_worker_is_not_busy_after_a_pause(void **state)
+{
+	struct call *c =
+	    pause_beside_request("/stream/x", LONGEST, LONG_PAUSE_MSEC);
+
+	assert_int_equal(call_status(c), 200);
+	call_free(c);
+	c = start_request("/stream/x", LONGEST, FIRST);
+	call_join(c);
+	assert_int_equal(call_status(c), 200);
+	call_free(c);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(
 	ready_response_is_passed_on_after_a_pause, set_up, tear_down),
@@ -180,6 +199,8 @@
 	request_that_expired_in_a_pause_is_not_run, set_up, tear_down),
     cmocka_unit_test_setup_teardown(
 	worker_that_responded_in_a_pause_is_not_silent, set_up_slow, tear_down),
+    cmocka_unit_test_setup_teardown(
+	idle_worker_is_not_busy_after_a_pause, set_up, tear_down),
 };
 
 HARNESS_MAIN(tests)
