Gateway: a pause of the router is not a busy worker

Callers got 503 "the workers are busy" for up to two seconds after a router had not run for a while (stopped, or without CPU), also with all workers idle.

Cause: a router takes the time from the sending of a request to the first event that it reads as the worker's, and adds what is above the expected time to the estimate of the wait at that worker, by 0.4 for each response. Events that arrive while the router does not run are read after it, so the pause itself counts: after 3 s, "turned_away wait_us 1193301" with one idle worker.

Fix: the measure of the loop's lag also says whether the loop has run since a time without a gap of over 200 ms, in a callback or by a pause: an iteration must end by the timeout of its poll, which the tick of 100 ms bounds. A time to the first event with such a gap in it is not taken. Found by the search for the cause of the entry daemon's 429 in the routers.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/http_codec.h"
 #include "member/weights.h"
 #include "net/client.h"
+#include "net/loop_lag.h"
 #include "net/server.h"
 #include "route/retry_budget.h"
 #include "route/choose.h"
@@ -28,6 +29,7 @@
 	uv_loop_t *loop;
 	const struct jh_http_codec *codec;
 	struct jh_uv_client *client; /* HTTP client for calls to workers */
+	struct jh_loop_lag *lag; /* of the loop */
 	struct jh_json_log *log;
 	struct jh_metrics *metrics;
 	struct jh_route_table *routes; /* NULL: no configuration yet */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -84,7 +84,10 @@
 	return true;
 }
 
-/* Records the time to the first event and updates the worker's excess TTFT. */
+/*
+ * Records the time to the first event and updates the worker's excess TTFT. If
+ * this process did not run meanwhile, the time is not the worker's.
+ */
 static void
 record_first_event(struct exchange *x, uint64_t now)
 {
@@ -96,8 +99,11 @@
 	    x->gateway->metrics, "jh_first_event_ms", now - x->arrived);
 	if (w == NULL)
 		return;
-	w->ttft_excess += TTFT_EXCESS_WEIGHT * (excess - w->ttft_excess);
-	w->ttft_excess_at = now;
+	if (jh_loop_lag_ran_since(x->gateway->lag, x->sent_at)) {
+		w->ttft_excess +=
+		    TTFT_EXCESS_WEIGHT * (excess - w->ttft_excess);
+		w->ttft_excess_at = now;
+	}
 	jh_worker_responded(w, false);
 }
 
--- a/src/net/loop_lag.c
+++ b/src/net/loop_lag.c
@@ -12,10 +12,29 @@
 	uint64_t last; /* time of the last iteration; 0: none yet */
 	uint64_t last_idle_usec; /* the loop's idle time until then */
 	uint64_t polled; /* when the poll before returned; 0: none has */
+	/* When this iteration ends at the latest, if nothing delays it. */
+	uint64_t deadline;
+	uint64_t gap_end; /* end of the last gap; 0: none so far */
 	void (*blocked)(void *arg, uint64_t usec);
 	void *arg;
 };
 
+static bool
+is_late(const struct jh_loop_lag *l, uint64_t now)
+{
+	return l->last != 0 && now > l->deadline &&
+	       now - l->deadline > l->min_usec;
+}
+
+/* When the poll that begins now returns at the latest. */
+static uint64_t
+poll_deadline(const struct jh_loop_lag *l, uint64_t now)
+{
+	int msec = uv_backend_timeout(l->prepare.loop);
+
+	return msec < 0 ? UINT64_MAX : now + (uint64_t)msec * JH_USEC_PER_MSEC;
+}
+
 static void
 on_prepare(uv_prepare_t *h)
 {
@@ -29,6 +48,9 @@
 		l->polled = l->last + waited;
 	if (l->last != 0 && l->blocked != NULL && took > waited + l->min_usec)
 		l->blocked(l->arg, took - waited);
+	if (is_late(l, now))
+		l->gap_end = now;
+	l->deadline = poll_deadline(l, now);
 	l->last = now;
 	l->last_idle_usec = idle;
 }
@@ -59,6 +81,12 @@
 							  : l->polled;
 }
 
+bool
+jh_loop_lag_ran_since(const struct jh_loop_lag *l, uint64_t since)
+{
+	return since >= l->gap_end && !is_late(l, jh_now());
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
--- a/src/net/loop_lag.h
+++ b/src/net/loop_lag.h
@@ -1,6 +1,7 @@
 #ifndef NET_LOOP_LAG_H
 #define NET_LOOP_LAG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <uv.h>
@@ -24,6 +25,12 @@
  * the poll before.
  */
 uint64_t jh_loop_lag_arrival(const struct jh_loop_lag *l);
+/*
+ * Whether the loop has run since that time without a gap longer than min_usec,
+ * in a callback or by a pause of the process. Without an active timer, a pause
+ * while the loop waits for events is not noticed.
+ */
+bool jh_loop_lag_ran_since(const struct jh_loop_lag *l, uint64_t since);
 void jh_loop_lag_destroy(struct jh_loop_lag *l);
 
 #endif
