Test of an entry daemon whose port is in use

test_port_in_use: the daemon must end with the status for a failed start, five times with the clients' port in use and five times with the RPC port.

--- a/test/test_proc_lifecycle.c
+++ b/test/test_proc_lifecycle.c
@@ -2,11 +2,18 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
+#include "config/start.h"
+#include "fakes/port.h"
 #include "harness.h"
 
+/* Starts of a daemon whose port is in use. */
+#define STARTS 5
+
 #define QUESTION "How warm is the water?"
 #define TOKENS 200
 #define MIDDLE 20
@@ -256,6 +263,43 @@
 	await(ask_many(w, 0, 0) > 0);
 }
 
+/* Starts entry daemon 0 with the port in use; returns its exit status. */
+static int
+start_with_port_in_use(struct fixture *w, unsigned int port)
+{
+	struct sockaddr_in sin = fake_loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1, status;
+
+	assert_int_equal(
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), 0);
+	assert_int_equal(
+	    bind(fd, (const struct sockaddr *)&sin, sizeof(sin)), 0);
+	assert_int_equal(listen(fd, 1), 0);
+	proc_start(&w->entry[0]);
+	status = proc_join(&w->entry[0]);
+	close(fd);
+	return status;
+}
+
+/*
+ * Guards against a crash of an entry daemon that ends because its port is in
+ * use: its threads still used the settings.
+ */
+static void
+test_port_in_use(void **state)
+{
+	struct fixture *w = *state;
+	int i;
+
+	assert_int_equal(proc_stop(&w->entry[0]), 0);
+	for (i = 0; i < STARTS; i++) {
+		assert_int_equal(
+		    start_with_port_in_use(w, w->entry[0].port), JH_EXIT_START);
+		assert_int_equal(
+		    start_with_port_in_use(w, w->entry_rpc[0]), JH_EXIT_START);
+	}
+}
+
 /*
  * Guards against an entry daemon that refuses its first request after a
  * restart.
@@ -308,6 +352,7 @@
     cmocka_unit_test_setup_teardown(test_leaving_in_list, setup, teardown),
     cmocka_unit_test_setup_teardown(test_dead_agent_listed, setup, teardown),
     cmocka_unit_test_setup_teardown(test_engine_dead, setup, teardown),
+    cmocka_unit_test_setup_teardown(test_port_in_use, setup, teardown),
     cmocka_unit_test_setup_teardown(test_entry_restarts, setup, teardown),
     cmocka_unit_test_setup_teardown(
 	test_entry_restarts_without_store, setup, teardown),
