Entry daemon: end its threads also when a port is in use

An entry daemon that cannot listen on its port crashed instead of ending with the status for a failed start: main() freed the settings, and the state with the threads that use them was cleared only after a run without error. Seen in the log of a failed set-up, under TSan: SEGV in add_peer(), limits_round.c, on the region of the settings, after "cannot listen on port 25691" and "entry-0 stopped".

The state is now cleared in every case, as in the agent, and the client of an entry daemon without its RPC port is destroyed.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -281,8 +281,10 @@
 
 	rpc = jh_rpc_server_create(&e->settings.rpc_listen, &e->settings.secret,
 	    entry_rpc_handlers, e, &err);
-	if (rpc == NULL)
+	if (rpc == NULL) {
+		jh_http_client_destroy(e->client);
 		return start_failed(err);
+	}
 	d = jh_instances_create(
 	    e->client, &e->settings.instance_list, &instances_ops, e);
 	status = serve(e, d, signals);
@@ -309,8 +311,7 @@
 		return status;
 	init_state(&entry);
 	status = run(&entry, &signals);
-	if (status == 0)
-		clear_state(&entry);
+	clear_state(&entry);
 	jh_settings_clear(entry_settings_table, &entry.settings);
 	return status;
 }
