Read a reply that is there before the daemons' HTTP client ends its call

What callers saw: a time-out, with an unknown outcome, in place of a reply that had arrived while an entry daemon or an agent did not run.

Cause: libcurl checks the time limit of a transfer before it reads the socket, so the order of sockets and timers in src/http/loop.c does not help.

Why it works: the client keeps the deadlines itself, in order, and after one has passed reads for 20 ms more before it ends the call. A call that is started late, or whose connection opens after its deadline, is not sent, as before. The time to connect is still libcurl's.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -20,6 +20,12 @@
 #define READ_BUFFER_LEN 4096L
 #define UPLOAD_BUFFER_LEN 16384L
 
+/*
+ * Time to read a reply that is there at the deadline: the thread may not have
+ * run for a while. libcurl's own limit would discard it.
+ */
+#define OVERDUE_READ_USEC (20 * JH_USEC_PER_MSEC)
+
 /* Commands (start, resume, cancel) that may be queued per call. */
 #define COMMANDS_PER_CALL 4
 
@@ -38,7 +44,9 @@
 	unsigned int max_calls;
 	int n_calls; /* atomic: calls whose done() has not run */
 	int stopping; /* atomic */
-	GHashTable *running; /* set of calls; client thread only */
+	/* Client thread only. */
+	GHashTable *running; /* set of calls */
+	GSequence *ends; /* those with a deadline, by ends_at */
 };
 
 struct jh_http_call {
@@ -51,6 +59,8 @@
 	struct jh_http_call_ops ops;
 	void *arg;
 	uint64_t deadline;
+	uint64_t ends_at; /* the deadline, or later once it is overdue */
+	GSequenceIter *end; /* its place in ends; NULL: none */
 	int resume_queued; /* atomic: at most one is queued */
 	int cancel_queued; /* atomic: at most one ever */
 	bool connected; /* the peer may have received the request */
@@ -140,6 +150,8 @@
 {
 	struct jh_http_call *call = arg;
 
+	if (jh_now() >= call->deadline)
+		return CURL_PREREQFUNC_ABORT;
 	call->connected = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -168,29 +180,79 @@
 	enum jh_http_result result = classify(call, code);
 
 	g_hash_table_remove(c->running, call);
+	if (call->end != NULL)
+		g_sequence_remove(call->end);
+	call->end = NULL;
 	curl_multi_remove_handle(c->multi, call->easy);
 	call->ops.done(call->arg, call, result);
 	g_atomic_int_add(&c->n_calls, -1);
 	jh_http_call_unref(call);
 }
 
+static gint
+compare_ends(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct jh_http_call *x = a, *y = b;
+
+	return (x->ends_at > y->ends_at) - (x->ends_at < y->ends_at);
+}
+
 static void
-start(struct jh_http_client *c, struct jh_http_call *call)
+set_end(struct jh_http_client *c, struct jh_http_call *call, uint64_t at)
 {
-	uint64_t now = jh_now();
+	call->ends_at = at;
+	if (call->end == NULL)
+		call->end =
+		    g_sequence_insert_sorted(c->ends, call, compare_ends, NULL);
+	else
+		g_sequence_sort_changed(call->end, compare_ends, NULL);
+}
 
-	if (call->deadline != JH_NEVER) {
-		long left =
-		    call->deadline <= now
-			? 1
-			: (long)((call->deadline - now) / JH_USEC_PER_MSEC) + 1;
+/* Returns the call that ends first, or NULL. */
+static struct jh_http_call *
+first_to_end(const struct jh_http_client *c)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(c->ends);
 
-		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, left);
+	return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+static void
+start(struct jh_http_client *c, struct jh_http_call *call)
+{
+	if (call->deadline <= jh_now()) {
+		finish(c, call, CURLE_OPERATION_TIMEDOUT);
+		return;
 	}
+	if (call->deadline != JH_NEVER)
+		set_end(c, call, call->deadline);
 	g_hash_table_add(c->running, call);
 	curl_multi_add_handle(c->multi, call->easy);
 }
 
+/* Ends the calls whose replies have not arrived in time. */
+static void
+end_overdue(struct jh_http_client *c)
+{
+	struct jh_http_call *call;
+	uint64_t now = jh_now();
+
+	while ((call = first_to_end(c)) != NULL && call->ends_at <= now) {
+		if (call->ends_at == call->deadline)
+			set_end(c, call, now + OVERDUE_READ_USEC);
+		else
+			finish(c, call, CURLE_OPERATION_TIMEDOUT);
+	}
+}
+
+static uint64_t
+next_end(const struct jh_http_client *c)
+{
+	const struct jh_http_call *call = first_to_end(c);
+
+	return call != NULL ? call->ends_at : JH_NEVER;
+}
+
 static void
 unpause(struct jh_http_call *call)
 {
@@ -272,8 +334,9 @@
 
 	while (!g_atomic_int_get(&c->stopping)) {
 		run_commands(c);
-		jh_http_loop_run(c->loop);
+		jh_http_loop_run(c->loop, next_end(c));
 		finish_completed(c);
+		end_overdue(c);
 	}
 	cancel_all(c);
 	return NULL;
@@ -290,6 +353,7 @@
 	c->commands = jh_ring_create(max_calls * COMMANDS_PER_CALL);
 	c->max_calls = max_calls;
 	c->running = g_hash_table_new(NULL, NULL);
+	c->ends = g_sequence_new(NULL);
 	c->thread = jh_thread_create(thread_name, client_main, c);
 	return c;
 }
@@ -306,6 +370,7 @@
 	jh_http_loop_destroy(c->loop);
 	jh_ring_destroy(c->commands);
 	g_hash_table_destroy(c->running);
+	g_sequence_free(c->ends);
 	g_free(c);
 }
 
--- a/src/http/loop.c
+++ b/src/http/loop.c
@@ -84,15 +84,16 @@
 }
 
 static int
-wait_ms(const struct jh_http_loop *l)
+wait_ms(const struct jh_http_loop *l, uint64_t until)
 {
 	uint64_t now = jh_now(), ms;
 
-	if (l->timer == JH_NEVER)
+	until = MIN(until, l->timer);
+	if (until == JH_NEVER)
 		return WAIT_MS;
-	if (l->timer <= now)
+	if (until <= now)
 		return 0;
-	ms = (l->timer - now + JH_USEC_PER_MSEC - 1) / JH_USEC_PER_MSEC;
+	ms = (until - now + JH_USEC_PER_MSEC - 1) / JH_USEC_PER_MSEC;
 	return (int)MIN(ms, WAIT_MS);
 }
 
@@ -121,12 +122,12 @@
 }
 
 void
-jh_http_loop_run(struct jh_http_loop *l)
+jh_http_loop_run(struct jh_http_loop *l, uint64_t until)
 {
 	struct epoll_event ev[EVENTS_PER_WAIT];
 	int i, n, running;
 
-	n = epoll_wait(l->epoll, ev, EVENTS_PER_WAIT, wait_ms(l));
+	n = epoll_wait(l->epoll, ev, EVENTS_PER_WAIT, wait_ms(l, until));
 	for (i = 0; i < n; i++) {
 		if (ev[i].data.fd == l->wake)
 			clear_wake(l);
