Failing test: an empty response of a worker that ended after its head

A route that is no stream, for responses with neither a length nor chunks: a worker that ends after the head leaves a success with a seal and no body. The client gets it as whole, and the request counts as one that has succeeded.

--- a/test/test_gateway_unframed.c
+++ b/test/test_gateway_unframed.c
@@ -16,7 +16,7 @@
 #include "platform_fixture.h"
 
 /*
- * Tests of streams with neither a length nor chunks, which end with their
+ * Tests of responses with neither a length nor chunks, which end with their
  * connection. The workers are threads with a plain socket.
  */
 
@@ -176,11 +176,11 @@
 }
 
 static struct call *
-request_stream(const struct response *responses)
+request(const char *path, const struct response *responses)
 {
 	struct call_spec spec = {
 	    .port = platform_router(p)->port,
-	    .path = "/stream/x",
+	    .path = path,
 	    .headers = {"Host: h.example", "Api-Key: k1",
 		"X-Jacinthhill-Model: m1", "X-Jacinthhill-Token-Counts: 400,20",
 		"X-Jacinthhill-Deadline-Milliseconds: 3000",
@@ -198,7 +198,7 @@
 expect_stream(
     const struct response *responses, guint events, int attempts, bool complete)
 {
-	struct call *c = request_stream(responses);
+	struct call *c = request("/stream/x", responses);
 
 	assert_int_equal(call_status(c), 200);
 	assert_int_equal(call_event_count(c), events);
@@ -261,6 +261,23 @@
 	expect_stream(responses, 1, 2, false);
 }
 
+/*
+ * Guards against an empty response that looks complete because its worker ended
+ * after the head.
+ */
+static void
+response_without_a_body_is_repeated(void **state)
+{
+	static const struct response responses[] = {
+	    {HEAD, false}, {HEAD "done", false}};
+	struct call *c = request("/again/x", responses);
+
+	assert_int_equal(call_status(c), 200);
+	assert_string_equal(call_body(c), "done");
+	assert_int_equal(g_atomic_int_get(&next_response), 2);
+	call_free(c);
+}
+
 #define UNFRAMED_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 static const struct CMUnitTest tests[] = {
@@ -269,6 +286,7 @@
     UNFRAMED_TEST(stream_that_is_reset_after_an_event_is_resumed),
     UNFRAMED_TEST(stream_without_an_event_is_repeated),
     UNFRAMED_TEST(resumed_stream_without_an_event_is_not_complete),
+    UNFRAMED_TEST(response_without_a_body_is_repeated),
 };
 
 HARNESS_MAIN(tests)
