A response that ends with its connection after the head alone is broken

What callers saw: a success without a body, after the worker had crashed behind the head of a response with neither a length nor chunks.

Cause: the end of the connection is the end of such a response, and only streams were checked for what came before it. Besides, the request counted as one that had succeeded, which clears what is known against it.

Why it works: a 200 that ends with its connection and has no body is repeated, or reported as 502 if the request may run once, and is evidence of a crash as for streams.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -242,14 +242,22 @@
 }
 
 /*
- * Whether a stream that has ended was broken off. One without framing that has
- * no event looks the same if its worker crashed after the head.
+ * Whether the response ended with its connection after the head alone, as it
+ * does if the worker crashed then.
  */
 static bool
+is_head_only(const struct exchange *x)
+{
+	return x->status == 200 && x->until_close &&
+	       (x->streaming ? x->attempt_events == 0 : x->body->len == 0);
+}
+
+/* Whether a stream that has ended was broken off. */
+static bool
 is_cut_off(const struct exchange *x)
 {
 	return jh_sse_parser_has_partial(x->events) || !x->response_begun ||
-	       (x->until_close && x->attempt_events == 0);
+	       is_head_only(x);
 }
 
 static enum jh_attempt_result
@@ -281,6 +289,10 @@
 		    "the worker's answer has no seal or was changed on the way";
 		return JH_ATTEMPT_BROKEN;
 	}
+	if (!x->streaming && is_head_only(x)) {
+		*why = "the response ended before its body";
+		return JH_ATTEMPT_BROKEN;
+	}
 	/* Relayed, such a status would tell the client that nothing ran. */
 	if (promises_not_run(x->status)) {
 		*why = "the worker returned an error";
@@ -372,7 +384,8 @@
 	    x->silence_timed_out)
 		return false;
 	return call_result == JH_CALL_BROKEN ||
-	       (call_result == JH_CALL_COMPLETE && x->streaming);
+	       (call_result == JH_CALL_COMPLETE &&
+		   (x->streaming || is_head_only(x)));
 }
 
 /* The ids of the prompt's shared parts, for the log. */
