Failing test: a change on its way is given up because a peer has it already

A watch call whose response takes over 0.4 s to arrive, as a large configuration does over the link of a small instance (580 KB and 10 Mbit/s: 0.46 s), or that waits unread during a pause, is cancelled when gossip tells of the new revision.

--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -33,6 +33,10 @@
 	bool removed; /* the object was removed */
 	bool silent; /* watch calls get no response */
 	bool changed; /* the object has a newer revision */
+	/* The next response to a watch call is sent by send_bytes(). */
+	bool slow;
+	struct jh_server_request *begun; /* such a response; NULL: none */
+	size_t begun_bytes; /* that were sent of its body */
 	unsigned int watches;
 	unsigned int last_wait_ms;
 	uint64_t last_revision; /* revision in the last callback */
@@ -40,6 +44,54 @@
 	uint64_t suspect_since;
 };
 
+#define CHANGE                                                                \
+	"{\"events\":[{\"deleted\":false,\"object\":{\"metadata\":{\"name\":" \
+	"\"a\","                                                              \
+	"\"revision\":12},\"specification\":2}}],\"storeRevision\":12}"
+
+static void
+on_begun_gone(void *arg)
+{
+	((struct fixture *)arg)->begun = NULL;
+}
+
+static void
+on_begun_drained(void *arg)
+{
+}
+
+static const struct jh_server_request_ops begun_ops = {
+    on_begun_gone, on_begun_drained};
+
+/* Begins a response with a change; send_bytes() sends its body. */
+static void
+begin_change(struct fixture *w, struct jh_server_request *v)
+{
+	w->slow = false;
+	w->begun = v;
+	w->begun_bytes = 0;
+	jh_server_request_set_ops(v, &begun_ops, w);
+	jh_server_request_begin_response(v, 200, "OK", JH_STR(""));
+}
+
+/* Sends up to n more bytes, and the end after the last. */
+static void
+send_bytes(struct fixture *w, size_t n)
+{
+	size_t left = strlen(CHANGE) - w->begun_bytes;
+
+	if (w->begun == NULL)
+		return;
+	n = MIN(n, left);
+	jh_server_request_write(
+	    w->begun, (struct jh_str){&CHANGE[w->begun_bytes], n});
+	w->begun_bytes += n;
+	if (n < left)
+		return;
+	jh_server_request_end(w->begun);
+	w->begun = NULL;
+}
+
 static void
 on_store(void *arg, struct jh_server_request *v)
 {
@@ -53,12 +105,7 @@
 	if (wait != NULL) {
 		w->watches++;
 		w->last_wait_ms = (unsigned int)atoi(wait + 7);
-		response =
-		    w->changed
-			? "{\"events\":[{\"deleted\":false,\"object\":{"
-			  "\"metadata\":{\"name\":\"a\",\"revision\":12},"
-			  "\"specification\":2}}],\"storeRevision\":12}"
-			: NULL;
+		response = w->changed ? CHANGE : NULL;
 	}
 	if (wait != NULL && w->idle)
 		response = "{\"events\":[],\"storeRevision\":9}";
@@ -66,7 +113,9 @@
 		response = "{\"events\":[{\"deleted\":true,\"object\":{"
 			   "\"metadata\":{\"name\":\"a\",\"revision\":3}}}],"
 			   "\"storeRevision\":15}";
-	if (w->refuses)
+	if (wait != NULL && w->slow)
+		begin_change(w, v);
+	else if (w->refuses)
 		jh_server_request_respond(
 		    v, 503, "Away", JH_STR(""), JH_STR(""));
 	else if (response != NULL && !(w->silent && wait != NULL))
@@ -174,6 +223,47 @@
 	fixture_clear(&w);
 }
 
+/*
+ * Guards against giving up a change that is on its way over a slow link because
+ * a peer has got it already.
+ */
+static void
+change_on_its_way_is_awaited(void **state)
+{
+	struct fixture w;
+	unsigned int i;
+
+	fixture_init(&w);
+	w.slow = true;
+	run_for(&w, 500000, 0);
+	assert_int_equal(w.watches, 1);
+	for (i = 0; i < 5; i++) {
+		send_bytes(&w, 1);
+		run_for(&w, 200000, 12);
+	}
+	send_bytes(&w, SIZE_MAX);
+	run_for(&w, 200000, 12);
+	assert_int_equal(w.last_revision, 12);
+	assert_int_equal(w.watches, 2);
+	fixture_clear(&w);
+}
+
+/* Guards against waiting for a response that has stopped to arrive. */
+static void
+stalled_change_is_given_up(void **state)
+{
+	struct fixture w;
+
+	fixture_init(&w);
+	w.slow = true;
+	run_for(&w, 500000, 0);
+	send_bytes(&w, 1);
+	w.changed = true;
+	run_for(&w, 1000000, 12);
+	assert_int_equal(w.last_revision, 12);
+	fixture_clear(&w);
+}
+
 /* Guards against restarting a call for a revision that is already known. */
 static void
 known_revision_does_not_restart_watch(void **state)
@@ -368,6 +458,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(silent_watch_is_restarted),
+	    cmocka_unit_test(change_on_its_way_is_awaited),
+	    cmocka_unit_test(stalled_change_is_given_up),
 	    cmocka_unit_test(known_revision_does_not_restart_watch),
 	    cmocka_unit_test(removal_is_suspect_only_soon_after_outage),
 	    cmocka_unit_test(mirror_passes_changes_on),
