Daemons: retry a request that was in a crash no more often than before

Seen: test_proc_poison_parts, test_streams_beside, failed in 2 of 4 runs at a load of 30 after the rule of earlier output: a stream beside three poison requests ended early.

Cause: the streams have the same messages, so these have had output, and the second poison request was retried once more. A stream that is in three crashes is refused as a whole, so one crash more makes that likely. The retry of the daemons follows all crashes of a part again, without regard to its output; the quarantine keeps the new rule, and so does the retry of the routers, where the power failures need it.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -161,6 +161,13 @@
     uint64_t now, const struct jh_fingerprint *part, size_t n,
     uint64_t *deadline);
 
+/*
+ * The same without regard to earlier output of parts, for those who retry
+ * seldom.
+ */
+unsigned int jh_suspects_parts_all_crashes(const struct jh_suspects *s,
+    uint64_t now, const struct jh_fingerprint *part, size_t n);
+
 /* Returns the number of parts that are quarantined. */
 size_t jh_suspects_parts_quarantined(const struct jh_suspects *s, uint64_t now);
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -243,13 +243,12 @@
 }
 
 /* Once there is output, the parts are not what crashes engines. */
-static unsigned int
-parts_crashes(const struct entry_job *j)
+static bool
+has_quarantined_parts(const struct entry_job *j)
 {
-	if (entry_job_has_output(j))
-		return 0;
-	return crash_log_parts_crashes(
-	    j->entry->crashes, j->parts.part, j->parts.n);
+	return !entry_job_has_output(j) &&
+	       crash_log_refuses_parts(
+		   j->entry->crashes, j->parts.part, j->parts.n);
 }
 
 static bool
@@ -257,7 +256,7 @@
 {
 	return crash_log_state(j->entry->crashes, j->fingerprint) ==
 		   JH_SUSPECT_QUARANTINED ||
-	       parts_crashes(j) >= JH_SUSPECT_QUARANTINE_CRASHES;
+	       has_quarantined_parts(j);
 }
 
 /*
@@ -305,7 +304,9 @@
 		j->next_candidate = 0;
 		j->stage = STAGE_NONE;
 	}
-	crashes_engines = parts_crashes(j) >= JH_SUSPECT_NO_RETRY_CRASHES;
+	crashes_engines =
+	    !entry_job_has_output(j) &&
+	    !crash_log_allows_retry(e->crashes, j->parts.part, j->parts.n);
 	pthread_mutex_lock(&e->lock);
 	allowed =
 	    not_sent || (!crashes_engines && jh_retry_take(e->retry, jh_now()));
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -121,24 +121,28 @@
 	pthread_mutex_unlock(&l->lock);
 }
 
-unsigned int
-crash_log_parts_crashes(
+bool
+crash_log_allows_retry(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n)
 {
 	unsigned int crashes;
 
 	pthread_mutex_lock(&l->lock);
-	crashes = jh_suspects_parts_crashes(l->table, jh_now(), part, n, NULL);
+	crashes = jh_suspects_parts_all_crashes(l->table, jh_now(), part, n);
 	pthread_mutex_unlock(&l->lock);
-	return crashes;
+	return crashes < JH_SUSPECT_NO_RETRY_CRASHES;
 }
 
 bool
 crash_log_refuses_parts(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n)
 {
-	return crash_log_parts_crashes(l, part, n) >=
-	       JH_SUSPECT_QUARANTINE_CRASHES;
+	unsigned int crashes;
+
+	pthread_mutex_lock(&l->lock);
+	crashes = jh_suspects_parts_crashes(l->table, jh_now(), part, n, NULL);
+	pthread_mutex_unlock(&l->lock);
+	return crashes >= JH_SUSPECT_QUARANTINE_CRASHES;
 }
 
 void
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -38,7 +38,12 @@
     uint64_t seq, const struct jh_fingerprint *part, size_t n);
 void crash_log_parts_succeeded(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n);
-unsigned int crash_log_parts_crashes(
+/*
+ * Whether a request with these parts that was in a crash may be retried. Unlike
+ * a refusal this disregards earlier output: a retry of what crashes by itself
+ * breaks the streams of one more engine, which are given up by their third.
+ */
+bool crash_log_allows_retry(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n);
 /* Whether a request with these parts is refused. */
 bool crash_log_refuses_parts(
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -130,7 +130,7 @@
 static bool
 is_explained(const struct jh_suspects *s, uint64_t now,
     const struct jh_suspect_entry *e, const struct jh_fingerprint *part,
-    size_t n)
+    size_t n, bool with_output)
 {
 	struct jh_suspect_entry left = *e;
 	const struct jh_suspect_entry *other;
@@ -145,36 +145,61 @@
 			continue;
 		some |= jh_suspect_entry_remove(&left, other);
 	}
-	for (i = 0; i < MAX_NEW_CAUSES && jh_suspect_entry_had_output(e); i++)
+	with_output &= jh_suspect_entry_had_output(e);
+	for (i = 0; i < MAX_NEW_CAUSES && with_output; i++)
 		some |= remove_new_cause(s, now, &left, part, n);
 	return some && jh_suspect_entry_part_crashes(&left, NULL, now, NULL) <=
 			   STRAY_CRASHES;
 }
 
-unsigned int
-jh_suspects_parts_crashes(const struct jh_suspects *s, uint64_t now,
-    const struct jh_fingerprint *part, size_t n, uint64_t *deadline)
+/* with_output: take earlier output of parts into account. */
+static unsigned int
+most_crashes(const struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n, bool with_output,
+    uint64_t *deadline)
 {
 	const struct jh_suspect_entry *e;
 	unsigned int most = 0, count;
-	uint64_t until = 0, last = 0;
+	uint64_t until = 0;
 	size_t i;
 
+	*deadline = 0;
 	for (i = 0; i < n && g_hash_table_size(s->entries) > 0; i++) {
 		e = jh_suspects_find(s, part[i]);
 		if (e == NULL)
 			continue;
-		count = jh_suspect_entry_part_evidence(e, now, &until);
-		if (count <= most || is_explained(s, now, e, part, n))
+		count =
+		    with_output
+			? jh_suspect_entry_part_evidence(e, now, &until)
+			: jh_suspect_entry_part_crashes(e, NULL, now, &until);
+		if (count <= most ||
+		    is_explained(s, now, e, part, n, with_output))
 			continue;
 		most = count;
-		last = until;
+		*deadline = until;
 	}
-	if (deadline != NULL)
-		*deadline = last;
 	return most;
 }
 
+unsigned int
+jh_suspects_parts_crashes(const struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n, uint64_t *deadline)
+{
+	uint64_t until;
+
+	return most_crashes(
+	    s, now, part, n, true, deadline != NULL ? deadline : &until);
+}
+
+unsigned int
+jh_suspects_parts_all_crashes(const struct jh_suspects *s, uint64_t now,
+    const struct jh_fingerprint *part, size_t n)
+{
+	uint64_t until;
+
+	return most_crashes(s, now, part, n, false, &until);
+}
+
 size_t
 jh_suspects_parts_quarantined(const struct jh_suspects *s, uint64_t now)
 {
