Suspects: crashes that may have been at one moment count once

Seen: three workers that lose power together, noticed by routers that were paused for 0.3 and 0.6 s, count as three crashes and quarantine what they ran. The gap of 0.25 s is measured between the times of notice.

A router now reports when its loop last polled before it noticed the crash, so the crash was between the two. Crashes count once if they are within the gap or if their spans overlap. Of several reports of one crash the earliest counts, with its span, so copies that age on the way do not narrow or widen it. A loop that is idle polls every 0.2 s, below the gap, so only pauses change a count.

Mixed versions: the span is in five flag bits of the gossip, in steps of 128 ms, which the old code ignores; the message has the same size. The daemons' format has no room, so they report no span.

New: crash_message_tells_of_a_pause.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -77,6 +77,7 @@
 	uint64_t reporter; /* incarnation of the agent that saw the crash */
 	uint64_t seq; /* number of the crash at that agent */
 	uint64_t remaining_usec; /* how long it still counts */
+	uint64_t width_usec; /* how much earlier it may have been, at most */
 	bool sole; /* the request was the only suspect in the batch */
 	bool cleared; /* the request has since run successfully */
 	bool had_output; /* of a part: it is known to have had output */
@@ -127,13 +128,15 @@
 
 /*
  * Reports that an engine crashed while it began to respond to a request with
- * these parts, without any output yet. One crash may be reported several times,
+ * these parts, without any output yet. alive: when the caller last knew it
+ * running, earlier than now if the caller was paused; crashes that may have
+ * been at one moment count once. One crash may be reported several times,
  * with different parts, also by different processes that give it the same
  * reporter and number.
  */
 void jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now,
-    uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
-    size_t n);
+    uint64_t alive, uint64_t reporter, uint64_t seq,
+    const struct jh_fingerprint *part, size_t n);
 
 /*
  * Reports the first output of a request with these parts, which shows that none
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -107,8 +107,10 @@
 crash_log_parts_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
     const struct jh_fingerprint *part, size_t n)
 {
+	uint64_t now = jh_now();
+
 	pthread_mutex_lock(&l->lock);
-	jh_suspects_parts_crashed(l->table, jh_now(), reporter, seq, part, n);
+	jh_suspects_parts_crashed(l->table, now, now, reporter, seq, part, n);
 	pthread_mutex_unlock(&l->lock);
 }
 
--- a/src/gateway/crash_message.c
+++ b/src/gateway/crash_message.c
@@ -11,6 +11,21 @@
 #define FLAG_CLEARED 2U
 #define FLAG_HAD_OUTPUT 4U
 
+/* How much earlier a crash may have been is in the upper bits of the flags. */
+#define WIDTH_SHIFT 3
+#define WIDTH_UNIT_USEC 128000ULL
+#define MAX_WIDTH 31U
+
+/* Rounded up; below the gap it makes no difference. */
+static uint64_t
+width_units(const struct jh_crash *c)
+{
+	if (c->width_usec < JH_SUSPECT_CRASH_GAP_USEC)
+		return 0;
+	return MIN(
+	    (c->width_usec + WIDTH_UNIT_USEC - 1) / WIDTH_UNIT_USEC, MAX_WIDTH);
+}
+
 size_t
 jh_crash_message_write(const struct jh_suspects *s, uint64_t now,
     uint64_t since, uint64_t turn, unsigned char *out, size_t max)
@@ -31,7 +46,8 @@
 		jh_wire_put(&at,
 		    (c->sole ? FLAG_SOLE : 0) |
 			(c->cleared ? FLAG_CLEARED : 0) |
-			(c->had_output ? FLAG_HAD_OUTPUT : 0),
+			(c->had_output ? FLAG_HAD_OUTPUT : 0) |
+			width_units(c) << WIDTH_SHIFT,
 		    1);
 	}
 	return (size_t)(at - out);
@@ -59,6 +75,7 @@
 		c->sole = (flags & FLAG_SOLE) != 0;
 		c->cleared = (flags & FLAG_CLEARED) != 0;
 		c->had_output = (flags & FLAG_HAD_OUTPUT) != 0;
+		c->width_usec = (flags >> WIDTH_SHIFT) * WIDTH_UNIT_USEC;
 	}
 	jh_suspects_merge(s, now, crash, n);
 	return true;
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "gateway/exchange.h"
+#include "net/loop_lag.h"
 
 /* A quarantine may end at any moment, with the output of a running request. */
 #define MAX_RETRY_SECONDS 5.0
@@ -45,7 +46,8 @@
 	x->was_in_crash = true;
 	if (w != NULL && w->started_ms == x->worker_started_ms)
 		w->crash_reported_at = jh_now();
-	jh_suspects_parts_crashed(gw->suspects, jh_now(), x->worker_hash,
+	jh_suspects_parts_crashed(gw->suspects, jh_now(),
+	    jh_loop_lag_last_poll(gw->lag), x->worker_hash,
 	    x->worker_started_ms, x->suspect_part, x->n_suspect_parts);
 	jh_metrics_add(gw->metrics, "jh_crashes_reported", 1);
 	jh_json_log(gw->log, "crash_reported", "s:s#, s:s?, s:I, s:i",
--- a/src/net/loop_lag.c
+++ b/src/net/loop_lag.c
@@ -87,6 +87,12 @@
 	return since >= l->gap_end && !is_late(l, jh_now());
 }
 
+uint64_t
+jh_loop_lag_last_poll(const struct jh_loop_lag *l)
+{
+	return l->polled == 0 ? jh_now() : l->polled;
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
--- a/src/net/loop_lag.h
+++ b/src/net/loop_lag.h
@@ -31,6 +31,12 @@
  * while the loop waits for events is not noticed.
  */
 bool jh_loop_lag_ran_since(const struct jh_loop_lag *l, uint64_t since);
+/*
+ * The jh_now() time at which the poll before the current iteration's returned,
+ * now if there was none. What a callback reads arrived later, also if the whole
+ * process was paused while it waited.
+ */
+uint64_t jh_loop_lag_last_poll(const struct jh_loop_lag *l);
 void jh_loop_lag_destroy(struct jh_loop_lag *l);
 
 #endif
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -52,7 +52,8 @@
 		if (except != NULL && has_counted_crash(except, c))
 			continue;
 		if (count > 0 &&
-		    c->deadline < counted + JH_SUSPECT_CRASH_GAP_USEC)
+		    (c->deadline < counted + JH_SUSPECT_CRASH_GAP_USEC ||
+			c->deadline < counted + c->width_usec))
 			continue;
 		counted = c->deadline;
 		count++;
@@ -196,7 +197,11 @@
 	 * transmission delay each time. Taking the earlier deadline keeps them
 	 * from being extended for ever.
 	 */
-	new.deadline = MIN(old.deadline, c->deadline);
+	if (c->deadline < old.deadline) {
+		new.deadline = c->deadline;
+		new.width_usec = c->width_usec;
+	} else if (c->deadline == old.deadline)
+		new.width_usec = MIN(old.width_usec, c->width_usec);
 	insert_sorted(e, new);
 	return new.cleared != old.cleared || new.sole != old.sole ||
 	       new.had_output != old.had_output;
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -8,6 +8,7 @@
 	uint64_t reporter;
 	uint64_t seq;
 	uint64_t deadline; /* until when it counts */
+	uint64_t width_usec; /* how much earlier it may have been, at most */
 	bool sole;
 	bool cleared;
 	bool had_output; /* a part had output before this crash or after it */
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -36,8 +36,8 @@
 	for (i = 0; i < e->n && last > now; i++) {
 		c = &e->crash[i];
 		out[n++] = (struct jh_crash){e->fingerprint, c->reporter,
-		    c->seq, c->deadline > now ? c->deadline - now : 0, c->sole,
-		    c->cleared, c->had_output};
+		    c->seq, c->deadline > now ? c->deadline - now : 0,
+		    c->width_usec, c->sole, c->cleared, c->had_output};
 	}
 	return n;
 }
@@ -152,7 +152,8 @@
 		c = (struct jh_suspect_crash){crashes[i].reporter,
 		    crashes[i].seq,
 		    now + MIN(crashes[i].remaining_usec, s->settings.hold_usec),
-		    crashes[i].sole, crashes[i].cleared, crashes[i].had_output};
+		    crashes[i].width_usec, crashes[i].sole, crashes[i].cleared,
+		    crashes[i].had_output};
 		e = jh_suspects_find_or_add(s, now, crashes[i].fingerprint);
 		if (jh_suspect_entry_merge(e, &c) ||
 		    sender_missed_success(e, &c))
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -15,13 +15,14 @@
 }
 
 void
-jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now,
+jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now, uint64_t alive,
     uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
     size_t n)
 {
 	struct jh_suspect_crash c = {.reporter = reporter,
 	    .seq = seq,
-	    .deadline = now + s->settings.hold_usec};
+	    .deadline = now + s->settings.hold_usec,
+	    .width_usec = now - MIN(alive, now)};
 	struct jh_suspect_entry *e;
 	size_t i;
 
--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -37,7 +37,7 @@
 struct report {
 	struct jh_fingerprint part[MAX_PARTS];
 	size_t n;
-	unsigned int router, due;
+	unsigned int router, at, due;
 	uint64_t worker, start;
 	struct job job;
 	bool begun, used;
@@ -206,6 +206,7 @@
 		k = free_report(f, k);
 		f->n_reports = MAX(f->n_reports, k + 1);
 		f->report[k] = (struct report){.router = j->router,
+		    .at = step,
 		    .due = step + late[j->router],
 		    .worker = worker,
 		    .start = f->starts[worker],
@@ -227,8 +228,8 @@
 				continue;
 			if (pass == 0 && r->begun)
 				jh_suspects_parts_crashed(f->table[r->router],
-				    time_at(step), r->worker, r->start,
-				    r->job.part, r->job.n);
+				    time_at(step), time_at(r->at), r->worker,
+				    r->start, r->job.part, r->job.n);
 			if (pass == 1) {
 				r->used = false;
 				r->job.was_in_crash |= r->begun;
--- a/test/test_suspect_fleet.c
+++ b/test/test_suspect_fleet.c
@@ -26,8 +26,10 @@
 	struct jh_fingerprint part = jh_fingerprint_of_part(1);
 	unsigned int round, i;
 
-	for (i = 0; i < 3; i++)
-		jh_suspects_parts_crashed(a, now += SEC, i, 1, &part, 1);
+	for (i = 0; i < 3; i++) {
+		now += SEC;
+		jh_suspects_parts_crashed(a, now, now, i, 1, &part, 1);
+	}
 	for (round = 0; round < 5; round++)
 		suspect_send_round(a, b, now += SEC / 5, from_a, round);
 	assert_int_equal(jh_suspects_parts_crashes(b, now, &part, 1, NULL), 3);
@@ -59,7 +61,8 @@
 		part[i] = jh_fingerprint_of_part(1 + i);
 	for (i = 0; i < 9; i++) {
 		part[5] = jh_fingerprint_of_part(100 + i);
-		jh_suspects_parts_crashed(a, now += SEC, i, 1, part, 6);
+		now += SEC;
+		jh_suspects_parts_crashed(a, now, now, i, 1, part, 6);
 	}
 	for (round = 0; round < 300; round++)
 		suspect_send_round(a, b, now += SEC / 5, from_a, round);
@@ -84,7 +87,8 @@
 	for (i = 0; i < 6; i++) {
 		p[1] = jh_fingerprint_of_part(2 + i % 2);
 		p[2] = jh_fingerprint_of_part(100 + i);
-		jh_suspects_parts_crashed(s, (1 + i) * SEC, i, 1, p, 3);
+		jh_suspects_parts_crashed(
+		    s, (1 + i) * SEC, (1 + i) * SEC, i, 1, p, 3);
 	}
 	assert_in_range(
 	    jh_suspects_parts_crashes(s, 7 * SEC, sound, 3, NULL), 0, 2);
@@ -105,9 +109,10 @@
 	for (i = 0; i < 5; i++) {
 		p[1] = jh_fingerprint_of_part(2);
 		p[2] = jh_fingerprint_of_part(100 + i);
-		jh_suspects_parts_crashed(s, (1 + i) * SEC, i, 1, p, 3);
+		jh_suspects_parts_crashed(
+		    s, (1 + i) * SEC, (1 + i) * SEC, i, 1, p, 3);
 	}
-	jh_suspects_parts_crashed(s, 6 * SEC, 9, 1, sound, 3);
+	jh_suspects_parts_crashed(s, 6 * SEC, 6 * SEC, 9, 1, sound, 3);
 	sound[1] = jh_fingerprint_of_part(6);
 	sound[2] = jh_fingerprint_of_part(7);
 	assert_in_range(
@@ -115,6 +120,29 @@
 	jh_suspects_destroy(s);
 }
 
+/* Guards against power failures that routers notice at different times. */
+static void
+power_failure_seen_late_counts_once(void **state)
+{
+	struct jh_suspects *a = suspect_table(), *b = suspect_table(),
+			   *c = suspect_table();
+	struct jh_fingerprint part = jh_fingerprint_of_part(1);
+	uint64_t revision[SUSPECT_ROUNDS] = {0}, alive = SEC - 10000;
+
+	/* Three workers fail at once; b and c are paused for 0.3 and 0.6 s. */
+	jh_suspects_parts_crashed(a, SEC, alive, 1, 1, &part, 1);
+	jh_suspects_parts_crashed(b, SEC + 300000, alive, 2, 1, &part, 1);
+	jh_suspects_parts_crashed(c, SEC + 600000, alive, 3, 1, &part, 1);
+	suspect_send_round(b, a, SEC + 600000, revision, 0);
+	memset(revision, 0, sizeof(revision));
+	suspect_send_round(c, a, SEC + 600000, revision, 0);
+	assert_int_equal(
+	    jh_suspects_parts_crashes(a, 2 * SEC, &part, 1, NULL), 1);
+	jh_suspects_destroy(a);
+	jh_suspects_destroy(b);
+	jh_suspects_destroy(c);
+}
+
 SUSPECT_FLEET(base, 0.7, 0.04, 0, 1, 12, 300, 0, 0, 0, 0, 0)
 SUSPECT_FLEET(low_rate_of_the_cause, 0.7, 0.002, 0, 1, 12, 300, 0, 0, 0, 0, 0)
 SUSPECT_FLEET(
@@ -199,6 +227,7 @@
 	    cmocka_unit_test(part_that_two_causes_share_is_served),
 	    cmocka_unit_test(
 		part_of_an_ordinary_crash_beside_a_cause_is_served),
+	    cmocka_unit_test(power_failure_seen_late_counts_once),
 	    cmocka_unit_test(base),
 	    cmocka_unit_test(low_rate_of_the_cause),
 	    cmocka_unit_test(low_rate_and_ordinary_crashes),
--- a/test/test_suspect_parts.c
+++ b/test/test_suspect_parts.c
@@ -45,7 +45,7 @@
 static void
 crash(struct jh_suspects *s, uint64_t now, uint64_t engine, struct request r)
 {
-	jh_suspects_parts_crashed(s, now, engine, 1, r.part, r.n);
+	jh_suspects_parts_crashed(s, now, now, engine, 1, r.part, r.n);
 }
 
 static unsigned int
@@ -234,6 +234,28 @@
 	jh_suspects_destroy(s);
 }
 
+/* Guards against counting each of several crashes that a pause hides. */
+static void
+crash_message_tells_of_a_pause(void **state)
+{
+	struct jh_suspects *s = new_table(), *other = new_table();
+	struct request r = make(F, X, W1);
+	unsigned char message[1440];
+	unsigned int i;
+	size_t n;
+
+	/* Three that may have been at one moment, then one 3 s later. */
+	for (i = 1; i <= 3; i++)
+		jh_suspects_parts_crashed(
+		    s, SEC + i * 300000, SEC, i, 1, r.part, r.n);
+	crash(s, 4 * SEC, 4, r);
+	n = jh_crash_message_write(s, 4 * SEC, 0, 0, message, sizeof(message));
+	assert_true(jh_crash_message_read(other, 4 * SEC, message, n));
+	assert_int_equal(crashes(other, 4 * SEC, r), 2);
+	jh_suspects_destroy(other);
+	jh_suspects_destroy(s);
+}
+
 /* Guards against suspecting what runs when several engines lose power. */
 static void
 crashes_at_one_moment_count_once(void **state)
@@ -381,8 +403,8 @@
 			continue;
 		if (j->begins <= step)
 			jh_suspects_parts_crashed(f->table[j->process],
-			    time_at(step), engine, f->starts[engine], j->r.part,
-			    j->r.n);
+			    time_at(step), time_at(step), engine,
+			    f->starts[engine], j->r.part, j->r.n);
 		broken[n++] = *j;
 		j->used = false;
 	}
@@ -521,6 +543,7 @@
 		part_with_output_that_two_new_causes_share_is_served),
 	    cmocka_unit_test(voided_crash_is_no_output),
 	    cmocka_unit_test(crash_message_tells_of_output),
+	    cmocka_unit_test(crash_message_tells_of_a_pause),
 	    cmocka_unit_test(crashes_at_one_moment_count_once),
 	    cmocka_unit_test(reports_of_one_crash_count_once),
 	    cmocka_unit_test(quarantined_parts_are_exported_first),
