--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -15,6 +15,10 @@
 #define SEC JH_USEC_PER_SEC
 #define ROUTERS 6
 #define WORKERS 9
+#define MAX_ROUTERS 100
+#define MAX_WORKERS 160
+/* Peers that a router sends to in each round on average, if it has more. */
+#define FANOUT 20
 #define STEP_USEC 10000ULL
 #define STEPS 6000
 #define ROUND_STEPS 20
@@ -45,10 +49,11 @@
 
 struct fleet {
 	const struct suspect_fleet_spec *spec;
+	unsigned int routers, workers;
 	GRand *rand;
-	struct jh_suspects *table[ROUTERS];
-	uint64_t revision[ROUTERS][SUSPECT_ROUNDS];
-	unsigned int down_until[WORKERS], starts[WORKERS];
+	struct jh_suspects *table[MAX_ROUTERS];
+	uint64_t revision[MAX_ROUTERS][SUSPECT_ROUNDS];
+	unsigned int down_until[MAX_WORKERS], starts[MAX_WORKERS];
 	struct job job[MAX_JOBS];
 	struct report report[MAX_JOBS];
 	unsigned int n_jobs, n_reports; /* indices used so far */
@@ -123,7 +128,8 @@
 	for (tries = 0;; tries++) {
 		if (tries == 50)
 			return;
-		j.worker = (unsigned int)g_rand_int_range(f->rand, 0, WORKERS);
+		j.worker = (unsigned int)g_rand_int_range(
+		    f->rand, 0, (gint32)f->workers);
 		if (f->down_until[j.worker] <= step)
 			break;
 	}
@@ -170,7 +176,8 @@
 	for (i = 0; i < s->private_parts; i++)
 		add_part(&j, 100000 + ++f->next);
 	add_part(&j, 100000 + ++f->next);
-	j.router = (unsigned int)g_rand_int_range(f->rand, 0, ROUTERS);
+	j.router =
+	    (unsigned int)g_rand_int_range(f->rand, 0, (gint32)f->routers);
 	start_job(f, step, j);
 }
 
@@ -191,11 +198,11 @@
 static void
 crash_worker(struct fleet *f, unsigned int step, unsigned int worker)
 {
-	unsigned int late[ROUTERS] = {0}, i, k;
+	unsigned int late[MAX_ROUTERS] = {0}, i, k;
 
 	f->down_until[worker] = step + RESTART_STEPS;
 	f->starts[worker]++;
-	for (i = 0; f->spec->pause_steps > 0 && i < ROUTERS; i++)
+	for (i = 0; f->spec->pause_steps > 0 && i < f->routers; i++)
 		late[i] = (unsigned int)g_rand_int_range(
 		    f->rand, 0, (gint32)f->spec->pause_steps);
 	for (i = 0, k = 0; i < f->n_jobs; i++) {
@@ -265,8 +272,9 @@
 exchange(struct fleet *f, unsigned int step)
 {
 	unsigned int number = step / ROUND_STEPS, from, to;
+	double share = MIN(1.0, (double)FANOUT / f->routers);
 
-	for (from = 0; from < ROUTERS; from++) {
+	for (from = 0; from < f->routers; from++) {
 		struct jh_crash c[RECORDS];
 		size_t n;
 		if (f->revision[from][number % SUSPECT_ROUNDS] ==
@@ -275,13 +283,13 @@
 			continue;
 		n = take_round(f->table[from], time_at(step), f->revision[from],
 		    number, c);
-		for (to = 0; to < ROUTERS; to++) {
+		for (to = 0; to < f->routers; to++) {
 			unsigned int late =
 			    f->spec->pause_steps > 0
 				? (unsigned int)g_rand_int_range(
 				      f->rand, 0, (gint32)f->spec->pause_steps)
 				: 0;
-			if (to != from && g_rand_double(f->rand) < 0.9)
+			if (to != from && g_rand_double(f->rand) < 0.9 * share)
 				jh_suspects_merge(f->table[to],
 				    time_at(step + late) + 5000, c, n);
 		}
@@ -296,8 +304,10 @@
 	bool ok;
 
 	f->spec = s;
+	f->routers = s->routers > 0 ? s->routers : ROUTERS;
+	f->workers = s->workers > 0 ? s->workers : WORKERS;
 	f->rand = g_rand_new_with_seed(seed);
-	for (i = 0; i < ROUTERS; i++)
+	for (i = 0; i < f->routers; i++)
 		f->table[i] = suspect_table();
 	for (step = 0; step < STEPS; step++) {
 		if (g_rand_double(f->rand) < s->sound_rate)
@@ -310,8 +320,8 @@
 		if (g_rand_double(f->rand) < s->kill_rate)
 			crash_worker(f, step,
 			    (unsigned int)g_rand_int_range(
-				f->rand, 0, WORKERS));
-		for (i = 0; s->all_fail_steps != 0 && i < WORKERS; i++) {
+				f->rand, 0, (gint32)f->workers));
+		for (i = 0; s->all_fail_steps != 0 && i < f->workers; i++) {
 			if (step % s->all_fail_steps == s->all_fail_steps - 1)
 				crash_worker(f, step, i);
 		}
@@ -332,7 +342,7 @@
 		    s->name, seed, f->crashes, f->late, f->poison_sent,
 		    f->sound, f->refused, f->dropped, f->late_refused,
 		    f->late_sound);
-	for (i = 0; i < ROUTERS; i++)
+	for (i = 0; i < f->routers; i++)
 		jh_suspects_destroy(f->table[i]);
 	g_rand_free(f->rand);
 	g_free(f);
--- a/test/suspect_fleet.h
+++ b/test/suspect_fleet.h
@@ -35,6 +35,7 @@
 	bool poison_seconds; /* requests with a cause have such a part too */
 	unsigned int from_step; /* requests with a cause come from it on */
 	unsigned int sound_steps; /* so long the causes crash nothing */
+	unsigned int routers, workers; /* 0: 6 and 9 */
 };
 
 /*
--- a/test/test_suspect_fleet.c
+++ b/test/test_suspect_fleet.c
@@ -216,6 +216,12 @@
     .sound_steps = 2000)
 SUSPECT_FLEET(part_turns_and_crashes_high_rate, 0.7, 0.1, 0.005, 1, 4, 10, 0, 0,
     0, 0, 60, .poison_seconds = true, .sound_steps = 2000)
+SUSPECT_FLEET(two_routers, 0.3, 0.04, 0.005, 1, 6, 50, 0, 0, 0, 0, 0,
+    .routers = 2, .workers = 4)
+SUSPECT_FLEET(two_routers_part_turns_into_a_cause, 0.3, 0.04, 0, 1, 6, 50, 0, 0,
+    0, 0, 0, .sound_steps = 2000, .routers = 2, .workers = 4)
+SUSPECT_FLEET(many_routers, 0.7, 0.04, 0, 1, 12, 300, 0, 0, 1100, 0, 20,
+    .sound_steps = 2000, .routers = 100, .workers = 160)
 
 int
 main(void)
@@ -272,6 +278,9 @@
 	    cmocka_unit_test(two_causes_come_later_high_rate),
 	    cmocka_unit_test(two_parts_turn_into_causes),
 	    cmocka_unit_test(part_turns_and_crashes_high_rate),
+	    cmocka_unit_test(two_routers),
+	    cmocka_unit_test(two_routers_part_turns_into_a_cause),
+	    cmocka_unit_test(many_routers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
