--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -328,6 +328,28 @@
 	g_free(text);
 }
 
+/*
+ * Guards against a stream that never ends because its engine ended after the
+ * last token and before the end marker: the next engine has only that to send.
+ */
+static void
+test_resume_after_last_token(void **state)
+{
+	struct fixture *w = *state;
+	struct call_spec spec = {.port = w->backend[0].port,
+	    .path = "/v1/chat/completions",
+	    .body = "{\"model\":\"small\",\"stream\":true,\"max_tokens\":3,"
+		    "\"messages\":[{\"role\":\"user\",\"content\":\"a\"}],"
+		    "\"resume\":{\"position\":3,\"text\":\"b c d \"}}"};
+	struct call *c = call_run(&spec);
+
+	if (!call_complete(c))
+		fail_msg("%u (%s)", call_status(c), call_error(c));
+	assert_int_equal(call_status(c), 200);
+	assert_string_equal(call_body(c), "data: [DONE]\n\n");
+	call_free(c);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_engine_killed, setup, teardown),
     cmocka_unit_test_setup_teardown(test_agent_killed, setup, teardown),
@@ -339,6 +361,8 @@
     cmocka_unit_test_setup_teardown(test_unknown_worker, setup, teardown),
     cmocka_unit_test_setup_teardown(
 	test_engine_and_agent_killed, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_resume_after_last_token, setup, teardown),
     cmocka_unit_test_setup_teardown(test_engines_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_failures, setup, teardown),
 };
