Fake engine: end a stream that is resumed after its last token

The response headers were sent with the first token after the prefill. Such a stream has neither, so its end marker was written to a response that had not begun, and the caller waited until its timeout. The daemons are as before: with the end marker the entry daemon ends the client's stream.

--- a/fakes/engine/batch.c
+++ b/fakes/engine/batch.c
@@ -112,6 +112,9 @@
 	if (g_atomic_int_get(&seq->cancelled)) {
 		jh_http_req_abort(seq->req);
 	} else if (seq->stream) {
+		/* One that is resumed after its last token has no prefill. */
+		if (!seq->prefilled)
+			send_headers(seq, "text/event-stream");
 		jh_http_req_write(seq->req, done, sizeof(done) - 1);
 		jh_http_req_end(seq->req);
 	} else {
