--- a/test/test_proc_streams.c
+++ b/test/test_proc_streams.c
@@ -12,6 +12,7 @@
 /* Tokens of a stream, and events received before a fault is injected. */
 #define TOKENS 200
 #define MIDDLE 30
+#define FEW_TOKENS 2
 
 /* Ample time to write a request to a socket on loopback. */
 #define RECONNECT_SENT_USEC (200 * JH_USEC_PER_MSEC)
@@ -26,6 +27,18 @@
 	return 0;
 }
 
+/* With time between the last token and the end marker. */
+static int
+setup_slow(void **state)
+{
+	static const struct fixture_spec spec = {.entries = 1,
+	    .engines = 2,
+	    .engine_args = {"--step-usec", "1000000"}};
+
+	*state = fixture_create(&spec);
+	return 0;
+}
+
 static int
 teardown(void **state)
 {
@@ -350,6 +363,27 @@
 	call_free(c);
 }
 
+/* The same through the daemons. */
+static void
+test_engine_killed_after_last_token(void **state)
+{
+	struct fixture *w = *state;
+	char *text = chat_expected_text(w, QUESTION, FEW_TOKENS);
+	char *body = chat_body(QUESTION, FEW_TOKENS, true);
+	struct call *c = chat_start(w, 0, body, NULL);
+	unsigned int i;
+
+	await(call_event_count(c) == FEW_TOKENS);
+	for (i = 0; engine_load(w, i) == 0; i++)
+		assert_true(i + 1 < w->engines);
+	proc_kill(&w->backend[i]);
+	call_join(c);
+	check_stream(&c, 1, FEW_TOKENS, text);
+	call_free(c);
+	g_free(body);
+	g_free(text);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_engine_killed, setup, teardown),
     cmocka_unit_test_setup_teardown(test_agent_killed, setup, teardown),
@@ -363,6 +397,8 @@
 	test_engine_and_agent_killed, setup, teardown),
     cmocka_unit_test_setup_teardown(
 	test_resume_after_last_token, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_engine_killed_after_last_token, setup_slow, teardown),
     cmocka_unit_test_setup_teardown(test_engines_restart, setup, teardown),
     cmocka_unit_test_setup_teardown(test_concurrent_failures, setup, teardown),
 };
