--- a/soak/main.c
+++ b/soak/main.c
@@ -10,7 +10,7 @@
 
 /* Default size of a run, for daily use: work for a few dozen processes. */
 static struct soak_spec spec = {
-    .routers = 4, .engines = 5, .services = 3, .clients = 40};
+    .routers = 4, .engines = 5, .services = 3, .clients = 60};
 
 /* Default duration; the poison adds as much as it outlasts other faults. */
 #define SECONDS 24
@@ -32,7 +32,7 @@
     {"engines", 0, 0, G_OPTION_ARG_INT, &engines, "model workers (5)", "N"},
     {"services", 0, 0, G_OPTION_ARG_INT, &services,
 	"workers without a model (3)", "N"},
-    {"callers", 'c', 0, G_OPTION_ARG_INT, &n_clients, "clients (40)", "N"},
+    {"callers", 'c', 0, G_OPTION_ARG_INT, &n_clients, "clients (60)", "N"},
     {"dir", 'd', 0, G_OPTION_ARG_FILENAME, &dir,
 	"folder for settings and logs; without it, they are kept only if a "
 	"run found a violation",
