Harness: say why a process cannot be frozen or continued

test_agent_frozen failed in 1 of 10 runs of test_proc_once under TSan beside load 20 to 29, since waitid() failed; the error was not printed.

--- a/test/harness_proc.c
+++ b/test/harness_proc.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <fcntl.h>
 #include <setjmp.h>
 #include <signal.h>
@@ -195,7 +196,9 @@
 {
 	siginfo_t info = {0};
 
-	assert_int_equal(waitid(P_PID, (id_t)p->pid, &info, flag), 0);
+	if (waitid(P_PID, (id_t)p->pid, &info, flag) != 0)
+		fail_msg("waitid() for state %d of %s (%d): %s", flag, p->name,
+		    (int)p->pid, strerror(errno));
 }
 
 void
