Failing test: a peer that is behind hides one that is ahead

A router learns from its peers' gossip that its own source is behind. Each message of a peer that is behind the same source ends the wait of 0.4 s after which the router asks the store itself.

--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -223,6 +223,42 @@
 	fixture_clear(&w);
 }
 
+/* As run_for(), with a peer that is as far as the watch after each message. */
+static void
+run_beside_equal_peer(struct fixture *w, uint64_t usec, uint64_t others)
+{
+	uint64_t until = jh_now() + usec;
+
+	while (jh_now() < until) {
+		run_for(w, 100000, 0);
+		plat_watch_peer_revision(w->watch, others);
+		plat_watch_peer_revision(
+		    w->watch, plat_watch_revision(w->watch));
+	}
+}
+
+/*
+ * Guards against a configuration that stays unknown because peers that do not
+ * know it either, as they have the same silent source, hide one that does.
+ */
+static void
+peer_that_is_behind_does_not_hide_one_ahead(void **state)
+{
+	struct fixture w;
+
+	fixture_init(&w);
+	w.silent = true;
+	run_for(&w, 500000, 0);
+	assert_int_equal(w.watches, 1);
+	run_beside_equal_peer(&w, 1000000, 12);
+	assert_true(w.watches > 1);
+	w.silent = false;
+	w.changed = true;
+	run_beside_equal_peer(&w, 2500000, 12);
+	assert_int_equal(w.last_revision, 12);
+	fixture_clear(&w);
+}
+
 /*
  * Guards against giving up a change that is on its way over a slow link because
  * a peer has got it already.
@@ -458,6 +494,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(silent_watch_is_restarted),
+	    cmocka_unit_test(peer_that_is_behind_does_not_hide_one_ahead),
 	    cmocka_unit_test(change_on_its_way_is_awaited),
 	    cmocka_unit_test(stalled_change_is_given_up),
 	    cmocka_unit_test(known_revision_does_not_restart_watch),
