--- a/test/test_store_backoff.c
+++ b/test/test_store_backoff.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include "feed/store_backoff.h"
+#include "platform/watch.h"
 
 #define MSEC 1000ULL
 #define READERS 4
@@ -74,6 +75,46 @@
 		assert_true(jh_store_backoff_may_call(b, 11000 * MSEC));
 }
 
+/* The platform's bound after which a process counts as connected again. */
+#define CONNECTED_USEC (4000 * MSEC)
+
+/* When a probe is answered, if the outage ends at this time. */
+static uint64_t
+noticed_at(struct jh_store_backoff *b, uint64_t end)
+{
+	uint64_t now, probe = 0;
+
+	jh_store_backoff_served(b);
+	for (now = 1;; now += PLAT_WATCH_RETRY_USEC) {
+		if (probe != 0 && now < probe + PLAT_WATCH_PROBE_USEC)
+			continue;
+		if (probe != 0)
+			jh_store_backoff_failed(b, now);
+		probe = 0;
+		if (now > 1 && !jh_store_backoff_may_call(b, now))
+			continue;
+		if (now > end)
+			return now + PLAT_WATCH_PROBE_WAIT_USEC;
+		probe = now;
+	}
+}
+
+/*
+ * Guards against requests to workers that have left, from a process that counts
+ * as connected again: it doubts removals for a while after it has noticed the
+ * end of an outage.
+ */
+static void
+end_of_an_outage_is_noticed_in_time(void **state)
+{
+	uint64_t end;
+
+	for (end = 3000 * MSEC; end < 9000 * MSEC; end += 7 * MSEC)
+		assert_true(noticed_at(*state, end) + PLAT_WATCH_RETRY_USEC +
+				PLAT_SUSPECT_REMOVAL_USEC <=
+			    end + CONNECTED_USEC);
+}
+
 /* Guards against a probe without a result that stops all later ones. */
 static void
 lost_probe_is_repeated(void **state)
@@ -99,6 +140,7 @@
 static const struct CMUnitTest tests[] = {
     CASE(readers_share_the_probes),
     CASE(readers_return_together),
+    CASE(end_of_an_outage_is_noticed_in_time),
     CASE(lost_probe_is_repeated),
 };
 
