Notice the end of an outage of the store within 1.8 s

Cause: a router doubts removals of workers for 2.2 s from when it notices that it can read the store again, as a store may lose objects in an outage and have them back about 2 s after it.

Ruled out: to count the doubt from the last failed call, as the outage may have ended just before the successful one; to leave it out if a peer has read on, as the store may have lost objects for the peer too.

--- a/src/feed/store_backoff.c
+++ b/src/feed/store_backoff.c
@@ -36,7 +36,7 @@
 	    b->delay * 2, JH_STORE_BACKOFF_MIN_USEC, JH_STORE_BACKOFF_MAX_USEC);
 	b->next_probe =
 	    now + (uint64_t)((double)b->delay *
-			     g_rand_double_range(b->rand, 0.75, 1.25));
+			     g_rand_double_range(b->rand, 0.9, 1.0));
 }
 
 void
--- a/src/feed/store_backoff.h
+++ b/src/feed/store_backoff.h
@@ -15,9 +15,12 @@
 struct jh_store_backoff;
 
 /* The first delay between two probes; it doubles up to the longest one. */
-#define JH_STORE_BACKOFF_MIN_USEC 100000ULL
-/* Objects that a store lost in an outage are back 2 s after it. */
-#define JH_STORE_BACKOFF_MAX_USEC 1000000ULL
+#define JH_STORE_BACKOFF_MIN_USEC 200000ULL
+/*
+ * A process that counts as connected 4 s after an outage has to notice its end
+ * early enough to await objects that are back only 2 s after it.
+ */
+#define JH_STORE_BACKOFF_MAX_USEC 740000ULL
 
 /* rand spreads the probes of many processes; it stays with the caller. */
 struct jh_store_backoff *jh_store_backoff_create(GRand *rand);
