--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -187,7 +187,7 @@
 merge_duplicate(struct jh_suspect_entry *e, unsigned int i,
     const struct jh_suspect_crash *c)
 {
-	struct jh_suspect_crash old = remove_at(e, i), new = old;
+	struct jh_suspect_crash old = e->crash[i], new = old;
 
 	new.cleared |= c->cleared;
 	new.sole |= c->sole;
@@ -202,7 +202,12 @@
 		new.width_usec = c->width_usec;
 	} else if (c->deadline == old.deadline)
 		new.width_usec = MIN(old.width_usec, c->width_usec);
-	insert_sorted(e, new);
+	if (new.deadline == old.deadline) {
+		e->crash[i] = new;
+	} else {
+		remove_at(e, i);
+		insert_sorted(e, new);
+	}
 	return new.cleared != old.cleared || new.sole != old.sole ||
 	       new.had_output != old.had_output;
 }
