--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,6 +95,8 @@
 
 /* suspect.c: requests that crash the workers that run them. */
 void exchange_set_suspect_parts(struct exchange *x);
+/* Hash of the request's organisation, target and body, for the log. */
+uint64_t exchange_fingerprint(const struct exchange *x);
 /* The worker ended when it had begun to respond, before any output. */
 void exchange_report_crash(struct exchange *x);
 /* A response has begun: its worker has not ended before. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -405,14 +405,19 @@
 }
 
 static void
-log_attempt(const struct exchange *x, const char *why)
+log_attempt(const struct exchange *x, const char *why, bool crash)
 {
 	uint64_t weights = x->response.has_weights ? x->response.weights : 0;
+	char fingerprint[17];
+
+	g_snprintf(fingerprint, sizeof(fingerprint),
+	    "%016" G_GINT64_MODIFIER "x", exchange_fingerprint(x));
 
 	jh_json_log(x->gateway->log, "attempt_ended",
-	    "s:s#, s:s?, s:s, s:i, s:i, s:I, s:I, s:I, s:s?, s:o", "request",
-	    x->request.id.ptr, (int)x->request.id.len, "worker", x->worker_id,
-	    "why", why, "status", (int)x->status, "events",
+	    "s:s#, s:s, s:s?, s:s, s:b, s:i, s:i, s:I, s:I, s:I, s:s?, s:o",
+	    "request", x->request.id.ptr, (int)x->request.id.len, "fingerprint",
+	    fingerprint, "worker", x->worker_id, "why", why, "crash",
+	    (int)crash, "status", (int)x->status, "events",
 	    (int)x->attempt_events, "took_us",
 	    (json_int_t)(jh_now() - x->sent_at), "asked_weights",
 	    (json_int_t)x->requested_weights, "answer_weights",
@@ -427,14 +432,17 @@
 	struct jh_worker *w = exchange_worker(x);
 	enum jh_attempt_result result;
 	const char *why;
+	bool crash;
 
 	x->call = NULL;
 	x->paused = false;
 	uv_timer_stop(&x->silence_timer);
 	result = classify_result(x, call_result, &why);
+	crash =
+	    result == JH_ATTEMPT_BROKEN && ended_before_output(x, call_result);
 	if (result != JH_ATTEMPT_RESPONDED)
-		log_attempt(x, why);
-	if (result == JH_ATTEMPT_BROKEN && ended_before_output(x, call_result))
+		log_attempt(x, why, crash);
+	if (crash)
 		exchange_report_crash(x);
 	else if (result == JH_ATTEMPT_RESPONDED && x->status == 200)
 		exchange_clear_suspects(x);
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -37,6 +37,12 @@
 	x->n_suspect_parts = i;
 }
 
+uint64_t
+exchange_fingerprint(const struct exchange *x)
+{
+	return x->suspect_part[x->n_suspect_parts - 1].low;
+}
+
 void
 exchange_report_crash(struct exchange *x)
 {
