--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -125,7 +125,7 @@
 	struct jh_str path = jh_head_path(head);
 
 	fake_objects_lock(w->objects);
-	if (fake_run_has_crash_part(w, head))
+	if (fake_run_crashes(w, head))
 		w->crash_arrivals++;
 	if (jh_str_eq(path, JH_STR("/report")))
 		send_report(w, v);
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -40,7 +40,7 @@
 	/* An order was accepted. */
 	void (*ordered)(void *arg, struct fake_worker *w, const char *holder,
 	    uint64_t token, unsigned int version);
-	/* The part crash_part crashed it; may be NULL. */
+	/* A request crashed it; may be NULL. */
 	void (*crashed)(void *arg, struct fake_worker *w);
 };
 
@@ -60,6 +60,8 @@
 	 * crash takes the place of the body or of the first event. NULL: none.
 	 */
 	const char *crash_part;
+	/* A request to this path crashes the worker in the same way. */
+	const char *crash_path; /* NULL: none */
 	bool crash_headless; /* such a crash takes the place of the head too */
 	unsigned int restart_msec; /* after a crash; 0: stays down */
 	const struct fake_worker_ops *ops; /* may be NULL */
@@ -95,9 +97,9 @@
 /* Requests for another instance, or for other weights. */
 unsigned int fake_worker_misdirected(struct fake_worker *w);
 
-/* Crashes by the part crash_part. */
+/* Crashes by requests with the part crash_part or to crash_path. */
 unsigned int fake_worker_crashes(struct fake_worker *w);
-/* Requests with the part crash_part that arrived, run or not. */
+/* Such requests that arrived, run or not. */
 unsigned int fake_worker_crash_arrivals(struct fake_worker *w);
 
 unsigned int fake_worker_number(const struct fake_worker *w);
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -162,8 +162,8 @@
 	w->last_head = g_string_free(s, FALSE);
 }
 
-bool
-fake_run_has_crash_part(const struct fake_worker *w, const struct jh_head *head)
+static bool
+has_crash_part(const struct fake_worker *w, const struct jh_head *head)
 {
 	struct jh_str list = jh_head_get(head, "X-Jacinthhill-Prompt-Prefix");
 	bool found = false;
@@ -186,6 +186,15 @@
 	return found;
 }
 
+bool
+fake_run_crashes(const struct fake_worker *w, const struct jh_head *head)
+{
+	if (w->spec.crash_path != NULL &&
+	    jh_str_eq(jh_head_path(head), jh_str_from(w->spec.crash_path)))
+		return true;
+	return has_crash_part(w, head);
+}
+
 static bool
 has_prefix(struct jh_str s, const char *prefix)
 {
@@ -212,7 +221,7 @@
 		       r->mode != WORKER_RESETS &&
 		       r->mode != WORKER_RETURNS_ERROR &&
 		       r->mode != WORKER_GARBLES;
-	r->crashes = fake_run_has_crash_part(w, head);
+	r->crashes = fake_run_crashes(w, head);
 	r->event = last.ptr != NULL ? atoi(last.ptr) : 0;
 	r->fields = g_string_new(NULL);
 	g_string_append_printf(r->fields,
--- a/fakes/platform/worker_state.h
+++ b/fakes/platform/worker_state.h
@@ -21,7 +21,7 @@
 	uv_timer_t timer;
 	int event; /* id of the last event that was sent */
 	bool is_stream, head_sent;
-	bool crashes; /* has the part that crashes the worker */
+	bool crashes; /* the worker, in place of its response */
 	enum fake_worker_mode mode;
 };
 
@@ -49,9 +49,8 @@
 void fake_run_start(struct fake_worker *w, struct jh_server_request *v);
 /* Resets the run's connection and ends the run. Call it with the lock held. */
 void fake_run_reset(struct fake_run *r);
-/* Whether the request has the part that crashes the worker. */
-bool fake_run_has_crash_part(
-    const struct fake_worker *w, const struct jh_head *head);
+/* Whether the request crashes the worker. */
+bool fake_run_crashes(const struct fake_worker *w, const struct jh_head *head);
 /* Ends a run without a response. Call it with the lock held. */
 void fake_run_end(struct fake_run *r);
 
--- a/fakes/service/main.c
+++ b/fakes/service/main.c
@@ -26,13 +26,17 @@
 	GPtrArray *pending; /* of struct service_call, while hang is set */
 };
 
-static gchar *listen_text;
+static gchar *listen_text, *crash_text;
 static gint64 delay_ms = 20;
 
 static const GOptionEntry options[] = {
     {"listen", 0, 0, G_OPTION_ARG_STRING, &listen_text, "address", "A:P"},
     {"delay-ms", 0, 0, G_OPTION_ARG_INT64, &delay_ms, "duration of a call",
 	"N"},
+    {"crash-on", 0, 0, G_OPTION_ARG_STRING, &crash_text,
+	"the process ends without a response to calls with this text in their "
+	"bodies",
+	"TEXT"},
     {NULL, 0, 0, 0, NULL, NULL, NULL}};
 
 static void
@@ -64,6 +68,7 @@
 	struct jh_http_req *req;
 	unsigned int run;
 	bool abort; /* the connection, instead of a response */
+	bool crash; /* the process, instead of a response */
 };
 
 static void
@@ -71,6 +76,8 @@
 {
 	char receipt[64];
 
+	if (d->crash)
+		_exit(1);
 	if (d->abort) {
 		jh_http_req_abort(d->req);
 	} else {
@@ -96,13 +103,16 @@
 static void
 run_call(struct service *s, struct jh_http_req *req)
 {
+	struct jh_str body = jh_http_req_body(req);
 	struct service_call *d = g_new0(struct service_call, 1);
 	bool pending;
 
 	d->service = s;
 	d->req = req;
+	d->crash = crash_text != NULL && memmem(body.ptr, body.len, crash_text,
+					     strlen(crash_text)) != NULL;
 	pthread_mutex_lock(&s->lock);
-	d->run = count_run(s, jh_http_req_body(req));
+	d->run = count_run(s, body);
 	d->abort = s->break_next;
 	s->break_next = false;
 	pending = s->hang;
--- a/test/harness.h
+++ b/test/harness.h
@@ -134,6 +134,7 @@
 	unsigned int engines;
 	unsigned int services;
 	const char *engine_args[8]; /* additional options of fake-engine */
+	const char *service_args[8]; /* the same of fake-service */
 	const char *entry_settings; /* additional YAML lines, or NULL */
 	bool defer_entries; /* the test calls fixture_start_entries() */
 };
--- a/test/harness_fixture.c
+++ b/test/harness_fixture.c
@@ -177,8 +177,8 @@
 	const char *args[2 + G_N_ELEMENTS(spec->engine_args)] = {
 	    "--listen", address};
 
-	if (engine)
-		memcpy(args + 2, spec->engine_args, sizeof(spec->engine_args));
+	memcpy(args + 2, engine ? spec->engine_args : spec->service_args,
+	    sizeof(spec->engine_args));
 	proc_init(&w->backend[i], w->dir, name, port,
 	    make_argv(engine ? "fake-engine" : "fake-service", args,
 		G_N_ELEMENTS(args)));
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -64,7 +64,16 @@
 }
 
 static json_t *
-make_config(unsigned int version, const char *key)
+make_service(bool plain)
+{
+	if (plain)
+		return json_pack("{s:s}", "name", "llm");
+	return json_pack("{s:s, s:{s:i, s:i}}", "name", "llm", "engine",
+	    "slots", 8, "kvCapacityTokens", 80000);
+}
+
+static json_t *
+make_config(unsigned int version, const char *key, bool plain)
 {
 	static const struct {
 		const char *name, *prefix, *kind;
@@ -85,12 +94,11 @@
 			"timeoutMs", 4000, "targetLatencyMs", 500, "service",
 			"llm", "attempts", 2, "public", routes[i].open,
 			"resumable", routes[i].resumable, "targetGapMs", 400));
-	return json_pack("{s:i, s:o, s:[{s:s, s:{s:i, s:i}}], s:{s:i, s:i}, "
+	return json_pack("{s:i, s:o, s:[o], s:{s:i, s:i}, "
 			 "s:[{s:s, s:[s], s:b}]}",
-	    "version", (int)version, "routes", list, "services", "name", "llm",
-	    "engine", "slots", 8, "kvCapacityTokens", 80000, "limits",
-	    "headerBytes", 16384, "bodyBytes", 65536, "tenants", "name", "t1",
-	    "apiKeys", key, "isolated", 1);
+	    "version", (int)version, "routes", list, "services",
+	    make_service(plain), "limits", "headerBytes", 16384, "bodyBytes",
+	    65536, "tenants", "name", "t1", "apiKeys", key, "isolated", 1);
 }
 
 static void
@@ -144,16 +152,17 @@
 	p->store_port = fake_port();
 	p->objects = fake_objects_create(&p->loop, p->store_port);
 	worker.service = "llm";
-	worker.model = "m1";
+	worker.model = spec->plain ? NULL : "m1";
 	for (i = 0; i < spec->workers; i++) {
 		worker.number = i;
 		worker.port = fake_port();
 		p->workers[i] =
 		    fake_worker_create(&p->loop, p->objects, &worker);
 	}
-	platform_put(p, "config", "main", make_config(1, "k1"));
+	platform_put(p, "config", "main", make_config(1, "k1", spec->plain));
 	pthread_create(&p->thread, NULL, run_loop, p);
-	platform_set_weights(p, 1);
+	if (!spec->plain)
+		platform_set_weights(p, 1);
 	for (i = 0; i < spec->routers; i++)
 		start_router(p, i);
 	platform_await_ready(p);
@@ -301,7 +310,8 @@
 void
 platform_revoke(struct platform *p, unsigned int version)
 {
-	platform_put(p, "config", "main", make_config(version, "k2"));
+	platform_put(
+	    p, "config", "main", make_config(version, "k2", p->spec.plain));
 }
 
 void
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -20,6 +20,7 @@
 struct platform_spec {
 	unsigned int routers; /* named e1, e2 and so on */
 	unsigned int workers;
+	bool plain; /* the service has no model */
 	/* Behaviour of each worker; the rest of the members is ignored. */
 	struct fake_worker_spec worker;
 };
