Suspects: count crashes before a response head

A router took the end of a worker for a crash only after a response head. A plain call has none before its response is ready, nor has a stream whose worker ends early, so nothing was reported, and nothing bounded the request but the attempts of each copy. The class of fault: evidence that only the usual kind of request can give.

Evidence: attempt_ended of test_poison_service had one fingerprint for all copies, status 0 and no crash, and there was no crash_reported.

Why the fix works: such crashes are counted apart, as they break all requests that wait at a worker. The third speaks against a request without any output, the fifth against a part that requests share. A power failure is told by workers that end at the same moment without the request: those of other requests, and those that a router cannot connect to. What is sent to a worker that has ended already is not counted. The count after a response head is untouched. Messages between routers carry the new crashes last, so that they displace none of the others.

--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -32,6 +32,12 @@
 /* hash: of the part's content or id. */
 struct jh_fingerprint jh_fingerprint_of_part(uint64_t hash);
 bool jh_fingerprint_is_part(struct jh_fingerprint fingerprint);
+/* The same part, in crashes before a response head; see below. */
+struct jh_fingerprint jh_fingerprint_unbegun(struct jh_fingerprint part);
+bool jh_fingerprint_is_unbegun(struct jh_fingerprint fingerprint);
+/* Of engines that ended, whatever they were running. */
+struct jh_fingerprint jh_fingerprint_of_ended(void);
+bool jh_fingerprint_is_ended(struct jh_fingerprint fingerprint);
 
 /* Number of crashes that quarantine a request or a part in any case. */
 #define JH_SUSPECT_QUARANTINE_CRASHES 3
@@ -51,6 +57,24 @@
  */
 #define JH_SUSPECT_CRASH_GAP_USEC 250000ULL
 
+/*
+ * Before a response head, such crashes count as this many at most: less than a
+ * quarantine takes.
+ */
+#define JH_SUSPECT_MOMENT_CRASHES (JH_SUSPECT_QUARANTINE_CRASHES - 1)
+
+/*
+ * So many of them do not count against a part that requests share: it may wait
+ * at many engines.
+ */
+#define JH_SUSPECT_SHARED_CRASHES 2
+
+/*
+ * An engine that ends sooner after it was sent a request may have ended before:
+ * a request on a kept connection reaches nobody then.
+ */
+#define JH_SUSPECT_MIN_RUN_USEC 10000ULL
+
 struct jh_suspects_settings {
 	size_t max_entries; /* fingerprints in the table */
 	uint64_t hold_usec; /* how long a state lasts after the last crash */
@@ -138,6 +162,20 @@
     uint64_t alive, uint64_t reporter, uint64_t seq,
     const struct jh_fingerprint *part, size_t n);
 
+/*
+ * The same for an engine that had not begun to respond to the request. A crash
+ * breaks all requests that wait at an engine in this way, so such crashes are
+ * counted apart, see jh_suspects_unbegun_crashes(). sent: when the request was
+ * sent to the engine.
+ */
+void jh_suspects_unbegun_crashed(struct jh_suspects *s, uint64_t now,
+    uint64_t alive, uint64_t sent, uint64_t reporter, uint64_t seq,
+    const struct jh_fingerprint *part, size_t n);
+
+/* Reports that an engine is found to have ended, whatever it was running. */
+void jh_suspects_engine_ended(struct jh_suspects *s, uint64_t now,
+    uint64_t alive, uint64_t reporter, uint64_t seq);
+
 /*
  * Reports the first output of a request with these parts, which shows that none
  * of them crashes engines: their crashes so far no longer count.
@@ -165,13 +203,23 @@
     uint64_t *deadline);
 
 /*
- * The same without regard to earlier output of parts, for those who retry
- * seldom.
+ * The same for crashes before a response head; the last part is the request
+ * itself. Those of a part that has had output do not count, nor the first
+ * JH_SUSPECT_SHARED_CRASHES of one that requests share, nor those at a moment
+ * at which most engines ended without the part.
+ */
+unsigned int jh_suspects_unbegun_crashes(const struct jh_suspects *s,
+    uint64_t now, const struct jh_fingerprint *part, size_t n,
+    uint64_t *deadline);
+
+/*
+ * Like jh_suspects_parts_crashes(), but without regard to earlier output, for
+ * those who retry seldom.
  */
 unsigned int jh_suspects_parts_all_crashes(const struct jh_suspects *s,
     uint64_t now, const struct jh_fingerprint *part, size_t n);
 
-/* Returns the number of parts that are quarantined. */
+/* Returns the number of parts that are quarantined, by either count. */
 size_t jh_suspects_parts_quarantined(const struct jh_suspects *s, uint64_t now);
 
 /*
@@ -186,9 +234,9 @@
 
 /*
  * The same for a message of limited size: copies quarantined fingerprints,
- * whenever they changed, then others that changed since, the latest first.
- * Fingerprints that do not fit come first in another turn: pass a number that
- * rises with each message.
+ * whenever they changed, then others that changed since, the latest first;
+ * those of crashes before a response head come last. Fingerprints that do not
+ * fit come first in another turn: pass a number that rises with each message.
  */
 size_t jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
     uint64_t since, uint64_t turn, struct jh_crash *out, size_t max);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,8 +97,10 @@
 void exchange_set_suspect_parts(struct exchange *x);
 /* Hash of the request's organisation, target and body, for the log. */
 uint64_t exchange_fingerprint(const struct exchange *x);
-/* The worker ended when it had begun to respond, before any output. */
+/* The worker ended before any output of the response. */
 void exchange_report_crash(struct exchange *x);
+/* No connection to the worker could be opened. */
+void exchange_report_unreachable(struct exchange *x);
 /* A response has begun: its worker has not ended before. */
 void exchange_check_reported_crash(struct exchange *x);
 /* The first output of the response has arrived. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -373,18 +373,18 @@
 }
 
 /*
- * Whether the worker ended the connection when it had begun to respond, before
- * any output. Requests that were still waiting at the worker, or in the middle
- * of their output, do not count: the crash of a worker breaks all of them.
+ * Whether the worker ended the connection before any output, as it does if it
+ * crashes. Requests in the middle of their output do not count: the crash of a
+ * worker breaks all of them.
  */
 static bool
 ended_before_output(const struct exchange *x, enum jh_call_result call_result)
 {
-	if (x->status != 200 || x->n_events > 0 || x->malformed ||
-	    x->silence_timed_out)
+	if ((x->status != 0 && x->status != 200) || x->n_events > 0 ||
+	    x->malformed || x->response.stray || x->silence_timed_out)
 		return false;
 	return call_result == JH_CALL_BROKEN ||
-	       (call_result == JH_CALL_COMPLETE &&
+	       (x->status == 200 && call_result == JH_CALL_COMPLETE &&
 		   (x->streaming || is_head_only(x)));
 }
 
@@ -444,6 +444,8 @@
 		log_attempt(x, why, crash);
 	if (crash)
 		exchange_report_crash(x);
+	else if (result == JH_ATTEMPT_NOT_SENT)
+		exchange_report_unreachable(x);
 	else if (result == JH_ATTEMPT_RESPONDED && x->status == 200)
 		exchange_clear_suspects(x);
 	update_worker(x, w, result);
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -48,19 +48,39 @@
 {
 	struct jh_gateway *gw = x->gateway;
 	struct jh_worker *w = exchange_worker(x);
+	uint64_t now = jh_now(), alive = jh_loop_lag_last_poll(gw->lag);
+	bool begun = x->status != 0;
+	unsigned int crashes;
 
-	x->was_in_crash = true;
 	if (w != NULL && w->started_ms == x->worker_started_ms)
-		w->crash_reported_at = jh_now();
-	jh_suspects_parts_crashed(gw->suspects, jh_now(),
-	    jh_loop_lag_last_poll(gw->lag), x->worker_hash,
-	    x->worker_started_ms, x->suspect_part, x->n_suspect_parts);
+		w->crash_reported_at = now;
+	if (begun) {
+		x->was_in_crash = true;
+		jh_suspects_parts_crashed(gw->suspects, now, alive,
+		    x->worker_hash, x->worker_started_ms, x->suspect_part,
+		    x->n_suspect_parts);
+		crashes = jh_suspects_parts_crashes(gw->suspects, now,
+		    x->suspect_part, x->n_suspect_parts, NULL);
+	} else {
+		jh_suspects_unbegun_crashed(gw->suspects, now, alive,
+		    x->sent_at, x->worker_hash, x->worker_started_ms,
+		    x->suspect_part, x->n_suspect_parts);
+		crashes = jh_suspects_unbegun_crashes(gw->suspects, now,
+		    x->suspect_part, x->n_suspect_parts, NULL);
+	}
 	jh_metrics_add(gw->metrics, "jh_crashes_reported", 1);
-	jh_json_log(gw->log, "crash_reported", "s:s#, s:s?, s:I, s:i",
+	jh_json_log(gw->log, "crash_reported", "s:s#, s:s?, s:I, s:b, s:i",
 	    "request", x->request.id.ptr, (int)x->request.id.len, "worker",
-	    x->worker_id, "born", (json_int_t)x->worker_started_ms, "crashes",
-	    (int)jh_suspects_parts_crashes(gw->suspects, jh_now(),
-		x->suspect_part, x->n_suspect_parts, NULL));
+	    x->worker_id, "born", (json_int_t)x->worker_started_ms, "begun",
+	    (int)begun, "crashes", (int)crashes);
+}
+
+void
+exchange_report_unreachable(struct exchange *x)
+{
+	jh_suspects_engine_ended(x->gateway->suspects, jh_now(),
+	    jh_loop_lag_last_poll(x->gateway->lag), x->worker_hash,
+	    x->worker_started_ms);
 }
 
 void
@@ -85,19 +105,34 @@
 	    x->suspect_part, x->n_suspect_parts);
 }
 
+/* Returns the number of crashes that speak against the request, or 0. */
+static unsigned int
+quarantining_crashes(const struct exchange *x, uint64_t now, uint64_t *deadline)
+{
+	const struct jh_suspects *s = x->gateway->suspects;
+	unsigned int limit = x->was_in_crash ? JH_SUSPECT_NO_RETRY_CRASHES
+					     : JH_SUSPECT_QUARANTINE_CRASHES;
+	unsigned int crashes = jh_suspects_parts_crashes(
+	    s, now, x->suspect_part, x->n_suspect_parts, deadline);
+
+	if (crashes >= limit)
+		return crashes;
+	crashes = jh_suspects_unbegun_crashes(
+	    s, now, x->suspect_part, x->n_suspect_parts, deadline);
+	return crashes >= JH_SUSPECT_QUARANTINE_CRASHES ? crashes : 0;
+}
+
 bool
 exchange_refuse_quarantined(struct exchange *x)
 {
 	struct jh_gateway *gw = x->gateway;
 	uint64_t now = jh_now(), deadline;
-	unsigned int limit = x->was_in_crash ? JH_SUSPECT_NO_RETRY_CRASHES
-					     : JH_SUSPECT_QUARANTINE_CRASHES;
-	unsigned int crashes = jh_suspects_parts_crashes(
-	    gw->suspects, now, x->suspect_part, x->n_suspect_parts, &deadline);
-	const char *reason = "a part of the prompt crashes workers";
+	unsigned int crashes = quarantining_crashes(x, now, &deadline);
+	const char *reason =
+	    "the request or a part of its prompt crashes workers";
 
 	/* A stream that has had output is not what crashes workers. */
-	if (crashes < limit || x->n_events > 0)
+	if (crashes == 0 || x->n_events > 0)
 		return false;
 	jh_metrics_add(gw->metrics, "jh_quarantined", 1);
 	jh_json_log(gw->log, "quarantined", "s:s#, s:s, s:i, s:i", "request",
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -37,6 +37,13 @@
 	return i < e->n && !e->crash[i].cleared;
 }
 
+bool
+jh_suspect_crash_at(const struct jh_suspect_crash *c, uint64_t deadline)
+{
+	return c->deadline <
+	       deadline + MAX(JH_SUSPECT_CRASH_GAP_USEC, c->width_usec);
+}
+
 unsigned int
 jh_suspect_entry_part_crashes(const struct jh_suspect_entry *e,
     const struct jh_suspect_entry *except, uint64_t now, uint64_t *deadline)
@@ -51,9 +58,7 @@
 		last = c->deadline;
 		if (except != NULL && has_counted_crash(except, c))
 			continue;
-		if (count > 0 &&
-		    (c->deadline < counted + JH_SUSPECT_CRASH_GAP_USEC ||
-			c->deadline < counted + c->width_usec))
+		if (count > 0 && jh_suspect_crash_at(c, counted))
 			continue;
 		counted = c->deadline;
 		count++;
@@ -92,6 +97,46 @@
 		   : 1;
 }
 
+struct jh_suspect_moment
+jh_suspect_entry_next_moment(
+    const struct jh_suspect_entry *e, unsigned int from)
+{
+	struct jh_suspect_moment m = {e, from, from};
+
+	while (m.first < e->n && e->crash[m.first].cleared)
+		m.first++;
+	m.end = m.first;
+	while (m.end < e->n && jh_suspect_crash_at(&e->crash[m.end],
+				   e->crash[m.first].deadline))
+		m.end++;
+	return m;
+}
+
+unsigned int
+jh_suspect_moment_crashes(const struct jh_suspect_moment *m)
+{
+	unsigned int n = 0, i;
+
+	for (i = m->first; i < m->end; i++)
+		n += !m->entry->crash[i].cleared;
+	return MIN(n, JH_SUSPECT_MOMENT_CRASHES);
+}
+
+unsigned int
+jh_suspect_entry_unbegun_evidence(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline)
+{
+	struct jh_suspect_moment m = jh_suspect_entry_next_moment(e, 0);
+	unsigned int count = 0;
+
+	if (jh_suspect_entry_part_crashes(e, NULL, now, deadline) == 0 ||
+	    jh_suspect_entry_had_output(e))
+		return 0;
+	for (; m.first < e->n; m = jh_suspect_entry_next_moment(e, m.end))
+		count += jh_suspect_moment_crashes(&m);
+	return count;
+}
+
 bool
 jh_suspect_entry_remove(
     struct jh_suspect_entry *e, const struct jh_suspect_entry *other)
@@ -128,6 +173,11 @@
 	if (jh_fingerprint_is_part(e->fingerprint))
 		return state_of(
 		    jh_suspect_entry_part_evidence(e, now, deadline), false);
+	if (jh_fingerprint_is_ended(e->fingerprint))
+		return JH_SUSPECT_NONE;
+	if (jh_fingerprint_is_unbegun(e->fingerprint))
+		return state_of(
+		    jh_suspect_entry_unbegun_evidence(e, now, deadline), false);
 	for (i = 0; i < e->n; i++) {
 		if (e->crash[i].cleared)
 			continue;
--- a/src/poison/entry.h
+++ b/src/poison/entry.h
@@ -26,10 +26,30 @@
 	uint64_t hint_deadline;
 };
 
+/* The crashes of an entry at one moment: from first to before end. */
+struct jh_suspect_moment {
+	const struct jh_suspect_entry *entry;
+	unsigned int first, end; /* first is entry->n after the last moment */
+};
+
+/*
+ * Returns the first moment from that index on, which begins with a crash that
+ * is not cleared.
+ */
+struct jh_suspect_moment jh_suspect_entry_next_moment(
+    const struct jh_suspect_entry *e, unsigned int from);
+
+/* Returns what the moment counts for if the engines had not begun to respond.
+ */
+unsigned int jh_suspect_moment_crashes(const struct jh_suspect_moment *m);
+
 /* Returns the index of the crash, or e->n if the entry doesn't have it. */
 unsigned int jh_suspect_entry_find(
     const struct jh_suspect_entry *e, uint64_t reporter, uint64_t seq);
 
+/* Whether the crash may have been at the moment of one with that deadline. */
+bool jh_suspect_crash_at(const struct jh_suspect_crash *c, uint64_t deadline);
+
 /* Sets *deadline, unless NULL, to the time until which the state lasts. */
 enum jh_suspect_state jh_suspect_entry_state(
     const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
@@ -52,6 +72,13 @@
 unsigned int jh_suspect_entry_part_evidence(
     const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
 
+/*
+ * The same for crashes before a response head: those at one moment count as
+ * JH_SUSPECT_MOMENT_CRASHES at most. 0 if the part has had output.
+ */
+unsigned int jh_suspect_entry_unbegun_evidence(
+    const struct jh_suspect_entry *e, uint64_t now, uint64_t *deadline);
+
 /* Removes the crashes that other was in too; returns whether there were any. */
 bool jh_suspect_entry_remove(
     struct jh_suspect_entry *e, const struct jh_suspect_entry *other);
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -94,18 +94,27 @@
 	}
 }
 
-size_t
-jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
-    uint64_t since, uint64_t turn, struct jh_crash *out, size_t max)
+/* Whether the entry is of crashes of which there are many without a cause. */
+static bool
+is_weak(const struct jh_suspect_entry *e)
+{
+	return jh_fingerprint_is_unbegun(e->fingerprint) ||
+	       jh_fingerprint_is_ended(e->fingerprint);
+}
+
+static void
+copy_latest(const struct jh_suspects *s, uint64_t now, uint64_t since,
+    uint64_t turn, bool weak, struct jh_crash *out, size_t max, size_t *n)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct by_urgency));
 	guint quarantined = 0, first;
 	struct by_urgency u;
 	GHashTableIter it;
-	size_t n = 0;
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&u.entry)) {
+		if (is_weak(u.entry) != weak)
+			continue;
 		u.quarantined = jh_suspect_entry_state(u.entry, now, NULL) ==
 				JH_SUSPECT_QUARANTINED;
 		quarantined += u.quarantined;
@@ -114,10 +123,20 @@
 	}
 	g_array_sort(sorted, compare_urgency);
 	first = quarantined > 0 ? (guint)(turn % quarantined) : 0;
-	copy_entries(sorted, first, quarantined, now, out, max, &n);
-	copy_entries(sorted, 0, first, now, out, max, &n);
-	copy_entries(sorted, quarantined, sorted->len, now, out, max, &n);
+	copy_entries(sorted, first, quarantined, now, out, max, n);
+	copy_entries(sorted, 0, first, now, out, max, n);
+	copy_entries(sorted, quarantined, sorted->len, now, out, max, n);
 	g_array_free(sorted, TRUE);
+}
+
+size_t
+jh_suspects_export_latest(const struct jh_suspects *s, uint64_t now,
+    uint64_t since, uint64_t turn, struct jh_crash *out, size_t max)
+{
+	size_t n = 0;
+
+	copy_latest(s, now, since, turn, false, out, max, &n);
+	copy_latest(s, now, since, turn, true, out, max, &n);
 	return n;
 }
 
--- a/src/poison/fingerprint.c
+++ b/src/poison/fingerprint.c
@@ -5,6 +5,9 @@
 
 /* The upper half of the fingerprints of parts; unlikely for a request. */
 #define PART_HIGH 0x6a682d70617274ULL
+/* That of the same parts in crashes before a response head. */
+#define UNBEGUN_HIGH 0x6a682d77616974ULL
+#define ENDED_HIGH 0x6a682d656e6473ULL
 
 struct jh_fingerprint
 jh_fingerprint_of_part(uint64_t hash)
@@ -18,6 +21,30 @@
 	return fingerprint.high == PART_HIGH;
 }
 
+struct jh_fingerprint
+jh_fingerprint_unbegun(struct jh_fingerprint part)
+{
+	return (struct jh_fingerprint){UNBEGUN_HIGH, part.low};
+}
+
+bool
+jh_fingerprint_is_unbegun(struct jh_fingerprint fingerprint)
+{
+	return fingerprint.high == UNBEGUN_HIGH;
+}
+
+struct jh_fingerprint
+jh_fingerprint_of_ended(void)
+{
+	return (struct jh_fingerprint){ENDED_HIGH, 0};
+}
+
+bool
+jh_fingerprint_is_ended(struct jh_fingerprint fingerprint)
+{
+	return fingerprint.high == ENDED_HIGH;
+}
+
 struct jh_fingerprint
 jh_fingerprint_of(struct jh_str org, struct jh_str body)
 {
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -1,19 +1,31 @@
 #include "poison/table.h"
 
-static struct jh_suspect_output *
-output_slot(struct jh_suspects *s, struct jh_fingerprint part)
+static size_t
+output_slot(struct jh_fingerprint part)
 {
-	return &s->output[part.low % JH_SUSPECT_OUTPUTS];
+	return part.low % JH_SUSPECT_OUTPUTS;
 }
 
-static bool
-had_output(struct jh_suspects *s, uint64_t now, struct jh_fingerprint part)
+bool
+jh_suspects_had_output(
+    const struct jh_suspects *s, uint64_t now, struct jh_fingerprint part)
 {
-	const struct jh_suspect_output *o = output_slot(s, part);
+	const struct jh_suspect_output *o = &s->output[output_slot(part)];
 
 	return o->deadline > now && jh_fingerprint_in(&part, 1, o->part);
 }
 
+void
+jh_suspects_add_crash(struct jh_suspects *s, uint64_t now,
+    struct jh_fingerprint fingerprint, const struct jh_suspect_crash *c)
+{
+	struct jh_suspect_entry *e =
+	    jh_suspects_find_or_add(s, now, fingerprint);
+
+	if (jh_suspect_entry_merge(e, c))
+		e->revision = ++s->revision;
+}
+
 void
 jh_suspects_parts_crashed(struct jh_suspects *s, uint64_t now, uint64_t alive,
     uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
@@ -23,23 +35,23 @@
 	    .seq = seq,
 	    .deadline = now + s->settings.hold_usec,
 	    .width_usec = now - MIN(alive, now)};
-	struct jh_suspect_entry *e;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		c.had_output = had_output(s, now, part[i]);
-		e = jh_suspects_find_or_add(s, now, part[i]);
-		if (jh_suspect_entry_merge(e, &c))
-			e->revision = ++s->revision;
+		c.had_output = jh_suspects_had_output(s, now, part[i]);
+		jh_suspects_add_crash(s, now, part[i], &c);
 	}
 }
 
 static void
-clear(struct jh_suspects *s, struct jh_suspect_entry *e)
+clear(struct jh_suspects *s, struct jh_fingerprint fingerprint)
 {
+	struct jh_suspect_entry *e = jh_suspects_find(s, fingerprint);
 	bool changed = false;
 	unsigned int i;
 
+	if (e == NULL)
+		return;
 	for (i = 0; i < e->n; i++) {
 		changed |= !e->crash[i].cleared;
 		e->crash[i].cleared = true;
@@ -53,30 +65,49 @@
 jh_suspects_parts_succeeded(struct jh_suspects *s, uint64_t now,
     const struct jh_fingerprint *part, size_t n)
 {
-	struct jh_suspect_entry *e;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		*output_slot(s, part[i]) = (struct jh_suspect_output){
+		s->output[output_slot(part[i])] = (struct jh_suspect_output){
 		    part[i], now + s->settings.hold_usec};
-		e = jh_suspects_find(s, part[i]);
-		if (e != NULL)
-			clear(s, e);
+		clear(s, part[i]);
+		clear(s, jh_fingerprint_unbegun(part[i]));
 	}
 }
 
 /* Crashes of a part that no other part explains, but chance may. */
 #define STRAY_CRASHES 1
 
-/* Whether the other part may be the cause of crashes that e was in too. */
+static unsigned int
+count_counted(const struct jh_suspect_entry *e)
+{
+	unsigned int n = 0, i;
+
+	for (i = 0; i < e->n; i++)
+		n += !e->crash[i].cleared;
+	return n;
+}
+
+/*
+ * Whether the other part may be the cause of crashes that e was in too. Before
+ * a response head, requests wait together: one explains another only if it was
+ * in more crashes, so that two causes don't explain each other.
+ */
 static bool
 may_explain(const struct jh_suspect_entry *other,
     const struct jh_suspect_entry *e, uint64_t now)
 {
-	return jh_fingerprint_is_part(other->fingerprint) &&
-	       (jh_suspect_entry_part_evidence(other, now, NULL) >=
-		       JH_SUSPECT_QUARANTINE_CRASHES ||
-		   jh_suspect_entry_part_crashes(e, other, now, NULL) == 0);
+	if (jh_fingerprint_is_unbegun(other->fingerprint)) {
+		if (!jh_fingerprint_is_unbegun(e->fingerprint) ||
+		    jh_suspect_entry_had_output(other) ||
+		    count_counted(other) <= count_counted(e))
+			return false;
+	} else if (!jh_fingerprint_is_part(other->fingerprint)) {
+		return false;
+	}
+	return jh_suspect_entry_state(other, now, NULL) ==
+		   JH_SUSPECT_QUARANTINED ||
+	       jh_suspect_entry_part_crashes(e, other, now, NULL) == 0;
 }
 
 /*
@@ -124,12 +155,16 @@
 	return true;
 }
 
-/*
- * Whether other parts, which the request does not have, explain the crashes of
- * e. Parts that come together with a cause are then not taken for one.
- */
 static bool
-is_explained(const struct jh_suspects *s, uint64_t now,
+has_part(const struct jh_fingerprint *part, size_t n, struct jh_fingerprint f)
+{
+	if (jh_fingerprint_is_unbegun(f))
+		f = jh_fingerprint_of_part(f.low);
+	return jh_fingerprint_in(part, n, f);
+}
+
+bool
+jh_suspects_is_explained(const struct jh_suspects *s, uint64_t now,
     const struct jh_suspect_entry *e, const struct jh_fingerprint *part,
     size_t n, bool with_output)
 {
@@ -141,7 +176,7 @@
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
-		if (jh_fingerprint_in(part, n, other->fingerprint) ||
+		if (has_part(part, n, other->fingerprint) ||
 		    !may_explain(other, e, now))
 			continue;
 		some |= jh_suspect_entry_remove(&left, other);
@@ -174,7 +209,7 @@
 			? jh_suspect_entry_part_evidence(e, now, &until)
 			: jh_suspect_entry_part_crashes(e, NULL, now, &until);
 		if (count <= most ||
-		    is_explained(s, now, e, part, n, with_output))
+		    jh_suspects_is_explained(s, now, e, part, n, with_output))
 			continue;
 		most = count;
 		*deadline = until;
@@ -210,10 +245,10 @@
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&e)) {
-		if (jh_fingerprint_is_part(e->fingerprint) &&
-		    jh_suspect_entry_part_evidence(e, now, NULL) >=
-			JH_SUSPECT_QUARANTINE_CRASHES)
-			n++;
+		if (jh_fingerprint_is_part(e->fingerprint) ||
+		    jh_fingerprint_is_unbegun(e->fingerprint))
+			n += jh_suspect_entry_state(e, now, NULL) ==
+			     JH_SUSPECT_QUARANTINED;
 	}
 	return n;
 }
--- a/src/poison/table.h
+++ b/src/poison/table.h
@@ -29,6 +29,22 @@
 struct jh_suspect_entry *jh_suspects_find(
     const struct jh_suspects *s, struct jh_fingerprint fingerprint);
 
+/* Whether the part is remembered to have had output. */
+bool jh_suspects_had_output(
+    const struct jh_suspects *s, uint64_t now, struct jh_fingerprint part);
+
+/* Adds a crash to the entry with this fingerprint. */
+void jh_suspects_add_crash(struct jh_suspects *s, uint64_t now,
+    struct jh_fingerprint fingerprint, const struct jh_suspect_crash *c);
+
+/*
+ * Whether other parts, which the request does not have, explain the crashes of
+ * e. Parts that come together with a cause are then not taken for one.
+ */
+bool jh_suspects_is_explained(const struct jh_suspects *s, uint64_t now,
+    const struct jh_suspect_entry *e, const struct jh_fingerprint *part,
+    size_t n, bool with_output);
+
 /* Finds or adds an entry; a full table evicts the least important one. */
 struct jh_suspect_entry *jh_suspects_find_or_add(
     struct jh_suspects *s, uint64_t now, struct jh_fingerprint fingerprint);
--- a/test/suspect_fleet.c
+++ b/test/suspect_fleet.c
@@ -35,7 +35,7 @@
 	size_t n;
 	bool poison, used;
 	bool was_in_crash; /* it was reported as such */
-	unsigned int first, router, worker, attempts, begins, outputs;
+	unsigned int first, router, worker, attempts, sent, begins, outputs;
 };
 
 struct report {
@@ -58,7 +58,8 @@
 	struct report report[MAX_JOBS];
 	unsigned int n_jobs, n_reports; /* indices used so far */
 	uint64_t next;
-	unsigned int crashes, fifth, late, poison_sent;
+	unsigned int crashes, late, poison_sent;
+	unsigned int known; /* step of the crash after which a cause is known */
 	unsigned int sound, refused, dropped, late_sound, late_refused;
 	unsigned int group_sound[64], group_refused[64]; /* by first part */
 };
@@ -105,7 +106,7 @@
 {
 	unsigned int limit = j.was_in_crash ? JH_SUSPECT_NO_RETRY_CRASHES
 					    : JH_SUSPECT_QUARANTINE_CRASHES;
-	bool is_late = f->fifth != 0 && step > f->fifth + 2 * CONTACT_STEPS;
+	bool is_late = f->known != 0 && step > f->known + 2 * CONTACT_STEPS;
 	unsigned int i, tries;
 
 	if (!j.poison && j.attempts == 0) {
@@ -114,7 +115,9 @@
 		f->group_sound[j.first] += is_late;
 	}
 	if (jh_suspects_parts_crashes(f->table[j.router], time_at(step), j.part,
-		j.n, NULL) >= limit) {
+		j.n, NULL) >= limit ||
+	    jh_suspects_unbegun_crashes(f->table[j.router], time_at(step),
+		j.part, j.n, NULL) >= JH_SUSPECT_QUARANTINE_CRASHES) {
 		if (!j.poison && j.attempts == 0) {
 			f->refused++;
 			f->late_refused += is_late;
@@ -133,8 +136,9 @@
 		if (f->down_until[j.worker] <= step)
 			break;
 	}
-	if (j.poison && f->fifth != 0 && step > f->fifth + CONTACT_STEPS)
+	if (j.poison && f->known != 0 && step > f->known + CONTACT_STEPS)
 		f->late++;
+	j.sent = step;
 	j.begins = step + (unsigned int)g_rand_int_range(f->rand, 1, 60);
 	j.outputs =
 	    j.begins +
@@ -156,6 +160,24 @@
 	j->part[j->n++] = jh_fingerprint_of_part(n);
 }
 
+/* Adds a request without parts. */
+static void
+add_plain(struct fleet *f, unsigned int step, struct job j, bool poison)
+{
+	j.first =
+	    (unsigned int)g_rand_int_range(f->rand, 0, (gint32)f->spec->firsts);
+	if (poison)
+		add_part(&j, 1 + (uint64_t)g_rand_int_range(
+				     f->rand, 0, (gint32)f->spec->causes));
+	else if (g_rand_int_range(f->rand, 0, 4) == 0)
+		add_part(&j, 100 + j.first);
+	else
+		add_part(&j, 100000 + ++f->next);
+	j.router =
+	    (unsigned int)g_rand_int_range(f->rand, 0, (gint32)f->routers);
+	start_job(f, step, j);
+}
+
 static void
 add_request(struct fleet *f, unsigned int step, bool poison)
 {
@@ -163,6 +185,10 @@
 	struct job j = {.poison = poison && step >= s->sound_steps};
 	unsigned int i;
 
+	if (s->plain) {
+		add_plain(f, step, j, poison);
+		return;
+	}
 	for (i = 0; i < s->chain; i++)
 		add_part(&j, 50 + i);
 	j.first = (unsigned int)g_rand_int_range(f->rand, 0, (gint32)s->firsts);
@@ -218,7 +244,7 @@
 		    .worker = worker,
 		    .start = f->starts[worker],
 		    .job = *j,
-		    .begun = j->begins <= step,
+		    .begun = j->begins <= step && !f->spec->headless,
 		    .used = true};
 	}
 }
@@ -237,6 +263,12 @@
 				jh_suspects_parts_crashed(f->table[r->router],
 				    time_at(step), time_at(r->at), r->worker,
 				    r->start, r->job.part, r->job.n);
+			else if (pass == 0 &&
+				 (f->spec->headless || f->spec->waiting))
+				jh_suspects_unbegun_crashed(f->table[r->router],
+				    time_at(step), time_at(r->at),
+				    time_at(r->job.sent), r->worker, r->start,
+				    r->job.part, r->job.n);
 			if (pass == 1) {
 				r->used = false;
 				r->job.was_in_crash |= r->begun;
@@ -256,8 +288,8 @@
 		if (!j->used)
 			continue;
 		if (j->poison && j->begins <= step) {
-			if (++f->crashes == 5)
-				f->fifth = step;
+			if (++f->crashes == (f->spec->plain ? 3 : 5))
+				f->known = step;
 			crash_worker(f, step, j->worker);
 		} else if (!j->poison && j->outputs <= step) {
 			jh_suspects_parts_succeeded(
--- a/test/suspect_fleet.h
+++ b/test/suspect_fleet.h
@@ -36,12 +36,21 @@
 	unsigned int from_step; /* requests with a cause come from it on */
 	unsigned int sound_steps; /* so long the causes crash nothing */
 	unsigned int routers, workers; /* 0: 6 and 9 */
+	bool headless; /* responses have no head before their output */
+	bool waiting; /* requests report crashes before their head too */
+	/*
+	 * Requests have no parts and are known as a whole: one of the sound
+	 * ones in four is one of the firsts, and each cause is a request that
+	 * comes again.
+	 */
+	bool plain;
 };
 
 /*
  * Plays 20 seeds and fails the test if one breaks a bound: 3 requests with each
- * cause later than the time to be in touch after the fifth crash, half of the
- * requests with one first part refused later, one in 100 dropped at a retry.
+ * cause later than the time to be in touch after the fifth crash, the third of
+ * a whole request, half of the requests with one first part refused later, one
+ * in 100 dropped at a retry.
  */
 void suspect_fleet_play(const struct suspect_fleet_spec *s);
 
