Daemons: quarantine calls that crash the backend servers of a service

Cause: agents reported crashes of engines alone; a broken call to a service was only answered with backend_lost.

Fix: an agent reports the crash under the fingerprint of the call, in the same table and by the same count as the platform's routers; entry daemons get it from the agent before they try the next one, and refuse the call as request_quarantined. Calls with an idempotency key get the outcome that is known of the key.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -80,6 +80,7 @@
 	uint64_t next_id;
 	uint64_t crash_seq;
 	uint64_t crashed_at; /* 0: no crash yet */
+	bool backend_down; /* of a service; until a call is answered */
 
 	int leaving; /* atomic */
 	int wait_ms; /* atomic: estimated wait of a new urgent request */
--- a/src/agent/once.c
+++ b/src/agent/once.c
@@ -21,6 +21,7 @@
 	struct agent_once *once;
 	struct jh_http_req *req;
 	char *path;
+	struct jh_job_parts parts;
 };
 
 struct agent_once {
@@ -138,11 +139,12 @@
 static const struct service_call_ops service_ops = {.done = on_service_done};
 
 /*
- * Returns a reference to the request of a waiting attempt and a copy of its
- * path, or NULL.
+ * Returns a reference to the request of a waiting attempt and copies of its
+ * path and parts, or NULL.
  */
 static struct jh_http_req *
-find_request(struct agent_once *o, uint64_t id, char **path)
+find_request(
+    struct agent_once *o, uint64_t id, char **path, struct jh_job_parts *parts)
 {
 	struct jh_http_req *req = NULL;
 	struct attempt *t;
@@ -152,6 +154,7 @@
 	if (t != NULL) {
 		req = jh_http_req_ref(t->req);
 		*path = g_strdup(t->path);
+		*parts = t->parts;
 	}
 	pthread_mutex_unlock(&o->lock);
 	return req;
@@ -162,11 +165,17 @@
 {
 	struct pending_op *p = pending_op_create(o, act->op);
 	char *path = NULL;
-	struct jh_http_req *req = find_request(o, act->attempt, &path);
-
-	if (req != NULL && service_call_start(o->agent, jh_http_req_method(req),
-			       path, jh_http_req_header(req, "Content-Type"),
-			       jh_http_req_body(req), &service_ops, p)) {
+	struct service_call_spec spec = {.ops = &service_ops, .arg = p};
+	struct jh_http_req *req =
+	    find_request(o, act->attempt, &path, &spec.parts);
+
+	if (req != NULL) {
+		spec.method = jh_http_req_method(req);
+		spec.path = path;
+		spec.content_type = jh_http_req_header(req, "Content-Type");
+		spec.body = jh_http_req_body(req);
+	}
+	if (req != NULL && service_call_start(o->agent, &spec)) {
 		p = NULL;
 	} else {
 		pthread_mutex_lock(&o->lock);
@@ -295,7 +304,7 @@
 
 void
 agent_once_attempt(struct agent_once *o, struct jh_job_headers *w,
-    struct jh_http_req *req, const char *path)
+    struct jh_http_req *req, const char *path, const struct jh_job_parts *parts)
 {
 	uint64_t budget =
 	    jh_job_headers_get_uint(w, JH_JOB_BUDGET_MS, DEFAULT_BUDGET_MS);
@@ -312,6 +321,7 @@
 	t->once = o;
 	t->req = req;
 	t->path = g_strdup(path);
+	t->parts = *parts;
 	pthread_mutex_lock(&o->lock);
 	t->id = o->next_attempt++;
 	attempt.id = t->id;
--- a/src/agent/once.h
+++ b/src/agent/once.h
@@ -4,6 +4,7 @@
 #include "agent/agent.h"
 #include "rpc/control.h"
 #include "work/job_headers.h"
+#include "work/job_parts.h"
 
 /*
  * Runs the idempotency ledger: carries out its actions on the object store,
@@ -17,7 +18,8 @@
 
 /* Handles one attempt of a non-idempotent call; takes w and req. */
 void agent_once_attempt(struct agent_once *o, struct jh_job_headers *w,
-    struct jh_http_req *req, const char *path);
+    struct jh_http_req *req, const char *path,
+    const struct jh_job_parts *parts);
 
 /* Runs the ledger's timers; call it periodically. */
 void agent_once_tick(struct agent_once *o);
--- a/src/agent/service.c
+++ b/src/agent/service.c
@@ -42,15 +42,21 @@
 static const struct service_call_ops plain_ops = {.done = on_plain_done};
 
 static void
-start_plain(struct agent *a, struct jh_http_req *req, const char *path)
+start_plain(struct agent *a, struct jh_http_req *req, const char *path,
+    const struct jh_job_parts *parts)
 {
 	struct plain_call *p = g_new0(struct plain_call, 1);
+	struct service_call_spec spec = {.method = jh_http_req_method(req),
+	    .path = path,
+	    .content_type = jh_http_req_header(req, "Content-Type"),
+	    .body = jh_http_req_body(req),
+	    .parts = *parts,
+	    .ops = &plain_ops,
+	    .arg = p};
 
 	p->agent = a;
 	p->req = req;
-	if (service_call_start(a, jh_http_req_method(req), path,
-		jh_http_req_header(req, "Content-Type"), jh_http_req_body(req),
-		&plain_ops, p))
+	if (service_call_start(a, &spec))
 		return;
 	agent_refuse(a, req, 503, "busy");
 	jh_http_req_unref(req);
@@ -61,17 +67,23 @@
 agent_service(struct agent *a, struct jh_job_headers *w,
     struct jh_http_req *req, const char *path)
 {
-	if (g_atomic_int_get(&a->leaving)) {
+	const char *parts_text = jh_job_headers_get(w, JH_JOB_PARTS);
+	struct jh_job_parts parts = {.n = 0};
+
+	if (parts_text != NULL && !jh_job_parts_parse(&parts, parts_text)) {
+		agent_refuse(a, req, 400, "malformed");
+		jh_http_req_unref(req);
+	} else if (g_atomic_int_get(&a->leaving)) {
 		agent_refuse(a, req, 503, "leaving");
 		jh_http_req_unref(req);
 	} else if (a->once == NULL) {
 		agent_refuse(a, req, 404, "not_a_service");
 		jh_http_req_unref(req);
 	} else if (jh_job_headers_get(w, JH_JOB_ONCE) != NULL) {
-		agent_once_attempt(a->once, w, req, path);
+		agent_once_attempt(a->once, w, req, path, &parts);
 		return;
 	} else {
-		start_plain(a, req, path);
+		start_plain(a, req, path, &parts);
 	}
 	jh_job_headers_destroy(w);
 }
--- a/src/agent/service_call.c
+++ b/src/agent/service_call.c
@@ -1,5 +1,6 @@
 #include <jacinthhill/clock.h>
 
+#include "agent/backend_crash.h"
 #include "agent/service_call.h"
 
 /* Time limit for one call to a plain service. */
@@ -9,6 +10,8 @@
 	struct agent *agent;
 	const struct service_call_ops *ops;
 	void *arg;
+	struct jh_job_parts parts;
+	uint64_t sent_at;
 	GString *body;
 	bool too_long;
 };
@@ -25,6 +28,25 @@
 	return true;
 }
 
+static void
+report_crash(struct service_call *c, enum jh_http_result result)
+{
+	switch (result) {
+	case JH_HTTP_OK:
+		agent_backend_responded(c->agent, &c->parts);
+		break;
+	case JH_HTTP_CONNECTION_LOST:
+		agent_backend_crashed(c->agent, c->sent_at, &c->parts);
+		break;
+	case JH_HTTP_NOT_SENT:
+		agent_backend_unreachable(c->agent);
+		break;
+	case JH_HTTP_TIMED_OUT:
+	case JH_HTTP_CANCELLED:
+		break;
+	}
+}
+
 static void
 on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
 {
@@ -35,6 +57,7 @@
 	    .type = jh_http_call_header(call, "Content-Type"),
 	    .body = {c->body->str, c->body->len}};
 
+	report_crash(c, result);
 	c->ops->done(c->arg, &response);
 	g_string_free(c->body, TRUE);
 	g_free(c);
@@ -44,19 +67,18 @@
     .data = on_data, .done = on_done};
 
 bool
-service_call_start(struct agent *a, const char *method, const char *path,
-    const char *content_type, struct jh_str body,
-    const struct service_call_ops *ops, void *arg)
+service_call_start(struct agent *a, const struct service_call_spec *request)
 {
 	char *type_line = g_strdup_printf("Content-Type: %s",
-	    content_type == NULL ? "application/json" : content_type);
+	    request->content_type == NULL ? "application/json"
+					  : request->content_type);
 	const char *headers[] = {type_line, NULL};
 	struct service_call *c = g_new0(struct service_call, 1);
 	struct jh_http_call_spec spec = {.peer = a->settings.backend,
-	    .method = method,
-	    .path = path,
+	    .method = request->method,
+	    .path = request->path,
 	    .headers = headers,
-	    .body = body,
+	    .body = request->body,
 	    .deadline = jh_now() + SERVICE_CALL_USEC,
 	    .at_most_once = true,
 	    .ops = &call_ops,
@@ -64,8 +86,10 @@
 	struct jh_http_call *call;
 
 	c->agent = a;
-	c->ops = ops;
-	c->arg = arg;
+	c->ops = request->ops;
+	c->arg = request->arg;
+	c->parts = request->parts;
+	c->sent_at = jh_now();
 	c->body = g_string_new(NULL);
 	call = jh_http_call_start(a->client, &spec);
 	g_free(type_line);
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -3,12 +3,15 @@
 #include <string.h>
 
 #include <jacinthhill/clock.h>
+#include <xxhash.h>
 
+#include "base/event.h"
 #include "entry/request_auth.h"
 #include "entry/limits.h"
 #include "entry/service.h"
 #include "entry/revision_wait.h"
 #include "work/job_headers.h"
+#include "work/job_parts.h"
 
 #define SERVICES_PREFIX "/v1/services/"
 #define WORK_PREFIX "/v1/jobs/service"
@@ -31,6 +34,7 @@
 	struct jh_http_req *req;
 	struct request_auth auth;
 	char *path; /* of the request to the agent */
+	struct jh_job_parts parts; /* of the request alone */
 	const char *key; /* in req; NULL for an idempotent call */
 	bool first_attempt;
 	uint64_t deadline;
@@ -151,6 +155,7 @@
 	jh_retry_success(e->retry, jh_now());
 	pthread_mutex_unlock(&e->lock);
 	jh_counters_add(e->counters, ENTRY_COMPLETED, 1);
+	crash_log_parts_succeeded(e->crashes, j->parts.part, j->parts.n);
 	destroy(j);
 }
 
@@ -204,6 +209,16 @@
 	    j);
 }
 
+/* The backend server crashed: learns what its agent knows of the crash. */
+static void
+handle_crash(struct service_job *j)
+{
+	const struct worker_address *to =
+	    &g_array_index(j->agents, struct worker_address, j->next - 1);
+
+	jh_feed_pull_now(j->entry->feed, &to->rpc_address);
+}
+
 static void
 update_member(struct service_job *j, struct jh_http_call *call,
     enum jh_http_result result)
@@ -234,6 +249,8 @@
 	const char *reason = jh_http_call_header(call, "Jh-Reason");
 
 	update_member(j, call, result);
+	if (g_strcmp0(reason, "backend_lost") == 0)
+		handle_crash(j);
 	if (result != JH_HTTP_OK || outcome == NULL || j->response_too_long)
 		attempt_failed(j, result == JH_HTTP_NOT_SENT);
 	else if (reason == NULL && strcmp(outcome, "ran") == 0)
@@ -255,6 +272,7 @@
 make_job_headers(struct service_job *j)
 {
 	struct jh_job_headers *w = jh_job_headers_create();
+	char parts[JH_JOB_PARTS_SIZE];
 	uint64_t now = jh_now();
 
 	jh_job_headers_set(w, JH_JOB_ORG, j->auth.org->name);
@@ -264,6 +282,8 @@
 	    j->deadline > now ? (j->deadline - now) / JH_USEC_PER_MSEC : 0);
 	jh_job_headers_set_uint(
 	    w, JH_JOB_CATALOG_REV, jh_catalog_revision(j->entry->catalog));
+	jh_job_parts_format(&j->parts, parts);
+	jh_job_headers_set(w, JH_JOB_PARTS, parts);
 	if (j->key != NULL) {
 		jh_job_headers_set(w, JH_JOB_ONCE, "1");
 		jh_job_headers_set(w, JH_JOB_KEY, j->key);
@@ -315,6 +335,14 @@
 {
 	const struct worker_address *to;
 
+	if (crash_log_refuses_parts(
+		j->entry->crashes, j->parts.part, j->parts.n)) {
+		jh_event(JH_EV_REQUEST_QUARANTINED, G_LOG_LEVEL_WARNING,
+		    "a call of %s to %s is quarantined", j->auth.org->name,
+		    j->path);
+		refuse(j, ENTRY_ERR_QUARANTINED, outcome_without_agent(j));
+		return;
+	}
 	if (j->next < j->agents->len) {
 		to =
 		    &g_array_index(j->agents, struct worker_address, j->next++);
@@ -359,6 +387,18 @@
 	return true;
 }
 
+/* The fingerprint covers organisation, path and body. */
+static void
+set_parts(struct service_job *j)
+{
+	struct jh_fingerprint f = jh_fingerprint_of(
+	    jh_str_from(j->auth.org->name), jh_http_req_body(j->req));
+
+	j->parts.part[0] = jh_fingerprint_of_part(
+	    XXH3_64bits_withSeed(j->path, strlen(j->path), f.low));
+	j->parts.n = 1;
+}
+
 /* Checks the call; on failure replies with the error and returns false. */
 static bool
 prepare_job(struct service_job *j)
@@ -382,6 +422,7 @@
 		goto out;
 	}
 	j->path = g_strconcat(WORK_PREFIX, rest, NULL);
+	set_parts(j);
 	j->deadline = jh_now() +
 		      (uint64_t)j->auth.rule->ttft_target_ms * JH_USEC_PER_MSEC;
 	j->agents = entry_workers_of_service(j->entry->workers, name,
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -114,6 +114,28 @@
 	pthread_mutex_unlock(&l->lock);
 }
 
+void
+crash_log_call_crashed(struct crash_log *l, uint64_t sent, uint64_t reporter,
+    uint64_t seq, const struct jh_fingerprint *part, size_t n)
+{
+	uint64_t now = jh_now();
+
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_unbegun_crashed(
+	    l->table, now, now, sent, reporter, seq, part, n);
+	pthread_mutex_unlock(&l->lock);
+}
+
+void
+crash_log_backend_ended(struct crash_log *l, uint64_t reporter, uint64_t seq)
+{
+	uint64_t now = jh_now();
+
+	pthread_mutex_lock(&l->lock);
+	jh_suspects_engine_ended(l->table, now, now, reporter, seq);
+	pthread_mutex_unlock(&l->lock);
+}
+
 void
 crash_log_parts_succeeded(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n)
@@ -139,12 +161,14 @@
 crash_log_refuses_parts(
     struct crash_log *l, const struct jh_fingerprint *part, size_t n)
 {
-	unsigned int crashes;
+	unsigned int crashes, unbegun;
+	uint64_t now = jh_now();
 
 	pthread_mutex_lock(&l->lock);
-	crashes = jh_suspects_parts_crashes(l->table, jh_now(), part, n, NULL);
+	crashes = jh_suspects_parts_crashes(l->table, now, part, n, NULL);
+	unbegun = jh_suspects_unbegun_crashes(l->table, now, part, n, NULL);
 	pthread_mutex_unlock(&l->lock);
-	return crashes >= JH_SUSPECT_QUARANTINE_CRASHES;
+	return MAX(crashes, unbegun) >= JH_SUSPECT_QUARANTINE_CRASHES;
 }
 
 void
@@ -187,7 +211,8 @@
 		    .seq = list[i].sequence,
 		    .remaining_usec = list[i].remaining_ms * JH_USEC_PER_MSEC,
 		    .cleared = list[i].cleared != 0};
-		is_part = jh_fingerprint_is_part(c.fingerprint);
+		is_part = jh_fingerprint_is_part(c.fingerprint) ||
+			  jh_fingerprint_is_unbegun(c.fingerprint);
 		c.sole = list[i].sole && !is_part;
 		c.had_output = list[i].sole && is_part;
 		jh_suspects_merge(l->table, jh_now(), &c, 1);
