Logs: the rate limit that a worker names

No line told that a worker names a limit, so a field that is not read looked like a limit that is read and not kept. platform/ decodes Server-Limit; a value that is no decimal number is logged and changes nothing.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -282,7 +282,7 @@
 	jh_chooser_sent(x->gateway->chooser, now, &x->choose, choice);
 	jh_json_log(x->gateway->log, "sent",
 	    "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, "
-	    "s:I, s:I, s:i",
+	    "s:I, s:I, s:i, s:f",
 	    "request", x->request.id.ptr, (int)x->request.id.len, "route",
 	    x->route->name, "worker", w->id, "weights", (json_int_t)w->weights,
 	    "weights_age_us", (json_int_t)(now - w->weights_confirmed),
@@ -298,7 +298,7 @@
 	    "uncached", (int)choice->uncached, "backlog",
 	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held",
 	    (json_int_t)(w->held_tokens + w->others_held), "running",
-	    (int)(w->running + w->others_running));
+	    (int)(w->running + w->others_running), "rate_limit", w->rate_limit);
 	x->call = jh_call_start(x->gateway->client, &spec);
 	start_silence_timer(x, now);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -93,6 +93,9 @@
 /* The client has taken all that was written: resumes a paused worker. */
 void exchange_drained(struct exchange *x);
 
+/* limit.c: takes over the rate limit that the response names, or its end. */
+void exchange_observe_rate_limit(struct exchange *x);
+
 /* suspect.c: requests that crash the workers that run them. */
 void exchange_set_suspect_parts(struct exchange *x);
 /* Hash of the request's organisation, target and body, for the log. */
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -76,6 +76,12 @@
 	bool transformed; /* the body is not as the worker sent it */
 	bool has_weights;
 	uint64_t weights;
+	/*
+	 * Requests a second that the worker takes from all processes together.
+	 * A value that is no decimal number counts as none.
+	 */
+	bool has_rate_limit, invalid_rate_limit;
+	double rate_limit;
 	struct jh_str instance; /* id of the responder; valid with the head */
 };
 
--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -219,6 +219,45 @@
 	jh_http_parser_destroy(h.parse);
 }
 
+/* Decodes the rate limit of a response with this value of the field. */
+static struct jh_worker_response
+read_rate_limit(const char *value)
+{
+	struct jh_client_request request = {.id = JH_STR("a1")};
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nServer-Limit: %s\r\n"
+				     "Content-Length: 0\r\n\r\n",
+	    value);
+	struct jh_worker_response a = {0};
+	struct head h;
+
+	head_init(&h, JH_PARSE_RESPONSES, text);
+	plat_http_codec.read_worker_response(h.head, &request, &a);
+	jh_http_parser_destroy(h.parse);
+	g_free(text);
+	return a;
+}
+
+static void
+rate_limit_is_decoded(void **state)
+{
+	static const char *const invalid[] = {"", "-1", "1e9", "nan", "1.2.3",
+	    ".5", "1,5", "1 2", "123456789012345678901"};
+	struct jh_worker_response a;
+	size_t i;
+
+	a = read_rate_limit("1.7");
+	assert_true(a.has_rate_limit);
+	assert_true(a.rate_limit > 1.69 && a.rate_limit < 1.71);
+	a = read_rate_limit(" 0 ");
+	assert_true(a.has_rate_limit);
+	assert_true(a.rate_limit == 0);
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		a = read_rate_limit(invalid[i]);
+		assert_false(a.has_rate_limit);
+		assert_true(a.invalid_rate_limit);
+	}
+}
+
 static void
 event_weights_are_decoded(void **state)
 {
@@ -436,6 +475,7 @@
 	    cmocka_unit_test(forwarded_request_has_gateway_fields),
 	    cmocka_unit_test(invalid_values_are_rejected),
 	    cmocka_unit_test(responses_are_classified),
+	    cmocka_unit_test(rate_limit_is_decoded),
 	    cmocka_unit_test(event_weights_are_decoded),
 	    cmocka_unit_test(config_is_decoded),
 	    cmocka_unit_test(invalid_config_is_rejected),
