Failing test: workers that name a rate limit get their whole share of requests

Routers log the limit (rate_limit) and send every request with attempt 1 as before, so hypothesis 1: the field is not read; retries (2) are none of it.

The fake worker names a limit in its responses, and reports each arrival.

--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -90,11 +90,25 @@
 	       (unsigned int)atoi(weights.ptr) != w->weights;
 }
 
+char *
+fake_rate_limit_field(const struct fake_worker *w)
+{
+	char number[G_ASCII_DTOSTR_BUF_SIZE];
+
+	if (w->rate_limit < 0)
+		return g_strdup("");
+	g_ascii_formatd(number, sizeof(number), "%.2f", w->rate_limit);
+	return g_strdup_printf("Server-Limit: %s\r\n", number);
+}
+
 static void
 send_misdirected(struct fake_worker *w, struct jh_server_request *v)
 {
-	char *field =
-	    g_strdup_printf("X-Jacinthhill-Instance-Id: %s\r\n", w->id);
+	char *limit = fake_rate_limit_field(w);
+	char *field = g_strdup_printf(
+	    "X-Jacinthhill-Instance-Id: %s\r\n%s", w->id, limit);
+
+	g_free(limit);
 
 	w->misdirected++;
 	jh_server_request_respond(
@@ -102,6 +116,19 @@
 	g_free(field);
 }
 
+static void
+send_declined(struct fake_worker *w, struct jh_server_request *v)
+{
+	char *limit = fake_rate_limit_field(w);
+	char *fields =
+	    g_strconcat("X-Jacinthhill-Not-Executed: 1\r\n", limit, NULL);
+
+	jh_server_request_respond(
+	    v, 503, "Busy", jh_str_from(fields), JH_STR(""));
+	g_free(fields);
+	g_free(limit);
+}
+
 static void
 send_report(struct fake_worker *w, struct jh_server_request *v)
 {
@@ -127,6 +154,10 @@
 	fake_objects_lock(w->objects);
 	if (fake_run_crashes(w, head))
 		w->crash_arrivals++;
+	if (w->spec.ops != NULL && w->spec.ops->arrived != NULL &&
+	    !jh_str_eq(path, JH_STR("/report")) &&
+	    !jh_str_eq(path, JH_STR("/order")))
+		w->spec.ops->arrived(w->spec.arg, w, head);
 	if (jh_str_eq(path, JH_STR("/report")))
 		send_report(w, v);
 	else if (is_misdirected(w, head))
@@ -134,8 +165,7 @@
 	else if (jh_str_eq(path, JH_STR("/order")))
 		handle_order(w, v);
 	else if (w->mode == WORKER_DECLINES || w->loading != 0)
-		jh_server_request_respond(v, 503, "Busy",
-		    JH_STR("X-Jacinthhill-Not-Executed: 1\r\n"), JH_STR(""));
+		send_declined(w, v);
 	else
 		fake_run_start(w, v);
 	fake_objects_unlock(w->objects);
@@ -205,6 +235,7 @@
 	w->loop = loop;
 	w->objects = objects;
 	w->weights = 1;
+	w->rate_limit = -1;
 	w->running = g_hash_table_new(NULL, NULL);
 	uv_timer_init(loop, &w->load_timer);
 	uv_timer_init(loop, &w->restart_timer);
@@ -234,6 +265,14 @@
 	fake_objects_unlock(w->objects);
 }
 
+void
+fake_worker_set_rate_limit(struct fake_worker *w, double limit)
+{
+	fake_objects_lock(w->objects);
+	w->rate_limit = limit;
+	fake_objects_unlock(w->objects);
+}
+
 void
 fake_worker_drain(struct fake_worker *w)
 {
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -42,6 +42,9 @@
 	    uint64_t token, unsigned int version);
 	/* A request crashed it; may be NULL. */
 	void (*crashed)(void *arg, struct fake_worker *w);
+	/* A request arrived, run or not; may be NULL. */
+	void (*arrived)(
+	    void *arg, struct fake_worker *w, const struct jh_head *head);
 };
 
 struct fake_worker_spec {
@@ -78,6 +81,11 @@
 void fake_worker_destroy(struct fake_worker *w);
 
 void fake_worker_set_mode(struct fake_worker *w, enum fake_worker_mode mode);
+/*
+ * Names this limit in its responses from now on, in requests a second;
+ * negative: none. A restart does not change it.
+ */
+void fake_worker_set_rate_limit(struct fake_worker *w, double limit);
 /* Registers itself as draining. */
 void fake_worker_drain(struct fake_worker *w);
 /*
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -90,7 +90,7 @@
 }
 
 static const struct fake_worker_ops worker_ops = {on_execution_started,
-    on_execution_ended, on_load_order, soak_poison_crashed};
+    on_execution_ended, on_load_order, soak_poison_crashed, NULL};
 
 /* Whether the versions that may be in effect allow the request. */
 static enum soak_permission
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -280,6 +280,12 @@
 	fake_worker_set_mode(p->workers[worker], mode);
 }
 
+void
+platform_set_rate_limit(struct platform *p, unsigned int worker, double limit)
+{
+	fake_worker_set_rate_limit(p->workers[worker], limit);
+}
+
 void
 platform_set_store_status(struct platform *p, unsigned int status)
 {
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -46,6 +46,9 @@
 
 void platform_set_mode(
     struct platform *p, unsigned int worker, enum fake_worker_mode mode);
+/* The worker names this limit, requests a second; negative: none. */
+void platform_set_rate_limit(
+    struct platform *p, unsigned int worker, double limit);
 /* Crashes all workers that are up, at the same moment; does not wait for it. */
 void platform_crash_workers(struct platform *p);
 /* The store responds to every call with this status; 0: normally. */
