Keep the rate limits that workers name

The class of fault: a bound that belongs to all processes together and that each of them needs a part of; read alone, each router would have taken the whole limit.

Routers announce the limits that they have seen and their demand, and all divide each limit by the same rule. Placement passes over a worker without room, retries too; if none has room, the request is rejected at once with the time until there is.

Kept placements (3): a worker without room is no home of a prefix either (test_choose).

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -24,9 +24,6 @@
  */
 #define FREE_WAIT_USEC (60 * JH_USEC_PER_MSEC)
 
-/* Retry delay for clients when no worker can take a request. */
-#define NO_WORKER_RETRY_SECONDS 0.3
-
 struct jh_worker *
 exchange_worker(struct exchange *x)
 {
@@ -219,14 +216,14 @@
 }
 
 void
-exchange_give_up(struct exchange *x, const char *reason)
+exchange_give_up(struct exchange *x, const char *reason, double seconds)
 {
 	if (x->response_begun)
 		exchange_break_stream(x, reason);
 	else if (jh_attempts_give_up(&x->attempts) == JH_NEXT_FAIL)
 		exchange_fail(x, 502, reason);
 	else
-		exchange_refuse(x, reason, NO_WORKER_RETRY_SECONDS);
+		exchange_refuse(x, reason, seconds);
 }
 
 static void
@@ -280,6 +277,7 @@
 		jh_sse_parser_reset(x->events);
 	jh_attempts_sent(&x->attempts);
 	jh_chooser_sent(x->gateway->chooser, now, &x->choose, choice);
+	jh_rate_limits_sent(x->gateway->rate_limits, now, w->hash);
 	jh_json_log(x->gateway->log, "sent",
 	    "s:s#, s:s, s:s, s:I, s:I, s:I, s:i, s:s?, s:I, s:I, s:I, s:i, "
 	    "s:I, s:I, s:i, s:f",
@@ -298,7 +296,8 @@
 	    "uncached", (int)choice->uncached, "backlog",
 	    (json_int_t)(w->prefill_tokens + w->others_prefill), "held",
 	    (json_int_t)(w->held_tokens + w->others_held), "running",
-	    (int)(w->running + w->others_running), "rate_limit", w->rate_limit);
+	    (int)(w->running + w->others_running), "rate_limit",
+	    jh_rate_limits_limit(x->gateway->rate_limits, w->hash));
 	x->call = jh_call_start(x->gateway->client, &spec);
 	start_silence_timer(x, now);
 }
@@ -344,10 +343,15 @@
 	if (exchange_refuse_quarantined(x))
 		return;
 	choose_worker(x, now, &choice);
+	if (choice.worker == NULL && choice.room_at != 0) {
+		exchange_refuse_limited(x, now, choice.room_at);
+		return;
+	}
 	if (choice.worker == NULL) {
-		exchange_give_up(x, choice.any_worker
-					? "no worker can take the request now"
-					: "no worker is known");
+		exchange_give_up(x,
+		    choice.any_worker ? "no worker can take the request now"
+				      : "no worker is known",
+		    EXCHANGE_NO_WORKER_SECONDS);
 		return;
 	}
 	if (x->attempts.sent == 0 && x->choose.is_engine &&
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,8 +70,14 @@
 
 /* attempt.c: chooses a worker and sends it the request. */
 void exchange_start_attempt(struct exchange *x);
-/* No attempt follows: refuses the request, or reports an unknown outcome. */
-void exchange_give_up(struct exchange *x, const char *reason);
+/* Retry delay for clients when no worker can take a request. */
+#define EXCHANGE_NO_WORKER_SECONDS 0.3
+
+/*
+ * No attempt follows: refuses the request, which the client may retry after
+ * seconds, or reports an unknown outcome.
+ */
+void exchange_give_up(struct exchange *x, const char *reason, double seconds);
 /* Aborts the attempt in progress, if there is one. */
 void exchange_cancel_attempt(struct exchange *x);
 
@@ -93,8 +99,11 @@
 /* The client has taken all that was written: resumes a paused worker. */
 void exchange_drained(struct exchange *x);
 
-/* limit.c: takes over the rate limit that the response names, or its end. */
+/* rate_limit.c: takes over the limit that the response names, or its end. */
 void exchange_observe_rate_limit(struct exchange *x);
+/* No worker has room before that time. */
+void exchange_refuse_limited(
+    struct exchange *x, uint64_t now, uint64_t room_at);
 
 /* suspect.c: requests that crash the workers that run them. */
 void exchange_set_suspect_parts(struct exchange *x);
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -7,6 +7,7 @@
 
 #include "gateway/crash_message.h"
 #include "gateway/gossip.h"
+#include "gateway/rate_message.h"
 #include "gateway/wire.h"
 #include "route/fanout.h"
 
@@ -26,10 +27,12 @@
 #define MAC_LEN 16
 
 /*
- * A second message, of crashes, has the same first three fields and MAC, and
- * the crashes between them. It is sent only while there are any.
+ * Two more messages, of crashes and of rate limits, have the same first three
+ * fields and MAC, and their records between them. They are sent only while
+ * there are any.
  */
 #define CRASH_MAGIC 0x4a484331U /* "JHC1" */
+#define RATE_MAGIC 0x4a485231U /* "JHR1" */
 #define ENVELOPE_LEN 20
 
 /* Rounds in which a changed crash is sent; more than one turn of all peers. */
@@ -89,6 +92,9 @@
 	size_t crash_message_len; /* 0: there is nothing to tell */
 	uint64_t crash_revision[CRASH_ROUNDS]; /* of the suspects, by round */
 	uint64_t crash_turn;
+	unsigned char rate_message[MAX_LEN];
+	size_t rate_message_len; /* 0: there is nothing to tell */
+	size_t next_rate; /* first limit of the next message */
 	unsigned int open_handles; /* not closed yet */
 	char buffer[2048];
 };
@@ -213,6 +219,27 @@
 	return len + MAC_LEN;
 }
 
+/* Writes the fields before the records of a message. */
+static void
+put_envelope(const struct jh_gossip *g, unsigned char **at, uint64_t magic)
+{
+	jh_wire_put(at, magic, 4);
+	jh_wire_put(at, g->id, 8);
+	jh_wire_put(at, g->number, 8);
+}
+
+static void
+write_rate_message(struct jh_gossip *g)
+{
+	unsigned char *out = g->rate_message, *at = out;
+	size_t n;
+
+	put_envelope(g, &at, RATE_MAGIC);
+	n = jh_rate_message_write(g->spec.rate_limits, jh_now(), &g->next_rate,
+	    at, MAX_LEN - ENVELOPE_LEN - MAC_LEN);
+	g->rate_message_len = n > 0 ? append_mac(g, out, at + n) : 0;
+}
+
 /*
  * Crashes that changed are sent for some rounds, so that they reach all peers
  * in spite of lost messages; quarantined parts from time to time, for peers
@@ -235,9 +262,7 @@
 	if (since == revision &&
 	    g->number % QUARANTINE_ROUNDS > jh_fanout_period(g->fanout))
 		return;
-	jh_wire_put(&at, CRASH_MAGIC, 4);
-	jh_wire_put(&at, g->id, 8);
-	jh_wire_put(&at, g->number, 8);
+	put_envelope(g, &at, CRASH_MAGIC);
 	n = jh_crash_message_write(s, jh_now(), since, g->crash_turn++, at,
 	    MAX_LEN - ENVELOPE_LEN - MAC_LEN);
 	if (n > 0)
@@ -251,9 +276,8 @@
 	uint16_t n_reports, n_placements;
 	size_t i;
 
-	jh_wire_put(&at, MAGIC, 4);
-	jh_wire_put(&at, g->id, 8);
-	jh_wire_put(&at, ++g->number, 8);
+	g->number++;
+	put_envelope(g, &at, MAGIC);
 	for (i = 0; i < JH_GOSSIP_REVISIONS; i++)
 		jh_wire_put(&at, g->revisions[i], REVISION_LEN);
 	count = at;
@@ -266,6 +290,7 @@
 	jh_wire_put(&count, n_placements, 2);
 	g->message_len = append_mac(g, out, at);
 	write_crash_message(g);
+	write_rate_message(g);
 }
 
 static void
@@ -287,6 +312,7 @@
 
 	send_datagram(g, peer, g->message, g->message_len);
 	send_datagram(g, peer, g->crash_message, g->crash_message_len);
+	send_datagram(g, peer, g->rate_message, g->rate_message_len);
 }
 
 void
@@ -311,17 +337,25 @@
 	return sodium_memcmp(mac, message + len - MAC_LEN, MAC_LEN) == 0;
 }
 
+/* Reads a message of crashes or of rate limits. */
 static void
-read_crash_message(
-    struct jh_gossip *g, const unsigned char *message, size_t len)
+read_records(struct jh_gossip *g, uint64_t magic, const unsigned char *message,
+    size_t len)
 {
-	const unsigned char *at = message + 4;
+	const unsigned char *at = message + 4, *records;
 	uint64_t id = jh_wire_take(&at, 8);
 	const struct peer *p = g_hash_table_lookup(g->by_id, &id);
-
-	if (p == NULL || !has_valid_mac(p, message, len) ||
-	    !jh_crash_message_read(g->spec.suspects, jh_now(),
-		message + ENVELOPE_LEN, len - ENVELOPE_LEN - MAC_LEN))
+	bool valid = p != NULL && has_valid_mac(p, message, len);
+
+	records = message + ENVELOPE_LEN;
+	len -= ENVELOPE_LEN + MAC_LEN;
+	if (valid && magic == CRASH_MAGIC)
+		valid = jh_crash_message_read(
+		    g->spec.suspects, jh_now(), records, len);
+	else if (valid)
+		valid = jh_rate_message_read(
+		    g->spec.rate_limits, jh_now(), id, records, len);
+	if (!valid)
 		jh_metrics_add(g->spec.metrics, "jh_gossip_ignored", 1);
 }
 
@@ -367,6 +401,7 @@
 		reports, count))
 		return;
 	jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
+	jh_rate_limits_peer_heard(g->spec.rate_limits, jh_now(), id);
 	if (g->spec.on_peer != NULL)
 		g->spec.on_peer(g->spec.arg, p->name);
 	if (g->spec.on_revisions != NULL)
@@ -383,10 +418,14 @@
 read_datagram(struct jh_gossip *g, const unsigned char *datagram, size_t len)
 {
 	const unsigned char *at = datagram;
+	uint64_t magic;
 
-	if (len >= ENVELOPE_LEN + MAC_LEN && g->spec.suspects != NULL &&
-	    jh_wire_take(&at, 4) == CRASH_MAGIC)
-		read_crash_message(g, datagram, len);
+	if (len < ENVELOPE_LEN + MAC_LEN)
+		return;
+	magic = jh_wire_take(&at, 4);
+	if (magic == RATE_MAGIC ||
+	    (magic == CRASH_MAGIC && g->spec.suspects != NULL))
+		read_records(g, magic, datagram, len);
 	else
 		read_message(g, datagram, len);
 }
@@ -417,6 +456,7 @@
 
 	jh_peers_expire(g->reports, g->spec.fleet, jh_now(),
 	    JH_PEERS_TIMEOUT_USEC + 2 * rounds_usec);
+	jh_rate_limits_update(g->spec.rate_limits, jh_now(), g->spec.fleet);
 	write_message(g);
 	jh_fanout_round(g->fanout, send_to, g);
 }
@@ -451,6 +491,7 @@
 	g->reports = jh_peers_create();
 	randombytes_buf(g->key, sizeof(g->key));
 	g->id = key_id(g->key);
+	jh_rate_limits_set_self(spec->rate_limits, g->id);
 	uv_udp_init(spec->loop, &g->udp);
 	uv_timer_init(spec->loop, &g->round_timer);
 	g->udp.data = g;
@@ -498,6 +539,7 @@
 	g_hash_table_insert(g->peers, p->name, p);
 	g_hash_table_insert(g->by_id, &p->id, p);
 	jh_fanout_add(g->fanout, p, same_region);
+	jh_rate_limits_add_peer(g->spec.rate_limits, jh_now(), p->id);
 }
 
 void
@@ -514,6 +556,7 @@
 	if (p == NULL)
 		return;
 	jh_fanout_remove(g->fanout, p);
+	jh_rate_limits_remove_peer(g->spec.rate_limits, p->id);
 	g_hash_table_remove(g->by_id, &p->id);
 	g_hash_table_remove(g->peers, name);
 }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -14,14 +14,15 @@
 #include "route/choose.h"
 #include "route/fleet.h"
 #include "route/peers.h"
+#include "route/rate_limits.h"
 
 /*
  * Gossip between processes over UDP: the load that each has sent to the
  * workers, which workers were sent which prefixes, which workers load weights,
- * and which requests crash workers. Each message carries a MAC under its
- * sender's key, which peers read from the store; a message without a valid MAC
- * is ignored. A lost message is not sent again: the next one replaces it.
- * route/fanout.h selects the peers of a round.
+ * the rate limits that workers name, and which requests crash workers. Each
+ * message carries a MAC under its sender's key, which peers read from the
+ * store; a message without a valid MAC is ignored. A lost message is not sent
+ * again: the next one replaces it. route/fanout.h selects the peers of a round.
  */
 struct jh_gossip;
 
@@ -40,6 +41,7 @@
 	struct jh_fleet *fleet;
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
+	struct jh_rate_limits *rate_limits; /* exchanged with peers */
 	struct jh_suspects *suspects; /* NULL: crashes are not exchanged */
 	struct sockaddr_in address;
 	/* May be NULL. A message of a peer has arrived. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -368,7 +368,7 @@
 		return;
 	case JH_NEXT_REFUSE:
 	case JH_NEXT_FAIL:
-		exchange_give_up(x, why);
+		exchange_give_up(x, why, EXCHANGE_NO_WORKER_SECONDS);
 		return;
 	}
 }
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -104,6 +104,7 @@
 	size_t i;
 
 	x->choose.service = x->service_name;
+	x->choose.rate_limits = x->gateway->rate_limits;
 	x->choose.is_engine = x->service != NULL && x->service->is_engine;
 	x->choose.own_tokens = request->prompt_tokens;
 	x->choose.output_tokens = request->output_tokens;
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -12,10 +12,10 @@
 }
 
 static json_t *
-view_worker(const struct jh_worker *w, uint64_t now)
+view_worker(const struct jh_gateway *g, const struct jh_worker *w, uint64_t now)
 {
 	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, "
-			 "s:f, s:i}",
+			 "s:f, s:i, s:f, s:f}",
 	    "id", w->id, "service", w->service, "zone", w->zone, "state",
 	    jh_worker_state(w, now), "running", (int)w->running,
 	    "others_running", (int)w->others_running, "unread_tokens",
@@ -24,7 +24,9 @@
 	    (json_int_t)w->held_tokens + (json_int_t)w->others_held, "weights",
 	    (json_int_t)w->weights, "weights_age_ms",
 	    age_msec(now, w->weights_confirmed), "fail_share", w->fail_rate,
-	    "failures", (int)w->consecutive_failures);
+	    "failures", (int)w->consecutive_failures, "rate_limit",
+	    jh_rate_limits_limit(g->rate_limits, w->hash), "rate_share",
+	    jh_rate_limits_share(g->rate_limits, w->hash));
 }
 
 json_t *
@@ -35,7 +37,7 @@
 
 	for (i = 0; i < jh_fleet_count(g->fleet); i++)
 		json_array_append_new(
-		    workers, view_worker(jh_fleet_at(g->fleet, i), now));
+		    workers, view_worker(g, jh_fleet_at(g->fleet, i), now));
 	return json_pack("{s:I, s:i, s:b, s:I, s:o}", "config_version",
 	    g->routes != NULL ? (json_int_t)jh_route_table_version(g->routes)
 			      : (json_int_t)-1,
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -172,6 +172,16 @@
 	return outdated_for_usec(r, w, now) <= JH_CHOOSE_OUTDATED_USEC;
 }
 
+/* When the worker's rate limit allows a request: now or earlier if it does. */
+static uint64_t
+room_at(
+    const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
+{
+	return r->rate_limits != NULL
+		   ? jh_rate_limits_room_at(r->rate_limits, now, w->hash)
+		   : now;
+}
+
 static uint64_t
 shared_tokens(const struct jh_choose_request *r)
 {
@@ -397,7 +407,7 @@
 		struct version *v;
 		uint64_t score;
 		if (!serves(r, w) || !is_eligible(r, w, now) ||
-		    now < w->backoff_until)
+		    now < w->backoff_until || room_at(r, w, now) > now)
 			continue;
 		v = find_version(c, r, versions, n, w->weights);
 		if (v == NULL)
@@ -418,19 +428,24 @@
     const struct jh_choose_request *r, struct version *versions,
     size_t *n_versions, bool include_backed_off, struct jh_choice *out)
 {
-	uint64_t best = UINT64_MAX;
+	uint64_t best = UINT64_MAX, cost, room;
 	size_t i;
 
 	for (i = 0; i < jh_fleet_count(f); i++) {
 		struct jh_worker *w = jh_fleet_at(f, i);
 		struct version *v;
-		uint64_t cost;
 		if (!serves(r, w))
 			continue;
 		out->any_worker = true;
 		if (!is_eligible(r, w, now) ||
 		    (now < w->backoff_until && !include_backed_off))
 			continue;
+		room = room_at(r, w, now);
+		if (room > now) {
+			if (out->room_at == 0 || room < out->room_at)
+				out->room_at = room;
+			continue;
+		}
 		v = find_version(c, r, versions, n_versions, w->weights);
 		if (v == NULL)
 			continue;
@@ -442,6 +457,22 @@
 	}
 }
 
+/* The request is a demand for each worker that could serve it. */
+static void
+count_demand(
+    struct jh_fleet *f, uint64_t now, const struct jh_choose_request *r)
+{
+	size_t i;
+
+	if (r->rate_limits == NULL || jh_rate_limits_count(r->rate_limits) == 0)
+		return;
+	for (i = 0; i < jh_fleet_count(f); i++) {
+		const struct jh_worker *w = jh_fleet_at(f, i);
+		if (serves(r, w) && is_eligible(r, w, now))
+			jh_rate_limits_request(r->rate_limits, now, w->hash);
+	}
+}
+
 void
 jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct jh_choice *out)
@@ -451,6 +482,7 @@
 	size_t n = 0;
 
 	memset(out, 0, sizeof(*out));
+	count_demand(f, now, r);
 	if (r->n_prefixes > 0)
 		rank_versions(c, f, now, r, versions, &n);
 	choose_cheapest(c, f, now, r, versions, &n, false, out);
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -10,6 +10,7 @@
 #include "member/weights.h"
 #include "route/fleet.h"
 #include "route/placements.h"
+#include "route/rate_limits.h"
 
 /*
  * Chooses the worker that a request is sent to: the one with the lowest
@@ -61,6 +62,7 @@
 	size_t n_versions;
 	uint64_t cache_tokens; /* cache size of one worker; 0: not known */
 	uint64_t prefix_store; /* hash of the prefix cache store; 0: none */
+	struct jh_rate_limits *rate_limits; /* of workers; NULL: none */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
 };
@@ -75,6 +77,11 @@
 	bool save; /* the worker saves the prefix it computes to the store */
 	uint32_t uncached; /* prefix tokens that the worker has to compute */
 	bool any_worker; /* a worker of the service exists, eligible or not */
+	/*
+	 * If none is eligible, when a worker whose rate limit alone stands
+	 * against it has room; 0: there is no such worker.
+	 */
+	uint64_t room_at;
 };
 
 struct jh_chooser *jh_chooser_create(const struct jh_choose_topology *topology);
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -94,7 +94,6 @@
 	w->consecutive_failures = 0;
 	w->fail_rate = 0;
 	w->ttft_excess = 0;
-	w->rate_limit = 0;
 	w->leaving = false;
 	w->replaced_until = 0;
 	w->replaced_at = 0;
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -66,7 +66,6 @@
 	 * not, or the worker has responded since.
 	 */
 	uint64_t crash_reported_at;
-	double rate_limit; /* that it named last, requests a second; 0: none */
 	/* Requests in progress that this process has sent. */
 	unsigned int running;
 	uint64_t prefill_tokens; /* prompt tokens still to be computed */
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -339,6 +339,43 @@
 	assert_true(a.retry_seconds <= 1.0);
 }
 
+/* Names a limit of one request a second, and uses up what it allows now. */
+static void
+use_up_limit(struct jh_rate_limits *l, const struct jh_worker *w)
+{
+	jh_rate_limits_named(l, START, w->hash, w->started_ms, 1);
+	while (jh_rate_limits_room_at(l, START, w->hash) <= START)
+		jh_rate_limits_sent(l, START, w->hash);
+}
+
+/* Guards against requests to a worker that has no room within its limit. */
+static void
+worker_with_room_comes_first(void **state)
+{
+	struct jh_choose_request r = long_prompt(1, 2);
+	struct jh_worker *cached;
+	struct jh_choice c;
+	struct fixture s;
+	size_t i;
+
+	fixture_init(&s);
+	r.rate_limits = jh_rate_limits_create(START - 10 * SEC);
+	cached = send_to(&s, START, &r);
+	assert_ptr_equal(send_to(&s, START, &r), cached);
+	use_up_limit(r.rate_limits, cached);
+	assert_ptr_not_equal(send_to(&s, START, &r), cached);
+	for (i = 0; i < jh_fleet_count(s.fleet); i++)
+		use_up_limit(r.rate_limits, jh_fleet_at(s.fleet, i));
+	jh_choose(s.chooser, s.fleet, START, &r, &c);
+	assert_null(c.worker);
+	assert_true(c.any_worker);
+	assert_in_range(c.room_at, START + 1, START + SEC + 1);
+	jh_choose(s.chooser, s.fleet, c.room_at, &r, &c);
+	assert_non_null(c.worker);
+	jh_rate_limits_destroy(r.rate_limits);
+	fixture_clear(&s);
+}
+
 int
 main(void)
 {
@@ -354,6 +391,7 @@
 	    cmocka_unit_test(prefix_is_fetched_from_store),
 	    cmocka_unit_test(placements_are_announced_once),
 	    cmocka_unit_test(admission_depends_on_queue_wait),
+	    cmocka_unit_test(worker_with_room_comes_first),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -219,6 +219,7 @@
 	struct jh_fleet *fleet;
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
+	struct jh_rate_limits *rate_limits;
 	struct jh_metrics *metrics;
 	struct jh_gossip *gossip;
 	struct sockaddr_in address;
@@ -260,6 +261,7 @@
 	e->fleet = jh_fleet_create();
 	e->weights = jh_weights_create();
 	e->chooser = jh_chooser_create(&topology);
+	e->rate_limits = jh_rate_limits_create(jh_now());
 	e->metrics = jh_metrics_create();
 	e->address = free_address();
 	spec = (struct jh_gossip_spec){.loop = loop,
@@ -267,6 +269,7 @@
 	    .fleet = e->fleet,
 	    .weights = e->weights,
 	    .chooser = e->chooser,
+	    .rate_limits = e->rate_limits,
 	    .address = e->address,
 	    .on_revisions = on_revisions,
 	    .arg = e};
@@ -318,6 +321,8 @@
 	jh_gossip_destroy(a.gossip);
 	jh_gossip_destroy(b.gossip);
 	uv_run(&loop, UV_RUN_DEFAULT);
+	jh_rate_limits_destroy(a.rate_limits);
+	jh_rate_limits_destroy(b.rate_limits);
 	jh_chooser_destroy(a.chooser);
 	jh_chooser_destroy(b.chooser);
 	jh_weights_destroy(a.weights);
