Soak: draw rate limits of workers, and check the rule on them

Runs without the poison part name limits of 0.3 to 38 requests a second, which overlap and change, beside the other faults. A router that was restarted or did not run is excused for 4 s, and so is a worker whose link or process was disturbed.

--- a/soak/checker.c
+++ b/soak/checker.c
@@ -6,6 +6,7 @@
 
 #include "fakes/platform/worker.h"
 #include "soak/checker.h"
+#include "soak/limit_checker.h"
 #include "soak/part_checker.h"
 
 /* Lost responses that are tolerated (LOST allows three). */
@@ -37,6 +38,7 @@
 struct router_state {
 	uint64_t disturbed; /* until then, by any fault */
 	uint64_t unplanned; /* until then, except by planned stops */
+	uint64_t interrupted; /* until then it did not run, or just started */
 };
 
 struct worker_state {
@@ -55,6 +57,7 @@
 	struct router_state *routers;
 	struct worker_state *workers;
 	struct soak_part_checker *parts;
+	struct soak_limit_checker *limits;
 	uint64_t store_disturbed;
 	uint64_t any_disturbed; /* end of the last fault anywhere */
 	uint64_t config_changed; /* last change of what is allowed */
@@ -92,6 +95,8 @@
 	ck->routers = g_new0(struct router_state, b->routers);
 	ck->workers = g_new0(struct worker_state, b->workers);
 	ck->parts = soak_part_checker_create(b->connected_after);
+	ck->limits = soak_limit_checker_create(
+	    b->workers, b->routers, b->connected_after);
 	ck->violations = g_ptr_array_new_with_free_func(g_free);
 	return ck;
 }
@@ -104,6 +109,7 @@
 	for (i = 0; i < ck->bounds.workers; i++)
 		g_free(ck->workers[i].holder);
 	soak_part_checker_destroy(ck->parts);
+	soak_limit_checker_destroy(ck->limits);
 	g_hash_table_destroy(ck->records);
 	g_hash_table_destroy(ck->holders);
 	g_ptr_array_free(ck->order, TRUE);
@@ -371,6 +377,10 @@
 	rec->status = a->status;
 	rec->closed = now;
 	note_end(ck, now, rec, success && a->body.len > 0);
+	/* A resumed stream has the head of its first worker. */
+	if (a->rate_limited && a->seal.len > 0 && rec->executions == 1)
+		soak_limit_checker_told(
+		    ck->limits, now, rec->worker, rec->request.router);
 	if (success) {
 		check_success(ck, now, rec, a);
 		if (a->complete)
@@ -543,6 +553,44 @@
 	rec->ended = 0;
 }
 
+void
+soak_checker_arrived(struct soak_checker *ck, uint64_t now, unsigned int worker,
+    struct jh_str id)
+{
+	char *text = jh_str_dup(id);
+	struct record *rec = find_record(ck, text);
+	unsigned int n = 0;
+	double allowed;
+
+	if (rec != NULL)
+		n = soak_limit_checker_arrived(ck->limits, now, worker,
+		    rec->request.router,
+		    ck->routers[rec->request.router].interrupted +
+				ck->bounds.connected_after >=
+			    now ||
+			!worker_undisturbed(ck, worker, now),
+		    stalled_until(ck, now), &allowed);
+	if (n > 0)
+		soak_checker_add_violation(ck, now, "LIMIT",
+		    "worker %u got %u requests, %.1f are allowed", worker, n,
+		    allowed);
+	g_free(text);
+}
+
+void
+soak_checker_rate_limit(
+    struct soak_checker *ck, uint64_t now, unsigned int worker, double limit)
+{
+	soak_limit_checker_named(ck->limits, now, worker, limit);
+}
+
+void
+soak_checker_worker_started(
+    struct soak_checker *ck, uint64_t now, unsigned int worker)
+{
+	soak_limit_checker_restarted(ck->limits, now, worker);
+}
+
 void
 soak_checker_execution_ended(
     struct soak_checker *ck, uint64_t now, struct jh_str id)
@@ -619,6 +667,13 @@
 	extend(&ck->any_disturbed, until);
 }
 
+void
+soak_checker_interrupt_router(
+    struct soak_checker *ck, unsigned int router, uint64_t until)
+{
+	extend(&ck->routers[router].interrupted, until);
+}
+
 void
 soak_checker_disturb_worker(
     struct soak_checker *ck, unsigned int worker, uint64_t until)
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -70,6 +70,7 @@
 struct soak_response {
 	unsigned int status;
 	struct jh_str id, seal, body; /* empty: none */
+	bool rate_limited; /* names a rate limit of the worker */
 	bool complete;
 };
 
@@ -99,6 +100,15 @@
     struct soak_checker *ck, uint64_t now, const struct soak_execution *r);
 void soak_checker_execution_ended(
     struct soak_checker *ck, uint64_t now, struct jh_str id);
+/* A request arrived at a worker, whether it runs it or not. */
+void soak_checker_arrived(struct soak_checker *ck, uint64_t now,
+    unsigned int worker, struct jh_str id);
+/* The worker names this rate limit from now on; negative: none. */
+void soak_checker_rate_limit(
+    struct soak_checker *ck, uint64_t now, unsigned int worker, double limit);
+/* The worker has started again. */
+void soak_checker_worker_started(
+    struct soak_checker *ck, uint64_t now, unsigned int worker);
 /* A worker accepted holder's order, with this token, to load weights. */
 void soak_checker_load_order(struct soak_checker *ck, uint64_t now,
     unsigned int worker, const char *holder, uint64_t token);
@@ -114,6 +124,9 @@
  */
 void soak_checker_disturb_router(
     struct soak_checker *ck, unsigned int router, uint64_t until, bool planned);
+/* The router does not run until then, or starts. */
+void soak_checker_interrupt_router(
+    struct soak_checker *ck, unsigned int router, uint64_t until);
 void soak_checker_disturb_worker(
     struct soak_checker *ck, unsigned int worker, uint64_t until);
 /* A part of a prompt crashed the worker, which is back by until. */
--- a/soak/client.c
+++ b/soak/client.c
@@ -40,6 +40,7 @@
 	enum field field;
 	bool in_value;
 	GString *name, *response_id, *seal, *body;
+	bool rate_limited; /* the response names a rate limit */
 	bool complete;
 };
 
@@ -92,6 +93,7 @@
 	    .id = {c->response_id->str, c->response_id->len},
 	    .seal = {c->seal->str, c->seal->len},
 	    .body = {c->body->str, c->body->len},
+	    .rate_limited = c->rate_limited,
 	    .complete = c->complete};
 }
 
@@ -123,6 +125,7 @@
 	g_string_truncate(c->name, 0);
 	g_string_truncate(c->response_id, 0);
 	g_string_truncate(c->seal, 0);
+	c->rate_limited = false;
 	g_string_truncate(c->body, 0);
 	c->field = FIELD_OTHER;
 	c->in_value = false;
@@ -153,6 +156,8 @@
 	if (g_ascii_strcasecmp(c->name->str, "X-Jacinthhill-Response-Seal") ==
 	    0)
 		g_string_append_len(c->seal, at, (gssize)n);
+	if (g_ascii_strcasecmp(c->name->str, "Server-Limit") == 0)
+		c->rate_limited = true;
 	return 0;
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -103,6 +103,7 @@
 	router->started = jh_now();
 	soak_checker_disturb_router(
 	    fx->checker, router->number, jh_now(), false);
+	soak_checker_interrupt_router(fx->checker, router->number, jh_now());
 	error = soak_process_start(router->process);
 	if (error != 0)
 		soak_checker_add_violation(fx->checker, jh_now(), "FAULT",
@@ -177,6 +178,7 @@
 	router->frozen = false;
 	soak_checker_disturb_router(
 	    fx->checker, router->number, jh_now(), f->kind == FAULT_PAUSES);
+	soak_checker_interrupt_router(fx->checker, router->number, jh_now());
 }
 
 static void
@@ -187,6 +189,8 @@
 	router->frozen = true;
 	soak_checker_disturb_router(router->fixture->checker, router->number,
 	    router->fixture->started + f->until, f->kind == FAULT_PAUSES);
+	soak_checker_interrupt_router(router->fixture->checker, router->number,
+	    router->fixture->started + f->until);
 	soak_process_signal(router->process, SIGSTOP);
 	soak_schedule(router->fixture, f->until - f->at, resume, f);
 }
@@ -289,6 +293,8 @@
 
 	soak_checker_draining(fx->checker, f->target % fx->n_workers, 0);
 	fake_worker_start(worker->fake);
+	soak_checker_worker_started(
+	    fx->checker, jh_now(), f->target % fx->n_workers);
 	worker->unavailable = false;
 }
 
@@ -333,6 +339,33 @@
 	}
 }
 
+static void
+set_rate_limit(
+    struct soak_fixture *fx, const struct soak_fault *f, double limit)
+{
+	soak_checker_rate_limit(
+	    fx->checker, jh_now(), f->target % fx->n_workers, limit);
+	fake_worker_set_rate_limit(worker_of(fx, f)->fake, limit);
+}
+
+static void
+end_rate_limit(struct soak_fixture *fx, struct soak_fault *f)
+{
+	/* The end of an earlier limit does not end a later one. */
+	if (f->variant == worker_of(fx, f)->limits)
+		set_rate_limit(fx, f, -1);
+}
+
+static void
+name_rate_limit(struct soak_fixture *fx, const struct soak_fault *f)
+{
+	struct soak_fault end = *f;
+
+	set_rate_limit(fx, f, soak_fault_rate_limit(f));
+	end.variant = ++worker_of(fx, f)->limits;
+	soak_schedule(fx, f->until - f->at, end_rate_limit, &end);
+}
+
 /* At least one model worker goes on. */
 static void
 crash_several(struct soak_fixture *fx, const struct soak_fault *f)
@@ -436,6 +469,9 @@
 		disturb_router_link(
 		    fx, router, router->store_proxy, restore_store_link, f);
 		break;
+	case FAULT_RATE_LIMIT:
+		name_rate_limit(fx, f);
+		break;
 	case FAULT_POISON_PART:
 		soak_poison_start(fx, f);
 		break;
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -21,6 +21,8 @@
 #define RECOVERY_USEC (11 * JH_USEC_PER_SEC)
 /* Overlapping faults go on beside the poison, after other faults have ended. */
 #define OVERLAP_TAIL_USEC (8 * JH_USEC_PER_SEC)
+/* Rate limits go on for longer: their rule begins only after a time. */
+#define LIMITS_TAIL_USEC (5 * JH_USEC_PER_SEC)
 /* This fraction of the requests sent in the last FINAL_USEC must be served. */
 #define FINAL_USEC (3 * JH_USEC_PER_SEC)
 #define MIN_FINAL_RATIO 0.9
@@ -89,8 +91,17 @@
 	    fx->checker, jh_now(), fake_worker_number(worker), holder, token);
 }
 
+static void
+on_arrived(void *arg, struct fake_worker *worker, const struct jh_head *head)
+{
+	struct soak_fixture *fx = arg;
+
+	soak_checker_arrived(fx->checker, jh_now(), fake_worker_number(worker),
+	    jh_head_get(head, "X-Jacinthhill-Attempt-Id"));
+}
+
 static const struct fake_worker_ops worker_ops = {on_execution_started,
-    on_execution_ended, on_load_order, soak_poison_crashed, NULL};
+    on_execution_ended, on_load_order, soak_poison_crashed, on_arrived};
 
 /* Whether the versions that may be in effect allow the request. */
 static enum soak_permission
@@ -338,6 +349,9 @@
 		soak_plan_add_poison(fx->plan, fx->rand, WARMUP_USEC, until);
 	soak_plan_add_overlaps(fx->plan, fx->rand, WARMUP_USEC,
 	    until + (fx->spec.poison ? OVERLAP_TAIL_USEC : 0));
+	if (!fx->spec.poison)
+		soak_plan_add_limits(
+		    fx->plan, fx->rand, WARMUP_USEC, until + LIMITS_TAIL_USEC);
 	soak_poison_prepare(fx);
 	for (i = 0; i < fx->n_workers; i++)
 		create_worker(fx, i);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdbool.h>
 
 #include <jacinthhill/clock.h>
@@ -22,6 +23,13 @@
 #define MAX_PAUSE_SEC 1.0
 /* Between crashes of workers and power failures beside them. */
 #define MEAN_CRASH_INTERVAL_SEC 2.0
+/* Between two rate limits of any workers, and how long one is named. */
+#define MEAN_LIMIT_INTERVAL_SEC 1.5
+#define MIN_LIMIT_SEC 4.0
+#define MAX_LIMIT_SEC 14.0
+/* Limits are drawn with equal chances for each factor of two. */
+#define MIN_LIMIT_RATE 0.3
+#define LIMIT_DOUBLINGS 7
 /*
  * The rules on a crashing prompt part begin 4 and 8 s after its fifth crash,
  * and bind routers 4 s after the other faults.
@@ -69,6 +77,7 @@
     [FAULT_WORKER_DRAINS] = {"worker_leaves", 3, true, AFFECTS_WORKER},
     [FAULT_WORKER_LINK] = {"worker_link", 4, true, AFFECTS_WORKER},
     [FAULT_POWER] = {"power", 0, true, AFFECTS_NONE},
+    [FAULT_RATE_LIMIT] = {"rate_limit", 0, true, AFFECTS_NONE},
     [FAULT_POISON_PART] = {"poison_part", 0, true, AFFECTS_NONE},
     [FAULT_CLIENT_LINK] = {"caller_link", 3, true, AFFECTS_ROUTER},
     [FAULT_CONFIG] = {"config", 5, false, AFFECTS_NONE},
@@ -206,6 +215,33 @@
 	g_array_sort(plan, compare_times);
 }
 
+double
+soak_fault_rate_limit(const struct soak_fault *f)
+{
+	double position = (double)f->variant / (double)UINT32_MAX;
+
+	return MIN_LIMIT_RATE * exp2(position * LIMIT_DOUBLINGS);
+}
+
+void
+soak_plan_add_limits(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	struct soak_fault f = {.kind = FAULT_RATE_LIMIT, .at = from};
+
+	for (;;) {
+		f.at += draw_duration(rand, 0, 2 * MEAN_LIMIT_INTERVAL_SEC);
+		if (f.at >= until)
+			break;
+		f.until =
+		    f.at + draw_duration(rand, MIN_LIMIT_SEC, MAX_LIMIT_SEC);
+		f.until = MIN(f.until, until);
+		f.target = g_rand_int(rand);
+		f.variant = g_rand_int(rand);
+		g_array_append_val(plan, f);
+	}
+	g_array_sort(plan, compare_times);
+}
+
 void
 soak_plan_add_poison(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
 {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -39,6 +39,8 @@
 	 * that begins to write an answer on it.
 	 */
 	FAULT_POISON_PART,
+	/* A worker names a rate limit. */
+	FAULT_RATE_LIMIT,
 	/* The link between the clients and one router. */
 	FAULT_CLIENT_LINK,
 	/* Planned changes. */
@@ -85,6 +87,15 @@
 void soak_plan_add_overlaps(
     GArray *plan, GRand *rand, uint64_t from, uint64_t until);
 
+/*
+ * Adds rate limits of workers between from and until, which overlap; another
+ * one of the same worker changes its limit. The other faults stay the same.
+ */
+void soak_plan_add_limits(
+    GArray *plan, GRand *rand, uint64_t from, uint64_t until);
+/* The limit that a FAULT_RATE_LIMIT names, requests a second. */
+double soak_fault_rate_limit(const struct soak_fault *f);
+
 /*
  * Adds one FAULT_POISON_PART, which begins soon after from and outlasts until,
  * by SOAK_POISON_TAIL_SEC at most. It follows soak_plan_draw(), which never
--- a/soak/state.h
+++ b/soak/state.h
@@ -33,6 +33,7 @@
 	struct soak_proxy *proxy;
 	enum fake_worker_mode mode;
 	bool unavailable; /* is draining or has crashed */
+	unsigned int limits; /* that it has named so far */
 };
 
 /* Requests with the prompt part that crashes workers; see poison.c. */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -358,6 +358,68 @@
 	expect_violation("DRAIN");
 }
 
+/* The clients' requests that reach worker 0, one after the other. */
+static void
+arrive(unsigned int n, uint64_t from, uint64_t interval)
+{
+	static unsigned int number;
+	char id[16];
+	unsigned int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(id, sizeof(id), "l%u", number++);
+		send(id, SOAK_IDEMPOTENT, SOAK_ALLOWED);
+		soak_checker_arrived(
+		    checker, from + i * interval, 0, jh_str_from(id));
+	}
+}
+
+/* Router 0 passes on a response of worker 0 that names its limit. */
+static void
+pass_on_limit(const char *id, uint64_t at)
+{
+	char *seal = g_strdup_printf("w0.%s", id);
+	struct soak_response a = {.status = 200,
+	    .id = jh_str_from(id),
+	    .seal = jh_str_from(seal),
+	    .rate_limited = true,
+	    .complete = true};
+	char *body = g_strdup_printf("done %s", id);
+
+	a.body = jh_str_from(body);
+	send(id, SOAK_IDEMPOTENT, SOAK_ALLOWED);
+	execute(id, START);
+	soak_checker_responded(checker, at, id, &a);
+	g_free(seal);
+	g_free(body);
+}
+
+/* 15 are allowed in 4 s: 1.5 times what 1.6 a second allows, and 5. */
+static void
+requests_beyond_a_rate_limit_are_found(void **state)
+{
+	soak_checker_rate_limit(checker, START, 0, 1.6);
+	arrive(30, START, SEC / 10);
+	pass_on_limit("a", START + 3 * SEC);
+	arrive(14, START + 5 * SEC, SEC / 10);
+	expect_no_violation();
+	arrive(1, START + 6 * SEC + SEC / 2, SEC / 10);
+	expect_violation("LIMIT");
+}
+
+static void
+rate_limit_excuses_what_its_rule_does(void **state)
+{
+	soak_checker_rate_limit(checker, START, 0, 1.6);
+	pass_on_limit("a", START + SEC);
+	arrive(40, START + SEC, SEC / 100);
+	soak_checker_interrupt_router(checker, 0, START + 6 * SEC);
+	arrive(40, START + 6 * SEC, SEC / 20);
+	soak_checker_rate_limit(checker, START + 11 * SEC, 0, -1);
+	arrive(40, START + 11 * SEC, SEC / 20);
+	expect_no_violation();
+}
+
 static void
 lost_responses_are_found_after_three(void **state)
 {
@@ -518,6 +580,8 @@
     CASE(missing_response_is_found_unless_disturbed),
     CASE(arrival_after_disconnect_is_found),
     CASE(request_to_draining_worker_is_found),
+    CASE(requests_beyond_a_rate_limit_are_found),
+    CASE(rate_limit_excuses_what_its_rule_does),
     CASE(lost_responses_are_found_after_three),
     CASE(planned_stop_excuses_no_lost_response),
     CASE(unread_requests_are_found_beside_planned_work),
