--- a/test/test_poison_service.c
+++ b/test/test_poison_service.c
@@ -23,6 +23,7 @@
 #define ROUTERS 3
 #define WORKERS 3
 #define WORK_MSEC 40
+#define SHORT_WORK_MSEC 2
 #define RESTART_MSEC 2500
 /* From a response until its client sends the call again. */
 #define REPEAT_USEC (30 * JH_USEC_PER_MSEC)
@@ -54,12 +55,12 @@
 static unsigned int sent;
 
 static void
-create(const char *crash_path)
+create(const char *crash_path, unsigned int work_msec)
 {
 	const struct platform_spec spec = {.routers = ROUTERS,
 	    .workers = WORKERS,
 	    .plain = true,
-	    .worker = {.work_msec = WORK_MSEC,
+	    .worker = {.work_msec = work_msec,
 		.crash_path = crash_path,
 		.crash_headless = true,
 		.restart_msec = RESTART_MSEC}};
@@ -72,14 +73,28 @@
 static int
 set_up_again(void **state)
 {
-	create(POISON_AGAIN);
+	create(POISON_AGAIN, WORK_MSEC);
 	return 0;
 }
 
 static int
 set_up_once(void **state)
 {
-	create(POISON_ONCE);
+	create(POISON_ONCE, WORK_MSEC);
+	return 0;
+}
+
+static int
+set_up_again_short(void **state)
+{
+	create(POISON_AGAIN, SHORT_WORK_MSEC);
+	return 0;
+}
+
+static int
+set_up_once_short(void **state)
+{
+	create(POISON_ONCE, SHORT_WORK_MSEC);
 	return 0;
 }
 
@@ -239,6 +254,22 @@
 	check_budget(POISON_ONCE, MAX_COPIES);
 }
 
+/*
+ * Guards against crashes that do not count because the call was broken off so
+ * soon that it may not have reached the worker.
+ */
+static void
+call_that_crashes_workers_at_its_start_is_stopped(void **state)
+{
+	check_budget(POISON_AGAIN, 1);
+}
+
+static void
+non_idempotent_call_that_crashes_at_its_start_is_stopped(void **state)
+{
+	check_budget(POISON_ONCE, MAX_COPIES);
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(
 	idempotent_call_that_crashes_workers_is_stopped, set_up_again,
@@ -252,6 +283,12 @@
     cmocka_unit_test_setup_teardown(
 	non_idempotent_call_that_crashes_all_workers_at_once_is_stopped,
 	set_up_once, tear_down),
+    cmocka_unit_test_setup_teardown(
+	call_that_crashes_workers_at_its_start_is_stopped, set_up_again_short,
+	tear_down),
+    cmocka_unit_test_setup_teardown(
+	non_idempotent_call_that_crashes_at_its_start_is_stopped,
+	set_up_once_short, tear_down),
 };
 
 HARNESS_MAIN(tests)
--- a/test/test_proc_poison_service.c
+++ b/test/test_proc_poison_service.c
@@ -44,6 +44,19 @@
 	return 0;
 }
 
+/* Calls take so little time that they may be broken off before they run. */
+static int
+setup_short(void **state)
+{
+	static const struct fixture_spec spec = {.entries = 2,
+	    .services = 3,
+	    .service_args = {"--crash-on", MARKER, "--delay-ms", "1"}};
+
+	*state = fixture_create(&spec);
+	sent = 0;
+	return 0;
+}
+
 static int
 teardown(void **state)
 {
@@ -166,9 +179,26 @@
 	check_crashes(*state, "pay");
 }
 
+/* Guards against crashes that do not count because the call was so short. */
+static void
+test_short_idempotent_call(void **state)
+{
+	check_crashes(*state, "look");
+}
+
+static void
+test_short_non_idempotent_call(void **state)
+{
+	check_crashes(*state, "pay");
+}
+
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_idempotent_call, setup, teardown),
     cmocka_unit_test_setup_teardown(test_non_idempotent_call, setup, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_short_idempotent_call, setup_short, teardown),
+    cmocka_unit_test_setup_teardown(
+	test_short_non_idempotent_call, setup_short, teardown),
 };
 
 HARNESS_MAIN(tests)
