Spread the retries of requests that meet used-up rate limits

Clients that are rejected together returned together, and all but one were rejected again. The delay is the time until there is room or up to half as much more, as with requests that are rejected for a queue; it is never shorter.

--- a/src/gateway/rate_limit.c
+++ b/src/gateway/rate_limit.c
@@ -1,8 +1,10 @@
 #include <jansson.h>
 
 #include <jacinthhill/clock.h>
+#include <xxhash.h>
 
 #include "gateway/exchange.h"
+#include "route/admit.h"
 
 static void
 log_change(struct exchange *x, const struct jh_worker *w, double before)
@@ -46,7 +48,9 @@
 void
 exchange_refuse_limited(struct exchange *x, uint64_t now, uint64_t room_at)
 {
-	double seconds = (double)(room_at - now) / (double)JH_USEC_PER_SEC;
+	double wait = (double)(room_at - now) / (double)JH_USEC_PER_SEC;
+	double seconds = jh_admit_spread_retry(
+	    wait, XXH3_64bits(x->request.id.ptr, x->request.id.len));
 
 	jh_metrics_add(x->gateway->metrics, "jh_rate_limited", 1);
 	jh_json_log(x->gateway->log, "rate_limited", "s:s#, s:s, s:f",
--- a/src/route/admit.c
+++ b/src/route/admit.c
@@ -19,11 +19,18 @@
 /* Retry delays are spread over this fraction above their shortest value. */
 #define RETRY_JITTER_FRACTION 0.5
 
+double
+jh_admit_spread_retry(double seconds, uint64_t hash)
+{
+	return seconds *
+	       (1 + RETRY_JITTER_FRACTION * (double)(hash % 1024) / 1024);
+}
+
 void
 jh_admit(const struct jh_admit_request *r, struct jh_admit_decision *out)
 {
 	uint64_t limit = (uint64_t)(ADMIT_TARGET_FRACTION * (double)r->target);
-	double excess, max_retry, jitter;
+	double excess, max_retry;
 
 	out->retry_seconds = 0;
 	out->admitted =
@@ -32,7 +39,7 @@
 		return;
 	excess = (double)(r->expected_ttft - limit) / 1e6;
 	max_retry = MAX_RETRY_FRACTION * (double)r->time_left / 1e6;
-	jitter = 1 + RETRY_JITTER_FRACTION * (double)(r->hash % 1024) / 1024;
 	out->retry_seconds =
-	    MIN((MIN_RETRY_SECONDS + excess) * jitter, max_retry);
+	    MIN(jh_admit_spread_retry(MIN_RETRY_SECONDS + excess, r->hash),
+		max_retry);
 }
--- a/src/route/admit.h
+++ b/src/route/admit.h
@@ -24,6 +24,12 @@
 	double retry_seconds; /* retry delay for the client; 0: admitted */
 };
 
+/*
+ * A retry delay that is not shorter, so that clients that were rejected
+ * together return one after the other; hash: of the request.
+ */
+double jh_admit_spread_retry(double seconds, uint64_t hash);
+
 void jh_admit(const struct jh_admit_request *r, struct jh_admit_decision *out);
 
 #endif
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -339,6 +339,20 @@
 	assert_true(a.retry_seconds <= 1.0);
 }
 
+static void
+retries_are_spread_and_not_early(void **state)
+{
+	unsigned int differ = 0, hash;
+	double delay;
+
+	for (hash = 0; hash < 1000; hash++) {
+		delay = jh_admit_spread_retry(2, hash);
+		assert_true(delay >= 2 && delay <= 3);
+		differ += delay > 2.25 && delay < 2.75;
+	}
+	assert_in_range(differ, 300, 700);
+}
+
 /* Names a limit of one request a second, and uses up what it allows now. */
 static void
 use_up_limit(struct jh_rate_limits *l, const struct jh_worker *w)
@@ -391,6 +405,7 @@
 	    cmocka_unit_test(prefix_is_fetched_from_store),
 	    cmocka_unit_test(placements_are_announced_once),
 	    cmocka_unit_test(admission_depends_on_queue_wait),
+	    cmocka_unit_test(retries_are_spread_and_not_early),
 	    cmocka_unit_test(worker_with_room_comes_first),
 	};
 
