--- a/include/jacinthhill/suspects.h
+++ b/include/jacinthhill/suspects.h
@@ -35,9 +35,6 @@
 /* The same part, in crashes before a response head; see below. */
 struct jh_fingerprint jh_fingerprint_unbegun(struct jh_fingerprint part);
 bool jh_fingerprint_is_unbegun(struct jh_fingerprint fingerprint);
-/* The same part, in crashes that a request with it may not have reached. */
-struct jh_fingerprint jh_fingerprint_unreached(struct jh_fingerprint part);
-bool jh_fingerprint_is_unreached(struct jh_fingerprint fingerprint);
 /* Of engines that ended, whatever they were running. */
 struct jh_fingerprint jh_fingerprint_of_ended(void);
 bool jh_fingerprint_is_ended(struct jh_fingerprint fingerprint);
@@ -73,8 +70,8 @@
 #define JH_SUSPECT_SHARED_CRASHES 2
 
 /*
- * An engine that ends sooner after it was sent a request on a kept connection
- * may have ended before; the request has reached nobody then.
+ * An engine that ends sooner after it was sent a request may have ended before:
+ * a request on a kept connection reaches nobody then.
  */
 #define JH_SUSPECT_MIN_RUN_USEC 10000ULL
 
@@ -169,21 +166,10 @@
  * The same for an engine that had not begun to respond to the request. A crash
  * breaks all requests that wait at an engine in this way, so such crashes are
  * counted apart, see jh_suspects_unbegun_crashes(). sent: when the request was
- * sent to the engine; kept: on a connection that had been open before. A crash
- * that the request may not have reached does not count, but see
- * jh_suspects_need_new_connection().
+ * sent to the engine.
  */
 void jh_suspects_unbegun_crashed(struct jh_suspects *s, uint64_t now,
-    uint64_t alive, uint64_t sent, bool kept, uint64_t reporter, uint64_t seq,
-    const struct jh_fingerprint *part, size_t n);
-
-/*
- * Whether a request with these parts is to be sent on a new connection, because
- * one with a part of it may not have reached an engine that ended: otherwise
- * the crashes of a request that always crashes engines at its start would never
- * count.
- */
-bool jh_suspects_need_new_connection(const struct jh_suspects *s, uint64_t now,
+    uint64_t alive, uint64_t sent, uint64_t reporter, uint64_t seq,
     const struct jh_fingerprint *part, size_t n);
 
 /* Reports that an engine is found to have ended, whatever it was running. */
--- a/src/agent/backend_crash.c
+++ b/src/agent/backend_crash.c
@@ -19,7 +19,7 @@
 	seq = a->crash_seq;
 	pthread_mutex_unlock(&a->lock);
 	crash_log_call_crashed(
-	    a->crashes, a->incarnation, seq, parts->part, parts->n);
+	    a->crashes, sent, a->incarnation, seq, parts->part, parts->n);
 	jh_feed_pull_from_random_peer(a->feed);
 }
 
--- a/src/feed/crash_log.c
+++ b/src/feed/crash_log.c
@@ -115,14 +115,14 @@
 }
 
 void
-crash_log_call_crashed(struct crash_log *l, uint64_t reporter, uint64_t seq,
-    const struct jh_fingerprint *part, size_t n)
+crash_log_call_crashed(struct crash_log *l, uint64_t sent, uint64_t reporter,
+    uint64_t seq, const struct jh_fingerprint *part, size_t n)
 {
 	uint64_t now = jh_now();
 
 	pthread_mutex_lock(&l->lock);
 	jh_suspects_unbegun_crashed(
-	    l->table, now, now, now, false, reporter, seq, part, n);
+	    l->table, now, now, sent, reporter, seq, part, n);
 	pthread_mutex_unlock(&l->lock);
 }
 
@@ -212,8 +212,7 @@
 		    .remaining_usec = list[i].remaining_ms * JH_USEC_PER_MSEC,
 		    .cleared = list[i].cleared != 0};
 		is_part = jh_fingerprint_is_part(c.fingerprint) ||
-			  jh_fingerprint_is_unbegun(c.fingerprint) ||
-			  jh_fingerprint_is_unreached(c.fingerprint);
+			  jh_fingerprint_is_unbegun(c.fingerprint);
 		c.sole = list[i].sole && !is_part;
 		c.had_output = list[i].sole && is_part;
 		jh_suspects_merge(l->table, jh_now(), &c, 1);
--- a/src/feed/crash_log.h
+++ b/src/feed/crash_log.h
@@ -37,11 +37,12 @@
 void crash_log_parts_crashed(struct crash_log *l, uint64_t reporter,
     uint64_t seq, const struct jh_fingerprint *part, size_t n);
 /*
- * The same for a plain service, whose response begins when it is complete. Each
- * call to it has a connection of its own.
+ * The same for a plain service, whose response begins when it is complete.
+ * sent: when the request was sent to the backend server.
  */
-void crash_log_call_crashed(struct crash_log *l, uint64_t reporter,
-    uint64_t seq, const struct jh_fingerprint *part, size_t n);
+void crash_log_call_crashed(struct crash_log *l, uint64_t sent,
+    uint64_t reporter, uint64_t seq, const struct jh_fingerprint *part,
+    size_t n);
 /* A backend server is found to have ended, whatever it was running. */
 void crash_log_backend_ended(
     struct crash_log *l, uint64_t reporter, uint64_t seq);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -244,16 +244,6 @@
 	    timeout / JH_USEC_PER_MSEC, 0);
 }
 
-/* Longest idle time of a connection that the request may be sent on. */
-static uint64_t
-max_idle_usec(const struct exchange *x, uint64_t now)
-{
-	if (jh_suspects_need_new_connection(
-		x->gateway->suspects, now, x->suspect_part, x->n_suspect_parts))
-		return 0;
-	return x->attempts.repeatable ? MAX_IDLE_USEC : MAX_IDLE_ONCE_USEC;
-}
-
 static void
 send_request(struct exchange *x, const struct jh_choice *choice, uint64_t now)
 {
@@ -264,7 +254,8 @@
 		MIN(now + CONNECT_TIMEOUT_USEC, x->attempts.deadline),
 	    .send_deadline = x->attempts.deadline,
 	    .deadline = JH_NEVER,
-	    .max_idle_usec = max_idle_usec(x, now),
+	    .max_idle_usec =
+		x->attempts.repeatable ? MAX_IDLE_USEC : MAX_IDLE_ONCE_USEC,
 	    .ops = &exchange_call_ops,
 	    .arg = x,
 	};
@@ -308,7 +299,6 @@
 	    (int)(w->running + w->others_running), "rate_limit",
 	    jh_rate_limits_limit(x->gateway->rate_limits, w->hash));
 	x->call = jh_call_start(x->gateway->client, &spec);
-	x->on_kept_connection = jh_call_was_sent(x->call);
 	start_silence_timer(x, now);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,7 +38,6 @@
 	uint64_t worker_started_ms;
 	struct sockaddr_in worker_address;
 	uint64_t sent_at;
-	bool on_kept_connection; /* sent on one that had been open before */
 	uint64_t expected_ttft; /* microseconds to the first token */
 	uint64_t idle_ttft; /* the same if the worker were idle */
 	uint64_t requested_weights; /* version */
--- a/src/gateway/suspect.c
+++ b/src/gateway/suspect.c
@@ -63,8 +63,8 @@
 		    x->suspect_part, x->n_suspect_parts, NULL);
 	} else {
 		jh_suspects_unbegun_crashed(gw->suspects, now, alive,
-		    x->sent_at, x->on_kept_connection, x->worker_hash,
-		    x->worker_started_ms, x->suspect_part, x->n_suspect_parts);
+		    x->sent_at, x->worker_hash, x->worker_started_ms,
+		    x->suspect_part, x->n_suspect_parts);
 		crashes = jh_suspects_unbegun_crashes(gw->suspects, now,
 		    x->suspect_part, x->n_suspect_parts, NULL);
 	}
--- a/src/poison/entry.c
+++ b/src/poison/entry.c
@@ -173,8 +173,7 @@
 	if (jh_fingerprint_is_part(e->fingerprint))
 		return state_of(
 		    jh_suspect_entry_part_evidence(e, now, deadline), false);
-	if (jh_fingerprint_is_ended(e->fingerprint) ||
-	    jh_fingerprint_is_unreached(e->fingerprint))
+	if (jh_fingerprint_is_ended(e->fingerprint))
 		return JH_SUSPECT_NONE;
 	if (jh_fingerprint_is_unbegun(e->fingerprint))
 		return state_of(
--- a/src/poison/exchange.c
+++ b/src/poison/exchange.c
@@ -99,7 +99,6 @@
 is_weak(const struct jh_suspect_entry *e)
 {
 	return jh_fingerprint_is_unbegun(e->fingerprint) ||
-	       jh_fingerprint_is_unreached(e->fingerprint) ||
 	       jh_fingerprint_is_ended(e->fingerprint);
 }
 
--- a/src/poison/fingerprint.c
+++ b/src/poison/fingerprint.c
@@ -7,8 +7,6 @@
 #define PART_HIGH 0x6a682d70617274ULL
 /* That of the same parts in crashes before a response head. */
 #define UNBEGUN_HIGH 0x6a682d77616974ULL
-/* And in crashes that a request with them may not have reached. */
-#define UNREACHED_HIGH 0x6a682d6d617962ULL
 #define ENDED_HIGH 0x6a682d656e6473ULL
 
 struct jh_fingerprint
@@ -35,18 +33,6 @@
 	return fingerprint.high == UNBEGUN_HIGH;
 }
 
-struct jh_fingerprint
-jh_fingerprint_unreached(struct jh_fingerprint part)
-{
-	return (struct jh_fingerprint){UNREACHED_HIGH, part.low};
-}
-
-bool
-jh_fingerprint_is_unreached(struct jh_fingerprint fingerprint)
-{
-	return fingerprint.high == UNREACHED_HIGH;
-}
-
 struct jh_fingerprint
 jh_fingerprint_of_ended(void)
 {
--- a/src/poison/parts.c
+++ b/src/poison/parts.c
@@ -72,7 +72,6 @@
 		    part[i], now + s->settings.hold_usec};
 		clear(s, part[i]);
 		clear(s, jh_fingerprint_unbegun(part[i]));
-		clear(s, jh_fingerprint_unreached(part[i]));
 	}
 }
 
--- a/src/poison/unbegun.c
+++ b/src/poison/unbegun.c
@@ -12,40 +12,21 @@
 
 void
 jh_suspects_unbegun_crashed(struct jh_suspects *s, uint64_t now, uint64_t alive,
-    uint64_t sent, bool kept, uint64_t reporter, uint64_t seq,
+    uint64_t sent, uint64_t reporter, uint64_t seq,
     const struct jh_fingerprint *part, size_t n)
 {
 	struct jh_suspect_crash c = make_crash(s, now, alive, reporter, seq);
-	bool reached = !kept || now >= sent + JH_SUSPECT_MIN_RUN_USEC;
 	size_t i;
 
-	if (!reached)
+	if (now < sent + JH_SUSPECT_MIN_RUN_USEC) {
 		jh_suspects_engine_ended(s, now, alive, reporter, seq);
+		return;
+	}
 	for (i = 0; i < n; i++) {
 		c.had_output = jh_suspects_had_output(s, now, part[i]);
-		jh_suspects_add_crash(s, now,
-		    reached ? jh_fingerprint_unbegun(part[i])
-			    : jh_fingerprint_unreached(part[i]),
-		    &c);
-	}
-}
-
-bool
-jh_suspects_need_new_connection(const struct jh_suspects *s, uint64_t now,
-    const struct jh_fingerprint *part, size_t n)
-{
-	const struct jh_suspect_entry *e;
-	unsigned int k;
-	size_t i;
-
-	for (i = 0; i < n && g_hash_table_size(s->entries) > 0; i++) {
-		e = jh_suspects_find(s, jh_fingerprint_unreached(part[i]));
-		for (k = 0; e != NULL && k < e->n; k++) {
-			if (!e->crash[k].cleared && e->crash[k].deadline > now)
-				return true;
-		}
+		jh_suspects_add_crash(
+		    s, now, jh_fingerprint_unbegun(part[i]), &c);
 	}
-	return false;
 }
 
 void
@@ -119,8 +100,6 @@
 
 	g_hash_table_iter_init(&it, s->entries);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&other)) {
-		if (jh_fingerprint_is_unreached(other->fingerprint))
-			continue;
 		add_elsewhere(
 		    jh_fingerprint_is_ended(other->fingerprint) ? &idle : &busy,
 		    other, m);
