Test of rate limits: a lock that ThreadSanitizer sees

The whole check failed on a report of a data race in test_rate_limit: the list of arrivals is guarded by a GMutex, and GLib is not instrumented. A pthread mutex guards the same accesses. No check has changed.

--- a/test/test_rate_limit.c
+++ b/test/test_rate_limit.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <pthread.h>
 
 #include "platform_fixture.h"
 
@@ -52,7 +53,9 @@
 };
 
 static struct platform *p;
-static GMutex lock; /* of arrivals; the fakes have a thread of their own */
+static pthread_mutex_t lock =
+    PTHREAD_MUTEX_INITIALIZER; /* of arrivals; the fakes have a thread of their
+				  own */
 static GArray *arrivals;
 static GArray *calls; /* struct sent_call, in progress */
 static unsigned int sent, served, rejected, other;
@@ -69,9 +72,9 @@
 	char *text = jh_str_dup(id);
 
 	if (sscanf(text, "r%u-", &a.router) == 1) {
-		g_mutex_lock(&lock);
+		pthread_mutex_lock(&lock);
 		g_array_append_val(arrivals, a);
-		g_mutex_unlock(&lock);
+		pthread_mutex_unlock(&lock);
 	}
 	g_free(text);
 }
@@ -240,7 +243,7 @@
 	unsigned int most = 0, n;
 	guint i;
 
-	g_mutex_lock(&lock);
+	pthread_mutex_lock(&lock);
 	for (i = 0; i < arrivals->len; i++) {
 		a = &g_array_index(arrivals, struct arrival, i);
 		if (a->at < from || a->at > until)
@@ -248,7 +251,7 @@
 		n = count_arrivals(worker, a->at, told_only);
 		most = MAX(most, n);
 	}
-	g_mutex_unlock(&lock);
+	pthread_mutex_unlock(&lock);
 	return most;
 }
 
