--- a/review/1/case.c
+++ b/review/1/case.c
@@ -8,7 +8,7 @@
  * worker of seven answers part of its requests with an error of its own.
  */
 #define WORKERS 7
-#define CLIENTS 40
+#define CLIENTS 80
 #define EVENTS 20
 #define EVENT_MSEC 100
 
@@ -18,8 +18,8 @@
 #define RESET_SHARE_PERCENT 50
 
 #define FIRST_MSEC 5000
-#define ROUND_MSEC 10000
-#define ROUNDS 5
+#define ROUND_MSEC 8000
+#define ROUNDS 7
 
 static struct si_platform *platform;
 static unsigned int round_number; /* of the last reset; 0: none yet */
@@ -106,7 +106,7 @@
 	uint64_t end = FIRST_MSEC + ROUNDS * ROUND_MSEC;
 	char id[32];
 
-	si_sleep(number * 50);
+	si_sleep(number * 25);
 	for (i = 0; si_now(platform) < end; i++) {
 		g_snprintf(id, sizeof(id), "%04x%08x", number, i);
 		run_request(id);
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -53,7 +53,9 @@
 		id = g_ascii_strtoull(at + 4, NULL, 10);
 		out->gap |= last != 0 && id != last + 1;
 		last = id;
-		out->events++;
+		if (out->events++ == 0)
+			out->first_event = id;
+		out->last_event = id;
 	}
 }
 
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -95,6 +95,7 @@
 	bool malformed; /* bytes that are no HTTP response */
 	char malformed_at[64]; /* the first of them */
 	unsigned int events;
+	uint64_t first_event, last_event; /* their ids; 0: none */
 	bool gap; /* an event is missing or came twice */
 	double retry_after; /* seconds; 0: none */
 };
