Gateway: quotas of organisations over all routers

A request beyond the quota gets 429 with the time until one can be admitted; routers announce their use when it matters, at least once a second. Without a quota in the configuration nothing is counted or sent.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,7 @@
 	struct jh_route_table *routes; /* in force when the request arrived */
 	const struct jh_route *route;
 	const struct jh_route_org *org; /* NULL: none */
+	double quota_cost; /* admitted against the quota of org; 0: none */
 	const struct jh_service *service; /* NULL: not configured */
 	const struct jh_service
 	    *prefix_store; /* of cached prefixes; NULL: none */
--- a/src/gateway/finish.c
+++ b/src/gateway/finish.c
@@ -3,6 +3,7 @@
 #include <jacinthhill/clock.h>
 
 #include "gateway/exchange.h"
+#include "gateway/quota.h"
 
 static void
 on_closed(uv_handle_t *h)
@@ -22,6 +23,9 @@
 void
 exchange_free(struct exchange *x)
 {
+	if (!x->attempts.may_have_run &&
+	    x->attempts.sent == x->attempts.not_run)
+		jh_gateway_refund_quota(x->gateway, x->org, x->quota_cost);
 	exchange_release_body(x);
 	uv_close((uv_handle_t *)&x->deadline_timer, on_closed);
 	uv_close((uv_handle_t *)&x->silence_timer, on_closed);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "route/retry_budget.h"
 #include "route/choose.h"
 #include "route/fleet.h"
+#include "route/quota_ledger.h"
 #include "route/rate_limits.h"
 #include "route/route_table.h"
 
@@ -38,6 +39,7 @@
 	struct jh_chooser *chooser;
 	struct jh_retry_budget *retry_budget;
 	struct jh_rate_limits *rate_limits; /* that workers name */
+	struct jh_quota_ledger *quotas; /* of organisations */
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -7,6 +7,7 @@
 
 #include "gateway/crash_message.h"
 #include "gateway/gossip.h"
+#include "gateway/quota_message.h"
 #include "gateway/rate_message.h"
 #include "gateway/wire.h"
 #include "route/fanout.h"
@@ -33,6 +34,8 @@
  */
 #define CRASH_MAGIC 0x4a484331U /* "JHC1" */
 #define RATE_MAGIC 0x4a485231U /* "JHR1" */
+/* So is the message of quotas, but it goes to all peers when it is due. */
+#define QUOTA_MAGIC 0x4a485131U /* "JHQ1" */
 #define ENVELOPE_LEN 20
 
 /* Rounds in which a changed crash is sent; more than one turn of all peers. */
@@ -43,6 +46,12 @@
  */
 #define QUARANTINE_ROUNDS 8
 
+/*
+ * Peers that get a message of quotas in one round; more take turns. 64 messages
+ * of 356 bytes, with ten quotas in use, five times a second take 0.9 Mbit/s.
+ */
+#define QUOTA_PEERS 64
+
 /* Flags of a report. */
 #define FLAG_LOADING 1U
 #define FLAG_REPLACED 2U
@@ -96,6 +105,10 @@
 	unsigned char rate_message[MAX_LEN];
 	size_t rate_message_len; /* 0: there is nothing to tell */
 	size_t next_rate; /* first limit of the next message */
+	unsigned char quota_message[MAX_LEN];
+	size_t quota_message_len;
+	size_t next_quota; /* first quota of the next message */
+	unsigned int quota_peers_left; /* that have not got the message */
 	unsigned int open_handles; /* not closed yet */
 	char buffer[2048];
 };
@@ -331,6 +344,34 @@
 		send_to(g, peer);
 }
 
+static void
+send_quota_message(void *arg, void *peer)
+{
+	struct jh_gossip *g = arg;
+
+	send_datagram(g, peer, g->quota_message, g->quota_message_len);
+}
+
+static void
+send_quotas(struct jh_gossip *g)
+{
+	unsigned char *out = g->quota_message, *at = out;
+	unsigned int n;
+
+	if (g->spec.quotas == NULL)
+		return;
+	if (jh_quota_ledger_is_due(g->spec.quotas, jh_now())) {
+		put_envelope(g, &at, QUOTA_MAGIC);
+		at += jh_quota_message_write(g->spec.quotas, jh_now(),
+		    &g->next_quota, at, MAX_LEN - ENVELOPE_LEN - MAC_LEN);
+		g->quota_message_len = append_mac(g, out, at);
+		g->quota_peers_left = g_hash_table_size(g->peers);
+	}
+	n = MIN(g->quota_peers_left, QUOTA_PEERS);
+	g->quota_peers_left -= n;
+	jh_fanout_turn(g->fanout, n, send_quota_message, g);
+}
+
 static bool
 has_valid_mac(const struct peer *p, const unsigned char *message, size_t len)
 {
@@ -356,7 +397,11 @@
 	if (valid && magic == CRASH_MAGIC)
 		valid = jh_crash_message_read(
 		    g->spec.suspects, jh_now(), records, len);
-	else if (valid)
+	else if (valid && magic == QUOTA_MAGIC) {
+		jh_quota_ledger_peer_heard(g->spec.quotas, jh_now(), id);
+		valid = jh_quota_message_read(
+		    g->spec.quotas, jh_now(), id, records, len);
+	} else if (valid)
 		valid = jh_rate_message_read(
 		    g->spec.rate_limits, jh_now(), id, records, len);
 	if (!valid)
@@ -407,6 +452,8 @@
 		return;
 	jh_metrics_add(g->spec.metrics, "jh_gossip_heard", 1);
 	jh_rate_limits_peer_heard(g->spec.rate_limits, jh_now(), id);
+	if (g->spec.quotas != NULL)
+		jh_quota_ledger_peer_heard(g->spec.quotas, jh_now(), id);
 	if (g->spec.on_peer != NULL)
 		g->spec.on_peer(g->spec.arg, p->name);
 	if (g->spec.on_revisions != NULL)
@@ -429,7 +476,8 @@
 		return;
 	magic = jh_wire_take(&at, 4);
 	if (magic == RATE_MAGIC ||
-	    (magic == CRASH_MAGIC && g->spec.suspects != NULL))
+	    (magic == CRASH_MAGIC && g->spec.suspects != NULL) ||
+	    (magic == QUOTA_MAGIC && g->spec.quotas != NULL))
 		read_records(g, magic, datagram, len);
 	else
 		read_message(g, datagram, len);
@@ -464,6 +512,7 @@
 	jh_rate_limits_update(g->spec.rate_limits, jh_now(), g->spec.fleet);
 	write_message(g);
 	jh_fanout_round(g->fanout, send_to, g);
+	send_quotas(g);
 }
 
 static void
@@ -497,6 +546,8 @@
 	randombytes_buf(g->key, sizeof(g->key));
 	g->id = key_id(g->key);
 	jh_rate_limits_set_self(spec->rate_limits, g->id);
+	if (spec->quotas != NULL)
+		jh_quota_ledger_set_self(spec->quotas, g->id);
 	uv_udp_init(spec->loop, &g->udp);
 	uv_timer_init(spec->loop, &g->round_timer);
 	g->udp.data = g;
@@ -545,6 +596,8 @@
 	g_hash_table_insert(g->by_id, &p->id, p);
 	jh_fanout_add(g->fanout, p, same_region);
 	jh_rate_limits_add_peer(g->spec.rate_limits, jh_now(), p->id);
+	if (g->spec.quotas != NULL)
+		jh_quota_ledger_add_peer(g->spec.quotas, p->id);
 }
 
 void
@@ -562,6 +615,8 @@
 		return;
 	jh_fanout_remove(g->fanout, p);
 	jh_rate_limits_remove_peer(g->spec.rate_limits, p->id);
+	if (g->spec.quotas != NULL)
+		jh_quota_ledger_remove_peer(g->spec.quotas, p->id);
 	g_hash_table_remove(g->by_id, &p->id);
 	g_hash_table_remove(g->peers, name);
 }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -14,6 +14,7 @@
 #include "route/choose.h"
 #include "route/fleet.h"
 #include "route/peers.h"
+#include "route/quota_ledger.h"
 #include "route/rate_limits.h"
 
 /*
@@ -42,6 +43,7 @@
 	struct jh_weights *weights;
 	struct jh_chooser *chooser;
 	struct jh_rate_limits *rate_limits; /* exchanged with peers */
+	struct jh_quota_ledger *quotas; /* NULL: not exchanged */
 	struct jh_suspects *suspects; /* NULL: crashes are not exchanged */
 	struct sockaddr_in address;
 	/* May be NULL. A message of a peer has arrived. */
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -37,6 +37,7 @@
 	struct jh_str model; /* empty: not a model request */
 	bool has_time_limit;
 	uint64_t time_limit; /* time limit of the client, microseconds */
+	bool has_token_counts; /* else they are 0 */
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* at most */
 	/*
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "gateway/exchange.h"
+#include "gateway/quota.h"
 
 /* Retry delay for clients of a stopping process; others serve them at once. */
 #define STOPPING_RETRY_SECONDS 0.05
@@ -34,11 +35,14 @@
 	exchange_drained(arg);
 }
 
-/* Responds to a request for which no exchange is started. */
+/*
+ * Responds to a request for which no exchange is started; the client may retry
+ * it after retry_seconds, unless 0.
+ */
 static void
 send_error(struct jh_gateway *gw, struct jh_server_request *v,
     const struct jh_client_request *request, unsigned int status,
-    const char *text, const char *why)
+    const char *text, const char *why, double retry_seconds)
 {
 	GString *fields = g_string_new(NULL);
 	char name[64];
@@ -52,9 +56,9 @@
 	    (json_int_t)(gw->routes != NULL ? jh_route_table_version(gw->routes)
 					    : 0));
 	gw->codec->write_error_fields(fields, request);
-	if (status == 503)
+	if (retry_seconds > 0)
 		g_string_append_printf(
-		    fields, "Retry-After: %.2f\r\n", NOT_READY_RETRY_SECONDS);
+		    fields, "Retry-After: %.2f\r\n", retry_seconds);
 	jh_server_request_respond(v, status, text,
 	    (struct jh_str){fields->str, fields->len}, JH_STR(""));
 	g_string_free(fields, TRUE);
@@ -148,7 +152,7 @@
 static void
 start_exchange(struct jh_gateway *gw, struct jh_server_request *v,
     const struct jh_client_request *request, const struct jh_route *route,
-    const struct jh_route_org *org, const char *service)
+    const struct jh_route_org *org, const char *service, double quota_cost)
 {
 	struct exchange *x = g_new0(struct exchange, 1);
 	uint64_t time_limit = route->timeout;
@@ -160,6 +164,7 @@
 	x->routes = jh_route_table_ref(gw->routes);
 	x->route = route;
 	x->org = org;
+	x->quota_cost = quota_cost;
 	x->service_name = service;
 	x->service = jh_route_table_find_service(gw->routes, service);
 	x->model = jh_str_dup(request->model);
@@ -210,46 +215,56 @@
 	const struct jh_route *route;
 	const char *reason = NULL, *service;
 	struct jh_client_request request;
+	uint64_t wait;
+	double cost;
 
 	jh_metrics_add(gw->metrics, "jh_requests", 1);
 	if (!gw->codec->read_client_request(head, &request, &reason)) {
-		send_error(gw, v, &request, 400, "Bad Request", reason);
+		send_error(gw, v, &request, 400, "Bad Request", reason, 0);
 		return;
 	}
 	if (gw->routes == NULL) {
 		send_error(gw, v, &request, 503, "Service Unavailable",
-		    "no configuration is known");
+		    "no configuration is known", NOT_READY_RETRY_SECONDS);
 		return;
 	}
 	route =
 	    jh_route_table_find_route(gw->routes, request.host, request.path);
 	if (route == NULL) {
 		send_error(
-		    gw, v, &request, 404, "Not Found", "no route matches");
+		    gw, v, &request, 404, "Not Found", "no route matches", 0);
 		return;
 	}
 	if (jh_route_table_has_orgs(gw->routes) && !route->anonymous) {
 		org = jh_route_table_find_key(gw->routes, request.key);
 		if (org == NULL) {
 			send_error(gw, v, &request, 401, "Unauthorized",
-			    "the API key is not known");
+			    "the API key is not known", 0);
 			return;
 		}
 	}
 	/* The stream would begin again at its first event. */
 	if (route->kind == JH_ROUTE_STREAM && request.invalid_last_event) {
 		send_error(gw, v, &request, 400, "Bad Request",
-		    "the last event id is not a number of 64 bits");
+		    "the last event id is not a number of 64 bits", 0);
 		return;
 	}
 	service = jh_route_pick_service(
 	    route, XXH3_64bits(request.id.ptr, request.id.len));
 	if (service == NULL) {
 		send_error(gw, v, &request, 503, "Service Unavailable",
-		    "the route has no service");
+		    "the route has no service", NOT_READY_RETRY_SECONDS);
+		return;
+	}
+	wait = jh_gateway_admit_quota(gw, org, &request, &cost);
+	if (wait != 0) {
+		/* Rounded up, so that a client does not return too early. */
+		send_error(gw, v, &request, 429, "Too Many Requests",
+		    "the organisation's quota is used up",
+		    (double)wait / JH_USEC_PER_SEC + 0.005);
 		return;
 	}
-	start_exchange(gw, v, &request, route, org, service);
+	start_exchange(gw, v, &request, route, org, service, cost);
 }
 
 void
--- a/src/route/fanout.c
+++ b/src/route/fanout.c
@@ -9,7 +9,7 @@
 };
 
 struct jh_fanout {
-	struct ring same_region, other_regions;
+	struct ring same_region, other_regions, all;
 	double credit; /* messages due to other regions, with fractions */
 };
 
@@ -20,6 +20,7 @@
 
 	a->same_region.peers = g_ptr_array_new();
 	a->other_regions.peers = g_ptr_array_new();
+	a->all.peers = g_ptr_array_new();
 	return a;
 }
 
@@ -30,6 +31,7 @@
 		return;
 	g_ptr_array_free(a->same_region.peers, TRUE);
 	g_ptr_array_free(a->other_regions.peers, TRUE);
+	g_ptr_array_free(a->all.peers, TRUE);
 	g_free(a);
 }
 
@@ -38,6 +40,7 @@
 {
 	g_ptr_array_add(
 	    same_region ? a->same_region.peers : a->other_regions.peers, peer);
+	g_ptr_array_add(a->all.peers, peer);
 }
 
 void
@@ -45,6 +48,7 @@
 {
 	if (!g_ptr_array_remove(a->same_region.peers, peer))
 		g_ptr_array_remove(a->other_regions.peers, peer);
+	g_ptr_array_remove(a->all.peers, peer);
 }
 
 static void
@@ -75,6 +79,13 @@
 	send_to_next(&a->other_regions, n_other, send, arg);
 }
 
+void
+jh_fanout_turn(struct jh_fanout *a, unsigned int n,
+    void (*send)(void *arg, void *peer), void *arg)
+{
+	send_to_next(&a->all, n, send, arg);
+}
+
 unsigned int
 jh_fanout_period(const struct jh_fanout *a)
 {
--- a/src/route/fanout.h
+++ b/src/route/fanout.h
@@ -40,6 +40,9 @@
 /* Calls send() for each peer that gets a message in this round. */
 void jh_fanout_round(
     struct jh_fanout *a, void (*send)(void *arg, void *peer), void *arg);
+/* Calls send() for the next n peers of any region, in turns of their own. */
+void jh_fanout_turn(struct jh_fanout *a, unsigned int n,
+    void (*send)(void *arg, void *peer), void *arg);
 /* Rounds until each peer of the same region got a message; at least 1. */
 unsigned int jh_fanout_period(const struct jh_fanout *a);
 
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -1,5 +1,7 @@
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "route/route_table.h"
 
 struct jh_route_table {
@@ -118,6 +120,7 @@
 	struct jh_route_org *n = g_new0(struct jh_route_org, 1);
 
 	n->name = g_strdup(name);
+	n->hash = XXH3_64bits(name, strlen(name));
 	g_ptr_array_add(t->orgs, n);
 	return n;
 }
@@ -143,6 +146,35 @@
 	return t->routes->len;
 }
 
+size_t
+jh_route_table_org_count(const struct jh_route_table *t)
+{
+	return t->orgs->len;
+}
+
+const struct jh_route_org *
+jh_route_table_org_at(const struct jh_route_table *t, size_t i)
+{
+	return g_ptr_array_index(t->orgs, i);
+}
+
+bool
+jh_route_org_has_quota(const struct jh_route_org *org)
+{
+	return org->quota_per_second > 0 && org->quota_burst > 0;
+}
+
+bool
+jh_route_table_has_quotas(const struct jh_route_table *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->orgs->len; i++)
+		if (jh_route_org_has_quota(jh_route_table_org_at(t, i)))
+			return true;
+	return false;
+}
+
 bool
 jh_route_table_has_orgs(const struct jh_route_table *t)
 {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -58,6 +58,12 @@
 	bool has_rank;
 	unsigned int rank; /* overrides the route's */
 	bool isolated; /* shares no cached prefix with other organisations */
+	uint64_t hash; /* of the name */
+	/* What all processes together may admit; 0: no limit. */
+	double quota_per_second;
+	double quota_burst;
+	bool quota_in_tokens; /* else in requests */
+	double uncounted_tokens; /* of a request that does not state its own */
 };
 
 /* What a client may send, and how long it may take; see net/server.h. */
@@ -87,6 +93,13 @@
     struct jh_route *r, const char *service, unsigned int weight);
 
 size_t jh_route_table_count(const struct jh_route_table *t);
+size_t jh_route_table_org_count(const struct jh_route_table *t);
+/* i is less than jh_route_table_org_count(). */
+const struct jh_route_org *jh_route_table_org_at(
+    const struct jh_route_table *t, size_t i);
+bool jh_route_org_has_quota(const struct jh_route_org *org);
+/* Whether any organisation has a quota. */
+bool jh_route_table_has_quotas(const struct jh_route_table *t);
 /* Whether requests need an API key unless their route is anonymous. */
 bool jh_route_table_has_orgs(const struct jh_route_table *t);
 /* The route of the host with the longest prefix of the path, or NULL. */
