--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -14,10 +14,13 @@
 	for (i = 0; i < jh_route_table_org_count(gw->routes); i++) {
 		const struct jh_route_org *org =
 		    jh_route_table_org_at(gw->routes, i);
-		struct jh_quota_rate rate = {
+		struct jh_quota_rate quota = {
 		    org->quota_per_second, org->quota_burst};
+		struct jh_quota_rate bucket =
+		    jh_quota_bucket(&quota, gw->quota_window);
 		if (jh_route_org_has_quota(org))
-			jh_quota_ledger_set(gw->quotas, now, org->hash, &rate);
+			jh_quota_ledger_set(
+			    gw->quotas, now, org->hash, &bucket);
 	}
 	jh_quota_ledger_end_update(gw->quotas);
 	jh_metrics_set(gw->metrics, "jh_quotas",
@@ -48,10 +51,13 @@
 	if (wait == 0)
 		return 0;
 	jh_metrics_add(gw->metrics, "jh_quota_refused", 1);
-	jh_json_log(gw->log, "quota_exceeded", "s:s#, s:s, s:f, s:f, s:f",
-	    "request", request->id.ptr != NULL ? request->id.ptr : "",
+	jh_json_log(gw->log, "quota_exceeded",
+	    "s:s#, s:s, s:f, s:f, s:f, s:f, s:f", "request",
+	    request->id.ptr != NULL ? request->id.ptr : "",
 	    (int)request->id.len, "org", org->name, "cost", *cost, "level",
-	    jh_quota_ledger_level(gw->quotas, now, org->hash), "retry_after_s",
+	    jh_quota_ledger_level(gw->quotas, now, org->hash), "per_second",
+	    org->quota_per_second, "demand",
+	    jh_quota_ledger_demand(gw->quotas, now, org->hash), "retry_after_s",
 	    (double)wait / JH_USEC_PER_SEC);
 	return wait;
 }
--- a/src/route/quota_ledger.c
+++ b/src/route/quota_ledger.c
@@ -31,6 +31,9 @@
 /* Errors of the estimate do not refuse requests for longer than this. */
 #define MAX_DEBT_SECONDS 10
 
+/* Part of a quota's burst that its bucket holds, if a window is known. */
+#define WINDOW_BURST_PART 0.5
+
 struct peer {
 	uint64_t id;
 	uint64_t heard_at; /* 0: not yet */
@@ -76,6 +79,18 @@
 	GHashTable *quotas; /* by id */
 };
 
+struct jh_quota_rate
+jh_quota_bucket(const struct jh_quota_rate *quota, double window)
+{
+	struct jh_quota_rate bucket = *quota;
+
+	if (window <= 0)
+		return bucket;
+	bucket.burst *= WINDOW_BURST_PART;
+	bucket.per_second += (quota->burst - bucket.burst) / window;
+	return bucket;
+}
+
 static void
 free_quota(void *arg)
 {
@@ -424,6 +439,15 @@
 	return q->level;
 }
 
+double
+jh_quota_ledger_demand(
+    const struct jh_quota_ledger *l, uint64_t now, uint64_t quota)
+{
+	const struct quota *q = g_hash_table_lookup(l->quotas, &quota);
+
+	return q != NULL ? demand_of_all(l, q, now) : 0;
+}
+
 static bool
 is_in_use(const struct quota *q, uint64_t now)
 {
--- a/src/route/quota_ledger.h
+++ b/src/route/quota_ledger.h
@@ -34,6 +34,15 @@
 	double burst;
 };
 
+/*
+ * The token bucket for a quota of this rate and burst that operators check in
+ * windows of that many seconds: what the bucket lets through in any window is
+ * the same, but less of it at one moment and more of it by rate, so that a
+ * demand that lasts is served better. The same bucket if window is 0.
+ */
+struct jh_quota_rate jh_quota_bucket(
+    const struct jh_quota_rate *quota, double window);
+
 /* Use of one quota, as processes announce it to each other. */
 struct jh_quota_record {
 	uint64_t quota;
@@ -83,6 +92,10 @@
 double jh_quota_ledger_level(
     struct jh_quota_ledger *l, uint64_t now, uint64_t quota);
 
+/* Cost of the requests to all processes in touch, admitted or not, a second. */
+double jh_quota_ledger_demand(
+    const struct jh_quota_ledger *l, uint64_t now, uint64_t quota);
+
 /* Whether peers should be told now; to be asked in each round. */
 bool jh_quota_ledger_is_due(struct jh_quota_ledger *l, uint64_t now);
 /*
