Route: which prefix store a worker fetches from or saves to

The router uses one of three stores, whose link carries about 45 transfers of a prefix a second from other zones. The new module spreads prefixes over the stores of a region, picks the nearest source whose link has room, and keeps for each store an estimate of its link, of how long it keeps a prefix, and of whether it responds. Not called yet.

--- /dev/null
+++ b/src/route/prefix_store_state.c
@@ -0,0 +1,167 @@
+#include <jacinthhill/clock.h>
+
+#include "route/prefix_store_state.h"
+
+/* A transfer takes this much longer between zones and between regions. */
+#define ZONE_FACTOR 2
+#define REGION_FACTOR 10
+
+/*
+ * A prefix is taken to be in a store until four fifths of the store's room were
+ * saved to since, but for no shorter time than this.
+ */
+#define STORED_MIN_USEC (2 * JH_USEC_PER_SEC)
+#define ROOM_TRUSTED 0.8
+
+/* Spans of the sums. */
+#define LOAD_WINDOW_USEC JH_USEC_PER_SEC
+#define SAVED_WINDOW_USEC (4 * JH_USEC_PER_SEC)
+
+/*
+ * First events that are later than those of other requests, by this much more
+ * than the prefill that a fetch saves, show that the store does not respond.
+ */
+#define DEAD_USEC (100 * JH_USEC_PER_MSEC)
+/* Weight of a new value in a moving average. */
+#define NEW_WEIGHT 0.25
+#define LATE_MIN_SAMPLES 3
+
+/* Smaller savings are not told from the scatter of first events. */
+#define SAVING_MIN_USEC (20 * JH_USEC_PER_MSEC)
+
+/* Time for which a dead store is not used; doubles up to the second. */
+#define AVOID_MIN_USEC (2 * JH_USEC_PER_SEC)
+#define AVOID_MAX_USEC (16 * JH_USEC_PER_SEC)
+
+static void
+window_advance(struct jh_prefix_window *w, uint64_t now, uint64_t span)
+{
+	uint64_t passed = now - w->start;
+
+	if (passed < span)
+		return;
+	w->previous = passed < 2 * span ? w->current : 0;
+	w->current = 0;
+	w->start = passed < 2 * span ? w->start + span : now;
+}
+
+static void
+window_add(
+    struct jh_prefix_window *w, uint64_t now, uint64_t span, double amount)
+{
+	window_advance(w, now, span);
+	w->current += amount;
+}
+
+/* The previous span counts as far as it is within the last one. */
+static double
+window_sum(struct jh_prefix_window *w, uint64_t now, uint64_t span)
+{
+	window_advance(w, now, span);
+	return w->current +
+	       w->previous * (double)(span - (now - w->start)) / (double)span;
+}
+
+/* Time that a transfer of so many bytes takes the store's link. */
+uint64_t
+jh_prefix_store_transfer_usec(const struct jh_prefix_store_state *t,
+    uint64_t bytes, enum jh_prefix_distance d)
+{
+	uint64_t usec = bytes * 8 / t->spec.link_mbps;
+
+	switch (d) {
+	case JH_PREFIX_SAME_ZONE:
+		return usec;
+	case JH_PREFIX_SAME_REGION:
+		return usec * ZONE_FACTOR;
+	case JH_PREFIX_OTHER_REGION:
+		break;
+	}
+	return usec * REGION_FACTOR;
+}
+
+uint64_t
+jh_prefix_store_kept_usec(struct jh_prefix_store_state *t, uint64_t now)
+{
+	double saved = window_sum(&t->saved, now, SAVED_WINDOW_USEC);
+	double usec;
+
+	if (saved <= 0)
+		return JH_PREFIX_STORED_USEC;
+	usec = (double)t->spec.room * ROOM_TRUSTED / saved *
+	       (double)SAVED_WINDOW_USEC;
+	if (usec >= (double)JH_PREFIX_STORED_USEC)
+		return JH_PREFIX_STORED_USEC;
+	return MAX((uint64_t)usec, STORED_MIN_USEC);
+}
+
+static void
+avoid(struct jh_prefix_store_state *t, uint64_t now)
+{
+	t->avoid_usec =
+	    CLAMP(2 * t->avoid_usec, AVOID_MIN_USEC, AVOID_MAX_USEC);
+	t->avoid_until = now + t->avoid_usec;
+	/* It may have restarted when it is used again. */
+	t->trusted_from = t->avoid_until;
+}
+
+void
+jh_prefix_store_moved(struct jh_prefix_store_state *t, uint64_t now,
+    double busy_usec, double saved_tokens)
+{
+	window_add(&t->busy, now, LOAD_WINDOW_USEC, busy_usec);
+	window_add(&t->saved, now, SAVED_WINDOW_USEC, saved_tokens);
+	t->mean_busy += NEW_WEIGHT * (busy_usec - t->mean_busy);
+	t->mean_saved += NEW_WEIGHT * (saved_tokens - t->mean_saved);
+}
+
+void
+jh_prefix_store_heard(struct jh_prefix_store_state *t, uint64_t now)
+{
+	window_add(&t->busy, now, LOAD_WINDOW_USEC, t->mean_busy);
+	window_add(&t->saved, now, SAVED_WINDOW_USEC, t->mean_saved);
+}
+
+double
+jh_prefix_store_busy(struct jh_prefix_store_state *t, uint64_t now)
+{
+	return window_sum(&t->busy, now, LOAD_WINDOW_USEC);
+}
+
+void
+jh_prefix_store_other_late(struct jh_prefix_store_state *t, uint64_t late_usec)
+{
+	t->others_late += NEW_WEIGHT * ((double)late_usec - t->others_late);
+}
+
+enum jh_prefix_verdict
+jh_prefix_store_late(struct jh_prefix_store_state *t, uint64_t now,
+    uint64_t late_usec, uint64_t saved_usec)
+{
+	double excess;
+
+	if (now < t->avoid_until)
+		return JH_PREFIX_NO_CHANGE;
+	t->samples++;
+	t->late +=
+	    ((double)late_usec - t->late) * MAX(NEW_WEIGHT, 1.0 / t->samples);
+	t->expected_saving += ((double)saved_usec - t->expected_saving) *
+			      MAX(NEW_WEIGHT, 1.0 / t->samples);
+	excess = t->late - t->others_late;
+	if (t->samples < LATE_MIN_SAMPLES)
+		return JH_PREFIX_NO_CHANGE;
+	if (excess > t->expected_saving + (double)DEAD_USEC) {
+		t->samples = 0;
+		avoid(t, now);
+		return JH_PREFIX_STORE_AVOIDED;
+	}
+	/* Half of the saving: part of the prefixes may be there. */
+	if (t->expected_saving > (double)SAVING_MIN_USEC &&
+	    excess > t->expected_saving / 2) {
+		t->samples = 0;
+		t->trusted_from = now;
+		return JH_PREFIX_STORE_EMPTY;
+	}
+	t->avoid_usec = 0;
+	return JH_PREFIX_NO_CHANGE;
+}
--- /dev/null
+++ b/src/route/prefix_stores.c
@@ -0,0 +1,393 @@
+#include <string.h>
+
+#include <jacinthhill/clock.h>
+#include <xxhash.h>
+
+#include "route/prefix_store_state.h"
+
+/* Taken for a deployment that does not state them; those in use have these. */
+#define DEFAULT_LINK_MBPS 270000
+#define DEFAULT_TOKEN_BYTES 163840
+#define DEFAULT_ROOM_TOKENS 1850000
+
+/* Round trip between the regions, which a fetch takes in addition. */
+#define REGION_RTT_USEC (24 * JH_USEC_PER_MSEC)
+
+/*
+ * Slowest prefill rate of an engine. A transfer from the other region is worth
+ * up to this many times the prefill that it saves, because a prefill also
+ * delays the other requests of its worker and evicts their prefixes.
+ */
+#define PREFILL_TOKENS_PER_MSEC 41
+#define REGION_WORTH 2
+
+/*
+ * Share of a store's link that transfers may take, in microseconds a second;
+ * those to the other region take ten times as long, and may take less of it.
+ */
+#define LINK_LIMIT_USEC (800 * JH_USEC_PER_MSEC)
+#define REGION_LINK_LIMIT_USEC (400 * JH_USEC_PER_MSEC)
+
+/*
+ * A prefix that is fetched is saved as well once in so many fetches, in case
+ * the store evicted it earlier than estimated.
+ */
+#define SAVE_AGAIN_FETCHES 8
+
+struct jh_prefix_stores {
+	GHashTable *regions;
+	struct jh_prefix_store_state store[JH_PREFIX_MAX_STORES];
+	size_t n;
+	struct jh_placements *stored;
+};
+
+/* Whether a prefix is in a store. */
+enum presence { ABSENT, UNSURE, PRESENT };
+
+struct jh_prefix_stores *
+jh_prefix_stores_create(GHashTable *regions)
+{
+	struct jh_prefix_stores *s = g_new0(struct jh_prefix_stores, 1);
+
+	s->regions = g_hash_table_ref(regions);
+	s->stored = jh_placements_create();
+	return s;
+}
+
+static void
+clear_spec(struct jh_prefix_store *spec)
+{
+	g_free((char *)spec->name);
+	g_free((char *)spec->zone);
+}
+
+void
+jh_prefix_stores_destroy(struct jh_prefix_stores *s)
+{
+	size_t i;
+
+	if (s == NULL)
+		return;
+	for (i = 0; i < s->n; i++)
+		clear_spec(&s->store[i].spec);
+	jh_placements_destroy(s->stored);
+	g_hash_table_unref(s->regions);
+	g_free(s);
+}
+
+static struct jh_prefix_store_state *
+find_store(const struct jh_prefix_stores *s, uint64_t hash)
+{
+	size_t i;
+
+	for (i = 0; i < s->n; i++)
+		if (s->store[i].spec.hash == hash)
+			return (struct jh_prefix_store_state *)&s->store[i];
+	return NULL;
+}
+
+void
+jh_prefix_stores_configure(
+    struct jh_prefix_stores *s, const struct jh_prefix_store *store, size_t n)
+{
+	struct jh_prefix_store_state kept[JH_PREFIX_MAX_STORES];
+	size_t i;
+
+	n = MIN(n, JH_PREFIX_MAX_STORES);
+	memset(kept, 0, sizeof(kept));
+	for (i = 0; i < n; i++) {
+		const struct jh_prefix_store_state *old =
+		    find_store(s, store[i].hash);
+		if (old != NULL)
+			kept[i] = *old;
+		kept[i].spec = store[i];
+		kept[i].spec.name = g_strdup(store[i].name);
+		kept[i].spec.zone = g_strdup(store[i].zone);
+		if (kept[i].spec.link_mbps == 0)
+			kept[i].spec.link_mbps = DEFAULT_LINK_MBPS;
+		if (kept[i].spec.room == 0)
+			kept[i].spec.room = DEFAULT_ROOM_TOKENS;
+	}
+	for (i = 0; i < s->n; i++)
+		clear_spec(&s->store[i].spec);
+	memcpy(s->store, kept, sizeof(kept));
+	s->n = n;
+}
+
+size_t
+jh_prefix_stores_count(const struct jh_prefix_stores *s)
+{
+	return s->n;
+}
+
+const struct jh_prefix_store *
+jh_prefix_stores_find(const struct jh_prefix_stores *s, uint64_t hash)
+{
+	const struct jh_prefix_store_state *t = find_store(s, hash);
+
+	return t != NULL ? &t->spec : NULL;
+}
+
+static enum jh_prefix_distance
+distance(const struct jh_prefix_stores *s, const char *zone,
+    const struct jh_prefix_store_state *t)
+{
+	const char *region;
+
+	if (zone == NULL || t->spec.zone == NULL)
+		return JH_PREFIX_OTHER_REGION;
+	if (strcmp(zone, t->spec.zone) == 0)
+		return JH_PREFIX_SAME_ZONE;
+	region = g_hash_table_lookup(s->regions, zone);
+	if (region != NULL && g_strcmp0(region, g_hash_table_lookup(s->regions,
+						    t->spec.zone)) == 0)
+		return JH_PREFIX_SAME_REGION;
+	return JH_PREFIX_OTHER_REGION;
+}
+
+static uint64_t
+bytes_of(const struct jh_prefix_need *need, uint64_t tokens)
+{
+	return tokens * (need->token_bytes != 0 ? need->token_bytes
+						: DEFAULT_TOKEN_BYTES);
+}
+
+static enum presence
+presence(const struct jh_prefix_stores *s, struct jh_prefix_store_state *t,
+    uint64_t now, uint64_t key)
+{
+	uint64_t at = jh_prefix_sites_last(
+	    jh_placements_find(s->stored, key), t->spec.hash);
+
+	if (at == 0 || now - at >= JH_PREFIX_STORED_USEC)
+		return ABSENT;
+	if (at < t->trusted_from ||
+	    now - at >= jh_prefix_store_kept_usec(t, now))
+		return UNSURE;
+	return PRESENT;
+}
+
+static uint64_t
+tokens_between(const struct jh_prefix_need *need, size_t from, size_t to)
+{
+	uint64_t sum = 0;
+
+	for (; from < to; from++)
+		sum += need->tokens[from];
+	return sum;
+}
+
+/* Prefixes of the prompt that are large enough for a store. */
+static size_t
+count_stored(const struct jh_prefix_need *need)
+{
+	size_t n = need->n;
+
+	while (n > 0 && need->tokens[n - 1] < JH_PREFIX_MIN_TOKENS)
+		n--;
+	return n;
+}
+
+/* The store and its number of prefixes as a plan, without a save. */
+struct candidate {
+	struct jh_prefix_store_state *store;
+	size_t level;
+	enum presence presence;
+	enum jh_prefix_distance distance;
+	uint64_t usec, bytes;
+};
+
+static bool
+can_fetch(
+    const struct jh_prefix_need *need, uint64_t now, const struct candidate *a)
+{
+	double busy = jh_prefix_store_busy(a->store, now);
+	uint64_t tokens = tokens_between(need, need->cached, a->level);
+	uint64_t limit = a->distance == JH_PREFIX_OTHER_REGION
+			     ? REGION_LINK_LIMIT_USEC
+			     : LINK_LIMIT_USEC;
+
+	if (busy + (double)a->usec > (double)limit)
+		return false;
+	return a->distance != JH_PREFIX_OTHER_REGION ||
+	       (a->presence == PRESENT &&
+		   a->usec + REGION_RTT_USEC <=
+		       REGION_WORTH * tokens * 1000 / PREFILL_TOKENS_PER_MSEC);
+}
+
+/*
+ * A store with more of the prompt is better, then one that surely has it, then
+ * the shorter transfer.
+ */
+static bool
+is_better(const struct candidate *a, const struct candidate *b)
+{
+	if (b->store == NULL || a->level != b->level)
+		return b->store == NULL || a->level > b->level;
+	if (a->presence != b->presence)
+		return a->presence > b->presence;
+	return a->usec < b->usec;
+}
+
+static struct candidate
+find_fetch(struct jh_prefix_stores *s, uint64_t now,
+    const struct jh_prefix_need *need, size_t n)
+{
+	struct candidate best = {0}, a;
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		a = (struct candidate){.store = &s->store[i], .level = n};
+		if (now < a.store->avoid_until)
+			continue;
+		for (; a.level > need->cached; a.level--) {
+			a.presence =
+			    presence(s, a.store, now, need->key[a.level - 1]);
+			if (a.presence != ABSENT)
+				break;
+		}
+		if (a.level <= need->cached)
+			continue;
+		a.distance = distance(s, need->zone, a.store);
+		a.bytes =
+		    bytes_of(need, tokens_between(need, need->cached, a.level));
+		a.usec =
+		    jh_prefix_store_transfer_usec(a.store, a.bytes, a.distance);
+		if (can_fetch(need, now, &a) && is_better(&a, &best))
+			best = a;
+	}
+	return best;
+}
+
+/* The store of the worker's region that the prefix is saved to. */
+static struct jh_prefix_store_state *
+find_save(struct jh_prefix_stores *s, uint64_t now,
+    const struct jh_prefix_need *need, uint64_t key)
+{
+	struct jh_prefix_store_state *best = NULL;
+	uint64_t best_score = 0;
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		struct jh_prefix_store_state *t = &s->store[i];
+		uint64_t both[2] = {key, t->spec.hash};
+		uint64_t score = XXH3_64bits(both, sizeof(both));
+		if (distance(s, need->zone, t) == JH_PREFIX_OTHER_REGION ||
+		    now < t->avoid_until)
+			continue;
+		if (presence(s, t, now, key) == PRESENT)
+			return NULL;
+		if (best == NULL || score > best_score) {
+			best = t;
+			best_score = score;
+		}
+	}
+	if (best != NULL &&
+	    jh_prefix_store_busy(best, now) > (double)LINK_LIMIT_USEC)
+		return NULL;
+	return best;
+}
+
+void
+jh_prefix_stores_plan(struct jh_prefix_stores *s, uint64_t now,
+    const struct jh_prefix_need *need, struct jh_prefix_plan *out)
+{
+	size_t n = count_stored(need);
+	struct candidate from;
+	struct jh_prefix_store_state *to;
+
+	memset(out, 0, sizeof(*out));
+	if (s->n == 0 || n <= need->cached)
+		return;
+	from = find_fetch(s, now, need, n);
+	if (from.store != NULL) {
+		out->fetch = &from.store->spec;
+		out->n_fetched = from.level;
+		out->is_sure = from.presence == PRESENT;
+		out->fetch_usec = from.usec;
+		out->fetch_bytes = from.bytes;
+	}
+	to = find_save(s, now, need, need->key[n - 1]);
+	if (from.store != NULL && from.distance != JH_PREFIX_OTHER_REGION &&
+	    from.level == n &&
+	    from.store->fetches % SAVE_AGAIN_FETCHES == SAVE_AGAIN_FETCHES - 1)
+		to = from.store;
+	if (to != NULL) {
+		out->save = &to->spec;
+		out->save_bytes = bytes_of(need, tokens_between(need, 0, n));
+	}
+}
+
+static void
+add_transfer(struct jh_prefix_stores *s, uint64_t now,
+    const struct jh_prefix_need *need, uint64_t hash, size_t n, uint64_t bytes,
+    uint64_t saved_tokens)
+{
+	struct jh_prefix_store_state *t = find_store(s, hash);
+	struct jh_placement at = {.worker = hash};
+	double busy;
+	size_t i;
+
+	if (t == NULL)
+		return;
+	busy = (double)jh_prefix_store_transfer_usec(
+	    t, bytes, distance(s, need->zone, t));
+	jh_prefix_store_moved(t, now, busy, (double)saved_tokens);
+	for (i = 0; i < n; i++) {
+		if (need->tokens[i] < JH_PREFIX_MIN_TOKENS)
+			continue;
+		at.key = need->key[i];
+		jh_placements_add(s->stored, now, &at);
+	}
+}
+
+void
+jh_prefix_stores_sent(struct jh_prefix_stores *s, uint64_t now,
+    const struct jh_prefix_need *need, const struct jh_prefix_plan *plan)
+{
+	size_t n = count_stored(need), stored;
+
+	/* Saved first: a later use would hide that the store lacked it. */
+	if (plan->save != NULL) {
+		for (stored = n; stored > 0; stored--)
+			if (presence(s, find_store(s, plan->save->hash), now,
+				need->key[stored - 1]) == PRESENT)
+				break;
+		add_transfer(s, now, need, plan->save->hash, n,
+		    plan->save_bytes, tokens_between(need, stored, n));
+	}
+	/* The use of a prefix that may be gone does not make it present. */
+	if (plan->fetch == NULL)
+		return;
+	add_transfer(s, now, need, plan->fetch->hash,
+	    plan->is_sure ? plan->n_fetched : 0, plan->fetch_bytes, 0);
+	find_store(s, plan->fetch->hash)->fetches++;
+}
+
+bool
+jh_prefix_stores_heard(
+    struct jh_prefix_stores *s, uint64_t now, const struct jh_placement *at)
+{
+	struct jh_prefix_store_state *t = find_store(s, at->worker);
+
+	if (t == NULL)
+		return false;
+	jh_placements_add(s->stored, now, at);
+	jh_prefix_store_heard(t, now);
+	return true;
+}
+
+enum jh_prefix_verdict
+jh_prefix_stores_first_event(struct jh_prefix_stores *s, uint64_t now,
+    uint64_t hash, uint64_t late_usec, uint64_t saved_usec)
+{
+	struct jh_prefix_store_state *t = find_store(s, hash);
+	size_t i;
+
+	for (i = 0; i < s->n; i++)
+		if (&s->store[i] != t)
+			jh_prefix_store_other_late(&s->store[i], late_usec);
+	if (t == NULL)
+		return JH_PREFIX_NO_CHANGE;
+	return jh_prefix_store_late(t, now, late_usec, saved_usec);
+}
