Platform: setting prefix_stores, links and memory of prefix stores

Zone, linkMbps and kvCapacityTokens of a store and kvTokenBytes of an engine are decoded. The optional setting prefix_stores is "first" (default) or "all".

--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -36,6 +36,7 @@
 	struct jh_service *s = p;
 
 	g_free(s->name);
+	g_free(s->zone);
 	g_free(s);
 }
 
@@ -253,6 +254,35 @@
 	return NULL;
 }
 
+static int
+compare_names(const void *a, const void *b)
+{
+	const struct jh_service *const *s = a, *const *t = b;
+
+	return strcmp((*s)->name, (*t)->name);
+}
+
+size_t
+jh_route_table_cache_stores(
+    const struct jh_route_table *t, const struct jh_service **out, size_t max)
+{
+	GPtrArray *stores = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer value;
+	size_t n, i;
+
+	g_hash_table_iter_init(&it, t->services);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((const struct jh_service *)value)->is_cache_store)
+			g_ptr_array_add(stores, value);
+	g_ptr_array_sort(stores, compare_names);
+	n = MIN(stores->len, max);
+	for (i = 0; i < n; i++)
+		out[i] = g_ptr_array_index(stores, i);
+	g_ptr_array_free(stores, TRUE);
+	return n;
+}
+
 const char *
 jh_route_pick_service(const struct jh_route *r, uint64_t hash)
 {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -47,9 +47,12 @@
 struct jh_service {
 	char *name;
 	bool is_engine;
-	uint64_t cache_tokens; /* engines: cache size of one worker */
+	uint64_t cache_tokens; /* size of the store, or of one worker's cache */
 	bool is_cache_store; /* stores cached prefixes */
 	struct sockaddr_in cache_store; /* if is_cache_store */
+	char *zone; /* NULL: not known */
+	uint64_t link_mbps; /* megabits a second; 0: not known */
+	uint64_t token_bytes; /* engines: cache memory of a token; 0: unknown */
 };
 
 /* An organisation. */
@@ -112,6 +115,12 @@
 /* The first service that stores cached prefixes, or NULL. */
 const struct jh_service *jh_route_table_cache_store(
     const struct jh_route_table *t);
+/*
+ * Takes up to max of them, in order of their names, so that all processes take
+ * the same ones. Returns the number taken.
+ */
+size_t jh_route_table_cache_stores(
+    const struct jh_route_table *t, const struct jh_service **out, size_t max);
 
 /* The service for a request with this hash, by the weights, or NULL. */
 const char *jh_route_pick_service(const struct jh_route *r, uint64_t hash);
--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -284,8 +284,10 @@
     "\"kind\":\"idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":200,"
     "\"priority\":0,\"service\":\"s2\",\"attempts\":2,\"public\":true}],"
     "\"services\":[{\"name\":\"s1\",\"connectionLimit\":500,"
-    "\"engine\":{\"slots\":96,\"kvCapacityTokens\":83645}},"
-    "{\"name\":\"s3\",\"kvStoreAddress\":\"172.20.0.2:8781\",\"zone\":\"z\"}],"
+    "\"engine\":{\"slots\":96,\"kvCapacityTokens\":83645,"
+    "\"kvTokenBytes\":96256}},"
+    "{\"name\":\"s3\",\"kvStoreAddress\":\"172.20.0.2:8781\","
+    "\"zone\":\"z\",\"linkMbps\":270000,\"kvCapacityTokens\":1853103}],"
     "\"limits\":{\"headerBytes\":16384,\"idleTimeoutMs\":15000},"
     "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],"
     "\"priority\":1,\"isolated\":true}]}";
@@ -307,6 +309,7 @@
 config_is_decoded(void **state)
 {
 	const struct jh_route_org *org;
+	const struct jh_service *store;
 	const struct jh_route *r;
 	const char *reason;
 	struct jh_route_table *t = decode_config(config, &reason);
@@ -332,7 +335,13 @@
 	assert_true(org->isolated);
 	assert_null(jh_route_table_find_key(t, JH_STR("k3")));
 	assert_true(jh_route_table_find_service(t, "s1")->is_engine);
+	assert_int_equal(
+	    jh_route_table_find_service(t, "s1")->token_bytes, 96256);
 	assert_string_equal(jh_route_table_cache_store(t)->name, "s3");
+	assert_int_equal(jh_route_table_cache_stores(t, &store, 1), 1);
+	assert_string_equal(store->zone, "z");
+	assert_int_equal(store->link_mbps, 270000);
+	assert_int_equal(store->cache_tokens, 1853103);
 	assert_int_equal(jh_route_table_limits(t)->idle_usec, 15000000);
 	jh_route_table_unref(t);
 }
@@ -497,6 +506,31 @@
 	g_free(text);
 }
 
+/* Guards against stores that are used though the setting does not say so. */
+static void
+prefix_stores_are_first_or_all(void **state)
+{
+	static const struct {
+		const char *line;
+		bool valid, all;
+	} cases[] = {{"", true, false}, {"prefix_stores: first\n", true, false},
+	    {"prefix_stores: all\n", true, true},
+	    {"prefix_stores: two\n", false, false}};
+	struct plat_settings s;
+	char *message, *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text = g_strconcat(settings, cases[i].line, NULL);
+		assert_int_equal(
+		    load_settings(text, &s, &message), cases[i].valid);
+		assert_int_equal(s.all_prefix_stores, cases[i].all);
+		plat_settings_clear(&s);
+		g_free(message);
+		g_free(text);
+	}
+}
+
 int
 main(void)
 {
@@ -513,6 +547,7 @@
 	    cmocka_unit_test(invalid_workers_are_rejected),
 	    cmocka_unit_test(all_models_of_a_worker_are_read),
 	    cmocka_unit_test(invalid_settings_are_named),
+	    cmocka_unit_test(prefix_stores_are_first_or_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
