Route: use all prefix stores

With prefix_stores "all" and at least two stores in the configuration, a prefix is saved to a store of the worker's region, and a worker that is not sure to have it gets a source: a worker of its zone that had it within a second, the nearest store, or another worker. Evictions of workers follow the memory of their requests. A fetch that is expected to succeed is not counted as prefill. Without that setting, or with fewer stores, decisions are as before.

The line "sent" names a store as source. Metrics count fetches by kind of source, saves, and bytes.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -80,7 +80,8 @@
 	x->worker_hash = w->hash;
 	x->worker_started_ms = w->started_ms;
 	x->worker_address = w->address;
-	x->counted_prefill = (uint64_t)x->choose.own_tokens + choice->uncached;
+	x->counted_prefill = (uint64_t)x->choose.own_tokens + choice->uncached -
+			     choice->from_stores;
 	x->counted_held =
 	    (uint64_t)x->choose.own_tokens + x->request.output_tokens;
 	w->prefill_tokens += x->counted_prefill;
@@ -205,8 +206,12 @@
 			request.source = &choice->source->address;
 		else if (choice->from_store)
 			request.source = &x->prefix_store->cache_store;
+		else if (choice->stores.fetch != NULL)
+			request.source = &choice->stores.fetch->address;
 		if (choice->save)
 			request.save = &x->prefix_store->cache_store;
+		else if (choice->stores.save != NULL)
+			request.save = &choice->stores.save->address;
 	}
 	x->gateway->codec->write_worker_request(message,
 	    jh_server_request_head(x->conn_request), &request, body.len);
@@ -244,6 +249,17 @@
 	    timeout / JH_USEC_PER_MSEC, 0);
 }
 
+/* Name of the worker or store that the prefix is fetched from, or NULL. */
+static const char *
+prefix_source(const struct exchange *x, const struct jh_choice *choice)
+{
+	if (choice->source != NULL)
+		return choice->source->id;
+	if (choice->stores.fetch != NULL)
+		return choice->stores.fetch->name;
+	return choice->from_store ? x->prefix_store->name : NULL;
+}
+
 static void
 send_request(struct exchange *x, const struct jh_choice *choice, uint64_t now)
 {
@@ -281,6 +297,7 @@
 	if (x->events != NULL)
 		jh_sse_parser_reset(x->events);
 	jh_attempts_sent(&x->attempts);
+	exchange_count_prefix(x, choice);
 	jh_chooser_sent(x->gateway->chooser, now, &x->choose, choice);
 	jh_rate_limits_sent(x->gateway->rate_limits, now, w->hash);
 	jh_json_log(x->gateway->log, "sent",
@@ -291,8 +308,7 @@
 	    (json_int_t)x->requested_weights, "weights_age_us",
 	    model != NULL ? (json_int_t)(now - model->confirmed) : 0,
 	    "expected_us", (json_int_t)choice->expected_ttft, "attempt",
-	    (int)x->attempts.sent, "source",
-	    choice->source != NULL ? choice->source->id : NULL, "config",
+	    (int)x->attempts.sent, "source", prefix_source(x, choice), "config",
 	    (json_int_t)jh_route_table_version(x->routes), "waited_us",
 	    (json_int_t)(now - x->arrived), "shared",
 	    (json_int_t)(x->choose.n_prefixes > 0
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,6 +43,9 @@
 	uint64_t expected_ttft; /* microseconds to the first token */
 	uint64_t idle_ttft; /* the same if the worker were idle */
 	uint64_t requested_weights; /* version */
+	/* Prefix store that the worker fetches from; 0: none, or only one. */
+	uint64_t fetch_store; /* hash */
+	uint64_t fetch_tokens; /* that it surely has */
 	/* What the attempt adds to the load of its worker, in tokens. */
 	uint64_t counted_prefill, counted_held;
 	uv_timer_t silence_timer; /* aborts an attempt without a response */
@@ -117,6 +120,13 @@
 void exchange_refuse_limited(
     struct exchange *x, uint64_t now, uint64_t room_at);
 
+/*
+ * prefix_store.c: counts what the attempt fetches and saves; evaluates the time
+ * to its first event.
+ */
+void exchange_count_prefix(struct exchange *x, const struct jh_choice *choice);
+void exchange_check_prefix_store(struct exchange *x, uint64_t now);
+
 /* suspect.c: requests that crash the workers that run them. */
 void exchange_set_suspect_parts(struct exchange *x);
 /* Hash of the request's organisation, target and body, for the log. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,7 @@
 	struct jh_rate_limits *rate_limits; /* that workers name */
 	struct jh_quota_ledger *quotas; /* of organisations */
 	double quota_window; /* seconds; see jh_quota_bucket(); 0: none */
+	bool all_prefix_stores; /* use all that are configured */
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
@@ -62,6 +63,8 @@
 
 /* Handles a request to the HTTP server; arg is the gateway. */
 void jh_gateway_request(void *arg, struct jh_server_request *v);
+/* Takes over the prefix stores of the configuration in force. */
+void jh_gateway_update_prefix_stores(struct jh_gateway *gw);
 /* Expires suspects, and logs a new number of quarantined parts. */
 void jh_gateway_check_suspects(struct jh_gateway *gw, uint64_t now);
 /* Logs and counts a client's connection that the HTTP server closes. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -105,6 +105,7 @@
 		w->ttft_excess +=
 		    TTFT_EXCESS_WEIGHT * (excess - w->ttft_excess);
 		w->ttft_excess_at = now;
+		exchange_check_prefix_store(x, now);
 	}
 	jh_worker_responded(w, false);
 }
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -123,6 +123,7 @@
 		return;
 	x->choose.model = x->model;
 	x->choose.cache_tokens = x->service->cache_tokens;
+	x->choose.token_bytes = x->service->token_bytes;
 	x->prefix_store = jh_route_table_cache_store(x->routes);
 	if (x->prefix_store != NULL)
 		x->choose.prefix_store = XXH3_64bits(
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -3,6 +3,7 @@
 #include <jacinthhill/clock.h>
 #include <xxhash.h>
 
+#include "route/cache_model.h"
 #include "route/choose.h"
 
 /* Prefill rate that the deployments' engines are specified with. */
@@ -39,6 +40,22 @@
  */
 #define STORED_USEC (20 * JH_USEC_PER_SEC)
 
+/*
+ * With several stores, a worker that was sent a prefix within this time surely
+ * has it, and is a better source than a store if it is in the same zone: its
+ * link is four times as fast.
+ */
+#define SURELY_CACHED_USEC JH_USEC_PER_SEC
+
+/*
+ * With several stores, a worker is taken to have a large prefix, in place of
+ * CACHED_USEC, for as long as it and what was used later fit beside the running
+ * requests: at least for the first time, because the request that uses it is
+ * running then, and at most for the second.
+ */
+#define CACHED_MIN_USEC (500 * JH_USEC_PER_MSEC)
+#define CACHED_MAX_USEC (8 * JH_USEC_PER_SEC)
+
 /*
  * Computing a prefix again costs more than its time: it evicts other prefixes,
  * which then have to be computed again as well.
@@ -46,7 +63,7 @@
 #define RECOMPUTE_WEIGHT 16
 
 /* Smaller prefixes are not worth announcing to other processes. */
-#define ANNOUNCE_MIN_TOKENS 1000
+#define ANNOUNCE_MIN_TOKENS JH_PREFIX_MIN_TOKENS
 
 /* A worker's observed excess TTFT decays to 0 over this time. */
 #define TTFT_EXCESS_DECAY_USEC (2 * JH_USEC_PER_SEC)
@@ -59,6 +76,8 @@
 	const char *region;
 	GHashTable *regions;
 	struct jh_placements *placed;
+	struct jh_prefix_stores *stores;
+	struct jh_cache_model *caches;
 };
 
 /* The eligible workers with one version of the weights. */
@@ -82,6 +101,8 @@
 	c->regions = g_hash_table_ref(topology->regions);
 	c->region = g_hash_table_lookup(c->regions, c->zone);
 	c->placed = jh_placements_create();
+	c->stores = jh_prefix_stores_create(c->regions);
+	c->caches = jh_cache_model_create();
 	return c;
 }
 
@@ -90,12 +111,20 @@
 {
 	if (c == NULL)
 		return;
+	jh_cache_model_destroy(c->caches);
+	jh_prefix_stores_destroy(c->stores);
 	g_hash_table_unref(c->regions);
 	jh_placements_destroy(c->placed);
 	g_free(c->zone);
 	g_free(c);
 }
 
+struct jh_prefix_stores *
+jh_chooser_stores(struct jh_chooser *c)
+{
+	return c->stores;
+}
+
 static enum scope
 distance(const struct jh_chooser *c, const struct jh_worker *w)
 {
@@ -271,16 +300,36 @@
 	return at != 0 && now - at < within;
 }
 
+/* Whether the worker is taken to have the prefix in its cache. */
+static bool
+is_cached(const struct jh_chooser *c, const struct jh_choose_request *r,
+    const struct version *v, size_t level, const struct jh_worker *w,
+    uint64_t now)
+{
+	uint64_t held = w->held_tokens + w->others_held;
+
+	if (jh_prefix_stores_count(c->stores) == 0 || r->cache_tokens == 0 ||
+	    r->prefix[level].tokens < ANNOUNCE_MIN_TOKENS)
+		return was_placed_within(v, level, now, w, CACHED_USEC);
+	if (!was_placed_within(v, level, now, w, CACHED_MAX_USEC))
+		return false;
+	if (was_placed_within(v, level, now, w, CACHED_MIN_USEC))
+		return true;
+	return jh_cache_model_depth(
+		   c->caches, w->hash, prefix_key(r, level, v->weights)) <=
+	       r->cache_tokens - MIN(held, r->cache_tokens);
+}
+
 /* Shared tokens behind the longest prefix that the worker has. */
 static uint32_t
-uncached_tokens(const struct jh_choose_request *r, const struct version *v,
-    const struct jh_worker *w, uint64_t now)
+uncached_tokens(const struct jh_chooser *c, const struct jh_choose_request *r,
+    const struct version *v, const struct jh_worker *w, uint64_t now)
 {
 	uint32_t tokens = 0;
 	size_t i;
 
 	for (i = r->n_prefixes; i > 0; i--) {
-		if (was_placed_within(v, i - 1, now, w, CACHED_USEC))
+		if (is_cached(c, r, v, i - 1, w, now))
 			break;
 		tokens += r->prefix[i - 1].tokens;
 	}
@@ -324,7 +373,7 @@
 		return cost;
 	if (outdated_for_usec(r, v->weights, now) > OUTDATED_GRACE_USEC)
 		cost += OUTDATED_COST_USEC;
-	compute_usec = prefill_usec(uncached_tokens(r, v, w, now));
+	compute_usec = prefill_usec(uncached_tokens(c, r, v, w, now));
 	/* A prefix that no worker has must be computed once: at its home. */
 	if (!v->cached && v->home == w)
 		compute_usec = 0;
@@ -343,27 +392,30 @@
 	if (!r->is_engine)
 		return time;
 	return time +
-	       prefill_usec(uncached_tokens(r, v, w, now) + r->own_tokens);
+	       prefill_usec(uncached_tokens(c, r, v, w, now) + r->own_tokens);
 }
 
-/* The worker where the prefix was placed last, but for the chosen one. */
+/*
+ * The worker where the prefix was placed last within that time, but for the
+ * chosen one; in the zone, unless that is NULL.
+ */
 static struct jh_worker *
 find_last_placed(const struct jh_choose_request *r, struct jh_fleet *f,
     const struct jh_prefix_sites *sites, uint64_t weights,
-    const struct jh_worker *to, uint64_t now)
+    const struct jh_worker *to, const char *zone, uint64_t within, uint64_t now)
 {
 	struct jh_worker *best = NULL, *w;
 	uint64_t best_at = 0, has;
 	size_t i;
 
 	for (i = 0; sites != NULL && i < JH_PLACEMENTS_WORKERS; i++) {
-		if (sites->at[i] <= best_at ||
-		    now - sites->at[i] >= MAYBE_CACHED_USEC)
+		if (sites->at[i] <= best_at || now - sites->at[i] >= within)
 			continue;
 		w = jh_fleet_find_hash(f, sites->worker[i]);
 		if (w == NULL || w == to || !serves(r, w, &has) ||
 		    now < w->backoff_until || now < w->replaced_until ||
-		    w->missing_since != 0 || has != weights)
+		    w->missing_since != 0 || has != weights ||
+		    (zone != NULL && g_strcmp0(w->zone, zone) != 0))
 			continue;
 		best = w;
 		best_at = sites->at[i];
@@ -385,8 +437,8 @@
 	for (level = r->n_prefixes; level > 0 && found == NULL; level--) {
 		if (was_placed_within(v, level - 1, now, to, CACHED_USEC))
 			return NULL;
-		found = find_last_placed(
-		    r, f, v->sites[level - 1], v->weights, to, now);
+		found = find_last_placed(r, f, v->sites[level - 1], v->weights,
+		    to, NULL, MAYBE_CACHED_USEC, now);
 	}
 	return found;
 }
@@ -411,6 +463,85 @@
 		out->from_store = true;
 }
 
+/* What the request needs from the stores; the keys are filled in. */
+static struct jh_prefix_need
+prefix_need(const struct jh_choose_request *r, uint64_t weights,
+    const struct jh_worker *to, uint64_t *keys, uint32_t *tokens)
+{
+	struct jh_prefix_need need = {.zone = to->zone,
+	    .key = keys,
+	    .tokens = tokens,
+	    .n = r->n_prefixes,
+	    .token_bytes = r->token_bytes};
+	size_t i;
+
+	for (i = 0; i < r->n_prefixes; i++) {
+		keys[i] = prefix_key(r, i, weights);
+		tokens[i] = r->prefix[i].tokens;
+	}
+	return need;
+}
+
+/* Counts a fetch that surely succeeds as faster than computing the prefix. */
+static void
+expect_fetch(const struct jh_choose_request *r, struct jh_choice *out)
+{
+	uint64_t beyond = 0, saved;
+	size_t i;
+
+	for (i = out->stores.n_fetched; i < r->n_prefixes; i++)
+		beyond += r->prefix[i].tokens;
+	if (!out->stores.is_sure || out->uncached <= beyond)
+		return;
+	out->from_stores = out->uncached - (uint32_t)beyond;
+	saved = prefill_usec(out->from_stores);
+	saved -= MIN(saved, out->stores.fetch_usec);
+	out->idle_ttft -= MIN(out->idle_ttft, saved);
+	out->expected_ttft -= MIN(out->expected_ttft, saved);
+}
+
+/*
+ * Decides what is fetched and saved with several stores. The source is a worker
+ * of the same zone that surely has the longest prefix, else a store that surely
+ * has it, else a worker that is taken to have it, else what may have part of
+ * it. A worker that surely has all gets no source; one that has all
+ * nevertheless does not use its source.
+ */
+static void
+use_stores(const struct jh_chooser *c, const struct jh_choose_request *r,
+    struct jh_fleet *f, const struct version *v, uint64_t now,
+    struct jh_choice *out)
+{
+	uint64_t keys[JH_CHOOSE_MAX_PREFIXES];
+	uint32_t tokens[JH_CHOOSE_MAX_PREFIXES];
+	struct jh_prefix_need need =
+	    prefix_need(r, v->weights, out->worker, keys, tokens);
+	size_t last = r->n_prefixes - 1;
+	struct jh_worker *other;
+
+	for (need.cached = need.n; need.cached > 0; need.cached--)
+		if (was_placed_within(v, need.cached - 1, now, out->worker,
+			SURELY_CACHED_USEC) &&
+		    is_cached(c, r, v, need.cached - 1, out->worker, now))
+			break;
+	if (need.cached == need.n)
+		return;
+	jh_prefix_stores_plan(c->stores, now, &need, &out->stores);
+	out->source = find_last_placed(r, f, v->sites[last], v->weights,
+	    out->worker, out->worker->zone, SURELY_CACHED_USEC, now);
+	if (out->source == NULL &&
+	    (!out->stores.is_sure || out->stores.n_fetched <= last)) {
+		other = find_fetch_source(r, f, v, out->worker, now);
+		if (other != NULL && (out->stores.fetch == NULL ||
+					 is_cached(c, r, v, last, other, now)))
+			out->source = other;
+	}
+	if (out->source != NULL)
+		out->stores.fetch = NULL;
+	if (out->stores.fetch != NULL)
+		expect_fetch(r, out);
+}
+
 /* Finds the home of the longest shared prefix for each version of weights. */
 static void
 rank_versions(const struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
@@ -430,7 +561,7 @@
 		v = find_version(c, r, versions, n, weights);
 		if (v == NULL)
 			continue;
-		if (was_placed_within(v, last, now, w, CACHED_USEC))
+		if (is_cached(c, r, v, last, w, now))
 			v->cached = true;
 		score = mix(prefix_key(r, last, v->weights), w->hash);
 		if (distance(c, w) <= scope &&
@@ -516,11 +647,60 @@
 	    out->idle_ttft + queue_wait_usec(r, out->worker, now);
 	if (!r->is_engine || r->n_prefixes == 0)
 		return;
-	out->uncached = uncached_tokens(r, v, out->worker, now);
+	out->uncached = uncached_tokens(c, r, v, out->worker, now);
+	if (jh_prefix_stores_count(c->stores) > 0) {
+		use_stores(c, r, f, v, now, out);
+		return;
+	}
 	out->source = find_fetch_source(r, f, v, out->worker, now);
 	use_store(c, r, v, now, out);
 }
 
+/*
+ * Records what the stores have after the request. The longest prefix alone is
+ * announced: the shorter ones are few, and each process soon uses them itself.
+ */
+static void
+record_stores(struct jh_chooser *c, uint64_t now,
+    const struct jh_choose_request *r, const struct jh_choice *choice)
+{
+	const struct jh_prefix_plan *plan = &choice->stores;
+	uint64_t keys[JH_CHOOSE_MAX_PREFIXES];
+	uint32_t tokens[JH_CHOOSE_MAX_PREFIXES];
+	struct jh_prefix_need need;
+	struct jh_placement at;
+	size_t last = r->n_prefixes;
+
+	if (plan->fetch == NULL && plan->save == NULL)
+		return;
+	need = prefix_need(
+	    r, weights_of(r, choice->worker), choice->worker, keys, tokens);
+	jh_prefix_stores_sent(c->stores, now, &need, plan);
+	while (last > 0 && tokens[last - 1] < ANNOUNCE_MIN_TOKENS)
+		last--;
+	if (last == 0)
+		return;
+	at.key = keys[last - 1];
+	if (plan->save != NULL) {
+		at.worker = plan->save->hash;
+		jh_placements_announce(c->placed, &at);
+	}
+	if (plan->fetch != NULL && plan->fetch != plan->save && plan->is_sure &&
+	    plan->n_fetched >= last) {
+		at.worker = plan->fetch->hash;
+		jh_placements_announce(c->placed, &at);
+	}
+}
+
+static void
+announce_cached(
+    struct jh_chooser *c, const struct jh_placement *at, uint32_t tokens)
+{
+	jh_placements_announce(c->placed, at);
+	if (jh_prefix_stores_count(c->stores) > 0)
+		jh_cache_model_used(c->caches, at->worker, at->key, tokens);
+}
+
 void
 jh_chooser_sent(struct jh_chooser *c, uint64_t now,
     const struct jh_choose_request *r, const struct jh_choice *choice)
@@ -529,12 +709,13 @@
 	uint64_t weights = weights_of(r, choice->worker);
 	size_t i;
 
+	record_stores(c, now, r, choice);
 	for (i = 0; i < r->n_prefixes; i++) {
 		struct jh_placement at = {
 		    prefix_key(r, i, weights), choice->worker->hash};
 		jh_placements_add(c->placed, now, &at);
 		if (r->prefix[i].tokens >= ANNOUNCE_MIN_TOKENS)
-			jh_placements_announce(c->placed, &at);
+			announce_cached(c, &at, r->prefix[i].tokens);
 		if (!in_store || i + 1 < r->n_prefixes)
 			continue;
 		at.worker = r->prefix_store;
@@ -547,7 +728,11 @@
 jh_chooser_add_placement(
     struct jh_chooser *c, uint64_t now, const struct jh_placement *p)
 {
+	if (jh_prefix_stores_heard(c->stores, now, p))
+		return;
 	jh_placements_add(c->placed, now, p);
+	if (jh_prefix_stores_count(c->stores) > 0)
+		jh_cache_model_used(c->caches, p->worker, p->key, 0);
 }
 
 size_t
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -10,6 +10,7 @@
 #include "member/weights.h"
 #include "route/fleet.h"
 #include "route/placements.h"
+#include "route/prefix_stores.h"
 #include "route/rate_limits.h"
 
 /*
@@ -62,6 +63,7 @@
 	size_t n_versions;
 	uint64_t cache_tokens; /* cache size of one worker; 0: not known */
 	uint64_t prefix_store; /* hash of the prefix cache store; 0: none */
+	uint64_t token_bytes; /* cache memory of a token; 0: not known */
 	struct jh_rate_limits *rate_limits; /* of workers; NULL: none */
 	uint64_t excluded[JH_CHOOSE_MAX_EXCLUDED]; /* worker hashes */
 	size_t n_excluded;
@@ -75,6 +77,9 @@
 	uint64_t idle_ttft; /* the same if the worker had no other work */
 	bool from_store; /* fetch the prefix from the store */
 	bool save; /* the worker saves the prefix it computes to the store */
+	/* With several stores, in place of from_store and save. */
+	struct jh_prefix_plan stores;
+	uint32_t from_stores; /* tokens of uncached that a store surely has */
 	uint32_t uncached; /* prefix tokens that the worker has to compute */
 	bool any_worker; /* a worker of the service exists, eligible or not */
 	/*
@@ -86,6 +91,11 @@
 
 struct jh_chooser *jh_chooser_create(const struct jh_choose_topology *topology);
 void jh_chooser_destroy(struct jh_chooser *c);
+/*
+ * The stores of prefixes, owned by the chooser. While any are configured there,
+ * they are used in place of the request's prefix_store.
+ */
+struct jh_prefix_stores *jh_chooser_stores(struct jh_chooser *c);
 
 /* Chooses a worker; out->worker is owned by the fleet. */
 void jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -327,6 +327,133 @@
 	fixture_clear(&s);
 }
 
+/* A store in each of the zones z1 and z2. */
+static void
+use_stores(struct fixture *s)
+{
+	struct jh_prefix_store stores[] = {
+	    {.hash = 71, .name = "a", .zone = "z1", .link_mbps = 270000},
+	    {.hash = 72, .name = "b", .zone = "z2", .link_mbps = 270000},
+	};
+
+	jh_prefix_stores_configure(
+	    jh_chooser_stores(s->chooser), stores, G_N_ELEMENTS(stores));
+}
+
+/*
+ * Guards against a prefix that is computed again because its worker may have
+ * evicted it, though a store has it, and against transfers without a need.
+ */
+static void
+stores_have_what_workers_evict(void **state)
+{
+	struct jh_choose_request r = long_prompt(1, 2);
+	struct jh_choice c, first;
+	struct fixture s;
+
+	fixture_init(&s);
+	use_stores(&s);
+	r.prefix_store = 77;
+	jh_choose(s.chooser, s.fleet, START, &r, &first);
+	assert_non_null(first.stores.save);
+	assert_false(first.save);
+	assert_null(first.stores.fetch);
+	jh_chooser_sent(s.chooser, START, &r, &first);
+	/* Surely still there. */
+	jh_choose(s.chooser, s.fleet, START + SEC / 2, &r, &c);
+	assert_ptr_equal(c.worker, first.worker);
+	assert_null(c.stores.fetch);
+	/* Likely there: a source is named, but nothing expected of it. */
+	jh_choose(s.chooser, s.fleet, START + 5 * SEC, &r, &c);
+	assert_ptr_equal(c.worker, first.worker);
+	assert_int_equal(c.uncached, 0);
+	assert_int_equal(c.from_stores, 0);
+	assert_ptr_equal(c.stores.fetch, first.stores.save);
+	/* Not there. */
+	jh_choose(s.chooser, s.fleet, START + 9 * SEC, &r, &c);
+	assert_int_equal(c.from_stores, 6300);
+	assert_true(c.idle_ttft + 100 * MSEC < first.idle_ttft);
+	assert_false(c.from_store);
+	fixture_clear(&s);
+}
+
+/* Guards against trust in a cache whose memory running requests have taken. */
+static void
+evictions_follow_memory(void **state)
+{
+	struct jh_choose_request r = long_prompt(1, 2);
+	struct jh_worker *w;
+	struct jh_choice c;
+	struct fixture s;
+	uint64_t i;
+
+	fixture_init(&s);
+	use_stores(&s);
+	w = send_to(&s, START, &r);
+	w->held_tokens = 60000;
+	jh_choose(s.chooser, s.fleet, START + 2 * SEC, &r, &c);
+	assert_int_equal(c.uncached, 0);
+	/* Room for 23,645 tokens; seven prefixes of some 3,000 follow. */
+	for (i = 0; i < 7; i++) {
+		struct jh_placement at = {100 + i, w->hash};
+		jh_chooser_add_placement(s.chooser, START + SEC, &at);
+	}
+	jh_choose(s.chooser, s.fleet, START + 2 * SEC, &r, &c);
+	assert_int_equal(c.uncached, 6300);
+	/* It is there as long as it is in use. */
+	jh_choose(s.chooser, s.fleet, START + SEC / 4, &r, &c);
+	assert_int_equal(c.uncached, 0);
+	fixture_clear(&s);
+}
+
+/* Guards against a store's slower link while a worker nearby is sure. */
+static void
+near_worker_comes_before_stores(void **state)
+{
+	struct jh_choose_request r = long_prompt(1, 2);
+	struct jh_worker *from;
+	struct jh_choice c;
+	struct fixture s;
+	size_t i;
+
+	fixture_init(&s);
+	use_stores(&s);
+	from = send_to(&s, START, &r);
+	for (i = 0; i < jh_fleet_count(s.fleet); i++) {
+		struct jh_worker *w = jh_fleet_at(s.fleet, i);
+		w->leaving = w == from || g_strcmp0(w->zone, from->zone) != 0;
+	}
+	jh_choose(s.chooser, s.fleet, START + SEC / 2, &r, &c);
+	assert_ptr_equal(c.source, from);
+	assert_null(c.stores.fetch);
+	jh_choose(s.chooser, s.fleet, START + 2 * SEC, &r, &c);
+	assert_null(c.source);
+	assert_non_null(c.stores.fetch);
+	fixture_clear(&s);
+}
+
+/* Guards against other decisions without several stores. */
+static void
+one_store_is_used_as_before(void **state)
+{
+	struct jh_choose_request r = long_prompt(1, 2);
+	struct jh_choice c, first;
+	struct fixture s;
+
+	fixture_init(&s);
+	r.prefix_store = 77;
+	jh_choose(s.chooser, s.fleet, START, &r, &first);
+	assert_null(first.stores.save);
+	jh_chooser_sent(s.chooser, START, &r, &first);
+	first.worker->held_tokens = r.cache_tokens;
+	jh_choose(s.chooser, s.fleet, START + 3 * SEC, &r, &c);
+	assert_int_equal(c.worker == first.worker ? c.uncached : 0, 0);
+	jh_choose(s.chooser, s.fleet, START + 15 * SEC, &r, &c);
+	assert_true(c.from_store);
+	assert_int_equal(c.from_stores, 0);
+	fixture_clear(&s);
+}
+
 /* Guards against placements that are not announced, or twice. */
 static void
 placements_are_announced_once(void **state)
@@ -449,6 +576,10 @@
 	    cmocka_unit_test(outdated_since_first_newer_version),
 	    cmocka_unit_test(prefixes_belong_to_their_weights),
 	    cmocka_unit_test(prefix_is_fetched_from_store),
+	    cmocka_unit_test(stores_have_what_workers_evict),
+	    cmocka_unit_test(evictions_follow_memory),
+	    cmocka_unit_test(near_worker_comes_before_stores),
+	    cmocka_unit_test(one_store_is_used_as_before),
 	    cmocka_unit_test(placements_are_announced_once),
 	    cmocka_unit_test(admission_depends_on_queue_wait),
 	    cmocka_unit_test(retries_are_spread_and_not_early),
