Route: count transfers of prefix stores by what they move

Now the tokens that the worker and the store are taken to have are not counted, the link has a backlog besides its load, and saves leave room for fetches. A fetch is announced as such, so that a process which does not know that a store is empty does not keep its entries alive for others.

--- a/src/gateway/prefix_store.c
+++ b/src/gateway/prefix_store.c
@@ -5,8 +5,8 @@
 
 #include "gateway/exchange.h"
 
-/* Prefill rate that the savings of a fetch are measured by. */
-#define PREFILL_TOKENS_PER_MSEC 41
+/* Prefill rate of the fastest engines: a fetch saves at least that time. */
+#define PREFILL_TOKENS_PER_MSEC 92
 
 void
 jh_gateway_update_prefix_stores(struct jh_gateway *gw)
@@ -44,7 +44,9 @@
 	const struct jh_prefix_plan *plan = &choice->stores;
 	struct jh_metrics *m = x->gateway->metrics;
 
-	x->fetch_store = plan->fetch != NULL ? plan->fetch->hash : 0;
+	/* A worker that has all does not use the source. */
+	x->fetch_store =
+	    plan->fetch != NULL && choice->uncached > 0 ? plan->fetch->hash : 0;
 	x->fetch_tokens = choice->from_stores;
 	if (x->choose.n_prefixes == 0)
 		return;
@@ -73,7 +75,7 @@
 	struct jh_prefix_stores *stores =
 	    jh_chooser_stores(x->gateway->chooser);
 	const struct jh_choose_request *r = &x->choose;
-	uint64_t took = now - x->sent_at, late;
+	int64_t late = (int64_t)(now - x->sent_at) - (int64_t)x->expected_ttft;
 	const struct jh_prefix_store *store;
 	enum jh_prefix_verdict verdict;
 
@@ -81,7 +83,6 @@
 	if (r->n_prefixes == 0 ||
 	    r->prefix[r->n_prefixes - 1].tokens < JH_PREFIX_MIN_TOKENS)
 		return;
-	late = took - MIN(took, x->expected_ttft);
 	verdict = jh_prefix_stores_first_event(stores, now, x->fetch_store,
 	    late, x->fetch_tokens * 1000 / PREFILL_TOKENS_PER_MSEC);
 	if (verdict == JH_PREFIX_NO_CHANGE)
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -526,6 +526,9 @@
 			break;
 	if (need.cached == need.n)
 		return;
+	for (need.likely = need.n; need.likely > need.cached; need.likely--)
+		if (is_cached(c, r, v, need.likely - 1, out->worker, now))
+			break;
 	jh_prefix_stores_plan(c->stores, now, &need, &out->stores);
 	out->source = find_last_placed(r, f, v->sites[last], v->weights,
 	    out->worker, out->worker->zone, SURELY_CACHED_USEC, now);
@@ -687,7 +690,7 @@
 	}
 	if (plan->fetch != NULL && plan->fetch != plan->save && plan->is_sure &&
 	    plan->n_fetched >= last) {
-		at.worker = plan->fetch->hash;
+		at.worker = plan->fetch->hash ^ JH_PREFIX_USE;
 		jh_placements_announce(c->placed, &at);
 	}
 }
--- a/src/route/prefix_store_state.c
+++ b/src/route/prefix_store_state.c
@@ -13,20 +13,34 @@
 #define STORED_MIN_USEC (2 * JH_USEC_PER_SEC)
 #define ROOM_TRUSTED 0.8
 
-/* Spans of the sums. */
+/* Spans of the sums of transfers and of saved tokens. */
 #define LOAD_WINDOW_USEC JH_USEC_PER_SEC
 #define SAVED_WINDOW_USEC (4 * JH_USEC_PER_SEC)
 
 /*
  * First events that are later than those of other requests, by this much more
  * than the prefill that a fetch saves, show that the store does not respond.
+ * A dead source costs some hundred ms, a transfer to the other region up to
+ * 180.
  */
-#define DEAD_USEC (100 * JH_USEC_PER_MSEC)
+#define DEAD_USEC (200 * JH_USEC_PER_MSEC)
 /* Weight of a new value in a moving average. */
 #define NEW_WEIGHT 0.25
-#define LATE_MIN_SAMPLES 3
+#define LATE_MIN_SAMPLES 4
 
-/* Smaller savings are not told from the scatter of first events. */
+/*
+ * The same for transfers. One to the other region takes ten times as long as
+ * most, and the average is applied to all transfers of other processes.
+ */
+#define TRANSFER_WEIGHT (1.0 / 16)
+
+/*
+ * A store that lost its prefixes makes first events late by this part of the
+ * saving at least: engines may compute faster than expected, and part of the
+ * prefixes may be there. A wrong result has prefixes saved once more. Smaller
+ * savings are not told from the scatter of first events.
+ */
+#define SAVING_LOST 0.4
 #define SAVING_MIN_USEC (20 * JH_USEC_PER_MSEC)
 
 /* Time for which a dead store is not used; doubles up to the second. */
@@ -105,38 +119,52 @@
 	t->trusted_from = t->avoid_until;
 }
 
+/* Transfers run one after another. */
+static void
+add_backlog(struct jh_prefix_store_state *t, uint64_t now, double busy_usec)
+{
+	window_add(&t->busy, now, LOAD_WINDOW_USEC, busy_usec);
+	t->busy_until = MAX(t->busy_until, now) + (uint64_t)busy_usec;
+}
+
 void
 jh_prefix_store_moved(struct jh_prefix_store_state *t, uint64_t now,
     double busy_usec, double saved_tokens)
 {
-	window_add(&t->busy, now, LOAD_WINDOW_USEC, busy_usec);
+	add_backlog(t, now, busy_usec);
 	window_add(&t->saved, now, SAVED_WINDOW_USEC, saved_tokens);
-	t->mean_busy += NEW_WEIGHT * (busy_usec - t->mean_busy);
-	t->mean_saved += NEW_WEIGHT * (saved_tokens - t->mean_saved);
+	t->mean_busy += TRANSFER_WEIGHT * (busy_usec - t->mean_busy);
+	t->mean_saved += TRANSFER_WEIGHT * (saved_tokens - t->mean_saved);
 }
 
 void
 jh_prefix_store_heard(struct jh_prefix_store_state *t, uint64_t now)
 {
-	window_add(&t->busy, now, LOAD_WINDOW_USEC, t->mean_busy);
+	add_backlog(t, now, t->mean_busy);
 	window_add(&t->saved, now, SAVED_WINDOW_USEC, t->mean_saved);
 }
 
-double
-jh_prefix_store_busy(struct jh_prefix_store_state *t, uint64_t now)
+uint64_t
+jh_prefix_store_load(struct jh_prefix_store_state *t, uint64_t now)
+{
+	return (uint64_t)window_sum(&t->busy, now, LOAD_WINDOW_USEC);
+}
+
+uint64_t
+jh_prefix_store_backlog(const struct jh_prefix_store_state *t, uint64_t now)
 {
-	return window_sum(&t->busy, now, LOAD_WINDOW_USEC);
+	return t->busy_until - MIN(t->busy_until, now);
 }
 
 void
-jh_prefix_store_other_late(struct jh_prefix_store_state *t, uint64_t late_usec)
+jh_prefix_store_other_late(struct jh_prefix_store_state *t, int64_t late_usec)
 {
 	t->others_late += NEW_WEIGHT * ((double)late_usec - t->others_late);
 }
 
 enum jh_prefix_verdict
 jh_prefix_store_late(struct jh_prefix_store_state *t, uint64_t now,
-    uint64_t late_usec, uint64_t saved_usec)
+    int64_t late_usec, uint64_t saved_usec)
 {
 	double excess;
 
@@ -155,9 +183,8 @@
 		avoid(t, now);
 		return JH_PREFIX_STORE_AVOIDED;
 	}
-	/* Half of the saving: part of the prefixes may be there. */
 	if (t->expected_saving > (double)SAVING_MIN_USEC &&
-	    excess > t->expected_saving / 2) {
+	    excess > t->expected_saving * SAVING_LOST) {
 		t->samples = 0;
 		t->trusted_from = now;
 		return JH_PREFIX_STORE_EMPTY;
--- a/src/route/prefix_store_state.h
+++ b/src/route/prefix_store_state.h
@@ -9,7 +9,7 @@
  */
 
 /* A prefix that was used longer ago is not taken to be in any store. */
-#define JH_PREFIX_STORED_USEC 20000000ULL
+#define JH_PREFIX_STORED_USEC 60000000ULL
 
 enum jh_prefix_distance {
 	JH_PREFIX_SAME_ZONE,
@@ -25,8 +25,8 @@
 
 struct jh_prefix_store_state {
 	struct jh_prefix_store spec;
-	struct jh_prefix_window
-	    busy; /* time its link is in use, microseconds */
+	uint64_t busy_until; /* its link, by the transfers known */
+	struct jh_prefix_window busy; /* time of transfers, microseconds */
 	struct jh_prefix_window saved; /* tokens */
 	/* Moving averages of a transfer of this process, for those of others.
 	 */
@@ -49,16 +49,19 @@
     double busy_usec, double saved_tokens);
 /* Another process announced a transfer, which counts as an average one. */
 void jh_prefix_store_heard(struct jh_prefix_store_state *t, uint64_t now);
-/* Time for which its link was in use within the last second. */
-double jh_prefix_store_busy(struct jh_prefix_store_state *t, uint64_t now);
+/* Time that its link takes for the transfers of the last second. */
+uint64_t jh_prefix_store_load(struct jh_prefix_store_state *t, uint64_t now);
+/* Time until its link has ended the transfers that are known. */
+uint64_t jh_prefix_store_backlog(
+    const struct jh_prefix_store_state *t, uint64_t now);
 /* Time after its last use for which a prefix is taken to be in the store. */
 uint64_t jh_prefix_store_kept_usec(
     struct jh_prefix_store_state *t, uint64_t now);
 /* A first event was late that had nothing to do with this store. */
 void jh_prefix_store_other_late(
-    struct jh_prefix_store_state *t, uint64_t late_usec);
+    struct jh_prefix_store_state *t, int64_t late_usec);
 /* One after a fetch from it; see jh_prefix_stores_first_event(). */
 enum jh_prefix_verdict jh_prefix_store_late(struct jh_prefix_store_state *t,
-    uint64_t now, uint64_t late_usec, uint64_t saved_usec);
+    uint64_t now, int64_t late_usec, uint64_t saved_usec);
 
 #endif
--- a/src/route/prefix_stores.c
+++ b/src/route/prefix_stores.c
@@ -22,11 +22,16 @@
 #define REGION_WORTH 2
 
 /*
- * Share of a store's link that transfers may take, in microseconds a second;
- * those to the other region take ten times as long, and may take less of it.
+ * Transfers are started while the link's backlog is below this and its load in
+ * the last second below a limit, in microseconds. Announcements are some 0.2 s
+ * old, so the backlog alone would be exceeded by all processes at once. Fetches
+ * come first, then saves; transfers to the other region, which take ten times
+ * as long, and saves of what may be there are the least urgent.
  */
-#define LINK_LIMIT_USEC (800 * JH_USEC_PER_MSEC)
-#define REGION_LINK_LIMIT_USEC (400 * JH_USEC_PER_MSEC)
+#define BACKLOG_USEC (100 * JH_USEC_PER_MSEC)
+#define FETCH_LOAD_USEC (800 * JH_USEC_PER_MSEC)
+#define SAVE_LOAD_USEC (500 * JH_USEC_PER_MSEC)
+#define LOW_LOAD_USEC (250 * JH_USEC_PER_MSEC)
 
 /*
  * A prefix that is fetched is saved as well once in so many fetches, in case
@@ -34,6 +39,9 @@
  */
 #define SAVE_AGAIN_FETCHES 8
 
+/* Time in which all processes notice that a store has lost its prefixes. */
+#define DISTRUST_USEC (10 * JH_USEC_PER_SEC)
+
 struct jh_prefix_stores {
 	GHashTable *regions;
 	struct jh_prefix_store_state store[JH_PREFIX_MAX_STORES];
@@ -188,26 +196,33 @@
 	return n;
 }
 
-/* The store and its number of prefixes as a plan, without a save. */
+/* A store that the first prefixes can be fetched from. */
 struct candidate {
 	struct jh_prefix_store_state *store;
-	size_t level;
+	size_t level; /* number of prefixes */
 	enum presence presence;
 	enum jh_prefix_distance distance;
-	uint64_t usec, bytes;
+	uint64_t usec; /* duration if the worker has nothing likely */
+	uint64_t bytes; /* expected */
 };
 
+static bool
+has_room(struct jh_prefix_store_state *t, uint64_t now, uint64_t load_limit)
+{
+	return jh_prefix_store_backlog(t, now) <= BACKLOG_USEC &&
+	       jh_prefix_store_load(t, now) <= load_limit;
+}
+
 static bool
 can_fetch(
     const struct jh_prefix_need *need, uint64_t now, const struct candidate *a)
 {
-	double busy = jh_prefix_store_busy(a->store, now);
 	uint64_t tokens = tokens_between(need, need->cached, a->level);
 	uint64_t limit = a->distance == JH_PREFIX_OTHER_REGION
-			     ? REGION_LINK_LIMIT_USEC
-			     : LINK_LIMIT_USEC;
+			     ? LOW_LOAD_USEC
+			     : FETCH_LOAD_USEC;
 
-	if (busy + (double)a->usec > (double)limit)
+	if (!has_room(a->store, now, limit))
 		return false;
 	return a->distance != JH_PREFIX_OTHER_REGION ||
 	       (a->presence == PRESENT &&
@@ -250,9 +265,10 @@
 			continue;
 		a.distance = distance(s, need->zone, a.store);
 		a.bytes =
-		    bytes_of(need, tokens_between(need, need->cached, a.level));
-		a.usec =
-		    jh_prefix_store_transfer_usec(a.store, a.bytes, a.distance);
+		    bytes_of(need, tokens_between(need, need->likely, a.level));
+		a.usec = jh_prefix_store_transfer_usec(a.store,
+		    bytes_of(need, tokens_between(need, need->cached, a.level)),
+		    a.distance);
 		if (can_fetch(need, now, &a) && is_better(&a, &best))
 			best = a;
 	}
@@ -265,7 +281,7 @@
     const struct jh_prefix_need *need, uint64_t key)
 {
 	struct jh_prefix_store_state *best = NULL;
-	uint64_t best_score = 0;
+	uint64_t best_score = 0, limit;
 	size_t i;
 
 	for (i = 0; i < s->n; i++) {
@@ -282,8 +298,11 @@
 			best_score = score;
 		}
 	}
-	if (best != NULL &&
-	    jh_prefix_store_busy(best, now) > (double)LINK_LIMIT_USEC)
+	if (best == NULL)
+		return NULL;
+	limit = presence(s, best, now, key) == ABSENT ? SAVE_LOAD_USEC
+						      : LOW_LOAD_USEC;
+	if (!has_room(best, now, limit))
 		return NULL;
 	return best;
 }
@@ -292,7 +311,7 @@
 jh_prefix_stores_plan(struct jh_prefix_stores *s, uint64_t now,
     const struct jh_prefix_need *need, struct jh_prefix_plan *out)
 {
-	size_t n = count_stored(need);
+	size_t n = count_stored(need), stored;
 	struct candidate from;
 	struct jh_prefix_store_state *to;
 
@@ -310,11 +329,19 @@
 	to = find_save(s, now, need, need->key[n - 1]);
 	if (from.store != NULL && from.distance != JH_PREFIX_OTHER_REGION &&
 	    from.level == n &&
-	    from.store->fetches % SAVE_AGAIN_FETCHES == SAVE_AGAIN_FETCHES - 1)
+	    ++from.store->fetches % SAVE_AGAIN_FETCHES == 0 &&
+	    has_room(from.store, now, LOW_LOAD_USEC))
 		to = from.store;
 	if (to != NULL) {
 		out->save = &to->spec;
-		out->save_bytes = bytes_of(need, tokens_between(need, 0, n));
+		for (stored = n; stored > 0; stored--)
+			if (presence(s, to, now, need->key[stored - 1]) ==
+			    PRESENT)
+				break;
+		out->save_tokens = tokens_between(need, stored, n);
+		/* The longest prefix may be sent although it is stored. */
+		out->save_bytes =
+		    bytes_of(need, tokens_between(need, MIN(stored, n - 1), n));
 	}
 }
 
@@ -345,23 +372,13 @@
 jh_prefix_stores_sent(struct jh_prefix_stores *s, uint64_t now,
     const struct jh_prefix_need *need, const struct jh_prefix_plan *plan)
 {
-	size_t n = count_stored(need), stored;
-
-	/* Saved first: a later use would hide that the store lacked it. */
-	if (plan->save != NULL) {
-		for (stored = n; stored > 0; stored--)
-			if (presence(s, find_store(s, plan->save->hash), now,
-				need->key[stored - 1]) == PRESENT)
-				break;
-		add_transfer(s, now, need, plan->save->hash, n,
-		    plan->save_bytes, tokens_between(need, stored, n));
-	}
+	if (plan->save != NULL)
+		add_transfer(s, now, need, plan->save->hash, count_stored(need),
+		    plan->save_bytes, plan->save_tokens);
 	/* The use of a prefix that may be gone does not make it present. */
-	if (plan->fetch == NULL)
-		return;
-	add_transfer(s, now, need, plan->fetch->hash,
-	    plan->is_sure ? plan->n_fetched : 0, plan->fetch_bytes, 0);
-	find_store(s, plan->fetch->hash)->fetches++;
+	if (plan->fetch != NULL)
+		add_transfer(s, now, need, plan->fetch->hash,
+		    plan->is_sure ? plan->n_fetched : 0, plan->fetch_bytes, 0);
 }
 
 bool
@@ -369,17 +386,28 @@
     struct jh_prefix_stores *s, uint64_t now, const struct jh_placement *at)
 {
 	struct jh_prefix_store_state *t = find_store(s, at->worker);
+	bool is_use = t == NULL;
+	struct jh_placement stored;
 
+	if (is_use)
+		t = find_store(s, at->worker ^ JH_PREFIX_USE);
 	if (t == NULL)
 		return false;
-	jh_placements_add(s->stored, now, at);
 	jh_prefix_store_heard(t, now);
+	stored = (struct jh_placement){at->key, t->spec.hash};
+	/*
+	 * A process that does not know yet that the store has lost its prefixes
+	 * still uses them.
+	 */
+	if (!is_use || presence(s, t, now, at->key) == PRESENT ||
+	    now - MIN(now, t->trusted_from) > DISTRUST_USEC)
+		jh_placements_add(s->stored, now, &stored);
 	return true;
 }
 
 enum jh_prefix_verdict
 jh_prefix_stores_first_event(struct jh_prefix_stores *s, uint64_t now,
-    uint64_t hash, uint64_t late_usec, uint64_t saved_usec)
+    uint64_t hash, int64_t late_usec, uint64_t saved_usec)
 {
 	struct jh_prefix_store_state *t = find_store(s, hash);
 	size_t i;
--- a/src/route/prefix_stores.h
+++ b/src/route/prefix_stores.h
@@ -18,6 +18,12 @@
  */
 struct jh_prefix_stores;
 
+/*
+ * A placement with this bit of the store's hash inverted announces a fetch, one
+ * without it a save.
+ */
+#define JH_PREFIX_USE 1U
+
 /* Stores that are used; more are ignored. */
 #define JH_PREFIX_MAX_STORES 8
 
@@ -41,6 +47,7 @@
 	const uint32_t *tokens; /* beyond those of the previous prefix */
 	size_t n; /* number of prefixes */
 	size_t cached; /* of these, the first ones that the worker surely has */
+	size_t likely; /* the first ones that it is taken to have; >= cached */
 	uint64_t token_bytes; /* memory of a token; 0: not known */
 };
 
@@ -50,8 +57,9 @@
 	size_t n_fetched; /* prefixes that the fetch store has */
 	/* Whether it still has them; if not, it may have evicted them. */
 	bool is_sure;
-	uint64_t fetch_usec; /* duration of the transfer */
-	uint64_t fetch_bytes, save_bytes; /* at most */
+	uint64_t fetch_usec; /* duration if the worker has nothing likely */
+	uint64_t fetch_bytes, save_bytes; /* expected to be moved */
+	uint64_t save_tokens; /* that the store is taken to lack */
 };
 
 /* What the time to a first event tells about the store fetched from. */
@@ -87,11 +95,12 @@
 bool jh_prefix_stores_heard(
     struct jh_prefix_stores *s, uint64_t now, const struct jh_placement *at);
 /*
- * A first event came late_usec after it was expected. hash is that of the
+ * A first event came late_usec after it was expected, or before that if it is
+ * less than 0. hash is that of the
  * store fetched from, or 0 for none; saved_usec is the prefill time that the
  * fetch was expected to save.
  */
 enum jh_prefix_verdict jh_prefix_stores_first_event(struct jh_prefix_stores *s,
-    uint64_t now, uint64_t hash, uint64_t late_usec, uint64_t saved_usec);
+    uint64_t now, uint64_t hash, int64_t late_usec, uint64_t saved_usec);
 
 #endif
