Route: avoid a dead prefix store after two late first events

Each router finds a dead store by itself, and each fetch from it costs some hundred ms. Two late first events are now enough, and one if the store was avoided the last time.

test_prefix_stores: 10 tests pass.

--- a/src/route/prefix_store_state.c
+++ b/src/route/prefix_store_state.c
@@ -27,6 +27,8 @@
 /* Weight of a new value in a moving average. */
 #define NEW_WEIGHT 0.25
 #define LATE_MIN_SAMPLES 4
+/* To avoid a store; one is enough if it was avoided last time. */
+#define DEAD_MIN_SAMPLES 2U
 
 /*
  * The same for transfers. One to the other region takes ten times as long as
@@ -167,6 +169,7 @@
     int64_t late_usec, uint64_t saved_usec)
 {
 	double excess;
+	bool dead;
 
 	if (now < t->avoid_until)
 		return JH_PREFIX_NO_CHANGE;
@@ -176,13 +179,14 @@
 	t->expected_saving += ((double)saved_usec - t->expected_saving) *
 			      MAX(NEW_WEIGHT, 1.0 / t->samples);
 	excess = t->late - t->others_late;
-	if (t->samples < LATE_MIN_SAMPLES)
-		return JH_PREFIX_NO_CHANGE;
-	if (excess > t->expected_saving + (double)DEAD_USEC) {
+	dead = excess > t->expected_saving + (double)DEAD_USEC;
+	if (dead && t->samples >= (t->avoid_usec != 0 ? 1 : DEAD_MIN_SAMPLES)) {
 		t->samples = 0;
 		avoid(t, now);
 		return JH_PREFIX_STORE_AVOIDED;
 	}
+	if (t->samples < LATE_MIN_SAMPLES)
+		return JH_PREFIX_NO_CHANGE;
 	if (t->expected_saving > (double)SAVING_MIN_USEC &&
 	    excess > t->expected_saving * SAVING_LOST) {
 		t->samples = 0;
