--- a/src/route/prefix_stores.c
+++ b/src/route/prefix_stores.c
@@ -5,9 +5,8 @@
 
 #include "route/prefix_store_state.h"
 
-/* Taken for a deployment that does not state them; those in use have these. */
+/* Taken if the configuration does not state them; the lowest in use. */
 #define DEFAULT_LINK_MBPS 270000
-#define DEFAULT_TOKEN_BYTES 163840
 #define DEFAULT_ROOM_TOKENS 1850000
 
 /* Round trip between the regions, which a fetch takes in addition. */
@@ -153,13 +152,6 @@
 	return JH_PREFIX_OTHER_REGION;
 }
 
-static uint64_t
-bytes_of(const struct jh_prefix_need *need, uint64_t tokens)
-{
-	return tokens * (need->token_bytes != 0 ? need->token_bytes
-						: DEFAULT_TOKEN_BYTES);
-}
-
 static enum presence
 presence(const struct jh_prefix_stores *s, struct jh_prefix_store_state *t,
     uint64_t now, uint64_t key)
@@ -175,27 +167,6 @@
 	return PRESENT;
 }
 
-static uint64_t
-tokens_between(const struct jh_prefix_need *need, size_t from, size_t to)
-{
-	uint64_t sum = 0;
-
-	for (; from < to; from++)
-		sum += need->tokens[from];
-	return sum;
-}
-
-/* Prefixes of the prompt that are large enough for a store. */
-static size_t
-count_stored(const struct jh_prefix_need *need)
-{
-	size_t n = need->n;
-
-	while (n > 0 && need->tokens[n - 1] < JH_PREFIX_MIN_TOKENS)
-		n--;
-	return n;
-}
-
 /* A store that the first prefixes can be fetched from. */
 struct candidate {
 	struct jh_prefix_store_state *store;
@@ -217,7 +188,7 @@
 can_fetch(
     const struct jh_prefix_need *need, uint64_t now, const struct candidate *a)
 {
-	uint64_t tokens = tokens_between(need, need->cached, a->level);
+	uint64_t tokens = jh_prefix_need_tokens(need, need->cached, a->level);
 	uint64_t limit = a->distance == JH_PREFIX_OTHER_REGION
 			     ? LOW_LOAD_USEC
 			     : FETCH_LOAD_USEC;
@@ -264,10 +235,11 @@
 		if (a.level <= need->cached)
 			continue;
 		a.distance = distance(s, need->zone, a.store);
-		a.bytes =
-		    bytes_of(need, tokens_between(need, need->likely, a.level));
+		a.bytes = jh_prefix_need_bytes(
+		    need, jh_prefix_need_tokens(need, need->likely, a.level));
 		a.usec = jh_prefix_store_transfer_usec(a.store,
-		    bytes_of(need, tokens_between(need, need->cached, a.level)),
+		    jh_prefix_need_bytes(need,
+			jh_prefix_need_tokens(need, need->cached, a.level)),
 		    a.distance);
 		if (can_fetch(need, now, &a) && is_better(&a, &best))
 			best = a;
@@ -311,7 +283,7 @@
 jh_prefix_stores_plan(struct jh_prefix_stores *s, uint64_t now,
     const struct jh_prefix_need *need, struct jh_prefix_plan *out)
 {
-	size_t n = count_stored(need), stored;
+	size_t n = jh_prefix_need_stored(need), stored;
 	struct candidate from;
 	struct jh_prefix_store_state *to;
 
@@ -338,10 +310,10 @@
 			if (presence(s, to, now, need->key[stored - 1]) ==
 			    PRESENT)
 				break;
-		out->save_tokens = tokens_between(need, stored, n);
+		out->save_tokens = jh_prefix_need_tokens(need, stored, n);
 		/* The longest prefix may be sent although it is stored. */
-		out->save_bytes =
-		    bytes_of(need, tokens_between(need, MIN(stored, n - 1), n));
+		out->save_bytes = jh_prefix_need_bytes(
+		    need, jh_prefix_need_tokens(need, MIN(stored, n - 1), n));
 	}
 }
 
@@ -373,8 +345,9 @@
     const struct jh_prefix_need *need, const struct jh_prefix_plan *plan)
 {
 	if (plan->save != NULL)
-		add_transfer(s, now, need, plan->save->hash, count_stored(need),
-		    plan->save_bytes, plan->save_tokens);
+		add_transfer(s, now, need, plan->save->hash,
+		    jh_prefix_need_stored(need), plan->save_bytes,
+		    plan->save_tokens);
 	/* The use of a prefix that may be gone does not make it present. */
 	if (plan->fetch != NULL)
 		add_transfer(s, now, need, plan->fetch->hash,
--- a/src/route/prefix_stores.h
+++ b/src/route/prefix_stores.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 
 #include "route/placements.h"
+#include "route/prefix_need.h"
 
 /*
  * Which prefix stores hold which prompt prefixes, and which store a worker
@@ -27,9 +28,6 @@
 /* Stores that are used; more are ignored. */
 #define JH_PREFIX_MAX_STORES 8
 
-/* Shorter parts of a prompt are neither saved nor announced. */
-#define JH_PREFIX_MIN_TOKENS 1000
-
 /* A store as it is configured; strings are copied when it is taken in. */
 struct jh_prefix_store {
 	uint64_t hash; /* of the name */
@@ -40,17 +38,6 @@
 	uint64_t room; /* tokens; 0: not known */
 };
 
-/* The shared prefixes of a prompt that is sent to a worker. */
-struct jh_prefix_need {
-	const char *zone; /* of the worker */
-	const uint64_t *key; /* of each prefix and of the weights */
-	const uint32_t *tokens; /* beyond those of the previous prefix */
-	size_t n; /* number of prefixes */
-	size_t cached; /* of these, the first ones that the worker surely has */
-	size_t likely; /* the first ones that it is taken to have; >= cached */
-	uint64_t token_bytes; /* memory of a token; 0: not known */
-};
-
 struct jh_prefix_plan {
 	const struct jh_prefix_store *fetch; /* NULL: none */
 	const struct jh_prefix_store *save; /* NULL: none */
--- a/test/test_prefix_stores.c
+++ b/test/test_prefix_stores.c
@@ -8,6 +8,7 @@
 
 #include <jacinthhill/clock.h>
 
+#include "gateway/gateway.h"
 #include "route/prefix_stores.h"
 
 #define MSEC JH_USEC_PER_MSEC
@@ -320,6 +321,35 @@
 	assert_false(jh_prefix_stores_heard(f->stores, START, &at));
 }
 
+/* Guards against new decisions without several stores and the setting. */
+static void
+several_stores_are_used_if_set(void **state)
+{
+	struct jh_choose_topology topology = {
+	    "z0", ((struct fixture *)*state)->regions};
+	struct jh_gateway gw = {.chooser = jh_chooser_create(&topology)};
+	struct jh_prefix_stores *stores = jh_chooser_stores(gw.chooser);
+	char name[8];
+	int i, j;
+
+	for (i = 1; i <= 3; i++) {
+		gw.routes = jh_route_table_create(1);
+		for (j = 0; j < i; j++) {
+			g_snprintf(name, sizeof(name), "s%d", j);
+			jh_route_table_add_service(gw.routes, name)
+			    ->is_cache_store = true;
+		}
+		gw.all_prefix_stores = false;
+		jh_gateway_update_prefix_stores(&gw);
+		assert_int_equal(jh_prefix_stores_count(stores), 0);
+		gw.all_prefix_stores = true;
+		jh_gateway_update_prefix_stores(&gw);
+		assert_int_equal(jh_prefix_stores_count(stores), i > 1 ? i : 0);
+		jh_route_table_unref(gw.routes);
+	}
+	jh_chooser_destroy(gw.chooser);
+}
+
 #define TEST(f) \
 	cmocka_unit_test_setup_teardown(f, fixture_setup, fixture_teardown)
 
@@ -337,6 +367,7 @@
 	    TEST(restarted_store_is_saved_to_again),
 	    TEST(use_by_others_does_not_restore_trust),
 	    TEST(configuration_may_change),
+	    TEST(several_stores_are_used_if_set),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
