Test: a stopping router exits by itself in every state

No test covered the states that can hold a process.

test_platform_stop sends SIGTERM during streams that do not end, with clients that do not read or have not sent their whole bodies, while the store does not respond, without a configuration, during a change of weights, and in several of these at once, and expects the exit within grace_s = 3.

--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -2,6 +2,7 @@
 #define FAKES_PLATFORM_WORKER_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include <uv.h>
@@ -60,6 +61,9 @@
 	unsigned int work_msec; /* before a response or the first event */
 	unsigned int begin_msec; /* from a stream's head to the first event */
 	unsigned int event_msec; /* between events; 0: none */
+	size_t
+	    padding; /* bytes after the body of a response that is no stream */
+	unsigned int load_msec; /* to load weights; 0: a default of 100 */
 	/*
 	 * A request that has the prompt part with this ID, but not as its last
 	 * one, crashes the worker: the head of its response is sent, and the
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -84,7 +84,8 @@
 send_response(struct fake_run *r)
 {
 	struct jh_str fields = {r->fields->str, r->fields->len};
-	char *body = g_strconcat("done ", r->id, NULL);
+	char *padding = g_strnfill(r->worker->spec.padding, 'x');
+	char *body = g_strconcat("done ", r->id, padding, NULL);
 
 	switch (r->mode) {
 	case WORKER_RESETS:
@@ -109,6 +110,7 @@
 		    r->request, 200, "OK", fields, jh_str_from(body));
 		break;
 	}
+	g_free(padding);
 	g_free(body);
 }
 
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -111,8 +111,10 @@
 	char *name = g_strdup_printf("e%u", number + 1);
 	char *file = g_strdup_printf("%s/%s.yaml", p->dir, name);
 	char **argv = g_new0(char *, 3); /* owned by struct proc */
-	struct fake_router_settings settings = {
-	    .name = name, .store = p->store_port, .grace_sec = 6};
+	struct fake_router_settings settings = {.name = name,
+	    .store = p->store_port,
+	    .grace_sec = p->spec.grace_sec != 0 ? p->spec.grace_sec
+						: PLATFORM_GRACE_SEC};
 
 	argv[0] = program;
 	argv[1] = file;
@@ -293,6 +295,12 @@
 	    p->objects, status == 0 ? OBJECTS_SERVE : OBJECTS_REFUSE, status);
 }
 
+void
+platform_silence_store(struct platform *p)
+{
+	fake_objects_set_mode(p->objects, OBJECTS_SILENT, 0);
+}
+
 void
 platform_put(
     struct platform *p, const char *kind, const char *name, json_t *spec)
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -21,11 +21,13 @@
 	unsigned int routers; /* named e1, e2 and so on */
 	unsigned int workers;
 	bool plain; /* the service has no model */
+	unsigned int grace_sec; /* of the routers; 0: PLATFORM_GRACE_SEC */
 	/* Behaviour of each worker; the rest of the members is ignored. */
 	struct fake_worker_spec worker;
 };
 
 #define PLATFORM_WORKERS 3
+#define PLATFORM_GRACE_SEC 6
 
 /*
  * Starts all of it and waits until the routers are ready. The routes are
@@ -53,6 +55,8 @@
 void platform_crash_workers(struct platform *p);
 /* The store responds to every call with this status; 0: normally. */
 void platform_set_store_status(struct platform *p, unsigned int status);
+/* The store does not respond to any call from now on. */
+void platform_silence_store(struct platform *p);
 /* Writes or removes an object. platform_put() takes over the reference. */
 void platform_put(
     struct platform *p, const char *kind, const char *name, json_t *spec);
