--- a/soak/checker.c
+++ b/soak/checker.c
@@ -23,6 +23,7 @@
  * has read what had arrived before, also over a proxy.
  */
 #define READ_TICKS 3
+#define STATUS_OVER_QUOTA 429
 /* Violations beyond this number are counted but not recorded. */
 #define MAX_VIOLATIONS 50
 
@@ -74,6 +75,8 @@
 	struct worker_state *workers;
 	struct soak_part_checker *parts;
 	struct soak_limit_checker *limits;
+	struct soak_quota_checker *quotas;
+	bool has_quotas;
 	struct soak_notice_checker *notices;
 	uint64_t store_disturbed;
 	uint64_t any_disturbed; /* end of the last fault anywhere */
@@ -117,6 +120,7 @@
 	    b->workers, b->routers, b->connected_after);
 	ck->notices =
 	    soak_notice_checker_create(b->workers, b->routers, b->drain);
+	ck->quotas = soak_quota_checker_create(b->routers, b->connected_after);
 	ck->violations = g_ptr_array_new_with_free_func(g_free);
 	return ck;
 }
@@ -131,6 +135,7 @@
 	soak_part_checker_destroy(ck->parts);
 	soak_limit_checker_destroy(ck->limits);
 	soak_notice_checker_destroy(ck->notices);
+	soak_quota_checker_destroy(ck->quotas);
 	g_hash_table_destroy(ck->records);
 	g_hash_table_destroy(ck->holders);
 	g_ptr_array_free(ck->order, TRUE);
@@ -259,6 +264,16 @@
 	}
 }
 
+static void
+note_routers_in_touch(struct soak_checker *ck, uint64_t now)
+{
+	unsigned int i;
+
+	for (i = 0; ck->has_quotas && i < ck->bounds.routers; i++)
+		if (is_in_touch(ck, i, now))
+			soak_quota_checker_in_touch(ck->quotas, now, i);
+}
+
 void
 soak_checker_tick(struct soak_checker *ck, uint64_t now)
 {
@@ -267,6 +282,7 @@
 
 	ck->stalled = stalled_until(ck, now);
 	ck->ticked = now;
+	note_routers_in_touch(ck, now);
 	while (i < ck->overlaps->len) {
 		o = &g_array_index(ck->overlaps, struct overlap, i);
 		if (--o->ticks > 0) {
@@ -289,6 +305,7 @@
 	rec->stalled = stalled_until(ck, r->sent);
 	if (r->crashes_workers)
 		soak_part_checker_sent(ck->parts, r);
+	soak_quota_checker_asked(ck->quotas, r->sent, r->org, r->cost);
 	g_hash_table_insert(ck->records, rec->request.id, rec);
 	g_ptr_array_add(ck->order, rec);
 	ck->totals.sent++;
@@ -310,7 +327,8 @@
 static bool
 states_not_executed(unsigned int status)
 {
-	return status == 429 || status == 503 || status == 408 || status == 421;
+	return status == STATUS_OVER_QUOTA || status == 503 || status == 408 ||
+	       status == 421;
 }
 
 /* The complete body; a stream has the events 1 to n, each once. */
@@ -412,6 +430,23 @@
 	    ck->parts, r, began, rec->calm && is_calm(ck, now));
 }
 
+/* A router that has just started or run again knows no others' use. */
+static void
+check_quota_refusal(
+    struct soak_checker *ck, uint64_t now, const struct record *rec)
+{
+	unsigned int router = rec->request.router;
+
+	if (!ck->has_quotas || rec->status != STATUS_OVER_QUOTA ||
+	    ck->routers[router].interrupted + ck->bounds.connected_after >= now)
+		return;
+	if (soak_quota_checker_refused(
+		ck->quotas, now, rec->request.org, is_calm(ck, now)))
+		soak_checker_add_violation(ck, now, "QUOTA",
+		    "request %s of %s below its quota got %u from entry %u",
+		    rec->request.id, rec->request.org, rec->status, router);
+}
+
 /*
  * Whether a request without a complete answer is lost: a healthy worker had it,
  * or it was sent so long ago that it cannot have crossed the router's close.
@@ -476,6 +511,7 @@
 			ck->totals.served++;
 	} else {
 		check_failure(ck, now, rec, a);
+		check_quota_refusal(ck, now, rec);
 		if (states_not_executed(a->status))
 			ck->totals.refused++;
 		else
@@ -603,6 +639,42 @@
 	    rec->request.id, worker, (double)(now - w->draining) / 1e3);
 }
 
+/* Until then the worker's link was disturbed, or data that it delayed arrives.
+ */
+static uint64_t
+link_disturbed(const struct soak_checker *ck, unsigned int worker)
+{
+	uint64_t until = ck->workers[worker].disturbed;
+
+	return until == 0 ? 0
+			  : until + (uint64_t)(SOAK_MAX_DELAY_SEC *
+					       (double)JH_USEC_PER_SEC);
+}
+
+/*
+ * Adds a request that runs for the first time to the use of its organisation.
+ * A disturbed link may have delayed it since its router admitted it, soon after
+ * it was sent unless something disturbed the router too.
+ */
+static void
+check_quota(struct soak_checker *ck, uint64_t now, const struct record *rec,
+    unsigned int worker)
+{
+	const struct soak_request *r = &rec->request;
+	bool delayed = link_disturbed(ck, worker) >= r->sent;
+	double allowed, ran;
+
+	if (!ck->has_quotas || rec->executions > 0 ||
+	    (delayed && ck->routers[r->router].disturbed >= r->sent))
+		return;
+	ran = soak_quota_checker_ran(ck->quotas, delayed ? r->sent : now,
+	    r->org, r->cost, stalled_until(ck, now), &allowed);
+	if (ran > 0)
+		soak_checker_add_violation(ck, now, "QUOTA",
+		    "workers ran %.0f of %s, %.0f are allowed", ran, r->org,
+		    allowed);
+}
+
 void
 soak_checker_execution_started(struct soak_checker *ck, uint64_t now,
     const struct soak_execution *execution)
@@ -631,6 +703,7 @@
 	    worker_undisturbed(ck, rec->worker, now) &&
 	    soak_checker_router_undisturbed(ck, rec->request.router, now))
 		check_overlap(ck, now, rec);
+	check_quota(ck, now, rec, execution->worker);
 	rec->executions++;
 	rec->worker = execution->worker;
 	rec->faulty = rec->faulty || execution->faulty;
@@ -639,18 +712,6 @@
 	rec->ended = 0;
 }
 
-/* Until then the worker's link was disturbed, or data that it delayed arrives.
- */
-static uint64_t
-link_disturbed(const struct soak_checker *ck, unsigned int worker)
-{
-	uint64_t until = ck->workers[worker].disturbed;
-
-	return until == 0 ? 0
-			  : until + (uint64_t)(SOAK_MAX_DELAY_SEC *
-					       (double)JH_USEC_PER_SEC);
-}
-
 /* Checks a request that reached a worker against what the worker has said. */
 static void
 check_notices(struct soak_checker *ck, uint64_t now, unsigned int worker,
@@ -779,6 +840,14 @@
 	w->holder = g_strdup(holder);
 }
 
+void
+soak_checker_quota(
+    struct soak_checker *ck, uint64_t now, const struct soak_quota *q)
+{
+	ck->has_quotas = true;
+	soak_quota_checker_set(ck->quotas, now, q);
+}
+
 void
 soak_checker_config_changed(struct soak_checker *ck, uint64_t now)
 {
@@ -868,6 +937,14 @@
 	return ck->totals;
 }
 
+/* Such refusals are judged by check_quota_refusal(). */
+static bool
+is_over_quota(const struct soak_checker *ck, const struct record *rec)
+{
+	return rec->status == STATUS_OVER_QUOTA &&
+	       soak_quota_checker_has(ck->quotas, rec->request.org);
+}
+
 double
 soak_checker_success_ratio(const struct soak_checker *ck, uint64_t t)
 {
@@ -879,7 +956,7 @@
 		if (rec->request.sent < t ||
 		    rec->request.permission != SOAK_ALLOWED ||
 		    rec->request.crashes_workers || rec->outcome == ABANDONED ||
-		    rec->outcome == WAITING)
+		    rec->outcome == WAITING || is_over_quota(ck, rec))
 			continue;
 		n++;
 		if (rec->outcome == RESPONDED && rec->status < 300)
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -9,6 +9,8 @@
 #include <jacinthhill/clock.h>
 #include <jacinthhill/str.h>
 
+#include "soak/quota_checker.h"
+
 /*
  * Records what clients sent and received and what workers executed, and detects
  * violations of the service's guarantees during the soak test. It does no I/O
@@ -41,6 +43,7 @@
 	const char *method;
 	const char *org; /* organisation of its key; "" without a key */
 	const char *model; /* "" for none */
+	double cost; /* in the unit of the organisation's quota */
 	char *first_part; /* id, of its prompt; NULL: none; owned */
 	char *parts; /* "id:tokens,...", of its prompt; NULL: none; owned */
 	bool crashes_workers; /* its prompt has the part that does */
@@ -116,6 +119,9 @@
 /* A worker accepted holder's order, with this token, to load weights. */
 void soak_checker_load_order(struct soak_checker *ck, uint64_t now,
     unsigned int worker, const char *holder, uint64_t token);
+/* The store has this quota from now on; quotas are checked since then. */
+void soak_checker_quota(
+    struct soak_checker *ck, uint64_t now, const struct soak_quota *q);
 /* A configuration that allows other requests was published. */
 void soak_checker_config_changed(struct soak_checker *ck, uint64_t now);
 /* The store knows since then that the worker drains; 0: it is back. */
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "soak/checker.h"
@@ -25,9 +26,25 @@
 
 /*
  * Returns a new reference to the configuration of that version, with so many
- * unused routes more.
+ * unused routes more. n_quotas: organisations with quotas of the array.
  */
-json_t *soak_config_create(unsigned int version, unsigned int more_routes);
+json_t *soak_config_create(unsigned int version, unsigned int more_routes,
+    const struct soak_quota *quotas, unsigned int n_quotas);
+
+/*
+ * Organisations with quotas, which exist only with --quotas. q1 counts the
+ * tokens of streams, q2 those of calls that do not state theirs, and both ask
+ * for too much in a part of the time; q3 counts requests and never does. Once
+ * lowered, q1 has half of its quota.
+ */
+#define SOAK_QUOTAS 3
+void soak_quotas_get(bool lowered, struct soak_quota out[SOAK_QUOTAS]);
+
+/* Prompt and output tokens of the soak's streams without and with a quota. */
+#define SOAK_PROMPT_TOKENS 700
+#define SOAK_OUTPUT_TOKENS 20
+/* Cost of a call that states no tokens (uncachedTokens). */
+#define SOAK_CALL_TOKENS 200
 
 /* The kind of request that a client sends. */
 struct soak_template {
@@ -43,5 +60,13 @@
 
 /* Chooses one at random, by weight. */
 struct soak_template soak_template_draw(GRand *rand);
+/*
+ * The same of an organisation with a quota, or returns false if the next
+ * request is of another one. since_start: microseconds.
+ */
+bool soak_quota_template_draw(
+    GRand *rand, uint64_t since_start, struct soak_template *out);
+/* Prompt tokens of a stream of q1: SOAK_PROMPT_TOKENS in the mean. */
+unsigned int soak_prompt_tokens_draw(GRand *rand);
 
 #endif
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -397,8 +397,13 @@
 void
 soak_publish_config(struct soak_fixture *fx, unsigned int version)
 {
-	json_t *config = soak_config_create(
-	    version, fx->large_config ? SOAK_MORE_ROUTES : 0);
+	struct soak_quota quotas[SOAK_QUOTAS];
+	json_t *config;
+
+	soak_quotas_get(fx->lowered_quotas, quotas);
+	config =
+	    soak_config_create(version, fx->large_config ? SOAK_MORE_ROUTES : 0,
+		quotas, fx->spec.quotas ? SOAK_QUOTAS : 0);
 
 	if (version % 2 != fx->config_version % 2) {
 		fx->parity_since = jh_now();
@@ -409,6 +414,26 @@
 	json_decref(config);
 }
 
+void
+soak_publish_quotas(struct soak_fixture *fx)
+{
+	struct soak_quota quotas[SOAK_QUOTAS];
+	unsigned int i;
+
+	soak_quotas_get(fx->lowered_quotas, quotas);
+	for (i = 0; i < SOAK_QUOTAS; i++)
+		soak_checker_quota(fx->checker, jh_now(), &quotas[i]);
+}
+
+/* The next version but one has the same routes and keys. */
+void
+soak_lower_quotas(struct soak_fixture *fx, struct soak_fault *f)
+{
+	fx->lowered_quotas = true;
+	soak_publish_config(fx, fx->config_version + 2);
+	soak_publish_quotas(fx);
+}
+
 void
 soak_publish_weights(struct soak_fixture *fx, unsigned int version)
 {
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -178,13 +178,33 @@
 	return &fx->routers[at];
 }
 
+static struct soak_template
+choose_template(struct soak_fixture *fx)
+{
+	struct soak_template t;
+
+	if (fx->spec.quotas &&
+	    soak_quota_template_draw(fx->rand, jh_now() - fx->started, &t))
+		return t;
+	return soak_template_draw(fx->rand);
+}
+
+/* A stream of an organisation with a quota has its own size. */
+static unsigned int
+prompt_tokens(struct soak_fixture *fx, const struct soak_template *t)
+{
+	return t->org[0] == 'q' ? soak_prompt_tokens_draw(fx->rand)
+				: SOAK_PROMPT_TOKENS;
+}
+
 static bool
 next_request(void *arg, struct soak_client_request *out)
 {
 	struct soak_fixture *fx = arg;
-	struct soak_template template = soak_template_draw(fx->rand);
+	struct soak_template template = choose_template(fx);
 	struct soak_router *router = choose_router(fx, out->port);
 	struct soak_prompt prompt;
+	unsigned int tokens;
 	GString *fields = g_string_new(NULL);
 	struct soak_request *r = &out->request;
 
@@ -210,13 +230,16 @@
 	    "X-Jacinthhill-Deadline-Milliseconds: %d\r\n", SOAK_TIMEOUT_MSEC);
 	if (template.key[0] != '\0')
 		g_string_append_printf(fields, "Api-Key: %s\r\n", template.key);
+	r->cost = strcmp(template.org, "q2") == 0 ? SOAK_CALL_TOKENS : 1;
 	if (template.model[0] != '\0') {
+		tokens = prompt_tokens(fx, &template);
+		r->cost = tokens + SOAK_OUTPUT_TOKENS;
 		prompt = soak_prompt_draw(fx, r->crashes_workers);
 		g_string_append_printf(fields,
 		    "X-Jacinthhill-Model: %s\r\n"
-		    "X-Jacinthhill-Token-Counts: 700,20\r\n"
+		    "X-Jacinthhill-Token-Counts: %u,%d\r\n"
 		    "X-Jacinthhill-Prompt-Prefix: %s\r\n",
-		    template.model, prompt.parts);
+		    template.model, tokens, SOAK_OUTPUT_TOKENS, prompt.parts);
 		r->first_part = prompt.first_part;
 		r->parts = prompt.parts;
 	}
@@ -327,13 +350,27 @@
 	soak_checker_tick(fx->checker, jh_now());
 }
 
+/* One quota is lowered at a random time among the faults. */
+static void
+add_quotas(struct soak_fixture *fx, uint64_t until)
+{
+	const struct soak_fault f = {.kind = FAULT_CONFIG};
+
+	soak_publish_quotas(fx);
+	soak_schedule(fx,
+	    WARMUP_USEC + (uint64_t)(g_rand_double(fx->rand) *
+				     (double)(until - WARMUP_USEC)),
+	    soak_lower_quotas, &f);
+}
+
 static void
 set_up(struct soak_fixture *fx)
 {
 	uint64_t length = (uint64_t)(fx->spec.seconds * 1e6);
 	uint64_t quiet =
 	    RECOVERY_USEC +
-	    (fx->spec.poison ? SOAK_POISON_TAIL_SEC : 0) * JH_USEC_PER_SEC;
+	    (fx->spec.poison ? SOAK_POISON_TAIL_SEC : 0) * JH_USEC_PER_SEC +
+	    (fx->spec.quotas ? SOAK_QUOTA_TAIL_SEC : 0) * JH_USEC_PER_SEC;
 	uint64_t until = length - MIN(length, quiet);
 	struct soak_bounds bounds = {.connected_after = CONNECTED_AFTER_USEC,
 	    .drain = DRAIN_USEC,
@@ -366,6 +403,8 @@
 		    fx->plan, fx->rand, WARMUP_USEC, until + LIMITS_TAIL_USEC);
 		soak_plan_add_notices(fx->plan, fx->rand, WARMUP_USEC, until);
 	}
+	if (fx->spec.quotas)
+		add_quotas(fx, until);
 	soak_poison_prepare(fx);
 	for (i = 0; i < fx->n_workers; i++)
 		create_worker(fx, i);
--- a/soak/fixture.h
+++ b/soak/fixture.h
@@ -13,12 +13,20 @@
  */
 struct soak_fixture;
 
+/*
+ * A lowered quota is checked in windows of 8 s that begin 12 s after it is in
+ * force; the first of them ends this long after the faults, beside the time of
+ * recovery.
+ */
+#define SOAK_QUOTA_TAIL_SEC 16
+
 struct soak_spec {
 	const char *program; /* path of jhplatform */
 	const char *dir; /* for settings and logs of the processes */
 	uint64_t seed;
 	unsigned int routers, engines, services, clients;
 	double seconds; /* duration of the run */
+	bool quotas; /* organisations have quotas and exceed them */
 	bool poison; /* one prompt part crashes workers */
 	bool verbose; /* prints each fault */
 };
--- a/soak/main.c
+++ b/soak/main.c
@@ -18,7 +18,7 @@
 static char *program, *dir;
 static gint64 seed = 1;
 static gint count = 1, entries, engines, services, n_clients;
-static gboolean poison, verbose;
+static gboolean poison, quotas, verbose;
 
 static const GOptionEntry options[] = {
     {"program", 'p', 0, G_OPTION_ARG_FILENAME, &program,
@@ -27,7 +27,9 @@
     {"count", 'n', 0, G_OPTION_ARG_INT, &count,
 	"number of consecutive seeds (1)", "N"},
     {"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &spec.seconds,
-	"duration of a run, 16 or more (24; 34 with --poison)", "S"},
+	"duration of a run, 16 or more (24; 34 with --poison, 40 with "
+	"--quotas)",
+	"S"},
     {"entries", 'e', 0, G_OPTION_ARG_INT, &entries, "entry processes (4)", "N"},
     {"engines", 0, 0, G_OPTION_ARG_INT, &engines, "model workers (5)", "N"},
     {"services", 0, 0, G_OPTION_ARG_INT, &services,
@@ -41,6 +43,8 @@
 	"adds a prompt part that crashes each worker that begins an answer "
 	"on it",
 	NULL},
+    {"quotas", 0, 0, G_OPTION_ARG_NONE, &quotas,
+	"adds organisations with quotas, which they exceed at times", NULL},
     {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
 	"prints each injected fault", NULL},
     G_OPTION_ENTRY_NULL};
@@ -52,7 +56,10 @@
 	if (count < 1)
 		return "--count must be 1 or more";
 	if (spec.seconds == 0)
-		spec.seconds = SECONDS + (poison ? SOAK_POISON_TAIL_SEC : 0);
+		spec.seconds = SECONDS + (poison ? SOAK_POISON_TAIL_SEC : 0) +
+			       (quotas ? SOAK_QUOTA_TAIL_SEC : 0);
+	if (poison && quotas)
+		return "--poison and --quotas exclude each other";
 	if (spec.seconds < 16 || spec.seconds > 3600)
 		return "--seconds must be from 16 to 3600";
 	if (seed < 0 || seed > G_MAXUINT32)
@@ -145,6 +152,7 @@
 	spec.program = program != NULL ? program : "build/jhplatform";
 	spec.verbose = verbose;
 	spec.poison = poison;
+	spec.quotas = quotas;
 	spec.routers = entries > 0 ? (unsigned int)entries : spec.routers;
 	spec.engines = engines > 0 ? (unsigned int)engines : spec.engines;
 	spec.services = services > 0 ? (unsigned int)services : spec.services;
--- a/soak/state.h
+++ b/soak/state.h
@@ -58,6 +58,7 @@
 	uv_timer_t end_timer, tick_timer;
 	uint64_t started;
 	unsigned int config_version, weights_version;
+	bool lowered_quotas; /* a quota was lowered */
 	bool large_config; /* the configuration has SOAK_MORE_ROUTES */
 	uint64_t parity_since; /* last change between odd and even versions */
 	struct soak_poison poison;
@@ -82,6 +83,10 @@
 void soak_start_worker(struct soak_fixture *fx, struct soak_fault *f);
 /* Publish a version of the configuration, and of the model's weights. */
 void soak_publish_config(struct soak_fixture *fx, unsigned int version);
+/* Tells the checker the quotas of the configuration. */
+void soak_publish_quotas(struct soak_fixture *fx);
+/* Lowers a quota, as an action. */
+void soak_lower_quotas(struct soak_fixture *fx, struct soak_fault *f);
 void soak_publish_weights(struct soak_fixture *fx, unsigned int version);
 
 /* The prompt of a request; this and what follows is in poison.c. */
