--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -11,9 +11,16 @@
 	GHashTable *services; /* by name */
 	GPtrArray *orgs; /* struct jh_route_org */
 	GHashTable *keys; /* API key to struct jh_route_org */
+	GArray *lost_keys; /* struct lost_key */
+	size_t replaced_services;
 	struct jh_route_table_limits limits;
 };
 
+/* A key that two organisations have. */
+struct lost_key {
+	const struct jh_route_org *loser, *holder;
+};
+
 static void
 free_route(void *p)
 {
@@ -60,6 +67,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
 	t->orgs = g_ptr_array_new_with_free_func(free_org);
 	t->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	t->lost_keys = g_array_new(FALSE, FALSE, sizeof(struct lost_key));
 	return t;
 }
 
@@ -78,6 +86,7 @@
 	g_ptr_array_free(t->routes, TRUE);
 	g_hash_table_destroy(t->services);
 	g_hash_table_destroy(t->keys);
+	g_array_free(t->lost_keys, TRUE);
 	g_ptr_array_free(t->orgs, TRUE);
 	g_free(t);
 }
@@ -94,6 +103,12 @@
 	return &t->limits;
 }
 
+const struct jh_route_table_limits *
+jh_route_table_limits_of(const struct jh_route_table *t)
+{
+	return &t->limits;
+}
+
 struct jh_route *
 jh_route_table_add_route(struct jh_route_table *t)
 {
@@ -110,7 +125,8 @@
 	struct jh_service *s = g_new0(struct jh_service, 1);
 
 	s->name = g_strdup(name);
-	g_hash_table_replace(t->services, s->name, s);
+	if (!g_hash_table_replace(t->services, s->name, s))
+		t->replaced_services++;
 	return s;
 }
 
@@ -129,6 +145,10 @@
 jh_route_table_add_key(
     struct jh_route_table *t, const char *key, struct jh_route_org *org)
 {
+	struct lost_key lost = {g_hash_table_lookup(t->keys, key), org};
+
+	if (lost.loser != NULL && lost.loser != org)
+		g_array_append_val(t->lost_keys, lost);
 	g_hash_table_replace(t->keys, g_strdup(key), org);
 }
 
@@ -146,6 +166,60 @@
 	return t->routes->len;
 }
 
+const struct jh_route *
+jh_route_table_route_at(const struct jh_route_table *t, size_t i)
+{
+	return g_ptr_array_index(t->routes, i);
+}
+
+void
+jh_route_table_each_service(const struct jh_route_table *t,
+    void (*fn)(void *arg, const struct jh_service *s), void *arg)
+{
+	GHashTableIter it;
+	gpointer service;
+
+	g_hash_table_iter_init(&it, t->services);
+	while (g_hash_table_iter_next(&it, NULL, &service))
+		fn(arg, service);
+}
+
+void
+jh_route_table_each_key(const struct jh_route_table *t,
+    void (*fn)(void *arg, const char *key, const struct jh_route_org *org),
+    void *arg)
+{
+	GHashTableIter it;
+	gpointer key, org;
+
+	g_hash_table_iter_init(&it, t->keys);
+	while (g_hash_table_iter_next(&it, &key, &org))
+		fn(arg, key, org);
+}
+
+size_t
+jh_route_table_lost_key_count(const struct jh_route_table *t)
+{
+	return t->lost_keys->len;
+}
+
+const struct jh_route_org *
+jh_route_table_lost_key_at(const struct jh_route_table *t, size_t i,
+    const struct jh_route_org **holder)
+{
+	const struct lost_key *k =
+	    &g_array_index(t->lost_keys, struct lost_key, i);
+
+	*holder = k->holder;
+	return k->loser;
+}
+
+size_t
+jh_route_table_replaced_services(const struct jh_route_table *t)
+{
+	return t->replaced_services;
+}
+
 size_t
 jh_route_table_org_count(const struct jh_route_table *t)
 {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -80,6 +80,8 @@
 
 uint64_t jh_route_table_version(const struct jh_route_table *t);
 struct jh_route_table_limits *jh_route_table_limits(struct jh_route_table *t);
+const struct jh_route_table_limits *jh_route_table_limits_of(
+    const struct jh_route_table *t);
 
 /* Each adds a zeroed element, which the table owns and the caller fills in. */
 struct jh_route *jh_route_table_add_route(struct jh_route_table *t);
@@ -93,6 +95,22 @@
     struct jh_route *r, const char *service, unsigned int weight);
 
 size_t jh_route_table_count(const struct jh_route_table *t);
+/* i is less than jh_route_table_count(). */
+const struct jh_route *jh_route_table_route_at(
+    const struct jh_route_table *t, size_t i);
+void jh_route_table_each_service(const struct jh_route_table *t,
+    void (*fn)(void *arg, const struct jh_service *s), void *arg);
+void jh_route_table_each_key(const struct jh_route_table *t,
+    void (*fn)(void *arg, const char *key, const struct jh_route_org *org),
+    void *arg);
+/* Keys that were added again for another organisation, which then has them. */
+size_t jh_route_table_lost_key_count(const struct jh_route_table *t);
+/* An organisation that lost a key so, and the one that has it. */
+const struct jh_route_org *jh_route_table_lost_key_at(
+    const struct jh_route_table *t, size_t i,
+    const struct jh_route_org **holder);
+/* Services that replaced one of the same name. */
+size_t jh_route_table_replaced_services(const struct jh_route_table *t);
 size_t jh_route_table_org_count(const struct jh_route_table *t);
 /* i is less than jh_route_table_org_count(). */
 const struct jh_route_org *jh_route_table_org_at(
