--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -40,7 +40,7 @@
 #define SOAK_QUOTAS 3
 void soak_quotas_get(bool lowered, struct soak_quota out[SOAK_QUOTAS]);
 
-/* Prompt and output tokens of the soak's streams without and with a quota. */
+/* Tokens of a stream; the prompts of q1 vary, with this mean. */
 #define SOAK_PROMPT_TOKENS 700
 #define SOAK_OUTPUT_TOKENS 20
 /* Cost of a call that states no tokens (uncachedTokens). */
--- a/soak/quota_checker.h
+++ b/soak/quota_checker.h
@@ -21,7 +21,10 @@
  * 12 of its mean ones (9,260); requests of the soak have the same ratio of 6.
  */
 #define SOAK_QUOTA_SLACK_REQUESTS 12
-/* Clocks and costs are known only to this fraction below the burst. */
+/*
+ * A router knows the use of others only by estimates, so that it may refuse
+ * requests when this part of the burst is used.
+ */
 #define SOAK_QUOTA_SURE_PART 0.8
 
 struct soak_quota {
