Tests: a router's memory under hostile clients

Nothing bounds the sum of what a router holds for clients: the limits are per request. 60 clients of a router with memory_mb 48 send unfinished bodies in large and in 1-byte chunks, bodies over the limit, pipelined bytes behind whole bodies, or do not read streams and responses. The tests check that the process lives, its largest memory and descriptors stay under bounds, and that one ordinary request is answered.

--- a/fakes/platform/settings.h
+++ b/fakes/platform/settings.h
@@ -10,6 +10,7 @@
 	const char *name;
 	unsigned int clients, readiness, metrics, store;
 	unsigned int grace_sec;
+	unsigned int memory_mb; /* 0: 110 */
 };
 
 /* Writes a settings file for jhplatform; returns false on an error. */
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -111,8 +111,10 @@
 	char *name = g_strdup_printf("e%u", number + 1);
 	char *file = g_strdup_printf("%s/%s.yaml", p->dir, name);
 	char **argv = g_new0(char *, 3); /* owned by struct proc */
-	struct fake_router_settings settings = {
-	    .name = name, .store = p->store_port, .grace_sec = 6};
+	struct fake_router_settings settings = {.name = name,
+	    .store = p->store_port,
+	    .grace_sec = 6,
+	    .memory_mb = p->spec.memory_mb};
 
 	argv[0] = program;
 	argv[1] = file;
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -21,6 +21,7 @@
 	unsigned int routers; /* named e1, e2 and so on */
 	unsigned int workers;
 	bool plain; /* the service has no model */
+	unsigned int memory_mb; /* of each router; 0: 110 */
 	/* Behaviour of each worker; the rest of the members is ignored. */
 	struct fake_worker_spec worker;
 };
--- a/test/raw_workers.c
+++ b/test/raw_workers.c
@@ -193,7 +193,7 @@
 	w->listener = socket(AF_INET, SOCK_STREAM, 0);
 	assert_int_equal(
 	    bind(w->listener, (struct sockaddr *)&address, sizeof(address)), 0);
-	assert_int_equal(listen(w->listener, 8), 0);
+	assert_int_equal(listen(w->listener, MAX_CONNECTIONS), 0);
 	pthread_create(&w->thread, NULL, run_worker, w);
 	entry = json_pack("{s:s, s:s, s:s, s:i, s:s, s:i, s:i}", "service",
 	    "llm", "address", at, "zone", "z0", "slots", 8, "state", "ready",
@@ -225,7 +225,15 @@
 struct platform *
 raw_workers_start(unsigned int n, bool plain)
 {
-	const struct platform_spec spec = {.routers = 1, .plain = plain};
+	return raw_workers_start_with_memory(n, plain, 0);
+}
+
+struct platform *
+raw_workers_start_with_memory(
+    unsigned int n, bool plain, unsigned int memory_mb)
+{
+	const struct platform_spec spec = {
+	    .routers = 1, .plain = plain, .memory_mb = memory_mb};
 	unsigned int i;
 
 	for (i = 0; i < MAX_CONNECTIONS; i++)
--- a/test/raw_workers.h
+++ b/test/raw_workers.h
@@ -29,6 +29,9 @@
  * have no model, and the router sends them nothing of its own.
  */
 struct platform *raw_workers_start(unsigned int n, bool plain);
+/* The same with this memory_mb. */
+struct platform *raw_workers_start_with_memory(
+    unsigned int n, bool plain, unsigned int memory_mb);
 void raw_workers_stop(void);
 /* The same, as a tear-down of cmocka. */
 int raw_workers_tear_down(void **state);
