Net: a budget of the memory held for peers

A process has no bound on the sum of what it holds for its peers.

Connections count what waits to be written, and gather small writes while one is in progress: each had a write request of its own, about 230 bytes for an event of 9. test_memory_budget, test_net and test_server_pause pass.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -25,6 +25,10 @@
 	void *arg;
 	unsigned int unacked_msec;
 	unsigned int handles; /* not yet closed */
+	struct jh_memory_account *account; /* NULL: none */
+	size_t counted; /* there, of the bytes below */
+	GByteArray *waiting; /* follows the write in progress; NULL: none */
+	size_t writing; /* bytes in writes in progress */
 	bool reading;
 	bool closing;
 	bool lingering;
@@ -33,7 +37,7 @@
 struct write {
 	uv_write_t req;
 	struct jh_conn *conn;
-	char data[];
+	GByteArray *data;
 };
 
 /* Shared: all connections of a process are read by one loop, one at a time. */
@@ -44,8 +48,21 @@
 {
 	struct jh_conn *c = h->data;
 
-	if (--c->handles == 0)
-		g_free(c);
+	if (--c->handles > 0)
+		return;
+	jh_memory_account_destroy(c->account);
+	if (c->waiting != NULL)
+		g_byte_array_free(c->waiting, TRUE);
+	g_free(c);
+}
+
+static void
+count_queued(struct jh_conn *c)
+{
+	jh_memory_account_update(c->account, &c->counted,
+	    c->writing + (c->waiting != NULL
+				 ? jh_memory_allocated(c->waiting->len)
+				 : 0));
 }
 
 static void
@@ -54,6 +71,7 @@
 	if (c->closing)
 		return;
 	c->closing = true;
+	jh_memory_account_retire(c->account);
 	uv_close((uv_handle_t *)&c->tcp, on_closed);
 	uv_close((uv_handle_t *)&c->linger, on_closed);
 }
@@ -201,24 +219,64 @@
 	return c;
 }
 
+static void on_written(uv_write_t *req, int status);
+
+/* Takes over the data. */
+static void
+start_write(struct jh_conn *c, GByteArray *data)
+{
+	struct write *w = g_new(struct write, 1);
+	uv_buf_t buf = uv_buf_init((char *)data->data, data->len);
+
+	w->conn = c;
+	w->data = data;
+	c->writing += data->len;
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written) == 0)
+		return;
+	/* The connection has failed, which on_read() reports. */
+	c->writing -= data->len;
+	g_byte_array_free(data, TRUE);
+	g_free(w);
+}
+
+/* Writes what has waited for the write in progress. */
+static void
+write_waiting(struct jh_conn *c)
+{
+	GByteArray *data = c->waiting;
+
+	c->waiting = NULL;
+	if (data != NULL)
+		start_write(c, data);
+}
+
 static void
 on_written(uv_write_t *req, int status)
 {
 	struct write *w = (struct write *)req;
 	struct jh_conn *c = w->conn;
 
+	c->writing -= w->data->len;
+	g_byte_array_free(w->data, TRUE);
 	g_free(w);
+	if (status == 0 && !c->closing)
+		write_waiting(c);
+	count_queued(c);
 	if (status != 0 || c->ops == NULL || c->closing)
 		return; /* on_read() reports the error */
+	jh_memory_account_progress(c->account, jh_now());
 	if (jh_conn_queued(c) == 0)
 		c->ops->drained(c->arg);
 }
 
+/*
+ * While a write is in progress, further data is gathered for the next one: many
+ * small writes would each have a request of their own.
+ */
 void
 jh_conn_write(struct jh_conn *c, const void *data, size_t n)
 {
 	uv_buf_t buf = uv_buf_init((char *)(uintptr_t)data, (unsigned int)n);
-	struct write *w;
 	int written = 0;
 
 	if (c->closing || n == 0)
@@ -230,19 +288,25 @@
 		if ((size_t)written == n)
 			return;
 	}
-	n -= (size_t)written;
-	w = g_malloc(sizeof(*w) + n);
-	w->conn = c;
-	memcpy(w->data, (const char *)data + written, n);
-	buf = uv_buf_init(w->data, (unsigned int)n);
-	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written) != 0)
-		g_free(w);
+	if (c->waiting == NULL)
+		c->waiting = g_byte_array_new();
+	g_byte_array_append(c->waiting, (const guint8 *)data + written,
+	    (guint)(n - (size_t)written));
+	if (c->writing == 0)
+		write_waiting(c);
+	count_queued(c);
 }
 
 size_t
 jh_conn_queued(const struct jh_conn *c)
 {
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+	return c->writing + (c->waiting != NULL ? c->waiting->len : 0);
+}
+
+void
+jh_conn_set_account(struct jh_conn *c, struct jh_memory_account *account)
+{
+	c->account = account;
 }
 
 size_t
@@ -318,6 +382,13 @@
 		close_handles(req->data);
 }
 
+static const char *
+evict_lingering(void *arg)
+{
+	close_handles(arg);
+	return "lingering";
+}
+
 void
 jh_conn_linger(struct jh_conn *c)
 {
@@ -325,6 +396,9 @@
 	if (c->closing)
 		return;
 	c->lingering = true;
+	write_waiting(c);
+	count_queued(c);
+	jh_memory_account_set_owner(c->account, evict_lingering, c);
 	c->shutdown.data = c;
 	uv_timer_start(&c->linger, on_linger_timeout, LINGER_MSEC, 0);
 	if (uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown) !=
@@ -342,6 +416,7 @@
 	if (c->closing)
 		return;
 	c->closing = true;
+	jh_memory_account_retire(c->account);
 	if (uv_tcp_close_reset(&c->tcp, on_closed) != 0)
 		uv_close((uv_handle_t *)&c->tcp, on_closed);
 	uv_close((uv_handle_t *)&c->linger, on_closed);
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -8,6 +8,8 @@
 #include <netinet/in.h>
 #include <uv.h>
 
+#include "net/memory_budget.h"
+
 /* A TCP connection on a libuv loop. */
 struct jh_conn;
 
@@ -32,6 +34,13 @@
 struct jh_conn *jh_conn_accept(uv_stream_t *listener, unsigned int unacked_msec,
     const struct jh_conn_ops *ops, void *arg);
 
+/*
+ * Counts what the kernel does not accept in the account, which the connection
+ * takes over; NULL: none. A closed connection retires the account, and frees it
+ * from the loop.
+ */
+void jh_conn_set_account(struct jh_conn *c, struct jh_memory_account *account);
+
 /* Copies the data that the kernel does not accept at once. */
 void jh_conn_write(struct jh_conn *c, const void *data, size_t n);
 /* Bytes written that the kernel has not accepted yet. */
--- a/src/net/parse.c
+++ b/src/net/parse.c
@@ -242,3 +242,10 @@
 {
 	return p->buffered->len - p->parsed;
 }
+
+size_t
+jh_http_parser_allocated(const struct jh_http_parser *p)
+{
+	return p->buffered->allocated_len + p->head->text->allocated_len +
+	       p->head->fields->len * g_array_get_element_size(p->head->fields);
+}
--- a/src/net/parse.h
+++ b/src/net/parse.h
@@ -39,6 +39,8 @@
 /* Tells of the stream's end, which completes a response without a length. */
 void jh_http_parser_eof(struct jh_http_parser *p);
 
+/* Bytes allocated for the head and for buffered bytes. */
+size_t jh_http_parser_allocated(const struct jh_http_parser *p);
 /* Number of buffered bytes. */
 size_t jh_http_parser_buffered(const struct jh_http_parser *p);
 
