Router: a memory budget for what is held for clients

60 clients of a router with memory_mb 48 made it use 70,036 to 222,028 KB: limits are per request. Long bodies are refused by their head: 413 over the limit, 404, 401; with Expect: 100-continue in place of 100.

--- a/fakes/platform/objects.c
+++ b/fakes/platform/objects.c
@@ -224,7 +224,7 @@
 }
 
 static const struct jh_server_request_ops waiter_ops = {
-    on_watcher_gone, on_drained, NULL};
+    .disconnected = on_watcher_gone, .drained = on_drained};
 
 static void
 handle_watch(struct fake_objects *o, struct jh_server_request *v,
@@ -371,7 +371,7 @@
 	g_free(target);
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+static const struct jh_uv_server_ops server_ops = {.request = on_request};
 
 static void
 on_wake(uv_async_t *a)
--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -197,7 +197,7 @@
 	fake_objects_unlock(w->objects);
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+static const struct jh_uv_server_ops server_ops = {.request = on_request};
 
 void
 fake_worker_start(struct fake_worker *w)
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -47,7 +47,7 @@
 }
 
 static const struct jh_server_request_ops run_ops = {
-    on_disconnect, on_drained, NULL};
+    .disconnected = on_disconnect, .drained = on_drained};
 
 static void
 send_head(struct fake_run *r)
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -257,6 +257,7 @@
 	    .deadline = JH_NEVER,
 	    .max_idle_usec =
 		x->attempts.repeatable ? MAX_IDLE_USEC : MAX_IDLE_ONCE_USEC,
+	    .account = x->account,
 	    .ops = &exchange_call_ops,
 	    .arg = x,
 	};
--- a/src/gateway/body.c
+++ b/src/gateway/body.c
@@ -23,6 +23,8 @@
 		return false;
 	g_byte_array_append(x->body, (const guint8 *)p, (guint)n);
 	gw->held_bytes += n;
+	jh_memory_account_update(
+	    x->account, &x->body_counted, jh_memory_allocated(x->body->len));
 	return true;
 }
 
@@ -33,6 +35,7 @@
 		return;
 	x->gateway->held_bytes -= x->body->len;
 	x->gateway->held_bodies--;
+	jh_memory_account_update(x->account, &x->body_counted, 0);
 	g_byte_array_free(x->body, TRUE);
 	x->body = NULL;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,10 @@
 	    *prefix_store; /* of cached prefixes; NULL: none */
 	const char *service_name;
 	uint64_t arrived;
+	/* Of the client's connection, which outlives the exchange; or NULL. */
+	struct jh_memory_account *account;
+	size_t body_counted; /* there, of the response's body */
+	bool evicted; /* while the response was read */
 	struct jh_choose_request choose; /* the same for all attempts */
 	char *model;
 	struct jh_attempts attempts;
@@ -108,6 +112,17 @@
 bool exchange_hold_body(struct exchange *x, const char *p, size_t n);
 void exchange_release_body(struct exchange *x);
 
+/*
+ * memory.c: the memory budget is used up. A request that has not been sent to a
+ * worker is refused; otherwise the client's connection is closed.
+ */
+void exchange_evict(struct exchange *x);
+/*
+ * Evicts whom the budget chooses. Returns false if it is this exchange, whose
+ * attempt the caller must give up.
+ */
+bool exchange_enforce_budget(struct exchange *x);
+
 /* worker_notice.c: the response says that its worker leaves, or refuses. */
 void exchange_observe_notices(struct exchange *x);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,6 +64,14 @@
 void jh_gateway_request(void *arg, struct jh_server_request *v);
 /* Expires suspects, and logs a new number of quarantined parts. */
 void jh_gateway_check_suspects(struct jh_gateway *gw, uint64_t now);
+/*
+ * Refuses requests without a route or a valid key by their head; see
+ * jh_uv_server_ops.
+ */
+void jh_gateway_check_head(
+    void *arg, const struct jh_head *head, struct jh_server_rejection *out);
+/* Logs and counts an eviction; see jh_memory_observe_fn. */
+void jh_gateway_evicted(void *arg, const struct jh_memory_eviction *eviction);
 /* Logs and counts a client's connection that the HTTP server closes. */
 void jh_gateway_closing(void *arg, const struct jh_server_closing *c);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -174,7 +174,7 @@
 
 	if (!x->streaming) {
 		x->malformed = !exchange_hold_body(x, p, n);
-		return !x->malformed;
+		return !x->malformed && exchange_enforce_budget(x);
 	}
 	if (!jh_sse_parser_feed(
 		x->events, (struct jh_str){p, n}, on_event, x)) {
@@ -186,7 +186,7 @@
 		x->paused = true;
 		jh_call_pause(x->call);
 	}
-	return true;
+	return exchange_enforce_budget(x);
 }
 
 void
@@ -470,6 +470,11 @@
 	x->call = NULL;
 	x->paused = false;
 	uv_timer_stop(&x->silence_timer);
+	if (x->evicted) {
+		exchange_release_load(x);
+		exchange_evict(x);
+		return;
+	}
 	result = classify_result(x, call_result, &why);
 	crash = result == JH_ATTEMPT_BROKEN &&
 		(ended_before_output(x, call_result) ||
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -35,31 +35,44 @@
 	exchange_drained(arg);
 }
 
-/*
- * Responds to a request for which no exchange is started; the client may retry
- * it after retry_seconds, unless 0.
- */
+/* Why a request is not forwarded. */
+struct refusal {
+	unsigned int status;
+	const char *text; /* of the status */
+	const char *why;
+	double retry_seconds; /* the client may retry it after that; 0: none */
+};
+
+/* Counts and logs the refusal, and appends the header lines of its response. */
 static void
-send_error(struct jh_gateway *gw, struct jh_server_request *v,
-    const struct jh_client_request *request, unsigned int status,
-    const char *text, const char *why, double retry_seconds)
+write_refusal(struct jh_gateway *gw, const struct jh_client_request *request,
+    const struct refusal *r, GString *fields)
 {
-	GString *fields = g_string_new(NULL);
 	char name[64];
 
-	g_snprintf(name, sizeof(name), "jh_answers{status=\"%u\"}", status);
+	g_snprintf(name, sizeof(name), "jh_answers{status=\"%u\"}", r->status);
 	jh_metrics_add(gw->metrics, name, 1);
 	jh_json_log(gw->log, "refused", "s:s#, s:i, s:s, s:I", "request",
 	    request->id.ptr != NULL ? request->id.ptr : "",
-	    (int)request->id.len, "status", (int)status, "reason", why,
+	    (int)request->id.len, "status", (int)r->status, "reason", r->why,
 	    "config",
 	    (json_int_t)(gw->routes != NULL ? jh_route_table_version(gw->routes)
 					    : 0));
 	gw->codec->write_error_fields(fields, request);
-	if (retry_seconds > 0)
+	if (r->retry_seconds > 0)
 		g_string_append_printf(
-		    fields, "Retry-After: %.2f\r\n", retry_seconds);
-	jh_server_request_respond(v, status, text,
+		    fields, "Retry-After: %.2f\r\n", r->retry_seconds);
+}
+
+/* Responds to a request for which no exchange is started. */
+static void
+send_error(struct jh_gateway *gw, struct jh_server_request *v,
+    const struct jh_client_request *request, const struct refusal *r)
+{
+	GString *fields = g_string_new(NULL);
+
+	write_refusal(gw, request, r, fields);
+	jh_server_request_respond(v, r->status, r->text,
 	    (struct jh_str){fields->str, fields->len}, JH_STR(""));
 	g_string_free(fields, TRUE);
 }
@@ -101,8 +114,27 @@
 	end_unanswered(arg, "the process stops", STOPPING_RETRY_SECONDS);
 }
 
+static void
+on_evicted(void *arg)
+{
+	exchange_evict(arg);
+}
+
+static size_t
+on_unread(void *arg)
+{
+	const struct exchange *x = arg;
+
+	return x->paused && x->call != NULL ? jh_call_unread(x->call) : 0;
+}
+
 static const struct jh_server_request_ops conn_request_ops = {
-    on_client_left, on_drained, on_server_stops};
+    .disconnected = on_client_left,
+    .drained = on_drained,
+    .stopping = on_server_stops,
+    .evicted = on_evicted,
+    .unread = on_unread,
+};
 
 /* Fills in what the choice of a worker depends on. */
 static void
@@ -169,6 +201,7 @@
 	x->service = jh_route_table_find_service(gw->routes, service);
 	x->model = jh_str_dup(request->model);
 	x->arrived = jh_server_request_started(v);
+	x->account = jh_server_request_account(v);
 	x->fields = g_string_new(NULL);
 	x->has_last_event = request->resumes;
 	x->last_event = request->resume_after;
@@ -206,6 +239,79 @@
 	exchange_start_attempt(x);
 }
 
+/*
+ * Finds the route and the organisation of a request, by its head alone. Returns
+ * false and sets *out if it is refused.
+ */
+static bool
+find_route(const struct jh_gateway *gw, const struct jh_client_request *request,
+    const struct jh_route **route, const struct jh_route_org **org,
+    struct refusal *out)
+{
+	if (gw->routes == NULL) {
+		*out = (struct refusal){503, "Service Unavailable",
+		    "no configuration is known", NOT_READY_RETRY_SECONDS};
+		return false;
+	}
+	*route =
+	    jh_route_table_find_route(gw->routes, request->host, request->path);
+	if (*route == NULL) {
+		*out =
+		    (struct refusal){404, "Not Found", "no route matches", 0};
+		return false;
+	}
+	if (!jh_route_table_has_orgs(gw->routes) || (*route)->anonymous)
+		return true;
+	*org = jh_route_table_find_key(gw->routes, request->key);
+	if (*org != NULL)
+		return true;
+	*out = (struct refusal){
+	    401, "Unauthorized", "the API key is not known", 0};
+	return false;
+}
+
+void
+jh_gateway_check_head(
+    void *arg, const struct jh_head *head, struct jh_server_rejection *out)
+{
+	struct jh_gateway *gw = arg;
+	const struct jh_route_org *org = NULL;
+	const struct jh_route *route;
+	const char *reason = NULL;
+	struct jh_client_request request;
+	struct refusal r;
+
+	if (gw->codec->read_client_request(head, &request, &reason)) {
+		if (find_route(gw, &request, &route, &org, &r))
+			return;
+	} else {
+		r = (struct refusal){400, "Bad Request", reason, 0};
+	}
+	jh_metrics_add(gw->metrics, "jh_requests", 1);
+	write_refusal(gw, &request, &r, out->fields);
+	out->status = r.status;
+	out->reason = r.text;
+}
+
+/* Whether the request may be forwarded; if not, sets *out. */
+static bool
+check_request(struct jh_gateway *gw, const struct jh_client_request *request,
+    const struct jh_route *route, const char *service, struct refusal *out)
+{
+	/* The stream would begin again at its first event. */
+	if (route->kind == JH_ROUTE_STREAM && request->invalid_last_event) {
+		*out = (struct refusal){400, "Bad Request",
+		    "the last event id is not a number of 64 bits", 0};
+		return false;
+	}
+	if (service == NULL) {
+		*out = (struct refusal){503, "Service Unavailable",
+		    "the route has no service", NOT_READY_RETRY_SECONDS};
+		return false;
+	}
+	return true;
+}
+
 void
 jh_gateway_request(void *arg, struct jh_server_request *v)
 {
@@ -215,53 +321,33 @@
 	const struct jh_route *route;
 	const char *reason = NULL, *service;
 	struct jh_client_request request;
+	struct refusal r;
 	uint64_t wait;
 	double cost;
 
 	jh_metrics_add(gw->metrics, "jh_requests", 1);
 	if (!gw->codec->read_client_request(head, &request, &reason)) {
-		send_error(gw, v, &request, 400, "Bad Request", reason, 0);
-		return;
-	}
-	if (gw->routes == NULL) {
-		send_error(gw, v, &request, 503, "Service Unavailable",
-		    "no configuration is known", NOT_READY_RETRY_SECONDS);
+		r = (struct refusal){400, "Bad Request", reason, 0};
+		send_error(gw, v, &request, &r);
 		return;
 	}
-	route =
-	    jh_route_table_find_route(gw->routes, request.host, request.path);
-	if (route == NULL) {
-		send_error(
-		    gw, v, &request, 404, "Not Found", "no route matches", 0);
-		return;
-	}
-	if (jh_route_table_has_orgs(gw->routes) && !route->anonymous) {
-		org = jh_route_table_find_key(gw->routes, request.key);
-		if (org == NULL) {
-			send_error(gw, v, &request, 401, "Unauthorized",
-			    "the API key is not known", 0);
-			return;
-		}
-	}
-	/* The stream would begin again at its first event. */
-	if (route->kind == JH_ROUTE_STREAM && request.invalid_last_event) {
-		send_error(gw, v, &request, 400, "Bad Request",
-		    "the last event id is not a number of 64 bits", 0);
+	if (!find_route(gw, &request, &route, &org, &r)) {
+		send_error(gw, v, &request, &r);
 		return;
 	}
 	service = jh_route_pick_service(
 	    route, XXH3_64bits(request.id.ptr, request.id.len));
-	if (service == NULL) {
-		send_error(gw, v, &request, 503, "Service Unavailable",
-		    "the route has no service", NOT_READY_RETRY_SECONDS);
+	if (!check_request(gw, &request, route, service, &r)) {
+		send_error(gw, v, &request, &r);
 		return;
 	}
 	wait = jh_gateway_admit_quota(gw, org, &request, &cost);
 	if (wait != 0) {
 		/* Rounded up, so that a client does not return too early. */
-		send_error(gw, v, &request, 429, "Too Many Requests",
+		r = (struct refusal){429, "Too Many Requests",
 		    "the organisation's quota is used up",
-		    (double)wait / JH_USEC_PER_SEC + 0.005);
+		    (double)wait / JH_USEC_PER_SEC + 0.005};
+		send_error(gw, v, &request, &r);
 		return;
 	}
 	start_exchange(gw, v, &request, route, org, service, cost);
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -53,6 +53,7 @@
 	struct jh_call_spec spec;
 	struct http_conn *hc;
 	uv_timer_t timer;
+	size_t counted; /* in the account of the call */
 	bool sent;
 	bool reuse_forbidden; /* of the connection, after the response */
 	bool overdue; /* a deadline has passed; the loop polls once more */
@@ -74,10 +75,26 @@
 	g_free(h->data);
 }
 
+/* The connection has a copy of what the kernel has not accepted. */
+static void
+free_message(struct jh_call *call)
+{
+	if (call->spec.message != NULL)
+		g_string_free(call->spec.message, TRUE);
+	call->spec.message = NULL;
+}
+
+static void
+count_held(struct jh_call *call, size_t bytes)
+{
+	jh_memory_account_update(call->spec.account, &call->counted, bytes);
+}
+
 static void
 free_call(struct jh_call *call)
 {
-	g_string_free(call->spec.message, TRUE);
+	free_message(call);
+	count_held(call, 0);
 	call->timer.data = call;
 	uv_close((uv_handle_t *)&call->timer, free_timer);
 }
@@ -326,6 +343,8 @@
 	start_timer(call, call->spec.deadline);
 	jh_conn_write(
 	    hc->conn, call->spec.message->str, call->spec.message->len);
+	free_message(call);
+	count_held(call, jh_conn_queued(hc->conn));
 }
 
 static void
@@ -345,6 +364,10 @@
 static void
 on_drained(void *arg)
 {
+	struct http_conn *hc = arg;
+
+	if (hc->call != NULL)
+		count_held(hc->call, 0);
 }
 
 static const struct jh_conn_ops conn_ops = {
@@ -409,6 +432,7 @@
 		call->sent = true;
 	call->hc = hc;
 	hc->call = call;
+	count_held(call, spec->message->allocated_len);
 	if (hc->conn == NULL)
 		start_timer(call,
 		    jh_now()); /* ends as JH_CALL_NOT_SENT, from the loop */
@@ -451,6 +475,14 @@
 	       jh_conn_has_input(call->hc->conn);
 }
 
+size_t
+jh_call_unread(const struct jh_call *call)
+{
+	if (call->hc == NULL || call->hc->conn == NULL)
+		return 0;
+	return jh_conn_unread(call->hc->conn);
+}
+
 void
 jh_call_pause(struct jh_call *call)
 {
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "net/head.h"
+#include "net/memory_budget.h"
 
 /*
  * An HTTP/1.1 client that keeps idle connections per peer. A request is sent
@@ -53,6 +54,8 @@
 	    deadline; /* jh_now() time of the complete response, or JH_NEVER */
 	/* Longest idle time of a reused connection; 0: use a new one. */
 	uint64_t max_idle_usec;
+	/* Counts the message until the kernel has accepted it; may be NULL. */
+	struct jh_memory_account *account;
 	const struct jh_call_ops *ops;
 	void *arg;
 };
@@ -75,6 +78,8 @@
 bool jh_call_was_sent(const struct jh_call *call);
 /* Whether more of the response, or its end, has arrived and is not read yet. */
 bool jh_call_has_unread(const struct jh_call *call);
+/* Bytes of the response that have arrived and are not read yet. */
+size_t jh_call_unread(const struct jh_call *call);
 /* Stop and resume reading the response. */
 void jh_call_pause(struct jh_call *call);
 void jh_call_resume(struct jh_call *call);
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -26,6 +26,18 @@
 /* Used when the limit is 0. */
 #define DEFAULT_HEAD_LIMIT 16384
 
+/*
+ * A request with a longer body is checked by its head. Those with shorter ones
+ * are read whole, so that a refusal does not close the connection.
+ */
+#define LONG_BODY_BYTES 65536
+
+/* Retry delay of a client that is evicted before its request was complete. */
+#define EVICTED_FIELDS "Retry-After: 0.50\r\n"
+
+/* Memory of a connection without a request: handles, parser, table entries. */
+#define CONNECTION_BYTES 4096
+
 /* A connection and the request it is serving. */
 struct jh_server_request {
 	struct jh_uv_server *server;
@@ -35,6 +47,8 @@
 	GByteArray *body;
 	const struct jh_server_request_ops *ops;
 	void *arg;
+	struct jh_memory_account *account; /* owned by conn; NULL: none */
+	size_t counted; /* there, of this connection */
 	uint64_t started; /* arrival of the first bytes; 0: none yet */
 	uint64_t idle_since;
 	bool request_done; /* the parser has a whole request */
@@ -56,6 +70,7 @@
 	struct jh_uv_server_limits limits;
 	const struct jh_uv_server_ops *ops;
 	void *arg;
+	struct jh_memory_budget *budget; /* NULL: none */
 	GHashTable *open_connections;
 	unsigned int active;
 	unsigned int handles;
@@ -67,6 +82,8 @@
 free_request(struct jh_server_request *req)
 {
 	g_hash_table_remove(req->server->open_connections, req);
+	/* The connection may still write its last response. */
+	jh_memory_account_update(req->account, &req->counted, 0);
 	if (req->reading) {
 		req->free_pending = true;
 		return;
@@ -100,17 +117,13 @@
 	free_request(req);
 }
 
+/* What the connection holds, but for responses. */
 static void
-on_head(void *arg, const struct jh_head *head)
+count_held(struct jh_server_request *req, size_t unread)
 {
-	struct jh_server_request *req = arg;
-
-	req->head = head;
-	req->keep_alive = head->keep_alive;
-	if (jh_str_caseeq(jh_head_get(head, "Expect"), "100-continue")) {
-		static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
-		jh_conn_write(req->conn, interim, sizeof(interim) - 1);
-	}
+	jh_memory_account_update(req->account, &req->counted,
+	    CONNECTION_BYTES + jh_memory_allocated(req->body->len) +
+		jh_http_parser_allocated(req->parser) + unread);
 }
 
 static void
@@ -119,7 +132,7 @@
 	struct jh_server_request *req = arg;
 	size_t limit = req->server->limits.body_bytes;
 
-	if (req->too_large)
+	if (req->too_large || req->free_pending)
 		return;
 	if (limit != 0 && req->body->len + n > limit) {
 		req->too_large = true;
@@ -136,9 +149,6 @@
 	req->request_done = true;
 }
 
-static const struct jh_http_parser_ops parse_ops = {
-    on_head, on_body, on_complete};
-
 /*
  * States for how long the client may use the idle connection: less than the
  * server keeps it, as a request that crosses its close is lost.
@@ -174,11 +184,11 @@
 
 /* Responds to a request that cannot be read; the connection then closes. */
 static void
-write_rejection(
-    struct jh_server_request *req, unsigned int status, const char *reason)
+write_rejection(struct jh_server_request *req, unsigned int status,
+    const char *reason, struct jh_str fields)
 {
 	req->keep_alive = false;
-	write_head(req, status, reason, JH_STR(""), "Content-Length: 0\r\n");
+	write_head(req, status, reason, fields, "Content-Length: 0\r\n");
 	jh_conn_linger(req->conn);
 }
 
@@ -198,10 +208,62 @@
 static void
 reject(struct jh_server_request *req, unsigned int status, const char *reason)
 {
-	write_rejection(req, status, reason);
+	write_rejection(req, status, reason, JH_STR(""));
 	req->free_pending = true;
 }
 
+/* Whether the head shows that the request cannot or must not be read. */
+static bool
+reject_by_head(struct jh_server_request *req, bool expects)
+{
+	const struct jh_uv_server *server = req->server;
+	struct jh_str length = jh_head_get(req->head, "Content-Length");
+	struct jh_server_rejection r = {0};
+	uint64_t announced = 0;
+
+	if (length.ptr == NULL)
+		announced =
+		    jh_head_get(req->head, "Transfer-Encoding").ptr != NULL
+			? UINT64_MAX
+			: 0;
+	else if (!jh_str_number(length, &announced))
+		return false;
+	if (length.ptr != NULL && server->limits.body_bytes != 0 &&
+	    announced > server->limits.body_bytes) {
+		reject(req, 413, "Content Too Large");
+		return true;
+	}
+	if (server->ops->head == NULL ||
+	    (announced <= LONG_BODY_BYTES && !expects))
+		return false;
+	r.fields = g_string_new(NULL);
+	server->ops->head(server->arg, req->head, &r);
+	if (r.status != 0) {
+		write_rejection(req, r.status, r.reason,
+		    (struct jh_str){r.fields->str, r.fields->len});
+		req->free_pending = true;
+	}
+	g_string_free(r.fields, TRUE);
+	return r.status != 0;
+}
+
+static void
+on_head(void *arg, const struct jh_head *head)
+{
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct jh_server_request *req = arg;
+	bool expects =
+	    jh_str_caseeq(jh_head_get(head, "Expect"), "100-continue");
+
+	req->head = head;
+	req->keep_alive = head->keep_alive;
+	if (!reject_by_head(req, expects) && expects)
+		jh_conn_write(req->conn, interim, sizeof(interim) - 1);
+}
+
+static const struct jh_http_parser_ops parse_ops = {
+    on_head, on_body, on_complete};
+
 /* Handles the result of the parser. */
 static void
 handle_result(struct jh_server_request *req, enum jh_parse_result r)
@@ -277,6 +339,10 @@
 	r = jh_http_parser_feed(req->parser, p, n);
 	if (req->active && jh_http_parser_buffered(req->parser) > MAX_PIPELINED)
 		jh_conn_pause(req->conn);
+	jh_memory_account_progress(req->account, jh_now());
+	count_held(req, 0);
+	/* This connection, if it is evicted, is freed by read_requests(). */
+	(void)jh_memory_budget_enforce(req->server->budget, jh_now(), NULL);
 	read_requests(req, r);
 }
 
@@ -300,6 +366,28 @@
 		req->ops->drained(req->arg);
 }
 
+/* See jh_memory_evict_fn; the connection retires the account. */
+static const char *
+evict_request(void *arg)
+{
+	struct jh_server_request *req = arg;
+	bool active = req->active;
+
+	if (req->started != 0 && !active) {
+		write_rejection(
+		    req, 503, "Service Unavailable", JH_STR(EVICTED_FIELDS));
+		jh_memory_account_retire(req->account);
+		free_request(req);
+		return "body";
+	}
+	jh_memory_account_retire(req->account);
+	if (active && req->ops != NULL && req->ops->evicted != NULL)
+		req->ops->evicted(req->arg);
+	else
+		jh_server_request_abort(req);
+	return active ? "request" : "response";
+}
+
 static const struct jh_conn_ops conn_ops = {
     NULL, on_data, on_ended, on_drained};
 
@@ -324,6 +412,10 @@
 	    &parse_ops, req);
 	req->body = g_byte_array_new();
 	req->idle_since = arrival(req);
+	req->account = jh_memory_account_create(
+	    server->budget, jh_now(), evict_request, req);
+	jh_conn_set_account(req->conn, req->account);
+	count_held(req, 0);
 	g_hash_table_add(server->open_connections, req);
 	if (server->limits.connections != 0 &&
 	    g_hash_table_size(server->open_connections) >
@@ -344,7 +436,10 @@
 	req->overdue = false;
 	req->ops = NULL;
 	req->head = NULL;
-	g_byte_array_set_size(req->body, 0);
+	/* An idle connection keeps no memory for what it once received. */
+	g_byte_array_free(req->body, TRUE);
+	req->body = g_byte_array_new();
+	count_held(req, 0);
 	if (!req->keep_alive) {
 		close_connection(req);
 		return;
@@ -388,6 +483,21 @@
 	return false;
 }
 
+/* Bytes in the kernel belong to the process too while nothing reads them. */
+static void
+count_unread(struct jh_server_request *req)
+{
+	size_t unread = 0;
+
+	if (!req->active || req->account == NULL)
+		return;
+	if (jh_http_parser_buffered(req->parser) > MAX_PIPELINED)
+		unread = jh_conn_unread(req->conn);
+	if (req->ops != NULL && req->ops->unread != NULL)
+		unread += req->ops->unread(req->arg);
+	count_held(req, unread);
+}
+
 static void
 sweep(uv_timer_t *t)
 {
@@ -400,6 +510,7 @@
 
 	g_hash_table_iter_init(&it, server->open_connections);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		count_unread(key);
 		if (is_expired(key, now))
 			g_ptr_array_add(expired_list, key);
 	}
@@ -407,7 +518,8 @@
 		struct jh_server_request *req =
 		    g_ptr_array_index(expired_list, i);
 		if (req->started != 0) {
-			write_rejection(req, 408, "Request Timeout");
+			write_rejection(
+			    req, 408, "Request Timeout", JH_STR(""));
 			free_request(req);
 			continue;
 		}
@@ -415,6 +527,7 @@
 		close_connection(req);
 	}
 	g_ptr_array_free(expired_list, TRUE);
+	(void)jh_memory_budget_enforce(server->budget, now, NULL);
 }
 
 struct jh_uv_server *
@@ -491,6 +604,13 @@
 	server->limits = *limits;
 }
 
+void
+jh_uv_server_set_budget(
+    struct jh_uv_server *server, struct jh_memory_budget *budget)
+{
+	server->budget = budget;
+}
+
 void
 jh_uv_server_drain(struct jh_uv_server *server)
 {
@@ -628,6 +748,18 @@
 	next_request(req);
 }
 
+void
+jh_server_request_close_after(struct jh_server_request *req)
+{
+	req->keep_alive = false;
+}
+
+struct jh_memory_account *
+jh_server_request_account(const struct jh_server_request *req)
+{
+	return req->account;
+}
+
 void
 jh_server_request_abort(struct jh_server_request *req)
 {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "net/head.h"
+#include "net/memory_budget.h"
 
 /* An HTTP/1.1 server; it handles one request at a time per connection. */
 struct jh_uv_server;
@@ -34,6 +35,13 @@
 	size_t unread; /* bytes that the client sent and that were not read */
 };
 
+/* A response in place of a request that is not read. */
+struct jh_server_rejection {
+	unsigned int status; /* 0: the request is read */
+	const char *reason;
+	GString *fields; /* header lines, as for jh_server_request_respond() */
+};
+
 struct jh_uv_server_ops {
 	/*
 	 * A complete request has arrived. The handler must finish it with
@@ -43,6 +51,13 @@
 	void (*request)(void *arg, struct jh_server_request *req);
 	/* May be NULL. The connection is closed when this returns. */
 	void (*closing)(void *arg, const struct jh_server_closing *c);
+	/*
+	 * May be NULL. The head of a request with a long body has arrived, or
+	 * of one that waits for 100 (Continue): sets *out to refuse it before
+	 * its body is read. Must not keep the head.
+	 */
+	void (*head)(void *arg, const struct jh_head *head,
+	    struct jh_server_rejection *out);
 };
 
 struct jh_server_request_ops {
@@ -52,6 +67,17 @@
 	void (*drained)(void *arg);
 	/* May be NULL. The handler must finish the request at once. */
 	void (*stopping)(void *arg);
+	/*
+	 * The memory budget is used up. The handler must finish the request at
+	 * once, with a response that closes the connection or with
+	 * jh_server_request_abort(). May be NULL: the request is aborted.
+	 */
+	void (*evicted)(void *arg);
+	/*
+	 * Bytes that have arrived for the response and are not read because the
+	 * client is slow. May be NULL.
+	 */
+	size_t (*unread)(void *arg);
 };
 
 struct jh_uv_server *jh_uv_server_create(uv_loop_t *loop,
@@ -65,6 +91,12 @@
 
 void jh_uv_server_set_limits(
     struct jh_uv_server *server, const struct jh_uv_server_limits *limits);
+/*
+ * Counts what is held for clients in the budget from now on, and evicts clients
+ * when it is used up. The budget must outlive the server's loop.
+ */
+void jh_uv_server_set_budget(
+    struct jh_uv_server *server, struct jh_memory_budget *budget);
 /*
  * Starts a graceful shutdown: each connection closes after its next response.
  * New connections are still accepted.
@@ -102,6 +134,11 @@
     unsigned int status, const char *reason, struct jh_str fields);
 void jh_server_request_write(struct jh_server_request *req, struct jh_str data);
 void jh_server_request_end(struct jh_server_request *req);
+/* The connection closes after the response. */
+void jh_server_request_close_after(struct jh_server_request *req);
+/* The account of the connection; NULL if there is no budget. */
+struct jh_memory_account *jh_server_request_account(
+    const struct jh_server_request *req);
 /* Resets the connection, so that the client sees an incomplete response. */
 void jh_server_request_abort(struct jh_server_request *req);
 /* Bytes written that the kernel has not accepted yet. */
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -569,7 +569,7 @@
 }
 
 static const struct jh_server_request_ops request_ops = {
-    on_disconnected, on_drained, NULL};
+    .disconnected = on_disconnected, .drained = on_drained};
 
 static void
 on_request(void *arg, struct jh_server_request *req)
@@ -584,7 +584,7 @@
 		    req, 200, "OK", JH_STR(""), JH_STR("hello"));
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+static const struct jh_uv_server_ops server_ops = {.request = on_request};
 
 static void
 server_start(struct server *s, const struct jh_uv_server_limits *limits)
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -57,7 +57,7 @@
 	jh_server_request_respond(req, 200, "OK", JH_STR(""), JH_STR("hello"));
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+static const struct jh_uv_server_ops server_ops = {.request = on_request};
 
 /* Returns a free port of the loopback interface. */
 static struct sockaddr_in
--- a/test/test_server_pipeline.c
+++ b/test/test_server_pipeline.c
@@ -80,7 +80,7 @@
 	}
 }
 
-static const struct jh_uv_server_ops server_ops = {on_request, NULL};
+static const struct jh_uv_server_ops server_ops = {.request = on_request};
 
 static void
 respond_later(uv_timer_t *t)
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -61,7 +61,7 @@
 }
 
 static const struct jh_server_request_ops begun_ops = {
-    on_begun_gone, on_begun_drained, NULL};
+    .disconnected = on_begun_gone, .drained = on_begun_drained};
 
 /* Begins a response with a change; send_bytes() sends its body. */
 static void
@@ -124,7 +124,7 @@
 	g_free(target);
 }
 
-static const struct jh_uv_server_ops store_ops = {on_store, NULL};
+static const struct jh_uv_server_ops store_ops = {.request = on_store};
 
 static void
 on_object(void *arg, const struct plat_object *o)
