Net: silent connections give way to new ones

As many connections as the limit, which sent nothing, kept out all others until the idle timeout of 15 s: a new connection was reset. The one that has been open without a byte for longest, at least 1 s, now closes instead. The new case of test_server_pause fails without the change and passes with it.

--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -364,7 +364,8 @@
 	jh_metrics_add(gw->metrics, name, 1);
 	/* Connections without a request are closed all the time. */
 	if (c->unread == 0 && (strcmp(c->reason, "idle") == 0 ||
-				  strcmp(c->reason, "stopping") == 0))
+				  strcmp(c->reason, "stopping") == 0 ||
+				  strcmp(c->reason, "silent") == 0))
 		return;
 	jh_json_log(gw->log, "connection_closed", "s:s, s:I, s:I", "reason",
 	    c->reason, "idle_us", (json_int_t)c->idle_usec, "unread",
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -8,6 +8,13 @@
 #include "net/server.h"
 #include "net/parse.h"
 
+/*
+ * Time after which an open connection that has sent nothing is closed for a new
+ * one, if there are as many as the limit: the first bytes of one that was just
+ * opened may be on their way.
+ */
+#define SILENT_USEC JH_USEC_PER_SEC
+
 /* listen() backlog; the kernel drops further connection attempts. */
 #define BACKLOG 512
 
@@ -53,6 +60,7 @@
 	uint64_t idle_since;
 	bool request_done; /* the parser has a whole request */
 	bool active; /* passed to the handler */
+	bool served; /* the connection has had a request */
 	bool streaming;
 	bool keep_alive;
 	bool too_large;
@@ -199,6 +207,7 @@
 	if (req->server->draining)
 		req->keep_alive = false;
 	req->active = true;
+	req->served = true;
 	req->server->active++;
 	req->ops = NULL;
 	req->server->ops->request(req->server->arg, req);
@@ -391,6 +400,35 @@
 static const struct jh_conn_ops conn_ops = {
     NULL, on_data, on_ended, on_drained};
 
+/*
+ * Closes the connection that has been open for longest without any bytes of its
+ * client. Returns false if there is none.
+ */
+static bool
+close_silent(struct jh_uv_server *server)
+{
+	uint64_t oldest = jh_now() - SILENT_USEC;
+	struct jh_server_request *silent = NULL, *req;
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, server->open_connections);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		req = key;
+		if (req->started != 0 || req->served ||
+		    req->idle_since >= oldest || jh_conn_has_input(req->conn))
+			continue;
+		silent = req;
+		oldest = req->idle_since;
+	}
+	if (silent == NULL)
+		return false;
+	report_closing(silent, "silent");
+	jh_conn_close(silent->conn);
+	free_request(silent);
+	return true;
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
@@ -419,7 +457,8 @@
 	g_hash_table_add(server->open_connections, req);
 	if (server->limits.connections != 0 &&
 	    g_hash_table_size(server->open_connections) >
-		server->limits.connections) {
+		server->limits.connections &&
+	    !close_silent(server)) {
 		report_closing(req, "too_many");
 		jh_conn_reset(req->conn);
 		free_request(req);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -29,7 +29,10 @@
 
 /* A connection that the server closes without a response. */
 struct jh_server_closing {
-	/* "idle", "stopping", "too_many", or "client_left" with its request */
+	/*
+	 * "idle", "silent", "stopping", "too_many", or "client_left" with its
+	 * request
+	 */
 	const char *reason;
 	uint64_t idle_usec; /* since the last response, or since its start */
 	size_t unread; /* bytes that the client sent and that were not read */
--- a/test/test_server_pause.c
+++ b/test/test_server_pause.c
@@ -28,6 +28,8 @@
 #define LIMIT_USEC (300 * JH_USEC_PER_MSEC)
 /* Longer than the limit, and than the interval of the server's checks. */
 #define PAUSE_USEC (600 * JH_USEC_PER_MSEC)
+/* A connection that sends nothing for so long may be closed for another. */
+#define SILENT_MIN_USEC (1100 * JH_USEC_PER_MSEC)
 #define WAIT_USEC (5 * JH_USEC_PER_SEC)
 /* The loop waits for events by then. */
 #define SIGNAL_MSEC 20
@@ -391,6 +393,25 @@
 	destroy(f);
 }
 
+/* Guards against silent connections that keep out all others. */
+static void
+silent_connection_gives_way(void **state)
+{
+	const struct jh_uv_server_limits limits = {
+	    .head_bytes = 4096, .connections = 1};
+	struct fixture *f = create(&limits);
+	int silent = f->client;
+
+	while (jh_uv_server_connections(f->server) == 0)
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+	g_usleep(SILENT_MIN_USEC);
+	connect_client(f);
+	send_text(f, REQUEST);
+	expect(f, "hello");
+	close(silent);
+	destroy(f);
+}
+
 int
 main(void)
 {
@@ -410,6 +431,7 @@
 		pause_while_waiting_counts_in_the_time_of_a_request),
 	    cmocka_unit_test(pause_while_waiting_counts_on_a_new_connection),
 	    cmocka_unit_test(pause_before_a_request_does_not_count),
+	    cmocka_unit_test(silent_connection_gives_way),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
