--- a/src/net/memory_budget.c
+++ b/src/net/memory_budget.c
@@ -6,8 +6,8 @@
 
 /*
  * Memory that a process needs for itself: code, libraries, configuration, lists
- * of workers and routers, log. 15 MB were measured with 32 routers and 58
- * workers (docs/CAPACITY.md).
+ * of workers and routers, log. The busiest of 300 routers took 14 MB
+ * (docs/CAPACITY.md).
  */
 #define PROCESS_BYTES ((size_t)20 * 1024 * 1024)
 
