Net: count what closing connections still have to write

An evicted client whose earlier response still waited kept its queue for up to 1 s while its account had been retired. The account now stays with the closing connection, which is evicted again if that is much.

--- a/src/net/memory_budget.c
+++ b/src/net/memory_budget.c
@@ -20,6 +20,9 @@
  */
 #define IDLE_BASE_USEC (100 * JH_USEC_PER_MSEC)
 
+/* Calls that an account's owner may need to release all of it. */
+#define MAX_TURNS 2
+
 struct jh_memory_budget {
 	size_t limit;
 	size_t held;
@@ -138,12 +141,15 @@
 {
 	struct jh_memory_account *a;
 	bool keep = true;
+	guint turns;
 
 	/* What an eviction starts is within the loop that evicts. */
 	if (b == NULL || b->enforcing)
 		return true;
 	b->enforcing = true;
-	while (keep && (a = next_victim(b, now)) != NULL) {
+	/* An owner that releases nothing must not stop the process. */
+	turns = MAX_TURNS * b->accounts->len;
+	while (keep && turns-- > 0 && (a = next_victim(b, now)) != NULL) {
 		struct jh_memory_eviction eviction = {
 		    .what = "response",
 		    .held = a->held,
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -29,8 +29,8 @@
 };
 
 /*
- * Releases what the account is held for, and calls jh_memory_account_retire().
- * Returns what that was.
+ * Releases what the account is held for, or retires the account. If not all of
+ * it is released, a second call must do it. Returns what that was.
  */
 typedef const char *jh_memory_evict_fn(void *arg);
 
--- a/src/net/server.c
+++ b/src/net/server.c
@@ -375,7 +375,10 @@
 		req->ops->drained(req->arg);
 }
 
-/* See jh_memory_evict_fn; the connection retires the account. */
+/*
+ * See jh_memory_evict_fn. What a closing connection still has to write stays in
+ * its account: if that is much, it is evicted again.
+ */
 static const char *
 evict_request(void *arg)
 {
@@ -385,11 +388,9 @@
 	if (req->started != 0 && !active) {
 		write_rejection(
 		    req, 503, "Service Unavailable", JH_STR(EVICTED_FIELDS));
-		jh_memory_account_retire(req->account);
 		free_request(req);
 		return "body";
 	}
-	jh_memory_account_retire(req->account);
 	if (active && req->ops != NULL && req->ops->evicted != NULL)
 		req->ops->evicted(req->arg);
 	else
