Quotas: trial of shares of rate and level in proportion to demand

While the demand exceeds the rate each router admits a share of the rate plus the level over one second.

--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -52,6 +52,9 @@
  */
 #define QUOTA_PEERS 64
 
+/* Quotas are looked after between the rounds of the other messages, too. */
+#define QUOTA_MSEC 50
+
 /* Flags of a report. */
 #define FLAG_LOADING 1U
 #define FLAG_REPLACED 2U
@@ -86,6 +89,7 @@
 	struct jh_gossip_spec spec;
 	uv_udp_t udp;
 	uv_timer_t round_timer;
+	uv_timer_t quota_timer;
 	unsigned char key[JH_GOSSIP_KEY_LEN];
 	uint64_t id; /* of the key */
 	uint64_t number; /* of the last message */
@@ -500,6 +504,28 @@
 		    udp->data, (const unsigned char *)buf->base, (size_t)n);
 }
 
+static void
+on_quota_timer(uv_timer_t *t)
+{
+	send_quotas(t->data);
+}
+
+/* The timer runs while there are quotas. */
+static void
+update_quota_timer(struct jh_gossip *g)
+{
+	bool needed =
+	    g->spec.quotas != NULL && jh_quota_ledger_count(g->spec.quotas) > 0;
+
+	if (needed == (uv_is_active((uv_handle_t *)&g->quota_timer) != 0))
+		return;
+	if (needed)
+		uv_timer_start(
+		    &g->quota_timer, on_quota_timer, QUOTA_MSEC, QUOTA_MSEC);
+	else
+		uv_timer_stop(&g->quota_timer);
+}
+
 static void
 on_round(uv_timer_t *t)
 {
@@ -512,7 +538,7 @@
 	jh_rate_limits_update(g->spec.rate_limits, jh_now(), g->spec.fleet);
 	write_message(g);
 	jh_fanout_round(g->fanout, send_to, g);
-	send_quotas(g);
+	update_quota_timer(g);
 }
 
 static void
@@ -550,9 +576,11 @@
 		jh_quota_ledger_set_self(spec->quotas, g->id);
 	uv_udp_init(spec->loop, &g->udp);
 	uv_timer_init(spec->loop, &g->round_timer);
+	uv_timer_init(spec->loop, &g->quota_timer);
 	g->udp.data = g;
 	g->round_timer.data = g;
-	g->open_handles = 2;
+	g->quota_timer.data = g;
+	g->open_handles = 3;
 	*error =
 	    uv_udp_bind(&g->udp, (const struct sockaddr *)&spec->address, 0);
 	if (*error == 0)
@@ -572,6 +600,7 @@
 		return;
 	uv_close((uv_handle_t *)&g->udp, on_closed);
 	uv_close((uv_handle_t *)&g->round_timer, on_closed);
+	uv_close((uv_handle_t *)&g->quota_timer, on_closed);
 }
 
 const unsigned char *
--- a/src/route/quota_ledger.c
+++ b/src/route/quota_ledger.c
@@ -22,11 +22,14 @@
 #define UNANNOUNCED_PART 0.5
 
 /*
- * Below this part of the burst, processes keep to their own shares while the
- * demand is higher than the rate: otherwise each of them admits a request when
- * the level rises above 0, before it learns of the others.
+ * While the demand exceeds the rate, all processes together admit as much as
+ * uses up the level, or repays the debt, in this time. It is several times the
+ * delay of announcements; with less the level would oscillate.
  */
-#define SHARED_PART 0.25
+#define LEVEL_SECONDS 1.0
+
+/* A share holds what it gets in this time. */
+#define SHARE_SECONDS 0.1
 
 /* Errors of the estimate do not refuse requests for longer than this. */
 #define MAX_DEBT_SECONDS 10
@@ -67,9 +70,6 @@
 	bool shared; /* the demand exceeds the rate */
 	double share_level;
 	uint64_t share_at;
-	/* Cost of refused requests that were told when to come back. */
-	double expected_back;
-	uint64_t expected_at;
 };
 
 struct jh_quota_ledger {
@@ -338,10 +338,21 @@
 	q->asked_rate += cost * 1e6 / DEMAND_USEC;
 }
 
+/* Where in its first interval this process's share begins, 0 to 1. */
+static double
+phase(const struct jh_quota_ledger *l, const struct quota *q)
+{
+	uint64_t both[2] = {l->id, q->id};
+
+	return (double)(XXH3_64bits(both, sizeof(both)) >> 11) /
+	       (double)(1ULL << 53);
+}
+
 /*
- * Brings this process's share up to date; returns its rate, or 0 if the demand
- * does not exceed the rate. The first shares begin at different levels, so that
- * the processes do not admit their first requests at the same moment.
+ * While the demand exceeds the rate, each process keeps to a share in
+ * proportion to its demand. Otherwise all would admit a request when the level
+ * rises above 0, before they learn of each other. Returns the share's rate;
+ * negative: the demand does not exceed the rate.
  */
 static double
 update_share(const struct jh_quota_ledger *l, struct quota *q, uint64_t now,
@@ -349,45 +360,37 @@
 {
 	double all = demand_of_all(l, q, now);
 	double rate = q->limit.per_second * part;
-	uint64_t both[2] = {l->id, q->id};
 
 	if (all <= rate) {
 		q->shared = false;
-		return 0;
+		return -1;
 	}
-	rate *= own_demand(q, now) / all;
-	if (!q->shared) {
-		q->shared = true;
-		q->share_level =
-		    -cost * (double)(XXH3_64bits(both, sizeof(both)) >> 11) /
-		    (double)(1ULL << 53);
-	} else {
+	rate =
+	    MAX(rate + q->level / LEVEL_SECONDS, 0) * own_demand(q, now) / all;
+	if (q->shared)
 		q->share_level += rate * (double)(now - q->share_at) / 1e6;
-	}
-	q->share_level = CLAMP(q->share_level, -MAX(cost, rate), rate / 10);
+	else
+		q->share_level = -cost * phase(l, q);
+	q->shared = true;
+	q->share_level =
+	    CLAMP(q->share_level, -cost, MAX(rate * SHARE_SECONDS, 1));
 	q->share_at = now;
 	return rate;
 }
 
 /*
- * Time until the bucket has room for this request, behind the refused ones that
- * were told to come back before.
+ * Time until a request can be admitted. Processes get their shares at different
+ * moments, so that those who come back do so one after the other.
  */
 static uint64_t
-wait_usec(struct quota *q, uint64_t now, double part, double share, double cost)
+wait_usec(const struct quota *q, double part, double share)
 {
 	double rate = q->limit.per_second * part;
-	double own = share > 0 ? share : rate;
 	double wait = MAX(-q->level, 0) / rate;
 
-	if (q->share_level < 0 && share > 0)
+	if (share > 0)
 		wait = MAX(wait, -q->share_level / share);
-	q->expected_back -= own * (double)(now - q->expected_at) / 1e6;
-	q->expected_back = MAX(q->expected_back, 0);
-	q->expected_at = now;
-	wait += q->expected_back / own;
-	q->expected_back += cost;
-	return 1 + (uint64_t)(MIN(wait, 3600) * 1e6);
+	return 1 + (uint64_t)(MIN(wait, MAX_DEBT_SECONDS) * 1e6);
 }
 
 uint64_t
@@ -402,13 +405,11 @@
 	part = advance(l, q, now);
 	count_request(q, now, cost);
 	share = update_share(l, q, now, part, cost);
-	if (q->level <= 0 ||
-	    (share > 0 && q->share_level <= 0 &&
-		q->level < SHARED_PART * q->limit.burst * part))
-		return wait_usec(q, now, part, share, cost);
+	if (share >= 0 ? q->share_level <= 0 : q->level <= 0)
+		return wait_usec(q, part, share);
 	q->level -= cost;
 	q->admitted += cost;
-	if (share > 0)
+	if (share >= 0)
 		q->share_level -= cost;
 	return 0;
 }
