Quotas: admit by part of the requests, divide by demand

Causes: - A share of the rate of one of 32 routers is less than one request in seconds. - Extrapolation of single requests of 55,000 tokens subtracted cost that did not occur. - All refused requests came back at the same moment.

While the demand is above the rate, all routers now admit the same part of the requests, whatever their cost: the rate and what brings the level to 0, by the demand. Nothing is extrapolated; peers are told within 50 ms while a level is low, else within 200 ms. Waits are spread over at most a second. A process that has just started counts its peers as being in touch until their first messages arrive. The part of a side of a cut follows the demand that all knew before. Demand of a removed peer is kept for a second, as its clients go to the others.

The bucket has the whole burst again and half of the tolerated tokens (quota_slack in place of quota_window_s): large requests below the quota.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,7 +40,7 @@
 	struct jh_retry_budget *retry_budget;
 	struct jh_rate_limits *rate_limits; /* that workers name */
 	struct jh_quota_ledger *quotas; /* of organisations */
-	double quota_window; /* seconds; see jh_quota_bucket(); 0: none */
+	double quota_slack; /* tokens above a quota that are tolerated */
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -645,7 +645,7 @@
 	jh_fanout_remove(g->fanout, p);
 	jh_rate_limits_remove_peer(g->spec.rate_limits, p->id);
 	if (g->spec.quotas != NULL)
-		jh_quota_ledger_remove_peer(g->spec.quotas, p->id);
+		jh_quota_ledger_remove_peer(g->spec.quotas, jh_now(), p->id);
 	g_hash_table_remove(g->by_id, &p->id);
 	g_hash_table_remove(g->peers, name);
 }
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -4,6 +4,13 @@
 
 #include "gateway/quota.h"
 
+/*
+ * Part of the tolerated tokens that is added to a burst: organisations below
+ * their quota send large requests that the burst alone would refuse. The rest
+ * covers the last request that is admitted, which may exceed the level.
+ */
+#define BURST_SLACK_PART 0.5
+
 void
 jh_gateway_update_quotas(struct jh_gateway *gw)
 {
@@ -14,13 +21,13 @@
 	for (i = 0; i < jh_route_table_org_count(gw->routes); i++) {
 		const struct jh_route_org *org =
 		    jh_route_table_org_at(gw->routes, i);
-		struct jh_quota_rate quota = {
+		struct jh_quota_rate bucket = {
 		    org->quota_per_second, org->quota_burst};
-		struct jh_quota_rate bucket =
-		    jh_quota_bucket(&quota, gw->quota_window);
-		if (jh_route_org_has_quota(org))
-			jh_quota_ledger_set(
-			    gw->quotas, now, org->hash, &bucket);
+		if (!jh_route_org_has_quota(org))
+			continue;
+		if (org->quota_in_tokens)
+			bucket.burst += gw->quota_slack * BURST_SLACK_PART;
+		jh_quota_ledger_set(gw->quotas, now, org->hash, &bucket);
 	}
 	jh_quota_ledger_end_update(gw->quotas);
 	jh_metrics_set(gw->metrics, "jh_quotas",
--- a/src/route/quota_ledger.h
+++ b/src/route/quota_ledger.h
@@ -19,30 +19,12 @@
  */
 struct jh_quota_ledger;
 
-/*
- * A peer that was not heard for this long is not counted as being in touch.
- * Announcements are 1 s apart at most, so that two in a row must be lost.
- */
-#define JH_QUOTA_SILENT_USEC (2500 * JH_USEC_PER_MSEC)
-
-/* Longest time between two announcements of a process. */
-#define JH_QUOTA_ANNOUNCE_USEC JH_USEC_PER_SEC
-
 /* A limit; amounts are in any unit of cost. */
 struct jh_quota_rate {
 	double per_second;
 	double burst;
 };
 
-/*
- * The token bucket for a quota of this rate and burst that operators check in
- * windows of that many seconds: what the bucket lets through in any window is
- * the same, but less of it at one moment and more of it by rate, so that a
- * demand that lasts is served better. The same bucket if window is 0.
- */
-struct jh_quota_rate jh_quota_bucket(
-    const struct jh_quota_rate *quota, double window);
-
 /* Use of one quota, as processes announce it to each other. */
 struct jh_quota_record {
 	uint64_t quota;
@@ -63,7 +45,8 @@
 void jh_quota_ledger_set_self(struct jh_quota_ledger *l, uint64_t id);
 /* Peers that share the quotas, whether in touch or not. */
 void jh_quota_ledger_add_peer(struct jh_quota_ledger *l, uint64_t id);
-void jh_quota_ledger_remove_peer(struct jh_quota_ledger *l, uint64_t id);
+void jh_quota_ledger_remove_peer(
+    struct jh_quota_ledger *l, uint64_t now, uint64_t id);
 /* A message of the peer has arrived. */
 void jh_quota_ledger_peer_heard(
     struct jh_quota_ledger *l, uint64_t now, uint64_t id);
@@ -97,7 +80,7 @@
     const struct jh_quota_ledger *l, uint64_t now, uint64_t quota);
 
 /* Whether peers should be told now; to be asked in each round. */
-bool jh_quota_ledger_is_due(struct jh_quota_ledger *l, uint64_t now);
+bool jh_quota_ledger_is_due(const struct jh_quota_ledger *l, uint64_t now);
 /*
  * Writes up to max records of quotas in use and returns their number. *next is
  * the place to go on at in the next message; it starts at 0.
