--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -44,6 +44,30 @@
 	    jh_rate_limits_share(g->rate_limits, w->hash));
 }
 
+/* The organisations with a quota, as this process knows their use. */
+static json_t *
+view_quotas(const struct jh_gateway *g, uint64_t now)
+{
+	json_t *quotas = json_array();
+	size_t i;
+
+	for (i = 0;
+	     g->routes != NULL && i < jh_route_table_org_count(g->routes);
+	     i++) {
+		const struct jh_route_org *org =
+		    jh_route_table_org_at(g->routes, i);
+		if (!jh_route_org_has_quota(org))
+			continue;
+		json_array_append_new(quotas,
+		    json_pack("{s:s, s:f, s:f, s:f}", "org", org->name,
+			"per_second", org->quota_per_second, "level",
+			jh_quota_ledger_level(g->quotas, now, org->hash),
+			"demand",
+			jh_quota_ledger_demand(g->quotas, now, org->hash)));
+	}
+	return quotas;
+}
+
 json_t *
 jh_gateway_view(const struct jh_gateway *g, uint64_t now)
 {
@@ -53,11 +77,11 @@
 	for (i = 0; i < jh_fleet_count(g->fleet); i++)
 		json_array_append_new(
 		    workers, view_worker(g, jh_fleet_at(g->fleet, i), now));
-	return json_pack("{s:I, s:i, s:b, s:I, s:o}", "config_version",
+	return json_pack("{s:I, s:i, s:b, s:I, s:o, s:o}", "config_version",
 	    g->routes != NULL ? (json_int_t)jh_route_table_version(g->routes)
 			      : (json_int_t)-1,
 	    "processes", (int)g->processes, "stopping", g->stop_at != 0,
 	    "quarantined_parts",
 	    (json_int_t)jh_suspects_parts_quarantined(g->suspects, now),
-	    "workers", workers);
+	    "quotas", view_quotas(g, now), "workers", workers);
 }
