Quotas: a message has only the quotas that peers should be told of

While one level was low, each message of the 20 a second had the records of all quotas in use: with 16 of them 548 bytes, 340 KB a second of one of 32 routers.

--- a/src/route/quota_exchange.c
+++ b/src/route/quota_exchange.c
@@ -19,35 +19,43 @@
 	return q->used_at != 0 && now - q->used_at <= JH_QUOTA_IDLE_USEC;
 }
 
-/* Whether this much of the quota was used since the last announcement. */
+/*
+ * Whether peers should be told of this quota: the more of it is left, the
+ * later. A message has only such quotas, so that those that are told of often,
+ * while their level is low, take few bytes.
+ */
 static bool
-has_unannounced(const struct quota *q, double cost)
+is_quota_due(
+    const struct jh_quota_ledger *l, const struct quota *q, uint64_t now)
 {
-	return fabs(q->admitted - q->announced_admitted) > cost ||
-	       q->asked - q->announced_asked > cost;
+	unsigned int n = g_hash_table_size(l->peers) + 1;
+	double most = UNANNOUNCED_PART / n * q->limit.burst;
+	uint64_t passed = now - MIN(now, q->announced_at);
+
+	if (!is_in_use(q, now))
+		return false;
+	if (passed >= quota_announce_usec(l))
+		return true;
+	if (passed < CALM_ANNOUNCE_USEC && q->level > q->limit.burst * LOW_PART)
+		return false;
+	return fabs(q->admitted - q->announced_admitted) > most ||
+	       q->asked - q->announced_asked > most;
 }
 
 bool
 jh_quota_ledger_is_due(const struct jh_quota_ledger *l, uint64_t now)
 {
-	double part = UNANNOUNCED_PART / (g_hash_table_size(l->peers) + 1);
 	GHashTableIter it;
-	gpointer value;
+	gpointer q;
 
 	if (g_hash_table_size(l->quotas) == 0)
 		return false;
 	if (now - l->announced_at >= quota_announce_usec(l))
 		return true;
 	g_hash_table_iter_init(&it, l->quotas);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct quota *q = value;
-		if (now - l->announced_at < CALM_ANNOUNCE_USEC &&
-		    q->level > q->limit.burst * LOW_PART)
-			continue;
-		if (is_in_use(q, now) &&
-		    has_unannounced(q, part * q->limit.burst))
+	while (g_hash_table_iter_next(&it, NULL, &q))
+		if (is_quota_due(l, q, now))
 			return true;
-	}
 	return false;
 }
 
@@ -65,13 +73,14 @@
 	g_hash_table_iter_init(&it, l->quotas);
 	while (n < max && g_hash_table_iter_next(&it, NULL, &value)) {
 		struct quota *q = value;
-		if (i++ < *next || !is_in_use(q, now))
+		if (i++ < *next || !is_quota_due(l, q, now))
 			continue;
 		out[n++] = (struct jh_quota_record){.quota = q->id,
 		    .period = q->period,
 		    .age = now - q->period_began,
 		    .admitted = q->admitted,
 		    .asked = q->asked};
+		q->announced_at = now;
 		q->announced_admitted = q->admitted;
 		q->announced_asked = q->asked;
 	}
--- a/src/route/quota_ledger.h
+++ b/src/route/quota_ledger.h
@@ -82,8 +82,8 @@
 /* Whether peers should be told now; to be asked in each round. */
 bool jh_quota_ledger_is_due(const struct jh_quota_ledger *l, uint64_t now);
 /*
- * Writes up to max records of quotas in use and returns their number. *next is
- * the place to go on at in the next message; it starts at 0.
+ * Writes up to max records of quotas to tell of and returns their number. *next
+ * is the place to go on at in the next message; it starts at 0.
  */
 size_t jh_quota_ledger_export(struct jh_quota_ledger *l, uint64_t now,
     struct jh_quota_record *out, size_t max, size_t *next);
--- a/src/route/quota_state.h
+++ b/src/route/quota_state.h
@@ -57,6 +57,7 @@
 	uint64_t period_began;
 	uint64_t used_at; /* 0: never */
 	double admitted, asked;
+	uint64_t announced_at;
 	double announced_admitted, announced_asked;
 	double asked_rate; /* a second, at used_at */
 	double weighed; /* asked cost since the last sample of weights */
