Quotas: notice cuts after half a second, a quarter of the slack in the bucket

Until a cut is noticed both sides use the rate and the burst of all.

A peer is in touch while it was heard within 0.53 s; what it used is left out only after a silence of 0.91 s as before. A process's own pause is not a silence of its peers. The slack also covers the last request of each side, so that only a quarter of it is added to the burst.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -9,7 +9,7 @@
  * their quota send large requests that the burst alone would refuse. The rest
  * covers the last request that is admitted, which may exceed the level.
  */
-#define BURST_SLACK_PART 0.5
+#define BURST_SLACK_PART 0.25
 
 void
 jh_gateway_update_quotas(struct jh_gateway *gw)
--- a/src/route/quota_exchange.c
+++ b/src/route/quota_exchange.c
@@ -43,13 +43,14 @@
 }
 
 bool
-jh_quota_ledger_is_due(const struct jh_quota_ledger *l, uint64_t now)
+jh_quota_ledger_is_due(struct jh_quota_ledger *l, uint64_t now)
 {
 	GHashTableIter it;
 	gpointer q;
 
 	if (g_hash_table_size(l->quotas) == 0)
 		return false;
+	quota_refresh(l, now);
 	if (now - l->announced_at >= quota_announce_usec(l))
 		return true;
 	g_hash_table_iter_init(&it, l->quotas);
--- a/src/route/quota_ledger.c
+++ b/src/route/quota_ledger.c
@@ -69,7 +69,7 @@
 	p = g_new0(struct quota_peer, 1);
 	p->id = id;
 	g_hash_table_insert(l->peers, &p->id, p);
-	l->refreshed_at = 0;
+	l->changed = true;
 }
 
 /* The demand's moving average after a time without requests. */
@@ -108,7 +108,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &q))
 		drop_use(q, id, now);
 	g_hash_table_remove(l->peers, &id);
-	l->refreshed_at = 0;
+	l->changed = true;
 }
 
 void
--- a/src/route/quota_ledger.h
+++ b/src/route/quota_ledger.h
@@ -79,8 +79,8 @@
 double jh_quota_ledger_demand(
     const struct jh_quota_ledger *l, uint64_t now, uint64_t quota);
 
-/* Whether peers should be told now; to be asked in each round. */
-bool jh_quota_ledger_is_due(const struct jh_quota_ledger *l, uint64_t now);
+/* Whether peers should be told now; to be asked every 50 ms. */
+bool jh_quota_ledger_is_due(struct jh_quota_ledger *l, uint64_t now);
 /*
  * Writes up to max records of quotas to tell of and returns their number. *next
  * is the place to go on at in the next message; it starts at 0.
--- a/src/route/quota_part.c
+++ b/src/route/quota_part.c
@@ -16,10 +16,23 @@
 
 /*
  * A peer that was not heard in the time of so many announcements is not in
- * touch: two in a row must be lost.
+ * touch. One that is lost makes it so for a moment; a cut is to be noticed
+ * soon, as both sides use all of the quota until then.
+ */
+#define TOUCH_ANNOUNCEMENTS 1.5
+
+/*
+ * What a peer used while it was not heard for longer than this came from its
+ * own part: two announcements in a row were lost.
  */
 #define SILENT_ANNOUNCEMENTS 2.6
 
+/*
+ * A process that did not look for this long was paused. The time does not count
+ * as a silence of its peers, whose datagrams wait to be read.
+ */
+#define PAUSE_USEC (150 * JH_USEC_PER_MSEC)
+
 /* The first announcements of all peers arrive in the time of so many. */
 #define START_ANNOUNCEMENTS 1.2
 
@@ -61,22 +74,27 @@
 		return (double)(now - l->created_at) <
 		       usec * START_ANNOUNCEMENTS;
 	return (double)(now - MIN(now, p->heard_at)) <
-	       usec * SILENT_ANNOUNCEMENTS;
+	       usec * TOUCH_ANNOUNCEMENTS;
 }
 
-static void
-refresh(struct jh_quota_ledger *l, uint64_t now)
+void
+quota_refresh(struct jh_quota_ledger *l, uint64_t now)
 {
+	uint64_t passed = now - MIN(now, l->refreshed_at), pause;
 	GHashTableIter it;
 	gpointer value;
 
-	if (now < l->refreshed_at + REFRESH_USEC)
+	if (passed < REFRESH_USEC && !l->changed)
 		return;
+	pause = l->refreshed_at != 0 && passed > PAUSE_USEC ? passed : 0;
 	l->refreshed_at = now;
+	l->changed = false;
 	l->in_touch = 1;
 	g_hash_table_iter_init(&it, l->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct quota_peer *p = value;
+		if (p->heard_at != 0)
+			p->heard_at = MIN(p->heard_at + pause, now);
 		p->in_touch = is_in_touch(l, p, now);
 		l->in_touch += p->in_touch;
 	}
@@ -116,7 +134,7 @@
 	unsigned int n = g_hash_table_size(l->peers) + 1;
 	guint i;
 
-	refresh(l, now);
+	quota_refresh(l, now);
 	if (l->in_touch == n) {
 		q->part = 1;
 		if (now - q->sampled_at >=
@@ -142,7 +160,10 @@
 
 	if (p == NULL)
 		return;
-	if (p->heard_at == 0 || !is_in_touch(l, p, now))
+	quota_refresh(l, now);
+	if (p->heard_at == 0 ||
+	    (double)(now - MIN(now, p->heard_at)) >=
+		(double)quota_announce_usec(l) * SILENT_ANNOUNCEMENTS)
 		p->heard_since = now;
 	p->heard_at = now;
 }
--- a/src/route/quota_state.h
+++ b/src/route/quota_state.h
@@ -71,6 +71,7 @@
 	uint64_t created_at;
 	uint64_t announced_at; /* 0: not yet */
 	uint64_t refreshed_at;
+	bool changed; /* the peers, since then */
 	unsigned int in_touch; /* processes, with this one */
 	GHashTable *peers; /* by id */
 	GHashTable *quotas; /* by id */
@@ -80,6 +81,8 @@
 void quota_advance(struct jh_quota_ledger *l, struct quota *q, uint64_t now);
 /* Longest time between two announcements of a process. */
 uint64_t quota_announce_usec(const struct jh_quota_ledger *l);
+/* Looks which peers are in touch; to be called every 50 ms or so. */
+void quota_refresh(struct jh_quota_ledger *l, uint64_t now);
 /* Brings q->part up to date. */
 void quota_update_part(
     struct jh_quota_ledger *l, struct quota *q, uint64_t now);
--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -21,6 +21,7 @@
 #define WINDOW_STEPS (WINDOW_SECONDS * JH_USEC_PER_SEC / STEP_USEC)
 #define PATIENCE_USEC 1333333 /* a third of a timeout of 4 s */
 #define SLACK 110000
+#define BURST_SLACK_PART 0.25 /* as in gateway/quota.c */
 #define OVERSHOOT 1.1
 #define RUN_SECONDS 30
 #define STEPS (RUN_SECONDS * JH_USEC_PER_SEC / STEP_USEC)
@@ -72,8 +73,8 @@
 static void
 set_quota(struct fleet *f, unsigned int i, double part)
 {
-	struct jh_quota_rate bucket = {
-	    f->spec->rate * part, f->spec->burst * part + SLACK / 2.0};
+	struct jh_quota_rate bucket = {f->spec->rate * part,
+	    f->spec->burst * part + SLACK * BURST_SLACK_PART};
 
 	jh_quota_ledger_set(
 	    f->router[i].ledger, clock_of(f, i), QUOTA, &bucket);
@@ -232,7 +233,7 @@
 step(struct fleet *f)
 {
 	const struct quota_fleet_spec *s = f->spec;
-	double burst = s->burst + SLACK / 2.0;
+	double burst = s->burst + SLACK * BURST_SLACK_PART;
 	uint64_t at = f->now / STEP_USEC;
 	unsigned int i;
 	double level;
--- a/test/test_quota_routers.c
+++ b/test/test_quota_routers.c
@@ -67,12 +67,14 @@
 {
 	static const struct platform_spec spec = {
 	    .routers = ROUTERS, .workers = PLATFORM_WORKERS, .plain = true};
-	json_t *config, *org;
+	json_t *config, *org, *first;
 	unsigned int i;
 	double wait;
 
 	p = platform_create(&spec);
-	config = json_deep_copy(platform_get(p, "config", "main"));
+	first = platform_get(p, "config", "main");
+	config = json_deep_copy(first);
+	json_decref(first);
 	org = json_array_get(json_object_get(config, "tenants"), 0);
 	json_object_set_new(config, "version", json_integer(2));
 	json_object_set_new(org, "unit", json_string("tokens"));
