Route: estimate and admission under overload, off by default

Cause: queue_wait_usec() counts neither running requests, slots, rank nor the speed of a worker, so urgent requests wait behind less urgent ones, and load is uneven. Every router tries a crashed worker again by itself.

Change: route/overload.h estimates the wait from prompt work of the same or a more urgent rank, one step for each running request and chunk, slots, memory with the last shared part, and a speed learned from first events. A worker that two peers cannot reach is avoided, and its backoff is spread. All of it applies only to requests with the field overload, which nothing sets yet.

Result: test_choose, test_peers, test_overload and test_attempt pass unchanged.

--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "route/choose.h"
+#include "route/overload.h"
 
 /* Prefill rate that the deployments' engines are specified with. */
 #define PREFILL_TOKENS_PER_MSEC 41
@@ -183,6 +184,15 @@
 	return outdated_for_usec(r, weights, now) <= JH_CHOOSE_OUTDATED_USEC;
 }
 
+/* Whether the worker is avoided as long as there are others. */
+static bool
+is_backed_off(
+    const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
+{
+	return now < w->backoff_until ||
+	       (r->overload && now < w->heard_unreachable_until);
+}
+
 /*
  * When the worker and its rate limit allow a request: now or earlier if they
  * do.
@@ -287,6 +297,35 @@
 	return tokens;
 }
 
+uint64_t
+jh_choose_held_tokens(const struct jh_choose_request *r)
+{
+	uint64_t held = (uint64_t)r->own_tokens + r->output_tokens;
+
+	/*
+	 * The last shared part stays in memory as well; the parts before it are
+	 * in use by many requests and counted with none.
+	 */
+	if (r->overload && r->n_prefixes > 0)
+		held += r->prefix[r->n_prefixes - 1].tokens;
+	return held;
+}
+
+/* Times of the request at the worker, which computes that many tokens of it. */
+static struct jh_overload_time
+overload_time(const struct jh_choose_request *r, const struct jh_worker *w,
+    uint64_t prefill)
+{
+	struct jh_overload_work work = {.rank = r->rank,
+	    .prefill = prefill,
+	    .memory = jh_choose_held_tokens(r),
+	    .capacity = r->cache_tokens};
+	struct jh_overload_time time;
+
+	jh_overload_estimate(w, &work, &time);
+	return time;
+}
+
 static uint64_t
 queue_wait_usec(
     const struct jh_choose_request *r, const struct jh_worker *w, uint64_t now)
@@ -315,13 +354,15 @@
 cost_usec(const struct jh_chooser *c, const struct jh_choose_request *r,
     const struct jh_worker *w, const struct version *v, uint64_t now)
 {
-	uint64_t cost = queue_wait_usec(r, w, now) +
-			distance_usec(distance(c, w)) +
+	uint64_t cost = distance_usec(distance(c, w)) +
 			(uint64_t)(w->fail_rate * FAIL_RATE_COST_USEC);
 	uint64_t compute_usec;
 
 	if (!r->is_engine)
-		return cost;
+		return cost + queue_wait_usec(r, w, now);
+	cost += r->overload
+		    ? overload_time(r, w, r->own_tokens).total
+		    : queue_wait_usec(r, w, now) + prefill_usec(r->own_tokens);
 	if (outdated_for_usec(r, v->weights, now) > OUTDATED_GRACE_USEC)
 		cost += OUTDATED_COST_USEC;
 	compute_usec = prefill_usec(uncached_tokens(r, v, w, now));
@@ -330,7 +371,7 @@
 		compute_usec = 0;
 	if (!r->minimise_ttft)
 		compute_usec *= RECOMPUTE_WEIGHT;
-	return cost + compute_usec + prefill_usec(r->own_tokens);
+	return cost + compute_usec;
 }
 
 /* TTFT if the worker had no other work. */
@@ -425,7 +466,7 @@
 		uint64_t score, weights;
 		if (!serves(r, w, &weights) ||
 		    !is_eligible(r, w, weights, now) ||
-		    now < w->backoff_until || room_at(r, w, now) > now)
+		    is_backed_off(r, w, now) || room_at(r, w, now) > now)
 			continue;
 		v = find_version(c, r, versions, n, weights);
 		if (v == NULL)
@@ -456,7 +497,7 @@
 			continue;
 		out->any_worker = true;
 		if (!is_eligible(r, w, weights, now) ||
-		    (now < w->backoff_until && !include_backed_off))
+		    (is_backed_off(r, w, now) && !include_backed_off))
 			continue;
 		room = room_at(r, w, now);
 		if (room > now) {
@@ -492,6 +533,27 @@
 	}
 }
 
+/* Times to the first token at the chosen worker. */
+static void
+set_times(const struct jh_chooser *c, const struct jh_choose_request *r,
+    const struct version *v, uint64_t now, struct jh_choice *out)
+{
+	const struct jh_worker *w = out->worker;
+	struct jh_overload_time time;
+
+	if (!r->is_engine || !r->overload) {
+		out->idle_ttft = idle_ttft_usec(c, r, w, v, now);
+		out->expected_ttft =
+		    out->idle_ttft + queue_wait_usec(r, w, now);
+		return;
+	}
+	time = overload_time(
+	    r, w, (uint64_t)uncached_tokens(r, v, w, now) + r->own_tokens);
+	out->expected_ttft = distance_usec(distance(c, w)) + time.total;
+	out->idle_ttft = out->expected_ttft - time.wait;
+	out->nominal_ttft = time.nominal;
+}
+
 void
 jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct jh_choice *out)
@@ -511,9 +573,7 @@
 	if (out->worker == NULL)
 		return;
 	v = find_version(c, r, versions, &n, weights_of(r, out->worker));
-	out->idle_ttft = idle_ttft_usec(c, r, out->worker, v, now);
-	out->expected_ttft =
-	    out->idle_ttft + queue_wait_usec(r, out->worker, now);
+	set_times(c, r, v, now, out);
 	if (!r->is_engine || r->n_prefixes == 0)
 		return;
 	out->uncached = uncached_tokens(r, v, out->worker, now);
--- a/src/route/choose.h
+++ b/src/route/choose.h
@@ -57,6 +57,8 @@
 	size_t n_prefixes;
 	uint32_t own_tokens; /* not shared with other requests */
 	uint32_t output_tokens; /* at most */
+	bool overload; /* by the estimates of route/overload.h */
+	unsigned int rank; /* if overload; 0 is the most urgent */
 	struct jh_weights_version
 	    versions[JH_WEIGHTS_HISTORY]; /* oldest first */
 	size_t n_versions;
@@ -73,6 +75,7 @@
 	struct jh_worker *source;
 	uint64_t expected_ttft; /* expected TTFT */
 	uint64_t idle_ttft; /* the same if the worker had no other work */
+	uint64_t nominal_ttft; /* if overload: at the worker, at speed 1 */
 	bool from_store; /* fetch the prefix from the store */
 	bool save; /* the worker saves the prefix it computes to the store */
 	uint32_t uncached; /* prefix tokens that the worker has to compute */
@@ -87,6 +90,9 @@
 struct jh_chooser *jh_chooser_create(const struct jh_choose_topology *topology);
 void jh_chooser_destroy(struct jh_chooser *c);
 
+/* Tokens that the request holds at a worker while it runs. */
+uint64_t jh_choose_held_tokens(const struct jh_choose_request *r);
+
 /* Chooses a worker; out->worker is owned by the fleet. */
 void jh_choose(struct jh_chooser *c, struct jh_fleet *f, uint64_t now,
     const struct jh_choose_request *r, struct jh_choice *out);
--- a/src/route/fleet.c
+++ b/src/route/fleet.c
@@ -105,6 +105,9 @@
 	w->consecutive_failures = 0;
 	w->fail_rate = 0;
 	w->ttft_excess = 0;
+	w->speed[0] = w->speed[1] = 0;
+	w->unreachable_at = 0;
+	w->heard_unreachable_until = 0;
 	w->leaving = false;
 	w->announced_leaving = false;
 	w->heard_leaving_until = 0;
@@ -403,9 +406,77 @@
 	w->fail_rate += FAIL_RATE_WEIGHT * (1 - w->fail_rate);
 }
 
+static void
+subtract_at_most(uint64_t *from, uint64_t n)
+{
+	*from -= MIN(*from, n);
+}
+
+void
+jh_worker_add_load(struct jh_worker *w, const struct jh_worker_load *l)
+{
+	w->prefill_tokens += l->prefill;
+	w->urgent_tokens += l->urgent;
+	w->held_tokens += l->held;
+	w->running++;
+}
+
+void
+jh_worker_release_prefill(struct jh_worker *w, struct jh_worker_load *l)
+{
+	subtract_at_most(&w->prefill_tokens, l->prefill);
+	subtract_at_most(&w->urgent_tokens, l->urgent);
+	l->prefill = l->urgent = 0;
+}
+
+void
+jh_worker_release_load(struct jh_worker *w, struct jh_worker_load *l)
+{
+	jh_worker_release_prefill(w, l);
+	subtract_at_most(&w->held_tokens, l->held);
+	l->held = 0;
+	if (w->running > 0)
+		w->running--;
+}
+
+void
+jh_worker_unreachable(struct jh_worker *w, uint64_t now, uint64_t spread)
+{
+	/* Requests that failed together are one failure. */
+	if (now < w->backoff_until && w->unreachable_at != 0)
+		return;
+	jh_worker_attempt_failed(w, now);
+	w->backoff_until += spread % JH_FLEET_BACKOFF_MIN_USEC;
+	w->unreachable_at = now;
+}
+
+void
+jh_worker_heard_unreachable(
+    struct jh_worker *w, uint64_t now, uint64_t peer, uint64_t window)
+{
+	bool confirmed =
+	    w->unreachable_peer != peer && w->unreachable_heard_at != 0 &&
+	    now - w->unreachable_heard_at < JH_FLEET_ANNOUNCE_UNREACHABLE_USEC;
+
+	w->unreachable_peer = peer;
+	w->unreachable_heard_at = now;
+	if (confirmed &&
+	    (w->responded_at == 0 || now - w->responded_at >= window))
+		w->heard_unreachable_until =
+		    now + JH_FLEET_HEARD_UNREACHABLE_USEC;
+}
+
+bool
+jh_worker_announces_unreachable(const struct jh_worker *w, uint64_t now)
+{
+	return w->unreachable_at != 0 &&
+	       now - w->unreachable_at < JH_FLEET_ANNOUNCE_UNREACHABLE_USEC;
+}
+
 void
 jh_worker_responded(struct jh_worker *w, bool failed)
 {
+	w->unreachable_at = 0;
 	w->consecutive_failures = 0;
 	w->fail_rate += FAIL_RATE_WEIGHT * ((failed ? 1 : 0) - w->fail_rate);
 }
--- a/src/route/fleet.h
+++ b/src/route/fleet.h
@@ -105,6 +105,25 @@
 	 */
 	double ttft_excess;
 	uint64_t ttft_excess_at;
+	/* Of requests with admission under overload, see route/overload.h. */
+	uint64_t urgent_tokens; /* the part of prefill_tokens that is urgent */
+	uint64_t others_urgent; /* of others_prefill */
+	/* Learned from urgent and from other requests; 0: not known, as 1. */
+	double speed[2];
+	/* Its last connection failed at that time; 0: it has responded since.
+	 */
+	uint64_t unreachable_at;
+	/* Peers that failed as well: the last one, and the backoff by them. */
+	uint64_t unreachable_peer;
+	uint64_t unreachable_heard_at;
+	uint64_t heard_unreachable_until;
+};
+
+/* What a request in progress adds to the load of its worker, in tokens. */
+struct jh_worker_load {
+	uint64_t prefill;
+	uint64_t urgent; /* the part of prefill that is urgent */
+	uint64_t held;
 };
 
 /*
@@ -127,6 +146,14 @@
  */
 #define JH_FLEET_HEARD_LEAVING_USEC 3000000ULL
 
+/*
+ * A worker that two peers cannot reach gets no requests for the first time
+ * after their last message, which they repeat for the second time after a
+ * failure.
+ */
+#define JH_FLEET_HEARD_UNREACHABLE_USEC 300000ULL
+#define JH_FLEET_ANNOUNCE_UNREACHABLE_USEC 500000ULL
+
 /* Backoff after a failure; each consecutive failure doubles it. */
 #define JH_FLEET_BACKOFF_MIN_USEC 250000ULL
 #define JH_FLEET_BACKOFF_MAX_USEC 2000000ULL
@@ -194,6 +221,10 @@
 void jh_worker_accepted(struct jh_worker *w, uint64_t sent_at);
 /* When it may get a request: now or earlier if it may. */
 uint64_t jh_worker_accepts_at(const struct jh_worker *w, uint64_t now);
+/* A request in progress begins, has its first event, and ends. */
+void jh_worker_add_load(struct jh_worker *w, const struct jh_worker_load *l);
+void jh_worker_release_prefill(struct jh_worker *w, struct jh_worker_load *l);
+void jh_worker_release_load(struct jh_worker *w, struct jh_worker_load *l);
 /* A request is sent to it. */
 void jh_worker_sent(struct jh_worker *w, uint64_t now);
 
@@ -216,6 +247,21 @@
 bool jh_worker_announces_replaced(const struct jh_worker *w, uint64_t now);
 /* The connection failed or the worker timed out: starts a backoff. */
 void jh_worker_attempt_failed(struct jh_worker *w, uint64_t now);
+/*
+ * No connection to the worker could be opened: as jh_worker_attempt_failed(),
+ * and peers are told. spread: a random number; processes that failed at the
+ * same time try again at different ones.
+ */
+void jh_worker_unreachable(struct jh_worker *w, uint64_t now, uint64_t spread);
+/*
+ * A peer reports so. Has no effect if this process has got a response within
+ * the window, or if no other peer reports the same, so that the fault of one
+ * process or link takes no worker out of service.
+ */
+void jh_worker_heard_unreachable(
+    struct jh_worker *w, uint64_t now, uint64_t peer, uint64_t window);
+/* Whether peers are to be told that the worker cannot be reached. */
+bool jh_worker_announces_unreachable(const struct jh_worker *w, uint64_t now);
 /* The worker responded; failed: with an error of its own. */
 void jh_worker_responded(struct jh_worker *w, bool failed);
 
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -54,6 +54,7 @@
 	w->others_running += (unsigned int)sign * r->running;
 	w->others_prefill += (uint64_t)((int64_t)sign * r->prefill_tokens);
 	w->others_held += (uint64_t)((int64_t)sign * r->held_tokens);
+	w->others_urgent += (uint64_t)((int64_t)sign * r->urgent_tokens);
 }
 
 static void
@@ -86,6 +87,7 @@
 		w->others_running = 0;
 		w->others_prefill = 0;
 		w->others_held = 0;
+		w->others_urgent = 0;
 	}
 	g_hash_table_iter_init(&it, p->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -93,7 +95,8 @@
 }
 
 static void
-update_state(struct jh_fleet *f, uint64_t now, const struct jh_peer_report *r)
+update_state(struct jh_fleet *f, uint64_t now, uint64_t peer,
+    const struct jh_peer_report *r)
 {
 	struct jh_worker *w = jh_fleet_find_hash(f, r->worker);
 	const struct jh_worker_model *m = NULL;
@@ -104,6 +107,9 @@
 		jh_worker_replaced(w, now);
 	if (r->leaving)
 		jh_worker_heard_leaving(w, now);
+	if (r->unreachable)
+		jh_worker_heard_unreachable(
+		    w, now, peer, JH_PEERS_RESPONDED_USEC);
 	if (r->responded)
 		w->others_responded_at = now - JH_PEERS_RESPONDED_USEC;
 	/* Versions only rise, so the higher of two is the later. */
@@ -141,7 +147,7 @@
 		g_array_append_vals(from->reports, reports, (guint)n);
 	add_peer(f, from, 1);
 	for (i = 0; i < n; i++)
-		update_state(f, now, &reports[i]);
+		update_state(f, now, peer, &reports[i]);
 	return true;
 }
 
--- a/src/route/peers.h
+++ b/src/route/peers.h
@@ -37,6 +37,9 @@
 	bool replaced; /* another instance has its address */
 	bool leaving; /* as a response to the sender says */
 	bool responded; /* to the sender, within JH_PEERS_RESPONDED_USEC */
+	uint32_t urgent_tokens; /* part of prefill_tokens; see route/overload.h
+				 */
+	bool unreachable; /* by the sender, lately */
 };
 
 struct jh_peers *jh_peers_create(void);
