Gateway: overload control where organisations have quotas or by setting

Cause: admission saw neither rank nor deadline.

Change: a request uses route/overload.h if the table in force has quotas or the new setting overload is on, decided in one function of gateway/request.c. Reports between routers state in unused bits of the flags which part of the prompt work is urgent and which workers cannot be reached; their length stays. Refusals have the log line "overload" and the metric jh_overload_refused.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -6,6 +6,7 @@
 
 #include "gateway/exchange.h"
 #include "route/admit.h"
+#include "route/overload.h"
 
 /* A request whose connection is not open by then counts as not sent. */
 #define CONNECT_TIMEOUT_USEC (400 * JH_USEC_PER_MSEC)
@@ -40,20 +41,13 @@
 	return x->route->rank;
 }
 
-static void
-subtract_at_most(uint64_t *from, uint64_t n)
-{
-	*from -= MIN(*from, n);
-}
-
 void
 exchange_release_prefill(struct exchange *x)
 {
 	struct jh_worker *w = exchange_worker(x);
 
 	if (w != NULL)
-		subtract_at_most(&w->prefill_tokens, x->counted_prefill);
-	x->counted_prefill = 0;
+		jh_worker_release_prefill(w, &x->load);
 }
 
 void
@@ -61,17 +55,19 @@
 {
 	struct jh_worker *w = exchange_worker(x);
 
-	exchange_release_prefill(x);
-	if (w != NULL) {
-		subtract_at_most(&w->held_tokens, x->counted_held);
-		if (w->running > 0)
-			w->running--;
-	}
-	x->counted_held = 0;
+	if (w != NULL)
+		jh_worker_release_load(w, &x->load);
+	x->load = (struct jh_worker_load){0};
 	g_free(x->worker_id);
 	x->worker_id = NULL;
 }
 
+static bool
+is_urgent(const struct exchange *x)
+{
+	return x->choose.overload && x->choose.rank == JH_OVERLOAD_URGENT_RANK;
+}
+
 static void
 add_load(
     struct exchange *x, struct jh_worker *w, const struct jh_choice *choice)
@@ -80,12 +76,10 @@
 	x->worker_hash = w->hash;
 	x->worker_started_ms = w->started_ms;
 	x->worker_address = w->address;
-	x->counted_prefill = (uint64_t)x->choose.own_tokens + choice->uncached;
-	x->counted_held =
-	    (uint64_t)x->choose.own_tokens + x->request.output_tokens;
-	w->prefill_tokens += x->counted_prefill;
-	w->held_tokens += x->counted_held;
-	w->running++;
+	x->load.prefill = (uint64_t)x->choose.own_tokens + choice->uncached;
+	x->load.urgent = is_urgent(x) ? x->load.prefill : 0;
+	x->load.held = jh_choose_held_tokens(&x->choose);
+	jh_worker_add_load(w, &x->load);
 }
 
 void
@@ -270,6 +264,7 @@
 	x->sent_at = now;
 	x->expected_ttft = choice->expected_ttft;
 	x->idle_ttft = choice->idle_ttft;
+	x->nominal_ttft = choice->nominal_ttft;
 	x->requested_weights = jh_worker_weights(w, x->model);
 	x->other_instance = x->silence_timed_out = x->malformed = x->streaming =
 	    false;
@@ -308,24 +303,21 @@
 	start_silence_timer(x, now);
 }
 
-static bool
-admit(const struct exchange *x, const struct jh_choice *choice, uint64_t now,
-    struct jh_admit_decision *decision)
+static struct jh_admit_request
+admit_request(
+    const struct exchange *x, const struct jh_choice *choice, uint64_t now)
 {
-	struct jh_admit_request r = {
+	return (struct jh_admit_request){
 	    .expected_ttft = choice->expected_ttft,
 	    .queue_wait = choice->expected_ttft - choice->idle_ttft,
 	    .target = x->route->target,
-	    .time_left = x->attempts.deadline - now,
+	    .time_left = x->attempts.deadline - MIN(now, x->attempts.deadline),
 	    .hash = XXH3_64bits(x->request.id.ptr, x->request.id.len),
 	};
-
-	jh_admit(&r, decision);
-	return decision->admitted;
 }
 
 static void
-reject_overloaded(
+log_turned_away(
     struct exchange *x, const struct jh_choice *choice, double seconds)
 {
 	jh_metrics_add(x->gateway->metrics, "jh_turned_away", 1);
@@ -336,14 +328,80 @@
 	    (json_int_t)choice->expected_ttft, "wait_us",
 	    (json_int_t)(choice->expected_ttft - choice->idle_ttft),
 	    "retry_after_s", seconds);
-	exchange_refuse(x, "the workers are busy", seconds);
+}
+
+/*
+ * Admission without overload control. Returns false if the request is refused.
+ */
+static bool
+admit(struct exchange *x, uint64_t now, struct jh_choice *choice)
+{
+	struct jh_admit_request r = admit_request(x, choice, now);
+	struct jh_admit_decision decision;
+
+	jh_admit(&r, &decision);
+	if (decision.admitted)
+		return true;
+	/* Another worker may be free, though it has to compute more. */
+	x->choose.minimise_ttft = true;
+	choose_worker(x, now, choice);
+	if (choice->expected_ttft - choice->idle_ttft <= FREE_WAIT_USEC)
+		return true;
+	log_turned_away(x, choice, decision.retry_seconds);
+	exchange_refuse(x, "the workers are busy", decision.retry_seconds);
+	return false;
+}
+
+static void
+log_overload(
+    const struct exchange *x, const struct jh_overload_request *r, uint64_t now)
+{
+	struct jh_gateway *gw = x->gateway;
+	char name[64];
+
+	g_snprintf(name, sizeof(name), "jh_overload_refused{rank=\"%u\"}",
+	    MIN(r->rank, 9));
+	jh_metrics_add(gw->metrics, name, 1);
+	jh_json_log(gw->log, "overload", "s:s#, s:i, s:f, s:I, s:I, s:b",
+	    "request", x->request.id.ptr, (int)x->request.id.len, "rank",
+	    (int)r->rank, "pressure",
+	    jh_overload_pressure(gw->overload, now, r->service), "target_us",
+	    (json_int_t)r->admit.target, "time_left_us",
+	    (json_int_t)r->admit.time_left, "by_time", (int)r->by_time);
+}
+
+/* The same with overload control; see route/overload.h. */
+static bool
+admit_under_overload(struct exchange *x, uint64_t now, struct jh_choice *choice)
+{
+	struct jh_overload_request r = {
+	    .service = XXH3_64bits(x->service_name, strlen(x->service_name)),
+	    .rank = x->choose.rank,
+	    .admit = admit_request(x, choice, now),
+	};
+	enum jh_overload_verdict verdict;
+	double seconds;
+
+	verdict = jh_overload_decide(x->gateway->overload, now, &r, &seconds);
+	if (verdict == JH_OVERLOAD_BY_TIME) {
+		r.by_time = x->choose.minimise_ttft = true;
+		choose_worker(x, now, choice);
+		r.admit = admit_request(x, choice, now);
+		verdict =
+		    jh_overload_decide(x->gateway->overload, now, &r, &seconds);
+	}
+	if (verdict == JH_OVERLOAD_SEND)
+		return true;
+	log_overload(x, &r, now);
+	log_turned_away(x, choice, seconds);
+	exchange_refuse(x, "the workers are overloaded", seconds);
+	return false;
 }
 
 void
 exchange_start_attempt(struct exchange *x)
 {
 	uint64_t now = jh_now();
-	struct jh_admit_decision decision;
 	struct jh_choice choice;
 
 	if (exchange_refuse_quarantined(x))
@@ -361,14 +419,8 @@
 		return;
 	}
 	if (x->attempts.sent == 0 && x->choose.is_engine &&
-	    !admit(x, &choice, now, &decision)) {
-		/* Another worker may be free, though it has to compute more. */
-		x->choose.minimise_ttft = true;
-		choose_worker(x, now, &choice);
-		if (choice.expected_ttft - choice.idle_ttft > FREE_WAIT_USEC) {
-			reject_overloaded(x, &choice, decision.retry_seconds);
-			return;
-		}
-	}
+	    !(x->choose.overload ? admit_under_overload(x, now, &choice)
+				 : admit(x, now, &choice)))
+		return;
 	send_request(x, &choice, now);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,8 +43,8 @@
 	uint64_t expected_ttft; /* microseconds to the first token */
 	uint64_t idle_ttft; /* the same if the worker were idle */
 	uint64_t requested_weights; /* version */
-	/* What the attempt adds to the load of its worker, in tokens. */
-	uint64_t counted_prefill, counted_held;
+	struct jh_worker_load load; /* of the attempt at its worker */
+	uint64_t nominal_ttft; /* see struct jh_choice */
 	uv_timer_t silence_timer; /* aborts an attempt without a response */
 	uint64_t quiet_since; /* see struct jh_silence */
 	unsigned int silence_checks;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "route/retry_budget.h"
 #include "route/choose.h"
 #include "route/fleet.h"
+#include "route/overload.h"
 #include "route/quota_ledger.h"
 #include "route/rate_limits.h"
 #include "route/route_table.h"
@@ -41,6 +42,8 @@
 	struct jh_rate_limits *rate_limits; /* that workers name */
 	struct jh_quota_ledger *quotas; /* of organisations */
 	double quota_window; /* seconds; see jh_quota_bucket(); 0: none */
+	struct jh_overload *overload; /* NULL: none */
+	bool overload_always; /* not only if organisations have quotas */
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -57,6 +57,10 @@
 #define FLAG_REPLACED 2U
 #define FLAG_RESPONDED 4U
 #define FLAG_LEAVING 8U
+#define FLAG_UNREACHABLE 16U
+/* The other bits are the urgent part of the prompt tokens, in sevenths. */
+#define URGENT_SHIFT 5
+#define URGENT_PARTS 7U
 
 /* A datagram stays below the usual path MTU of 1,500 bytes. */
 #define MAX_LEN 1440
@@ -150,6 +154,18 @@
 	jh_wire_put(at, flags, 1);
 }
 
+/* Rounded up, so that urgent work is never taken for none. */
+static unsigned int
+urgent_parts(const struct jh_worker *w)
+{
+	if (w->prefill_tokens == 0)
+		return 0;
+	return (unsigned int)((MIN(w->urgent_tokens, w->prefill_tokens) *
+				      URGENT_PARTS +
+				  w->prefill_tokens - 1) /
+			      w->prefill_tokens);
+}
+
 /* Workers that do not fit into this message come first in the next one. */
 static uint16_t
 put_reports(struct jh_gossip *g, unsigned char **at)
@@ -171,6 +187,9 @@
 		if (w->models->len > 0 && w->responded_at != 0 &&
 		    now - w->responded_at < JH_PEERS_RESPONDED_USEC)
 			flags |= FLAG_RESPONDED;
+		if (jh_worker_announces_unreachable(w, now))
+			flags |= FLAG_UNREACHABLE;
+		flags |= urgent_parts(w) << URGENT_SHIFT;
 		if (flags == 0 && (w->models->len == 0 || w->running == 0))
 			continue;
 		if (n_reports == MAX_REPORTS) {
@@ -446,6 +465,10 @@
 		reports[i].replaced = (flags & FLAG_REPLACED) != 0;
 		reports[i].leaving = (flags & FLAG_LEAVING) != 0;
 		reports[i].responded = (flags & FLAG_RESPONDED) != 0;
+		reports[i].unreachable = (flags & FLAG_UNREACHABLE) != 0;
+		reports[i].urgent_tokens = reports[i].prefill_tokens *
+					   (uint32_t)(flags >> URGENT_SHIFT) /
+					   URGENT_PARTS;
 	}
 	if (!jh_peers_receive(g->reports, g->spec.fleet, jh_now(), id, number,
 		reports, count))
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -1,4 +1,5 @@
 #include <jansson.h>
+#include <sodium.h>
 #include <string.h>
 
 #include <jacinthhill/clock.h>
@@ -105,6 +106,9 @@
 		w->ttft_excess +=
 		    TTFT_EXCESS_WEIGHT * (excess - w->ttft_excess);
 		w->ttft_excess_at = now;
+		if (x->choose.overload)
+			jh_overload_learn(
+			    w, x->choose.rank, x->nominal_ttft, took);
 	}
 	jh_worker_responded(w, false);
 }
@@ -314,6 +318,16 @@
 	return x->status >= 500 ? JH_ATTEMPT_FAILED : JH_ATTEMPT_RESPONDED;
 }
 
+/* No connection could be opened, or it broke before a response. */
+static void
+record_unreachable(const struct exchange *x, struct jh_worker *w, uint64_t now)
+{
+	if (x->choose.overload)
+		jh_worker_unreachable(w, now, randombytes_random());
+	else
+		jh_worker_attempt_failed(w, now);
+}
+
 static void
 update_worker(
     struct exchange *x, struct jh_worker *w, enum jh_attempt_result result)
@@ -324,12 +338,12 @@
 		return;
 	switch (result) {
 	case JH_ATTEMPT_NOT_SENT:
-		jh_worker_attempt_failed(w, now);
+		record_unreachable(x, w, now);
 		break;
 	case JH_ATTEMPT_BROKEN:
 		/* A single malformed response is no reason for a backoff. */
 		if (x->status == 0 && !x->silence_timed_out)
-			jh_worker_attempt_failed(w, now);
+			record_unreachable(x, w, now);
 		else if (!x->silence_timed_out)
 			jh_worker_responded(w, true);
 		break;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -104,6 +104,16 @@
 static const struct jh_server_request_ops conn_request_ops = {
     on_client_left, on_drained, on_server_stops};
 
+/* Whether overload control is in force for requests of that route table. */
+static bool
+has_overload_control(
+    const struct jh_gateway *gw, const struct jh_route_table *routes)
+{
+	if (gw->overload == NULL)
+		return false;
+	return gw->overload_always || jh_route_table_has_quotas(routes);
+}
+
 /* Fills in what the choice of a worker depends on. */
 static void
 set_choose_request(struct exchange *x)
@@ -122,6 +132,8 @@
 	if (!x->choose.is_engine)
 		return;
 	x->choose.model = x->model;
+	x->choose.overload = has_overload_control(x->gateway, x->routes);
+	x->choose.rank = exchange_effective_rank(x);
 	x->choose.cache_tokens = x->service->cache_tokens;
 	x->prefix_store = jh_route_table_cache_store(x->routes);
 	if (x->prefix_store != NULL)
