--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -551,7 +551,7 @@
 	    r, w, (uint64_t)uncached_tokens(r, v, w, now) + r->own_tokens);
 	out->expected_ttft = distance_usec(distance(c, w)) + time.total;
 	out->idle_ttft = out->expected_ttft - time.wait;
-	out->nominal_ttft = time.nominal;
+	out->nominal_ttft = distance_usec(distance(c, w)) + time.nominal;
 }
 
 void
--- a/src/route/overload.c
+++ b/src/route/overload.c
@@ -27,9 +27,12 @@
 #define MEMORY_FRACTION 0.85
 #define MEMORY_WEIGHT 4
 
-/* Engines differ by 0.7 to 1.7 and are specified with up to 2.2 times 41. */
+/*
+ * Engines differ by 0.7 to 1.7 and are specified with up to 2.2 times 41; the
+ * bounds leave room for steps that take less time than STEP_USEC.
+ */
 #define MIN_SPEED 0.3
-#define MAX_SPEED 4.0
+#define MAX_SPEED 8.0
 /* Weight of one first event, on a logarithmic scale. */
 #define SPEED_WEIGHT 0.1
 /* Shorter times say more about the network than about the worker. */
