Route: one function for the decisions of a request under overload

Cause: the order of choice, decision and second choice was in the gateway, and the replay had a copy.

Change: jh_overload_admit() has it.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -379,18 +379,10 @@
 	    .rank = x->choose.rank,
 	    .admit = admit_request(x, choice, now),
 	};
-	enum jh_overload_verdict verdict;
 	double seconds;
 
-	verdict = jh_overload_decide(x->gateway->overload, now, &r, &seconds);
-	if (verdict == JH_OVERLOAD_BY_TIME) {
-		r.by_time = x->choose.minimise_ttft = true;
-		choose_worker(x, now, choice);
-		r.admit = admit_request(x, choice, now);
-		verdict =
-		    jh_overload_decide(x->gateway->overload, now, &r, &seconds);
-	}
-	if (verdict == JH_OVERLOAD_SEND)
+	if (jh_overload_admit(x->gateway->overload, now, x->gateway->chooser,
+		x->gateway->fleet, &x->choose, choice, &r, &seconds))
 		return true;
 	log_overload(x, &r, now);
 	log_turned_away(x, choice, seconds);
--- a/src/route/overload.c
+++ b/src/route/overload.c
@@ -276,3 +276,23 @@
 	}
 	return JH_OVERLOAD_SEND;
 }
+
+bool
+jh_overload_admit(struct jh_overload *o, uint64_t now,
+    struct jh_chooser *chooser, struct jh_fleet *fleet,
+    struct jh_choose_request *choose, struct jh_choice *choice,
+    struct jh_overload_request *r, double *retry_seconds)
+{
+	enum jh_overload_verdict verdict;
+
+	for (r->by_time = false;; r->by_time = true) {
+		r->admit.expected_ttft = choice->expected_ttft;
+		r->admit.queue_wait = choice->expected_ttft - choice->idle_ttft;
+		verdict = jh_overload_decide(o, now, r, retry_seconds);
+		if (verdict != JH_OVERLOAD_BY_TIME)
+			return verdict == JH_OVERLOAD_SEND;
+		/* Another worker may be free, though it computes more. */
+		choose->minimise_ttft = true;
+		jh_choose(chooser, fleet, now, choose, choice);
+	}
+}
--- a/src/route/overload.h
+++ b/src/route/overload.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "route/admit.h"
+#include "route/choose.h"
 #include "route/fleet.h"
 
 /*
@@ -70,6 +71,17 @@
 enum jh_overload_verdict jh_overload_decide(struct jh_overload *o, uint64_t now,
     const struct jh_overload_request *r, double *retry_seconds);
 
+/*
+ * The same for *choice, which jh_choose() has made for *choose. Chooses again
+ * by time alone if that is the verdict. The caller sets all fields of r but
+ * by_time and the times of admit that the choice has. Returns whether the
+ * request is sent as *choice says.
+ */
+bool jh_overload_admit(struct jh_overload *o, uint64_t now,
+    struct jh_chooser *chooser, struct jh_fleet *fleet,
+    struct jh_choose_request *choose, struct jh_choice *choice,
+    struct jh_overload_request *r, double *retry_seconds);
+
 /*
  * How far urgent requests of the service exceed their share of the target: 1
  * means that they just keep it. 0: there were none lately.
