Test: values of the setting overload

Cause: no test covered them. Change: off, on, absent and another value are loaded. Result: test_platform_codec passes.

--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -497,6 +497,26 @@
 	g_free(text);
 }
 
+/* Guards against overload control that another value switches on. */
+static void
+overload_is_off_unless_on(void **state)
+{
+	static const char *const lines[] = {
+	    "", "overload: off\n", "overload: on\n", "overload: yes\n"};
+	struct plat_settings s;
+	char *message, *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		text = g_strconcat(settings, lines[i], NULL);
+		assert_int_equal(load_settings(text, &s, &message), i < 3);
+		assert_int_equal(s.overload, i == 2);
+		plat_settings_clear(&s);
+		g_free(message);
+		g_free(text);
+	}
+}
+
 int
 main(void)
 {
@@ -513,6 +533,7 @@
 	    cmocka_unit_test(invalid_workers_are_rejected),
 	    cmocka_unit_test(all_models_of_a_worker_are_read),
 	    cmocka_unit_test(invalid_settings_are_named),
+	    cmocka_unit_test(overload_is_off_unless_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
