--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,8 +50,8 @@
 	/* Prefix store that the worker fetches from; 0: none, or only one. */
 	uint64_t fetch_store; /* hash */
 	uint64_t fetch_tokens; /* that it surely has */
-	/* What the attempt adds to the load of its worker, in tokens. */
-	uint64_t counted_prefill, counted_held;
+	struct jh_worker_load load; /* of the attempt at its worker */
+	uint64_t nominal_ttft; /* see struct jh_choice */
 	uv_timer_t silence_timer; /* aborts an attempt without a response */
 	uint64_t quiet_since; /* see struct jh_silence */
 	unsigned int silence_checks;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "route/choose.h"
 #include "route/fleet.h"
 #include "route/kind_costs.h"
+#include "route/overload.h"
 #include "route/quota_ledger.h"
 #include "route/rate_limits.h"
 #include "route/route_table.h"
@@ -44,6 +45,8 @@
 	struct jh_kind_costs *kind_costs; /* of requests with a quota */
 	double quota_slack; /* tokens above a quota that are tolerated */
 	bool all_prefix_stores; /* use all that are configured */
+	struct jh_overload *overload; /* NULL: none */
+	bool overload_always; /* not only if organisations have quotas */
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
