--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -398,6 +398,17 @@
 	    (json_int_t)r->admit.time_left, "by_time", (int)r->by_time);
 }
 
+/*
+ * By rank, deadline and work only where the setting asks for it: on the days of
+ * the first deployment with quotas it refused more urgent requests than the
+ * expected wait alone, and served fewer of them in time.
+ */
+static bool
+uses_overload_refusals(const struct exchange *x)
+{
+	return x->choose.overload && x->gateway->overload_refusals;
+}
+
 /* The same with overload control; see route/overload.h. */
 static bool
 admit_under_overload(struct exchange *x, uint64_t now, struct jh_choice *choice)
@@ -439,8 +450,8 @@
 		return;
 	}
 	if (x->attempts.sent == 0 && x->choose.is_engine &&
-	    !(x->choose.overload ? admit_under_overload(x, now, &choice)
-				 : admit(x, now, &choice)))
+	    !(uses_overload_refusals(x) ? admit_under_overload(x, now, &choice)
+					: admit(x, now, &choice)))
 		return;
 	send_request(x, &choice, now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,7 +46,8 @@
 	double quota_slack; /* tokens above a quota that are tolerated */
 	bool all_prefix_stores; /* use all that are configured */
 	struct jh_overload *overload; /* NULL: none */
-	bool overload_always; /* not only if organisations have quotas */
+	/* Not only if organisations have quotas; and refusals, by rank too. */
+	bool overload_placement, overload_refusals;
 	struct jh_weights *weights;
 	struct jh_suspects *suspects; /* parts of requests that crash workers */
 	size_t quarantined_parts; /* of these, as last logged */
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -136,14 +136,14 @@
     .unread = on_unread,
 };
 
-/* Whether overload control is in force for requests of that route table. */
+/* Whether requests of that route table are placed by load and speed. */
 static bool
 has_overload_control(
     const struct jh_gateway *gw, const struct jh_route_table *routes)
 {
 	if (gw->overload == NULL)
 		return false;
-	return gw->overload_always || jh_route_table_has_quotas(routes);
+	return gw->overload_placement || jh_route_table_has_quotas(routes);
 }
 
 /* Fills in what the choice of a worker depends on. */
--- a/test/test_platform_codec.c
+++ b/test/test_platform_codec.c
@@ -535,16 +535,17 @@
 static void
 overload_is_off_unless_on(void **state)
 {
-	static const char *const lines[] = {
-	    "", "overload: off\n", "overload: on\n", "overload: yes\n"};
+	static const char *const lines[] = {"", "overload: off\n",
+	    "overload: placement\n", "overload: on\n", "overload: yes\n"};
 	struct plat_settings s;
 	char *message, *text;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
 		text = g_strconcat(settings, lines[i], NULL);
-		assert_int_equal(load_settings(text, &s, &message), i < 3);
-		assert_int_equal(s.overload, i == 2);
+		assert_int_equal(load_settings(text, &s, &message), i < 4);
+		assert_int_equal(s.overload_placement, i == 2 || i == 3);
+		assert_int_equal(s.overload_refusals, i == 3);
 		plat_settings_clear(&s);
 		g_free(message);
 		g_free(text);
