--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -113,8 +113,8 @@
 	char **argv = g_new0(char *, 3); /* owned by struct proc */
 	struct fake_router_settings settings = {.name = name,
 	    .store = p->store_port,
-	    .grace_sec = p->spec.grace_sec != 0 ? p->spec.grace_sec
-						: PLATFORM_GRACE_SEC,
+	    .grace_sec =
+		p->spec.grace_sec != 0 ? p->spec.grace_sec : PLATFORM_GRACE_SEC,
 	    .memory_mb = p->spec.memory_mb};
 
 	argv[0] = program;
