--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,7 +45,7 @@
 	struct jh_kind_costs *kind_costs; /* of requests with a quota */
 	double quota_slack; /* tokens above a quota that are tolerated */
 	bool all_prefix_stores; /* use all that are configured */
-	struct jh_overload *overload; /* NULL: none */
+	struct jh_overload *overload;
 	/* Not only if organisations have quotas; and refusals, by rank too. */
 	bool overload_placement, overload_refusals;
 	struct jh_weights *weights;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -136,14 +136,11 @@
     .unread = on_unread,
 };
 
-/* Whether requests of that route table are placed by load and speed. */
+/* Whether requests are placed by load and speed. */
 static bool
-has_overload_control(
-    const struct jh_gateway *gw, const struct jh_route_table *routes)
+has_overload_control(const struct jh_gateway *gw)
 {
-	if (gw->overload == NULL)
-		return false;
-	return gw->overload_placement || jh_route_table_has_quotas(routes);
+	return gw->overload_placement || jh_quota_ledger_count(gw->quotas) > 0;
 }
 
 /* Fills in what the choice of a worker depends on. */
@@ -164,7 +161,7 @@
 	if (!x->choose.is_engine)
 		return;
 	x->choose.model = x->model;
-	x->choose.overload = has_overload_control(x->gateway, x->routes);
+	x->choose.overload = has_overload_control(x->gateway);
 	x->choose.rank = exchange_effective_rank(x);
 	x->choose.cache_tokens = x->service->cache_tokens;
 	x->choose.token_bytes = x->service->token_bytes;
--- a/src/route/quota_ledger.h
+++ b/src/route/quota_ledger.h
@@ -11,8 +11,8 @@
  * Quotas that hold for all processes together. Each process keeps an estimate
  * of one token bucket per quota, subtracts what it admits itself, and learns
  * from its peers' announcements what they admit. Announcements are cumulative,
- * so that a lost one has no effect; between two of them a peer's use is
- * extrapolated. docs/design/quotas.md gives the bound on the overshoot.
+ * so that a lost one has no effect. docs/design/quotas.md tells what happens
+ * when processes cannot hear each other.
  *
  * No I/O; times are microseconds of the monotonic clock. Quotas are known by
  * any hash, processes by any number that is new at each start.
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -239,17 +239,6 @@
 	return org->quota_per_second > 0 && org->quota_burst > 0;
 }
 
-bool
-jh_route_table_has_quotas(const struct jh_route_table *t)
-{
-	size_t i;
-
-	for (i = 0; i < t->orgs->len; i++)
-		if (jh_route_org_has_quota(jh_route_table_org_at(t, i)))
-			return true;
-	return false;
-}
-
 bool
 jh_route_table_has_orgs(const struct jh_route_table *t)
 {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -119,8 +119,6 @@
 const struct jh_route_org *jh_route_table_org_at(
     const struct jh_route_table *t, size_t i);
 bool jh_route_org_has_quota(const struct jh_route_org *org);
-/* Whether any organisation has a quota. */
-bool jh_route_table_has_quotas(const struct jh_route_table *t);
 /* Whether requests need an API key unless their route is anonymous. */
 bool jh_route_table_has_orgs(const struct jh_route_table *t);
 /* The route of the host with the longest prefix of the path, or NULL. */
