--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -18,9 +18,13 @@
 
 #include "rig.h"
 
-#define MAX_ROUTERS 8
+#define MAX_ROUTERS 32
+#define ZONES 6
 #define READY_MSEC 10000
 
+#define FIRST_PORT 20000
+#define PORTS 12000
+
 /* A case that takes longer has not run. */
 #define CASE_SEC 115
 
@@ -112,14 +116,22 @@
 unsigned int
 rig_free_port(void)
 {
-	struct sockaddr_in at;
-	socklen_t len = sizeof(at);
-	int fd = listen_on(0);
+	static unsigned int next;
+	unsigned int port, i;
+	int fd;
 
-	if (fd < 0 || getsockname(fd, (struct sockaddr *)&at, &len) != 0)
-		rig_give_up("no free port");
-	close(fd);
-	return ntohs(at.sin_port);
+	/* Below the ports that the kernel gives to clients. */
+	if (next == 0)
+		next = (unsigned int)getpid() * 64;
+	for (i = 0; i < PORTS; i++) {
+		port = FIRST_PORT + next++ % PORTS;
+		fd = listen_on(port);
+		if (fd < 0)
+			continue;
+		close(fd);
+		return port;
+	}
+	rig_give_up("no free port");
 }
 
 static void *
@@ -197,20 +209,24 @@
     const struct rig_router *r, const char *path, unsigned int memory_mb)
 {
 	FILE *f = fopen(path, "w");
+	unsigned int i;
 
 	if (f == NULL)
 		rig_give_up("the settings cannot be written");
+	fprintf(f, "name: \"%s\"\nzone: \"z%u\"\nzones:\n", r->name, r->zone);
+	for (i = 0; i < ZONES; i++)
+		fprintf(f, "  - name: \"z%u\"\n    region: \"r%u\"\n", i,
+		    i * 2 / ZONES);
 	fprintf(f,
-	    "name: \"%s\"\nzone: \"z0\"\nzones:\n  - name: \"z0\"\n"
-	    "    region: \"r0\"\ngossip: \"127.0.0.1:%u\"\n"
+	    "gossip: \"127.0.0.1:%u\"\n"
 	    "metrics: \"127.0.0.1:%u\"\nclients: \"127.0.0.1:%u\"\n"
 	    "readiness: \"127.0.0.1:%u\"\nstore: \"127.0.0.1:%u\"\n"
 	    "memory_mb: %u\ndescriptors: 4100\ngrace_s: \"8\"\n"
 	    "repeat_ratio: \"0.2\"\nrepeat_slack: \"58\"\n"
 	    "repeat_window_s: \"10\"\nholders_apart_ms: 3000\n"
 	    "prefix_stores: \"all\"\n",
-	    r->name, rig_free_port(), rig_free_port(), r->clients, r->readiness,
-	    store_port, memory_mb);
+	    rig_free_port(), rig_free_port(), r->clients, r->readiness,
+	    r->store != 0 ? r->store : store_port, memory_mb);
 	fclose(f);
 }
 
@@ -303,6 +319,122 @@
 	return kb;
 }
 
+/* A connection through the proxy; it stays open once it is silent. */
+struct relay {
+	int fd[2];
+	bool silent;
+	struct relay *next;
+};
+
+struct direction {
+	struct relay *relay;
+	int from;
+};
+
+static pthread_mutex_t proxy_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct relay *relays;
+static int proxy_fd;
+
+static void *
+run_direction(void *arg)
+{
+	struct direction *d = arg;
+	struct relay *r = d->relay;
+	int to = 1 - d->from;
+	char data[16384];
+	bool silent;
+	ssize_t n;
+
+	for (;;) {
+		n = recv(r->fd[d->from], data, sizeof(data), 0);
+		pthread_mutex_lock(&proxy_lock);
+		silent = r->silent;
+		pthread_mutex_unlock(&proxy_lock);
+		if (silent) {
+			if (n <= 0)
+				break;
+			continue;
+		}
+		if (n <= 0) {
+			shutdown(r->fd[to], SHUT_WR);
+			break;
+		}
+		if (!rig_send(r->fd[to], data, (size_t)n))
+			break;
+	}
+	free(d);
+	return NULL;
+}
+
+static void
+start_direction(struct relay *r, int from)
+{
+	struct direction *d = malloc(sizeof(*d));
+	pthread_t thread;
+
+	if (d == NULL)
+		abort();
+	d->relay = r;
+	d->from = from;
+	if (pthread_create(&thread, NULL, run_direction, d) != 0)
+		rig_give_up("no thread");
+	pthread_detach(thread);
+}
+
+static void *
+run_proxy(void *arg)
+{
+	struct relay *r;
+	int fd;
+
+	for (;;) {
+		fd = accept(proxy_fd, NULL, NULL);
+		if (fd < 0)
+			continue;
+		r = calloc(1, sizeof(*r));
+		if (r == NULL)
+			abort();
+		r->fd[0] = fd;
+		r->fd[1] = rig_connect(store_port, 0, 0);
+		if (r->fd[1] < 0)
+			rig_give_up("the store does not listen");
+		pthread_mutex_lock(&proxy_lock);
+		r->next = relays;
+		relays = r;
+		pthread_mutex_unlock(&proxy_lock);
+		start_direction(r, 0);
+		start_direction(r, 1);
+	}
+	return arg;
+}
+
+unsigned int
+rig_proxy_start(void)
+{
+	unsigned int port = rig_free_port();
+	pthread_t thread;
+
+	proxy_fd = listen_on(port);
+	if (proxy_fd < 0 || pthread_create(&thread, NULL, run_proxy, NULL) != 0)
+		rig_give_up("the proxy cannot listen");
+	return port;
+}
+
+unsigned int
+rig_proxy_silence(void)
+{
+	unsigned int n = 0;
+	struct relay *r;
+
+	pthread_mutex_lock(&proxy_lock);
+	for (r = relays; r != NULL; r = r->next) {
+		n += !r->silent;
+		r->silent = true;
+	}
+	pthread_mutex_unlock(&proxy_lock);
+	return n;
+}
+
 void
 rig_message_clear(struct rig_message *m)
 {
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -41,6 +41,8 @@
 
 struct rig_router {
 	char name[32];
+	unsigned int zone; /* 0 to 5; the first three are in one region */
+	unsigned int store; /* port of a proxy; 0: the store's own */
 	unsigned int clients, readiness;
 	pid_t pid; /* 0: not running */
 };
@@ -55,6 +57,14 @@
 /* Resident memory in kilobytes, 0: not known. */
 long rig_router_memory(const struct rig_router *r);
 
+/*
+ * A proxy for the store, whose open connections can go silent for good: what
+ * either side sends is dropped, and neither sees an end. New ones work.
+ */
+unsigned int rig_proxy_start(void);
+/* Returns the number of connections that go silent. */
+unsigned int rig_proxy_silence(void);
+
 /* A message that was received; head and body end with NUL. */
 struct rig_message {
 	char *head; /* with its first line */
