--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -649,6 +649,38 @@
 	int fd;
 };
 
+static pthread_mutex_t worker_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Adds the connection to the open ones; false if the worker has crashed. */
+static bool
+add_open(struct rig_worker *w, int fd)
+{
+	size_t i;
+
+	if (w->listener < 0)
+		return false;
+	for (i = 0; i < sizeof(w->open) / sizeof(w->open[0]); i++) {
+		if (w->open[i] >= 0)
+			continue;
+		w->open[i] = fd;
+		return true;
+	}
+	return false;
+}
+
+static void
+close_connection(struct rig_worker *w, int fd)
+{
+	size_t i;
+
+	pthread_mutex_lock(&worker_lock);
+	for (i = 0; i < sizeof(w->open) / sizeof(w->open[0]); i++)
+		if (w->open[i] == fd)
+			w->open[i] = -1;
+	close(fd);
+	pthread_mutex_unlock(&worker_lock);
+}
+
 static void *
 serve_connection(void *arg)
 {
@@ -663,66 +695,136 @@
 		rig_message_clear(&request);
 	}
 	rig_message_clear(&request);
-	close(s->fd);
+	close_connection(s->worker, s->fd);
 	free(s);
 	return NULL;
 }
 
-struct listener {
-	struct rig_worker *worker;
-	int fd;
-	json_t *entry;
-};
+static void
+start_serving(struct rig_worker *w, int fd)
+{
+	struct served *s = malloc(sizeof(*s));
+	pthread_t thread;
+	bool added;
+
+	if (s == NULL)
+		abort();
+	pthread_mutex_lock(&worker_lock);
+	added = add_open(w, fd);
+	pthread_mutex_unlock(&worker_lock);
+	s->worker = w;
+	s->fd = fd;
+	if (added && pthread_create(&thread, NULL, serve_connection, s) == 0) {
+		pthread_detach(thread);
+		return;
+	}
+	close(fd);
+	free(s);
+}
 
 static void *
 accept_connections(void *arg)
 {
-	struct listener *l = arg;
-	struct served *s;
-	pthread_t thread;
-	int fd;
+	struct rig_worker *w = arg;
+	int listener = w->listener, fd;
 
-	for (;;) {
-		fd = accept(l->fd, NULL, NULL);
-		if (fd < 0)
-			continue;
-		s = malloc(sizeof(*s));
-		if (s == NULL)
-			abort();
-		s->worker = l->worker;
-		s->fd = fd;
-		if (pthread_create(&thread, NULL, serve_connection, s) == 0)
-			pthread_detach(thread);
-	}
+	while ((fd = accept(listener, NULL, NULL)) >= 0)
+		start_serving(w, fd);
+	close(listener);
 	return NULL;
 }
 
-void
-rig_worker_start(struct rig_worker *w, const char *service, const char *model)
+static void
+register_worker(const struct rig_worker *w)
 {
-	struct listener *l = calloc(1, sizeof(*l));
 	char address[32];
+	json_t *entry;
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u", w->port);
+	entry = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
+	    "service", w->service, "address", address, "zone", "z0", "version",
+	    "1", "slots", 96, "state", "ready", "coldRemainingMs", 0,
+	    "sequence", 1, "born",
+	    (json_int_t)time(NULL) * 1000 + (json_int_t)w->starts);
+	if (w->model != NULL)
+		json_object_set_new(entry, "models",
+		    json_pack("[{s:s, s:i, s:[]}]", "name", w->model, "version",
+			1, "adapters"));
+	rig_put("servers", w->id, entry);
+}
+
+static void
+listen_and_register(struct rig_worker *w)
+{
 	pthread_t thread;
 
-	if (l == NULL)
-		abort();
+	w->starts++;
+	w->listener = listen_on(w->port);
+	if (w->listener < 0 ||
+	    pthread_create(&thread, NULL, accept_connections, w) != 0)
+		rig_give_up("a worker cannot listen");
+	pthread_detach(thread);
+	register_worker(w);
+}
+
+void
+rig_worker_start(struct rig_worker *w, const char *service, const char *model)
+{
+	w->service = service;
+	w->model = model;
 	if (w->port == 0)
 		w->port = rig_free_port();
-	l->worker = w;
-	l->fd = listen_on(w->port);
-	if (l->fd < 0 ||
-	    pthread_create(&thread, NULL, accept_connections, l) != 0)
-		rig_give_up("a worker cannot listen");
-	snprintf(address, sizeof(address), "127.0.0.1:%u", w->port);
-	l->entry = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
-	    "service", service, "address", address, "zone", "z0", "version",
-	    "1", "slots", 96, "state", "ready", "coldRemainingMs", 0,
-	    "sequence", 1, "born", (json_int_t)time(NULL) * 1000);
-	if (model != NULL)
-		json_object_set_new(l->entry, "models",
-		    json_pack("[{s:s, s:i, s:[]}]", "name", model, "version", 1,
-			"adapters"));
-	rig_put("servers", w->id, l->entry);
+	memset(w->open, 0xff, sizeof(w->open));
+	listen_and_register(w);
+}
+
+struct restart {
+	struct rig_worker *worker;
+	unsigned int msec;
+};
+
+static void *
+restart_worker(void *arg)
+{
+	struct restart *r = arg;
+
+	rig_sleep(r->msec);
+	listen_and_register(r->worker);
+	free(r);
+	return NULL;
+}
+
+void
+rig_worker_crash(struct rig_worker *w, unsigned int msec)
+{
+	struct linger reset = {1, 0};
+	struct restart *r = malloc(sizeof(*r));
+	pthread_t thread;
+	size_t i;
+
+	if (r == NULL)
+		abort();
+	pthread_mutex_lock(&worker_lock);
+	if (w->listener < 0) {
+		pthread_mutex_unlock(&worker_lock);
+		free(r);
+		return;
+	}
+	shutdown(w->listener, SHUT_RDWR);
+	w->listener = -1;
+	for (i = 0; i < sizeof(w->open) / sizeof(w->open[0]); i++) {
+		if (w->open[i] < 0)
+			continue;
+		setsockopt(
+		    w->open[i], SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		shutdown(w->open[i], SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&worker_lock);
+	r->worker = w;
+	r->msec = msec;
+	if (pthread_create(&thread, NULL, restart_worker, r) != 0)
+		rig_give_up("no thread");
+	pthread_detach(thread);
 }
 
 char *
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -98,11 +98,21 @@
 	void (*serve)(
 	    struct rig_worker *w, int fd, const struct rig_message *request);
 	void *arg;
+	/* Set by rig_worker_start(). */
+	const char *service, *model;
+	int listener; /* -1: it has crashed */
+	int open[64]; /* connections; -1: free */
+	unsigned int starts;
 };
 
 /* Listens and registers; model: NULL if it serves none. */
 void rig_worker_start(
     struct rig_worker *w, const char *service, const char *model);
+/*
+ * Ends all its connections and starts again after msec, under the same id. May
+ * be called by serve(), which must then return.
+ */
+void rig_worker_crash(struct rig_worker *w, unsigned int msec);
 /* The head of a response: status line, seal, id, and its length. */
 char *rig_response_head(const struct rig_message *request,
     const struct rig_worker *w, size_t body_len);
