--- a/review/standin-2/case_slow.c
+++ b/review/standin-2/case_slow.c
@@ -11,8 +11,8 @@
 #include "rig.h"
 
 #define CLIENTS 4
-#define BODY_BYTES ((size_t)4 * 1024 * 1024)
-#define READ_PER_SECOND ((size_t)1024 * 1024)
+#define BODY_BYTES ((size_t)2 * 1024 * 1024)
+#define READ_PER_SECOND ((size_t)400 * 1024)
 /* Segments of an Ethernet link, and a small receive window. */
 #define SEGMENT 1448
 #define WINDOW 16384
