--- a/review/standin-2/case_crowd.c
+++ b/review/standin-2/case_crowd.c
@@ -142,7 +142,8 @@
 		rig_note("client: r%u %s and has status %u after %u ms", i,
 		    has_run[i] ? "has run" : "has not run", client[i].status,
 		    (unsigned int)(client[i].ended_at - client[i].sent_at));
-		lost += has_run[i] && client[i].status == 0;
+		lost += has_run[i] && client[i].status == 0 &&
+			client[i].ended_at - client[i].sent_at < DEADLINE_MSEC;
 	}
 	rig_note("the router has %ld KB, of 110 MB", memory);
 	rig_note(
