--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,11 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-2/case_wall ] && [ -x target/jhplatform ] || exit 2
-exec target/review-2/case_wall >review/9/record.txt 2>&1
+program=target/review-2/case_wall
+[ -x "$program" ] && [ -x target/jhplatform ] || exit 2
+case ${TROUBLE:-1} in
+0) trouble=0 ;;
+*) trouble=1 ;;
+esac
+TROUBLE=$trouble exec "$program" >review/9/record.txt 2>&1
