--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -434,6 +434,59 @@
 	fixture_clear(&w);
 }
 
+static void
+on_got(void *arg, const struct plat_store_reply *reply)
+{
+	*(bool *)arg = reply->result == JH_STORE_OK;
+}
+
+/* Leaves the watch without a response beside an idle connection. */
+static void
+leave_idle_connection(struct fixture *w, unsigned int wait_ms)
+{
+	bool got = false;
+
+	fixture_init(w);
+	plat_watch_set_wait(w->watch, wait_ms);
+	w->silent = true;
+	run_for(w, 300000, 0);
+	plat_store_get(w->client, "config", "a", false, jh_now() + 1000000,
+	    (struct plat_store_callback){on_got, &got});
+	run_for(w, 200000, 0);
+	assert_true(got);
+	assert_int_equal(w->watches, 1);
+	assert_int_equal(jh_uv_client_connections_opened(w->http_client), 2);
+}
+
+/*
+ * Guards against a restarted watch that is sent over an idle connection: if one
+ * connection to the store is silent, the others may be.
+ */
+static void
+restarted_watch_opens_a_connection(void **state)
+{
+	struct fixture w;
+
+	leave_idle_connection(&w, WAIT_MSEC);
+	run_for(&w, 1000000, 12);
+	assert_int_equal(w.watches, 2);
+	assert_int_equal(jh_uv_client_connections_opened(w.http_client), 3);
+	fixture_clear(&w);
+}
+
+/* Guards against the same after a watch that has timed out. */
+static void
+watch_after_a_timeout_opens_a_connection(void **state)
+{
+	struct fixture w;
+
+	leave_idle_connection(&w, 1000);
+	run_for(&w, 1600000, 0);
+	assert_int_equal(w.watches, 2);
+	assert_int_equal(jh_uv_client_connections_opened(w.http_client), 3);
+	fixture_clear(&w);
+}
+
 /* A mirror, and a watch that reads from it. */
 struct mirror_fixture {
 	struct fixture w;
@@ -584,6 +637,8 @@
 	    cmocka_unit_test(calls_after_a_change_end_at_different_times),
 	    cmocka_unit_test(calls_after_a_list_end_at_different_times),
 	    cmocka_unit_test(call_after_an_uneventful_one_waits_in_full),
+	    cmocka_unit_test(restarted_watch_opens_a_connection),
+	    cmocka_unit_test(watch_after_a_timeout_opens_a_connection),
 	    cmocka_unit_test(mirror_passes_changes_on),
 	    cmocka_unit_test(failed_mirror_is_replaced_by_store),
 	    cmocka_unit_test(older_revision_is_ignored),
