Cache scope: an organisation that is isolated leaves nothing to others

Cause: an isolated organisation got a salt of its own, but all others kept the common one, and with it what the isolated one had left there.

Change: the salt and the prefix keys of all that are not isolated depend on which organisations are isolated. Under one such salt all makers and users are outside the same set. No process has to remember earlier configurations, and one that starts computes the same salt.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -155,6 +155,22 @@
 	exchange_call_ops.end(x, JH_CALL_TIMED_OUT);
 }
 
+static struct jh_cache_scope
+cache_scope(const struct exchange *x)
+{
+	return jh_route_table_cache_scope(x->routes, x->org);
+}
+
+static void
+set_prefix_keys(struct exchange *x)
+{
+	uint64_t scope = cache_scope(x).hash;
+	size_t i;
+
+	for (i = 0; i < x->choose.n_prefixes; i++)
+		x->choose.prefix[i].key = x->request.part[i].hash ^ scope;
+}
+
 static void
 choose_worker(struct exchange *x, uint64_t now, struct jh_choice *out)
 {
@@ -168,17 +184,19 @@
 	jh_choose(x->gateway->chooser, x->gateway->fleet, now, r, out);
 }
 
-/*
- * Cache salt: prefixes are shared only between requests for the same weights
- * and, if the organisation is isolated, of the same organisation.
- */
+/* Cache salt: the weights and the scope of the prefixes. */
 static char *
 make_salt(const struct exchange *x, const struct jh_worker *w)
 {
-	bool isolated = x->org != NULL && x->org->isolated;
-
-	return g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%s", x->model,
-	    jh_worker_weights(w, x->model), isolated ? x->org->name : "");
+	struct jh_cache_scope scope = cache_scope(x);
+	uint64_t weights = jh_worker_weights(w, x->model);
+
+	if (scope.org != NULL)
+		return g_strdup_printf("%s/%" G_GUINT64_FORMAT "/%s", x->model,
+		    weights, scope.org);
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT ":%016" G_GINT64_MODIFIER
+			       "x",
+	    x->model, weights, scope.hash);
 }
 
 /* The request, but for a long body, which is sent from where it is held. */
@@ -437,6 +455,7 @@
 
 	if (exchange_refuse_quarantined(x))
 		return;
+	set_prefix_keys(x);
 	choose_worker(x, now, &choice);
 	if (choice.worker == NULL && choice.room_at != 0) {
 		exchange_refuse_limited(x, now, choice.room_at);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -143,14 +143,11 @@
 	return gw->overload_placement || jh_quota_ledger_count(gw->quotas) > 0;
 }
 
-/* Fills in what the choice of a worker depends on. */
+/* Fills in what the choice of a worker depends on, but for prefix keys. */
 static void
 set_choose_request(struct exchange *x)
 {
 	const struct jh_client_request *request = &x->request;
-	bool isolated = x->org != NULL && x->org->isolated;
-	uint64_t org_hash =
-	    isolated ? XXH3_64bits(x->org->name, strlen(x->org->name)) : 0;
 	size_t i;
 
 	x->choose.service = x->service_name;
@@ -171,10 +168,8 @@
 		    x->prefix_store->name, strlen(x->prefix_store->name));
 	if (request->n_parts == 0)
 		return;
-	for (i = 0; i + 1 < request->n_parts; i++) {
-		x->choose.prefix[i].key = request->part[i].hash ^ org_hash;
+	for (i = 0; i + 1 < request->n_parts; i++)
 		x->choose.prefix[i].tokens = request->part[i].tokens;
-	}
 	x->choose.n_prefixes = request->n_parts - 1;
 	x->choose.own_tokens = request->part[request->n_parts - 1].tokens;
 }
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -4,6 +4,9 @@
 
 #include "route/route_table.h"
 
+/* Keeps the hash of the shared scope apart from those of organisations. */
+#define SHARED_SCOPE_SEED 1
+
 struct jh_route_table {
 	unsigned int refs;
 	uint64_t version;
@@ -13,6 +16,8 @@
 	GHashTable *keys; /* API key to struct jh_route_org */
 	GArray *lost_keys; /* struct lost_key */
 	size_t replaced_services;
+	/* Of the isolated ones; does not depend on their order. */
+	uint64_t isolated_hash;
 	struct jh_route_table_limits limits;
 };
 
@@ -142,6 +147,14 @@
 	return n;
 }
 
+void
+jh_route_table_isolate_org(struct jh_route_table *t, struct jh_route_org *org)
+{
+	org->isolated = true;
+	t->isolated_hash += XXH3_64bits_withSeed(
+	    org->name, strlen(org->name), SHARED_SCOPE_SEED);
+}
+
 void
 jh_route_table_add_key(
     struct jh_route_table *t, const char *key, struct jh_route_org *org)
@@ -233,6 +246,28 @@
 	return g_ptr_array_index(t->orgs, i);
 }
 
+const struct jh_route_org *
+jh_route_table_find_org(const struct jh_route_table *t, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < t->orgs->len; i++) {
+		const struct jh_route_org *org = g_ptr_array_index(t->orgs, i);
+		if (strcmp(org->name, name) == 0)
+			return org;
+	}
+	return NULL;
+}
+
+struct jh_cache_scope
+jh_route_table_cache_scope(
+    const struct jh_route_table *t, const struct jh_route_org *org)
+{
+	if (org != NULL && org->isolated)
+		return (struct jh_cache_scope){org->name, org->hash};
+	return (struct jh_cache_scope){NULL, t->isolated_hash};
+}
+
 bool
 jh_route_org_has_quota(const struct jh_route_org *org)
 {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -60,6 +60,7 @@
 	char *name;
 	bool has_rank;
 	unsigned int rank; /* overrides the route's */
+	/* Set by jh_route_table_isolate_org(). */
 	bool isolated; /* shares no cached prefix with other organisations */
 	uint64_t hash; /* of the name */
 	/* What all processes together may admit; 0: no limit. */
@@ -69,6 +70,17 @@
 	double uncounted_tokens; /* of a request that does not state its own */
 };
 
+/*
+ * Who shares cached prefixes: requests whose scopes are the same. An isolated
+ * organisation has a scope of its own. That of all others depends on which ones
+ * are isolated, so that they never find what an organisation left before it
+ * became isolated, though no process remembers it.
+ */
+struct jh_cache_scope {
+	const char *org; /* isolated; NULL: the scope of all others */
+	uint64_t hash; /* never the same for two scopes, but by chance */
+};
+
 /* What a client may send, and how long it may take; see net/server.h. */
 struct jh_route_table_limits {
 	uint64_t head_bytes;
@@ -92,6 +104,9 @@
     struct jh_route_table *t, const char *name);
 struct jh_route_org *jh_route_table_add_org(
     struct jh_route_table *t, const char *name);
+/* Called once at most for an organisation. */
+void jh_route_table_isolate_org(
+    struct jh_route_table *t, struct jh_route_org *org);
 void jh_route_table_add_key(
     struct jh_route_table *t, const char *key, struct jh_route_org *org);
 void jh_route_add_share(
@@ -118,6 +133,12 @@
 /* i is less than jh_route_table_org_count(). */
 const struct jh_route_org *jh_route_table_org_at(
     const struct jh_route_table *t, size_t i);
+/* Returns NULL if there is no organisation of that name. */
+const struct jh_route_org *jh_route_table_find_org(
+    const struct jh_route_table *t, const char *name);
+/* org is of the table; NULL: the request has none. */
+struct jh_cache_scope jh_route_table_cache_scope(
+    const struct jh_route_table *t, const struct jh_route_org *org);
 bool jh_route_org_has_quota(const struct jh_route_org *org);
 /* Whether requests need an API key unless their route is anonymous. */
 bool jh_route_table_has_orgs(const struct jh_route_table *t);
