Attempt: a retry uses the cache scope of the configuration in force

What callers may see: a retry, or a stream that is resumed, uses prefixes of other organisations for some seconds after its own has been isolated.

Cause: the scope came from the configuration at the request's arrival, up to the request's deadline ago.

Change: each attempt takes the scope from the configuration in force. An organisation that it no longer has counts as isolated.

Evidence: retry_follows_the_configuration_in_force failed before with the shared salt in place of "m1/1/t1", and passes now.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -155,10 +155,23 @@
 	exchange_call_ops.end(x, JH_CALL_TIMED_OUT);
 }
 
+/*
+ * By the configuration in force, as it may be newer than the request. Of an
+ * organisation that was removed nothing more is known: it counts as isolated.
+ */
 static struct jh_cache_scope
 cache_scope(const struct exchange *x)
 {
-	return jh_route_table_cache_scope(x->routes, x->org);
+	const struct jh_route_table *t = x->gateway->routes;
+	const struct jh_route_org *org = x->org;
+
+	if (org != NULL && t != x->routes) {
+		org = jh_route_table_find_org(t, x->org->name);
+		if (org == NULL)
+			return (struct jh_cache_scope){
+			    x->org->name, x->org->hash};
+	}
+	return jh_route_table_cache_scope(t, org);
 }
 
 static void
--- a/test/test_cache_scope.c
+++ b/test/test_cache_scope.c
@@ -254,6 +254,38 @@
 	stop_platform(p);
 }
 
+static void *
+ask_as_t1(void *arg)
+{
+	ask(arg, "k1");
+	return NULL;
+}
+
+/*
+ * Guards against a retry that uses shared prefixes, of a request that came
+ * before its organisation was isolated.
+ */
+static void
+retry_follows_the_configuration_in_force(void **state)
+{
+	struct platform *p = start_platform(1200);
+	GThread *client;
+
+	put_config(p, 2, false);
+	platform_set_mode(p, 0, WORKER_RESETS);
+	platform_set_mode(p, 1, WORKER_RESETS);
+	client = g_thread_new("client", ask_as_t1, p);
+	await(count_salts() == 1);
+	put_config(p, 3, true);
+	platform_set_mode(p, 0, WORKER_RESPONDS);
+	platform_set_mode(p, 1, WORKER_RESPONDS);
+	g_thread_join(client);
+	assert_int_equal(count_salts(), 2);
+	assert_string_not_equal(salt_at(0), "m1/1/t1");
+	assert_string_equal(salt_at(1), "m1/1/t1");
+	stop_platform(p);
+}
+
 int
 main(void)
 {
@@ -262,6 +294,7 @@
 	    cmocka_unit_test(scope_depends_on_the_isolated_organisations_alone),
 	    cmocka_unit_test(
 		salt_changes_when_another_organisation_is_isolated),
+	    cmocka_unit_test(retry_follows_the_configuration_in_force),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
