--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -373,6 +373,30 @@
 	fixture_clear(&w);
 }
 
+/*
+ * Guards against a process that counts as connected during an outage, or that
+ * does not any more long after one.
+ */
+static void
+outage_is_dated_by_its_last_failed_call(void **state)
+{
+	struct fixture w;
+	uint64_t ended;
+
+	fixture_init(&w);
+	w.idle = true;
+	run_for(&w, 200000, 0);
+	assert_true(plat_watch_unavailable_at(w.watch) == 0);
+	w.refuses = true;
+	run_for(&w, 1500000, 0);
+	w.refuses = false;
+	ended = jh_now();
+	run_for(&w, 1000000, 0);
+	assert_in_range(
+	    plat_watch_unavailable_at(w.watch), ended - 1000000, ended);
+	fixture_clear(&w);
+}
+
 /*
  * Follows the store with INSTANCES watches, with or without a change after
  * their lists, and returns the shortest wait time of the calls that are left
@@ -634,6 +658,7 @@
 	    cmocka_unit_test(stalled_change_is_given_up),
 	    cmocka_unit_test(known_revision_does_not_restart_watch),
 	    cmocka_unit_test(removal_is_suspect_only_soon_after_outage),
+	    cmocka_unit_test(outage_is_dated_by_its_last_failed_call),
 	    cmocka_unit_test(calls_after_a_change_end_at_different_times),
 	    cmocka_unit_test(calls_after_a_list_end_at_different_times),
 	    cmocka_unit_test(call_after_an_uneventful_one_waits_in_full),
