Weights: the age of a version counts pauses of the process and of the host

What callers saw: requests of a router whose process had stood still began on outdated weights up to 10,160 ms and more after the newer version was acknowledged; 8,000 ms are allowed.

Cause: a version was dated by the time at which it was read, so one that was published at the start of a pause of 3 s or more by its end. Besides, the age was taken on a clock that stops while the host is suspended.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -191,9 +191,12 @@
 
 	r->n_excluded = x->n_excluded;
 	memcpy(r->excluded, x->excluded, sizeof(r->excluded));
-	if (r->is_engine)
+	if (r->is_engine) {
 		r->n_versions = jh_weights_history(
 		    x->gateway->weights, x->model, r->versions);
+		jh_weights_change_clock(
+		    r->versions, r->n_versions, jh_boot_now(), now);
+	}
 	jh_choose(x->gateway->chooser, x->gateway->fleet, now, r, out);
 }
 
--- a/src/member/weights.c
+++ b/src/member/weights.c
@@ -123,6 +123,17 @@
 	return h->n;
 }
 
+void
+jh_weights_change_clock(struct jh_weights_version *versions, size_t n,
+    uint64_t now, uint64_t to_now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		versions[i].since =
+		    to_now - MIN(to_now, now - MIN(now, versions[i].since));
+}
+
 static bool
 is_outdated_model(const struct jh_weights *w, const struct jh_worker *worker,
     const char *model)
--- a/src/member/weights.h
+++ b/src/member/weights.h
@@ -59,8 +59,9 @@
 void jh_weights_destroy(struct jh_weights *w);
 
 /*
- * Sets the newest version of a model and since when it is the newest. A version
- * that is not higher than the known one is ignored. Returns whether it was set.
+ * Sets the newest version of a model and since when it is the newest, on a
+ * clock that also runs while the host is suspended. A version that is not
+ * higher than the known one is ignored. Returns whether it was set.
  */
 bool jh_weights_set(
     struct jh_weights *w, uint64_t since, const char *model, uint64_t version);
@@ -82,6 +83,13 @@
 size_t jh_weights_history(const struct jh_weights *w, const char *model,
     struct jh_weights_version out[JH_WEIGHTS_HISTORY]);
 
+/*
+ * Moves the times of versions to another clock: now is the present time by
+ * theirs, to_now by the other one, which may be less than their age.
+ */
+void jh_weights_change_clock(struct jh_weights_version *versions, size_t n,
+    uint64_t now, uint64_t to_now);
+
 /* Whether there is an order to send or one in progress. */
 bool jh_weights_pending(struct jh_weights *w, struct jh_fleet *f);
 /* Sets out to the next action that is due, if any; only for the leader. */
--- a/src/net/loop_lag.c
+++ b/src/net/loop_lag.c
@@ -15,6 +15,10 @@
 	/* When this iteration ends at the latest, if nothing delays it. */
 	uint64_t deadline;
 	uint64_t gap_end; /* end of the last gap; 0: none so far */
+	/* The same on the clock that runs while the host is suspended. */
+	uint64_t boot_deadline;
+	uint64_t resumed_at;
+	uint64_t paused_for;
 	void (*blocked)(void *arg, uint64_t usec);
 	void *arg;
 };
@@ -32,7 +36,28 @@
 {
 	int msec = uv_backend_timeout(l->prepare.loop);
 
-	return msec < 0 ? UINT64_MAX : now + (uint64_t)msec * JH_USEC_PER_MSEC;
+	return msec < 0 ? JH_NEVER : now + (uint64_t)msec * JH_USEC_PER_MSEC;
+}
+
+/*
+ * Records a gap that has ended by now. Shorter ones that follow a long one are
+ * the work that has gathered in it, and are not recorded.
+ */
+static void
+note_pause(struct jh_loop_lag *l)
+{
+	uint64_t now = jh_boot_now(), took;
+
+	if (l->last == 0 || now <= l->boot_deadline)
+		return;
+	took = now - l->boot_deadline;
+	if (took <= l->min_usec)
+		return;
+	l->boot_deadline = now;
+	if (took < l->paused_for && now - l->resumed_at <= l->paused_for)
+		return;
+	l->resumed_at = now;
+	l->paused_for = took;
 }
 
 static void
@@ -50,7 +75,11 @@
 		l->blocked(l->arg, took - waited);
 	if (is_late(l, now))
 		l->gap_end = now;
+	note_pause(l);
 	l->deadline = poll_deadline(l, now);
+	l->boot_deadline = l->deadline == JH_NEVER
+			       ? JH_NEVER
+			       : jh_boot_now() + (l->deadline - now);
 	l->last = now;
 	l->last_idle_usec = idle;
 }
@@ -93,6 +122,14 @@
 	return l->polled == 0 ? jh_now() : l->polled;
 }
 
+uint64_t
+jh_loop_lag_resumed_at(struct jh_loop_lag *l, uint64_t *paused_for)
+{
+	note_pause(l);
+	*paused_for = l->paused_for;
+	return l->resumed_at;
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
--- a/src/net/loop_lag.h
+++ b/src/net/loop_lag.h
@@ -31,6 +31,11 @@
  * while the loop waits for events is not noticed.
  */
 bool jh_loop_lag_ran_since(const struct jh_loop_lag *l, uint64_t since);
+/*
+ * The jh_boot_now() time at which the last gap longer than min_usec ended, and
+ * how long it was, of the loop, the process or the host; 0: there was none.
+ */
+uint64_t jh_loop_lag_resumed_at(struct jh_loop_lag *l, uint64_t *paused_for);
 /*
  * The jh_now() time at which the poll before the current iteration's returned,
  * now if there was none. What a callback reads arrived later, also if the whole
--- a/test/test_platform_start.c
+++ b/test/test_platform_start.c
@@ -11,13 +11,14 @@
 #include "platform_fixture.h"
 
 /*
- * Tests of a router that starts while its worker has outdated weights, because
- * the leader gives no orders.
+ * Tests of a router that starts, or is paused, while its worker has outdated
+ * weights because the leader gives no orders.
  */
 
 /* From this time after its start a router counts as connected. */
 #define CONTACT_USEC (4 * JH_USEC_PER_SEC)
-#define WATCH_USEC (6 * JH_USEC_PER_SEC)
+/* Outdated weights are not to be used later than this. */
+#define LIMIT_USEC (8 * JH_USEC_PER_SEC)
 
 #define FIELDS                                   \
 	"X-Jacinthhill-Attempt-Id: a1\r\n"       \
@@ -63,16 +64,16 @@
 }
 
 /*
- * Sends requests until WATCH_USEC after the router's start, and returns how
- * long after it the last one was sent that the worker ran; 0: it ran none.
+ * Sends requests until so long after a time, and returns how long after it the
+ * last one was sent that the worker ran; 0: it ran none.
  */
 static uint64_t
-last_run_after(struct platform *p, uint64_t start)
+last_run_after(struct platform *p, uint64_t start, uint64_t watch_usec)
 {
 	unsigned int runs = platform_runs(p, 0);
 	uint64_t sent, last = 0;
 
-	while ((sent = jh_now()) < start + WATCH_USEC) {
+	while ((sent = jh_now()) < start + watch_usec) {
 		g_free(platform_ask(p, "GET", "/again/x", FIELDS));
 		if (platform_runs(p, 0) > runs)
 			last = sent - start;
@@ -101,7 +102,7 @@
 	platform_set_weights(p, 2);
 	start = jh_now();
 	proc_start(platform_router(p));
-	last = last_run_after(p, start);
+	last = last_run_after(p, start, 6 * JH_USEC_PER_SEC);
 	stop_leader(&leader);
 	assert_int_equal(platform_weights(p, 0), 1);
 	assert_true(last > 0);
@@ -109,10 +110,61 @@
 	platform_stop(p);
 }
 
+/*
+ * Pauses the router, publishes a version publish_usec later, and checks when
+ * the router uses the outdated worker last.
+ */
+static void
+publish_in_pause(uint64_t publish_usec, uint64_t pause_usec)
+{
+	static const struct platform_spec spec = {.routers = 1, .workers = 1};
+	struct platform *p = platform_create(&spec);
+	uint64_t published, resumed, last;
+	struct leader leader;
+
+	start_leader(&leader, p);
+	g_usleep(3 * JH_USEC_PER_SEC);
+	proc_freeze(platform_router(p));
+	g_usleep(publish_usec);
+	platform_set_weights(p, 2);
+	published = jh_now();
+	g_usleep(pause_usec - publish_usec);
+	proc_thaw(platform_router(p));
+	resumed = jh_now();
+	last = last_run_after(p, resumed, 6 * JH_USEC_PER_SEC);
+	stop_leader(&leader);
+	assert_int_equal(platform_weights(p, 0), 1);
+	assert_in_range(resumed + last, resumed + 1,
+	    MAX(published + LIMIT_USEC, resumed + CONTACT_USEC));
+	platform_stop(p);
+}
+
+/*
+ * Guards against outdated weights that a router uses for longer because a newer
+ * version was published while its process stood still.
+ */
+static void
+paused_router_avoids_outdated_worker_in_time(void **state)
+{
+	publish_in_pause(0, 4500 * JH_USEC_PER_MSEC);
+}
+
+/*
+ * Guards against the same if a response from before the publication is read
+ * after the pause, and seems to show that the version is newer than that.
+ */
+static void
+response_that_waited_in_a_pause_dates_nothing(void **state)
+{
+	publish_in_pause(3300 * JH_USEC_PER_MSEC, 9 * JH_USEC_PER_SEC);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(paused_router_avoids_outdated_worker_in_time),
+	    cmocka_unit_test(response_that_waited_in_a_pause_dates_nothing),
 	    cmocka_unit_test(new_router_avoids_outdated_worker_once_connected),
 	};
 
--- a/test/test_weights.c
+++ b/test/test_weights.c
@@ -404,6 +404,27 @@
 	jh_weights_destroy(s);
 }
 
+/*
+ * Guards against outdated workers that are used for longer because the
+ * chooser's clock has stopped while the host was suspended.
+ */
+static void
+versions_age_while_the_host_is_suspended(void **state)
+{
+	struct jh_weights_version versions[JH_WEIGHTS_HISTORY];
+	struct jh_weights *w = jh_weights_create();
+	/* The host was suspended for 6 s after version 2. */
+	uint64_t boot = 20000 * MSEC, steady = 14000 * MSEC;
+
+	jh_weights_set(w, 1, "m", 1);
+	jh_weights_set(w, 13000 * MSEC, "m", 2);
+	assert_int_equal(jh_weights_history(w, "m", versions), 2);
+	jh_weights_change_clock(versions, 2, boot, steady);
+	assert_int_equal(versions[0].since, 0);
+	assert_int_equal(steady - versions[1].since, 7000 * MSEC);
+	jh_weights_destroy(w);
+}
+
 int
 main(void)
 {
@@ -417,6 +438,7 @@
 	    cmocka_unit_test(dead_workers_do_not_delay_others),
 	    cmocka_unit_test(workers_that_refuse_or_leave_get_no_calls),
 	    cmocka_unit_test(history_keeps_its_times),
+	    cmocka_unit_test(versions_age_while_the_host_is_suspended),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
