HTTP client: a reply that ends within its head is lost

What callers may see: a 200 with an empty body, framed as whole, from an engine or service that stops in the head of its answer; beside it the agent states that the request has not run. Reported by other operators; it happens on the library's own path.

Cause: libcurl takes the end of the connection for the end of the reply, with the status that it has read, and the client went by that result alone.

Change: a call whose head had no end counts as lost. That end may be LF alone, which was not noticed before.

Evidence: reply_that_ends_in_its_head_is_lost (cuts after every byte), whole_reply_is_complete (LF alone) and test_end_in_head (real daemons: 200) failed before and pass now, the last in 3 of 3 runs. The users' platform has its own client, which is not affected: answer_cut_in_its_head_is_not_relayed passes without a change.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -121,9 +121,10 @@
 {
 	struct jh_http_call *call = arg;
 
+	bool empty = size * n > 0 && (data[0] == '\r' || data[0] == '\n');
+
 	/* An empty line ends the headers; skips informational 1xx replies. */
-	if (size * n == 2 && data[0] == '\r' &&
-	    jh_http_call_status(call) >= 200)
+	if (empty && jh_http_call_status(call) >= 200)
 		notify_begun(call);
 	return size * n;
 }
@@ -159,6 +160,7 @@
 /*
  * A failed connect alone does not show that the peer has seen nothing: libcurl
  * retries a request by itself when a reused connection turns out to be closed.
+ * A reply that ends within its head is complete to libcurl.
  */
 static enum jh_http_result
 classify(const struct jh_http_call *call, CURLcode code)
@@ -166,7 +168,7 @@
 	if (call->cancelled)
 		return JH_HTTP_CANCELLED;
 	if (code == CURLE_OK)
-		return JH_HTTP_OK;
+		return call->began ? JH_HTTP_OK : JH_HTTP_CONNECTION_LOST;
 	if (!call->connected)
 		return JH_HTTP_NOT_SENT;
 	if (code == CURLE_OPERATION_TIMEDOUT)
--- a/test/test_gateway_unframed.c
+++ b/test/test_gateway_unframed.c
@@ -134,6 +134,37 @@
 	call_free(c);
 }
 
+/*
+ * Guards against a success that looks complete because its worker stopped in
+ * the head of its response.
+ */
+static void
+answer_cut_in_its_head_is_not_relayed(void **state)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 OK\r\n" RAW_FIELDS "Content-Length: 200\r\n"
+	    "Keep-Alive: timeout=5\r\n\r\n";
+	size_t len, reached = 0;
+	struct call *c;
+	char path[32];
+
+	for (len = 1; len <= strlen(head); len++) {
+		char *text = g_strndup(head, len);
+		struct raw_response responses[RESPONSES] = {
+		    {.text = text}, {.text = text}};
+		/* The same request would be suspected of crashing workers. */
+		g_snprintf(path, sizeof(path), "/%s/%zu",
+		    len % 2 == 0 ? "once" : "stream", len);
+		c = request(path, responses);
+		reached += raw_workers_requests() > 0;
+		if (call_status(c) == 200)
+			fail_msg("%zu bytes of a head are relayed", len);
+		call_free(c);
+		g_free(text);
+	}
+	assert_true(reached > strlen(head) / 2);
+}
+
 #define UNFRAMED_TEST(f) \
 	cmocka_unit_test_setup_teardown(f, set_up, raw_workers_tear_down)
 
@@ -144,6 +175,7 @@
     UNFRAMED_TEST(stream_without_an_event_is_repeated),
     UNFRAMED_TEST(resumed_stream_without_an_event_is_not_complete),
     UNFRAMED_TEST(response_without_a_body_is_repeated),
+    UNFRAMED_TEST(answer_cut_in_its_head_is_not_relayed),
 };
 
 HARNESS_MAIN(tests)
--- /dev/null
+++ b/test/test_http_head.c
@@ -0,0 +1,193 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+#include <jacinthhill/clock.h>
+
+#include "fakes/port.h"
+#include "http/client.h"
+
+/* Tests of the HTTP client of the daemons: peers that stop in their reply. */
+
+#define WAIT_USEC (5 * JH_USEC_PER_SEC)
+
+/* Sends the first bytes of a text to each request and closes. */
+struct peer {
+	int listener;
+	struct sockaddr_in address;
+	pthread_t thread;
+	const char *text;
+	size_t len;
+};
+
+struct call {
+	int ended; /* atomic */
+	bool begun;
+	size_t body_len;
+	enum jh_http_result result;
+};
+
+static void *
+serve(void *arg)
+{
+	struct peer *p = arg;
+	char buf[4096];
+	int fd;
+
+	while ((fd = accept(p->listener, NULL, NULL)) >= 0) {
+		(void)!read(fd, buf, sizeof(buf));
+		(void)!write(fd, p->text, p->len);
+		shutdown(fd, SHUT_WR);
+		(void)!read(fd, buf, sizeof(buf));
+		close(fd);
+	}
+	return NULL;
+}
+
+static void
+start_peer(struct peer *p)
+{
+	p->address = fake_loopback(fake_port());
+	p->listener = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(bind(p->listener, (struct sockaddr *)&p->address,
+			     sizeof(p->address)),
+	    0);
+	assert_int_equal(listen(p->listener, 8), 0);
+	pthread_create(&p->thread, NULL, serve, p);
+}
+
+static void
+stop_peer(struct peer *p)
+{
+	shutdown(p->listener, SHUT_RDWR);
+	pthread_join(p->thread, NULL);
+	close(p->listener);
+}
+
+static void
+on_begun(void *arg, struct jh_http_call *call)
+{
+	((struct call *)arg)->begun = true;
+}
+
+static bool
+on_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	((struct call *)arg)->body_len += data.len;
+	return true;
+}
+
+static void
+on_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct call *c = arg;
+
+	c->result = result;
+	g_atomic_int_set(&c->ended, 1);
+}
+
+static const struct jh_http_call_ops ops = {on_begun, on_data, on_done};
+
+/* Calls the peer, which sends the first len bytes of the text. */
+static void
+call_peer(struct jh_http_client *client, struct peer *p, const char *text,
+    size_t len, struct call *c)
+{
+	uint64_t now = jh_now();
+	struct jh_http_call_spec spec = {.peer = p->address,
+	    .method = "GET",
+	    .path = "/",
+	    .deadline = now + WAIT_USEC,
+	    .at_most_once = true,
+	    .ops = &ops,
+	    .arg = c};
+
+	memset(c, 0, sizeof(*c));
+	p->text = text;
+	p->len = len;
+	jh_http_call_unref(jh_http_call_start(client, &spec));
+	while (!g_atomic_int_get(&c->ended)) {
+		assert_true(jh_now() < now + 2 * WAIT_USEC);
+		g_usleep(200);
+	}
+}
+
+/*
+ * Guards against a reply that ends within its head and counts as complete: the
+ * caller got a success without a body.
+ */
+static void
+reply_that_ends_in_its_head_is_lost(void **state)
+{
+	static const char *const heads[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 200\r\nX-Seal: a\r\n\r\n",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "HTTP/1.1 200 OK\nContent-Type: text/plain\n\n",
+	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"};
+	struct jh_http_client *client = jh_http_client_create("test", 8);
+	struct peer p;
+	struct call c;
+	size_t i, len;
+
+	start_peer(&p);
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		for (len = 1; len < strlen(heads[i]); len++) {
+			call_peer(client, &p, heads[i], len, &c);
+			if (c.result != JH_HTTP_CONNECTION_LOST || c.begun)
+				fail_msg("head %zu, %zu bytes: result %d", i,
+				    len, (int)c.result);
+		}
+	}
+	jh_http_client_destroy(client);
+	stop_peer(&p);
+}
+
+/* Guards against the loss of replies that are whole. */
+static void
+whole_reply_is_complete(void **state)
+{
+	static const char *const replies[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	    "HTTP/1.1 200 OK\r\n\r\nok",
+	    "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+	    "HTTP/1.1 100 Continue\r\n\r\n"
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "2\r\nok\r\n0\r\n\r\n"};
+	struct jh_http_client *client = jh_http_client_create("test", 8);
+	struct peer p;
+	struct call c;
+	size_t i;
+
+	start_peer(&p);
+	for (i = 0; i < G_N_ELEMENTS(replies); i++) {
+		call_peer(client, &p, replies[i], strlen(replies[i]), &c);
+		assert_int_equal(c.result, JH_HTTP_OK);
+		assert_true(c.begun);
+		assert_int_equal(c.body_len, 2);
+	}
+	jh_http_client_destroy(client);
+	stop_peer(&p);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(reply_that_ends_in_its_head_is_lost),
+	    cmocka_unit_test(whole_reply_is_complete),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_proc_unframed.c
+++ b/test/test_proc_unframed.c
@@ -21,6 +21,7 @@
 
 #define ENGINES 2
 #define MARKER "petal-of-death"
+#define HEAD_MARKER "petal-of-silence"
 
 #define HEAD                                  \
 	"HTTP/1.1 200 OK\r\n"                 \
@@ -80,6 +81,8 @@
 	} else if (strstr(buf, MARKER) != NULL) {
 		g_atomic_int_inc(&arrivals);
 		reply(fd, HEAD);
+	} else if (strstr(buf, HEAD_MARKER) != NULL) {
+		reply(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/eve");
 	} else {
 		reply(fd, HEAD TOKEN(1) TOKEN(2) DONE);
 	}
@@ -178,6 +181,19 @@
 	call_free(c);
 }
 
+/*
+ * Guards against a success without a body, from an engine that stops in the
+ * head of its response.
+ */
+static void
+test_end_in_head(void **state)
+{
+	struct call *c = run_request("Measure the " HEAD_MARKER ".", 1);
+
+	assert_in_range(call_status(c), 400, 599);
+	call_free(c);
+}
+
 /* Guards against taking an engine's crash for the end of a stream. */
 static void
 test_part_that_crashes_engines(void **state)
@@ -198,6 +214,7 @@
 
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_complete, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(test_end_in_head, set_up, tear_down),
     cmocka_unit_test_setup_teardown(
 	test_part_that_crashes_engines, set_up, tear_down),
 };
