Agent: a chat request to the engine has a connection of its own

What callers saw, in a test: the stream of another request, while their own never ran. Other operators reported refusals that a faulty worker writes once more on a kept connection; here it happens on the library's own path.

Cause: the agent kept its connections to the engine, though nothing in an engine's response names its request, so the next bytes were taken for the response due.

Change: each chat request has a connection of its own, as calls to services, orders and writes to the store had. The option is now called own_connection.

--- a/src/agent/engine_call.c
+++ b/src/agent/engine_call.c
@@ -301,6 +301,8 @@
 	    .headers = (const char *const *)lines->pdata,
 	    .shared_body = j->body,
 	    .deadline = jh_now() + ENGINE_CALL_USEC,
+	    /* Nothing in the reply names its request. */
+	    .own_connection = true,
 	    .ops = &engine_ops,
 	    .arg = agent_job_ref(j)};
 
--- a/src/agent/order.c
+++ b/src/agent/order.c
@@ -206,7 +206,7 @@
 	    .headers = headers,
 	    .body = jh_str_from(text),
 	    .deadline = jh_now() + JH_ROLLOUT_LOAD_USEC,
-	    .at_most_once = true,
+	    .own_connection = true,
 	    .ops = &order_ops,
 	    .arg = a};
 	struct jh_http_call *call = jh_http_call_start(a->client, &spec);
--- a/src/agent/service_call.c
+++ b/src/agent/service_call.c
@@ -80,7 +80,7 @@
 	    .headers = headers,
 	    .body = request->body,
 	    .deadline = jh_now() + SERVICE_CALL_USEC,
-	    .at_most_once = true,
+	    .own_connection = true,
 	    .ops = &call_ops,
 	    .arg = c};
 	struct jh_http_call *call;
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -308,7 +308,7 @@
 	    .path = j->path,
 	    .body = body,
 	    .deadline = jh_now() + ATTEMPT_USEC,
-	    .at_most_once = j->key != NULL,
+	    .own_connection = j->key != NULL,
 	    .ops = &attempt_ops,
 	    .arg = j};
 	struct jh_http_call *call;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -505,7 +505,7 @@
 	call->deadline = spec->deadline;
 	set_request(call, spec);
 	set_transfer(call);
-	if (spec->at_most_once) {
+	if (spec->own_connection) {
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
 	}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -52,10 +52,11 @@
 	struct jh_body *shared_body; /* in place of body; not copied */
 	uint64_t deadline; /* jh_now() time by which it ends, or JH_NEVER */
 	/*
-	 * Uses a new connection, because libcurl silently retries a request if
-	 * a reused connection breaks before the reply.
+	 * On a reused connection, libcurl silently retries a request if it
+	 * breaks before the reply, and a late copy of an earlier reply is taken
+	 * for this one.
 	 */
-	bool at_most_once;
+	bool own_connection;
 	const struct jh_http_call_ops *ops;
 	void *arg;
 };
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -78,7 +78,7 @@
 	c->done = done;
 	spec->peer = s->peer;
 	/* If libcurl sent a write twice, the second would be a conflict. */
-	spec->at_most_once = op == STORE_WRITE;
+	spec->own_connection = op == STORE_WRITE;
 	spec->ops = &ops;
 	spec->arg = c;
 	call = jh_http_call_start(s->http, spec);
--- a/test/test_http_head.c
+++ b/test/test_http_head.c
@@ -109,7 +109,7 @@
 	    .method = "GET",
 	    .path = "/",
 	    .deadline = now + WAIT_USEC,
-	    .at_most_once = true,
+	    .own_connection = true,
 	    .ops = &ops,
 	    .arg = c};
 
--- a/test/test_proc_unframed.c
+++ b/test/test_proc_unframed.c
@@ -16,12 +16,14 @@
 
 /*
  * Engines whose streams have neither a length nor chunks and end with their
- * connection. They are threads with a plain socket in place of fake-engine.
+ * connection, or which write a response once more. They are threads with a
+ * plain socket in place of fake-engine.
  */
 
 #define ENGINES 2
 #define MARKER "petal-of-death"
 #define HEAD_MARKER "petal-of-silence"
+#define REFUSED_MARKER "petal-of-refusal"
 
 #define HEAD                                  \
 	"HTTP/1.1 200 OK\r\n"                 \
@@ -31,6 +33,10 @@
 	"id: " #id "\n" \
 	"data: {\"choices\":[{\"delta\":{\"content\":\"w" #id "\"}}]}\n\n"
 #define DONE "data: [DONE]\n\n"
+#define REFUSAL                        \
+	"HTTP/1.1 503 Full\r\n"        \
+	"Content-Type: text/plain\r\n" \
+	"Content-Length: 0\r\n\r\n"
 
 /* Requests with the part, and the most of them that may reach engines. */
 #define REQUESTS 12
@@ -47,6 +53,8 @@
 static struct fixture *fixture;
 static struct raw_engine engines[ENGINES];
 static int arrivals; /* atomic: requests with the marker */
+static int connections; /* atomic: that are open */
+static int runs; /* atomic: streams that were sent whole */
 
 static void
 reply(int fd, const char *text)
@@ -66,6 +74,28 @@
 	g_free(text);
 }
 
+static void
+send_stream(int fd)
+{
+	g_atomic_int_inc(&runs);
+	reply(fd, HEAD TOKEN(1) TOKEN(2) DONE);
+}
+
+/*
+ * Refuses a request, and writes the refusal once more when the next one has
+ * arrived on the connection, which then runs.
+ */
+static void
+refuse_twice(int fd, char *buf, size_t len)
+{
+	reply(fd, REFUSAL);
+	if (!raw_request_read(fd, buf, len))
+		return;
+	reply(fd, REFUSAL);
+	if (g_str_has_prefix(buf, "POST /v1/chat/completions"))
+		send_stream(fd);
+}
+
 /* A request with the marker ends its engine after the head of the response. */
 static void
 serve(const struct raw_engine *e, int fd)
@@ -83,11 +113,30 @@
 		reply(fd, HEAD);
 	} else if (strstr(buf, HEAD_MARKER) != NULL) {
 		reply(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/eve");
+	} else if (strstr(buf, REFUSED_MARKER) != NULL) {
+		refuse_twice(fd, buf, sizeof(buf));
 	} else {
-		reply(fd, HEAD TOKEN(1) TOKEN(2) DONE);
+		send_stream(fd);
 	}
 }
 
+struct connection {
+	const struct raw_engine *engine;
+	int fd;
+};
+
+static void *
+run_connection(void *arg)
+{
+	struct connection *c = arg;
+
+	serve(c->engine, c->fd);
+	close(c->fd);
+	g_free(c);
+	g_atomic_int_add(&connections, -1);
+	return NULL;
+}
+
 static void *
 run_engine(void *arg)
 {
@@ -95,8 +144,11 @@
 	int fd;
 
 	while ((fd = accept(e->listener, NULL, NULL)) >= 0) {
-		serve(e, fd);
-		close(fd);
+		struct connection *c = g_new(struct connection, 1);
+
+		*c = (struct connection){e, fd};
+		g_atomic_int_inc(&connections);
+		g_thread_unref(g_thread_new("connection", run_connection, c));
 	}
 	return NULL;
 }
@@ -135,6 +187,7 @@
 	for (i = 0; i < ENGINES; i++)
 		start_engine(&engines[i], &fixture->backend[i]);
 	g_atomic_int_set(&arrivals, 0);
+	g_atomic_int_set(&runs, 0);
 	return 0;
 }
 
@@ -147,9 +200,11 @@
 		shutdown(engines[i].listener, SHUT_RDWR);
 		pthread_join(engines[i].thread, NULL);
 		close(engines[i].listener);
-		g_free(engines[i].load);
 	}
 	fixture_destroy(fixture);
+	await(g_atomic_int_get(&connections) == 0);
+	for (i = 0; i < ENGINES; i++)
+		g_free(engines[i].load);
 	return 0;
 }
 
@@ -194,6 +249,29 @@
 	call_free(c);
 }
 
+/*
+ * Guards against a refusal that an engine writes once more, and that is taken
+ * for the response to the next request: its client is told that it has not run,
+ * or it runs at a second engine.
+ */
+static void
+test_refusal_sent_twice(void **state)
+{
+	struct call *c;
+	unsigned int i;
+
+	for (i = 0; i < 4; i++) {
+		call_free(run_request("Measure the " REFUSED_MARKER ".", i));
+		g_atomic_int_set(&runs, 0);
+		c = run_request("You are brief.", i);
+		assert_int_equal(call_status(c), 200);
+		assert_true(call_complete(c));
+		assert_int_equal(call_event_count(c), 3);
+		assert_int_equal(g_atomic_int_get(&runs), 1);
+		call_free(c);
+	}
+}
+
 /* Guards against taking an engine's crash for the end of a stream. */
 static void
 test_part_that_crashes_engines(void **state)
@@ -215,6 +293,7 @@
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_complete, set_up, tear_down),
     cmocka_unit_test_setup_teardown(test_end_in_head, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(test_refusal_sent_twice, set_up, tear_down),
     cmocka_unit_test_setup_teardown(
 	test_part_that_crashes_engines, set_up, tear_down),
 };
