Test: an engine that fails where it was to resume a stream

Reported by other operators: the error's text in the middle of a stream, or a stream that ends as if it were complete.

--- a/test/test_proc_unframed.c
+++ b/test/test_proc_unframed.c
@@ -24,6 +24,7 @@
 #define MARKER "petal-of-death"
 #define HEAD_MARKER "petal-of-silence"
 #define REFUSED_MARKER "petal-of-refusal"
+#define ERROR_MARKER "petal-of-error"
 
 #define HEAD                                  \
 	"HTTP/1.1 200 OK\r\n"                 \
@@ -74,6 +75,20 @@
 	g_free(text);
 }
 
+/* The first such request begins a stream that breaks off, others fail. */
+static void
+send_error(int fd)
+{
+	if (g_atomic_int_add(&arrivals, 1) > 0) {
+		reply(fd, "HTTP/1.1 500 Broken\r\nContent-Type: text/plain\r\n"
+			  "Content-Length: 15\r\n\r\nout of memory\n\n");
+		return;
+	}
+	reply(fd, HEAD TOKEN(1));
+	/* The client has to get the event before the end. */
+	g_usleep(300000);
+}
+
 static void
 send_stream(int fd)
 {
@@ -113,6 +128,8 @@
 		reply(fd, HEAD);
 	} else if (strstr(buf, HEAD_MARKER) != NULL) {
 		reply(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/eve");
+	} else if (strstr(buf, ERROR_MARKER) != NULL) {
+		send_error(fd);
 	} else if (strstr(buf, REFUSED_MARKER) != NULL) {
 		refuse_twice(fd, buf, sizeof(buf));
 	} else {
@@ -249,6 +266,24 @@
 	call_free(c);
 }
 
+/*
+ * Guards against a stream with the text of an error in it, or that looks
+ * complete, because the engine that was to resume it failed.
+ */
+static void
+test_error_of_resuming_engine(void **state)
+{
+	struct call *c = run_request("Measure the " ERROR_MARKER ".", 1);
+
+	assert_true(g_atomic_int_get(&arrivals) > 1);
+	assert_int_equal(call_status(c), 200);
+	assert_false(call_complete(c));
+	assert_int_equal(call_event_count(c), 1);
+	assert_null(strstr(call_body(c), "memory"));
+	assert_null(strstr(call_body(c), "HTTP"));
+	call_free(c);
+}
+
 /*
  * Guards against a refusal that an engine writes once more, and that is taken
  * for the response to the next request: its client is told that it has not run,
@@ -293,6 +328,8 @@
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_complete, set_up, tear_down),
     cmocka_unit_test_setup_teardown(test_end_in_head, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(
+	test_error_of_resuming_engine, set_up, tear_down),
     cmocka_unit_test_setup_teardown(test_refusal_sent_twice, set_up, tear_down),
     cmocka_unit_test_setup_teardown(
 	test_part_that_crashes_engines, set_up, tear_down),
