Read as a newcomer: one listener for raw peers, optional callbacks of fakes

The callbacks ended and ordered of the fake worker may be NULL like the others, so that a test which does not need them has no empty ones. No check is changed.

--- a/fakes/platform/worker.c
+++ b/fakes/platform/worker.c
@@ -71,7 +71,7 @@
 		w->loading = version;
 		uv_timer_start(&w->load_timer, on_loaded,
 		    w->spec.load_msec != 0 ? w->spec.load_msec : LOAD_MSEC, 0);
-		if (w->spec.ops != NULL)
+		if (w->spec.ops != NULL && w->spec.ops->ordered != NULL)
 			w->spec.ops->ordered(
 			    w->spec.arg, w, holder, (uint64_t)token, version);
 	}
--- a/fakes/platform/worker.h
+++ b/fakes/platform/worker.h
@@ -36,9 +36,12 @@
 	/* A request starts to run. */
 	void (*ran)(void *arg, struct fake_worker *w,
 	    const struct jh_head *head, struct jh_str body);
-	/* Its client has disconnected, or its response is complete. */
+	/*
+	 * Its client has disconnected, or its response is complete; may be
+	 * NULL.
+	 */
 	void (*ended)(void *arg, struct fake_worker *w, struct jh_str id);
-	/* An order was accepted. */
+	/* An order was accepted; may be NULL. */
 	void (*ordered)(void *arg, struct fake_worker *w, const char *holder,
 	    uint64_t token, unsigned int version);
 	/* A request crashed it; may be NULL. */
--- a/fakes/platform/worker_run.c
+++ b/fakes/platform/worker_run.c
@@ -19,7 +19,7 @@
 	struct fake_worker *w = r->worker;
 
 	g_hash_table_remove(w->running, r);
-	if (w->spec.ops != NULL)
+	if (w->spec.ops != NULL && w->spec.ops->ended != NULL)
 		w->spec.ops->ended(w->spec.arg, w, jh_str_from(r->id));
 	uv_close((uv_handle_t *)&r->timer, on_run_closed);
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -120,7 +120,6 @@
 on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct jh_http_call *call = arg;
-
 	bool empty = size * n > 0 && (data[0] == '\r' || data[0] == '\n');
 
 	/* An empty line ends the headers; skips informational 1xx replies. */
--- a/test/raw_request.c
+++ b/test/raw_request.c
@@ -1,9 +1,18 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include <cmocka.h>
+
+#include <sys/socket.h>
+
 #include <glib.h>
 
+#include "fakes/port.h"
 #include "raw_request.h"
 
 bool
@@ -30,3 +39,15 @@
 	}
 	return true;
 }
+
+int
+raw_listen(struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	*address = fake_loopback(fake_port());
+	assert_int_equal(
+	    bind(fd, (struct sockaddr *)address, sizeof(*address)), 0);
+	assert_int_equal(listen(fd, 8), 0);
+	return fd;
+}
--- a/test/test_cache_scope.c
+++ b/test/test_cache_scope.c
@@ -167,19 +167,7 @@
 	return salt;
 }
 
-static void
-on_ended(void *arg, struct fake_worker *w, struct jh_str id)
-{
-}
-
-static void
-on_ordered(void *arg, struct fake_worker *w, const char *holder, uint64_t token,
-    unsigned int version)
-{
-}
-
-static const struct fake_worker_ops worker_ops = {
-    .ran = on_ran, .ended = on_ended, .ordered = on_ordered};
+static const struct fake_worker_ops worker_ops = {.ran = on_ran};
 
 static struct platform *
 start_platform(unsigned int work_msec)
--- a/test/test_http_head.c
+++ b/test/test_http_head.c
@@ -15,8 +15,8 @@
 
 #include <jacinthhill/clock.h>
 
-#include "fakes/port.h"
 #include "http/client.h"
+#include "raw_request.h"
 
 /* Tests of the HTTP client of the daemons: peers that stop in their reply. */
 
@@ -58,12 +58,7 @@
 static void
 start_peer(struct peer *p)
 {
-	p->address = fake_loopback(fake_port());
-	p->listener = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(bind(p->listener, (struct sockaddr *)&p->address,
-			     sizeof(p->address)),
-	    0);
-	assert_int_equal(listen(p->listener, 8), 0);
+	p->listener = raw_listen(&p->address);
 	pthread_create(&p->thread, NULL, serve, p);
 }
 
