--- a/test/raw_request.c
+++ b/test/raw_request.c
@@ -40,14 +40,39 @@
 	return true;
 }
 
-int
-raw_listen(struct sockaddr_in *address)
+/* The client gets the end of the stream, and closes first. */
+static void *
+run_peer(void *arg)
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct raw_peer *p = arg;
+	char buf[4096];
+	int fd;
 
-	*address = fake_loopback(fake_port());
-	assert_int_equal(
-	    bind(fd, (struct sockaddr *)address, sizeof(*address)), 0);
-	assert_int_equal(listen(fd, 8), 0);
-	return fd;
+	while ((fd = accept(p->listener, NULL, NULL)) >= 0) {
+		p->serve(p->arg, fd);
+		shutdown(fd, SHUT_WR);
+		(void)!read(fd, buf, sizeof(buf));
+		close(fd);
+	}
+	return NULL;
+}
+
+void
+raw_peer_start(struct raw_peer *p)
+{
+	p->listener = socket(AF_INET, SOCK_STREAM, 0);
+	p->address = fake_loopback(fake_port());
+	assert_int_equal(bind(p->listener, (struct sockaddr *)&p->address,
+			     sizeof(p->address)),
+	    0);
+	assert_int_equal(listen(p->listener, 8), 0);
+	pthread_create(&p->thread, NULL, run_peer, p);
+}
+
+void
+raw_peer_stop(struct raw_peer *p)
+{
+	shutdown(p->listener, SHUT_RDWR);
+	pthread_join(p->thread, NULL);
+	close(p->listener);
 }
--- a/test/test_http_head.c
+++ b/test/test_http_head.c
@@ -22,11 +22,8 @@
 
 #define WAIT_USEC (5 * JH_USEC_PER_SEC)
 
-/* Sends the first bytes of a text to each request and closes. */
-struct peer {
-	int listener;
-	struct sockaddr_in address;
-	pthread_t thread;
+/* What the peer sends: the first bytes of a text. */
+struct script {
 	const char *text;
 	size_t len;
 };
@@ -38,36 +35,14 @@
 	enum jh_http_result result;
 };
 
-static void *
-serve(void *arg)
-{
-	struct peer *p = arg;
-	char buf[4096];
-	int fd;
-
-	while ((fd = accept(p->listener, NULL, NULL)) >= 0) {
-		(void)!read(fd, buf, sizeof(buf));
-		(void)!write(fd, p->text, p->len);
-		shutdown(fd, SHUT_WR);
-		(void)!read(fd, buf, sizeof(buf));
-		close(fd);
-	}
-	return NULL;
-}
-
 static void
-start_peer(struct peer *p)
+serve(void *arg, int fd)
 {
-	p->listener = raw_listen(&p->address);
-	pthread_create(&p->thread, NULL, serve, p);
-}
+	const struct script *script = arg;
+	char buf[4096];
 
-static void
-stop_peer(struct peer *p)
-{
-	shutdown(p->listener, SHUT_RDWR);
-	pthread_join(p->thread, NULL);
-	close(p->listener);
+	(void)!read(fd, buf, sizeof(buf));
+	(void)!write(fd, script->text, script->len);
 }
 
 static void
@@ -96,9 +71,10 @@
 
 /* Calls the peer, which sends the first len bytes of the text. */
 static void
-call_peer(struct jh_http_client *client, struct peer *p, const char *text,
+call_peer(struct jh_http_client *client, struct raw_peer *p, const char *text,
     size_t len, struct call *c)
 {
+	struct script *script = p->arg;
 	uint64_t now = jh_now();
 	struct jh_http_call_spec spec = {.peer = p->address,
 	    .method = "GET",
@@ -109,8 +85,7 @@
 	    .arg = c};
 
 	memset(c, 0, sizeof(*c));
-	p->text = text;
-	p->len = len;
+	*script = (struct script){text, len};
 	jh_http_call_unref(jh_http_call_start(client, &spec));
 	while (!g_atomic_int_get(&c->ended)) {
 		assert_true(jh_now() < now + 2 * WAIT_USEC);
@@ -131,11 +106,12 @@
 	    "HTTP/1.1 200 OK\nContent-Type: text/plain\n\n",
 	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"};
 	struct jh_http_client *client = jh_http_client_create("test", 8);
-	struct peer p;
+	struct script script = {0};
+	struct raw_peer p = {.serve = serve, .arg = &script};
 	struct call c;
 	size_t i, len;
 
-	start_peer(&p);
+	raw_peer_start(&p);
 	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
 		for (len = 1; len < strlen(heads[i]); len++) {
 			call_peer(client, &p, heads[i], len, &c);
@@ -145,7 +121,7 @@
 		}
 	}
 	jh_http_client_destroy(client);
-	stop_peer(&p);
+	raw_peer_stop(&p);
 }
 
 /* Guards against the loss of replies that are whole. */
@@ -161,11 +137,12 @@
 	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	    "2\r\nok\r\n0\r\n\r\n"};
 	struct jh_http_client *client = jh_http_client_create("test", 8);
-	struct peer p;
+	struct script script = {0};
+	struct raw_peer p = {.serve = serve, .arg = &script};
 	struct call c;
 	size_t i;
 
-	start_peer(&p);
+	raw_peer_start(&p);
 	for (i = 0; i < G_N_ELEMENTS(replies); i++) {
 		call_peer(client, &p, replies[i], strlen(replies[i]), &c);
 		assert_int_equal(c.result, JH_HTTP_OK);
@@ -173,7 +150,7 @@
 		assert_int_equal(c.body_len, 2);
 	}
 	jh_http_client_destroy(client);
-	stop_peer(&p);
+	raw_peer_stop(&p);
 }
 
 int
--- a/test/test_http_pause.c
+++ b/test/test_http_pause.c
@@ -36,47 +36,17 @@
 	enum jh_http_result result;
 };
 
-struct peer {
-	int listener;
-	struct sockaddr_in address;
-	pthread_t thread;
-};
-
 /* Replies at once to "/now", and after REPLY_USEC to others. */
-static void *
-serve(void *arg)
-{
-	struct peer *p = arg;
-	char buf[4096];
-	ssize_t n;
-	int fd;
-
-	while ((fd = accept(p->listener, NULL, NULL)) >= 0) {
-		n = read(fd, buf, sizeof(buf) - 1);
-		buf[MAX(n, 0)] = '\0';
-		if (!g_str_has_prefix(buf, "GET /now"))
-			g_usleep(REPLY_USEC);
-		(void)!write(fd, reply, strlen(reply));
-		shutdown(fd, SHUT_WR);
-		(void)!read(fd, buf, sizeof(buf));
-		close(fd);
-	}
-	return NULL;
-}
-
 static void
-start_peer(struct peer *p)
+serve(void *arg, int fd)
 {
-	p->listener = raw_listen(&p->address);
-	pthread_create(&p->thread, NULL, serve, p);
-}
+	char buf[4096];
+	ssize_t n = read(fd, buf, sizeof(buf) - 1);
 
-static void
-stop_peer(struct peer *p)
-{
-	shutdown(p->listener, SHUT_RDWR);
-	pthread_join(p->thread, NULL);
-	close(p->listener);
+	buf[MAX(n, 0)] = '\0';
+	if (!g_str_has_prefix(buf, "GET /now"))
+		g_usleep(REPLY_USEC);
+	(void)!write(fd, reply, strlen(reply));
 }
 
 static bool
@@ -99,7 +69,7 @@
 static const struct jh_http_call_ops ops = {.data = on_data, .done = on_done};
 
 static void
-start(struct jh_http_client *client, const struct peer *p, const char *path,
+start(struct jh_http_client *client, const struct raw_peer *p, const char *path,
     struct call *c)
 {
 	struct jh_http_call_spec spec = {.peer = p->address,
@@ -132,10 +102,10 @@
 {
 	struct jh_http_client *client = jh_http_client_create("test", 8);
 	struct call late = {0}, blocking = {.block_usec = PAUSE_USEC};
-	struct peer p[2];
+	struct raw_peer p[2] = {{.serve = serve}, {.serve = serve}};
 
-	start_peer(&p[0]);
-	start_peer(&p[1]);
+	raw_peer_start(&p[0]);
+	raw_peer_start(&p[1]);
 	start(client, &p[0], "/later", &late);
 	g_usleep(REPLY_USEC / 2);
 	start(client, &p[1], "/now", &blocking);
@@ -143,8 +113,8 @@
 	assert_int_equal(blocking.result, JH_HTTP_OK);
 	assert_int_equal(late.result, JH_HTTP_OK);
 	jh_http_client_destroy(client);
-	stop_peer(&p[0]);
-	stop_peer(&p[1]);
+	raw_peer_stop(&p[0]);
+	raw_peer_stop(&p[1]);
 }
 
 int
