Store: positions of an era in place of bare revisions

What callers would see: after the users' drill, in which the store comes back from an older copy, a configuration, key or worker that is written again is ignored by every router that knew a higher revision, until it restarts: a revoked key stays valid, a new one is refused.

Cause: routers compared bare revisions, which only rise within one history of the store. A watch from a revision that was given out again followed another history; peers and mirrors passed the highest revision on for good.

Change: a position is an era and a revision, compared in one place (member/position.h). The store's client reads Store-Era from every response (platform/era.h). A response of an era that has ended counts as lost. Replicas begin anew, mirrors decline until they have listed and name the era themselves. The gossip message keeps its length: the era takes the place of a revision that was not in use, so instances of before and after understand each other. What is in force still changes by its own version only.

Not covered: an entry of the copy that is older than the known one but not gone is taken as it is.

--- a/fakes/platform/objects.c
+++ b/fakes/platform/objects.c
@@ -583,7 +583,8 @@
 	for (i = 0; i < lost->len; i++) {
 		const struct fake_change *c = g_ptr_array_index(lost, i);
 		drop_rewrite(o, c->kind, c->name);
-		add_rewrite(o, rand, c, spec->back_at, spec->rewritten_by);
+		add_rewrite(o, rand, c, MAX(spec->back_at, jh_now()),
+		    spec->rewritten_by);
 	}
 	fake_objects_unlock(o);
 	g_ptr_array_unref(lost);
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -5,14 +5,14 @@
 struct change {
 	char *name;
 	GBytes *text; /* NULL: the object was removed */
-	uint64_t committed; /* the revision of the commit */
+	uint64_t committed; /* the revision of the commit, of the same era */
 };
 
 struct jh_replica {
 	GTree *objects; /* object name to GBytes */
 	GQueue *changes; /* of struct change, oldest first */
 	GPtrArray *pending; /* of struct change, not committed yet */
-	uint64_t revision;
+	struct jh_position position; /* of the last commit */
 	uint64_t dropped_until; /* changes up to this revision are dropped */
 };
 
@@ -97,7 +97,7 @@
 		free_change(c);
 		return;
 	}
-	c->committed = r->revision;
+	c->committed = r->position.revision;
 	if (c->text != NULL)
 		g_tree_replace(
 		    r->objects, g_strdup(c->name), g_bytes_ref(c->text));
@@ -106,16 +106,26 @@
 	g_queue_push_tail(r->changes, c);
 }
 
+static void
+begin_era(struct jh_replica *r, uint64_t era)
+{
+	g_tree_remove_all(r->objects);
+	g_queue_clear_full(r->changes, free_change);
+	r->position = (struct jh_position){era, 0};
+}
+
 void
-jh_replica_commit(struct jh_replica *r, uint64_t revision)
+jh_replica_commit(struct jh_replica *r, const struct jh_position *to)
 {
 	struct change *c;
 	guint i;
 
+	if (to->era != r->position.era)
+		begin_era(r, to->era);
 	/* Objects of the first list are not changes to follow. */
-	if (r->revision == 0)
-		r->dropped_until = revision;
-	r->revision = MAX(r->revision, revision);
+	if (r->position.revision == 0)
+		r->dropped_until = to->revision;
+	r->position.revision = MAX(r->position.revision, to->revision);
 	for (i = 0; i < r->pending->len; i++)
 		commit_change(r, g_ptr_array_index(r->pending, i));
 	g_ptr_array_set_size(r->pending, 0);
@@ -126,10 +136,10 @@
 	}
 }
 
-uint64_t
-jh_replica_revision(const struct jh_replica *r)
+struct jh_position
+jh_replica_position(const struct jh_replica *r)
 {
-	return r->revision;
+	return r->position;
 }
 
 static struct jh_str
@@ -158,18 +168,18 @@
 }
 
 bool
-jh_replica_changes(const struct jh_replica *r, uint64_t since,
+jh_replica_changes(const struct jh_replica *r, const struct jh_position *since,
     const struct jh_replica_ops *ops, void *arg)
 {
 	const struct change *c;
 	GList *at;
 
-	if (since < r->dropped_until)
+	if (since->era != r->position.era || since->revision < r->dropped_until)
 		return false;
 	/* Searched from the newest, as most callers lack only a few. */
 	for (at = r->changes->tail; at != NULL; at = at->prev) {
 		c = at->data;
-		if (c->committed <= since)
+		if (c->committed <= since->revision)
 			break;
 	}
 	at = at == NULL ? r->changes->head : at->next;
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -8,6 +8,8 @@
 
 #include <jacinthhill/str.h>
 
+#include "member/position.h"
+
 /*
  * A copy of the store's objects of one kind, with the latest changes, which
  * other processes read in place of the store. The texts of objects are not
@@ -24,10 +26,13 @@
 /* Adds a change, which is visible after the next jh_replica_commit(). */
 void jh_replica_put(struct jh_replica *r, const char *name, struct jh_str text);
 void jh_replica_remove(struct jh_replica *r, const char *name);
-/* Commits the added changes, which reach up to this revision of the store. */
-void jh_replica_commit(struct jh_replica *r, uint64_t revision);
-/* The last committed revision of the store; 0: none yet. */
-uint64_t jh_replica_revision(const struct jh_replica *r);
+/*
+ * Commits the added changes, which reach up to this position of the store. In a
+ * new era they are a complete list, which replaces what was committed before.
+ */
+void jh_replica_commit(struct jh_replica *r, const struct jh_position *to);
+/* The last committed position; its revision is 0 before the first. */
+struct jh_position jh_replica_position(const struct jh_replica *r);
 
 struct jh_replica_ops {
 	/* text.ptr is NULL for a removal. */
@@ -41,10 +46,11 @@
 bool jh_replica_list(const struct jh_replica *r, const char *after,
     unsigned int limit, const struct jh_replica_ops *ops, void *arg);
 /*
- * Passes the changes after the revision to ops, in order. Returns false, and
- * passes none, if they are not kept any more.
+ * Passes the changes after the position to ops, in order. Returns false, and
+ * passes none, if they are not kept any more or it is of another era.
  */
-bool jh_replica_changes(const struct jh_replica *r, uint64_t since,
-    const struct jh_replica_ops *ops, void *arg);
+bool jh_replica_changes(const struct jh_replica *r,
+    const struct jh_position *since, const struct jh_replica_ops *ops,
+    void *arg);
 
 #endif
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -17,12 +17,12 @@
 
 /*
  * Message layout, little-endian: magic, id of the sender's key, message number,
- * revisions, numbers of reports and of placements, reports of workers,
- * placements, MAC.
+ * revisions and their era, numbers of reports and of placements, reports of
+ * workers, placements, MAC.
  */
 #define MAGIC 0x4a484731U /* "JHG1" */
 #define REVISION_LEN 6
-#define HEAD_LEN (24 + REVISION_LEN * JH_GOSSIP_REVISIONS)
+#define HEAD_LEN (24 + REVISION_LEN * (JH_GOSSIP_POSITIONS + 1))
 #define REPORT_LEN 22
 #define PLACEMENT_LEN 16
 #define MAC_LEN 16
@@ -98,7 +98,7 @@
 	unsigned char key[JH_GOSSIP_KEY_LEN];
 	uint64_t id; /* of the key */
 	uint64_t number; /* of the last message */
-	uint64_t revisions[JH_GOSSIP_REVISIONS];
+	struct jh_position positions[JH_GOSSIP_POSITIONS];
 	GHashTable *peers; /* name to struct peer */
 	GHashTable *by_id; /* the same, by id of the key */
 	struct jh_fanout *fanout;
@@ -310,17 +310,45 @@
 		g->crash_message_len = append_mac(g, out, at + n);
 }
 
+/* A position of an earlier era than the latest is written as none. */
+static void
+put_positions(const struct jh_gossip *g, unsigned char **at)
+{
+	const struct jh_position *p = g->positions;
+	uint64_t era = 0;
+	size_t i;
+
+	for (i = 0; i < JH_GOSSIP_POSITIONS; i++)
+		era = MAX(era, p[i].era);
+	for (i = 0; i < JH_GOSSIP_POSITIONS; i++)
+		jh_wire_put(
+		    at, p[i].era == era ? p[i].revision : 0, REVISION_LEN);
+	jh_wire_put(at, era, REVISION_LEN);
+}
+
+static void
+take_positions(
+    const unsigned char **at, struct jh_position out[JH_GOSSIP_POSITIONS])
+{
+	uint64_t era;
+	size_t i;
+
+	for (i = 0; i < JH_GOSSIP_POSITIONS; i++)
+		out[i].revision = jh_wire_take(at, REVISION_LEN);
+	era = jh_wire_take(at, REVISION_LEN);
+	for (i = 0; i < JH_GOSSIP_POSITIONS; i++)
+		out[i].era = era;
+}
+
 static void
 write_message(struct jh_gossip *g)
 {
 	unsigned char *out = g->message, *at = out, *count;
 	uint16_t n_reports, n_placements;
-	size_t i;
 
 	g->number++;
 	put_envelope(g, &at, MAGIC);
-	for (i = 0; i < JH_GOSSIP_REVISIONS; i++)
-		jh_wire_put(&at, g->revisions[i], REVISION_LEN);
+	put_positions(g, &at);
 	count = at;
 	at += 4;
 	n_reports = put_reports(g, &at);
@@ -436,15 +464,14 @@
 	struct jh_peer_report reports[MAX_REPORTS];
 	const unsigned char *at = message;
 	const struct peer *p;
-	uint64_t revisions[JH_GOSSIP_REVISIONS], id, number, count, n_announced,
-	    flags, i;
+	struct jh_position positions[JH_GOSSIP_POSITIONS];
+	uint64_t id, number, count, n_announced, flags, i;
 
 	if (len < HEAD_LEN + MAC_LEN || jh_wire_take(&at, 4) != MAGIC)
 		return;
 	id = jh_wire_take(&at, 8);
 	number = jh_wire_take(&at, 8);
-	for (i = 0; i < JH_GOSSIP_REVISIONS; i++)
-		revisions[i] = jh_wire_take(&at, REVISION_LEN);
+	take_positions(&at, positions);
 	count = jh_wire_take(&at, 2);
 	n_announced = jh_wire_take(&at, 2);
 	p = g_hash_table_lookup(g->by_id, &id);
@@ -482,8 +509,8 @@
 		jh_quota_ledger_peer_heard(g->spec.quotas, jh_now(), id);
 	if (g->spec.on_peer != NULL)
 		g->spec.on_peer(g->spec.arg, p->name);
-	if (g->spec.on_revisions != NULL)
-		g->spec.on_revisions(g->spec.arg, revisions);
+	if (g->spec.on_positions != NULL)
+		g->spec.on_positions(g->spec.arg, positions);
 	for (i = 0; i < n_announced; i++) {
 		struct jh_placement placed;
 		placed.key = jh_wire_take(&at, 8);
@@ -652,9 +679,11 @@
 }
 
 void
-jh_gossip_set_revision(struct jh_gossip *g, size_t i, uint64_t revision)
+jh_gossip_set_position(
+    struct jh_gossip *g, size_t i, const struct jh_position *p)
 {
-	g->revisions[i] = MAX(g->revisions[i], revision);
+	if (jh_position_compare(p, &g->positions[i]) > 0)
+		g->positions[i] = *p;
 }
 
 void
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -10,6 +10,7 @@
 #include <jacinthhill/suspects.h>
 
 #include "base/metrics.h"
+#include "member/position.h"
 #include "member/weights.h"
 #include "route/choose.h"
 #include "route/fleet.h"
@@ -30,11 +31,11 @@
 #define JH_GOSSIP_KEY_LEN 32
 
 /*
- * Kinds of objects in the store of which processes tell each other the revision
- * of the last change they have seen. A peer with a higher revision shows that
- * this process gets no more changes over its own connection to the store.
+ * Kinds of objects in the store of which processes tell each other the position
+ * of the last change they have seen. A peer with a later one shows that this
+ * process gets no more changes over its own connection to the store.
  */
-#define JH_GOSSIP_REVISIONS 4
+#define JH_GOSSIP_POSITIONS 3
 
 struct jh_gossip_spec {
 	uv_loop_t *loop;
@@ -48,9 +49,12 @@
 	struct sockaddr_in address;
 	/* May be NULL. A message of a peer has arrived. */
 	void (*on_peer)(void *arg, const char *name);
-	/* May be NULL. A message with these revisions has arrived. */
-	void (*on_revisions)(
-	    void *arg, const uint64_t revisions[JH_GOSSIP_REVISIONS]);
+	/*
+	 * May be NULL. A message with these positions, all of one era, has
+	 * arrived.
+	 */
+	void (*on_positions)(
+	    void *arg, const struct jh_position positions[JH_GOSSIP_POSITIONS]);
 	void *arg;
 };
 
@@ -74,8 +78,9 @@
 const struct sockaddr_in *jh_gossip_address(
     const struct jh_gossip *g, const char *name);
 
-/* Raises a revision, if it is higher; the caller defines what i means. */
-void jh_gossip_set_revision(struct jh_gossip *g, size_t i, uint64_t revision);
+/* Sets a position, if it is later; the caller defines what i means. */
+void jh_gossip_set_position(
+    struct jh_gossip *g, size_t i, const struct jh_position *p);
 
 /* Sends a message to every peer at once, outside of the rounds. */
 void jh_gossip_send(struct jh_gossip *g);
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -323,10 +323,22 @@
 }
 
 void
-platform_revoke(struct platform *p, unsigned int version)
+platform_configure(struct platform *p, unsigned int version, const char *key)
 {
 	platform_put(
-	    p, "config", "main", make_config(version, "k2", p->spec.plain));
+	    p, "config", "main", make_config(version, key, p->spec.plain));
+}
+
+void
+platform_revoke(struct platform *p, unsigned int version)
+{
+	platform_configure(p, version, "k2");
+}
+
+void
+platform_restore(struct platform *p, const struct fake_restore *spec)
+{
+	fake_objects_restore(p->objects, spec);
 }
 
 void
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "fakes/platform/objects.h"
 #include "fakes/platform/worker.h"
 #include "harness.h"
 
@@ -64,6 +65,11 @@
 /* Returns a new reference, or NULL if there is no such object. */
 json_t *platform_get(struct platform *p, const char *kind, const char *name);
 void platform_remove(struct platform *p, const char *kind, const char *name);
+/* Replaces the configuration by this version, with that key alone. */
+void platform_configure(
+    struct platform *p, unsigned int version, const char *key);
+/* The store comes back from an older copy. */
+void platform_restore(struct platform *p, const struct fake_restore *spec);
 /* Replaces the configuration by this version, without the key k1. */
 void platform_revoke(struct platform *p, unsigned int version);
 void platform_set_weights(struct platform *p, unsigned int version);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -223,15 +223,15 @@
 	struct jh_metrics *metrics;
 	struct jh_gossip *gossip;
 	struct sockaddr_in address;
-	uint64_t revision;
+	struct jh_position position;
 };
 
 static void
-on_revisions(void *arg, const uint64_t revisions[JH_GOSSIP_REVISIONS])
+on_positions(void *arg, const struct jh_position positions[JH_GOSSIP_POSITIONS])
 {
 	struct node *e = arg;
 
-	e->revision = revisions[1];
+	e->position = positions[1];
 }
 
 static struct sockaddr_in
@@ -271,7 +271,7 @@
 	    .chooser = e->chooser,
 	    .rate_limits = e->rate_limits,
 	    .address = e->address,
-	    .on_revisions = on_revisions,
+	    .on_positions = on_positions,
 	    .arg = e};
 	e->gossip = jh_gossip_create(&spec, &error);
 	assert_non_null(e->gossip);
@@ -331,7 +331,9 @@
 
 	pair_init(&a, &b, &loop);
 	jh_fleet_find(a.fleet, "a")->running = 4;
-	jh_gossip_set_revision(a.gossip, 1, 77);
+	jh_gossip_set_position(a.gossip, 0, &(struct jh_position){1, 90});
+	jh_gossip_set_position(a.gossip, 1, &(struct jh_position){1, 99});
+	jh_gossip_set_position(a.gossip, 1, &(struct jh_position){2, 77});
 	seen = jh_fleet_find(b.fleet, "a");
 	jh_gossip_set_peer(
 	    a.gossip, "b", true, &b.address, jh_gossip_key(b.gossip));
@@ -343,7 +345,8 @@
 	    b.gossip, "a", true, &a.address, jh_gossip_key(a.gossip));
 	run_for(&loop, 600000);
 	assert_int_equal(seen->others_running, 4);
-	assert_int_equal(b.revision, 77);
+	assert_int_equal(b.position.era, 2);
+	assert_int_equal(b.position.revision, 77);
 	assert_int_equal(jh_gossip_live_peers(b.gossip), 1);
 	pair_clear(&a, &b, &loop);
 }
--- /dev/null
+++ b/test/test_platform_era.c
@@ -0,0 +1,117 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <jacinthhill/clock.h>
+
+#include "platform_fixture.h"
+
+/* Routers whose store comes back from an older copy. */
+
+#define KEYED                                    \
+	"X-Jacinthhill-Attempt-Id: a1\r\n"       \
+	"X-Jacinthhill-Model: m1\r\n"            \
+	"X-Jacinthhill-Token-Counts: 100,10\r\n" \
+	"Api-Key: k1\r\n"
+#define SETTLE_USEC (500 * JH_USEC_PER_MSEC)
+#define AWAY_USEC (300 * JH_USEC_PER_MSEC)
+/* Users' bound on the time until a configuration is in force. */
+#define IN_FORCE_USEC (2500 * JH_USEC_PER_MSEC)
+
+static int
+set_up(void **state)
+{
+	*state = platform_start();
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	platform_stop(*state);
+	return 0;
+}
+
+static unsigned int
+status_of_request(struct platform *p)
+{
+	char *answer = platform_ask(p, "GET", "/again/x", KEYED);
+	unsigned int status = answer_status(answer);
+
+	g_free(answer);
+	return status;
+}
+
+static void
+expect_status_in_time(struct platform *p, unsigned int status)
+{
+	uint64_t until = jh_now() + IN_FORCE_USEC;
+
+	while (jh_now() < until && status_of_request(p) != status)
+		g_usleep(20000);
+	assert_int_equal(status_of_request(p), status);
+}
+
+/*
+ * Guards against ignoring what the operator writes after a restore, because its
+ * revision is lower than one that was seen before.
+ */
+static void
+configuration_after_a_restore_is_in_force(void **state)
+{
+	struct fake_restore restore = {0};
+	unsigned int version;
+
+	g_usleep(SETTLE_USEC);
+	restore.copied_at = jh_now();
+	g_usleep(SETTLE_USEC);
+	for (version = 2; version < 20; version++)
+		platform_configure(*state, version, "k1");
+	platform_revoke(*state, version);
+	expect_status_in_time(*state, 401);
+	restore.back_at = jh_now() + AWAY_USEC;
+	restore.rewritten_by = restore.back_at + AWAY_USEC;
+	platform_restore(*state, &restore);
+	g_usleep(2 * AWAY_USEC);
+	/* The older configuration of the copy, which has the key, is not. */
+	assert_int_equal(status_of_request(*state), 401);
+	platform_configure(*state, version + 1, "k1");
+	expect_status_in_time(*state, 200);
+}
+
+/*
+ * Guards against refusing requests because workers that the store has lost are
+ * not registered again yet.
+ */
+static void
+requests_are_served_through_a_restore(void **state)
+{
+	struct fake_restore restore = {.copied_at = 1};
+	uint64_t until;
+
+	assert_int_equal(status_of_request(*state), 200);
+	restore.back_at = jh_now() + AWAY_USEC;
+	restore.rewritten_by = restore.back_at + AWAY_USEC;
+	platform_restore(*state, &restore);
+	until = jh_now() + 4 * JH_USEC_PER_SEC;
+	while (jh_now() < until) {
+		assert_int_equal(status_of_request(*state), 200);
+		g_usleep(20000);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		configuration_after_a_restore_is_in_force, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		requests_are_served_through_a_restore, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_replica.c
+++ b/test/test_replica.c
@@ -44,7 +44,8 @@
 expect_changes(struct jh_replica *r, uint64_t since, const char *text)
 {
 	g_string_truncate(seen, 0);
-	assert_true(jh_replica_changes(r, since, &ops, NULL));
+	assert_true(
+	    jh_replica_changes(r, &(struct jh_position){0, since}, &ops, NULL));
 	assert_string_equal(seen->str, text);
 }
 
@@ -56,15 +57,15 @@
 
 	jh_replica_put(r, "a", JH_STR("1"));
 	jh_replica_put(r, "b", JH_STR("1"));
-	assert_int_equal(jh_replica_revision(r), 0);
-	jh_replica_commit(r, 10);
+	assert_int_equal(jh_replica_position(r).revision, 0);
+	jh_replica_commit(r, &(struct jh_position){0, 10});
 	expect_changes(r, 10, "");
 	jh_replica_put(r, "a", JH_STR("2"));
 	expect_changes(r, 10, "");
-	jh_replica_commit(r, 12);
+	jh_replica_commit(r, &(struct jh_position){0, 12});
 	jh_replica_remove(r, "b");
 	jh_replica_put(r, "c", JH_STR("1"));
-	jh_replica_commit(r, 15);
+	jh_replica_commit(r, &(struct jh_position){0, 15});
 	expect_changes(r, 10, "a=2 b- c=1 ");
 	expect_changes(r, 12, "b- c=1 ");
 	expect_changes(r, 15, "");
@@ -81,7 +82,7 @@
 	jh_replica_put(r, "b", JH_STR("1"));
 	jh_replica_put(r, "a", JH_STR("1"));
 	jh_replica_put(r, "c", JH_STR("1"));
-	jh_replica_commit(r, 4);
+	jh_replica_commit(r, &(struct jh_position){0, 4});
 	assert_true(jh_replica_list(r, NULL, 2, &ops, NULL));
 	assert_false(jh_replica_list(r, "b", 2, &ops, NULL));
 	assert_string_equal(seen->str, "a=1 b=1 c=1 ");
@@ -94,14 +95,14 @@
 	struct jh_replica *r = *state;
 
 	jh_replica_put(r, "a", JH_STR("1"));
-	jh_replica_commit(r, 4);
+	jh_replica_commit(r, &(struct jh_position){0, 4});
 	jh_replica_put(r, "a", JH_STR("1"));
 	jh_replica_remove(r, "x");
-	jh_replica_commit(r, 6);
+	jh_replica_commit(r, &(struct jh_position){0, 6});
 	expect_changes(r, 4, "");
 	jh_replica_put(r, "a", JH_STR("2"));
 	jh_replica_put(r, "a", JH_STR("1"));
-	jh_replica_commit(r, 8);
+	jh_replica_commit(r, &(struct jh_position){0, 8});
 	expect_changes(r, 6, "a=2 a=1 ");
 }
 
@@ -114,16 +115,20 @@
 	unsigned int i;
 
 	jh_replica_put(r, "a", JH_STR("0"));
-	jh_replica_commit(r, 1);
-	assert_false(jh_replica_changes(r, 0, &ops, NULL));
+	jh_replica_commit(r, &(struct jh_position){0, 1});
+	assert_false(
+	    jh_replica_changes(r, &(struct jh_position){0, 0}, &ops, NULL));
 	for (i = 1; i <= JH_REPLICA_MAX_CHANGES + 5; i++) {
 		g_snprintf(text, sizeof(text), "%u", i);
 		jh_replica_put(r, "a", jh_str_from(text));
-		jh_replica_commit(r, 1 + i);
+		jh_replica_commit(r, &(struct jh_position){0, 1 + i});
 	}
-	assert_false(jh_replica_changes(r, 1, &ops, NULL));
-	assert_false(jh_replica_changes(r, 5, &ops, NULL));
-	assert_true(jh_replica_changes(r, 6, &ops, NULL));
+	assert_false(
+	    jh_replica_changes(r, &(struct jh_position){0, 1}, &ops, NULL));
+	assert_false(
+	    jh_replica_changes(r, &(struct jh_position){0, 5}, &ops, NULL));
+	assert_true(
+	    jh_replica_changes(r, &(struct jh_position){0, 6}, &ops, NULL));
 }
 
 static struct jh_mirrors *
@@ -143,6 +148,29 @@
 	return r;
 }
 
+/*
+ * Guards against a mirror that passes on objects or changes that the store has
+ * lost.
+ */
+static void
+new_era_replaces_all(void **state)
+{
+	struct jh_replica *r = *state;
+
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_put(r, "b", JH_STR("1"));
+	jh_replica_commit(r, &(struct jh_position){1, 10});
+	jh_replica_put(r, "a", JH_STR("2"));
+	jh_replica_commit(r, &(struct jh_position){1, 20});
+	jh_replica_put(r, "a", JH_STR("1"));
+	jh_replica_commit(r, &(struct jh_position){2, 15});
+	assert_int_equal(jh_replica_position(r).revision, 15);
+	assert_false(
+	    jh_replica_changes(r, &(struct jh_position){1, 10}, &ops, NULL));
+	assert_false(jh_replica_list(r, NULL, 10, &ops, NULL));
+	assert_string_equal(seen->str, "a=1 ");
+}
+
 /* Guards against mirrors in a small deployment. */
 static void
 few_processes_all_read_the_store(void **state)
@@ -225,6 +253,7 @@
     CASE(lists_continue_after_a_name),
     CASE(repeated_objects_are_no_changes),
     CASE(dropped_changes_are_reported),
+    CASE(new_era_replaces_all),
     cmocka_unit_test(few_processes_all_read_the_store),
     cmocka_unit_test(mirrors_read_the_store_and_share_the_load),
     cmocka_unit_test(failed_mirrors_are_replaced),
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -25,6 +25,7 @@
 	struct jh_uv_client *http_client;
 	struct jh_metrics *metrics;
 	struct jh_json_log *log;
+	struct plat_era *era;
 	struct plat_store *client;
 	struct plat_watch *watch;
 	struct sockaddr_in address;
@@ -140,7 +141,7 @@
 {
 	struct fixture *w = arg;
 
-	w->last_revision = o->revision;
+	w->last_revision = o->position.revision;
 	w->deleted = o->deleted;
 	w->suspect_since = o->suspect_since;
 }
@@ -176,7 +177,10 @@
 	w->http_client = jh_uv_client_create(&w->loop);
 	w->metrics = jh_metrics_create();
 	w->log = jh_json_log_create(STDERR_FILENO, "test");
-	w->client = plat_store_create(w->http_client, &w->address, w->metrics);
+	w->era = plat_era_create(
+	    &(struct plat_era_spec){.log = w->log, .metrics = w->metrics});
+	w->client =
+	    plat_store_create(w->http_client, &w->address, w->metrics, w->era);
 	w->watch = start_watch(w);
 }
 
@@ -185,6 +189,7 @@
 {
 	plat_watch_destroy(w->watch);
 	plat_store_destroy(w->client);
+	plat_era_destroy(w->era);
 	jh_uv_client_destroy(w->http_client);
 	jh_uv_server_destroy(w->store);
 	uv_run(&w->loop, UV_RUN_DEFAULT);
@@ -206,7 +211,8 @@
 		uv_run(&w->loop, UV_RUN_NOWAIT);
 		if (others != 0 && jh_now() - last_sent > 200000) {
 			last_sent = jh_now();
-			plat_watch_peer_revision(w->watch, others);
+			plat_watch_peer_position(
+			    w->watch, &(struct jh_position){0, others});
 		}
 		g_usleep(1000);
 	}
@@ -240,7 +246,7 @@
 	w.changed = true;
 	run_for(&w, 2500000, 12);
 	assert_int_equal(w.last_revision, 12);
-	assert_int_equal(plat_watch_last_change(w.watch), 12);
+	assert_int_equal(plat_watch_last_change(w.watch).revision, 12);
 	fixture_clear(&w);
 }
 
@@ -249,12 +255,14 @@
 run_beside_equal_peer(struct fixture *w, uint64_t usec, uint64_t others)
 {
 	uint64_t until = jh_now() + usec;
+	struct jh_position at;
 
 	while (jh_now() < until) {
 		run_for(w, 100000, 0);
-		plat_watch_peer_revision(w->watch, others);
-		plat_watch_peer_revision(
-		    w->watch, plat_watch_revision(w->watch));
+		at = plat_watch_position(w->watch);
+		plat_watch_peer_position(
+		    w->watch, &(struct jh_position){0, others});
+		plat_watch_peer_position(w->watch, &at);
 	}
 }
 
@@ -331,7 +339,7 @@
 	w.silent = true;
 	run_for(&w, 1200000, 9);
 	assert_int_equal(w.watches, 1);
-	assert_int_equal(plat_watch_last_change(w.watch), 3);
+	assert_int_equal(plat_watch_last_change(w.watch).revision, 3);
 	fixture_clear(&w);
 }
 
@@ -532,7 +540,7 @@
 static void
 on_mirrored_object(void *arg, const struct plat_object *o)
 {
-	((struct mirror_fixture *)arg)->last_revision = o->revision;
+	((struct mirror_fixture *)arg)->last_revision = o->position.revision;
 }
 
 static struct plat_store *
@@ -564,15 +572,17 @@
 	memset(n, 0, sizeof(*n));
 	fixture_init(&n->w);
 	n->replica = jh_replica_create();
-	n->share = plat_mirror_server_create(&n->w.loop, &sin, &error);
+	n->share =
+	    plat_mirror_server_create(&n->w.loop, &sin, n->w.era, &error);
 	assert_non_null(n->share);
 	kind.replica = n->replica;
 	plat_mirror_server_add(n->share, &kind);
-	n->client = plat_store_create(n->w.http_client, &sin, n->w.metrics);
+	n->client =
+	    plat_store_create(n->w.http_client, &sin, n->w.metrics, n->w.era);
 	jh_replica_put(n->replica, "a",
 	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":5},"
 		   "\"specification\":1}"));
-	jh_replica_commit(n->replica, 9);
+	jh_replica_commit(n->replica, &(struct jh_position){0, 9});
 	n->serves = true;
 	spec.loop = &n->w.loop;
 	spec.store = n->w.client;
@@ -602,7 +612,7 @@
 	jh_replica_put(n.replica, "a",
 	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":14},"
 		   "\"specification\":2}"));
-	jh_replica_commit(n.replica, 14);
+	jh_replica_commit(n.replica, &(struct jh_position){0, 14});
 	plat_mirror_server_changed(n.share);
 	run_for(&n.w, 300000, 0);
 	assert_int_equal(n.last_revision, 14);
@@ -641,7 +651,7 @@
 	jh_replica_put(n.replica, "a",
 	    JH_STR("{\"metadata\":{\"name\":\"a\",\"revision\":4},"
 		   "\"specification\":0}"));
-	jh_replica_commit(n.replica, 10);
+	jh_replica_commit(n.replica, &(struct jh_position){0, 10});
 	plat_mirror_server_changed(n.share);
 	run_for(&n.w, 300000, 0);
 	assert_int_equal(n.last_revision, 5);
