Election: one leader at a time when the store comes back from an older copy

What workers would see: after the users' drill, orders of two leaders within the time that must lie between them, and orders of a new leader refused, because its fencing token, a bare revision, is lower than that of the one before.

Cause: the object that serves as a lease is gone or an older one. A successor took over at once while the earlier leader still acted; a write of an earlier era, executed late, hid the leader of the present one.

Change: the object names the era in which it was written. In a new era a process that does not lead waits for lease, gap and transit (5 s); one that leads stops, writes the object again and goes on. What an object of an earlier era states of its cooldown or release does not count. A write that was sent in an earlier era gives no leadership. A process that starts waits too, unless the object is of the present era: so the first start of all routers on a store with eras gives its first orders 5 s later; on one without eras nothing changes.

--- a/src/gateway/weights_controller.c
+++ b/src/gateway/weights_controller.c
@@ -158,6 +158,12 @@
 	jh_election_on_reply(s->election, jh_boot_now(), reply);
 }
 
+void
+jh_weights_controller_begin_era(struct jh_weights_controller *s, uint64_t era)
+{
+	jh_election_begin_era(s->election, jh_boot_now(), era);
+}
+
 void
 jh_weights_controller_on_order_result(struct jh_weights_controller *s,
     const char *worker, enum jh_weights_result result)
--- a/src/gateway/weights_controller.h
+++ b/src/gateway/weights_controller.h
@@ -56,6 +56,9 @@
 
 void jh_weights_controller_on_election_reply(
     struct jh_weights_controller *s, const struct jh_election_reply *reply);
+/* See jh_election_begin_era(). */
+void jh_weights_controller_begin_era(
+    struct jh_weights_controller *s, uint64_t era);
 void jh_weights_controller_on_order_result(struct jh_weights_controller *s,
     const char *worker, enum jh_weights_result result);
 void jh_weights_controller_on_report(struct jh_weights_controller *s,
--- a/src/member/election.h
+++ b/src/member/election.h
@@ -8,6 +8,8 @@
 #include <jacinthhill/store_result.h>
 #include <jacinthhill/str.h>
 
+#include "member/position.h"
+
 /*
  * Leader election through one object of the store, which serves as a lease. At
  * most one process leads at a time and may act. Clocks of processes are not
@@ -22,6 +24,14 @@
  * object, so that a successor waits for the cooldown only and not for the
  * lease.
  *
+ * The store may come back from an older copy, without the last writes (see
+ * member/position.h). In the new era the object says nothing about who leads. A
+ * leader that learns of the era while its lease is valid has to write the
+ * object before it goes on; the others first wait for as long as a leader of an
+ * earlier era may act, and min_gap and max_transit after that. So does a
+ * process that starts, unless the object, which names the era in which it was
+ * written, is of the present one.
+ *
  * Does no I/O: the caller makes the calls to the store and reports the result
  * of each one once. Times are microseconds of that clock. Not thread safe.
  */
@@ -45,7 +55,8 @@
 
 struct jh_election_action {
 	enum jh_election_action_kind kind;
-	uint64_t if_version; /* WRITE */
+	struct jh_position if_at; /* WRITE: of the object */
+	uint64_t era; /* CREATE and WRITE: in which it is sent */
 	const char *holder; /* CREATE and WRITE: this process */
 	uint64_t term; /* CREATE and WRITE: counts the writes */
 	uint64_t cooldown; /* CREATE and WRITE: a successor waits for it */
@@ -56,7 +67,9 @@
 /* The result of a call and the object, as far as the store returned it. */
 struct jh_election_reply {
 	enum jh_store_result result;
-	uint64_t version; /* of the object; 0: absent */
+	/* Of the object; revision 0: absent. */
+	struct jh_position position;
+	uint64_t written_era; /* that the object names */
 	struct jh_str holder;
 	uint64_t term;
 	uint64_t cooldown;
@@ -75,6 +88,9 @@
 void jh_election_on_reply(
     struct jh_election *e, uint64_t now, const struct jh_election_reply *reply);
 
+/* The store has begun this era, as its other responses or a peer tell. */
+void jh_election_begin_era(struct jh_election *e, uint64_t now, uint64_t era);
+
 /* Whether this process leads, though it may not act yet. */
 bool jh_election_is_leader(const struct jh_election *e, uint64_t now);
 /* Who wrote the object last, as far as it is known; NULL: nobody or unknown. */
@@ -86,8 +102,8 @@
 void jh_election_want_to_act(struct jh_election *e, uint64_t now);
 /*
  * The fencing token if this process may act at this moment, or 0. It stays the
- * same during one leadership and is higher in each later one. Call it before
- * each action.
+ * same during one leadership and is higher in each later one, also of a later
+ * era. Call it before each action.
  */
 uint64_t jh_election_token(const struct jh_election *e, uint64_t now);
 /* An action was sent. */
--- a/test/test_election.c
+++ b/test/test_election.c
@@ -20,13 +20,28 @@
 
 /* The election's object in the store. */
 struct object {
-	uint64_t version; /* 0: absent */
+	uint64_t revision; /* 0: absent */
 	char holder[16];
 	uint64_t term;
+	uint64_t era; /* in which it was written */
 	uint64_t successor_wait;
 	bool released;
 };
 
+/* The object from that time on, in the history of the store. */
+struct state {
+	uint64_t since;
+	uint64_t store_revision;
+	struct object object;
+};
+
+/* A write that is executed late, after its reply was lost. */
+struct late_write {
+	uint64_t at; /* 0: none */
+	char holder[16];
+	struct jh_election_action action;
+};
+
 /* One process that takes part in the election. */
 struct process {
 	struct jh_election *election;
@@ -42,7 +57,11 @@
 
 struct simulation {
 	struct object object;
-	uint64_t revision;
+	uint64_t era;
+	uint64_t revision; /* of the store */
+	GArray *history; /* of struct state */
+	struct late_write late[4];
+	bool restores; /* the store may come back from an older copy */
 	GRand *rand;
 	struct process processes[5];
 	/* The last action of any process. */
@@ -79,6 +98,14 @@
 	m->election = create_election(m->name);
 }
 
+static void
+record_state(struct simulation *s, uint64_t now)
+{
+	struct state state = {now, s->revision, s->object};
+
+	g_array_append_val(s->history, state);
+}
+
 static void
 simulation_init(struct simulation *s, unsigned int seed)
 {
@@ -86,6 +113,9 @@
 
 	memset(s, 0, sizeof(*s));
 	s->rand = g_rand_new_with_seed(seed);
+	s->era = 1;
+	s->history = g_array_new(FALSE, FALSE, sizeof(struct state));
+	record_state(s, 0);
 	for (i = 0; i < G_N_ELEMENTS(s->processes); i++)
 		join(s, &s->processes[i], (int)i);
 }
@@ -98,26 +128,86 @@
 	for (i = 0; i < G_N_ELEMENTS(s->processes); i++)
 		jh_election_destroy(s->processes[i].election);
 	g_rand_free(s->rand);
+	g_array_free(s->history, TRUE);
 }
 
-/* Applies a write if its condition holds. */
+/* Applies a write if its condition holds. Objects of others change too. */
 static bool
-apply_write(struct simulation *s, const struct jh_election_action *a)
+apply_write(
+    struct simulation *s, uint64_t now, const struct jh_election_action *a)
 {
 	bool fits = a->kind == JH_ELECTION_CREATE
-			? s->object.version == 0
-			: s->object.version == a->if_version;
+			? s->object.revision == 0
+			: s->object.revision == a->if_at.revision;
 
 	if (!fits)
 		return false;
-	s->object.version = ++s->revision;
+	s->revision += (uint64_t)g_rand_int_range(s->rand, 1, 3);
+	s->object.revision = s->revision;
 	g_strlcpy(s->object.holder, a->holder, sizeof(s->object.holder));
 	s->object.term = a->term;
+	s->object.era = a->era;
 	s->object.successor_wait = a->cooldown;
 	s->object.released = a->released;
+	record_state(s, now);
 	return true;
 }
 
+/* Has the write executed up to 6 s later, if there is room for it. */
+static bool
+delay_write(
+    struct simulation *s, uint64_t now, const struct jh_election_action *a)
+{
+	size_t i;
+
+	if (!s->restores || g_rand_boolean(s->rand))
+		return false;
+	for (i = 0; i < G_N_ELEMENTS(s->late); i++) {
+		struct late_write *w = &s->late[i];
+		if (w->at != 0)
+			continue;
+		w->at =
+		    now + (uint64_t)g_rand_int_range(s->rand, 100, 6000) * MSEC;
+		g_strlcpy(w->holder, a->holder, sizeof(w->holder));
+		w->action = *a;
+		w->action.holder = w->holder;
+		return true;
+	}
+	return false;
+}
+
+static void
+execute_late_writes(struct simulation *s, uint64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(s->late); i++) {
+		if (s->late[i].at == 0 || now < s->late[i].at)
+			continue;
+		s->late[i].at = 0;
+		(void)apply_write(s, now, &s->late[i].action);
+	}
+}
+
+/* The store comes back from a copy of up to 10 s of age. */
+static void
+restore(struct simulation *s, uint64_t now)
+{
+	uint64_t age = (uint64_t)g_rand_int_range(s->rand, 100, 10000) * MSEC;
+	const struct state *state;
+
+	while (
+	    s->history->len > 1 &&
+	    g_array_index(s->history, struct state, s->history->len - 1).since +
+		    age >
+		now)
+		g_array_set_size(s->history, s->history->len - 1);
+	state = &g_array_index(s->history, struct state, s->history->len - 1);
+	s->object = state->object;
+	s->revision = state->store_revision;
+	s->era++;
+}
+
 static void
 finish_call(struct simulation *s, struct process *m, uint64_t now)
 {
@@ -125,8 +215,9 @@
 	bool done = true;
 
 	m->in_call = false;
-	if (m->action.kind != JH_ELECTION_READ)
-		done = apply_write(s, &m->action);
+	if (m->action.kind != JH_ELECTION_READ &&
+	    !(m->lose_reply && delay_write(s, now, &m->action)))
+		done = apply_write(s, now, &m->action);
 	if (m->lose_reply) {
 		r.result = m->action.kind == JH_ELECTION_READ
 			       ? JH_STORE_UNAVAILABLE
@@ -134,12 +225,13 @@
 		jh_election_on_reply(m->election, now, &r);
 		return;
 	}
-	r.version = s->object.version;
+	r.position = (struct jh_position){s->era, s->object.revision};
+	r.written_era = s->object.era;
 	r.holder = jh_str_from(s->object.holder);
 	r.term = s->object.term;
 	r.cooldown = s->object.successor_wait;
 	r.released = s->object.released;
-	if (s->object.version == 0)
+	if (s->object.revision == 0)
 		r.result = JH_STORE_NOT_FOUND;
 	else if (!done)
 		r.result = JH_STORE_CONFLICT;
@@ -172,6 +264,9 @@
 {
 	if (now < m->stuck_until && m->frozen)
 		return;
+	/* A peer tells. */
+	if (s->restores && g_rand_double(s->rand) < 0.01)
+		jh_election_begin_era(m->election, now, s->era);
 	if (m->in_call && now >= m->call_ends && now >= m->stuck_until)
 		finish_call(s, m, now);
 	if (!m->in_call && jh_election_next(m->election, now, &m->action)) {
@@ -193,13 +288,17 @@
 	int i = g_rand_int_range(s->rand, 0, G_N_ELEMENTS(s->processes));
 	struct process *m = &s->processes[i];
 
-	switch (g_rand_int_range(s->rand, 0, 4)) {
+	switch (g_rand_int_range(s->rand, 0, s->restores ? 6 : 4)) {
 	case 0:
 	case 1:
 		m->frozen = g_rand_boolean(s->rand);
 		m->stuck_until =
 		    now + (uint64_t)g_rand_int_range(s->rand, 500, 8000) * MSEC;
 		break;
+	case 4:
+	case 5:
+		restore(s, now);
+		break;
 	case 2:
 		if (s->last_actor == m)
 			s->last_actor = NULL; /* a new process */
@@ -213,24 +312,21 @@
 	}
 }
 
-/*
- * Guards against actions of two leaders less than min_gap apart, and against a
- * later leader with a token that is not higher, when processes are frozen, cut
- * off, restarted or stopped and replies are lost.
- */
 static void
-actions_of_two_leaders_are_apart(void **state)
+run_simulations(unsigned int seeds, bool restores)
 {
 	unsigned int actions = 0, leader_changes = 0, seed;
 
-	for (seed = 1; seed <= 60; seed++) {
+	for (seed = 1; seed <= seeds; seed++) {
 		struct simulation s;
 		uint64_t now, last_action_seen = 0;
 		size_t i;
 		simulation_init(&s, seed);
+		s.restores = restores;
 		for (now = 1; now < 120000 * MSEC; now += 10 * MSEC) {
 			for (i = 0; i < G_N_ELEMENTS(s.processes); i++)
 				step(&s, &s.processes[i], now);
+			execute_late_writes(&s, now);
 			if (g_rand_double(s.rand) < 0.003)
 				inject_fault(&s, now);
 			last_action_seen = s.last_action;
@@ -244,6 +340,24 @@
 	assert_true(leader_changes > 50);
 }
 
+/*
+ * Guards against actions of two leaders less than min_gap apart, and against a
+ * later leader with a token that is not higher, when processes are frozen, cut
+ * off, restarted or stopped and replies are lost.
+ */
+static void
+actions_of_two_leaders_are_apart(void **state)
+{
+	run_simulations(60, false);
+}
+
+/* The same, when the store comes back from older copies. */
+static void
+actions_are_apart_through_restores(void **state)
+{
+	run_simulations(1000, true);
+}
+
 /* Runs without faults until a process acts; returns it. */
 static struct process *
 run_until_act(struct simulation *s, uint64_t *now)
@@ -264,6 +378,29 @@
 	return NULL;
 }
 
+/* Guards against a pause of orders each time that the store comes back. */
+static void
+leader_goes_on_after_a_restore(void **state)
+{
+	struct simulation s;
+	struct process *first;
+	uint64_t now = 1, restored, token;
+
+	simulation_init(&s, 8);
+	first = run_until_act(&s, &now);
+	assert_non_null(first);
+	token = s.last_token;
+	now += 300 * MSEC;
+	restored = now;
+	restore(&s, now);
+	while (s.last_token == token) {
+		assert_ptr_equal(run_until_act(&s, &now), first);
+		now += 10 * MSEC;
+	}
+	assert_true(now - restored < LEASE_TIME + MIN_GAP + MAX_TRANSIT);
+	simulation_clear(&s);
+}
+
 /* Guards against a long time without a leader after the leader was killed. */
 static void
 killed_leader_is_replaced(void **state)
@@ -313,7 +450,7 @@
 {
 	struct jh_election *e = create_election("follower");
 	struct jh_election_reply r = {.result = JH_STORE_OK,
-	    .version = 1,
+	    .position = {0, 1},
 	    .holder = jh_str_from("leader")};
 	struct jh_election_action a;
 	unsigned int calls = 0;
@@ -322,7 +459,7 @@
 	jh_election_set_standby(e, standby);
 	for (now = MSEC; now < 60000 * MSEC; now += 20 * MSEC) {
 		if (now % (500 * MSEC) < 20 * MSEC)
-			r.version++;
+			r.position.revision++;
 		if (!jh_election_next(e, now, &a))
 			continue;
 		assert_int_equal(a.kind, JH_ELECTION_READ);
@@ -371,6 +508,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(actions_of_two_leaders_are_apart),
+	    cmocka_unit_test(actions_are_apart_through_restores),
+	    cmocka_unit_test(leader_goes_on_after_a_restore),
 	    cmocka_unit_test(killed_leader_is_replaced),
 	    cmocka_unit_test(successor_waits_only_for_the_cooldown),
 	    cmocka_unit_test(standby_makes_few_calls),
