Election: a write that states a short cooldown ends the leader's actions

What workers would see: orders of two leaders 2.4 s apart where 3 s are demanded.

Cause: a leader that had nothing to do for a second, or was frozen as long, states no cooldown in its next write, but its earlier write still let it act until the lease ended. With work again while that write was on its way, it acted, and the successor, which read a cooldown of 0, waited for the lease only.

Change: such a write ends the leader's actions when it is sent, not when its reply arrives. The leader then writes again before it acts.

Measured: write_of_an_idle_leader_ends_its_actions failed before, passes; all of test_election passes.

--- a/src/member/election.c
+++ b/src/member/election.c
@@ -135,6 +135,8 @@
 		out->holder = e->holder;
 		out->term = e->term + 1;
 		e->write_allows_actions = renew && wants_to_act(e, now);
+		/* The write may be executed before its reply arrives. */
+		e->may_act = e->may_act && e->write_allows_actions;
 		out->cooldown = cooldown_after(e, now, e->write_allows_actions);
 		out->released = e->resigned;
 	}
--- a/test/test_election.c
+++ b/test/test_election.c
@@ -444,6 +444,49 @@
 	simulation_clear(&s);
 }
 
+/* Passes the election the reply to its next call. */
+static struct jh_election_action
+answer_next_call(struct jh_election *e, uint64_t now, uint64_t revision)
+{
+	struct jh_election_reply r = {.result = JH_STORE_OK,
+	    .position = {0, revision},
+	    .holder = JH_STR("leader")};
+	struct jh_election_action a;
+
+	assert_true(jh_election_next(e, now, &a));
+	if (revision == 0)
+		r.result = JH_STORE_NOT_FOUND;
+	jh_election_on_reply(e, now, &r);
+	return a;
+}
+
+/*
+ * Guards against a leader that acts although its write in progress tells a
+ * successor that it does not, as after a pause within its lease.
+ */
+static void
+write_of_an_idle_leader_ends_its_actions(void **state)
+{
+	struct jh_election *e = create_election("leader");
+	struct jh_election_action a;
+	uint64_t now = 1000 * MSEC;
+
+	answer_next_call(e, now, 0);
+	now += 600 * MSEC;
+	answer_next_call(e, now, 1);
+	jh_election_want_to_act(e, now);
+	a = answer_next_call(e, now, 2);
+	assert_int_equal(a.cooldown, MIN_GAP + MAX_TRANSIT);
+	assert_int_not_equal(jh_election_token(e, now), 0);
+	now += 1200 * MSEC;
+	assert_true(jh_election_next(e, now, &a));
+	assert_int_equal(a.cooldown, 0);
+	jh_election_want_to_act(e, now);
+	assert_true(jh_election_is_leader(e, now));
+	assert_int_equal(jh_election_token(e, now), 0);
+	jh_election_destroy(e);
+}
+
 /* Calls to the store that a process makes in 60 s while another one leads. */
 static unsigned int
 count_follower_calls(bool standby)
@@ -512,6 +555,7 @@
 	    cmocka_unit_test(leader_goes_on_after_a_restore),
 	    cmocka_unit_test(killed_leader_is_replaced),
 	    cmocka_unit_test(successor_waits_only_for_the_cooldown),
+	    cmocka_unit_test(write_of_an_idle_leader_ends_its_actions),
 	    cmocka_unit_test(standby_makes_few_calls),
 	    cmocka_unit_test(standby_replaces_killed_leader),
 	};
