Test runner: the failed tests are named again at the end

What was kept of the log lacks its middle, so neither the test nor the failed check is known, only that its name lies between test_proc_once and test_rate_limits.

Change: test/run.sh prints each failed test with the lines of its failed checks once more before the total.

--- a/test/run.sh
+++ b/test/run.sh
@@ -8,6 +8,7 @@
 passed=0
 failed=0
 red=0
+failures=
 for t in "$@"; do
 	name=$(basename "$t")
 	if "$t" >"$out/$name" 2>&1; then
@@ -19,6 +20,7 @@
 		tail -n 20 "$out/$name"
 	else
 		failed=$((failed + 1))
+		failures="$failures $name"
 		echo "FAIL $name"
 		# Sanitizer reports may come after the failed check.
 		grep -A 2 'ERROR\|LINE\|timeout:' "$out/$name" | head -n 30
@@ -26,5 +28,10 @@
 	fi
 done
 [ "$red" -eq 0 ] || echo "known red: $red"
+# Again at the end: what a viewer shows of a long log may lack the middle.
+for name in $failures; do
+	echo "FAIL $name"
+	grep -A 2 'ERROR\|LINE\|timeout:' "$out/$name" | head -n 12
+done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
