--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -79,6 +79,7 @@
 
 struct peer {
 	char *name;
+	bool same_region;
 	struct sockaddr_in address;
 	unsigned char key[JH_GOSSIP_KEY_LEN];
 	uint64_t id; /* of the key */
@@ -658,14 +659,29 @@
 	return g->key;
 }
 
+static bool
+is_same_peer(const struct peer *p, bool same_region,
+    const struct sockaddr_in *address,
+    const unsigned char key[JH_GOSSIP_KEY_LEN])
+{
+	return p->same_region == same_region &&
+	       p->address.sin_addr.s_addr == address->sin_addr.s_addr &&
+	       p->address.sin_port == address->sin_port &&
+	       sodium_memcmp(p->key, key, JH_GOSSIP_KEY_LEN) == 0;
+}
+
 void
 jh_gossip_set_peer(struct jh_gossip *g, const char *name, bool same_region,
     const struct sockaddr_in *address,
     const unsigned char key[JH_GOSSIP_KEY_LEN])
 {
-	struct peer *p = g_new0(struct peer, 1);
+	struct peer *p = g_hash_table_lookup(g->peers, name);
 
+	if (p != NULL && is_same_peer(p, same_region, address, key))
+		return;
 	jh_gossip_remove_peer(g, name);
+	p = g_new0(struct peer, 1);
+	p->same_region = same_region;
 	p->address = *address;
 	memcpy(p->key, key, JH_GOSSIP_KEY_LEN);
 	p->id = key_id(key);
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -66,8 +66,8 @@
 /* This process's MAC key, new at each start. */
 const unsigned char *jh_gossip_key(const struct jh_gossip *g);
 /*
- * Adds the peer of that name, or replaces it. same_region: in the region of
- * this process. key: the peer's MAC key.
+ * Adds the peer of that name, or replaces it, unless nothing of it has changed.
+ * same_region: in the region of this process. key: the peer's MAC key.
  */
 void jh_gossip_set_peer(struct jh_gossip *g, const char *name, bool same_region,
     const struct sockaddr_in *address,
--- a/test/test_platform_era.c
+++ b/test/test_platform_era.c
@@ -2,6 +2,8 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -103,6 +105,82 @@
 	}
 }
 
+static char *
+key_of(struct platform *p, const char *name)
+{
+	json_t *entry = platform_get(p, "entries", name);
+	char *key = g_strdup(json_string_value(json_object_get(entry, "key")));
+
+	json_decref(entry);
+	return key;
+}
+
+static bool
+has_key(struct platform *p, const char *name, const char *key)
+{
+	char *present = key_of(p, name);
+	bool same = g_strcmp0(present, key) == 0;
+
+	g_free(present);
+	return same;
+}
+
+/* The number of routers that the first one knows, itself included. */
+static int
+known_routers(struct platform *p)
+{
+	struct call_spec spec = {.port = platform_metrics_port(p),
+	    .method = "GET",
+	    .path = "/metrics"};
+	struct call *c = call_run(&spec);
+	const char *at = strstr(call_body(c), "\njh_entries ");
+	int n = at != NULL ? atoi(at + strlen("\njh_entries ")) : -1;
+
+	call_free(c);
+	return n;
+}
+
+/*
+ * Guards against routers that ignore each other's messages, because the store
+ * has lost the entry of one or has that of an earlier start again.
+ */
+static void
+entries_of_routers_are_written_again(void **state)
+{
+	static const struct platform_spec spec = {.routers = 2, .workers = 1};
+	struct platform *p = platform_create(&spec);
+	struct fake_restore restore = {0};
+	struct proc *second = platform_router_at(p, 1);
+	char *before = key_of(p, "e2"), *after;
+	uint64_t until;
+
+	g_usleep(SETTLE_USEC);
+	restore.copied_at = jh_now();
+	g_usleep(SETTLE_USEC);
+	proc_kill(second);
+	proc_start(second);
+	await(!has_key(p, "e2", before));
+	platform_await_ready(p);
+	await(known_routers(p) == 2);
+	after = key_of(p, "e2");
+	platform_restore(p, &restore);
+	assert_true(has_key(p, "e2", before));
+	await(has_key(p, "e2", after));
+	/* Now without any entry. */
+	restore.copied_at = 1;
+	platform_restore(p, &restore);
+	assert_false(has_key(p, "e2", after));
+	until = jh_now() + 3 * JH_USEC_PER_SEC;
+	while (jh_now() < until) {
+		assert_int_equal(known_routers(p), 2);
+		g_usleep(20000);
+	}
+	assert_true(has_key(p, "e2", after));
+	g_free(before);
+	g_free(after);
+	platform_stop(p);
+}
+
 int
 main(void)
 {
@@ -111,6 +189,7 @@
 		configuration_after_a_restore_is_in_force, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		requests_are_served_through_a_restore, set_up, tear_down),
+	    cmocka_unit_test(entries_of_routers_are_written_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
