Soak: the store comes back from older copies

Cause: no soak run had the users' drill beside the other faults.

Writes under way are executed late or lost; the operator's and the workers' objects are written again within 0.5 s. The other faults of a seed stay the same, and all checks hold as before: configurations and keys in force, the time between orders of two leaders, lost requests.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -15,6 +15,13 @@
 /* A process that still runs this long after its grace period failed to stop. */
 #define GRACE_MARGIN_USEC (500 * JH_USEC_PER_MSEC)
 
+/*
+ * Age of a copy that the store comes back from, and the time in which the
+ * operator and the workers then write again what it lost.
+ */
+#define MAX_COPY_AGE_USEC (10 * JH_USEC_PER_SEC)
+#define MAX_REWRITE_USEC (500 * JH_USEC_PER_MSEC)
+
 /* One configuration in so many is large. */
 #define LARGE_INTERVAL 3
 
@@ -230,6 +237,23 @@
 	soak_schedule(fx, f->until - f->at, end_store_fault, &end);
 }
 
+/* The copy is up to 10 s old. */
+static void
+restore_store(struct soak_fixture *fx, const struct soak_fault *f)
+{
+	uint64_t age = f->variant % MAX_COPY_AGE_USEC, now = jh_now();
+	struct fake_restore restore = {
+	    .copied_at = now - MIN(age, now),
+	    .back_at = fx->started + f->until,
+	    .rewritten_by = fx->started + f->until + MAX_REWRITE_USEC,
+	    .late_writes = f->target % 2 == 0,
+	    .seed = f->variant,
+	};
+
+	soak_checker_disturb_store(fx->checker, restore.rewritten_by);
+	fake_objects_restore(fx->objects, &restore);
+}
+
 static enum soak_proxy_mode
 proxy_mode(const struct soak_fault *f)
 {
@@ -503,6 +527,9 @@
 		soak_checker_disturb_store(fx->checker, jh_now());
 		fake_objects_drop_history(fx->objects);
 		break;
+	case FAULT_STORE_RESTORED:
+		restore_store(fx, f);
+		break;
 	case FAULT_STORE_LINK:
 		disturb_router_link(
 		    fx, router, router->store_proxy, restore_store_link, f);
--- a/soak/fixture.c
+++ b/soak/fixture.c
@@ -403,6 +403,8 @@
 		    fx->plan, fx->rand, WARMUP_USEC, until + LIMITS_TAIL_USEC);
 		soak_plan_add_notices(fx->plan, fx->rand, WARMUP_USEC, until);
 	}
+	if (fx->spec.restores)
+		soak_plan_add_restores(fx->plan, fx->rand, WARMUP_USEC, until);
 	if (fx->spec.quotas)
 		add_quotas(fx, until);
 	soak_poison_prepare(fx);
--- a/soak/fixture.h
+++ b/soak/fixture.h
@@ -26,6 +26,7 @@
 	uint64_t seed;
 	unsigned int routers, engines, services, clients;
 	double seconds; /* duration of the run */
+	bool restores; /* the store comes back from older copies */
 	bool quotas; /* organisations have quotas and exceed them */
 	bool poison; /* one prompt part crashes workers */
 	bool verbose; /* prints each fault */
--- a/soak/main.c
+++ b/soak/main.c
@@ -18,7 +18,7 @@
 static char *program, *dir;
 static gint64 seed = 1;
 static gint count = 1, entries, engines, services, n_clients;
-static gboolean poison, quotas, verbose;
+static gboolean poison, quotas, restores, verbose;
 
 static const GOptionEntry options[] = {
     {"program", 'p', 0, G_OPTION_ARG_FILENAME, &program,
@@ -45,6 +45,8 @@
 	NULL},
     {"quotas", 0, 0, G_OPTION_ARG_NONE, &quotas,
 	"adds organisations with quotas, which they exceed at times", NULL},
+    {"restores", 0, 0, G_OPTION_ARG_NONE, &restores,
+	"lets the store come back from older copies of itself", NULL},
     {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
 	"prints each injected fault", NULL},
     G_OPTION_ENTRY_NULL};
@@ -153,6 +155,7 @@
 	spec.verbose = verbose;
 	spec.poison = poison;
 	spec.quotas = quotas;
+	spec.restores = restores;
 	spec.routers = entries > 0 ? (unsigned int)entries : spec.routers;
 	spec.engines = engines > 0 ? (unsigned int)engines : spec.engines;
 	spec.services = services > 0 ? (unsigned int)services : spec.services;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -29,6 +29,9 @@
 /* Limits are drawn with equal chances for each factor of two. */
 #define MIN_LIMIT_RATE 0.3
 #define LIMIT_DOUBLINGS 7
+/* Between restores of the store, and how long it is away. */
+#define MEAN_RESTORE_INTERVAL_SEC 4.0
+#define MAX_AWAY_SEC 0.6
 /* Between workers that say that they leave, or turn requests away. */
 #define MEAN_NOTICE_INTERVAL_SEC 1.0
 #define MIN_NOTICE_SEC 0.3
@@ -74,6 +77,7 @@
     [FAULT_STORE_LOSES_RESPONSES] = {"store_loses_answers", 2, true,
 	AFFECTS_STORE},
     [FAULT_STORE_DROPS_HISTORY] = {"store_forgets", 2, false, AFFECTS_STORE},
+    [FAULT_STORE_RESTORED] = {"store_restored", 0, true, AFFECTS_NONE},
     [FAULT_STORE_LINK] = {"store_link", 4, true, AFFECTS_ROUTER},
     [FAULT_WORKER_MODE] = {"worker_mode", 5, true, AFFECTS_WORKER},
     [FAULT_WORKER_CRASH] = {"worker_crash", 4, true, AFFECTS_WORKER},
@@ -251,6 +255,20 @@
 	g_array_sort(plan, compare_times);
 }
 
+void
+soak_plan_add_restores(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
+{
+	struct soak_fault f = {.kind = FAULT_STORE_RESTORED, .at = from};
+
+	for (;;) {
+		f.at += draw_duration(rand, 0, 2 * MEAN_RESTORE_INTERVAL_SEC);
+		if (f.at >= until)
+			break;
+		add_fault(plan, rand, f, 0, MAX_AWAY_SEC, until);
+	}
+	g_array_sort(plan, compare_times);
+}
+
 void
 soak_plan_add_notices(GArray *plan, GRand *rand, uint64_t from, uint64_t until)
 {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -25,6 +25,7 @@
 	FAULT_STORE_SILENT,
 	FAULT_STORE_LOSES_RESPONSES,
 	FAULT_STORE_DROPS_HISTORY,
+	FAULT_STORE_RESTORED, /* comes back from an older copy */
 	/* The link between one router and the store. */
 	FAULT_STORE_LINK,
 	/* Workers. */
@@ -103,6 +104,13 @@
 /* The limit that a FAULT_RATE_LIMIT names, requests a second. */
 double soak_fault_rate_limit(const struct soak_fault *f);
 
+/*
+ * Adds restores of the store from older copies between from and until, which
+ * may follow each other at once. The other faults stay the same.
+ */
+void soak_plan_add_restores(
+    GArray *plan, GRand *rand, uint64_t from, uint64_t until);
+
 /*
  * Adds workers that say that they leave, or turn requests away, between from
  * and until; any number of them at a time. The other faults stay the same.
