Tests of restores do not depend on how fast the machine is

Two demanded an order of events within 0.2 and 0.3 s that a busy machine need not keep: a write has to arrive while the store is away (now 1 s), and a reader must not have ended its call by itself before a peer tells it of the era (the pause before that is gone).

--- a/test/test_fake_restore.c
+++ b/test/test_fake_restore.c
@@ -16,7 +16,7 @@
 /* The fake of the platform's store, when it comes back from a copy. */
 
 #define STEP_USEC (20 * JH_USEC_PER_MSEC)
-#define AWAY_USEC (300 * JH_USEC_PER_MSEC)
+#define AWAY_USEC JH_USEC_PER_SEC
 
 static uv_loop_t loop;
 static uv_async_t stop;
--- a/test/test_watch_era.c
+++ b/test/test_watch_era.c
@@ -278,7 +278,6 @@
 	run_until(f, known(&f->reader, "a") == 1);
 	restore.copied_at = jh_now();
 	fake_objects_restore(f->store, &restore);
-	run_for(f, SETTLE_USEC);
 	batches = f->reader.batches;
 	assert_int_equal(plat_era_current(f->reader.era), 1);
 	assert_true(plat_era_observe(f->reader.era, 2));
