--- a/test/test_platform_era.c
+++ b/test/test_platform_era.c
@@ -176,6 +176,10 @@
 		g_usleep(20000);
 	}
 	assert_true(has_key(p, "e2", after));
+	/* A router that does not write its entry again is gone. */
+	proc_kill(second);
+	platform_restore(p, &restore);
+	await(known_routers(p) == 1);
 	g_free(before);
 	g_free(after);
 	platform_stop(p);
