--- a/review/12/13/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x build/review-3/case_watch ] && [ -x target/jhplatform ] || exit 2
-exec build/review-3/case_watch review/13/record.txt
+exec build/review-3/case_watch review/12/record.txt
