Net: a reset that a write has noticed ends no answer as complete

Cause: the kernel reports a reset once. If a write gets it, the next read returns 0, which net/conn took for an orderly end, and that completes an answer without a length.

Change: a connection keeps the first error of a write and reports it in place of an orderly end.

Raw workers read a request's head first, so that they can answer before its body; the fixture's limit on bodies is an argument.

--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -29,6 +29,7 @@
 	size_t counted; /* there, of the bytes below */
 	GByteArray *waiting; /* follows the write in progress; NULL: none */
 	size_t writing; /* bytes in writes in progress */
+	int write_error; /* libuv's; 0: none */
 	bool reading;
 	bool closing;
 	bool lingering;
@@ -85,7 +86,8 @@
 /*
  * Returns 0 for an orderly end or a negative errno. libuv reports the end of
  * the stream also when a reset follows data, because both raise POLLHUP; only
- * the socket's state tells them apart.
+ * the socket's state tells them apart. The kernel reports a reset once: if a
+ * write has got it, the socket reads as one that its peer has closed.
  */
 static int
 stream_error(struct jh_conn *c)
@@ -95,6 +97,8 @@
 	uv_os_fd_t fd;
 	char byte;
 
+	if (c->write_error != 0)
+		return c->write_error;
 	if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0)
 		return 0;
 	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
@@ -221,19 +225,29 @@
 
 static void on_written(uv_write_t *req, int status);
 
+/* on_read() reports the error, after what the peer sent before. */
+static void
+note_write_error(struct jh_conn *c, int error)
+{
+	if (c->write_error == 0)
+		c->write_error = error;
+}
+
 /* Takes over the data. */
 static void
 start_write(struct jh_conn *c, GByteArray *data)
 {
 	struct write *w = g_new(struct write, 1);
 	uv_buf_t buf = uv_buf_init((char *)data->data, data->len);
+	int error;
 
 	w->conn = c;
 	w->data = data;
 	c->writing += data->len;
-	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written) == 0)
+	error = uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written);
+	if (error == 0)
 		return;
-	/* The connection has failed, which on_read() reports. */
+	note_write_error(c, error);
 	c->writing -= data->len;
 	g_byte_array_free(data, TRUE);
 	g_free(w);
@@ -262,8 +276,10 @@
 	if (status == 0 && !c->closing)
 		write_waiting(c);
 	count_queued(c);
+	if (status != 0)
+		note_write_error(c, status);
 	if (status != 0 || c->ops == NULL || c->closing)
-		return; /* on_read() reports the error */
+		return;
 	jh_memory_account_progress(c->account, jh_now());
 	if (jh_conn_queued(c) == 0)
 		c->ops->drained(c->arg);
@@ -283,8 +299,9 @@
 		return;
 	if (jh_conn_queued(c) == 0) {
 		written = uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
-		if (written < 0)
-			written = 0; /* on_read() reports the error */
+		if (written < 0 && written != UV_EAGAIN)
+			note_write_error(c, written);
+		written = MAX(written, 0);
 		if ((size_t)written == n)
 			return;
 	}
--- /dev/null
+++ b/test/answer_readers.c
@@ -0,0 +1,180 @@
+#include <stdint.h>
+
+#include <jacinthhill/clock.h>
+
+#include "answer_readers.h"
+#include "http/client.h"
+#include "net/client.h"
+
+static void
+note_body(struct answer_call *c, const char *p, size_t n)
+{
+	g_string_append_len(c->body, p, (gssize)n);
+	if (c->on_body != NULL)
+		c->on_body(c->arg);
+}
+
+/* Whether the reader pauses now. */
+static bool
+begins_pause(const struct answer_call *c)
+{
+	return c->pause_usec > 0 && c->body->len == 0;
+}
+
+/* A call of the router's client, with its loop. */
+struct uv_call {
+	struct answer_call *call;
+	struct jh_call *http;
+	uv_timer_t pause;
+	bool ended;
+};
+
+static bool
+on_uv_head(void *arg, const struct jh_head *head)
+{
+	((struct uv_call *)arg)->call->status = head->status;
+	return true;
+}
+
+static void
+on_uv_pause_end(uv_timer_t *t)
+{
+	struct uv_call *u = t->data;
+
+	if (!u->ended)
+		jh_call_resume(u->http);
+}
+
+static bool
+on_uv_body(void *arg, const char *p, size_t n)
+{
+	struct uv_call *u = arg;
+
+	if (begins_pause(u->call)) {
+		jh_call_pause(u->http);
+		uv_timer_start(&u->pause, on_uv_pause_end,
+		    u->call->pause_usec / JH_USEC_PER_MSEC, 0);
+	}
+	note_body(u->call, p, n);
+	return true;
+}
+
+static void
+on_uv_end(void *arg, enum jh_call_result result)
+{
+	struct uv_call *u = arg;
+
+	u->call->complete = result == JH_CALL_COMPLETE;
+	u->call->timed_out = result == JH_CALL_TIMED_OUT;
+	u->ended = true;
+}
+
+static const struct jh_call_ops uv_ops = {on_uv_head, on_uv_body, on_uv_end};
+
+static void
+call_uv(struct answer_call *c)
+{
+	struct uv_call u = {.call = c};
+	char *upload = g_malloc0(c->upload_len + 1);
+	uint64_t deadline = jh_now() + ANSWER_TIMEOUT_USEC;
+	struct jh_call_spec spec = {
+	    .peer = c->peer,
+	    .message = g_string_new(NULL),
+	    .rest = {upload, c->upload_len},
+	    .connect_deadline = deadline,
+	    .send_deadline = deadline,
+	    .deadline = deadline,
+	    .ops = &uv_ops,
+	    .arg = &u,
+	};
+	struct jh_uv_client *client;
+	uv_loop_t loop;
+
+	g_string_printf(spec.message,
+	    "%s / HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n",
+	    c->upload_len > 0 ? "POST" : "GET", c->upload_len);
+	c->body = g_string_new(NULL);
+	uv_loop_init(&loop);
+	client = jh_uv_client_create(&loop);
+	uv_timer_init(&loop, &u.pause);
+	u.pause.data = &u;
+	u.http = jh_call_start(client, &spec);
+	while (!u.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	uv_close((uv_handle_t *)&u.pause, NULL);
+	jh_uv_client_destroy(client);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	g_free(upload);
+}
+
+/* A call of the daemons' client, which has a thread. */
+struct curl_call {
+	struct answer_call *call;
+	int pausing; /* atomic */
+	int ended; /* atomic */
+};
+
+/* A paused reply delivers the same bytes again. */
+static bool
+on_curl_data(void *arg, struct jh_http_call *call, struct jh_str data)
+{
+	struct curl_call *u = arg;
+
+	if (begins_pause(u->call) && !g_atomic_int_get(&u->pausing)) {
+		g_atomic_int_set(&u->pausing, 1);
+		if (u->call->on_body != NULL)
+			u->call->on_body(u->call->arg);
+		return false;
+	}
+	note_body(u->call, data.ptr, data.len);
+	return true;
+}
+
+static void
+on_curl_done(void *arg, struct jh_http_call *call, enum jh_http_result result)
+{
+	struct curl_call *u = arg;
+
+	u->call->complete = result == JH_HTTP_OK;
+	u->call->timed_out = result == JH_HTTP_TIMED_OUT;
+	u->call->status = jh_http_call_status(call);
+	g_atomic_int_set(&u->ended, 1);
+}
+
+static const struct jh_http_call_ops curl_ops = {
+    .data = on_curl_data, .done = on_curl_done};
+
+static void
+call_curl(struct answer_call *c)
+{
+	struct curl_call u = {.call = c};
+	char *upload = g_malloc0(c->upload_len + 1);
+	struct jh_http_call_spec spec = {
+	    .peer = c->peer,
+	    .method = c->upload_len > 0 ? "POST" : "GET",
+	    .path = "/",
+	    .body = {upload, c->upload_len},
+	    .deadline = jh_now() + ANSWER_TIMEOUT_USEC,
+	    .own_connection = true,
+	    .ops = &curl_ops,
+	    .arg = &u,
+	};
+	struct jh_http_client *client = jh_http_client_create("answers", 1);
+	struct jh_http_call *call;
+
+	c->body = g_string_new(NULL);
+	call = jh_http_call_start(client, &spec);
+	while (!g_atomic_int_get(&u.ended) && !g_atomic_int_get(&u.pausing))
+		g_usleep(200);
+	g_usleep(c->pause_usec);
+	jh_http_call_resume(call);
+	while (!g_atomic_int_get(&u.ended))
+		g_usleep(200);
+	jh_http_call_unref(call);
+	jh_http_client_destroy(client);
+	g_free(upload);
+}
+
+const struct answer_reader answer_readers[ANSWER_READERS] = {
+    {"router", call_uv}, {"daemons", call_curl}};
--- /dev/null
+++ b/test/answer_readers.h
@@ -0,0 +1,38 @@
+#ifndef TEST_ANSWER_READERS_H
+#define TEST_ANSWER_READERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <glib.h>
+#include <netinet/in.h>
+
+/* A request with a body of zeros, and what its caller learns of the answer. */
+struct answer_call {
+	struct sockaddr_in peer;
+	size_t upload_len; /* 0: a GET without a body */
+	/* The reader stops so long after the first piece; it goes on writing */
+	uint64_t pause_usec;
+	/* Called with each piece of the answer's body; may be NULL. */
+	void (*on_body)(void *arg);
+	void *arg;
+	bool complete; /* the caller takes it for an answer */
+	bool timed_out; /* after ANSWER_TIMEOUT_USEC */
+	unsigned int status; /* of its last head; 0: none */
+	GString *body;
+};
+
+#define ANSWER_TIMEOUT_USEC (3 * JH_USEC_PER_SEC)
+
+/* An HTTP client of the processes. */
+struct answer_reader {
+	const char *name;
+	/* Fills the last members in; body is to be freed. */
+	void (*call)(struct answer_call *c);
+};
+
+/* Of the router, and of the daemons and tools. */
+#define ANSWER_READERS 2
+extern const struct answer_reader answer_readers[ANSWER_READERS];
+
+#endif
--- a/test/platform_fixture.c
+++ b/test/platform_fixture.c
@@ -73,7 +73,8 @@
 }
 
 static json_t *
-make_config(unsigned int version, const char *key, bool plain)
+make_config(
+    unsigned int version, const char *key, const struct platform_spec *spec)
 {
 	static const struct {
 		const char *name, *prefix, *kind;
@@ -97,8 +98,9 @@
 	return json_pack("{s:i, s:o, s:[o], s:{s:i, s:i}, "
 			 "s:[{s:s, s:[s], s:b}]}",
 	    "version", (int)version, "routes", list, "services",
-	    make_service(plain), "limits", "headerBytes", 16384, "bodyBytes",
-	    65536, "tenants", "name", "t1", "apiKeys", key, "isolated", 1);
+	    make_service(spec->plain), "limits", "headerBytes", 16384,
+	    "bodyBytes", spec->body_bytes != 0 ? (int)spec->body_bytes : 65536,
+	    "tenants", "name", "t1", "apiKeys", key, "isolated", 1);
 }
 
 static void
@@ -162,7 +164,7 @@
 		p->workers[i] =
 		    fake_worker_create(&p->loop, p->objects, &worker);
 	}
-	platform_put(p, "config", "main", make_config(1, "k1", spec->plain));
+	platform_put(p, "config", "main", make_config(1, "k1", spec));
 	pthread_create(&p->thread, NULL, run_loop, p);
 	if (!spec->plain)
 		platform_set_weights(p, 1);
@@ -325,8 +327,7 @@
 void
 platform_configure(struct platform *p, unsigned int version, const char *key)
 {
-	platform_put(
-	    p, "config", "main", make_config(version, key, p->spec.plain));
+	platform_put(p, "config", "main", make_config(version, key, &p->spec));
 }
 
 void
--- a/test/platform_fixture.h
+++ b/test/platform_fixture.h
@@ -24,6 +24,7 @@
 	bool plain; /* the service has no model */
 	unsigned int grace_sec; /* of the routers; 0: PLATFORM_GRACE_SEC */
 	unsigned int memory_mb; /* of each router; 0: 110 */
+	unsigned int body_bytes; /* limit on a request's; 0: 65536 */
 	/* Behaviour of each worker; the rest of the members is ignored. */
 	struct fake_worker_spec worker;
 };
--- a/test/raw_request.c
+++ b/test/raw_request.c
@@ -15,31 +15,70 @@
 #include "fakes/port.h"
 #include "raw_request.h"
 
+bool
+raw_request_read_head(int fd, char *buf, size_t len)
+{
+	size_t n = 0;
+
+	while (n < len - 1 && read(fd, buf + n, 1) == 1) {
+		buf[++n] = '\0';
+		if (g_str_has_suffix(buf, "\r\n\r\n"))
+			return true;
+	}
+	return false;
+}
+
+size_t
+raw_request_body_len(const char *head)
+{
+	const char *field = strstr(head, "Content-Length: ");
+
+	return field == NULL
+		   ? 0
+		   : strtoul(field + strlen("Content-Length: "), NULL, 10);
+}
+
+bool
+raw_request_skip(int fd, size_t n)
+{
+	char buf[65536];
+	ssize_t r;
+
+	for (; n > 0; n -= (size_t)r) {
+		r = read(fd, buf, MIN(n, sizeof(buf)));
+		if (r <= 0)
+			return false;
+	}
+	return true;
+}
+
 bool
 raw_request_read(int fd, char *buf, size_t len)
 {
-	const char *end = NULL, *field;
-	size_t n = 0, total = len;
+	size_t n, total;
 	ssize_t r;
 
-	while (n < total) {
+	if (!raw_request_read_head(fd, buf, len))
+		return false;
+	n = strlen(buf);
+	total = n + raw_request_body_len(buf);
+	for (; n < total; n += (size_t)r) {
 		r = read(fd, buf + n, len - 1 - n);
 		if (r <= 0)
 			return false;
-		n += (size_t)r;
-		buf[n] = '\0';
-		end = strstr(buf, "\r\n\r\n");
-		if (end == NULL)
-			continue;
-		field = g_strstr_len(buf, end - buf, "Content-Length: ");
-		total = (size_t)(end + 4 - buf);
-		if (field != NULL)
-			total += strtoul(
-			    field + strlen("Content-Length: "), NULL, 10);
+		buf[n + (size_t)r] = '\0';
 	}
 	return true;
 }
 
+void
+raw_request_reset(int fd)
+{
+	const struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
+
+	(void)connect(fd, &nowhere, sizeof(nowhere));
+}
+
 /* The client gets the end of the stream, and closes first. */
 static void *
 run_peer(void *arg)
--- a/test/raw_workers.c
+++ b/test/raw_workers.c
@@ -110,11 +110,14 @@
 	struct raw_response r;
 	char buf[MAX_HEAD_LEN];
 
-	if (!raw_request_read(fd, buf, sizeof(buf)))
+	if (!raw_request_read_head(fd, buf, sizeof(buf)))
 		return false;
 	if (g_str_has_prefix(buf, "GET"))
 		return respond_to_probe(fd);
 	r = take_response(buf);
+	if (!raw_request_skip(
+		fd, r.early ? r.taken : raw_request_body_len(buf)))
+		return false;
 	write_response(fd, &r);
 	if (r.copy != NULL) {
 		g_usleep(r.copy_msec * 1000);
@@ -122,6 +125,7 @@
 	}
 	if (r.flood != NULL)
 		write_flood(fd, r.flood);
+	g_usleep(r.reset_msec * 1000);
 	if (r.reset)
 		(void)setsockopt(
 		    fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
@@ -225,26 +229,25 @@
 struct platform *
 raw_workers_start(unsigned int n, bool plain)
 {
-	return raw_workers_start_with_memory(n, plain, 0);
+	const struct platform_spec spec = {.routers = 1, .plain = plain};
+
+	return raw_workers_start_with(n, &spec);
 }
 
 struct platform *
-raw_workers_start_with_memory(
-    unsigned int n, bool plain, unsigned int memory_mb)
+raw_workers_start_with(unsigned int n, const struct platform_spec *spec)
 {
-	const struct platform_spec spec = {
-	    .routers = 1, .plain = plain, .memory_mb = memory_mb};
 	unsigned int i;
 
 	for (i = 0; i < MAX_CONNECTIONS; i++)
 		connection[i] = -1;
 	script = g_array_new(FALSE, FALSE, sizeof(struct raw_response));
 	texts = g_string_chunk_new(TEXT_BLOCK_LEN);
-	platform = platform_create(&spec);
+	platform = platform_create(spec);
 	assert_in_range(n, 1, RAW_MAX_WORKERS);
 	n_workers = n;
 	for (i = 0; i < n; i++)
-		start_worker(i, plain);
+		start_worker(i, spec->plain);
 	await(knows_workers());
 	return platform;
 }
--- a/test/raw_workers.h
+++ b/test/raw_workers.h
@@ -13,7 +13,11 @@
 
 struct raw_response {
 	const char *text;
+	/* Sent when the head and so many bytes of the body have been read. */
+	bool early;
+	size_t taken;
 	bool reset; /* then resets the connection */
+	unsigned int reset_msec; /* after the text */
 	bool keep; /* leaves the connection open for another request */
 	const char *copy; /* sent copy_msec after the text; NULL: none */
 	unsigned int copy_msec;
@@ -29,9 +33,9 @@
  * have no model, and the router sends them nothing of its own.
  */
 struct platform *raw_workers_start(unsigned int n, bool plain);
-/* The same with this memory_mb. */
-struct platform *raw_workers_start_with_memory(
-    unsigned int n, bool plain, unsigned int memory_mb);
+/* The same for a router of this specification, without its workers. */
+struct platform *raw_workers_start_with(
+    unsigned int n, const struct platform_spec *spec);
 void raw_workers_stop(void);
 /* The same, as a tear-down of cmocka. */
 int raw_workers_tear_down(void **state);
--- a/test/test_gateway_unframed.c
+++ b/test/test_gateway_unframed.c
@@ -21,17 +21,26 @@
 /* Responses of each script. */
 #define RESPONSES 2
 
+/* Each length of an upload, share that was taken, and moment of a reset. */
+#define EARLY_ROUNDS (3 * 4 * 3)
+
+/* Longest body of a request; more than the sockets of both sides hold. */
+#define MAX_UPLOAD_LEN 8000000
+
 static struct platform *p;
 
 static int
 set_up(void **state)
 {
-	p = raw_workers_start(RAW_MAX_WORKERS, false);
+	const struct platform_spec spec = {
+	    .routers = 1, .body_bytes = MAX_UPLOAD_LEN};
+
+	p = raw_workers_start_with(RAW_MAX_WORKERS, &spec);
 	return 0;
 }
 
 static struct call *
-request(const char *path, const struct raw_response *responses)
+upload(const char *path, const char *body, const struct raw_response *responses)
 {
 	struct call_spec spec = {
 	    .port = platform_router(p)->port,
@@ -40,13 +49,19 @@
 		"X-Jacinthhill-Model: m1", "X-Jacinthhill-Token-Counts: 400,20",
 		"X-Jacinthhill-Deadline-Milliseconds: 3000",
 		"X-Jacinthhill-Attempt-Id: a1"},
-	    .body = "question",
+	    .body = body,
 	};
 
 	raw_workers_script(responses, RESPONSES);
 	return call_run(&spec);
 }
 
+static struct call *
+request(const char *path, const struct raw_response *responses)
+{
+	return upload(path, "question", responses);
+}
+
 /* Checks the response and the number of attempts. */
 static void
 expect_stream(const struct raw_response *responses, guint events, int attempts,
@@ -165,6 +180,39 @@
 	assert_true(reached > strlen(head) / 2);
 }
 
+/*
+ * Guards against a part of an answer that looks complete because its worker
+ * reset the connection while the request was still being written.
+ */
+static void
+part_of_an_early_answer_is_not_relayed(void **state)
+{
+	static const size_t lengths[] = {100000, 1000000, MAX_UPLOAD_LEN};
+	struct raw_response responses[RESPONSES] = {
+	    {.text = HEAD "part", .early = true, .reset = true},
+	    {.text = HEAD "whole"}};
+	unsigned int round, relayed = 0, repeated = 0;
+	struct call *c;
+	char *body, path[32];
+
+	for (round = 0; round < EARLY_ROUNDS; round++) {
+		body = g_strnfill(lengths[round % 3], 'a');
+		responses[0].taken = lengths[round % 3] / 4 * (round / 3 % 4);
+		responses[0].reset_msec = round / 12;
+		g_snprintf(path, sizeof(path), "/once/%u", round);
+		c = upload(path, body, responses);
+		relayed += call_status(c) == 200;
+		call_free(c);
+		g_snprintf(path, sizeof(path), "/again/%u", round);
+		c = upload(path, body, responses);
+		repeated += strcmp(call_body(c), "whole") == 0;
+		call_free(c);
+		g_free(body);
+	}
+	assert_int_equal(relayed, 0);
+	assert_int_equal(repeated, EARLY_ROUNDS);
+}
+
 #define UNFRAMED_TEST(f) \
 	cmocka_unit_test_setup_teardown(f, set_up, raw_workers_tear_down)
 
@@ -176,6 +224,7 @@
     UNFRAMED_TEST(resumed_stream_without_an_event_is_not_complete),
     UNFRAMED_TEST(response_without_a_body_is_repeated),
     UNFRAMED_TEST(answer_cut_in_its_head_is_not_relayed),
+    UNFRAMED_TEST(part_of_an_early_answer_is_not_relayed),
 };
 
 HARNESS_MAIN(tests)
--- a/test/test_memory_calm.c
+++ b/test/test_memory_calm.c
@@ -149,7 +149,10 @@
 static int
 set_up_raw(void **state)
 {
-	p = raw_workers_start_with_memory(1, true, SMALLEST_MB);
+	const struct platform_spec spec = {
+	    .routers = 1, .plain = true, .memory_mb = SMALLEST_MB};
+
+	p = raw_workers_start_with(1, &spec);
 	return 0;
 }
 
--- a/test/test_memory_responses.c
+++ b/test/test_memory_responses.c
@@ -34,7 +34,10 @@
 static int
 set_up(void **state)
 {
-	p = raw_workers_start_with_memory(RAW_MAX_WORKERS, true, MEMORY_MB);
+	const struct platform_spec spec = {
+	    .routers = 1, .plain = true, .memory_mb = MEMORY_MB};
+
+	p = raw_workers_start_with(RAW_MAX_WORKERS, &spec);
 	memory_fixture_begin(p);
 	memory_fixture_connect(RECEIVE_LEN);
 	return 0;
