Clients: no end of a connection completes an answer before its request

Cause: both clients took an orderly end of the connection for the end of such an answer, whether or not the request had been sent.

Change: it counts as the end only if the peer has taken the whole request: net/client asks the kernel for unacknowledged bytes, http/client asks libcurl for what was sent.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -156,18 +156,36 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/*
+ * Whether the peer ended the connection to end its reply, and had not taken the
+ * whole request: it has stopped halfway.
+ */
+static bool
+ends_before_request(struct jh_http_call *call)
+{
+	curl_off_t len = 0, sent = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &len);
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return len < 0 &&
+	       jh_http_call_header(call, "Transfer-Encoding") == NULL &&
+	       sent < (curl_off_t)jh_body_len(call->body);
+}
+
 /*
  * A failed connect alone does not show that the peer has seen nothing: libcurl
  * retries a request by itself when a reused connection turns out to be closed.
  * A reply that ends within its head is complete to libcurl.
  */
 static enum jh_http_result
-classify(const struct jh_http_call *call, CURLcode code)
+classify(struct jh_http_call *call, CURLcode code)
 {
 	if (call->cancelled)
 		return JH_HTTP_CANCELLED;
 	if (code == CURLE_OK)
-		return call->began ? JH_HTTP_OK : JH_HTTP_CONNECTION_LOST;
+		return call->began && !ends_before_request(call)
+			   ? JH_HTTP_OK
+			   : JH_HTTP_CONNECTION_LOST;
 	if (!call->connected)
 		return JH_HTTP_NOT_SENT;
 	if (code == CURLE_OPERATION_TIMEDOUT)
--- a/src/net/client.c
+++ b/src/net/client.c
@@ -305,13 +305,23 @@
 	handle_result(hc, r);
 }
 
+/*
+ * Whether the connection's end may complete a response. It does not as long as
+ * the peer has not taken the whole request: it has stopped halfway.
+ */
+static bool
+is_orderly_end(const struct http_conn *hc, int error)
+{
+	return error == 0 && jh_conn_unacked(hc->conn) == 0;
+}
+
 static void
 on_ended(void *arg, int error)
 {
 	struct http_conn *hc = arg;
 	struct jh_call *call;
 
-	if (hc->call != NULL && error == 0) {
+	if (hc->call != NULL && is_orderly_end(hc, error)) {
 		hc->parsing = true;
 		jh_http_parser_eof(hc->parser);
 		hc->parsing = false;
@@ -321,11 +331,9 @@
 		close_http_conn(hc);
 		return;
 	}
-	if (error == 0) {
-		if (hc->response_done && !hc->skipping) {
-			end_call(call, JH_CALL_COMPLETE, false);
-			return;
-		}
+	if (hc->response_done && !hc->skipping) {
+		end_call(call, JH_CALL_COMPLETE, false);
+		return;
 	}
 	end_call(call, call->sent ? JH_CALL_BROKEN : JH_CALL_NOT_SENT, false);
 }
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
@@ -326,18 +327,31 @@
 	c->account = account;
 }
 
-size_t
-jh_conn_unread(const struct jh_conn *c)
+/* A number of bytes that the kernel holds; 0 if it does not tell. */
+static size_t
+kernel_bytes(const struct jh_conn *c, unsigned long which)
 {
 	uv_os_fd_t fd;
 	int n = 0;
 
 	if (c->closing || uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-	    ioctl(fd, FIONREAD, &n) != 0)
+	    ioctl(fd, which, &n) != 0)
 		return 0;
 	return (size_t)n;
 }
 
+size_t
+jh_conn_unacked(const struct jh_conn *c)
+{
+	return jh_conn_queued(c) + kernel_bytes(c, SIOCOUTQ);
+}
+
+size_t
+jh_conn_unread(const struct jh_conn *c)
+{
+	return kernel_bytes(c, FIONREAD);
+}
+
 bool
 jh_conn_arrival(const struct jh_conn *c, uint64_t *at)
 {
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -46,6 +46,9 @@
 /* Bytes written that the kernel has not accepted yet. */
 size_t jh_conn_queued(const struct jh_conn *c);
 
+/* Bytes written that the peer has not acknowledged yet. */
+size_t jh_conn_unacked(const struct jh_conn *c);
+
 /* Bytes that the peer sent and that were not read yet. */
 size_t jh_conn_unread(const struct jh_conn *c);
 
