Clients: an answer without a valid status is none

Reported from another system: a worker sent an answer whose status was 000, and the client got it as an answer. Here no client got the 000, but the router waited for another answer until the deadline, and took what followed on the connection for it. It read 0200 as 200 and passed 600 to 999 on, and so did the daemons' client with the latter.

Cause: each status under 200 counted as informational.

Change: net/head_check checks the status line, three digits from 100 to 599 (RFC 9110, 15), and the daemons' client uses it for each line that libcurl passes it. Any other answer breaks the attempt at once.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "http/client.h"
 #include "http/loop.h"
+#include "net/head_check.h"
 
 /* Time limit for opening a TCP connection. */
 #define CONNECT_TIMEOUT_MS 1000L
@@ -56,6 +57,7 @@
 	struct curl_slist *headers;
 	struct jh_body *body;
 	size_t body_sent; /* bytes that libcurl has read */
+	struct jh_head_lines lines; /* of the reply's head */
 	struct jh_http_call_ops ops;
 	void *arg;
 	uint64_t deadline;
@@ -116,16 +118,22 @@
 		call->ops.begun(call->arg, call);
 }
 
+/* Gets a line of the head, or of trailers; libcurl takes more than is valid. */
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct jh_http_call *call = arg;
-	bool empty = size * n > 0 && (data[0] == '\r' || data[0] == '\n');
+	size_t len = size * n;
 
-	/* An empty line ends the headers; skips informational 1xx replies. */
-	if (empty && jh_http_call_status(call) >= 200)
+	if (!jh_head_lines_check(&call->lines, data, len, true))
+		return 0;
+	if (!call->lines.ended)
+		return len;
+	if (jh_http_call_status(call) >= 200)
 		notify_begun(call);
-	return size * n;
+	else /* informational: another head follows */
+		memset(&call->lines, 0, sizeof(call->lines));
+	return len;
 }
 
 static size_t
--- a/src/net/head_check.c
+++ b/src/net/head_check.c
@@ -14,32 +14,64 @@
 	return c == ' ' || c == '\t';
 }
 
-/* Checks one byte after the empty lines before a message. */
+/* Whether a status line may have this byte here. */
 static bool
-check_byte(struct jh_head_lines *l, char c, bool may_fold)
+fits_status_line(size_t position, char c)
 {
-	bool begins_line = l->last == '\n';
+	static const char version[] = "HTTP/1.";
+	const size_t minor = sizeof(version) - 1, status = minor + 2;
+
+	if (position < minor)
+		return c == version[position];
+	if (position == minor)
+		return g_ascii_isdigit(c);
+	if (position < status)
+		return c == ' ';
+	if (position == status)
+		return c >= '1' && c <= '5';
+	if (position < status + 3)
+		return g_ascii_isdigit(c);
+	return position > status + 3 || c == ' ' || c == '\r' || c == '\n';
+}
 
+static bool
+is_valid_byte(const struct jh_head_lines *l, char c, bool of_response)
+{
 	if (l->last == '\r' && c != '\n')
 		return false;
-	if (begins_line && is_space(c) && !may_fold)
+	if (l->line == 0)
+		return !of_response || fits_status_line(l->position, c);
+	return of_response || l->position > 0 || !is_space(c);
+}
+
+/* Checks one byte after the empty lines before a message. */
+static bool
+check_byte(struct jh_head_lines *l, char c, bool of_response)
+{
+	bool is_empty =
+	    l->position == 0 || (l->position == 1 && l->last == '\r');
+
+	if (!is_valid_byte(l, c, of_response))
 		return false;
-	if (c == '\n')
-		l->ended = l->line_is_empty;
-	l->line_is_empty = c == '\n' || (begins_line && c == '\r');
+	l->position++;
+	if (c == '\n') {
+		l->ended = is_empty;
+		l->line++;
+		l->position = 0;
+	}
 	l->last = c;
 	return true;
 }
 
 bool
 jh_head_lines_check(
-    struct jh_head_lines *l, const char *p, size_t n, bool may_fold)
+    struct jh_head_lines *l, const char *p, size_t n, bool of_response)
 {
 	size_t i;
 
 	for (i = 0; i < n && !l->ended; i++) {
 		l->started |= p[i] != '\r' && p[i] != '\n';
-		if (l->started && !check_byte(l, p[i], may_fold))
+		if (l->started && !check_byte(l, p[i], of_response))
 			return false;
 	}
 	return true;
--- a/src/net/head_check.h
+++ b/src/net/head_check.h
@@ -15,17 +15,20 @@
 struct jh_head_lines {
 	bool started; /* past the empty lines that may come before a message */
 	bool ended; /* the empty line after the last field has been read */
-	bool line_is_empty;
+	size_t line; /* from 0 */
+	size_t position; /* in the line, from 0 */
 	char last;
 };
 
 /*
  * Checks the next bytes of a message, up to the end of its head. Returns false
- * for a CR without a LF and, unless may_fold, for a line that begins with space
- * (RFC 9112, 2.2 and 5.2).
+ * for a CR without a LF, for a line of a request that begins with space (RFC
+ * 9112, 2.2 and 5.2), and for a response whose first line is not a version, a
+ * space and a status of three digits from 100 to 599 (RFC 9112, 4; RFC 9110,
+ * 15).
  */
 bool jh_head_lines_check(
-    struct jh_head_lines *l, const char *p, size_t n, bool may_fold);
+    struct jh_head_lines *l, const char *p, size_t n, bool of_response);
 
 /*
  * Whether all names are tokens (RFC 9110, 5.6.2), and the transfer coding is
