Daemons: an answer with an invalid field name is none

Reported from another system: an answer in whose head the name of a field held a blank or a control byte reached the client, with that line passed on or with a body that was not the worker's. The router rejects such answers; the daemons' client, and so the library's entry daemon and agent, took them.

Cause: names were checked by the parser of net alone; libcurl accepts almost any.

Change: jh_head_lines_check() checks names and values as it reads the lines of a head. Both clients use it, and it replaces the parser's check of names.

Failed before: invalid_name_is_no_answer (test_answer_head, four names with each of 52 bytes in five places), 972 accepted by the daemons' client, none by the router's; test_invalid_name (test_proc_unframed, real daemons), 200 in place of an error. Passed before: response_with_an_invalid_name_is_rejected (test_gateway_malformed, a real router).

--- a/src/net/head_check.c
+++ b/src/net/head_check.c
@@ -14,6 +14,24 @@
 	return c == ' ' || c == '\t';
 }
 
+static bool
+is_line_end(char c)
+{
+	return c == '\r' || c == '\n';
+}
+
+static bool
+is_one_of(char c, const char *marks)
+{
+	return g_ascii_isalnum(c) || (c != '\0' && strchr(marks, c) != NULL);
+}
+
+static bool
+is_token(char c)
+{
+	return is_one_of(c, TOKEN_MARKS);
+}
+
 /* Whether a status line may have this byte here. */
 static bool
 fits_status_line(size_t position, char c)
@@ -41,7 +59,15 @@
 		return false;
 	if (l->line == 0)
 		return !of_response || fits_status_line(l->position, c);
-	return of_response || l->position > 0 || !is_space(c);
+	if (is_line_end(c))
+		return !l->in_name;
+	if (l->position == 0 && is_space(c))
+		return of_response && l->line > 1;
+	if (l->position == 0)
+		return is_token(c);
+	if (l->in_name)
+		return c == ':' || is_token(c);
+	return c == '\t' || !g_ascii_iscntrl(c);
 }
 
 /* Checks one byte after the empty lines before a message. */
@@ -53,6 +79,10 @@
 
 	if (!is_valid_byte(l, c, of_response))
 		return false;
+	if (l->line > 0 && l->position == 0)
+		l->in_name = is_token(c);
+	else if (c == ':')
+		l->in_name = false;
 	l->position++;
 	if (c == '\n') {
 		l->ended = is_empty;
@@ -83,24 +113,19 @@
 	size_t i;
 
 	for (i = 0; i < s.len; i++)
-		if (!g_ascii_isalnum(s.ptr[i]) &&
-		    (s.ptr[i] == '\0' || strchr(marks, s.ptr[i]) == NULL))
+		if (!is_one_of(s.ptr[i], marks))
 			return false;
 	return true;
 }
 
 bool
-jh_head_has_valid_fields(const struct jh_head *head)
+jh_head_has_valid_coding(const struct jh_head *head)
 {
 	unsigned int codings = 0;
-	struct jh_str name;
 	size_t i;
 
 	for (i = 0; i < jh_head_count(head); i++) {
-		name = jh_head_name(head, i);
-		if (name.len == 0 || !consists_of(name, TOKEN_MARKS))
-			return false;
-		if (!jh_str_caseeq(name, "Transfer-Encoding"))
+		if (!jh_str_caseeq(jh_head_name(head, i), "Transfer-Encoding"))
 			continue;
 		codings++;
 		if (!jh_str_caseeq(jh_head_value(head, i), "chunked"))
--- a/src/net/parse.c
+++ b/src/net/parse.c
@@ -81,7 +81,7 @@
 static bool
 is_valid(const struct jh_http_parser *p)
 {
-	if (p->parser.http_major != 1 || !jh_head_has_valid_fields(p->head))
+	if (p->parser.http_major != 1 || !jh_head_has_valid_coding(p->head))
 		return false;
 	return p->parser.type == HTTP_RESPONSE ||
 	       jh_head_has_valid_target(p->head);
--- a/test/answer_readers.c
+++ b/test/answer_readers.c
@@ -1,10 +1,21 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
 #include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
 
 #include <jacinthhill/clock.h>
 
 #include "answer_readers.h"
 #include "http/client.h"
 #include "net/client.h"
+#include "raw_request.h"
+
+/* Time between the two parts of an answer. */
+#define PART_USEC 20000
 
 static void
 note_body(struct answer_call *c, const char *p, size_t n)
@@ -178,3 +189,53 @@
 
 const struct answer_reader answer_readers[ANSWER_READERS] = {
     {"router", call_uv}, {"daemons", call_curl}};
+
+struct answer {
+	const GString *text;
+	const char *more; /* NULL: nothing */
+	bool keep; /* leaves the connection open until the caller closes it */
+};
+
+static void
+serve(void *arg, int fd)
+{
+	const struct answer *a = arg;
+	char head[4096];
+
+	if (!raw_request_read_head(fd, head, sizeof(head)))
+		return;
+	(void)!write(fd, a->text->str, a->text->len);
+	if (a->more != NULL) {
+		g_usleep(PART_USEC);
+		(void)!send(fd, a->more, strlen(a->more), MSG_NOSIGNAL);
+	}
+	if (a->keep)
+		(void)!read(fd, head, sizeof(head));
+}
+
+bool
+answer_is_taken_for(bool accepted, const struct answer_reader *reader,
+    const GString *text, const char *more)
+{
+	struct answer a = {text, more, .keep = !accepted};
+	struct raw_peer p = {.serve = serve, .arg = &a};
+	struct answer_call c = {0};
+	char *shown = g_strescape(text->str, NULL);
+	bool expected;
+
+	raw_peer_start(&p);
+	c.peer = p.address;
+	reader->call(&c);
+	raw_peer_stop(&p);
+	expected = c.complete == accepted && !c.timed_out;
+	if (!expected)
+		print_message("%s: %s, status %u, body \"%s\": %s\n",
+		    reader->name,
+		    c.complete	  ? "accepted"
+		    : c.timed_out ? "timed out"
+				  : "rejected",
+		    c.status, c.body->str, shown);
+	g_free(shown);
+	g_string_free(c.body, TRUE);
+	return expected;
+}
--- a/test/answer_readers.h
+++ b/test/answer_readers.h
@@ -35,4 +35,12 @@
 #define ANSWER_READERS 2
 extern const struct answer_reader answer_readers[ANSWER_READERS];
 
+/*
+ * Whether the reader accepts an answer of this text, and of more that follows a
+ * moment later (NULL: nothing), or rejects it without waiting for the end of
+ * the connection. Prints what it did instead.
+ */
+bool answer_is_taken_for(bool accepted, const struct answer_reader *reader,
+    const GString *text, const char *more);
+
 #endif
--- a/test/test_answer_head.c
+++ b/test/test_answer_head.c
@@ -8,10 +8,7 @@
 
 #include <cmocka.h>
 
-#include <jacinthhill/clock.h>
-
 #include "answer_readers.h"
-#include "raw_request.h"
 
 /* Heads that are no answer's, and their neighbours that are. */
 
@@ -20,62 +17,6 @@
 /* After a head, it could pass for the answer. */
 #define NEXT "HTTP/1.1 200 OK\r\n" BODY
 
-struct answer {
-	const GString *text;
-	bool keep; /* leaves the connection open until the caller closes it */
-};
-
-static void
-serve(void *arg, int fd)
-{
-	const struct answer *a = arg;
-	char head[4096];
-
-	if (!raw_request_read_head(fd, head, sizeof(head)))
-		return;
-	(void)!write(fd, a->text->str, a->text->len);
-	if (a->keep)
-		(void)!read(fd, head, sizeof(head));
-}
-
-static struct answer_call
-call_peer(const struct answer_reader *reader, struct answer a)
-{
-	struct raw_peer p = {.serve = serve, .arg = &a};
-	struct answer_call c = {0};
-
-	raw_peer_start(&p);
-	c.peer = p.address;
-	reader->call(&c);
-	raw_peer_stop(&p);
-	return c;
-}
-
-/*
- * Returns whether a reader accepts the answer, or rejects it without waiting
- * for more.
- */
-static bool
-is_accepted(
-    bool accepted, const struct answer_reader *reader, const GString *text)
-{
-	struct answer_call c =
-	    call_peer(reader, (struct answer){text, .keep = !accepted});
-	bool expected = c.complete == accepted && !c.timed_out;
-	char *shown = g_strescape(text->str, NULL);
-
-	if (!expected)
-		print_message("%s: %s, status %u, body \"%s\": %s\n",
-		    reader->name,
-		    c.complete	  ? "accepted"
-		    : c.timed_out ? "timed out"
-				  : "rejected",
-		    c.status, c.body->str, shown);
-	g_free(shown);
-	g_string_free(c.body, TRUE);
-	return expected;
-}
-
 /* Answers with this status, in every framing. */
 static unsigned int
 count_wrong_status(bool accepted, const char *status)
@@ -91,8 +32,8 @@
 	for (i = 0; i < G_N_ELEMENTS(framings); i++) {
 		g_string_printf(text, "HTTP/1.1 %s\r\n%s", status, framings[i]);
 		for (reader = 0; reader < ANSWER_READERS; reader++)
-			wrong += !is_accepted(
-			    accepted, &answer_readers[reader], text);
+			wrong += !answer_is_taken_for(
+			    accepted, &answer_readers[reader], text, NULL);
 	}
 	g_string_free(text, TRUE);
 	return wrong;
@@ -127,12 +68,104 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* An answer with this name of a field, which is the first or a later one. */
+static bool
+is_name_accepted(bool accepted, const struct answer_reader *reader,
+    const GString *name, bool first)
+{
+	GString *text = g_string_new("HTTP/1.1 200 OK\r\n");
+	bool expected;
+
+	if (!first)
+		g_string_append(text, "A: b\r\n");
+	g_string_append_len(text, name->str, (gssize)name->len);
+	g_string_append(text, ": 4\r\n" BODY);
+	expected = answer_is_taken_for(accepted, reader, text, NULL);
+	g_string_free(text, TRUE);
+	return expected;
+}
+
+/* Names with this byte in every place that makes it a part of the name. */
+static unsigned int
+count_wrong_names(const struct answer_reader *reader, const char *name, char c)
+{
+	static const size_t ends = 3;
+	size_t at[] = {0, strlen(name) / 2, strlen(name)}, i;
+	unsigned int wrong = 0;
+	GString *s;
+
+	for (i = 0; i < ends; i++) {
+		/* That ends the head, and test_answer_nul has the other. */
+		if (at[i] == 0 &&
+		    (c == '\n' || (c == '\0' && reader == &answer_readers[1])))
+			continue;
+		s = g_string_new(name);
+		g_string_insert_c(s, (gssize)at[i], c);
+		wrong += !is_name_accepted(false, reader, s, true);
+		/* Space before a later name folds the line before it. */
+		if (at[i] > 0)
+			wrong += !is_name_accepted(false, reader, s, false);
+		g_string_free(s, TRUE);
+	}
+	return wrong;
+}
+
+/*
+ * Guards against an answer with a line that is no field (RFC 9110, 5.6.2): it
+ * was passed on, or gave the body another length.
+ */
+static void
+invalid_name_is_no_answer(void **state)
+{
+	static const char *const names[] = {
+	    "X-Field", "Content-Length", "Transfer-Encoding", "Connection"};
+	static const char delimiters[] = " \x7f\"(),/;<=>?@[\\]{}\x80\xff";
+	unsigned int reader, wrong = 0;
+	size_t i, n;
+
+	for (reader = 0; reader < ANSWER_READERS; reader++) {
+		for (n = 0; n < G_N_ELEMENTS(names); n++) {
+			for (i = 0; i < ' '; i++)
+				wrong += count_wrong_names(
+				    &answer_readers[reader], names[n], (char)i);
+			for (i = 0; delimiters[i] != '\0'; i++)
+				wrong +=
+				    count_wrong_names(&answer_readers[reader],
+					names[n], delimiters[i]);
+		}
+	}
+	assert_int_equal(wrong, 0);
+}
+
+/* Guards against the loss of answers with names of every valid byte. */
+static void
+valid_name_is_accepted(void **state)
+{
+	static const char *const names[] = {"X", "x-1", "9", "-", "_", "A.B",
+	    "!#$%&'*+-.^_`|~", "abcdefghijklmnopqrstuvwxyz0123456789",
+	    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"};
+	unsigned int reader, wrong = 0;
+	GString *name;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		name = g_string_new(names[i]);
+		for (reader = 0; reader < ANSWER_READERS; reader++)
+			wrong += !is_name_accepted(
+			    true, &answer_readers[reader], name, i % 2 == 0);
+		g_string_free(name, TRUE);
+	}
+	assert_int_equal(wrong, 0);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(invalid_status_is_no_answer),
 	    cmocka_unit_test(valid_status_is_an_answer),
+	    cmocka_unit_test(invalid_name_is_no_answer),
+	    cmocka_unit_test(valid_name_is_accepted),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
--- a/test/test_gateway_malformed.c
+++ b/test/test_gateway_malformed.c
@@ -63,9 +63,37 @@
 		expect_rejection(responses[i], i);
 }
 
+/*
+ * Guards against a line that is no field, and is passed on, or gives the body
+ * another length.
+ */
+static void
+response_with_an_invalid_name_is_rejected(void **state)
+{
+	static const char *const lines[] = {"X Bad: 1", "X-Bad : 1",
+	    " X-Bad: 1", "\tX-Bad: 1",
+	    "X\x01"
+	    "Bad: 1",
+	    "X-Bad\x7f: 1", "Content-Length : 2", "Content -Length: 2",
+	    "Content-Length\x1f: 2", "Transfer-Encoding : chunked",
+	    "X-Jacinthhill-Response-Seal : w.a2"};
+	unsigned int i;
+	char *text;
+
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		text = g_strdup_printf(
+		    "HTTP/1.1 200 OK\r\n%s\r\n%s", lines[i], RAW_FIELDS BODY);
+		expect_rejection(text, i);
+		g_free(text);
+	}
+}
+
+#define MALFORMED_TEST(f) \
+	cmocka_unit_test_setup_teardown(f, set_up, raw_workers_tear_down)
+
 static const struct CMUnitTest tests[] = {
-    cmocka_unit_test_setup_teardown(
-	response_without_a_status_is_rejected, set_up, raw_workers_tear_down),
+    MALFORMED_TEST(response_without_a_status_is_rejected),
+    MALFORMED_TEST(response_with_an_invalid_name_is_rejected),
 };
 
 HARNESS_MAIN(tests)
--- a/test/test_proc_unframed.c
+++ b/test/test_proc_unframed.c
@@ -25,6 +25,7 @@
 #define HEAD_MARKER "petal-of-silence"
 #define REFUSED_MARKER "petal-of-refusal"
 #define ERROR_MARKER "petal-of-error"
+#define NAME_MARKER "petal-of-names"
 
 #define HEAD                                  \
 	"HTTP/1.1 200 OK\r\n"                 \
@@ -130,6 +131,10 @@
 		reply(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/eve");
 	} else if (strstr(buf, ERROR_MARKER) != NULL) {
 		send_error(fd);
+	} else if (strstr(buf, NAME_MARKER) != NULL) {
+		reply(fd,
+		    "HTTP/1.1 200 OK\r\nContent Type: text/plain\r\n"
+		    "Content-Type: text/event-stream\r\n\r\n" TOKEN(1) DONE);
 	} else if (strstr(buf, REFUSED_MARKER) != NULL) {
 		refuse_twice(fd, buf, sizeof(buf));
 	} else {
@@ -266,6 +271,16 @@
 	call_free(c);
 }
 
+/* Guards against a response whose head has a line that is no field. */
+static void
+test_invalid_name(void **state)
+{
+	struct call *c = run_request("Measure the " NAME_MARKER ".", 1);
+
+	assert_in_range(call_status(c), 400, 599);
+	call_free(c);
+}
+
 /*
  * Guards against a stream with the text of an error in it, or that looks
  * complete, because the engine that was to resume it failed.
@@ -328,6 +343,7 @@
 static const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown(test_complete, set_up, tear_down),
     cmocka_unit_test_setup_teardown(test_end_in_head, set_up, tear_down),
+    cmocka_unit_test_setup_teardown(test_invalid_name, set_up, tear_down),
     cmocka_unit_test_setup_teardown(
 	test_error_of_resuming_engine, set_up, tear_down),
     cmocka_unit_test_setup_teardown(test_refusal_sent_twice, set_up, tear_down),
