Soak, harness: answers are read by the product's rule

The clients that judge for a test took what their parsers take: a status of any digits, and in the harness any line as a field, so that such an answer of a router or daemon could pass a test.

The soak's clients use net/parse in place of a parser of their own; the harness's calls check each line that libcurl passes them, and an invalid one leaves the response incomplete.

--- a/soak/client.c
+++ b/soak/client.c
@@ -1,11 +1,10 @@
 #include <string.h>
 
-#include <http_parser.h>
-
 #include <jacinthhill/clock.h>
 
 #include "fakes/port.h"
 #include "net/conn.h"
+#include "net/parse.h"
 #include "soak/client.h"
 #include "soak/deployment.h"
 
@@ -20,8 +19,8 @@
 /* A response may arrive this long after the route's timeout. */
 #define TIMEOUT_MARGIN_MSEC 1000
 #define UNACKED_MSEC 60000
-
-enum field { FIELD_OTHER, FIELD_ID, FIELD_SEAL };
+/* Longest head of an answer, in bytes. */
+#define HEAD_LIMIT 65536
 
 struct soak_client {
 	uv_loop_t *loop;
@@ -36,10 +35,10 @@
 	char *id; /* of the request in progress, or NULL */
 	uv_timer_t pause_timer, timeout_timer, disconnect_timer;
 	unsigned int handles;
-	http_parser parser;
-	enum field field;
-	bool in_value;
-	GString *name, *response_id, *seal, *body;
+	struct jh_http_parser *parser; /* of the response; NULL: none yet */
+	unsigned int status; /* 0: no head has arrived */
+	bool keep_alive;
+	GString *response_id, *seal, *body;
 	bool rate_limited; /* the response names a rate limit */
 	bool leaving; /* the response says that its worker leaves */
 	bool complete;
@@ -90,7 +89,7 @@
 static struct soak_response
 response_of(const struct soak_client *c)
 {
-	return (struct soak_response){.status = c->parser.status_code,
+	return (struct soak_response){.status = c->status,
 	    .id = {c->response_id->str, c->response_id->len},
 	    .seal = {c->seal->str, c->seal->len},
 	    .body = {c->body->str, c->body->len},
@@ -119,79 +118,63 @@
 	finish(c);
 }
 
-static int
-on_message_begin(http_parser *p)
+static void
+copy_field(GString *out, const struct jh_head *head, const char *name)
 {
-	struct soak_client *c = p->data;
+	struct jh_str value = jh_head_get(head, name);
 
-	g_string_truncate(c->name, 0);
-	g_string_truncate(c->response_id, 0);
-	g_string_truncate(c->seal, 0);
-	c->rate_limited = false;
-	c->leaving = false;
-	g_string_truncate(c->body, 0);
-	c->field = FIELD_OTHER;
-	c->in_value = false;
-	c->complete = false;
-	return 0;
+	if (value.ptr != NULL)
+		g_string_append_len(out, value.ptr, (gssize)value.len);
 }
 
-static int
-on_name(http_parser *p, const char *at, size_t n)
+static void
+on_head(void *arg, const struct jh_head *head)
 {
-	struct soak_client *c = p->data;
-
-	if (c->in_value)
-		g_string_truncate(c->name, 0);
-	c->in_value = false;
-	g_string_append_len(c->name, at, (gssize)n);
-	return 0;
-}
+	struct soak_client *c = arg;
 
-static int
-on_value(http_parser *p, const char *at, size_t n)
-{
-	struct soak_client *c = p->data;
-
-	c->in_value = true;
-	if (g_ascii_strcasecmp(c->name->str, "X-Jacinthhill-Attempt-Id") == 0)
-		g_string_append_len(c->response_id, at, (gssize)n);
-	if (g_ascii_strcasecmp(c->name->str, "X-Jacinthhill-Response-Seal") ==
-	    0)
-		g_string_append_len(c->seal, at, (gssize)n);
-	if (g_ascii_strcasecmp(c->name->str, "Server-Limit") == 0)
-		c->rate_limited = true;
-	if (g_ascii_strcasecmp(c->name->str, "Server-Leaving") == 0)
-		c->leaving = true;
-	return 0;
+	c->status = head->status;
+	c->keep_alive = head->keep_alive;
+	copy_field(c->response_id, head, "X-Jacinthhill-Attempt-Id");
+	copy_field(c->seal, head, "X-Jacinthhill-Response-Seal");
+	c->rate_limited = jh_head_get(head, "Server-Limit").ptr != NULL;
+	c->leaving = jh_head_get(head, "Server-Leaving").ptr != NULL;
 }
 
-static int
-on_body(http_parser *p, const char *at, size_t n)
+static void
+on_body(void *arg, const char *p, size_t n)
 {
-	struct soak_client *c = p->data;
+	struct soak_client *c = arg;
 
-	g_string_append_len(c->body, at, (gssize)n);
-	return 0;
+	g_string_append_len(c->body, p, (gssize)n);
 }
 
-static int
-on_complete(http_parser *p)
+static void
+on_complete(void *arg)
 {
-	struct soak_client *c = p->data;
+	struct soak_client *c = arg;
 
 	c->complete = true;
-	http_parser_pause(p, 1);
-	return 0;
 }
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = on_message_begin,
-    .on_header_field = on_name,
-    .on_header_value = on_value,
-    .on_body = on_body,
-    .on_message_complete = on_complete,
-};
+static const struct jh_http_parser_ops parser_ops = {
+    on_head, on_body, on_complete};
+
+/* Before the response to another request. */
+static void
+begin_response(struct soak_client *c)
+{
+	jh_http_parser_destroy(c->parser);
+	c->parser = jh_http_parser_create(
+	    JH_PARSE_RESPONSES, HEAD_LIMIT, &parser_ops, c);
+	c->status = 0;
+	c->keep_alive = false;
+	g_string_truncate(c->response_id, 0);
+	g_string_truncate(c->seal, 0);
+	g_string_truncate(c->body, 0);
+	c->rate_limited = false;
+	c->leaving = false;
+	c->complete = false;
+}
 
 static void
 on_opened(void *arg)
@@ -214,7 +197,8 @@
 on_data(void *arg, const char *p, size_t n)
 {
 	struct soak_client *c = arg;
-	size_t consumed;
+	enum jh_parse_result r;
+	size_t extra;
 
 	if (c->id == NULL) {
 		soak_checker_add_violation(c->checker, jh_now(), "MIXED",
@@ -222,18 +206,17 @@
 		drop_connection(c, true);
 		return;
 	}
-	consumed = http_parser_execute(&c->parser, &parser_settings, p, n);
+	r = jh_http_parser_feed(c->parser, p, n);
 	if (c->complete) {
-		if (consumed < n)
+		extra = jh_http_parser_buffered(c->parser);
+		if (extra > 0)
 			soak_checker_add_violation(c->checker, jh_now(),
-			    "MIXED", "%zu bytes after the answer to %s",
-			    n - consumed, c->id);
-		handle_response(
-		    c, consumed == n && http_should_keep_alive(&c->parser));
-	} else if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
+			    "MIXED", "%zu bytes after the answer to %s", extra,
+			    c->id);
+		handle_response(c, extra == 0 && c->keep_alive);
+	} else if (r != JH_PARSE_OK) {
 		soak_checker_add_violation(c->checker, jh_now(), "MIXED",
-		    "the answer to %s is not HTTP: %s", c->id,
-		    http_errno_description(HTTP_PARSER_ERRNO(&c->parser)));
+		    "the answer to %s is not HTTP", c->id);
 		drop_connection(c, true);
 		finish(c);
 	}
@@ -245,12 +228,12 @@
 	struct soak_client *c = arg;
 
 	/* The end of the connection completes a response without a length. */
-	if (c->id != NULL && error == 0 && c->parser.status_code != 0)
-		http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+	if (c->id != NULL && error == 0)
+		jh_http_parser_eof(c->parser);
 	drop_connection(c, false);
 	if (c->id == NULL)
 		return;
-	if (c->complete || c->parser.status_code != 0) {
+	if (c->complete || c->status != 0) {
 		handle_response(c, false);
 		return;
 	}
@@ -318,9 +301,7 @@
 	c->id = g_strdup(o->request.id);
 	o->request.sent = jh_now();
 	soak_checker_sent(c->checker, &o->request);
-	http_parser_init(&c->parser, HTTP_RESPONSE);
-	c->parser.data = c;
-	on_message_begin(&c->parser);
+	begin_response(c);
 	uv_timer_start(&c->timeout_timer, on_timeout,
 	    o->request.timeout / JH_USEC_PER_MSEC + TIMEOUT_MARGIN_MSEC, 0);
 	if (o->disconnect_usec != 0)
@@ -346,7 +327,6 @@
 	c->rand = rand;
 	c->ops = ops;
 	c->arg = arg;
-	c->name = g_string_new(NULL);
 	c->response_id = g_string_new(NULL);
 	c->seal = g_string_new(NULL);
 	c->body = g_string_new(NULL);
@@ -367,7 +347,7 @@
 
 	if (--c->handles > 0)
 		return;
-	g_string_free(c->name, TRUE);
+	jh_http_parser_destroy(c->parser);
 	g_string_free(c->response_id, TRUE);
 	g_string_free(c->seal, TRUE);
 	g_string_free(c->body, TRUE);
--- a/test/harness_call.c
+++ b/test/harness_call.c
@@ -8,6 +8,7 @@
 
 #include "base/thread.h"
 #include "harness.h"
+#include "net/head_check.h"
 
 /* Must be longer than any request of a test takes. */
 #define CALL_TIMEOUT_MS 60000L
@@ -17,6 +18,7 @@
 	bool joined;
 	CURL *easy;
 	struct curl_slist *headers;
+	struct jh_head_lines lines; /* of the response's head */
 	char *url;
 	char *body;
 	int disconnect; /* atomic */
@@ -75,6 +77,19 @@
 	}
 }
 
+/* The response ends as incomplete with a line that libcurl alone takes. */
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct call *c = arg;
+
+	if (!jh_head_lines_check(&c->lines, data, size * n, true))
+		return 0;
+	if (c->lines.ended && call_status(c) < 200)
+		memset(&c->lines, 0, sizeof(c->lines));
+	return size * n;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *arg)
 {
@@ -152,6 +167,8 @@
 		curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body);
 	curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST,
 	    spec->method == NULL ? "POST" : spec->method);
+	curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_XFERINFOFUNCTION, on_progress);
