--- a/src/net/head_check.h
+++ b/src/net/head_check.h
@@ -34,8 +34,10 @@
 bool jh_head_lines_check(
     struct jh_head_lines *l, const char *p, size_t n, bool of_response);
 
-/* Whether the transfer coding is "chunked", once, if one is given (RFC 9112,
- * 6.1). */
+/*
+ * Whether the transfer coding is "chunked", once, if one is given (RFC 9112,
+ * 6.1).
+ */
 bool jh_head_has_valid_coding(const struct jh_head *head);
 /*
  * Whether the target has no space or control character, and there is one valid
