--- a/test/answer_readers.h
+++ b/test/answer_readers.h
@@ -22,7 +22,7 @@
 	GString *body;
 };
 
-#define ANSWER_TIMEOUT_USEC (3 * JH_USEC_PER_SEC)
+#define ANSWER_TIMEOUT_USEC (10 * JH_USEC_PER_SEC)
 
 /* An HTTP client of the processes. */
 struct answer_reader {
