--- a/test/test_answer_head.c
+++ b/test/test_answer_head.c
@@ -21,10 +21,10 @@
 static unsigned int
 count_wrong_status(bool accepted, const char *status)
 {
-	static const char *const framings[] = {BODY,
+	static const char *const framings[] = {(BODY),
 	    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-	    "\r\nbody", "Content-Length: 0\r\n\r\n", BODY NEXT, "\r\n" NEXT,
-	    "Connection: close\r\n" BODY};
+	    "\r\nbody", "Content-Length: 0\r\n\r\n", (BODY NEXT), ("\r\n" NEXT),
+	    ("Connection: close\r\n" BODY)};
 	GString *text = g_string_new(NULL);
 	unsigned int reader, wrong = 0;
 	size_t i;
