Tests: readers of answers have names, and a repeat is whole or no success

A reader was known by its index, and a comment did not say what it skips.

It now also asks that each that ends with a 200 has the whole answer; before, only the part itself was looked for.

--- a/test/answer_readers.c
+++ b/test/answer_readers.c
@@ -188,7 +188,8 @@
 }
 
 const struct answer_reader answer_readers[ANSWER_READERS] = {
-    {"router", call_uv}, {"daemons", call_curl}};
+    [ANSWER_ROUTER] = {"router", call_uv},
+    [ANSWER_DAEMONS] = {"daemons", call_curl}};
 
 struct answer {
 	const GString *text;
--- a/test/answer_readers.h
+++ b/test/answer_readers.h
@@ -32,7 +32,7 @@
 };
 
 /* Of the router, and of the daemons and tools. */
-#define ANSWER_READERS 2
+enum { ANSWER_ROUTER, ANSWER_DAEMONS, ANSWER_READERS };
 extern const struct answer_reader answer_readers[ANSWER_READERS];
 
 /*
--- a/test/test_answer_end.c
+++ b/test/test_answer_end.c
@@ -186,7 +186,7 @@
 static void
 answer_with_a_length_is_complete_before_a_reset(void **state)
 {
-	check_reader(&answer_readers[0], true, 0, 0, ALL_SHARES,
+	check_reader(&answer_readers[ANSWER_ROUTER], true, 0, 0, ALL_SHARES,
 	    (struct ending){.answer = FRAMED});
 }
 
--- a/test/test_answer_head.c
+++ b/test/test_answer_head.c
@@ -95,9 +95,11 @@
 	GString *s;
 
 	for (i = 0; i < ends; i++) {
-		/* That ends the head, and test_answer_nul has the other. */
+		/* LF there ends the head; NUL there is in test_answer_nul. */
 		if (at[i] == 0 &&
-		    (c == '\n' || (c == '\0' && reader == &answer_readers[1])))
+		    (c == '\n' ||
+			(c == '\0' &&
+			    reader == &answer_readers[ANSWER_DAEMONS])))
 			continue;
 		s = g_string_new(name);
 		g_string_insert_c(s, (gssize)at[i], c);
--- a/test/test_gateway_unframed.c
+++ b/test/test_gateway_unframed.c
@@ -205,7 +205,8 @@
 		call_free(c);
 		g_snprintf(path, sizeof(path), "/again/%u", round);
 		c = upload(path, body, responses);
-		relayed += strcmp(call_body(c), "part") == 0;
+		relayed +=
+		    call_status(c) == 200 && strcmp(call_body(c), "whole") != 0;
 		repeated += strcmp(call_body(c), "whole") == 0;
 		call_free(c);
 		g_free(body);
