--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -154,36 +154,70 @@
 	return (struct jh_str){p, n};
 }
 
+/* Adds an object to those that are passed; returns false if it is too much. */
+static bool
+take(const struct jh_replica_limit *limit, struct jh_replica_limit *taken,
+    GBytes *text)
+{
+	size_t bytes = text != NULL ? g_bytes_get_size(text) : 0;
+
+	if (taken->objects > 0 && (taken->objects >= limit->objects ||
+				      taken->bytes + bytes > limit->bytes))
+		return false;
+	taken->objects++;
+	taken->bytes += bytes;
+	return true;
+}
+
 bool
 jh_replica_list(const struct jh_replica *r, const char *after,
-    unsigned int limit, const struct jh_replica_ops *ops, void *arg)
+    const struct jh_replica_limit *limit, const struct jh_replica_ops *ops,
+    void *arg)
 {
 	GTreeNode *n = after != NULL ? g_tree_upper_bound(r->objects, after)
 				     : g_tree_node_first(r->objects);
+	struct jh_replica_limit taken = {0};
 
-	for (; n != NULL && limit > 0; n = g_tree_node_next(n), limit--)
+	for (; n != NULL && take(limit, &taken, g_tree_node_value(n));
+	     n = g_tree_node_next(n))
 		ops->object(
 		    arg, g_tree_node_key(n), text_of(g_tree_node_value(n)));
 	return n != NULL;
 }
 
+/* Returns the first change after the revision, or NULL. */
+static GList *
+first_after(const struct jh_replica *r, uint64_t revision)
+{
+	GList *at;
+
+	/* Searched from the newest, as most callers lack only a few. */
+	for (at = r->changes->tail; at != NULL; at = at->prev) {
+		const struct change *c = at->data;
+		if (c->committed <= revision)
+			return at->next;
+	}
+	return r->changes->head;
+}
+
 bool
 jh_replica_changes(const struct jh_replica *r, const struct jh_position *since,
-    const struct jh_replica_ops *ops, void *arg)
+    const struct jh_replica_limit *limit, const struct jh_replica_ops *ops,
+    void *arg)
 {
+	struct jh_replica_limit taken = {0};
 	const struct change *c;
-	GList *at;
+	GList *first, *at;
 
 	if (since->era != r->position.era || since->revision < r->dropped_until)
 		return false;
-	/* Searched from the newest, as most callers lack only a few. */
-	for (at = r->changes->tail; at != NULL; at = at->prev) {
+	first = first_after(r, since->revision);
+	for (at = first; at != NULL; at = at->next) {
 		c = at->data;
-		if (c->committed <= since->revision)
-			break;
+		if (!take(limit, &taken, c->text))
+			return false;
 	}
-	at = at == NULL ? r->changes->head : at->next;
-	for (; at != NULL; at = at->next) {
+	for (at = first; at != NULL; at = at->next) {
 		c = at->data;
 		ops->object(arg, c->name, text_of(c->text));
 	}
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -39,18 +39,26 @@
 	void (*object)(void *arg, const char *name, struct jh_str text);
 };
 
+/* How much is passed at once; one object is always passed. */
+struct jh_replica_limit {
+	unsigned int objects;
+	size_t bytes; /* of their texts */
+};
+
 /*
- * Passes at most limit objects to ops, in order of their names, from the first
- * one after that name (NULL: from the start). Returns whether there are more.
+ * Passes objects to ops, in order of their names, from the first one after that
+ * name (NULL: from the start). Returns whether there are more.
  */
 bool jh_replica_list(const struct jh_replica *r, const char *after,
-    unsigned int limit, const struct jh_replica_ops *ops, void *arg);
+    const struct jh_replica_limit *limit, const struct jh_replica_ops *ops,
+    void *arg);
 /*
  * Passes the changes after the position to ops, in order. Returns false, and
- * passes none, if they are not kept any more or it is of another era.
+ * passes none, if they are not kept any more, are more than the limit, or the
+ * position is of another era.
  */
 bool jh_replica_changes(const struct jh_replica *r,
-    const struct jh_position *since, const struct jh_replica_ops *ops,
-    void *arg);
+    const struct jh_position *since, const struct jh_replica_limit *limit,
+    const struct jh_replica_ops *ops, void *arg);
 
 #endif
--- a/test/test_replica.c
+++ b/test/test_replica.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -23,6 +24,9 @@
 }
 
 static const struct jh_replica_ops ops = {on_object};
+static const struct jh_replica_limit no_limit = {UINT_MAX, SIZE_MAX};
+static const struct jh_replica_limit two_objects = {2, SIZE_MAX};
+static const struct jh_replica_limit three_bytes = {UINT_MAX, 3};
 
 static int
 set_up(void **state)
@@ -44,8 +48,8 @@
 expect_changes(struct jh_replica *r, uint64_t since, const char *text)
 {
 	g_string_truncate(seen, 0);
-	assert_true(
-	    jh_replica_changes(r, &(struct jh_position){0, since}, &ops, NULL));
+	assert_true(jh_replica_changes(
+	    r, &(struct jh_position){0, since}, &no_limit, &ops, NULL));
 	assert_string_equal(seen->str, text);
 }
 
@@ -70,7 +74,7 @@
 	expect_changes(r, 12, "b- c=1 ");
 	expect_changes(r, 15, "");
 	expect_changes(r, 99, "");
-	assert_false(jh_replica_list(r, NULL, 9, &ops, NULL));
+	assert_false(jh_replica_list(r, NULL, &no_limit, &ops, NULL));
 }
 
 /* Guards against objects that are missing between two pages of a list. */
@@ -83,11 +87,42 @@
 	jh_replica_put(r, "a", JH_STR("1"));
 	jh_replica_put(r, "c", JH_STR("1"));
 	jh_replica_commit(r, &(struct jh_position){0, 4});
-	assert_true(jh_replica_list(r, NULL, 2, &ops, NULL));
-	assert_false(jh_replica_list(r, "b", 2, &ops, NULL));
+	assert_true(jh_replica_list(r, NULL, &two_objects, &ops, NULL));
+	assert_false(jh_replica_list(r, "b", &two_objects, &ops, NULL));
 	assert_string_equal(seen->str, "a=1 b=1 c=1 ");
 }
 
+/*
+ * Guards against pages and changes that are too large for their reader, and
+ * against an object that is never passed because it exceeds the limit alone.
+ */
+static void
+texts_are_limited(void **state)
+{
+	struct jh_replica *r = *state;
+
+	jh_replica_put(r, "a", JH_STR("12"));
+	jh_replica_put(r, "b", JH_STR("1"));
+	jh_replica_put(r, "c", JH_STR("1"));
+	jh_replica_put(r, "d", JH_STR("1234"));
+	jh_replica_commit(r, &(struct jh_position){0, 4});
+	assert_true(jh_replica_list(r, NULL, &three_bytes, &ops, NULL));
+	assert_true(jh_replica_list(r, "b", &three_bytes, &ops, NULL));
+	assert_false(jh_replica_list(r, "c", &three_bytes, &ops, NULL));
+	assert_string_equal(seen->str, "a=12 b=1 c=1 d=1234 ");
+	g_string_truncate(seen, 0);
+	jh_replica_put(r, "a", JH_STR("1234"));
+	jh_replica_commit(r, &(struct jh_position){0, 5});
+	jh_replica_remove(r, "b");
+	jh_replica_commit(r, &(struct jh_position){0, 6});
+	assert_false(jh_replica_changes(
+	    r, &(struct jh_position){0, 4}, &three_bytes, &ops, NULL));
+	assert_string_equal(seen->str, "");
+	assert_true(jh_replica_changes(
+	    r, &(struct jh_position){0, 5}, &three_bytes, &ops, NULL));
+	assert_string_equal(seen->str, "b- ");
+}
+
 /* Guards against a second list that counts as a change of every object. */
 static void
 repeated_objects_are_no_changes(void **state)
@@ -116,19 +151,19 @@
 
 	jh_replica_put(r, "a", JH_STR("0"));
 	jh_replica_commit(r, &(struct jh_position){0, 1});
-	assert_false(
-	    jh_replica_changes(r, &(struct jh_position){0, 0}, &ops, NULL));
+	assert_false(jh_replica_changes(
+	    r, &(struct jh_position){0, 0}, &no_limit, &ops, NULL));
 	for (i = 1; i <= JH_REPLICA_MAX_CHANGES + 5; i++) {
 		g_snprintf(text, sizeof(text), "%u", i);
 		jh_replica_put(r, "a", jh_str_from(text));
 		jh_replica_commit(r, &(struct jh_position){0, 1 + i});
 	}
-	assert_false(
-	    jh_replica_changes(r, &(struct jh_position){0, 1}, &ops, NULL));
-	assert_false(
-	    jh_replica_changes(r, &(struct jh_position){0, 5}, &ops, NULL));
-	assert_true(
-	    jh_replica_changes(r, &(struct jh_position){0, 6}, &ops, NULL));
+	assert_false(jh_replica_changes(
+	    r, &(struct jh_position){0, 1}, &no_limit, &ops, NULL));
+	assert_false(jh_replica_changes(
+	    r, &(struct jh_position){0, 5}, &no_limit, &ops, NULL));
+	assert_true(jh_replica_changes(
+	    r, &(struct jh_position){0, 6}, &no_limit, &ops, NULL));
 }
 
 static struct jh_mirrors *
@@ -165,9 +200,9 @@
 	jh_replica_put(r, "a", JH_STR("1"));
 	jh_replica_commit(r, &(struct jh_position){2, 15});
 	assert_int_equal(jh_replica_position(r).revision, 15);
-	assert_false(
-	    jh_replica_changes(r, &(struct jh_position){1, 10}, &ops, NULL));
-	assert_false(jh_replica_list(r, NULL, 10, &ops, NULL));
+	assert_false(jh_replica_changes(
+	    r, &(struct jh_position){1, 10}, &no_limit, &ops, NULL));
+	assert_false(jh_replica_list(r, NULL, &no_limit, &ops, NULL));
 	assert_string_equal(seen->str, "a=1 ");
 }
 
@@ -251,6 +286,7 @@
 static const struct CMUnitTest tests[] = {
     CASE(changes_are_passed_once_in_order),
     CASE(lists_continue_after_a_name),
+    CASE(texts_are_limited),
     CASE(repeated_objects_are_no_changes),
     CASE(dropped_changes_are_reported),
     CASE(new_era_replaces_all),
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -38,6 +38,19 @@
 	bool slow;
 	struct jh_server_request *begun; /* such a response; NULL: none */
 	size_t begun_bytes; /* that were sent of its body */
+	/* How the store responds to watch calls that may not succeed. */
+	enum {
+		WATCH_NORMAL,
+		WATCH_TOO_LARGE,
+		WATCH_TOO_SLOW,
+		WATCH_REJECTED,
+		WATCH_UNREADABLE
+	} watch_fault;
+	bool slow_lists; /* a list takes LIST_MSEC */
+	unsigned int list_bytes; /* of such a list that were sent */
+	uv_timer_t list_timer;
+	struct jh_server_request *list; /* such a list; NULL: none */
+	unsigned int lists;
 	unsigned int watches;
 	unsigned int last_wait_ms;
 	unsigned int shortest_wait_ms; /* of the watch calls; 0: none */
@@ -56,6 +69,20 @@
 	"\"a\","                                                              \
 	"\"revision\":12},\"specification\":2}}],\"storeRevision\":12}"
 
+#define FIRST_LIST                                                   \
+	"{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":3}," \
+	"\"specification\":1}],\"hasMore\":false,\"storeRevision\":9}"
+/* The lists after the first one. */
+#define LATER_LIST                                                    \
+	"{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":30}," \
+	"\"specification\":3}],\"hasMore\":false,\"storeRevision\":31}"
+
+/* More than the longest response that the store's client accepts. */
+#define TOO_LARGE_BYTES ((size_t)5 * 1024 * 1024)
+
+/* Time of a slow list; more than is first allowed for a page. */
+#define LIST_MSEC 2000
+
 static void
 on_begun_gone(void *arg)
 {
@@ -99,15 +126,80 @@
 	w->begun = NULL;
 }
 
+static void
+on_list_gone(void *arg)
+{
+	struct fixture *w = arg;
+
+	w->list = NULL;
+	uv_timer_stop(&w->list_timer);
+}
+
+static const struct jh_server_request_ops list_ops = {
+    .disconnected = on_list_gone, .drained = on_begun_drained};
+
+static void
+on_list_timer(uv_timer_t *t)
+{
+	struct fixture *w = t->data;
+	size_t len = strlen(FIRST_LIST);
+
+	jh_server_request_write(
+	    w->list, (struct jh_str){&FIRST_LIST[w->list_bytes], 1});
+	if (++w->list_bytes < len)
+		return;
+	jh_server_request_end(w->list);
+	on_list_gone(w);
+}
+
+/* Sends the list in LIST_MSEC, as over a slow link. */
+static void
+begin_slow_list(struct fixture *w, struct jh_server_request *v)
+{
+	uint64_t interval = LIST_MSEC / strlen(FIRST_LIST);
+
+	w->list = v;
+	w->list_bytes = 0;
+	jh_server_request_set_ops(v, &list_ops, w);
+	jh_server_request_begin_response(v, 200, "OK", JH_STR(""));
+	uv_timer_start(&w->list_timer, on_list_timer, interval, interval);
+}
+
+/* Responds to a watch call, which can't succeed. */
+static void
+fail_watch(struct fixture *w, struct jh_server_request *v)
+{
+	char *text;
+
+	switch (w->watch_fault) {
+	case WATCH_TOO_LARGE:
+		text = g_strnfill(TOO_LARGE_BYTES, ' ');
+		jh_server_request_respond(
+		    v, 200, "OK", JH_STR(""), jh_str_from(text));
+		g_free(text);
+		break;
+	case WATCH_TOO_SLOW:
+		begin_change(w, v);
+		send_bytes(w, 1);
+		break;
+	case WATCH_REJECTED:
+		jh_server_request_respond(
+		    v, 400, "Bad Request", JH_STR(""), JH_STR("{}"));
+		break;
+	default:
+		jh_server_request_respond(
+		    v, 200, "OK", JH_STR(""), JH_STR("{\"events\":["));
+		break;
+	}
+}
+
 static void
 on_store(void *arg, struct jh_server_request *v)
 {
 	struct fixture *w = arg;
 	char *target = jh_str_dup(jh_head_target(jh_server_request_head(v)));
 	const char *wait = strstr(target, "waitMs=");
-	const char *response =
-	    "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":3},"
-	    "\"specification\":1}],\"hasMore\":false,\"storeRevision\":9}";
+	const char *response = w->lists == 0 ? FIRST_LIST : LATER_LIST;
 
 	if (wait != NULL) {
 		w->watches++;
@@ -123,8 +215,14 @@
 		response = "{\"events\":[{\"deleted\":true,\"object\":{"
 			   "\"metadata\":{\"name\":\"a\",\"revision\":3}}}],"
 			   "\"storeRevision\":15}";
+	if (wait == NULL)
+		w->lists++;
 	if (wait != NULL && w->slow)
 		begin_change(w, v);
+	else if (wait != NULL && w->watch_fault != WATCH_NORMAL)
+		fail_watch(w, v);
+	else if (wait == NULL && w->slow_lists)
+		begin_slow_list(w, v);
 	else if (w->refuses)
 		jh_server_request_respond(
 		    v, 503, "Away", JH_STR(""), JH_STR(""));
@@ -174,6 +272,8 @@
 	uv_loop_init(&w->loop);
 	w->store = jh_uv_server_create(&w->loop, &limits, &store_ops, w);
 	assert_int_equal(jh_uv_server_listen(w->store, &w->address), 0);
+	uv_timer_init(&w->loop, &w->list_timer);
+	w->list_timer.data = w;
 	w->http_client = jh_uv_client_create(&w->loop);
 	w->metrics = jh_metrics_create();
 	w->log = jh_json_log_create(STDERR_FILENO, "test");
@@ -192,6 +292,7 @@
 	plat_era_destroy(w->era);
 	jh_uv_client_destroy(w->http_client);
 	jh_uv_server_destroy(w->store);
+	uv_close((uv_handle_t *)&w->list_timer, NULL);
 	uv_run(&w->loop, UV_RUN_DEFAULT);
 	jh_json_log_destroy(w->log);
 	jh_metrics_destroy(w->metrics);
@@ -519,6 +620,79 @@
 	fixture_clear(&w);
 }
 
+/*
+ * Guards against a configuration that stays unknown because the same watch call
+ * is repeated, which transfers all changes since its revision and fails again,
+ * in place of a list.
+ */
+static void
+watch_that_cannot_succeed_is_followed_by_a_list(void **state)
+{
+	static const int faults[] = {
+	    WATCH_TOO_LARGE, WATCH_TOO_SLOW, WATCH_REJECTED, WATCH_UNREADABLE};
+	struct fixture w;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		fixture_init(&w);
+		plat_watch_set_wait(w.watch, 100);
+		w.idle = true;
+		run_for(&w, 50000, 0);
+		assert_int_equal(w.last_revision, 3);
+		w.watch_fault = faults[i];
+		run_for(&w, 1500000, 0);
+		print_message("fault %d\n", faults[i]);
+		assert_int_equal(w.last_revision, 30);
+		fixture_clear(&w);
+	}
+}
+
+/*
+ * Guards against an outage that is taken for a response that can't succeed: a
+ * list of all objects would cost more than the watch.
+ */
+static void
+watch_without_a_response_is_repeated(void **state)
+{
+	struct fixture w;
+
+	fixture_init(&w);
+	plat_watch_set_wait(w.watch, 100);
+	w.idle = true;
+	run_for(&w, 50000, 0);
+	w.silent = true;
+	w.idle = false;
+	run_for(&w, 1200000, 0);
+	w.refuses = true;
+	run_for(&w, 1000000, 0);
+	w.refuses = w.silent = false;
+	w.changed = true;
+	run_for(&w, 1200000, 0);
+	assert_int_equal(w.last_revision, 12);
+	assert_int_equal(w.lists, 1);
+	fixture_clear(&w);
+}
+
+/*
+ * Guards against a page of a list that takes too long over a slow link and is
+ * requested again with no more time.
+ */
+static void
+slow_page_gets_more_time(void **state)
+{
+	struct fixture w;
+
+	fixture_init(&w);
+	w.slow_lists = true;
+	run_for(&w, 5500000, 0);
+	assert_true(plat_watch_has_list(w.watch));
+	assert_int_equal(w.lists, 2);
+	fixture_clear(&w);
+}
+
+/* About as large as the largest object of the store. */
+#define LARGE_OBJECT_BYTES ((size_t)900 * 1024)
+
 /* A mirror, and a watch that reads from it. */
 struct mirror_fixture {
 	struct fixture w;
@@ -658,6 +832,66 @@
 	mirror_fixture_clear(&n);
 }
 
+static void
+put_large(struct mirror_fixture *n, const char *name, uint64_t revision)
+{
+	char *filler = g_strnfill(LARGE_OBJECT_BYTES, 'x');
+	char *text = g_strdup_printf(
+	    "{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+	    "},\"specification\":\"%s\"}",
+	    name, revision, filler);
+
+	jh_replica_put(n->replica, name, jh_str_from(text));
+	g_free(text);
+	g_free(filler);
+}
+
+/*
+ * Guards against a mirror whose response has all changes that its reader
+ * missed, which the reader does not accept, now or later.
+ */
+static void
+mirror_sends_no_more_changes_than_a_page(void **state)
+{
+	struct mirror_fixture n;
+	uint64_t revision;
+
+	mirror_fixture_init(&n);
+	run_for(&n.w, 300000, 0);
+	assert_int_equal(n.last_revision, 5);
+	for (revision = 10; revision < 30; revision++) {
+		put_large(&n, "a", revision);
+		jh_replica_commit(
+		    n.replica, &(struct jh_position){0, revision});
+	}
+	plat_mirror_server_changed(n.share);
+	run_for(&n.w, 1000000, 0);
+	assert_int_equal(n.last_revision, 29);
+	assert_int_equal(n.failures, 0);
+	mirror_fixture_clear(&n);
+}
+
+/* Guards against a page of a mirror's list that its reader does not accept. */
+static void
+mirror_sends_large_objects_on_several_pages(void **state)
+{
+	struct mirror_fixture n;
+	char name[16];
+	unsigned int i;
+
+	mirror_fixture_init(&n);
+	n.w.refuses = true;
+	for (i = 0; i < 20; i++) {
+		g_snprintf(name, sizeof(name), "b%02u", i);
+		put_large(&n, name, 10 + i);
+	}
+	jh_replica_commit(n.replica, &(struct jh_position){0, 30});
+	run_for(&n.w, 1500000, 0);
+	assert_int_equal(n.last_revision, 29);
+	assert_int_equal(n.failures, 0);
+	mirror_fixture_clear(&n);
+}
+
 int
 main(void)
 {
@@ -674,9 +908,14 @@
 	    cmocka_unit_test(call_after_an_uneventful_one_waits_in_full),
 	    cmocka_unit_test(restarted_watch_opens_a_connection),
 	    cmocka_unit_test(watch_after_a_timeout_opens_a_connection),
+	    cmocka_unit_test(watch_that_cannot_succeed_is_followed_by_a_list),
+	    cmocka_unit_test(watch_without_a_response_is_repeated),
+	    cmocka_unit_test(slow_page_gets_more_time),
 	    cmocka_unit_test(mirror_passes_changes_on),
 	    cmocka_unit_test(failed_mirror_is_replaced_by_store),
 	    cmocka_unit_test(older_revision_is_ignored),
+	    cmocka_unit_test(mirror_sends_no_more_changes_than_a_page),
+	    cmocka_unit_test(mirror_sends_large_objects_on_several_pages),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
