Catalogue: a watch whose response can't be used is followed by a list

A list that took longer than 10 s got 10 s again.

Cause: the store's client reported such a response as an outage.

Change: it says that the response is unusable; jh_sync then lists, and a list that took too long gets twice the time, up to 80 s. It does not count as a failure of the store, after which a daemon that starts may serve by a copy that the store has not confirmed.

--- a/include/jacinthhill/sync.h
+++ b/include/jacinthhill/sync.h
@@ -39,6 +39,11 @@
 	JH_SYNC_OK,
 	JH_SYNC_UNCHANGED, /* watch: the wait ended without a change */
 	JH_SYNC_FAILED, /* no reply, unavailable or throttled */
+	/*
+	 * The reply was too large, took too long or could not be read: the same
+	 * call would fail again.
+	 */
+	JH_SYNC_UNUSABLE,
 	JH_SYNC_EXPIRED /* watch: the store has no history from that revision */
 };
 
--- a/src/catalog/sync.c
+++ b/src/catalog/sync.c
@@ -19,7 +19,9 @@
 #define WATCH_GRACE_USEC JH_USEC_PER_SEC
 /* Limits the rate of reads by a zone's watchers during bulk edits. */
 #define WATCH_INTERVAL_USEC (JH_USEC_PER_SEC / 5)
+/* Doubles after a list that took longer. */
 #define LIST_TIMEOUT_USEC (10 * JH_USEC_PER_SEC)
+#define MAX_LIST_DOUBLINGS 3
 
 /* Backoff of a watcher whose store calls fail. */
 #define WATCH_BACKOFF_USEC (JH_USEC_PER_SEC / 4)
@@ -89,7 +91,8 @@
 	uint64_t store_sent;
 	uint64_t store_due;
 	unsigned int store_failures; /* in a row */
-	bool must_list; /* the store has no history from our revision */
+	bool must_list; /* the changes since our revision can't be had */
+	unsigned int slow_lists; /* in a row */
 	bool was_watcher;
 	uint64_t poll_interval; /* 0: peers reply */
 
@@ -258,8 +261,9 @@
 	out->from_revision = revision;
 	out->wait_ms = list ? 0 : wait_ms;
 	out->deadline =
-	    now + (list ? LIST_TIMEOUT_USEC
-			: wait_ms * JH_USEC_PER_MSEC + WATCH_GRACE_USEC);
+	    now +
+	    (list ? LIST_TIMEOUT_USEC << MIN(s->slow_lists, MAX_LIST_DOUBLINGS)
+		  : wait_ms * JH_USEC_PER_MSEC + WATCH_GRACE_USEC);
 	if (check)
 		out->deadline =
 		    MAX(out->deadline, s->started + START_TIMEOUT_USEC);
@@ -301,8 +305,13 @@
 	uint64_t wait;
 
 	s->store_in_progress = false;
-	if (result == JH_SYNC_FAILED) {
-		s->store_failed = true;
+	if (result == JH_SYNC_UNUSABLE) {
+		if (s->store_action == JH_SYNC_LIST)
+			s->slow_lists++;
+		s->must_list = true;
+	}
+	if (result == JH_SYNC_FAILED || result == JH_SYNC_UNUSABLE) {
+		s->store_failed |= result == JH_SYNC_FAILED;
 		wait = WATCH_BACKOFF_USEC << MIN(s->store_failures, 4U);
 		wait = jitter(s, MIN(wait, MAX_WATCH_BACKOFF_USEC));
 		s->store_failures++;
@@ -311,6 +320,7 @@
 		return;
 	}
 	s->store_failures = 0;
+	s->slow_lists = 0;
 	s->must_list = result == JH_SYNC_EXPIRED;
 	if (s->was_watcher)
 		s->store_due = MAX(now, s->store_sent + WATCH_INTERVAL_USEC);
--- a/src/feed/store_reader.c
+++ b/src/feed/store_reader.c
@@ -1,3 +1,5 @@
+#include <jacinthhill/clock.h>
+
 #include "feed/store_reader.h"
 
 #define MAX_STORE_CALLS 4
@@ -39,6 +41,12 @@
 	}
 }
 
+static enum jh_sync_result
+failure_of(const struct jh_store_reply *reply)
+{
+	return reply->unusable ? JH_SYNC_UNUSABLE : JH_SYNC_FAILED;
+}
+
 static void request_page(struct store_reader *r);
 
 static void
@@ -47,7 +55,9 @@
 	struct store_reader *r = arg;
 
 	if (reply->result != JH_STORE_OK) {
-		r->ops->done(r->arg, JH_SYNC_FAILED);
+		bool too_long = r->items->len > 0 && jh_now() >= r->deadline;
+		r->ops->done(
+		    r->arg, too_long ? JH_SYNC_UNUSABLE : failure_of(reply));
 		return;
 	}
 	append_page(r, reply);
@@ -93,7 +103,7 @@
 	if (reply->result == JH_STORE_EXPIRED)
 		return JH_SYNC_EXPIRED;
 	if (reply->result != JH_STORE_OK)
-		return JH_SYNC_FAILED;
+		return failure_of(reply);
 	for (i = 0; i < reply->n_items; i++) {
 		item = &reply->items[i];
 		json = item->deleted ? NULL : jh_str_dup(item->value);
--- a/src/store/reply.c
+++ b/src/store/reply.c
@@ -153,6 +153,7 @@
 	p->reply.value = JH_STR("");
 	p->reply.result =
 	    op == STORE_WRITE ? JH_STORE_UNKNOWN : JH_STORE_UNAVAILABLE;
+	p->reply.unusable = op == STORE_LIST || op == STORE_WATCH;
 }
 
 void
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -55,10 +55,14 @@
 {
 	struct store_call *c = arg;
 	struct store_parsed p;
+	bool cut_short =
+	    c->too_long || (result == JH_HTTP_TIMED_OUT && c->body->len > 0);
 
 	if (c->too_long)
 		result = JH_HTTP_CONNECTION_LOST;
 	store_parse(&p, c->op, result, call, c->body);
+	if (cut_short && (c->op == STORE_LIST || c->op == STORE_WATCH))
+		p.reply.unusable = true;
 	c->done.fn(c->done.arg, &p.reply);
 	store_parsed_clear(&p);
 	g_string_free(c->body, TRUE);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -47,6 +47,12 @@
 	const struct jh_store_item *items; /* list and watch */
 	size_t n_items;
 	bool more; /* list: a next page starts after the last key */
+	/*
+	 * List and watch: the store executed the call, but its response was too
+	 * large, took too long or can't be read. The result is
+	 * JH_STORE_UNAVAILABLE.
+	 */
+	bool unusable;
 };
 
 /* Function to call on completion of a call, and its argument. */
--- a/test/sync_simulation.c
+++ b/test/sync_simulation.c
@@ -161,6 +161,8 @@
 		end_store(f, d, JH_SYNC_OK);
 	} else if (f->revision > from + f->history) {
 		end_store(f, d, JH_SYNC_EXPIRED);
+	} else if (f->max_changes != 0 && f->revision > from + f->max_changes) {
+		end_store(f, d, JH_SYNC_UNUSABLE);
 	} else if (f->revision > from) {
 		end_store(f, d,
 		    merge_changes(f, d, from) ? JH_SYNC_OK : JH_SYNC_UNCHANGED);
--- a/test/sync_simulation.h
+++ b/test/sync_simulation.h
@@ -62,6 +62,8 @@
 	bool list_frozen; /* the list shows dead entry daemons too */
 	uint64_t revision; /* of the store */
 	uint64_t history; /* revisions that a watch can reach back */
+	/* A response to a watch with more revisions is unusable; 0: none is. */
+	uint64_t max_changes;
 	uint64_t version[KEYS]; /* in the store */
 	bool deleted[KEYS];
 	uint64_t changed[KEYS]; /* time of the last edit */
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -6,11 +6,13 @@
 
 #include <arpa/inet.h>
 #include <cmocka.h>
+#include <sys/socket.h>
 
 #include <jacinthhill/clock.h>
 
 #include "../fakes/store/service.h"
 #include "store/store.h"
+#include "raw_request.h"
 
 /* No call takes this long unless it has failed. */
 #define CALL_TIMEOUT_USEC (30 * JH_USEC_PER_SEC)
@@ -296,6 +298,62 @@
 	json_decref(o);
 }
 
+/* How a raw store responds to a read. */
+struct bad_response {
+	const char *body;
+	bool stalls; /* after the body, before its announced end */
+	bool unusable; /* expected: the same read would fail again */
+};
+
+#define READ_TIMEOUT_USEC (300 * JH_USEC_PER_MSEC)
+
+static void
+serve_bad_response(void *arg, int fd)
+{
+	const struct bad_response *b = arg;
+	char request[4096];
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nRevision: 1\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+	    strlen(b->body) + b->stalls, b->body);
+
+	if (raw_request_read(fd, request, sizeof(request)) &&
+	    send(fd, text, strlen(text), MSG_NOSIGNAL) > 0)
+		(void)recv(fd, request, sizeof(request), 0);
+	g_free(text);
+}
+
+/*
+ * Guards against taking a response that can't be used for an outage, in which
+ * the same call is repeated.
+ */
+static void
+unusable_response_is_told_from_an_outage(void **state)
+{
+	static const struct bad_response responses[] = {
+	    {"{\"revision\":1,\"chan", true, true},
+	    {"{\"revision\":1,\"chan", false, true},
+	    {"", true, false},
+	};
+	struct fixture *f = *state;
+	const struct jh_store_reply *r;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(responses); i++) {
+		struct raw_peer peer = {.serve = serve_bad_response,
+		    .arg = (void *)(uintptr_t)&responses[i]};
+		struct jh_store *store;
+		raw_peer_start(&peer);
+		store = jh_store_create(&peer.address, 8);
+		assert_true(jh_store_watch(store, "catalog/", 0, 0,
+		    jh_now() + READ_TIMEOUT_USEC, next_callback(f)));
+		r = jh_store_waiter_wait(f->w);
+		assert_int_equal(r->result, JH_STORE_UNAVAILABLE);
+		assert_int_equal(r->unusable, responses[i].unusable);
+		jh_store_destroy(store);
+		raw_peer_stop(&peer);
+	}
+}
+
 int
 main(void)
 {
@@ -311,6 +369,8 @@
 		destroy_ends_calls_in_flight, setup, teardown),
 	    cmocka_unit_test_setup_teardown(lists_in_pages, setup, teardown),
 	    cmocka_unit_test_setup_teardown(watches_changes, setup, teardown),
+	    cmocka_unit_test_setup_teardown(
+		unusable_response_is_told_from_an_outage, setup, teardown),
 	    cmocka_unit_test_setup_teardown(
 		reports_throttling, setup_throttled, teardown),
 	};
--- a/test/test_sync.c
+++ b/test/test_sync.c
@@ -111,6 +111,57 @@
 	sync_simulation_destroy(f);
 }
 
+/*
+ * Guards against a watcher that repeats a watch whose response can't be used,
+ * and stays without the edits of an outage.
+ */
+static void
+unusable_watch_is_followed_by_list(void **state)
+{
+	struct sync_simulation *f = sync_simulation_create(5);
+
+	sync_simulation_run(f, 20 * JH_USEC_PER_SEC, 1);
+	sync_simulation_set_network(f, false, 0);
+	sync_simulation_run(f, 20 * JH_USEC_PER_SEC, 0);
+	f->max_changes = 3;
+	f->store_up = true;
+	while (f->revision < 100)
+		sync_simulation_edit(f);
+	sync_simulation_set_network(f, true, 0);
+	sync_simulation_run(f, 20 * JH_USEC_PER_SEC, 0);
+	assert_true(f->checks > 0);
+	sync_simulation_destroy(f);
+}
+
+/* Guards against a list that takes too long and is given no more time. */
+static void
+unusable_list_gets_more_time(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	struct jh_sync_spec spec = {.instance = "entry-a",
+	    .zone = "z1",
+	    .role = JH_SYNC_ENTRY,
+	    .rand = rand};
+	struct jh_sync_peer self = {"entry-a", "z1"};
+	struct jh_sync *s = jh_sync_create(&spec, 1);
+	uint64_t now = 1, granted[3];
+	struct jh_sync_action a;
+	unsigned int n = 0;
+
+	jh_sync_set_peers(s, &self, 1);
+	for (; n < G_N_ELEMENTS(granted); now += JH_USEC_PER_MSEC) {
+		if (!jh_sync_next(s, now, 0, &a))
+			continue;
+		assert_int_equal(a.kind, JH_SYNC_LIST);
+		granted[n++] = a.deadline - now;
+		now = a.deadline;
+		jh_sync_on_store(s, now, JH_SYNC_UNUSABLE);
+	}
+	assert_true(granted[1] > granted[0] && granted[2] > granted[1]);
+	jh_sync_destroy(s);
+	g_rand_free(rand);
+}
+
 /* An entry daemon that starts at 100 s with a copy confirmed before that. */
 static struct jh_sync *
 started_from_old_copy(GRand *rand, uint64_t start)
@@ -223,6 +274,8 @@
 	    cmocka_unit_test(dead_watchers_are_skipped),
 	    cmocka_unit_test(copies_spread_from_peers_while_the_store_is_down),
 	    cmocka_unit_test(expired_watch_is_followed_by_list),
+	    cmocka_unit_test(unusable_watch_is_followed_by_list),
+	    cmocka_unit_test(unusable_list_gets_more_time),
 	    cmocka_unit_test(starting_daemon_checks_copy_of_peer),
 	    cmocka_unit_test(starting_daemon_waits_for_store_up_to_timeout),
 	    cmocka_unit_test(reads_are_bounded_without_peers),
