Start: what peers know goes before an older copy of the store

Requests with a key that had been taken away were run; the router's peer refused them.

Cause: what a running router knows stays in force because configurations and weights have versions of their own. A process that starts knows none, and only the store told it any.

Evidence: the log of the case: config_in_force with version 1 and nothing before it, ready 4 ms later, version 2 when it was written again 5.7 s after that. Ruled out by it: an older configuration that replaces a newer known one.

Change: one rule for all kinds, feed/newest: an object is taken unless its content is older than the newest known, or if the store wrote it later in the same era. A configuration's and named weights' order is their version, a worker's its start, its weights and whether it leaves. When a process has read the lists of an era it asks peers for the orders that they know, and fetches what is newer (platform/catch_up); one that starts has no configuration in force before that. It goes on after 2 s without a peer, at once if those that it reaches are down or have just started, and asks again later. Running routers apply the same rule, so a worker's weights and its leaving do not go back with the store either.

Why it works: a peer in touch has had what was acknowledged before the drill, and keeps it through its own lists of the new era; the store alone is believed only if no peer can be reached.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -73,6 +73,12 @@
 	add_pending(r, name, g_bytes_new(text.ptr, text.len));
 }
 
+void
+jh_replica_put_bytes(struct jh_replica *r, const char *name, GBytes *text)
+{
+	add_pending(r, name, g_bytes_ref(text));
+}
+
 void
 jh_replica_remove(struct jh_replica *r, const char *name)
 {
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -25,6 +25,8 @@
 
 /* Adds a change, which is visible after the next jh_replica_commit(). */
 void jh_replica_put(struct jh_replica *r, const char *name, struct jh_str text);
+/* The same; takes a reference to the text. */
+void jh_replica_put_bytes(struct jh_replica *r, const char *name, GBytes *text);
 void jh_replica_remove(struct jh_replica *r, const char *name);
 /*
  * Commits the added changes, which reach up to this position of the store. In a
--- a/src/gateway/gossip.c
+++ b/src/gateway/gossip.c
@@ -717,6 +717,25 @@
 	g_hash_table_remove(g->peers, name);
 }
 
+/* Of the peers up to the n-th, each is chosen with the same probability. */
+size_t
+jh_gossip_random_peers(
+    const struct jh_gossip *g, struct sockaddr_in *out, size_t max)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t n = 0, at;
+
+	g_hash_table_iter_init(&it, g->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		at = n < max ? n : randombytes_uniform((uint32_t)n + 1);
+		n++;
+		if (at < max)
+			out[at] = ((const struct peer *)p)->address;
+	}
+	return MIN(n, max);
+}
+
 size_t
 jh_gossip_peer_count(const struct jh_gossip *g)
 {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -73,6 +73,9 @@
     const struct sockaddr_in *address,
     const unsigned char key[JH_GOSSIP_KEY_LEN]);
 void jh_gossip_remove_peer(struct jh_gossip *g, const char *name);
+/* Writes the addresses of up to max random peers; returns their number. */
+size_t jh_gossip_random_peers(
+    const struct jh_gossip *g, struct sockaddr_in *out, size_t max);
 /* Number of peers, and the address of one; NULL: not a peer. */
 size_t jh_gossip_peer_count(const struct jh_gossip *g);
 const struct sockaddr_in *jh_gossip_address(
--- a/test/test_platform_era.c
+++ b/test/test_platform_era.c
@@ -105,6 +105,83 @@
 	}
 }
 
+/* As long as the test; the operator writes nothing again. */
+#define NOT_REWRITTEN_USEC (1000 * JH_USEC_PER_SEC)
+
+/*
+ * Takes a copy of the store, makes a change, and when all routers know it goes
+ * back to the copy and restarts the first router.
+ */
+static void
+restart_after_restore(struct platform *p, void (*change)(struct platform *p))
+{
+	struct fake_restore restore = {0};
+
+	g_usleep(SETTLE_USEC);
+	restore.copied_at = jh_now();
+	g_usleep(SETTLE_USEC);
+	change(p);
+	g_usleep(IN_FORCE_USEC);
+	restore.back_at = jh_now() + AWAY_USEC;
+	restore.rewritten_by = restore.back_at + NOT_REWRITTEN_USEC;
+	platform_restore(p, &restore);
+	proc_kill(platform_router(p));
+	proc_start(platform_router(p));
+}
+
+static void
+revoke_key(struct platform *p)
+{
+	platform_revoke(p, 2);
+}
+
+/*
+ * Guards against a router that starts after a restore and runs requests with a
+ * key that was taken away, because it believes the store though its peer knows
+ * better.
+ */
+static void
+restarted_router_keeps_the_configuration(void **state)
+{
+	static const struct platform_spec spec = {.routers = 2, .workers = 1};
+	struct platform *p = platform_create(&spec);
+	uint64_t until;
+
+	restart_after_restore(p, revoke_key);
+	until = jh_now() + 4 * JH_USEC_PER_SEC;
+	while (jh_now() < until) {
+		assert_int_not_equal(status_of_request(p), 200);
+		g_usleep(20000);
+	}
+	assert_int_equal(status_of_request(p), 401);
+	platform_configure(p, 3, "k1");
+	expect_status_in_time(p, 200);
+	platform_stop(p);
+}
+
+static void
+name_weights(struct platform *p)
+{
+	platform_set_weights(p, 2);
+}
+
+/* Guards against the same with weights, which no worker has any more. */
+static void
+restarted_router_keeps_the_weights(void **state)
+{
+	static const struct platform_spec spec = {.routers = 2, .workers = 1};
+	struct platform *p = platform_create(&spec);
+	char *head;
+
+	restart_after_restore(p, name_weights);
+	platform_await_ready(p);
+	expect_status_in_time(p, 200);
+	head = platform_last_head(p);
+	assert_non_null(strstr(head, "X-Jacinthhill-Expected-Version: 2"));
+	g_free(head);
+	platform_stop(p);
+}
+
 static char *
 key_of(struct platform *p, const char *name)
 {
@@ -193,6 +270,8 @@
 		configuration_after_a_restore_is_in_force, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		requests_are_served_through_a_restore, set_up, tear_down),
+	    cmocka_unit_test(restarted_router_keeps_the_configuration),
+	    cmocka_unit_test(restarted_router_keeps_the_weights),
 	    cmocka_unit_test(entries_of_routers_are_written_again),
 	};
 
--- a/test/test_watch_era.c
+++ b/test/test_watch_era.c
@@ -37,6 +37,7 @@
 	struct plat_store *client;
 	struct plat_watch *watch;
 	struct jh_replica *replica;
+	struct jh_newest *newest;
 	GHashTable *values; /* name to int */
 	unsigned int batches, removals, certain_removals;
 };
@@ -59,14 +60,33 @@
 	plat_watch_begin_era(((struct reader *)arg)->watch, era, 0);
 }
 
+/*
+ * An object is a number, its version; that of an instance is a pair: its start,
+ * and 1 if it leaves.
+ */
+static struct jh_content_order
+order_of(json_t *specification)
+{
+	struct jh_content_order order = {0, 0};
+
+	if (json_is_array(specification)) {
+		order.start = (uint64_t)json_integer_value(
+		    json_array_get(specification, 0));
+		specification = json_array_get(specification, 1);
+	}
+	order.version = (uint64_t)json_integer_value(specification);
+	return order;
+}
+
 static void
 on_object(void *arg, const struct plat_object *o)
 {
 	struct reader *r = arg;
 
 	if (!o->deleted) {
-		g_hash_table_replace(r->values, g_strdup(o->name),
-		    GINT_TO_POINTER(json_integer_value(o->specification)));
+		int version = (int)order_of(o->specification).version;
+		g_hash_table_replace(
+		    r->values, g_strdup(o->name), GINT_TO_POINTER(version));
 		return;
 	}
 	g_hash_table_remove(r->values, o->name);
@@ -105,6 +125,8 @@
 	    plat_store_create(f->http_client, address, f->metrics, r->era);
 	spec.store = r->client;
 	spec.replica = r->replica = jh_replica_create();
+	spec.newest = r->newest = jh_newest_create();
+	spec.order = order_of;
 	r->watch = plat_watch_create(&spec);
 	plat_watch_set_wait(r->watch, 12000);
 }
@@ -116,6 +138,7 @@
 	plat_store_destroy(r->client);
 	plat_era_destroy(r->era);
 	jh_replica_destroy(r->replica);
+	jh_newest_destroy(r->newest);
 	g_hash_table_destroy(r->values);
 }
 
@@ -266,6 +289,74 @@
 	assert_int_equal(f->reader.certain_removals, 0);
 }
 
+static void
+put_instance(struct fixture *f, const char *name, int start, bool leaving)
+{
+	json_t *spec = json_pack("[i, i]", start, (int)leaving);
+
+	fake_objects_put(f->store, KIND, name, spec);
+	json_decref(spec);
+}
+
+/* Guards against older content of the copy in place of what was known. */
+static void
+older_content_of_the_copy_is_ignored(void **state)
+{
+	struct fixture *f = *state;
+	struct fake_restore restore = {0};
+
+	put(f, "a", 1);
+	put_instance(f, "w", 100, false);
+	run_until(f, known(&f->reader, "w") == 0);
+	restore.copied_at = jh_now();
+	run_for(f, SETTLE_USEC);
+	put(f, "a", 2);
+	put_instance(f, "w", 100, true);
+	run_until(f, known(&f->reader, "w") == 1);
+	restore.rewritten_by = jh_now() + 100 * JH_USEC_PER_SEC;
+	fake_objects_restore(f->store, &restore);
+	assert_true(plat_era_observe(f->reader.era, 2));
+	run_until(f, plat_watch_position(f->reader.watch).revision != 0);
+	run_for(f, SETTLE_USEC);
+	assert_int_equal(known(&f->reader, "a"), 2);
+	assert_int_equal(known(&f->reader, "w"), 1);
+	/* Its next start, and what is written again. */
+	put_instance(f, "w", 200, false);
+	put(f, "a", 3);
+	run_until(f, known(&f->reader, "w") == 0);
+	run_until(f, known(&f->reader, "a") == 3);
+}
+
+/*
+ * Guards against older content of the copy in place of what a peer told, and
+ * against an instance that the store does not list and never removes.
+ */
+static void
+content_of_a_peer_is_kept(void **state)
+{
+	struct fixture *f = *state;
+	json_t *config = json_pack(
+	    "{s:{s:s}, s:i}", "metadata", "name", "a", "specification", 7);
+	json_t *gone = json_pack("{s:{s:s}, s:[i, i]}", "metadata", "name", "w",
+	    "specification", 100, 1);
+	struct fake_restore restore = {0};
+
+	put(f, "a", 6);
+	run_until(f, known(&f->reader, "a") == 6);
+	plat_watch_learn(f->reader.watch, config);
+	plat_watch_learn(f->reader.watch, gone);
+	assert_int_equal(known(&f->reader, "a"), 7);
+	assert_int_equal(known(&f->reader, "w"), -1);
+	restore.copied_at = jh_now();
+	fake_objects_restore(f->store, &restore);
+	assert_true(plat_era_observe(f->reader.era, 2));
+	run_until(f, plat_watch_position(f->reader.watch).revision != 0);
+	run_for(f, SETTLE_USEC);
+	assert_int_equal(known(&f->reader, "a"), 7);
+	json_decref(config);
+	json_decref(gone);
+}
+
 /* Guards against waiting in an earlier era when a peer knows a later one. */
 static void
 era_of_a_peer_restarts_the_list(void **state)
@@ -437,6 +528,10 @@
 		tear_down),
 	    cmocka_unit_test_setup_teardown(
 		removal_by_a_restore_is_suspect, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		older_content_of_the_copy_is_ignored, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		content_of_a_peer_is_kept, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		era_of_a_peer_restarts_the_list, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
