Start: peers that know the same tell nothing

Cause: since the questions to peers, each reply had the orders of all workers. When all of 300 routers start at once, six replies of 135 KB to each compete with the lists on the same links, and replies come too late and are asked for again.

Change: a question has a digest of the orders of each kind; a peer with the same one leaves the kind out.

--- a/src/feed/newest.c
+++ b/src/feed/newest.c
@@ -1,3 +1,7 @@
+#include <string.h>
+
+#include <xxhash.h>
+
 #include "feed/newest.h"
 
 struct entry {
@@ -118,6 +122,25 @@
 	return e != NULL ? e->text : NULL;
 }
 
+uint64_t
+jh_newest_digest(const struct jh_newest *n)
+{
+	GHashTableIter it;
+	gpointer name, p;
+	uint64_t digest = 0;
+
+	g_hash_table_iter_init(&it, n->entries);
+	while (g_hash_table_iter_next(&it, &name, &p)) {
+		const struct jh_content_order *o = &((struct entry *)p)->order;
+		uint64_t seed = XXH3_64bits(o, sizeof(*o));
+		/* A sum, as the entries have no order. */
+		if (o->version != 0)
+			digest +=
+			    XXH3_64bits_withSeed(name, strlen(name), seed);
+	}
+	return digest;
+}
+
 void
 jh_newest_each(const struct jh_newest *n,
     void (*fn)(
--- a/src/feed/newest.h
+++ b/src/feed/newest.h
@@ -48,6 +48,8 @@
     const struct jh_content_order *order);
 /* Text of the newest content of an object; NULL: none, or version 0. */
 GBytes *jh_newest_text(const struct jh_newest *n, const char *name);
+/* A hash of the orders of all objects with a version. */
+uint64_t jh_newest_digest(const struct jh_newest *n);
 /* Calls fn for each object with a version. */
 void jh_newest_each(const struct jh_newest *n,
     void (*fn)(
--- a/test/test_catch_up.c
+++ b/test/test_catch_up.c
@@ -78,6 +78,14 @@
 	return n;
 }
 
+static void
+add_digest(void *arg, GString *query)
+{
+	const struct fixture *f = arg;
+
+	plat_catch_up_add_digest(query, KIND, jh_newest_digest(f->known));
+}
+
 static bool
 lacks(void *arg, const char *kind, const char *name,
     const struct jh_content_order *order)
@@ -123,6 +131,7 @@
 	struct fixture *f = g_new0(struct fixture, 1);
 	struct plat_catch_up_spec spec = {.loop = &f->loop,
 	    .peers = pick_peers,
+	    .digests = add_digest,
 	    .lacks = lacks,
 	    .learn = learn,
 	    .done = on_done,
--- a/test/test_newest.c
+++ b/test/test_newest.c
@@ -143,6 +143,25 @@
 	assert_int_equal(told, 1);
 }
 
+/*
+ * Guards against two processes that take different contents for the same, or
+ * tell each other everything though they know the same.
+ */
+static void
+digests_tell_contents_apart(void **state)
+{
+	struct jh_newest *n = *state, *other = jh_newest_create();
+
+	assert_true(offer(n, 100, 1, 1, 50));
+	assert_true(offer(other, 100, 2, 1, 40));
+	assert_true(jh_newest_digest(n) != jh_newest_digest(other));
+	assert_true(offer(n, 100, 2, 2, 7));
+	assert_true(jh_newest_digest(n) == jh_newest_digest(other));
+	assert_true(offer(n, 101, 2, 2, 8));
+	assert_true(jh_newest_digest(n) != jh_newest_digest(other));
+	jh_newest_destroy(other);
+}
+
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int
@@ -155,6 +174,7 @@
 	    CASE(leaving_lasts_until_the_next_start),
 	    CASE(removed_content_is_forgotten),
 	    CASE(only_versions_are_told),
+	    CASE(digests_tell_contents_apart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
