--- a/src/http/body.c
+++ b/src/http/body.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "http/body.h"
 
 struct jh_body {
@@ -68,23 +66,6 @@
 	return jh_body_head(b).len + jh_body_tail(b).len;
 }
 
-size_t
-jh_body_read(const struct jh_body *b, size_t position, char *out, size_t max)
-{
-	struct jh_str part = jh_body_head(b);
-	size_t n;
-
-	if (position >= part.len) {
-		position -= part.len;
-		part = jh_body_tail(b);
-	}
-	if (position >= part.len)
-		return 0;
-	n = MIN(max, part.len - position);
-	memcpy(out, part.ptr + position, n);
-	return n;
-}
-
 GString *
 jh_body_join(const struct jh_body *b)
 {
--- a/src/http/body.h
+++ b/src/http/body.h
@@ -19,9 +19,6 @@
 size_t jh_body_len(const struct jh_body *b);
 struct jh_str jh_body_head(const struct jh_body *b);
 struct jh_str jh_body_tail(const struct jh_body *b);
-/* Copies at most max bytes from a position; returns the number copied. */
-size_t jh_body_read(
-    const struct jh_body *b, size_t position, char *out, size_t max);
 /* Returns a copy of head and tail; free it with g_string_free(). */
 GString *jh_body_join(const struct jh_body *b);
 
